--- /dev/null
+++ b/src/mimosastage/base/ring.h
@@ -0,0 +1,48 @@
+#ifndef MIMOSASTAGE_BASE_RING_H_
+#define MIMOSASTAGE_BASE_RING_H_
+
+#include <boost/lockfree/spsc_queue.hpp>
+#include <cstddef>
+#include <functional>
+#include <utility>
+
+namespace mimosastage {
+
+/// Bounded queue from one thread to one other. Push never blocks: a full ring
+/// refuses, and the caller counts and reports the refusal.
+template <class T>
+class Ring {
+ public:
+  /// `wake` tells the reading thread that the ring has something; it is called
+  /// on the writing thread after each push.
+  Ring(std::size_t capacity, std::function<void()> wake)
+      : items(capacity), wake(std::move(wake)) {}
+
+  /// False if the ring is full; `item` is then left as it was.
+  bool Push(T&& item) {
+    if (!this->items.push(std::move(item))) {
+      return false;
+    }
+    this->wake();
+    return true;
+  }
+
+  /// Hands at most `limit` items to `consume`; returns how many there were.
+  template <class Consume>
+  std::size_t Drain(Consume&& consume, std::size_t limit) {
+    std::size_t taken = 0;
+    while (taken < limit && this->items.consume_one(
+                                [&](T& item) { consume(std::move(item)); })) {
+      ++taken;
+    }
+    return taken;
+  }
+
+ private:
+  boost::lockfree::spsc_queue<T> items;
+  std::function<void()> wake;
+};
+
+}  // namespace mimosastage
+
+#endif  // MIMOSASTAGE_BASE_RING_H_
