--- /dev/null
+++ b/src/mimosastage/state/commands.h
@@ -0,0 +1,178 @@
+#ifndef MIMOSASTAGE_STATE_COMMANDS_H_
+#define MIMOSASTAGE_STATE_COMMANDS_H_
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <system_error>
+#include <variant>
+#include <vector>
+
+#include "mimosastage/base/names.h"
+#include "mimosastage/state/tables.h"
+
+namespace mimosastage {
+
+/// Milliseconds since the Unix epoch, read by the leader when it proposes a
+/// command, so that all replicas apply the same value.
+using WallTime = std::chrono::milliseconds;
+
+/// One run of one daemon.
+struct Session {
+  DaemonId daemon{};
+  SessionId id{};
+
+  auto operator<=>(const Session&) const = default;
+};
+
+/// An operator's change of one table. `change_id` makes it idempotent.
+struct TableChange {
+  std::string change_id;
+  TableKind table = TableKind::kRoutes;
+  /// The version of the table that the operator saw.
+  std::uint64_t base_version = 0;
+  std::vector<Row> upserts;
+  std::vector<std::string> deletes;
+};
+
+using KeyHash = std::array<std::uint8_t, 32>;
+
+struct KeyGrant {
+  std::string change_id;
+  /// Public name of the key, used to revoke it.
+  std::string key_id;
+  /// SHA-256 of the secret.
+  KeyHash hash{};
+  TeamName team;
+  ClientName client;
+};
+
+struct KeyRevoke {
+  std::string change_id;
+  std::string key_id;
+};
+
+/// A daemon started; it may borrow units under this session.
+struct SessionStart {
+  Session session;
+};
+
+/// Nothing that the session started can still run: its units are free again,
+/// and its intents without a result have an unknown outcome.
+struct SessionEnd {
+  Session session;
+};
+
+enum class ResourceKind : std::uint8_t { kTeamLimit, kBackendServerSlots };
+
+/// Something whose units are lent to entries: a team's upper limit, or the
+/// slots of one backend server.
+struct Resource {
+  ResourceKind kind = ResourceKind::kTeamLimit;
+  std::string name;
+
+  auto operator<=>(const Resource&) const = default;
+};
+
+/// Lends units to a session (delta > 0) or takes returned ones back (< 0).
+struct AllowanceMove {
+  Resource resource;
+  Session session;
+  std::int32_t delta = 0;
+};
+
+/// All moves of one round of the lender.
+struct AllowanceMoves {
+  /// Sizes of the backend servers' slot resources named in `moves`; the sizes
+  /// of team limits come from the table of teams.
+  std::vector<std::pair<std::string, std::uint32_t>> backend_server_slots;
+  std::vector<AllowanceMove> moves;
+};
+
+/// Names one request that must not be repeated.
+struct IntentKey {
+  TeamName team;
+  std::string idempotency_key;
+
+  auto operator<=>(const IntentKey&) const = default;
+};
+
+/// Committed before the first byte of a request that must not be repeated is
+/// sent to a backend server.
+struct IntentBegin {
+  IntentKey key;
+  Session session;
+  /// xxHash64 of route, method, path and body; the same key with another
+  /// request is refused.
+  std::uint64_t fingerprint = 0;
+  WallTime at{};
+};
+
+enum class IntentOutcome : std::uint8_t { kCompleted, kNotRun, kUnknown };
+
+/// An answer that is kept for repeats of the same request.
+struct StoredAnswer {
+  std::uint16_t status = 0;
+  std::string content_type;
+  /// At most kMaxStoredBody bytes; a longer body isn't kept.
+  std::string body;
+  bool body_kept = true;
+
+  bool operator==(const StoredAnswer&) const = default;
+};
+
+inline constexpr std::size_t kMaxStoredBody = 64U << 10U;
+
+struct IntentEnd {
+  IntentKey key;
+  /// Only the session that began the intent can end it.
+  Session session;
+  IntentOutcome outcome = IntentOutcome::kUnknown;
+  /// Set if the outcome is kCompleted.
+  StoredAnswer answer;
+};
+
+/// Forgets ended intents that began before `before`.
+struct IntentExpiry {
+  WallTime before{};
+};
+
+enum class InstanceState : std::uint8_t {
+  kServing,
+  kDraining,
+  kRebooting,
+  kReturning,
+  kFailed
+};
+
+/// One step of an instance's life. The epoch rises when the pool changes.
+struct InstanceTransition {
+  InstanceName instance;
+  PoolName pool;
+  std::uint64_t epoch = 0;
+  InstanceState state = InstanceState::kServing;
+};
+
+/// The first entry of each view; it commits what earlier views left behind.
+struct Noop {};
+
+using Command =
+    std::variant<Noop, TableChange, KeyGrant, KeyRevoke, SessionStart,
+                 SessionEnd, AllowanceMoves, IntentBegin, IntentEnd,
+                 IntentExpiry, InstanceTransition>;
+
+/// What applying a command gave; the same on every replica.
+struct Outcome {
+  std::error_code error;
+  /// Version of the table after a TableChange, accepted or not.
+  std::uint64_t version = 0;
+  /// Says what was found and the remedy if `error` is set.
+  std::string detail;
+  /// For IntentBegin on a completed intent.
+  StoredAnswer answer;
+};
+
+}  // namespace mimosastage
+
+#endif  // MIMOSASTAGE_STATE_COMMANDS_H_
