--- /dev/null
+++ b/src/mimosastage/http/http_server.cc
@@ -0,0 +1,227 @@
+#include "mimosastage/http/http_server.h"
+
+#include <strings.h>
+
+#include <atomic>
+#include <map>
+#include <restinio/all.hpp>
+#include <set>
+#include <thread>
+#include <unordered_map>
+
+namespace mimosastage {
+namespace {
+
+using ConnectionId = restinio::connection_id_t;
+using RequestHandle = restinio::request_handle_t;
+
+/// Forwards the end of connections to the server.
+class CloseListener {
+ public:
+  explicit CloseListener(std::function<void(ConnectionId)> on_close)
+      : on_close(std::move(on_close)) {}
+
+  // The name is asked for by RESTinio.
+  void state_changed(const restinio::connection_state::notice_t& notice) {
+    if (restinio::holds_alternative<restinio::connection_state::closed_t>(
+            notice.cause())) {
+      this->on_close(notice.connection_id());
+    }
+  }
+
+ private:
+  std::function<void(ConnectionId)> on_close;
+};
+
+struct ServerTraits : public restinio::default_single_thread_traits_t {
+  using connection_state_listener_t = CloseListener;
+  static constexpr bool use_connection_count_limiter = true;  // NOLINT
+};
+
+HttpRequest ToRequest(std::uint64_t id, const RequestHandle& handle) {
+  HttpRequest request;
+  request.id = id;
+  request.target = handle->header().request_target();
+  request.method = handle->header().method().c_str();
+  handle->header().for_each_field([&](const auto& field) {
+    request.headers.emplace_back(field.name(), field.value());
+  });
+  request.body = handle->body();
+  return request;
+}
+
+}  // namespace
+
+std::string_view FindHeader(const HttpHeaders& headers, std::string_view name) {
+  for (const auto& [key, value] : headers) {
+    if (key.size() == name.size() &&
+        strncasecmp(key.data(), name.data(), name.size()) == 0) {
+      return value;
+    }
+  }
+  return {};
+}
+
+struct HttpServer::Impl {
+  Impl(Settings settings, Hooks hooks)
+      : settings(std::move(settings)), hooks(std::move(hooks)) {}
+
+  restinio::request_handling_status_t OnRequest(RequestHandle handle) {
+    if (handle->body().size() > this->settings.max_body_bytes) {
+      return RefuseLargeBody(handle);
+    }
+    const std::uint64_t id = this->next_request_id++;
+    HttpRequest request = ToRequest(id, handle);
+    this->by_connection[handle->connection_id()].insert(id);
+    this->open.emplace(id, std::move(handle));
+    this->hooks.on_request(std::move(request));
+    return restinio::request_accepted();
+  }
+
+  static restinio::request_handling_status_t RefuseLargeBody(
+      const RequestHandle& handle) {
+    return handle->create_response(restinio::status_payload_too_large())
+        .append_header("Content-Type", "application/problem+json")
+        .connection_close()
+        .set_body(std::string(
+            R"({"type":"about:blank","title":"the body is too large","status":413,)"
+            R"("reason":"body_too_large","outcome":"not_run"})"))
+        .done();
+  }
+
+  void OnClose(ConnectionId connection) {
+    auto found = this->by_connection.find(connection);
+    if (found == this->by_connection.end()) {
+      return;
+    }
+    const std::set<std::uint64_t> ids = std::move(found->second);
+    this->by_connection.erase(found);
+    for (std::uint64_t id : ids) {
+      this->open.erase(id);
+      if (this->hooks.on_disconnect) {
+        this->hooks.on_disconnect(id);
+      }
+    }
+  }
+
+  void Answer(std::uint64_t id, HttpAnswer&& answer) {
+    auto found = this->open.find(id);
+    if (found == this->open.end()) {
+      return;
+    }
+    RequestHandle handle = std::move(found->second);
+    this->open.erase(found);
+    this->ForgetOpen(handle->connection_id(), id);
+    auto response = handle->create_response(restinio::http_status_line_t{
+        restinio::http_status_code_t{answer.status}, ""});
+    for (auto& [name, value] : answer.headers) {
+      response.append_header(std::move(name), std::move(value));
+    }
+    if (answer.close) {
+      response.connection_close();
+    }
+    response.set_body(std::move(answer.body));
+    response.done();
+  }
+
+  void ForgetOpen(ConnectionId connection, std::uint64_t id) {
+    if (auto found = this->by_connection.find(connection);
+        found != this->by_connection.end()) {
+      found->second.erase(id);
+      if (found->second.empty()) {
+        this->by_connection.erase(found);
+      }
+    }
+  }
+
+  Settings settings;
+  Hooks hooks;
+  asio::io_context io{1};
+  std::unique_ptr<restinio::http_server_t<ServerTraits>> server;
+  std::thread thread;
+  std::atomic<bool> wake_pending{false};
+  std::uint16_t port = 0;
+  // Used by the server's thread only.
+  std::uint64_t next_request_id = 1;
+  std::unordered_map<std::uint64_t, RequestHandle> open;
+  std::unordered_map<ConnectionId, std::set<std::uint64_t>> by_connection;
+};
+
+HttpServer::HttpServer(Settings settings, Hooks hooks)
+    : impl(std::make_unique<Impl>(std::move(settings), std::move(hooks))) {}
+
+HttpServer::~HttpServer() { this->Stop(); }
+
+Result<std::uint16_t> HttpServer::Start() {
+  Impl& self = *this->impl;
+  auto listener = std::make_shared<CloseListener>(
+      [&self](ConnectionId id) { self.OnClose(id); });
+  const restinio::incoming_http_msg_limits_t limits =
+      restinio::incoming_http_msg_limits_t{}
+          .max_url_size(8U << 10U)
+          .max_field_name_size(1U << 10U)
+          .max_field_value_size(self.settings.max_header_field_bytes)
+          .max_field_count(100)
+          // A body between the two limits gets an answer with the reason; one
+          // beyond this limit has its connection closed while it is read.
+          .max_body_size(2 * self.settings.max_body_bytes);
+  try {
+    self.server = std::make_unique<restinio::http_server_t<ServerTraits>>(
+        restinio::external_io_context(self.io),
+        restinio::server_settings_t<ServerTraits>{}
+            .address(self.settings.address)
+            .port(self.settings.port)
+            .incoming_http_msg_limits(limits)
+            .read_next_http_message_timelimit(self.settings.slow_sender_timeout)
+            .write_http_response_timelimit(self.settings.slow_sender_timeout)
+            .handle_request_timeout(self.settings.answer_timeout)
+            // The server reads on while a request is in progress, and so sees
+            // the caller's disconnect.
+            .max_pipelined_requests(2)
+            .max_parallel_connections(self.settings.max_connections)
+            .connection_state_listener(listener)
+            .acceptor_post_bind_hook(
+                [&self](asio::ip::tcp::acceptor& acceptor) {
+                  self.port = acceptor.local_endpoint().port();
+                })
+            .request_handler([&self](RequestHandle handle) {
+              return self.OnRequest(std::move(handle));
+            }));
+    self.server->open_sync();
+  } catch (const std::system_error& error) {
+    return error.code();
+  } catch (const std::exception&) {
+    return std::make_error_code(std::errc::address_in_use);
+  }
+  self.thread = std::thread([&self] { self.io.run(); });
+  return self.port;
+}
+
+void HttpServer::Stop() {
+  Impl& self = *this->impl;
+  if (!self.thread.joinable()) {
+    return;
+  }
+  asio::post(self.io, [&self] {
+    self.server->close_sync();
+    self.io.stop();
+  });
+  self.thread.join();
+}
+
+void HttpServer::Wake() {
+  Impl& self = *this->impl;
+  if (self.wake_pending.exchange(true)) {
+    return;
+  }
+  asio::post(self.io, [&self] {
+    self.wake_pending.store(false);
+    self.hooks.on_wake();
+  });
+}
+
+void HttpServer::Answer(std::uint64_t request_id, HttpAnswer&& answer) {
+  this->impl->Answer(request_id, std::move(answer));
+}
+
+}  // namespace mimosastage
--- /dev/null
+++ b/src/mimosastage/http/http_server.h
@@ -0,0 +1,94 @@
+#ifndef MIMOSASTAGE_HTTP_HTTP_SERVER_H_
+#define MIMOSASTAGE_HTTP_HTTP_SERVER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "mimosastage/base/result.h"
+
+namespace mimosastage {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/// The first value of `name`, compared without case, or "".
+std::string_view FindHeader(const HttpHeaders& headers, std::string_view name);
+
+/// A whole request as it was read from the connection.
+struct HttpRequest {
+  /// Unique within one server; names the request in HttpServer::Answer.
+  std::uint64_t id = 0;
+  /// Path and query as sent.
+  std::string target;
+  std::string method;
+  HttpHeaders headers;
+  std::string body;
+};
+
+struct HttpAnswer {
+  std::uint16_t status = 200;
+  HttpHeaders headers;
+  std::string body;
+  /// Closes the connection after the answer.
+  bool close = false;
+};
+
+/// An HTTP/1.1 server on one thread of its own.
+class HttpServer {
+ public:
+  struct Settings {
+    std::string address = "127.0.0.1";
+    /// 0 takes a free port; Start returns it.
+    std::uint16_t port = 0;
+    /// Larger bodies are refused with 413.
+    std::uint64_t max_body_bytes = 1U << 20U;
+    std::size_t max_header_field_bytes = 16U << 10U;
+    /// From the first byte of a request to its last.
+    std::chrono::milliseconds slow_sender_timeout{10'000};
+    /// A request that has no answer by then has its connection closed.
+    std::chrono::milliseconds answer_timeout{3'600'000};
+    std::size_t max_connections = 20'000;
+  };
+
+  /// All hooks run on the server's thread.
+  struct Hooks {
+    std::function<void(HttpRequest&& request)> on_request;
+    /// The caller closed its connection before the request was answered.
+    std::function<void(std::uint64_t request_id)> on_disconnect;
+    /// Runs after Wake.
+    std::function<void()> on_wake;
+  };
+
+  HttpServer(Settings settings, Hooks hooks);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// Binds and starts the thread. Returns the port, or the error of bind.
+  Result<std::uint16_t> Start();
+
+  /// Closes all connections and joins the thread.
+  void Stop();
+
+  /// Asks the server's thread to run on_wake soon. May be called from any
+  /// thread; calls that come before it ran are merged.
+  void Wake();
+
+  /// Sends the answer to an open request; ignored if the caller has gone.
+  /// Only from within a hook.
+  void Answer(std::uint64_t request_id, HttpAnswer&& answer);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace mimosastage
+
+#endif  // MIMOSASTAGE_HTTP_HTTP_SERVER_H_
--- a/src/mimosastage/state/commands.h
+++ b/src/mimosastage/state/commands.h
@@ -75,11 +75,16 @@
   auto operator<=>(const Resource&) const = default;
 };
 
-/// Lends units to a session (delta > 0) or takes returned ones back (< 0).
+/// Lends units to a session and takes returned ones back. The ledger keeps two
+/// totals for each resource and session; a session holds the difference.
 struct AllowanceMove {
   Resource resource;
   Session session;
-  std::int32_t delta = 0;
+  /// Units lent on top of what was lent before.
+  std::uint32_t lend = 0;
+  /// Units that the session has given back since it started. The ledger takes
+  /// the highest value it has seen, so that a repeated return is harmless.
+  std::uint64_t returned_total = 0;
 };
 
 /// All moves of one round of the lender.
--- a/src/mimosastage/state/tables.h
+++ b/src/mimosastage/state/tables.h
@@ -68,7 +68,7 @@
 struct Policy {
   std::string name = "default";
   /// Retries for each 100 first attempts of a pool.
-  std::uint32_t retry_percent = 10;
+  std::uint32_t retry_percent = 8;
   /// Backend servers of a pool that may be ejected at once, in percent.
   std::uint32_t ejection_percent = 33;
   /// How long a drain waits for jobs to end or checkpoint.
