Name the caller's refusal CallerRefusal

Cause: the admission package has a Refusal of its own; two types of one name in one namespace would break the one-definition rule. Conclusion: tests unchanged, green.

--- a/src/mimosastage/callers/refusal.cc
+++ b/src/mimosastage/callers/caller_refusal.cc
@@ -1,10 +1,10 @@
-#include "mimosastage/callers/refusal.h"
+#include "mimosastage/callers/caller_refusal.h"
 
 #include <nlohmann/json.hpp>
 
 namespace mimosastage {
 
-HttpAnswer ToHttpAnswer(const Refusal& refusal) {
+HttpAnswer ToHttpAnswer(const CallerRefusal& refusal) {
   const nlohmann::json problem = {
       {"type", "about:blank"},
       {"title", refusal.title},
--- a/src/mimosastage/callers/refusal.h
+++ b/src/mimosastage/callers/caller_refusal.h
@@ -1,5 +1,5 @@
-#ifndef MIMOSASTAGE_CALLERS_REFUSAL_H_
-#define MIMOSASTAGE_CALLERS_REFUSAL_H_
+#ifndef MIMOSASTAGE_CALLERS_CALLER_REFUSAL_H_
+#define MIMOSASTAGE_CALLERS_CALLER_REFUSAL_H_
 
 #include <chrono>
 #include <cstdint>
@@ -19,7 +19,7 @@
 };
 
 /// Why a caller gets no answer from a backend server.
-struct Refusal {
+struct CallerRefusal {
   std::uint16_t status = 503;
   /// Machine-readable and stable; also the label of the refusal counter.
   std::string reason;
@@ -30,8 +30,8 @@
 };
 
 /// The refusal as application/problem+json.
-HttpAnswer ToHttpAnswer(const Refusal& refusal);
+HttpAnswer ToHttpAnswer(const CallerRefusal& refusal);
 
 }  // namespace mimosastage
 
-#endif  // MIMOSASTAGE_CALLERS_REFUSAL_H_
+#endif  // MIMOSASTAGE_CALLERS_CALLER_REFUSAL_H_
--- a/src/mimosastage/callers/caller_request.cc
+++ b/src/mimosastage/callers/caller_request.cc
@@ -44,10 +44,10 @@
       [&](std::string_view kept) { return SameIgnoringCase(kept, name); });
 }
 
-Refusal BadRequest(std::uint16_t status, std::string reason,
-                   std::string title) {
-  return Refusal{status, std::move(reason), std::move(title),
-                 RefusedOutcome::kNotRun, std::nullopt};
+CallerRefusal BadRequest(std::uint16_t status, std::string reason,
+                         std::string title) {
+  return CallerRefusal{status, std::move(reason), std::move(title),
+                       RefusedOutcome::kNotRun, std::nullopt};
 }
 
 std::string BearerKey(const HttpHeaders& headers) {
@@ -79,7 +79,7 @@
 
 }  // namespace
 
-std::variant<CallerRequest, CancelRequest, Refusal> ParseCallerRequest(
+std::variant<CallerRequest, CancelRequest, CallerRefusal> ParseCallerRequest(
     HttpRequest&& request) {
   const std::string_view target = request.target;
   if (target.starts_with(kCancelPrefix) && request.method == "DELETE") {
--- a/src/mimosastage/callers/caller_request.h
+++ b/src/mimosastage/callers/caller_request.h
@@ -8,7 +8,7 @@
 #include <variant>
 
 #include "mimosastage/base/names.h"
-#include "mimosastage/callers/refusal.h"
+#include "mimosastage/callers/caller_refusal.h"
 #include "mimosastage/http/http_server.h"
 
 namespace mimosastage {
@@ -41,7 +41,7 @@
 inline constexpr std::size_t kMaxIdempotencyKey = 128;
 
 /// What the caller asked for, or why it can't be understood.
-std::variant<CallerRequest, CancelRequest, Refusal> ParseCallerRequest(
+std::variant<CallerRequest, CancelRequest, CallerRefusal> ParseCallerRequest(
     HttpRequest&& request);
 
 /// xxHash64 of what makes two requests the same work: route, method, target
--- a/tests/callers/caller_request_test.cc
+++ b/tests/callers/caller_request_test.cc
@@ -61,9 +61,9 @@
        "bad_idempotency_key"}};
   for (const Case& c : cases) {
     auto parsed = ParseCallerRequest(Request("GET", c.target, c.headers));
-    ASSERT_TRUE(std::holds_alternative<Refusal>(parsed)) << c.reason;
-    EXPECT_EQ(std::get<Refusal>(parsed).reason, c.reason);
-    EXPECT_EQ(std::get<Refusal>(parsed).outcome, RefusedOutcome::kNotRun);
+    ASSERT_TRUE(std::holds_alternative<CallerRefusal>(parsed)) << c.reason;
+    EXPECT_EQ(std::get<CallerRefusal>(parsed).reason, c.reason);
+    EXPECT_EQ(std::get<CallerRefusal>(parsed).outcome, RefusedOutcome::kNotRun);
   }
 }
 
