Add the interfaces of routing and of the backend servers' client

Cause: the daemon is built on these types while they are implemented. Conclusion: the headers compile on their own; nothing was run.

--- /dev/null
+++ b/src/mimosastage/routing/backend_server_picker.h
@@ -0,0 +1,84 @@
+#ifndef MIMOSASTAGE_ROUTING_BACKEND_SERVER_PICKER_H_
+#define MIMOSASTAGE_ROUTING_BACKEND_SERVER_PICKER_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <random>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "mimosastage/base/names.h"
+#include "mimosastage/base/time.h"
+#include "mimosastage/routing/backend_server_directory.h"
+#include "mimosastage/routing/ejection.h"
+
+namespace mimosastage {
+
+/// Chooses the backend server of an attempt and counts this entry's requests
+/// in progress at each one.
+class BackendServerPicker {
+ public:
+  struct Settings {
+    /// This entry's zone.
+    AvailabilityZone availability_zone;
+    std::uint32_t entry_count = 1;
+    std::uint64_t seed = 0;
+  };
+
+  struct Hooks {
+    /// Slots of the server that are lent to this entry and free.
+    std::function<std::uint32_t(const BackendServerName&)> free_lent_slots;
+  };
+
+  struct Choice {
+    BackendServerName name;
+    bool probe = false;
+  };
+
+  /// `directory` and `ejection` must outlive the picker.
+  BackendServerPicker(Settings settings, Hooks hooks,
+                      const BackendServerDirectory& directory,
+                      Ejection& ejection);
+
+  void SetEntryCount(std::uint32_t entry_count);
+
+  /// A server of the pool that is present, not departing, not ejected, not in
+  /// `excluded`, with a free lent slot and within this entry's part of its
+  /// connections. A server whose probe is due comes first if `excluded` is
+  /// empty, so that a retry is no probe. Nothing if there is none. A choice
+  /// counts nothing until OnStart.
+  std::optional<Choice> Pick(const PoolName& pool,
+                             std::span<const BackendServerName> excluded,
+                             TimePoint now);
+
+  /// True if Pick would find a server for a first attempt.
+  bool CanPick(const PoolName& pool, TimePoint now) const;
+
+  /// The attempt on a chosen server begins; a probe is marked as started.
+  void OnStart(const Choice& choice);
+  /// The attempt has ended, in whatever way. Once for each OnStart.
+  void OnEnd(const BackendServerName& name);
+
+  std::uint32_t InProgress(const BackendServerName& name) const;
+
+  /// This entry's part of the server's connections: connections / entries, at
+  /// least 1.
+  std::uint32_t ConnectionPart(const Announcement& server) const;
+
+ private:
+  bool HasRoom(const Announcement& server) const;
+  const Announcement* ChooseOf(const std::vector<const Announcement*>& of);
+
+  Settings settings;
+  Hooks hooks;
+  const BackendServerDirectory& directory;
+  Ejection& ejection;
+  std::mt19937_64 random;
+  std::unordered_map<BackendServerName, std::uint32_t> in_progress;
+};
+
+}  // namespace mimosastage
+
+#endif  // MIMOSASTAGE_ROUTING_BACKEND_SERVER_PICKER_H_
--- /dev/null
+++ b/src/mimosastage/routing/request_tracker.h
@@ -0,0 +1,249 @@
+#ifndef MIMOSASTAGE_ROUTING_REQUEST_TRACKER_H_
+#define MIMOSASTAGE_ROUTING_REQUEST_TRACKER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "mimosastage/base/names.h"
+#include "mimosastage/base/time.h"
+#include "mimosastage/routing/attempt.h"
+#include "mimosastage/routing/intent_table.h"
+#include "mimosastage/state/commands.h"
+
+namespace mimosastage {
+
+/// A caller's request that passed the checks of key and route.
+struct RequestArrival {
+  PoolName pool;
+  /// The route says that a request may run more than once.
+  bool repeatable = false;
+  TimePoint deadline{};
+  /// Required if the route isn't repeatable; ignored otherwise.
+  std::optional<IntentKey> intent;
+  /// xxHash64 of route, method, path and body.
+  std::uint64_t fingerprint = 0;
+};
+
+/// The queue gave the request a unit of its team's limit and a slot of a
+/// backend server. Both are the tracker's until it gives them back.
+struct RequestAdmitted {
+  BackendServerName server;
+};
+
+/// The queue refused the request; it holds no units.
+struct RequestNotAdmitted {
+  enum class Reason : std::uint8_t { kQueueFull, kWouldMissDeadline };
+  Reason reason = Reason::kQueueFull;
+  std::chrono::seconds retry_after{1};
+};
+
+/// The IntentBegin was applied, with this outcome.
+struct IntentAnswered {
+  IntentBeginOutcome outcome;
+};
+
+/// The IntentBegin will certainly not be applied.
+struct IntentNotCommitted {};
+
+struct AttemptEnded {
+  /// Number given in StartAttempt. A result with another number is ignored.
+  std::uint32_t attempt = 0;
+  AttemptEnd end = AttemptEnd::kWholeAnswer;
+  /// Set if `end` is kWholeAnswer.
+  BackendServerAnswer answer;
+};
+
+struct RequestCancelled {
+  /// kDisconnected lets a request that must not be repeated run to its end, so
+  /// that its answer is stored for the caller's next try.
+  enum class Kind : std::uint8_t { kDisconnected, kAsked };
+  Kind kind = Kind::kDisconnected;
+};
+
+struct DeadlinePassed {};
+struct LeaseLapsed {};
+
+using RequestEvent =
+    std::variant<RequestAdmitted, RequestNotAdmitted, IntentAnswered,
+                 IntentNotCommitted, AttemptEnded, RequestCancelled,
+                 DeadlinePassed, LeaseLapsed>;
+
+enum class RefusalReason : std::uint8_t {
+  kIntentKeyMissing,
+  kIntentKeyTooLong,
+  kQueueFull,
+  kWouldMissDeadline,
+  kDeadlinePassed,
+  kLeaseLapsed,
+  kCancelled,
+  kIntentInProgress,
+  kIntentUnknown,
+  kIntentKeyReused,
+  kIntentsFull,
+  kIntentNotCommitted,
+  kBackendServerUnavailable,
+  kBackendServerFailed,
+  kBackendServerStalled,
+  kAnswerMismatch,
+  kAnswerTruncated,
+  kAnswerTooLarge,
+};
+
+/// The value of `reason` in the problem document, such as "lease_lapsed".
+std::string_view RefusalReasonName(RefusalReason reason);
+
+enum class RefusalOutcome : std::uint8_t { kNotRun, kUnknown };
+
+/// Proposes IntentBegin for the request's key and fingerprint.
+struct CommitIntent {};
+
+struct StartAttempt {
+  std::uint32_t attempt = 0;
+  BackendServerName server;
+  /// No byte may be sent at or after this time: end of lease or deadline.
+  TimePoint start_before{};
+  /// The exchange is given up at this time.
+  TimePoint deadline{};
+  /// Limit until the answer's first byte on a reused connection; 0 is none.
+  Duration reused_stall_limit{};
+};
+
+/// The attempt's end is still reported by AttemptEnded.
+struct CancelAttempt {
+  std::uint32_t attempt = 0;
+};
+
+struct AnswerCaller {
+  BackendServerAnswer answer;
+};
+
+/// Answers a repeat of a completed request from its stored answer.
+struct AnswerFromStore {
+  StoredAnswer answer;
+};
+
+struct RefuseCaller {
+  std::uint16_t status = 0;
+  RefusalReason reason = RefusalReason::kBackendServerFailed;
+  RefusalOutcome outcome = RefusalOutcome::kUnknown;
+  /// 0 leaves the header out.
+  std::chrono::seconds retry_after{0};
+};
+
+/// Frees a slot of the server.
+struct GiveBackSlot {
+  BackendServerName server;
+};
+
+/// Frees the unit of the team's limit.
+struct GiveBackTeamUnit {};
+
+struct CommitIntentEnd {
+  IntentOutcome outcome = IntentOutcome::kUnknown;
+  /// Set if the outcome is kCompleted.
+  StoredAnswer answer;
+};
+
+using RequestAction =
+    std::variant<CommitIntent, StartAttempt, CancelAttempt, AnswerCaller,
+                 AnswerFromStore, RefuseCaller, GiveBackSlot, GiveBackTeamUnit,
+                 CommitIntentEnd>;
+
+/// The state machine of one caller's request at an entry. The request is in
+/// the queue at first; the queue's owner removes it there when Handle returns a
+/// refusal or Done() is true. Each request is answered or refused once, unless
+/// its caller disconnected before.
+class RequestTracker {
+ public:
+  static constexpr std::uint32_t kMaxAttempts = 3;
+  /// Lower bound of StartAttempt::reused_stall_limit.
+  static constexpr std::chrono::seconds kShortestStallLimit{2};
+
+  struct Hooks {
+    /// End of this entry's serving lease; asked directly before each attempt.
+    std::function<TimePoint()> serving_until;
+    /// Reserves a slot of another server for a retry, or nothing.
+    std::function<std::optional<BackendServerName>(
+        std::span<const BackendServerName> excluded)>
+        reserve_another;
+    /// Takes a token of the pool's retry budget.
+    std::function<bool()> take_retry_token;
+    /// Called once for each first attempt.
+    std::function<void()> on_first_attempt;
+  };
+
+  RequestTracker(RequestArrival arrival, Hooks hooks);
+
+  /// Checks the arrival; call it first. Returns a refusal or nothing.
+  std::vector<RequestAction> Start(TimePoint now);
+
+  /// Actions must be carried out in the order given.
+  std::vector<RequestAction> Handle(RequestEvent event, TimePoint now);
+
+  /// Nothing more will come of this request: it can be forgotten.
+  bool Done() const { return this->state == State::kDone; }
+
+  /// True once the caller was answered, refused, or had gone.
+  bool Answered() const { return this->answered; }
+
+  const RequestArrival& Arrival() const { return this->arrival; }
+
+ private:
+  enum class State : std::uint8_t {
+    kQueued,
+    /// Holds units; waits for the intent.
+    kCommittingIntent,
+    kAttempting,
+    /// The caller has been answered; waits for the end of the attempt.
+    kCancelling,
+    /// The caller has been answered; the intent may still be committed.
+    kAbandoningIntent,
+    kDone,
+  };
+  using Actions = std::vector<RequestAction>;
+
+  void On(const RequestAdmitted& event, TimePoint now, Actions& actions);
+  void On(const RequestNotAdmitted& event, TimePoint now, Actions& actions);
+  void On(IntentAnswered& event, TimePoint now, Actions& actions);
+  void On(const IntentNotCommitted& event, TimePoint now, Actions& actions);
+  void On(AttemptEnded& event, TimePoint now, Actions& actions);
+  void On(const RequestCancelled& event, TimePoint now, Actions& actions);
+  void On(const DeadlinePassed& event, TimePoint now, Actions& actions);
+  void On(const LeaseLapsed& event, TimePoint now, Actions& actions);
+
+  /// Ends a request that has no attempt in progress, or cancels the attempt.
+  void GiveUp(std::uint16_t status, RefusalReason reason, Actions& actions);
+  void TryAttempt(TimePoint now, Actions& actions);
+  void Retry(AttemptEnd end, TimePoint now, Actions& actions);
+  bool MayRetry(AttemptEnd end, TimePoint now) const;
+  void Refuse(std::uint16_t status, RefusalReason reason, Actions& actions,
+              std::chrono::seconds retry_after = std::chrono::seconds(0));
+  void RefuseAfter(AttemptEnd end, Actions& actions);
+  void Complete(BackendServerAnswer&& answer, Actions& actions);
+  void EndIntent(Actions& actions);
+  void GiveBackSlotOfServer(Actions& actions);
+  void Finish(Actions& actions);
+
+  RequestArrival arrival;
+  Hooks hooks;
+  State state = State::kQueued;
+  bool answered = false;
+  bool holds_team_unit = false;
+  std::optional<BackendServerName> slot_of;
+  /// The intent is begun and not ended.
+  bool intent_open = false;
+  /// An attempt may have run.
+  bool may_have_run = false;
+  std::uint32_t attempts = 0;
+  std::vector<BackendServerName> tried;
+};
+
+}  // namespace mimosastage
+
+#endif  // MIMOSASTAGE_ROUTING_REQUEST_TRACKER_H_
