--- a/src/mimosastage/replication/messages.h
+++ b/src/mimosastage/replication/messages.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -34,6 +35,9 @@
   LogIndex previous_index = 0;
   ViewNumber previous_view = 0;
   LogIndex commit = 0;
+  /// End of the log that the view began with. A voter is normal in the view
+  /// once its own log agrees with the leader's up to here.
+  LogIndex view_start = 0;
   std::uint64_t round = 0;
   std::vector<LogEntry> entries;
 };
@@ -48,23 +52,33 @@
   bool matched = true;
 };
 
+/// Says that the sender misses the leader and would move to `view`. It binds
+/// the sender to nothing, so that a voter that was partitioned doesn't disturb
+/// the others when it returns.
 struct StartViewChange {
   ViewNumber view = 0;
 };
 
+/// Sent once f + 1 voters would move to `view`, after the view is on the disk.
 /// Carries the end of the log only; the new leader fetches what it lacks.
 struct DoViewChange {
   ViewNumber view = 0;
   ViewNumber last_normal_view = 0;
   LogIndex commit = 0;
   LogIndex log_end = 0;
+  /// Entries after `commit`, as many as one message holds.
   std::vector<LogEntry> suffix;
+  /// Incarnations that the sender knows, its own included. A message that a
+  /// voter sent before it lost its disk isn't counted with one that knows the
+  /// voter's later start.
+  std::vector<std::pair<DaemonId, std::uint64_t>> incarnations;
 };
 
 struct StartView {
   ViewNumber view = 0;
   LogIndex commit = 0;
   LogIndex log_end = 0;
+  /// Entries after `commit`, as many as one message holds.
   std::vector<LogEntry> suffix;
 };
 
@@ -82,18 +96,24 @@
   ViewNumber view = 0;
   /// False while the answering voter itself recovers or changes view.
   bool normal = false;
-  /// Highest incarnation of the asking voter that the answering one knew
-  /// before this start.
+  /// Highest incarnation of the asking voter that the answering one knows. If
+  /// it isn't the asking one's own, and its counter is not lower, the asking
+  /// voter has lost its disk or runs on an old copy of it.
   std::uint64_t known_incarnation = 0;
   /// Set by the leader of `view` only.
   LogIndex commit = 0;
   LogIndex log_end = 0;
 };
 
-/// Asks for entries from `first` on, or for a snapshot if they are gone.
+/// Asks for entries from `first` on, or for the next part of a snapshot if
+/// they are gone.
 struct GetState {
   ViewNumber view = 0;
   LogIndex first = 0;
+  /// The asking daemon holds this many bytes of the snapshot that covers the
+  /// log up to `snapshot_index`.
+  LogIndex snapshot_index = 0;
+  std::uint64_t snapshot_offset = 0;
 };
 
 struct NewState {
--- a/src/mimosastage/replication/replica.h
+++ b/src/mimosastage/replication/replica.h
@@ -3,47 +3,88 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "mimosastage/base/names.h"
+#include "mimosastage/base/result.h"
 #include "mimosastage/base/time.h"
+#include "mimosastage/replication/durable_state.h"
 #include "mimosastage/replication/messages.h"
+#include "mimosastage/replication/replication_config.h"
 
 namespace mimosastage {
 
-/// What must be on disk, in the order given. `ticket` comes back through
-/// Replica::StorageSynced once all of it is synced.
-struct DurableWrite {
-  std::uint64_t ticket = 0;
-  /// Set if the view state changed.
-  std::optional<ViewNumber> view;
-  std::optional<ViewNumber> last_normal_view;
-  /// Entries from this index on are removed before `entries` are added.
-  std::optional<LogIndex> truncate_from;
-  std::vector<LogEntry> entries;
-  /// A snapshot that replaces the log up to and including `snapshot_index`.
-  std::optional<std::string> snapshot;
-  LogIndex snapshot_index = 0;
-  ViewNumber snapshot_view = 0;
-  /// Highest incarnation seen of each voter, if it changed.
-  std::vector<std::pair<DaemonId, std::uint64_t>> incarnations;
+enum class ReplicaStatus : std::uint8_t {
+  /// Doesn't vote: its incarnation isn't confirmed, or it lost its disk.
+  kRecovering,
+  /// Between views.
+  kViewChange,
+  /// Knows the leader of its view, but lacks a part of the log that the view
+  /// began with.
+  kCatchingUp,
+  kNormal
 };
 
-/// What storage found at the start.
-struct DurableImage {
-  /// False if the folder was empty or marked as not usable: the voter recovers.
-  bool intact = false;
-  /// Already raised and synced for this start.
-  std::uint64_t incarnation = 0;
-  ViewNumber view = 0;
-  ViewNumber last_normal_view = 0;
-  LogIndex snapshot_index = 0;
-  ViewNumber snapshot_view = 0;
-  std::optional<std::string> snapshot;
-  std::vector<LogEntry> entries;
-  std::vector<std::pair<DaemonId, std::uint64_t>> incarnations;
+/// One voter of the replicated log: Viewstamped Replication Revisited with a
+/// log that is synced before it is acknowledged. It does no I/O; the owner
+/// passes events and the time, and acts through the hooks. Not thread-safe.
+class Replica {
+ public:
+  struct Hooks {
+    /// May lose, repeat or reorder messages. A LeaseGrant can be addressed to
+    /// this daemon itself.
+    std::function<void(DaemonId to, ReplicationMessage message)> send;
+    /// Stores and syncs; the owner then calls StorageSynced, later and in the
+    /// order of the calls, never from within the hook.
+    std::function<void(DurableWrite write)> persist;
+    /// Called once for each committed command, in the order of the log. It may
+    /// call Propose.
+    std::function<void(LogIndex index, const std::string& command)> apply;
+    /// Replaces the whole state by the one that take_snapshot encoded.
+    std::function<void(const std::string& snapshot)> install_snapshot;
+    /// The state after the last applied command.
+    std::function<std::string()> take_snapshot;
+  };
+
+  Replica(ReplicaConfig config, Hooks hooks);
+  ~Replica();
+  Replica(const Replica&) = delete;
+  Replica& operator=(const Replica&) = delete;
+
+  /// Begins with what the disk holds. Called once, before all else; installs
+  /// the image's snapshot.
+  void Start(DurableImage image, TimePoint now);
+
+  /// Messages that aren't for a voter are ignored.
+  void Handle(DaemonId from, const ReplicationMessage& message, TimePoint now);
+
+  /// Drives all timeouts; to be called every 20 ms or more often.
+  void Tick(TimePoint now);
+
+  /// Adds a command to the log. The index is a promise only while this voter
+  /// stays leader of its view: another command can take the place if the view
+  /// changes. Errors: kNotLeader, kTooManyPending, kCommandTooLong.
+  Result<LogIndex> Propose(std::string command, TimePoint now);
+
+  /// Everything up to the DurableWrite with this ticket is synced.
+  void StorageSynced(std::uint64_t ticket, TimePoint now);
+
+  /// True on the leader of a normal view that still hears a quorum.
+  bool IsLeader() const;
+  /// The leader as far as this voter knows; nothing between views.
+  std::optional<DaemonId> Leader() const;
+  ViewNumber View() const;
+  /// Last committed index; all up to it are applied.
+  LogIndex Commit() const;
+  /// Last index in the log, committed or not.
+  LogIndex LogEnd() const;
+  ReplicaStatus Status() const;
+
+ private:
+  class Core;
+  std::unique_ptr<Core> core;
 };
 
 }  // namespace mimosastage
