--- /dev/null
+++ b/src/mimosastage/replication/internal/normal_operation.cc
@@ -0,0 +1,220 @@
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <utility>
+
+#include "mimosastage/replication/internal/replica_core.h"
+
+namespace mimosastage {
+
+void Replica::Core::On(DaemonId from, const Prepare& m, TimePoint now) {
+  if (this->LeaderOf(m.view) != from) {
+    return;
+  }
+  if (m.view < this->view) {
+    // The old leader learns that the others have moved on.
+    this->Send(from, PrepareOk{this->view, 0, m.round, false});
+    return;
+  }
+  if (m.view > this->view || this->status == ReplicaStatus::kViewChange) {
+    this->EnterView(m.view, m.view_start, now);
+  }
+  this->leader_heard = now;
+  this->ClearSuspicion();
+  this->seen_round = std::max(this->seen_round, m.round);
+  const bool matched = m.previous_index <= this->verified ||
+                       this->log.ViewAt(m.previous_index) == m.previous_view;
+  if (!matched) {
+    this->ReportMismatch(from);
+    return;
+  }
+  this->verified = std::max(this->verified, m.previous_index);
+  this->Adopt(m.entries);
+  this->CommitTo(m.commit, now);
+  this->BecomeNormalIfComplete();
+  this->Acknowledge(!m.entries.empty(), now);
+}
+
+void Replica::Core::EnterView(ViewNumber view, LogIndex view_start,
+                              TimePoint now) {
+  this->view = view;
+  this->view_start = view_start;
+  this->status = ReplicaStatus::kCatchingUp;
+  this->verified = this->commit;
+  this->leading = false;
+  this->grants.clear();
+  this->followers.clear();
+  this->fetch.reset();
+  this->do_view_changes.clear();
+  this->collector.Clear();
+  this->seen_round = 0;
+  this->acknowledgement_owed = false;
+  this->leader_heard = now;
+  this->failed_view_changes = 0;
+  this->leader_timeout = this->DrawTimeout();
+  this->ClearSuspicion();
+}
+
+void Replica::Core::BecomeNormalIfComplete() {
+  if (this->status != ReplicaStatus::kCatchingUp ||
+      this->verified < this->view_start) {
+    return;
+  }
+  // What follows is from earlier views and not part of this one.
+  this->TruncateFrom(this->verified + 1);
+  this->status = ReplicaStatus::kNormal;
+  this->last_normal_view = this->view;
+  this->durable.SetView(this->view);
+  this->durable.SetLastNormalView(this->view);
+}
+
+void Replica::Core::ReportMismatch(DaemonId leader) {
+  this->Send(leader,
+             PrepareOk{this->view, this->verified, this->seen_round, false});
+}
+
+void Replica::Core::Acknowledge(bool has_entries, TimePoint now) {
+  this->FlushAndSend(now);
+  if (this->SyncedInView() < this->verified) {
+    this->acknowledgement_owed = true;
+  }
+  // New entries are acknowledged once they are synced. A heartbeat is answered
+  // at once, unless the disk has stalled: then the leader must notice.
+  const bool wait = has_entries && this->acknowledgement_owed;
+  if (!wait && !this->StorageStalled(now)) {
+    this->SendAcknowledgement();
+  }
+}
+
+void Replica::Core::SendAcknowledgement() {
+  this->Send(
+      this->LeaderOf(this->view),
+      PrepareOk{this->view, this->SyncedInView(), this->seen_round, true});
+}
+
+bool Replica::Core::StorageStalled(TimePoint now) const {
+  return now - this->durable.WaitingSince(now) >
+         this->config.timing.storage_stall;
+}
+
+LogIndex Replica::Core::SyncedInView() const {
+  const LogIndex synced = std::min(this->durable.End(), this->verified);
+  if (this->durable.LastNormalView() == this->view) {
+    return synced;
+  }
+  // Until the voter is durably normal in the view, the leader must not count
+  // its copy of the log that the view began with.
+  return this->view_start == 0 ? 0 : std::min(synced, this->view_start - 1);
+}
+
+void Replica::Core::On(DaemonId from, const PrepareOk& m, TimePoint now) {
+  if (m.view > this->view) {
+    this->EnterViewChange(m.view, now);
+    return;
+  }
+  if (m.view < this->view || !this->leading) {
+    return;
+  }
+  VoterProgress& voter = this->progress[from];
+  voter.last_heard = now;
+  voter.acked_round = std::max(voter.acked_round, m.round);
+  if (!m.matched) {
+    this->Resend(from, m.synced, now);
+    return;
+  }
+  voter.match = std::max(voter.match, std::min(m.synced, this->log.End()));
+  voter.next = std::max(voter.next, voter.match + 1);
+  this->SendEntries(from, voter);
+}
+
+void Replica::Core::Resend(DaemonId to, LogIndex synced, TimePoint now) {
+  VoterProgress& voter = this->progress[to];
+  voter.next = std::min(synced, this->log.End()) + 1;
+  if (voter.next > this->log.Base()) {
+    this->SendEntries(to, voter);
+    return;
+  }
+  if (now >= voter.next_snapshot) {
+    voter.next_snapshot = now + 10 * this->config.timing.heartbeat_interval;
+    this->SendSnapshotParts(to, 0, 0, 1, now);
+  }
+}
+
+void Replica::Core::SendEntries(DaemonId to, VoterProgress& voter) {
+  const LogIndex acknowledged = std::min(voter.match, voter.next - 1);
+  while (voter.next > this->log.Base() && voter.next <= this->sendable &&
+         this->log.BytesBetween(acknowledged, voter.next - 1) <
+             this->config.limits.in_flight_bytes) {
+    Prepare message = this->MakePrepare(voter);
+    message.entries = this->log.Slice(voter.next, this->sendable,
+                                      this->config.limits.message_bytes);
+    voter.next = message.entries.back().index + 1;
+    this->Send(to, std::move(message));
+  }
+}
+
+void Replica::Core::SendNewEntries() {
+  ++this->round;
+  for (auto& [voter, voter_progress] : this->progress) {
+    this->SendEntries(voter, voter_progress);
+  }
+}
+
+void Replica::Core::Heartbeat(TimePoint now) {
+  if (!this->leading || now < this->next_heartbeat) {
+    return;
+  }
+  this->next_heartbeat = now + this->config.timing.heartbeat_interval;
+  ++this->round;
+  for (const auto& [voter, voter_progress] : this->progress) {
+    this->Send(voter, this->MakePrepare(voter_progress));
+  }
+}
+
+Prepare Replica::Core::MakePrepare(const VoterProgress& voter) const {
+  Prepare message;
+  message.view = this->view;
+  message.previous_index = std::max(voter.next - 1, this->log.Base());
+  message.previous_view = *this->log.ViewAt(message.previous_index);
+  message.commit = this->commit;
+  message.view_start = this->view_start;
+  message.round = this->round;
+  return message;
+}
+
+void Replica::Core::AdvanceCommit(TimePoint now) {
+  std::vector<LogIndex> synced{this->SyncedInView()};
+  for (const auto& [voter, voter_progress] : this->progress) {
+    synced.push_back(voter_progress.match);
+  }
+  std::sort(synced.begin(), synced.end(), std::greater<>());
+  const LogIndex candidate = synced[this->FaultsTolerated()];
+  // Below the view's start, a copy counts for nothing: it can still be
+  // replaced by a later view change.
+  if (candidate > this->commit && candidate >= this->view_start) {
+    this->CommitTo(candidate, now);
+    this->StreamToFollowers();
+  }
+}
+
+void Replica::Core::CheckQuorum(TimePoint now) {
+  std::size_t heard = 0;
+  for (const auto& [voter, voter_progress] : this->progress) {
+    if (now - voter_progress.last_heard < this->leader_timeout) {
+      ++heard;
+    }
+  }
+  if (heard < this->FaultsTolerated() || this->StorageStalled(now)) {
+    this->StepDown(now);
+  }
+}
+
+void Replica::Core::StepDown(TimePoint now) {
+  this->leading = false;
+  this->grants.clear();
+  this->followers.clear();
+  this->progress.clear();
+  this->Suspect(now);
+}
+
+}  // namespace mimosastage
--- /dev/null
+++ b/src/mimosastage/replication/internal/recovery.cc
@@ -0,0 +1,236 @@
+#include <algorithm>
+#include <utility>
+
+#include "mimosastage/replication/internal/replica_core.h"
+
+namespace mimosastage {
+
+void Replica::Core::BeginRecovery(TimePoint now) {
+  this->status = ReplicaStatus::kRecovering;
+  this->leading = false;
+  this->ClearSuspicion();
+  this->grants.clear();
+  this->followers.clear();
+  this->fetch.reset();
+  this->do_view_changes.clear();
+  this->collector.Clear();
+  this->refill.reset();
+  this->recovery_responses.clear();
+  this->acknowledgement_owed = false;
+  this->nonce = this->random();
+  for (const DaemonId voter : this->config.voters) {
+    if (voter != this->config.self) {
+      this->unconfirmed.insert(voter);
+    }
+  }
+  if (!this->disk_intact) {
+    // What follows the committed entries may differ from the real log.
+    this->TruncateFrom(this->commit + 1);
+    this->verified = this->commit;
+  }
+  this->SendRecovery(now);
+}
+
+void Replica::Core::SendRecovery(TimePoint now) {
+  const Duration interval = this->config.timing.heartbeat_interval;
+  const bool recovering = this->status == ReplicaStatus::kRecovering;
+  this->next_recovery = now + (recovering ? interval : 10 * interval);
+  const Recovery message{this->nonce, this->incarnation, this->disk_intact};
+  for (const DaemonId voter : this->config.voters) {
+    const bool ask =
+        this->unconfirmed.contains(voter) || (recovering && !this->disk_intact);
+    if (ask && voter != this->config.self) {
+      this->Send(voter, message);
+    }
+  }
+}
+
+void Replica::Core::CheckRecovery(TimePoint now) {
+  if (this->refill.has_value() &&
+      now - this->refill_heard > 2 * this->config.timing.view_change_max) {
+    this->BeginRecovery(now);
+  }
+  if (now >= this->next_recovery && !this->refill.has_value()) {
+    this->SendRecovery(now);
+  }
+}
+
+void Replica::Core::On(DaemonId from, const Recovery& m, TimePoint /*now*/) {
+  // A voter without its disk doesn't know which incarnations it has seen.
+  if (!this->disk_intact) {
+    return;
+  }
+  this->LearnIncarnation(from, m.incarnation);
+  if (!m.disk_intact && this->leading) {
+    // What the voter acknowledged before is lost with its disk.
+    this->progress[from].match = 0;
+  }
+  this->pending_recoveries[from] = m;
+}
+
+void Replica::Core::SendRecoveryResponses() {
+  for (auto next = this->pending_recoveries.begin();
+       next != this->pending_recoveries.end();) {
+    const auto& [voter, request] = *next;
+    const Incarnation known = this->known_incarnations[voter];
+    // The answer is a promise to remember the incarnation.
+    if (this->durable.KnownIncarnation(voter) != known) {
+      ++next;
+      continue;
+    }
+    RecoveryResponse response;
+    response.nonce = request.nonce;
+    response.view = this->view;
+    response.normal =
+        this->status == ReplicaStatus::kNormal &&
+        (this->leading || this->LeaderOf(this->view) != this->config.self);
+    response.known_incarnation = known;
+    response.incarnations = this->KnownIncarnations();
+    if (this->leading) {
+      response.commit = this->commit;
+      response.log_end = this->log.End();
+    }
+    this->Send(voter, std::move(response));
+    next = this->pending_recoveries.erase(next);
+  }
+}
+
+void Replica::Core::On(DaemonId from, const RecoveryResponse& m,
+                       TimePoint now) {
+  if (m.nonce != this->nonce) {
+    return;
+  }
+  const bool known = this->LearnIncarnations(m.incarnations);
+  if (!this->LearnIncarnation(this->config.self, m.known_incarnation) ||
+      !known) {
+    this->LoseDisk(now);
+    return;
+  }
+  this->unconfirmed.erase(from);
+  if (this->status != ReplicaStatus::kRecovering) {
+    return;
+  }
+  if (!this->disk_intact) {
+    this->recovery_responses[from] = m;
+    this->ChooseRefill(now);
+    return;
+  }
+  const std::size_t others = this->config.voters.size() - 1;
+  if (others - this->unconfirmed.size() >= this->FaultsTolerated()) {
+    this->FinishConfirmation(now);
+  }
+}
+
+void Replica::Core::FinishConfirmation(TimePoint now) {
+  if (this->view != this->last_normal_view) {
+    this->EnterViewChange(this->view, now);
+    return;
+  }
+  this->status = ReplicaStatus::kNormal;
+  this->verified = this->log.End();
+  this->leader_heard = now;
+  this->leader_timeout = this->DrawTimeout();
+  // The leader of the view can't go on after a restart: it may have sent
+  // entries that its own disk lacks, and would send others in their place.
+  if (this->LeaderOf(this->view) == this->config.self) {
+    this->Suspect(now);
+  }
+}
+
+void Replica::Core::LoseDisk(TimePoint now) {
+  this->disk_intact = false;
+  this->durable.SetIntact(false);
+  this->incarnation =
+      MakeIncarnation(this->highest_own_counter + 1, this->random());
+  this->highest_own_counter = IncarnationCounter(this->incarnation);
+  this->durable.SetIncarnation(this->config.self, this->incarnation);
+  this->BeginRecovery(now);
+}
+
+void Replica::Core::ChooseRefill(TimePoint now) {
+  if (this->refill.has_value()) {
+    return;
+  }
+  std::size_t normal = 0;
+  ViewNumber newest = 0;
+  for (const auto& [voter, response] : this->recovery_responses) {
+    if (response.normal) {
+      ++normal;
+      newest = std::max(newest, response.view);
+    }
+  }
+  const DaemonId leader = this->LeaderOf(newest);
+  const auto found = this->recovery_responses.find(leader);
+  if (normal <= this->FaultsTolerated() ||
+      found == this->recovery_responses.end() || !found->second.normal ||
+      found->second.view != newest) {
+    return;
+  }
+  this->refill = Refill{leader, newest, found->second.log_end};
+  this->refill_heard = now;
+  this->FinishRefill(now);
+}
+
+void Replica::Core::FinishRefill(TimePoint now) {
+  if (this->verified < this->refill->target) {
+    this->RequestState(this->refill->leader, now);
+    return;
+  }
+  this->TruncateFrom(this->verified + 1);
+  this->view = this->refill->view;
+  this->view_start = this->verified;
+  this->last_normal_view = this->view;
+  this->status = ReplicaStatus::kNormal;
+  this->refill.reset();
+  this->recovery_responses.clear();
+  this->disk_intact = true;
+  this->durable.SetView(this->view);
+  this->durable.SetLastNormalView(this->view);
+  this->durable.SetIntact(true);
+  this->seen_round = 0;
+  this->failed_view_changes = 0;
+  this->leader_heard = now;
+  this->leader_timeout = this->DrawTimeout();
+}
+
+bool Replica::Core::LearnIncarnation(DaemonId voter, Incarnation incarnation) {
+  const std::uint64_t counter = IncarnationCounter(incarnation);
+  if (voter == this->config.self) {
+    this->highest_own_counter =
+        std::max({this->highest_own_counter, counter,
+                  IncarnationCounter(this->incarnation)});
+    return counter < IncarnationCounter(this->incarnation) ||
+           incarnation == this->incarnation;
+  }
+  Incarnation& known = this->known_incarnations[voter];
+  if (counter > IncarnationCounter(known)) {
+    known = incarnation;
+    this->durable.SetIncarnation(voter, incarnation);
+  }
+  return true;
+}
+
+bool Replica::Core::LearnIncarnations(
+    const std::vector<std::pair<DaemonId, Incarnation>>& incarnations) {
+  bool current = true;
+  for (const auto& [voter, known] : incarnations) {
+    if (this->IsVoter(voter) && !this->LearnIncarnation(voter, known)) {
+      current = false;
+    }
+  }
+  return current;
+}
+
+std::vector<std::pair<DaemonId, Incarnation>> Replica::Core::KnownIncarnations()
+    const {
+  std::vector<std::pair<DaemonId, Incarnation>> known;
+  for (const auto& [voter, number] : this->known_incarnations) {
+    if (voter != this->config.self && number != 0) {
+      known.emplace_back(voter, number);
+    }
+  }
+  known.emplace_back(this->config.self, this->incarnation);
+  return known;
+}
+
+}  // namespace mimosastage
--- a/src/mimosastage/replication/messages.h
+++ b/src/mimosastage/replication/messages.h
@@ -103,6 +103,8 @@
   /// Set by the leader of `view` only.
   LogIndex commit = 0;
   LogIndex log_end = 0;
+  /// All incarnations that the answering voter knows, its own included.
+  std::vector<std::pair<DaemonId, std::uint64_t>> incarnations;
 };
 
 /// Asks for entries from `first` on, or for the next part of a snapshot if
--- /dev/null
+++ b/src/mimosastage/replication/replica.cc
@@ -0,0 +1,45 @@
+#include "mimosastage/replication/replica.h"
+
+#include <utility>
+
+#include "mimosastage/replication/internal/replica_core.h"
+
+namespace mimosastage {
+
+Replica::Replica(ReplicaConfig config, Hooks hooks)
+    : core(std::make_unique<Core>(std::move(config), std::move(hooks))) {}
+
+Replica::~Replica() = default;
+
+void Replica::Start(DurableImage image, TimePoint now) {
+  this->core->Start(std::move(image), now);
+}
+
+void Replica::Handle(DaemonId from, const ReplicationMessage& message,
+                     TimePoint now) {
+  this->core->Handle(from, message, now);
+}
+
+void Replica::Tick(TimePoint now) { this->core->Tick(now); }
+
+Result<LogIndex> Replica::Propose(std::string command, TimePoint now) {
+  return this->core->Propose(std::move(command), now);
+}
+
+void Replica::StorageSynced(std::uint64_t ticket, TimePoint now) {
+  this->core->StorageSynced(ticket, now);
+}
+
+bool Replica::IsLeader() const { return this->core->IsLeader(); }
+
+std::optional<DaemonId> Replica::Leader() const { return this->core->Leader(); }
+
+ViewNumber Replica::View() const { return this->core->View(); }
+
+LogIndex Replica::Commit() const { return this->core->Commit(); }
+
+LogIndex Replica::LogEnd() const { return this->core->LogEnd(); }
+
+ReplicaStatus Replica::Status() const { return this->core->Status(); }
+
+}  // namespace mimosastage
--- /dev/null
+++ b/tests/replication/replica_test.cc
@@ -0,0 +1,72 @@
+#include "mimosastage/replication/replica.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+#include "tests/replication/support/replication_group.h"
+
+namespace mimosastage {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class ReplicaTest : public ::testing::Test {
+ protected:
+  bool CommitEverywhere(int count) {
+    const LogIndex target = this->group.Accepted() + count;
+    for (int i = 0; i < count; ++i) {
+      this->group.RunUntil([this] { return this->group.Leader().has_value(); },
+                           seconds(10));
+      this->group.Propose(*this->group.Leader());
+      this->group.Run(milliseconds(5));
+    }
+    return this->group.RunUntil(
+        [&] {
+          for (std::size_t i = 0; i < this->group.Size(); ++i) {
+            if (this->group.Running(i) && this->group.Applied(i) < target) {
+              return false;
+            }
+          }
+          return true;
+        },
+        seconds(10));
+  }
+
+  ReplicationGroup group{3, 2, 1};
+};
+
+// Guards against a group that never elects a leader or doesn't commit.
+TEST_F(ReplicaTest, Propose_NoFaults_ReachesEveryDaemon) {
+  EXPECT_TRUE(this->CommitEverywhere(100));
+  EXPECT_EQ(this->group.Violation(), "");
+  for (std::size_t i = 0; i < this->group.Size(); ++i) {
+    EXPECT_TRUE(this->group.LeaseValid(i)) << "daemon " << i;
+  }
+}
+
+// Guards against a view change that takes longer than the 1.5 s of the page.
+TEST_F(ReplicaTest, Leader_Crashes_ReplacedWithin1500Ms) {
+  ASSERT_TRUE(this->CommitEverywhere(10));
+  this->group.Crash(*this->group.Leader());
+  EXPECT_TRUE(this->group.RunUntil(
+      [this] { return this->group.Leader().has_value(); }, milliseconds(1500)));
+  EXPECT_TRUE(this->CommitEverywhere(10));
+  EXPECT_EQ(this->group.Violation(), "");
+}
+
+// Guards against a leader that goes on without a quorum.
+TEST_F(ReplicaTest, Leader_LosesQuorum_StepsDown) {
+  ASSERT_TRUE(this->CommitEverywhere(1));
+  const std::size_t leader = *this->group.Leader();
+  for (std::size_t i = 0; i < this->group.Size(); ++i) {
+    this->group.Partition(leader, i, i != leader);
+  }
+  this->group.Run(milliseconds(1000));
+  EXPECT_FALSE(this->group.VoterAt(leader)->IsLeader());
+  EXPECT_FALSE(this->group.Propose(leader));
+}
+
+}  // namespace
+}  // namespace mimosastage
--- /dev/null
+++ b/tests/replication/support/replication_group.cc
@@ -0,0 +1,579 @@
+#include "tests/replication/support/replication_group.h"
+
+#include <algorithm>
+#include <cstring>
+#include <sstream>
+#include <tuple>
+#include <variant>
+
+#include "mimosastage/replication/message_codec.h"
+
+namespace mimosastage {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kTick = milliseconds(20);
+constexpr Duration kLease = seconds(2);
+
+/// A command is its number and some bytes that depend on it.
+std::string MakeCommand(std::uint32_t number) {
+  std::string command(sizeof(number) + number % 64, 'x');
+  std::memcpy(command.data(), &number, sizeof(number));
+  return command;
+}
+
+std::uint32_t NumberOf(const std::string& command) {
+  std::uint32_t number = 0;
+  std::memcpy(&number, command.data(), sizeof(number));
+  return number;
+}
+
+}  // namespace
+
+void ApplyToImage(DurableImage& image, DaemonId self, const DurableWrite& write,
+                  bool only_snapshot) {
+  const auto end = [&] { return image.snapshot_index + image.entries.size(); };
+  if (write.snapshot.has_value()) {
+    const LogIndex index = write.snapshot_index;
+    const bool fits = index <= end() && index > image.snapshot_index &&
+                      image.entries[index - image.snapshot_index - 1].view ==
+                          write.snapshot_view;
+    const auto keep_from =
+        fits ? image.entries.begin() +
+                   static_cast<std::ptrdiff_t>(index - image.snapshot_index)
+             : image.entries.end();
+    image.entries.erase(image.entries.begin(), keep_from);
+    image.snapshot = write.snapshot;
+    image.snapshot_index = index;
+    image.snapshot_view = write.snapshot_view;
+  }
+  if (only_snapshot) {
+    return;
+  }
+  if (write.truncate_from.has_value()) {
+    while (!image.entries.empty() && end() >= *write.truncate_from) {
+      image.entries.pop_back();
+    }
+  }
+  for (const LogEntry& entry : write.entries) {
+    image.entries.push_back(entry);
+  }
+  image.view = write.view.value_or(image.view);
+  image.last_normal_view =
+      write.last_normal_view.value_or(image.last_normal_view);
+  image.intact = write.intact.value_or(image.intact);
+  for (const auto& news : write.incarnations) {
+    if (news.first == self) {
+      image.incarnation = news.second;
+      continue;
+    }
+    std::erase_if(image.incarnations,
+                  [&](const auto& item) { return item.first == news.first; });
+    image.incarnations.push_back(news);
+  }
+}
+
+ReplicationGroup::ReplicationGroup(std::size_t voters, std::size_t followers,
+                                   std::uint64_t seed)
+    : voter_count(voters),
+      random(seed),
+      daemons(voters + followers),
+      blocked(voters + followers, std::vector<bool>(voters + followers)) {
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    this->daemons[i].clock_offset = seconds(1000) + this->Random(seconds(500));
+    this->daemons[i].disk.synced.intact = true;
+    this->Restart(i);
+    this->ScheduleTick(i);
+  }
+}
+
+bool ReplicationGroup::Running(std::size_t daemon) const {
+  return this->daemons[daemon].running;
+}
+
+Replica* ReplicationGroup::VoterAt(std::size_t daemon) {
+  return this->daemons[daemon].replica.get();
+}
+
+LogIndex ReplicationGroup::Applied(std::size_t daemon) const {
+  return this->daemons[daemon].state.size();
+}
+
+bool ReplicationGroup::LeaseValid(std::size_t daemon) const {
+  const Daemon& d = this->daemons[daemon];
+  return d.running && d.lease->Valid(d.state.size(), this->Now(daemon));
+}
+
+std::optional<std::size_t> ReplicationGroup::Leader() const {
+  std::optional<std::size_t> best;
+  for (std::size_t i = 0; i < this->voter_count; ++i) {
+    const Daemon& d = this->daemons[i];
+    const bool leads = d.running && !d.frozen && d.replica->IsLeader();
+    if (leads && (!best.has_value() ||
+                  d.replica->View() > this->daemons[*best].replica->View())) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+void ReplicationGroup::Run(milliseconds duration) {
+  this->RunUntil([] { return false; }, duration);
+}
+
+bool ReplicationGroup::RunUntil(const std::function<bool()>& condition,
+                                milliseconds limit) {
+  const Duration end = this->time + limit;
+  while (!this->events.empty() && this->events.top().at <= end &&
+         this->violation.empty()) {
+    const auto action = this->events.top().action;
+    this->time = this->events.top().at;
+    this->events.pop();
+    action();
+    if (condition()) {
+      return true;
+    }
+  }
+  this->time = std::max(this->time, end);
+  return false;
+}
+
+bool ReplicationGroup::Propose(std::size_t daemon) {
+  Daemon& d = this->daemons[daemon];
+  if (!d.running || d.frozen) {
+    return false;
+  }
+  const std::uint32_t number = this->next_command++;
+  return d.replica->Propose(MakeCommand(number), this->Now(daemon)).has_value();
+}
+
+void ReplicationGroup::Crash(std::size_t daemon) {
+  Daemon& d = this->daemons[daemon];
+  if (!d.running) {
+    return;
+  }
+  d.running = false;
+  d.frozen = false;
+  ++d.run;
+  d.waiting.clear();
+  d.replica.reset();
+  d.follower.reset();
+  d.state.clear();
+  // A write in progress may be lost, end after its snapshot, or be complete.
+  if (auto write = std::exchange(d.disk.unsynced, std::nullopt); write) {
+    if (const auto part = this->random() % 3; part > 0) {
+      ApplyToImage(d.disk.synced, DaemonId{static_cast<std::uint16_t>(daemon)},
+                   *write, part == 1);
+    }
+  }
+}
+
+void ReplicationGroup::Restart(std::size_t daemon) {
+  Daemon& d = this->daemons[daemon];
+  if (d.running) {
+    return;
+  }
+  d.running = true;
+  d.lease = std::make_unique<ServingLease>(SessionId{this->random()});
+  if (daemon < this->voter_count) {
+    this->StartVoter(daemon);
+  } else {
+    this->StartFollower(daemon);
+  }
+}
+
+void ReplicationGroup::Freeze(std::size_t daemon) {
+  this->daemons[daemon].frozen = this->daemons[daemon].running;
+}
+
+void ReplicationGroup::Thaw(std::size_t daemon) {
+  Daemon& d = this->daemons[daemon];
+  d.frozen = false;
+  const auto waiting = std::exchange(d.waiting, {});
+  for (const auto& [from, message] : waiting) {
+    this->Process(daemon, from, message);
+  }
+}
+
+bool ReplicationGroup::Frozen(std::size_t daemon) const {
+  return this->daemons[daemon].frozen;
+}
+
+void ReplicationGroup::Partition(std::size_t a, std::size_t b, bool blocked) {
+  this->blocked[a][b] = blocked;
+  this->blocked[b][a] = blocked;
+}
+
+void ReplicationGroup::CopyDisk(std::size_t voter) {
+  Daemon& d = this->daemons[voter];
+  if (!d.unsound) {
+    d.copy = d.disk.synced;
+  }
+}
+
+bool ReplicationGroup::LoseDisk(std::size_t voter) {
+  if (!this->UnsoundAllowed(voter)) {
+    return false;
+  }
+  Daemon& d = this->daemons[voter];
+  const DurableImage before = d.disk.synced;
+  d.disk.synced = DurableImage();
+  if (!this->StartsKnown()) {
+    d.disk.synced = before;
+    return false;
+  }
+  this->Crash(voter);
+  d.disk = TestDisk();
+  d.unsound = true;
+  return true;
+}
+
+bool ReplicationGroup::RestoreDisk(std::size_t voter) {
+  Daemon& d = this->daemons[voter];
+  if (!d.copy.has_value() || !this->UnsoundAllowed(voter)) {
+    return false;
+  }
+  const DurableImage before = d.disk.synced;
+  const bool unsound_before = std::exchange(d.unsound, true);
+  d.disk.synced = *d.copy;
+  if (!this->StartsKnown()) {
+    d.disk.synced = before;
+    d.unsound = unsound_before;
+    return false;
+  }
+  this->Crash(voter);
+  d.disk = TestDisk{*d.copy, std::nullopt};
+  return true;
+}
+
+void ReplicationGroup::Heal() {
+  this->faults = TestFaults();
+  for (auto& row : this->blocked) {
+    std::fill(row.begin(), row.end(), false);
+  }
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    if (this->daemons[i].frozen) {
+      this->Thaw(i);
+    }
+    this->Restart(i);
+  }
+}
+
+TimePoint ReplicationGroup::Now(std::size_t daemon) const {
+  return TimePoint(this->time + this->daemons[daemon].clock_offset);
+}
+
+void ReplicationGroup::At(Duration at, std::function<void()> action) {
+  this->events.push(Event{at, this->next_order++, std::move(action)});
+}
+
+bool ReplicationGroup::Chance(double probability) {
+  return std::uniform_real_distribution<>(0, 1)(this->random) < probability;
+}
+
+Duration ReplicationGroup::Random(microseconds max) {
+  return microseconds(this->random() %
+                      static_cast<std::uint64_t>(max.count() + 1));
+}
+
+void ReplicationGroup::ScheduleTick(std::size_t daemon) {
+  this->At(this->time + kTick + this->Random(milliseconds(2)), [this, daemon] {
+    this->Tick(daemon);
+    this->ScheduleTick(daemon);
+  });
+}
+
+void ReplicationGroup::Tick(std::size_t daemon) {
+  Daemon& d = this->daemons[daemon];
+  if (!d.running) {
+    return;
+  }
+  // A frozen daemon could be thawed by now and serve before its next timer.
+  this->CheckLease(daemon);
+  if (d.frozen) {
+    return;
+  }
+  if (d.replica != nullptr) {
+    d.replica->Tick(this->Now(daemon));
+  } else {
+    d.follower->Tick(this->Now(daemon));
+  }
+  this->RenewLease(daemon);
+}
+
+void ReplicationGroup::RenewLease(std::size_t daemon) {
+  Daemon& d = this->daemons[daemon];
+  const TimePoint now = this->Now(daemon);
+  std::optional<DaemonId> target =
+      d.replica != nullptr ? d.replica->Leader() : std::nullopt;
+  if (d.replica != nullptr && !target.has_value()) {
+    return;
+  }
+  if (auto request = d.lease->NextRequest(d.state.size(), now)) {
+    this->SendMessage(daemon, target ? *target : d.follower->LeaseTarget(now),
+                      *request);
+  }
+}
+
+void ReplicationGroup::SendMessage(std::size_t from, DaemonId to,
+                                   ReplicationMessage message) {
+  const std::size_t target = static_cast<std::size_t>(to);
+  if (this->encode) {
+    message = *Decode(Encode(message));
+  }
+  const int copies = this->Chance(this->faults.duplication) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    if (from != target && this->Chance(this->faults.loss)) {
+      continue;
+    }
+    const std::uint64_t run = this->daemons[target].run;
+    this->At(this->time + this->Random(this->faults.max_delay),
+             [this, from, target, run, message] {
+               this->Deliver(from, target, run, message);
+             });
+  }
+}
+
+void ReplicationGroup::Deliver(std::size_t from, std::size_t to,
+                               std::uint64_t run,
+                               const ReplicationMessage& message) {
+  Daemon& d = this->daemons[to];
+  // A message can reach a later run of the same daemon, except one to itself.
+  const bool lost = from == to && run != d.run;
+  if (!d.running || lost || this->blocked[from][to]) {
+    return;
+  }
+  const DaemonId sender{static_cast<std::uint16_t>(from)};
+  if (d.frozen) {
+    d.waiting.emplace_back(sender, message);
+    return;
+  }
+  this->Process(to, sender, message);
+}
+
+void ReplicationGroup::Process(std::size_t to, DaemonId from,
+                               const ReplicationMessage& message) {
+  Daemon& d = this->daemons[to];
+  const TimePoint now = this->Now(to);
+  if (const auto* grant = std::get_if<LeaseGrant>(&message)) {
+    d.lease->OnGrant(*grant, now);
+  }
+  if (d.replica != nullptr) {
+    d.replica->Handle(from, message, now);
+  } else {
+    d.follower->Handle(from, message, now);
+  }
+  this->CheckLease(to);
+}
+
+void ReplicationGroup::Persist(std::size_t voter, DurableWrite write) {
+  Daemon& d = this->daemons[voter];
+  const std::uint64_t ticket = write.ticket;
+  d.disk.unsynced = std::move(write);
+  Duration wait = this->Random(this->faults.max_sync);
+  if (this->Chance(this->faults.sync_stall)) {
+    wait += this->Random(seconds(4));
+  }
+  const std::uint64_t run = d.run;
+  this->At(this->time + wait, [this, voter, run, ticket] {
+    this->FinishSync(voter, run, ticket);
+  });
+}
+
+void ReplicationGroup::FinishSync(std::size_t voter, std::uint64_t run,
+                                  std::uint64_t ticket) {
+  Daemon& d = this->daemons[voter];
+  if (d.run != run) {
+    return;
+  }
+  if (d.frozen) {
+    this->At(this->time + kTick, [this, voter, run, ticket] {
+      this->FinishSync(voter, run, ticket);
+    });
+    return;
+  }
+  const DaemonId self{static_cast<std::uint16_t>(voter)};
+  const DurableWrite write = *std::exchange(d.disk.unsynced, std::nullopt);
+  ApplyToImage(d.disk.synced, self, write);
+  d.latest = std::max(d.latest, d.disk.synced.incarnation);
+  if (write.intact == true) {
+    d.unsound = false;
+  }
+  d.replica->StorageSynced(ticket, this->Now(voter));
+}
+
+void ReplicationGroup::StartVoter(std::size_t voter) {
+  Daemon& d = this->daemons[voter];
+  const DaemonId self{static_cast<std::uint16_t>(voter)};
+  DurableImage& image = d.disk.synced;
+  image.incarnation = MakeIncarnation(IncarnationCounter(image.incarnation) + 1,
+                                      this->random());
+  d.latest = std::max(d.latest, image.incarnation);
+  ReplicaConfig config;
+  config.self = self;
+  config.seed = this->random();
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    auto& list = i < this->voter_count ? config.voters : config.followers;
+    list.push_back(DaemonId{static_cast<std::uint16_t>(i)});
+  }
+  // Small limits, so that short runs reach snapshots and partial answers.
+  config.limits.snapshot_entries = 24;
+  config.limits.message_bytes = 256;
+  config.limits.snapshot_part_bytes = 200;
+  config.limits.in_flight_bytes = 1024;
+  Replica::Hooks hooks;
+  hooks.send = [this, voter](DaemonId to, ReplicationMessage message) {
+    this->SendMessage(voter, to, std::move(message));
+  };
+  hooks.persist = [this, voter](DurableWrite write) {
+    this->Persist(voter, std::move(write));
+  };
+  hooks.apply = [this, voter](LogIndex index, const std::string& command) {
+    this->Apply(voter, index, command);
+  };
+  hooks.install_snapshot = [this, voter](const std::string& snapshot) {
+    this->Install(voter, snapshot);
+  };
+  hooks.take_snapshot = [&d] {
+    return std::string(reinterpret_cast<const char*>(d.state.data()),
+                       d.state.size() * sizeof(d.state[0]));
+  };
+  d.replica = std::make_unique<Replica>(std::move(config), std::move(hooks));
+  d.replica->Start(image, this->Now(voter));
+}
+
+void ReplicationGroup::StartFollower(std::size_t daemon) {
+  FollowerConfig config;
+  for (std::size_t i = 0; i < this->voter_count; ++i) {
+    config.voters.push_back(DaemonId{static_cast<std::uint16_t>(i)});
+  }
+  Follower::Hooks hooks;
+  hooks.send = [this, daemon](DaemonId to, ReplicationMessage message) {
+    this->SendMessage(daemon, to, std::move(message));
+  };
+  hooks.apply = [this, daemon](LogIndex index, const std::string& command) {
+    this->Apply(daemon, index, command);
+  };
+  hooks.install_snapshot = [this, daemon](const std::string& snapshot) {
+    this->Install(daemon, snapshot);
+  };
+  this->daemons[daemon].follower =
+      std::make_unique<Follower>(std::move(config), std::move(hooks));
+}
+
+void ReplicationGroup::Apply(std::size_t daemon, LogIndex index,
+                             const std::string& command) {
+  Daemon& d = this->daemons[daemon];
+  if (index != d.state.size() + 1) {
+    this->Fail("daemon " + std::to_string(daemon) + " applied index " +
+               std::to_string(index) + " after " +
+               std::to_string(d.state.size()));
+    return;
+  }
+  const std::uint32_t number = NumberOf(command);
+  if (index > this->commands.size()) {
+    this->commands.push_back(number);
+    this->accepted_at.push_back(Duration::max());
+  }
+  if (this->commands[index - 1] != number || command != MakeCommand(number)) {
+    this->Fail("daemon " + std::to_string(daemon) + " applied command " +
+               std::to_string(number) + " at index " + std::to_string(index) +
+               ", where command " + std::to_string(this->commands[index - 1]) +
+               " was accepted");
+  }
+  d.state.push_back(number);
+  if (d.replica != nullptr && d.replica->IsLeader()) {
+    this->NoteAccepted(daemon, index);
+  }
+}
+
+void ReplicationGroup::NoteAccepted(std::size_t daemon, LogIndex index) {
+  this->accepted_at[index - 1] =
+      std::min(this->accepted_at[index - 1], this->time);
+  const Daemon& d = this->daemons[daemon];
+  const std::pair<std::size_t, std::uint64_t> by{daemon, d.run};
+  const auto [found, added] = this->committed_by.emplace(d.replica->View(), by);
+  if (!added && found->second != by) {
+    this->Fail("two leaders committed in view " +
+               std::to_string(d.replica->View()));
+  }
+}
+
+void ReplicationGroup::Install(std::size_t daemon,
+                               const std::string& snapshot) {
+  Daemon& d = this->daemons[daemon];
+  d.state.resize(snapshot.size() / sizeof(d.state[0]));
+  std::memcpy(d.state.data(), snapshot.data(), snapshot.size());
+  const bool prefix =
+      d.state.size() <= this->commands.size() &&
+      std::equal(d.state.begin(), d.state.end(), this->commands.begin());
+  if (!prefix) {
+    this->Fail("daemon " + std::to_string(daemon) +
+               " installed a snapshot that differs from the accepted commands");
+  }
+}
+
+void ReplicationGroup::CheckLease(std::size_t daemon) {
+  const Daemon& d = this->daemons[daemon];
+  if (!d.running || !this->LeaseValid(daemon)) {
+    return;
+  }
+  const std::size_t applied = d.state.size();
+  if (applied < this->accepted_at.size() &&
+      this->accepted_at[applied] != Duration::max() &&
+      this->time - this->accepted_at[applied] > kLease) {
+    this->Fail("daemon " + std::to_string(daemon) +
+               " holds a lease without index " + std::to_string(applied + 1) +
+               ", which was accepted more than 2 s ago");
+  }
+}
+
+void ReplicationGroup::Fail(const std::string& what) {
+  if (this->violation.empty()) {
+    std::ostringstream text;
+    text << "at "
+         << std::chrono::duration_cast<milliseconds>(this->time).count()
+         << " ms: " << what;
+    this->violation = text.str();
+  }
+}
+
+bool ReplicationGroup::UnsoundAllowed(std::size_t voter) const {
+  std::size_t unsound = 0;
+  for (std::size_t i = 0; i < this->voter_count; ++i) {
+    if (i == voter || this->daemons[i].unsound) {
+      ++unsound;
+    }
+  }
+  return unsound <= (this->voter_count - 1) / 2;
+}
+
+bool ReplicationGroup::StartsKnown() const {
+  // An unsound voter asks f others whether they know a later start of it; so
+  // at most f - 1 of them may lack it.
+  const std::size_t faults = (this->voter_count - 1) / 2;
+  for (std::size_t i = 0; i < this->voter_count; ++i) {
+    if (!this->daemons[i].unsound) {
+      continue;
+    }
+    std::size_t lacking = 0;
+    for (std::size_t j = 0; j < this->voter_count; ++j) {
+      const auto& known = this->daemons[j].disk.synced.incarnations;
+      const bool knows =
+          std::any_of(known.begin(), known.end(), [&](const auto& item) {
+            return static_cast<std::size_t>(item.first) == i &&
+                   item.second == this->daemons[i].latest;
+          });
+      lacking += j != i && !knows ? 1 : 0;
+    }
+    if (lacking > faults - 1) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace mimosastage
--- /dev/null
+++ b/tests/replication/support/replication_group.h
@@ -0,0 +1,159 @@
+#ifndef MIMOSASTAGE_TESTS_REPLICATION_SUPPORT_REPLICATION_GROUP_H_
+#define MIMOSASTAGE_TESTS_REPLICATION_SUPPORT_REPLICATION_GROUP_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "mimosastage/replication/follower.h"
+#include "mimosastage/replication/replica.h"
+#include "mimosastage/replication/serving_lease.h"
+
+namespace mimosastage {
+
+/// The disk of one voter: what is synced, and the write in progress.
+struct TestDisk {
+  DurableImage synced;
+  std::optional<DurableWrite> unsynced;
+};
+
+/// Does to `image` what DataFolder does to its files.
+void ApplyToImage(DurableImage& image, DaemonId self, const DurableWrite& write,
+                  bool only_snapshot = false);
+
+/// What goes wrong while a group runs; chances are per message or per step.
+struct TestFaults {
+  double loss = 0;
+  double duplication = 0;
+  std::chrono::microseconds max_delay{2000};
+  std::chrono::microseconds max_sync{3000};
+  double sync_stall = 0;
+};
+
+/// Voters and followers of one group in this process, on a virtual clock. All
+/// it does follows from the seed. Compares every applied command with one list
+/// of accepted commands, and remembers the first violation.
+class ReplicationGroup {
+ public:
+  ReplicationGroup(std::size_t voters, std::size_t followers,
+                   std::uint64_t seed);
+
+  TestFaults faults;
+  /// Passes each message through the codec.
+  bool encode = false;
+
+  std::size_t Voters() const { return this->voter_count; }
+  std::size_t Size() const { return this->daemons.size(); }
+  bool Running(std::size_t daemon) const;
+  Replica* VoterAt(std::size_t daemon);
+  LogIndex Applied(std::size_t daemon) const;
+  bool LeaseValid(std::size_t daemon) const;
+  /// A daemon that leads now, preferring the highest view.
+  std::optional<std::size_t> Leader() const;
+  LogIndex Accepted() const { return this->accepted_at.size(); }
+  const std::string& Violation() const { return this->violation; }
+
+  void Run(std::chrono::milliseconds duration);
+  bool RunUntil(const std::function<bool()>& condition,
+                std::chrono::milliseconds limit);
+  /// Proposes the next command on `daemon`; false if it is refused.
+  bool Propose(std::size_t daemon);
+
+  void Crash(std::size_t daemon);
+  void Restart(std::size_t daemon);
+  /// The daemon neither receives nor ticks until thawed; messages wait.
+  void Freeze(std::size_t daemon);
+  void Thaw(std::size_t daemon);
+  bool Frozen(std::size_t daemon) const;
+  void Partition(std::size_t a, std::size_t b, bool blocked);
+  /// Keeps a copy of the voter's disk for RestoreDisk.
+  void CopyDisk(std::size_t voter);
+  /// Crashes the voter and empties its disk, if no more than f disks are then
+  /// unsound; false otherwise.
+  bool LoseDisk(std::size_t voter);
+  /// Crashes the voter and puts the copy back, under the same condition and if
+  /// the others know the voter's latest start well enough to notice.
+  bool RestoreDisk(std::size_t voter);
+  /// Ends all faults and starts every daemon.
+  void Heal();
+
+ private:
+  struct Daemon {
+    std::unique_ptr<Replica> replica;
+    std::unique_ptr<Follower> follower;
+    std::unique_ptr<ServingLease> lease;
+    std::vector<std::uint32_t> state;
+    TestDisk disk;
+    std::optional<DurableImage> copy;
+    Incarnation latest = 0;
+    /// Lost or old, and not recovered yet.
+    bool unsound = false;
+    std::uint64_t run = 0;
+    bool running = false;
+    bool frozen = false;
+    Duration clock_offset{};
+    std::vector<std::pair<DaemonId, ReplicationMessage>> waiting;
+  };
+
+  struct Event {
+    Duration at;
+    std::uint64_t order = 0;
+    std::function<void()> action;
+    bool operator>(const Event& other) const {
+      return std::tie(this->at, this->order) > std::tie(other.at, other.order);
+    }
+  };
+
+  TimePoint Now(std::size_t daemon) const;
+  void At(Duration at, std::function<void()> action);
+  bool Chance(double probability);
+  Duration Random(std::chrono::microseconds max);
+  void ScheduleTick(std::size_t daemon);
+  void Tick(std::size_t daemon);
+  void RenewLease(std::size_t daemon);
+  void SendMessage(std::size_t from, DaemonId to, ReplicationMessage message);
+  void Deliver(std::size_t from, std::size_t to, std::uint64_t run,
+               const ReplicationMessage& message);
+  void Process(std::size_t to, DaemonId from,
+               const ReplicationMessage& message);
+  void Persist(std::size_t voter, DurableWrite write);
+  void FinishSync(std::size_t voter, std::uint64_t run, std::uint64_t ticket);
+  void StartVoter(std::size_t voter);
+  void StartFollower(std::size_t daemon);
+  void Apply(std::size_t daemon, LogIndex index, const std::string& command);
+  void Install(std::size_t daemon, const std::string& snapshot);
+  void NoteAccepted(std::size_t daemon, LogIndex index);
+  void CheckLease(std::size_t daemon);
+  void Fail(const std::string& what);
+  bool UnsoundAllowed(std::size_t voter) const;
+  bool StartsKnown() const;
+
+  std::size_t voter_count;
+  std::mt19937_64 random;
+  std::vector<Daemon> daemons;
+  std::vector<std::vector<bool>> blocked;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
+  std::uint64_t next_order = 0;
+  Duration time{};
+
+  /// The naive model: the accepted commands in order.
+  std::vector<std::uint32_t> commands;
+  /// When the command at index i + 1 was first known as accepted.
+  std::vector<Duration> accepted_at;
+  /// Which run of which voter committed as the leader of a view.
+  std::map<ViewNumber, std::pair<std::size_t, std::uint64_t>> committed_by;
+  std::uint32_t next_command = 1;
+  std::string violation;
+};
+
+}  // namespace mimosastage
+
+#endif  // MIMOSASTAGE_TESTS_REPLICATION_SUPPORT_REPLICATION_GROUP_H_
