Add the fleet's messages, command fence and maintenance planner

Cause: waves must keep each pool's availability budget through unplanned failures and leader changes, and continue in the middle.

Ruled out: a wave step number as durable state. It would be a second truth beside the instances' states. The planner derives all from committed InstanceTransition commands: kRebooting of a target marks it as done.

Change: typed reports and commands, CommandFence (worker's side), FleetView (instances, pools and proposals under way, one budget for maintenance and moves), WorkerDirectory (last report of each worker, late ones ignored), FailureCorrelation, WaveProgress, MaintenancePlanner. names.h gets a NOLINT: clang-tidy reports the defaulted comparison once a map of names uses it.

--- a/src/mimosastage/base/names.h
+++ b/src/mimosastage/base/names.h
@@ -20,6 +20,8 @@
   const std::string& str() const { return this->text; }
   bool empty() const { return this->text.empty(); }
 
+  // clang-tidy takes the comparison's literal 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Name&) const = default;
 
  private:
--- /dev/null
+++ b/src/mimosastage/fleet/maintenance_planner.cc
@@ -0,0 +1,314 @@
+#include "mimosastage/fleet/maintenance_planner.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace mimosastage {
+
+MaintenancePlanner::MaintenancePlanner(Config config, Hooks hooks,
+                                       FleetView& fleet,
+                                       const WorkerDirectory& workers,
+                                       ViewNumber view, TimePoint start)
+    : config(config),
+      hooks(std::move(hooks)),
+      fleet(fleet),
+      workers(workers),
+      view(view),
+      start(start),
+      correlation(config.correlation_window) {}
+
+void MaintenancePlanner::SetWave(const WaveProgress& wave) {
+  this->current = wave;
+}
+
+bool MaintenancePlanner::WaveDone() const {
+  if (!this->current || !this->current->AllRebooted()) return false;
+  return std::all_of(this->current->targets.begin(),
+                     this->current->targets.end(), [this](const auto& name) {
+                       const auto* instance = this->fleet.Find(name);
+                       return instance == nullptr ||
+                              instance->state == InstanceState::kServing;
+                     });
+}
+
+void MaintenancePlanner::Apply(const InstanceTransition& transition,
+                               TimePoint now) {
+  this->fleet.Apply(transition);
+  if (this->current) this->current->Apply(transition);
+  auto& tracking = this->Track(transition.instance);
+  tracking =
+      Tracking{.since = now, .failure_recorded = tracking.failure_recorded};
+}
+
+void MaintenancePlanner::Reject(const InstanceName& instance) {
+  this->fleet.Reject(instance);
+}
+
+FleetActions MaintenancePlanner::Plan(TimePoint now) {
+  FleetActions actions;
+  this->WatchAvailability(now, actions);
+  for (const auto& [name, instance] : this->fleet.instances()) {
+    if (instance.state == InstanceState::kServing) continue;
+    if (instance.proposed || this->hooks.moving(name)) continue;
+    this->Advance(instance, now, actions);
+  }
+  this->StartDrains(now, actions);
+  return actions;
+}
+
+MaintenancePlanner::Tracking& MaintenancePlanner::Track(
+    const InstanceName& name) {
+  return this->tracking.try_emplace(name, Tracking{.since = this->start})
+      .first->second;
+}
+
+void MaintenancePlanner::WatchAvailability(TimePoint now,
+                                           FleetActions& actions) {
+  for (const auto& [name, instance] : this->fleet.instances()) {
+    const auto silence = this->workers.Silence(name, now);
+    // A rebooting instance is silent by plan; its return has a limit of its
+    // own.
+    const bool silent = instance.state != InstanceState::kRebooting &&
+                        silence >= this->config.silence_limit;
+    // A new leader can't know whether an instance works before its first
+    // report, and a drain that it starts too early could exceed the budget.
+    const bool unknown = this->workers.Find(name) == nullptr;
+    this->fleet.SetUnavailable(
+        name, silent || unknown || this->hooks.quarantined(name));
+    if (silent) this->RecordFailure(instance, "is silent", now, actions);
+    if (!silent && instance.state == InstanceState::kServing) {
+      this->Track(name).failure_recorded = false;
+    }
+    if (silent && silence >= this->config.failed_after && !instance.proposed &&
+        instance.state != InstanceState::kFailed) {
+      this->Propose(instance, instance.epoch, InstanceState::kFailed, actions);
+    }
+  }
+}
+
+void MaintenancePlanner::RecordFailure(const FleetInstance& instance,
+                                       const std::string& reason, TimePoint now,
+                                       FleetActions& actions) {
+  auto& tracking = this->Track(instance.name);
+  if (tracking.failure_recorded) return;
+  tracking.failure_recorded = true;
+  this->correlation.Record(instance, now);
+  actions.failures.push_back(
+      {instance.name, "instance " + instance.name.str() + " " + reason});
+}
+
+void MaintenancePlanner::Advance(const FleetInstance& instance, TimePoint now,
+                                 FleetActions& actions) {
+  switch (instance.state) {
+    case InstanceState::kServing:
+      break;
+    case InstanceState::kDraining:
+      this->AdvanceDrain(instance, now, actions);
+      break;
+    case InstanceState::kRebooting:
+      this->AdvanceReboot(instance, now, actions);
+      break;
+    case InstanceState::kReturning:
+      this->AdvanceReturn(instance, now, actions);
+      break;
+    case InstanceState::kFailed:
+      this->AdvanceFailed(instance, actions);
+      break;
+  }
+}
+
+void MaintenancePlanner::AdvanceDrain(const FleetInstance& instance,
+                                      TimePoint now, FleetActions& actions) {
+  if (!this->current || !this->current->Pending(instance.name)) {
+    // The drain of a move whose leader is gone, or of a wave that ended. The
+    // new epoch makes the worker leave its drained state.
+    this->Propose(instance, instance.epoch + 1, InstanceState::kReturning,
+                  actions);
+    return;
+  }
+  const auto tasks = this->hooks.tasks_on(instance.name);
+  const auto* entry = this->workers.Find(instance.name);
+  const bool drained = entry != nullptr &&
+                       entry->report.epoch == instance.epoch &&
+                       entry->report.state == WorkerState::kDrained;
+  if (drained && tasks.empty()) {
+    this->Propose(instance, instance.epoch, InstanceState::kRebooting, actions);
+    return;
+  }
+  const bool resend = this->ResendDue(instance.name, now);
+  if (resend && !drained) this->Send(instance, DrainInstance{}, actions);
+  if (resend) this->EndTasks(instance, tasks, now, actions);
+}
+
+void MaintenancePlanner::EndTasks(const FleetInstance& instance,
+                                  const std::vector<LeasedTask>& tasks,
+                                  TimePoint now, FleetActions& actions) {
+  auto& tracking = this->Track(instance.name);
+  if (now - tracking.since < this->config.patience) return;
+  if (!tracking.checkpoint_sent) tracking.checkpoint_sent = now;
+  const bool grace_over =
+      now - *tracking.checkpoint_sent >= this->config.checkpoint_grace;
+  for (const auto& task : tasks) {
+    if (task.is_protected) {
+      actions.held.push_back(
+          {instance.name.str(), "reboot of " + instance.name.str() +
+                                    " waits: protected job " + task.job.str() +
+                                    " runs to completion"});
+    } else if (task.checkpointed || grace_over) {
+      this->Send(instance, StopTask{task.job, task.lease}, actions);
+    } else {
+      this->Send(instance, CheckpointTask{task.job, task.lease}, actions);
+    }
+  }
+}
+
+void MaintenancePlanner::AdvanceReboot(const FleetInstance& instance,
+                                       TimePoint now, FleetActions& actions) {
+  const auto* entry = this->workers.Find(instance.name);
+  const bool current =
+      entry != nullptr && entry->report.epoch == instance.epoch &&
+      this->workers.Silence(instance.name, now) < this->config.silence_limit;
+  // A report that was on its way when this leader began may be from before the
+  // drain; such a report must not pass for the return from the reboot.
+  const bool surely_new =
+      entry != nullptr &&
+      entry->received >= this->start + this->config.report_lag;
+  if (current && surely_new && entry->report.state == WorkerState::kReady) {
+    this->Propose(instance, instance.epoch, InstanceState::kReturning, actions);
+    return;
+  }
+  if (this->FailIfOverdue(instance, "didn't come back from its reboot", now,
+                          actions)) {
+    return;
+  }
+  if (current && entry->report.state == WorkerState::kDrained &&
+      this->ResendDue(instance.name, now)) {
+    this->Send(instance, RebootInstance{entry->report.boot_id}, actions);
+  }
+}
+
+void MaintenancePlanner::AdvanceReturn(const FleetInstance& instance,
+                                       TimePoint now, FleetActions& actions) {
+  const auto* entry = this->workers.Find(instance.name);
+  const bool joined = entry != nullptr &&
+                      entry->report.epoch == instance.epoch &&
+                      entry->report.pool == instance.pool &&
+                      entry->report.state == WorkerState::kReady;
+  if (joined) {
+    this->Propose(instance, instance.epoch, InstanceState::kServing, actions);
+    return;
+  }
+  if (this->FailIfOverdue(instance, "didn't return to its pool", now,
+                          actions)) {
+    return;
+  }
+  if (this->ResendDue(instance.name, now)) {
+    this->Send(instance, MoveInstance{instance.pool}, actions);
+  }
+}
+
+void MaintenancePlanner::AdvanceFailed(const FleetInstance& instance,
+                                       FleetActions& actions) {
+  const auto* entry = this->workers.Find(instance.name);
+  if (entry == nullptr || instance.unavailable) return;
+  const auto& report = entry->report;
+  if (report.state == WorkerState::kReady) {
+    this->Propose(instance, instance.epoch, InstanceState::kReturning, actions);
+    return;
+  }
+  const bool reboot_due = report.state == WorkerState::kDrained &&
+                          this->current &&
+                          this->current->rebooted.contains(instance.name);
+  if (reboot_due) {
+    this->Propose(instance, instance.epoch, InstanceState::kRebooting, actions);
+    return;
+  }
+  this->Propose(instance, instance.epoch + 1, InstanceState::kReturning,
+                actions);
+}
+
+bool MaintenancePlanner::FailIfOverdue(const FleetInstance& instance,
+                                       const std::string& what, TimePoint now,
+                                       FleetActions& actions) {
+  const auto since = this->Track(instance.name).since;
+  if (now - since < this->config.return_patience) return false;
+  this->RecordFailure(instance, what, now, actions);
+  this->Propose(instance, instance.epoch, InstanceState::kFailed, actions);
+  return true;
+}
+
+void MaintenancePlanner::StartDrains(TimePoint now, FleetActions& actions) {
+  const auto stop = this->correlation.StopReason(this->fleet, now);
+  if (!this->current || this->current->AllRebooted()) return;
+  if (this->paused || stop) {
+    const auto reason = this->paused ? "an operator paused it" : *stop;
+    actions.held.push_back({this->current->name, "wave " + this->current->name +
+                                                     " waits: " + reason});
+    return;
+  }
+  for (const auto& name : this->Candidates(actions)) {
+    if (this->fleet.DrainRefusal(name) && !this->config.ignore_budget) continue;
+    const auto* instance = this->fleet.Find(name);
+    this->Propose(*instance, instance->epoch, InstanceState::kDraining,
+                  actions);
+  }
+}
+
+std::vector<InstanceName> MaintenancePlanner::Candidates(
+    FleetActions& actions) const {
+  using Key = std::tuple<bool, AvailabilityZone, RackName, InstanceName>;
+  std::vector<Key> keys;
+  std::set<PoolName> held_pools;
+  for (const auto& name : this->current->targets) {
+    const auto* instance = this->fleet.Find(name);
+    if (instance == nullptr || !this->current->Pending(name)) continue;
+    if (instance->state != InstanceState::kServing || instance->proposed ||
+        this->hooks.moving(name)) {
+      continue;
+    }
+    if (auto refusal = this->fleet.DrainRefusal(name);
+        refusal && !this->config.ignore_budget) {
+      // One reason for each pool is enough: its other instances wait for the
+      // same budget.
+      if (held_pools.insert(instance->pool).second) {
+        actions.held.push_back({name.str(), *std::move(refusal)});
+      }
+      continue;
+    }
+    if (instance->unavailable && !this->hooks.quarantined(name)) continue;
+    const auto tasks = this->hooks.tasks_on(name);
+    const bool has_protected =
+        std::any_of(tasks.begin(), tasks.end(),
+                    [](const auto& task) { return task.is_protected; });
+    keys.emplace_back(has_protected, instance->zone, instance->rack, name);
+  }
+  std::sort(keys.begin(), keys.end());
+  std::vector<InstanceName> names;
+  names.reserve(keys.size());
+  for (const auto& key : keys) names.push_back(std::get<InstanceName>(key));
+  return names;
+}
+
+void MaintenancePlanner::Propose(const FleetInstance& instance,
+                                 std::uint64_t epoch, InstanceState state,
+                                 FleetActions& actions) {
+  actions.transitions.push_back({instance.name, instance.pool, epoch, state});
+  this->fleet.Propose(instance.name);
+}
+
+void MaintenancePlanner::Send(const FleetInstance& instance, CommandBody body,
+                              FleetActions& actions) const {
+  actions.commands.push_back(
+      {this->view, instance.name, instance.epoch, std::move(body)});
+}
+
+bool MaintenancePlanner::ResendDue(const InstanceName& name, TimePoint now) {
+  auto& tracking = this->Track(name);
+  const bool first = tracking.last_sent == TimePoint{};
+  if (!first && now - tracking.last_sent < this->config.resend) return false;
+  tracking.last_sent = now;
+  return true;
+}
+
+}  // namespace mimosastage
