Add jobs, task leases and worker health to the fleet package

Cause: a job must run at most once at a time although workers, leaders and messages fail, and a failure may be the job's or the worker's fault.

Ruled out: treating a report that lacks the job as its end. The report may be older than the start. Only a final state under the same lease, or the lease's end, frees the job.

Change: JobTable (committed transitions, leases, starts repeated until seen, acknowledged ends), TaskLease (the leader counts from its answer, the worker from before its report), WorkerHealth (blame of distinct jobs and distinct workers, quarantine cap of a third, probes with doubling delay).

--- a/src/mimosastage/fleet/platform_command.h
+++ b/src/mimosastage/fleet/platform_command.h
@@ -89,11 +89,18 @@
   Duration lease_length{};
 };
 
+/// The end of this task is committed; the worker reports it no more.
+struct TaskAcknowledgement {
+  JobName job;
+  std::uint64_t lease = 0;
+};
+
 /// What the leader answers to a report.
 struct ReportAnswer {
   ViewNumber view = 0;
   std::vector<PlatformCommand> commands;
   std::vector<LeaseRenewal> renewals;
+  std::vector<TaskAcknowledgement> acknowledged;
 };
 
 }  // namespace mimosastage
--- a/src/mimosastage/fleet/worker_report.h
+++ b/src/mimosastage/fleet/worker_report.h
@@ -33,8 +33,8 @@
   return state != TaskState::kRunning && state != TaskState::kCheckpointed;
 }
 
-/// One task on a worker. An ended task is reported until the worker has had an
-/// answer to a report that names its end.
+/// One task on a worker. An ended task is reported until an answer acknowledges
+/// it.
 struct TaskReport {
   JobName job;
   /// Number of the lease under which the task was started.
--- /dev/null
+++ b/tests/fleet/job_table_test.cc
@@ -0,0 +1,392 @@
+#include "mimosastage/fleet/job_table.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <random>
+
+#include "mimosastage/fleet/command_fence.h"
+#include "mimosastage/fleet/fleet_error.h"
+#include "mimosastage/fleet/worker_directory.h"
+
+namespace mimosastage {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr int kSeeds = 1'000;
+constexpr int kJobs = 60;
+constexpr int kWorkers = 12;
+constexpr int kSlots = 4;
+PoolName PoolOfAll() { return PoolName("p"); }
+
+/// Workers that run tasks under leases of their own clock, and a leader that
+/// changes; messages are delayed and lost by the seed. One step is a second.
+class FakeTaskFleet {
+ public:
+  struct Task {
+    std::uint64_t lease = 0;
+    TaskState state = TaskState::kRunning;
+    int ends = 0;
+    /// The worker stops the task then unless the lease is renewed.
+    int lease_ends = 0;
+  };
+
+  struct Worker {
+    InstanceName name;
+    CommandFence fence;
+    bool black_hole = false;
+    int cut_until = 0;
+    std::map<JobName, Task> tasks;
+  };
+
+  FakeTaskFleet(std::uint64_t seed, int black_holes, bool harsh)
+      : random(seed), harsh(harsh) {
+    for (int i = 0; i < kWorkers; ++i) {
+      const InstanceName name("w" + std::to_string(i));
+      this->workers.push_back(
+          {name, CommandFence(name, 0, 1), i < black_holes});
+    }
+    this->Elect();
+    for (int i = 0; i < kJobs; ++i) {
+      JobSpec spec;
+      // The first two jobs fail wherever they run.
+      spec.name = JobName((i < 2 ? "bad" : "good") + std::to_string(i));
+      spec.pool = PoolOfAll();
+      this->specs.push_back(spec);
+      this->committed[spec.name].job = spec.name;
+      EXPECT_FALSE(this->table->Submit(spec, this->Now()));
+    }
+  }
+
+  TimePoint Now() const { return TimePoint(seconds(this->second)); }
+  int Draw(int low, int high) {
+    return std::uniform_int_distribution<>(low, high)(this->random);
+  }
+  bool Chance(int percent) { return this->Draw(1, 100) <= percent; }
+
+  void Step() {
+    ++this->second;
+    for (auto& worker : this->workers) this->RunWorker(worker);
+    if (this->harsh && this->Chance(1)) this->ChangeLeader();
+    this->DeliverReports();
+    this->Queue(this->table->Expire(this->Now()));
+    this->PlaceSome();
+    this->DeliverAnswers();
+    this->Commit(this->harsh ? this->Draw(0, 4) : 1'000);
+    this->Check();
+  }
+
+  bool Settled() const {
+    return std::all_of(this->committed.begin(), this->committed.end(),
+                       [](const auto& entry) {
+                         return entry.second.state == JobState::kSucceeded ||
+                                entry.second.state == JobState::kSetAside;
+                       });
+  }
+
+  std::mt19937_64 random;
+  bool harsh;
+  int second = 1'000;
+  std::vector<Worker> workers;
+  std::vector<JobSpec> specs;
+  std::map<JobName, JobTransition> committed;
+  std::unique_ptr<WorkerHealth> health;
+  std::unique_ptr<JobTable> table;
+  std::string violation;
+
+ private:
+  struct Answer {
+    std::size_t worker = 0;
+    int report_sent = 0;
+    ReportAnswer body;
+  };
+  struct Sent {
+    std::size_t worker = 0;
+    int sent = 0;
+    WorkerReport body;
+  };
+
+  void Elect() {
+    ++this->view;
+    this->health = std::make_unique<WorkerHealth>(
+        WorkerHealth::Config{.first_probe = seconds(20)},
+        [](const auto&) { return kWorkers; });
+    this->table = std::make_unique<JobTable>(JobTable::Config{}, *this->health,
+                                             this->view, this->Now());
+    this->directory = std::make_unique<WorkerDirectory>(this->Now());
+    for (const auto& spec : this->specs) {
+      this->table->Restore(spec, this->committed[spec.name]);
+    }
+  }
+
+  void ChangeLeader() {
+    this->Commit(this->Draw(0, static_cast<int>(this->log.size())));
+    this->log.clear();
+    this->Elect();
+  }
+
+  void RunWorker(Worker& worker) {
+    for (auto& [job, task] : worker.tasks) {
+      if (task.state != TaskState::kRunning) continue;
+      const bool fails = worker.black_hole || job.str().starts_with("bad");
+      if (fails || this->second >= task.ends) {
+        task.state = fails ? TaskState::kFailed : TaskState::kSucceeded;
+      } else if (this->second >= task.lease_ends) {
+        task.state = TaskState::kStopped;
+      }
+    }
+    if (this->harsh && this->Chance(1)) {
+      worker.cut_until = this->second + this->Draw(5, 40);
+    }
+    if (this->second < worker.cut_until) return;
+    Sent report{static_cast<std::size_t>(&worker - this->workers.data()),
+                this->second};
+    report.body.worker = worker.name;
+    report.body.pool = PoolOfAll();
+    report.body.boot_id = 1;
+    report.body.measured_at = seconds(this->second);
+    for (const auto& [job, task] : worker.tasks) {
+      report.body.tasks.push_back({job, task.lease, task.state, {}, true});
+    }
+    this->reports.emplace(this->second + this->Lag(), report);
+  }
+
+  int Lag() { return this->harsh ? this->Draw(0, 4) : 0; }
+
+  void DeliverReports() {
+    while (!this->reports.empty() &&
+           this->reports.begin()->first <= this->second) {
+      const auto report = this->reports.begin()->second;
+      this->reports.erase(this->reports.begin());
+      if (this->harsh && this->Chance(5)) continue;
+      const bool accepted = this->directory->Handle(report.body, this->Now());
+      auto result = this->table->Handle(report.body, accepted, this->Now());
+      this->Queue(result.transitions);
+      this->answers.emplace(
+          this->second + this->Lag(),
+          Answer{report.worker, report.sent, std::move(result.answer)});
+    }
+  }
+
+  void DeliverAnswers() {
+    while (!this->answers.empty() &&
+           this->answers.begin()->first <= this->second) {
+      const auto answer = this->answers.begin()->second;
+      this->answers.erase(this->answers.begin());
+      auto& worker = this->workers[answer.worker];
+      if (this->second < worker.cut_until) continue;
+      this->Execute(worker, answer);
+    }
+  }
+
+  void Execute(Worker& worker, const Answer& answer) {
+    const TimePoint sent{seconds(answer.report_sent)};
+    for (const auto& command : answer.body.commands) {
+      const auto verdict = worker.fence.Admit(command, sent, this->Now());
+      if (!verdict || *verdict == FenceVerdict::kRepeat) continue;
+      const auto* start = std::get_if<StartTask>(&command.body);
+      if (start == nullptr) continue;
+      auto& task = worker.tasks[start->job];
+      if (task.lease >= start->lease) continue;
+      task = {start->lease, TaskState::kRunning,
+              this->second + this->Draw(1, 40), answer.report_sent + 15};
+    }
+    for (const auto& renewal : answer.body.renewals) {
+      auto& task = worker.tasks[renewal.job];
+      if (task.lease != renewal.lease) continue;
+      task.lease_ends = std::max(task.lease_ends, answer.report_sent + 15);
+    }
+    for (const auto& ack : answer.body.acknowledged) {
+      const auto it = worker.tasks.find(ack.job);
+      if (it != worker.tasks.end() && it->second.lease == ack.lease) {
+        worker.tasks.erase(it);
+      }
+    }
+  }
+
+  // First fit with the health's verdicts.
+  void PlaceSome() {
+    const auto waiting = this->table->waiting();
+    for (const auto& [submitted, job] : waiting) {
+      const auto first = static_cast<std::size_t>(this->Draw(0, kWorkers - 1));
+      for (std::size_t i = 0; i < this->workers.size(); ++i) {
+        const auto& name = this->workers[(first + i) % kWorkers].name;
+        const auto verdict = this->health->Judge(name, this->Now());
+        if (verdict == WorkerHealth::Verdict::kQuarantined) continue;
+        if (this->table->On(name).size() >= kSlots) continue;
+        if (verdict == WorkerHealth::Verdict::kProbe) {
+          this->health->ProbeStarted(name, this->Now());
+        }
+        if (const auto placed = this->table->Place(job, name, 0, this->Now())) {
+          this->Queue({*placed});
+        }
+        break;
+      }
+    }
+  }
+
+  void Queue(const std::vector<JobTransition>& transitions) {
+    this->log.insert(this->log.end(), transitions.begin(), transitions.end());
+  }
+
+  void Commit(int count) {
+    for (; count > 0 && !this->log.empty(); --count) {
+      this->committed[this->log.front().job] = this->log.front();
+      this->table->Apply(this->log.front(), this->Now());
+      this->log.pop_front();
+    }
+  }
+
+  void Check() {
+    std::map<JobName, int> running;
+    for (const auto& worker : this->workers) {
+      for (const auto& [job, task] : worker.tasks) {
+        const bool valid =
+            task.state == TaskState::kRunning && this->second < task.lease_ends;
+        if (valid && ++running[job] > 1) {
+          this->violation = job.str() + " runs twice";
+        }
+      }
+    }
+    if (this->health->QuarantinedIn(PoolOfAll()) > kWorkers / 3) {
+      this->violation = "quarantine exceeds a third of the pool";
+    }
+  }
+
+  ViewNumber view = 0;
+  std::unique_ptr<WorkerDirectory> directory;
+  std::deque<JobTransition> log;
+  std::multimap<int, Sent> reports;
+  std::multimap<int, Answer> answers;
+};
+
+class JobTableTest : public ::testing::Test {};
+
+// Guards against a job that runs on two workers at once, a quarantine of more
+// than a third of a pool, and a good job that is lost, when workers are cut
+// off, messages late or lost, and leaders change.
+TEST_F(JobTableTest, Jobs_SeededFailures_RunAtMostOnceAtATimeAndEnd) {
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    FakeTaskFleet fake(static_cast<std::uint64_t>(seed), seed % 7, true);
+    int steps = 0;
+    while (!fake.Settled() && fake.violation.empty() && steps < 5'000) {
+      fake.Step();
+      ++steps;
+    }
+    ASSERT_EQ(fake.violation, "");
+    ASSERT_TRUE(fake.Settled());
+  }
+}
+
+// Guards against blame on the wrong side: bad jobs must not quarantine good
+// workers, and workers that fail everything must not set good jobs aside.
+TEST_F(JobTableTest, BlackHolesAndBadJobs_SteadyLeader_AreToldApart) {
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    const int black_holes = seed % 4;
+    FakeTaskFleet fake(static_cast<std::uint64_t>(seed), black_holes, false);
+    // Long enough for probes to return workers and clear jobs set aside.
+    for (int i = 0; i < 600; ++i) fake.Step();
+    for (const auto& [job, transition] : fake.committed) {
+      const bool bad = job.str().starts_with("bad");
+      ASSERT_EQ(transition.state,
+                bad ? JobState::kSetAside : JobState::kSucceeded)
+          << job.str();
+    }
+    for (int i = black_holes; i < kWorkers; ++i) {
+      ASSERT_FALSE(fake.health->Quarantined(fake.workers[i].name)) << i;
+    }
+  }
+}
+
+// Guards against a placement before the old lease has ended, on the report of
+// nothing but silence.
+TEST_F(JobTableTest, SilentWorker_PlacementWaitsForLeaseAndMargin) {
+  WorkerHealth health({}, [](const auto&) { return 9U; });
+  const TimePoint start{seconds(10)};
+  JobTable table({}, health, 1, start);
+  JobSpec spec;
+  spec.name = JobName("j");
+  ASSERT_FALSE(table.Submit(spec, start));
+  table.Apply(table.Place(spec.name, InstanceName("w"), 0, start).value(),
+              start);
+  EXPECT_TRUE(table.Expire(start + seconds(16)).empty());
+  EXPECT_TRUE(table.Place(spec.name, InstanceName("v"), 0, start).error() ==
+              FleetError::kJobNotWaiting);
+  const auto expired = table.Expire(start + seconds(17));
+  ASSERT_EQ(expired.size(), 1U);
+  table.Apply(expired[0], start + seconds(17));
+  const auto placed =
+      table.Place(spec.name, InstanceName("v"), 0, start + seconds(17));
+  ASSERT_TRUE(placed.has_value());
+  EXPECT_EQ(placed->lease, 2U);
+}
+
+class WorkerHealthTest : public ::testing::Test {
+ protected:
+  void Fail(const std::string& worker, const std::string& jobs) {
+    for (const char job : jobs) {
+      this->health.Failed(JobName(std::string(1, job)), InstanceName(worker),
+                          PoolOfAll(), this->now);
+    }
+  }
+  bool Quarantined(const std::string& worker) const {
+    return this->health.Quarantined(InstanceName(worker));
+  }
+  WorkerHealth health{{}, [](const auto&) { return 9U; }};
+  TimePoint now{seconds(100)};
+};
+
+// Guards against a worker that is blamed for jobs that fail everywhere, and
+// against one that is excused for jobs that succeed elsewhere.
+TEST_F(WorkerHealthTest, Worker_FailsJobs_IsBlamedUnlessTheyFailElsewhere) {
+  this->Fail("v", "ab");
+  this->Fail("w", "abcd");
+  EXPECT_FALSE(this->Quarantined("w"));
+  this->health.Succeeded(JobName("a"), InstanceName("u"), this->now);
+  this->Fail("w", "a");
+  EXPECT_TRUE(this->Quarantined("w"));
+  EXPECT_FALSE(this->Quarantined("v"));
+}
+
+// Guards against a job that is set aside because it met workers that fail
+// everything, and against one that is tried forever.
+TEST_F(WorkerHealthTest, Job_FailsOnQuarantinedWorkers_IsNotSetAside) {
+  this->Fail("w", "xab");
+  EXPECT_TRUE(this->Quarantined("w"));
+  this->Fail("t", "x");
+  this->Fail("u", "x");
+  EXPECT_FALSE(this->health.SetAsideReason(JobName("x")));
+  this->Fail("v", "x");
+  EXPECT_EQ(this->health.SetAsideReason(JobName("x")),
+            "job x is set aside: it failed on 3 workers (t, u, v); correct it "
+            "and submit it again");
+}
+
+// Guards against a quarantine of more than a third of the pool, and against one
+// without a way back.
+TEST_F(WorkerHealthTest, Quarantine_CapAndProbe_LimitIt) {
+  this->Fail("s", "abc");
+  this->Fail("t", "def");
+  this->Fail("u", "ghi");
+  this->Fail("v", "jkl");
+  EXPECT_TRUE(this->Quarantined("u"));
+  EXPECT_FALSE(this->Quarantined("v"));
+  const InstanceName worker("s");
+  using Verdict = WorkerHealth::Verdict;
+  EXPECT_EQ(this->health.Judge(worker, this->now), Verdict::kQuarantined);
+  this->now += seconds(60);
+  EXPECT_EQ(this->health.Judge(worker, this->now), Verdict::kProbe);
+  this->health.ProbeStarted(worker, this->now);
+  EXPECT_EQ(this->health.Judge(worker, this->now), Verdict::kQuarantined);
+  this->Fail("s", "m");
+  EXPECT_EQ(this->health.Judge(worker, this->now + seconds(119)),
+            Verdict::kQuarantined);
+  this->health.Succeeded(JobName("n"), worker, this->now + seconds(120));
+  EXPECT_FALSE(this->Quarantined("s"));
+}
+
+}  // namespace
+}  // namespace mimosastage
--- a/tests/fleet/support/fake_fleet.h
+++ b/tests/fleet/support/fake_fleet.h
@@ -299,11 +299,12 @@
     for (const auto& [name, other] : this->committed) {
       if (other.pool != transition.pool) continue;
       const auto& worker = this->workers[name];
-      const bool proposed = std::any_of(
-          this->log.begin(), this->log.end(), [&](const auto& earlier) {
-            return earlier.instance == other.instance &&
-                   earlier.state != InstanceState::kServing;
-          });
+      const bool proposed =
+          std::any_of(this->log.begin(), this->log.end(),
+                      [&subject = name](const auto& earlier) {
+                        return earlier.instance == subject &&
+                               earlier.state != InstanceState::kServing;
+                      });
       // Silence is known after the limit and the delay of a late report.
       const bool known_down =
           !this->Up(worker) && this->second - worker.down_since > 13;
