--- /dev/null
+++ b/src/mimosastage/state/key_table.h
@@ -0,0 +1,52 @@
+#ifndef MIMOSASTAGE_STATE_KEY_TABLE_H_
+#define MIMOSASTAGE_STATE_KEY_TABLE_H_
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "mimosastage/base/names.h"
+#include "mimosastage/state/commands.h"
+#include "mimosastage/state/table_set.h"
+
+namespace mimosastage {
+
+/// A key in force. The secret itself isn't kept.
+struct Key {
+  std::string key_id;
+  KeyHash hash{};
+  TeamName team;
+  ClientName client;
+
+  bool operator==(const Key&) const = default;
+};
+
+/// Keys of teams by id and by the hash of their secret.
+class KeyTable {
+ public:
+  static constexpr std::size_t kMaxKeys = 8'192;
+
+  Refusal Grant(const KeyGrant& grant);
+  Refusal Revoke(const KeyRevoke& revoke);
+
+  /// The key with this secret, or null; valid until the next change.
+  const Key* FindBySecret(std::string_view secret) const;
+  bool TeamHasKeys(const TeamName& team) const;
+
+  /// In the order of the key ids.
+  std::vector<Key> Keys() const;
+  void Restore(const std::vector<Key>& keys);
+
+ private:
+  void Put(Key key);
+
+  std::map<std::string, Key, std::less<>> by_id;
+  std::map<KeyHash, std::string> id_by_hash;
+  std::map<TeamName, std::size_t> count_by_team;
+};
+
+}  // namespace mimosastage
+
+#endif  // MIMOSASTAGE_STATE_KEY_TABLE_H_
--- /dev/null
+++ b/src/mimosastage/state/replicated_state.cc
@@ -0,0 +1,182 @@
+#include "mimosastage/state/replicated_state.h"
+
+#include <utility>
+#include <variant>
+
+#include "mimosastage/state/internal/snapshot_codec.h"
+#include "mimosastage/state/state_error.h"
+
+namespace mimosastage {
+namespace {
+
+constexpr std::size_t kMaxChangeIdBytes = 128;
+
+Outcome OutcomeOf(Refusal refusal) {
+  Outcome outcome;
+  outcome.error = refusal.error;
+  outcome.detail = std::move(refusal.detail);
+  return outcome;
+}
+
+Outcome OutcomeOf(StateError error) {
+  const std::error_code code = error;
+  return OutcomeOf(Refusal{code, code.message()});
+}
+
+/// The ledger of allowances and the table of intents join the state with their
+/// own branches; until then their commands are refused.
+Outcome NotSupported() {
+  const std::error_code code =
+      std::make_error_code(std::errc::function_not_supported);
+  return OutcomeOf(
+      Refusal{code, "not part of this version yet; use a later version"});
+}
+
+}  // namespace
+
+Outcome ReplicatedState::Apply(LogIndex index, const Command& command) {
+  if (index <= this->applied) {
+    return OutcomeOf(StateError::kAlreadyApplied);
+  }
+  this->applied = index;
+  return std::visit([this](const auto& value) { return this->Do(value); },
+                    command);
+}
+
+const Outcome* ReplicatedState::FindChange(const std::string& change_id) const {
+  return this->changes.Find(change_id);
+}
+
+template <class Make>
+Outcome ReplicatedState::Once(const std::string& change_id, Make make) {
+  if (change_id.empty() || change_id.size() > kMaxChangeIdBytes) {
+    return OutcomeOf(
+        Refusal{StateError::kBadChange, "change_id has " +
+                                            std::to_string(change_id.size()) +
+                                            " bytes; use 1 to 128"});
+  }
+  if (const Outcome* first = this->changes.Find(change_id)) {
+    return *first;
+  }
+  Outcome outcome = make();
+  this->changes.Add(change_id, outcome);
+  return outcome;
+}
+
+Outcome ReplicatedState::Do(const Noop& /*noop*/) { return {}; }
+
+Outcome ReplicatedState::Do(const TableChange& change) {
+  return this->Once(change.change_id, [&] {
+    Refusal refusal = this->CheckTeamDeletes(change);
+    if (!refusal.error) {
+      refusal = this->tables.Apply(change);
+    }
+    if (!refusal.error && change.table == TableKind::kPools) {
+      this->instances.Follow(this->tables);
+    }
+    Outcome outcome = OutcomeOf(std::move(refusal));
+    outcome.version = this->tables.VersionOf(change.table);
+    return outcome;
+  });
+}
+
+Refusal ReplicatedState::CheckTeamDeletes(const TableChange& change) const {
+  // A conflict is reported before anything that may stem from it.
+  if (change.table != TableKind::kTeams ||
+      change.base_version != this->tables.VersionOf(change.table)) {
+    return {};
+  }
+  for (const std::string& name : change.deletes) {
+    if (this->keys.TeamHasKeys(TeamName(name))) {
+      return {StateError::kTeamInUse,
+              "team " + name + " has keys; revoke them first"};
+    }
+  }
+  return {};
+}
+
+Outcome ReplicatedState::Do(const KeyGrant& grant) {
+  return this->Once(grant.change_id,
+                    [&] { return OutcomeOf(this->GrantKey(grant)); });
+}
+
+Refusal ReplicatedState::GrantKey(const KeyGrant& grant) {
+  if (this->tables.FindTeam(grant.team.str()) == nullptr) {
+    return {StateError::kUnknownTeam,
+            "team " + grant.team.str().substr(0, TableSet::kMaxNameBytes) +
+                " does not exist; create it first"};
+  }
+  return this->keys.Grant(grant);
+}
+
+Outcome ReplicatedState::Do(const KeyRevoke& revoke) {
+  return this->Once(revoke.change_id,
+                    [&] { return OutcomeOf(this->keys.Revoke(revoke)); });
+}
+
+Outcome ReplicatedState::Do(const SessionStart& start) {
+  if (!this->sessions.contains(start.session) &&
+      this->sessions.size() >= kMaxSessions) {
+    return OutcomeOf(StateError::kSessionsFull);
+  }
+  this->sessions.insert(start.session);
+  return {};
+}
+
+Outcome ReplicatedState::Do(const SessionEnd& end) {
+  this->sessions.erase(end.session);
+  return {};
+}
+
+Outcome ReplicatedState::Do(const AllowanceMoves& /*moves*/) {
+  return NotSupported();
+}
+
+Outcome ReplicatedState::Do(const IntentBegin& /*begin*/) {
+  return NotSupported();
+}
+
+Outcome ReplicatedState::Do(const IntentEnd& /*end*/) { return NotSupported(); }
+
+Outcome ReplicatedState::Do(const IntentExpiry& /*expiry*/) {
+  return NotSupported();
+}
+
+Outcome ReplicatedState::Do(const InstanceTransition& transition) {
+  return OutcomeOf(this->instances.Apply(transition, this->tables));
+}
+
+std::string ReplicatedState::Snapshot() const {
+  SnapshotContent content;
+  content.applied = this->applied;
+  for (const TableKind table : {TableKind::kRoutes, TableKind::kPools,
+                                TableKind::kTeams, TableKind::kPolicy}) {
+    content.versions.at(static_cast<std::size_t>(table)) =
+        this->tables.VersionOf(table);
+    const std::vector<Row> rows = this->tables.Rows(table);
+    content.rows.insert(content.rows.end(), rows.begin(), rows.end());
+  }
+  content.changes = this->changes.Records();
+  content.keys = this->keys.Keys();
+  content.sessions = this->sessions;
+  content.instances = this->instances.All();
+  content.epoch_floor = this->instances.EpochFloor();
+  return EncodeSnapshot(content);
+}
+
+std::error_code ReplicatedState::Restore(std::string_view snapshot) {
+  Result<SnapshotContent> decoded = DecodeSnapshot(snapshot);
+  if (!decoded) {
+    return decoded.error();
+  }
+  SnapshotContent& content = *decoded;
+  this->applied = content.applied;
+  this->tables.Restore(content.versions, content.rows);
+  this->changes.Restore(content.changes);
+  this->keys.Restore(content.keys);
+  this->instances.Restore(std::move(content.instances), content.epoch_floor);
+  this->sessions = content.sessions;
+  return {};
+}
+
+}  // namespace mimosastage
--- /dev/null
+++ b/src/mimosastage/state/table_set.cc
@@ -0,0 +1,255 @@
+#include "mimosastage/state/table_set.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "mimosastage/state/internal/row_check.h"
+
+namespace mimosastage {
+namespace {
+
+constexpr std::size_t kMaxChangeIdBytes = 128;
+
+template <class Map>
+std::vector<Row> RowsOf(const Map& map) {
+  std::vector<Row> rows;
+  rows.reserve(map.size());
+  for (const auto& [name, row] : map) {
+    rows.emplace_back(row);
+  }
+  return rows;
+}
+
+template <class Map>
+const typename Map::mapped_type* FindIn(const Map& map, std::string_view name) {
+  const auto found = map.find(name);
+  return found == map.end() ? nullptr : &found->second;
+}
+
+std::size_t IndexOf(TableKind table) { return static_cast<std::size_t>(table); }
+
+}  // namespace
+
+const char* TableName(TableKind table) {
+  constexpr std::array kNames{"routes", "pools", "teams", "policy"};
+  return kNames.at(IndexOf(table));
+}
+
+TableKind TableOf(const Row& row) {
+  return static_cast<TableKind>(row.index());
+}
+
+bool IsName(std::string_view text) {
+  const bool plain = std::all_of(text.begin(), text.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           (c >= '0' && c <= '9') || c == '.' || c == '-' || c == '_';
+  });
+  return plain && !text.empty() && text.size() <= TableSet::kMaxNameBytes;
+}
+
+Refusal TableSet::Apply(const TableChange& change) {
+  const std::uint64_t version = this->VersionOf(change.table);
+  if (change.base_version != version) {
+    return {StateError::kVersionConflict,
+            std::string(TableName(change.table)) + " is at version " +
+                std::to_string(version) + ", the change is based on version " +
+                std::to_string(change.base_version) +
+                "; read the table and repeat the change with a new id"};
+  }
+  if (Refusal refusal = this->CheckForm(change); refusal.error) {
+    return refusal;
+  }
+  TableSet candidate = *this;
+  if (Refusal refusal = candidate.ApplyRows(change); refusal.error) {
+    return refusal;
+  }
+  if (Refusal refusal = candidate.CheckRelations(change.table); refusal.error) {
+    return refusal;
+  }
+  ++candidate.versions.at(IndexOf(change.table));
+  *this = std::move(candidate);
+  return {};
+}
+
+Refusal TableSet::CheckForm(const TableChange& change) const {
+  if (change.change_id.empty() || change.change_id.size() > kMaxChangeIdBytes) {
+    return {StateError::kBadChange,
+            "change_id has " + std::to_string(change.change_id.size()) +
+                " bytes; use 1 to 128"};
+  }
+  if (change.upserts.empty() && change.deletes.empty()) {
+    return {StateError::kBadChange,
+            "the change is empty; name rows to set or to delete"};
+  }
+  std::set<std::string> names;
+  for (const Row& row : change.upserts) {
+    if (TableOf(row) != change.table) {
+      return {StateError::kBadChange,
+              "a row of " + std::string(TableName(TableOf(row))) +
+                  " is in a change of " + TableName(change.table) +
+                  "; send one change for each table"};
+    }
+    if (Refusal refusal = CheckRow(row); refusal.error) {
+      return refusal;
+    }
+    if (!names.insert(RowName(row)).second) {
+      return {StateError::kBadChange,
+              "row \"" + RowName(row) + "\" occurs twice; name it once"};
+    }
+  }
+  for (const std::string& name : change.deletes) {
+    if (!names.insert(name).second) {
+      return {StateError::kBadChange, "row \"" + name.substr(0, kMaxNameBytes) +
+                                          "\" occurs twice; name it once"};
+    }
+  }
+  return {};
+}
+
+Refusal TableSet::ApplyRows(const TableChange& change) {
+  for (const std::string& name : change.deletes) {
+    if (Refusal refusal = this->Delete(change.table, name); refusal.error) {
+      return refusal;
+    }
+  }
+  for (const Row& row : change.upserts) {
+    this->Put(row);
+  }
+  if (std::max({this->routes.size(), this->pools.size(), this->teams.size()}) >
+      kMaxRows) {
+    return {StateError::kTableFull, std::string(TableName(change.table)) +
+                                        " would have more than 4096 rows; "
+                                        "delete rows that are not needed"};
+  }
+  return {};
+}
+
+Refusal TableSet::Delete(TableKind table, const std::string& name) {
+  std::size_t erased = 0;
+  if (table == TableKind::kRoutes) {
+    erased = this->routes.erase(name);
+  } else if (table == TableKind::kPools) {
+    erased = this->pools.erase(name);
+  } else if (table == TableKind::kTeams) {
+    erased = this->teams.erase(name);
+  } else {
+    return {StateError::kBadChange,
+            "the policy row can't be deleted; set it to other values"};
+  }
+  if (erased == 0) {
+    return {StateError::kUnknownRow,
+            std::string(TableName(table)) + " has no row \"" +
+                name.substr(0, kMaxNameBytes) + "\"; leave it out"};
+  }
+  return {};
+}
+
+void TableSet::Put(const Row& row) {
+  if (const auto* route = std::get_if<Route>(&row)) {
+    this->routes.insert_or_assign(route->name.str(), *route);
+  } else if (const auto* pool = std::get_if<Pool>(&row)) {
+    this->pools.insert_or_assign(pool->name.str(), *pool);
+  } else if (const auto* team = std::get_if<Team>(&row)) {
+    this->teams.insert_or_assign(team->name.str(), *team);
+  } else {
+    this->policy = std::get<Policy>(row);
+  }
+}
+
+Refusal TableSet::CheckRelations(TableKind table) const {
+  if (table == TableKind::kRoutes) {
+    return this->CheckRoutes();
+  }
+  if (table != TableKind::kPools) {
+    return {};
+  }
+  if (Refusal refusal = this->CheckPools(); refusal.error) {
+    return refusal;
+  }
+  if (Refusal refusal = this->CheckRoutes(); refusal.error) {
+    return {StateError::kPoolInUse,
+            refusal.detail + ", or change the route first"};
+  }
+  return {};
+}
+
+Refusal TableSet::CheckRoutes() const {
+  for (const auto& [name, route] : this->routes) {
+    if (!this->pools.contains(route.pool.str())) {
+      return {StateError::kUnknownPool, "route " + name + " refers to pool " +
+                                            route.pool.str() +
+                                            ", which would not exist; keep or "
+                                            "create the pool"};
+    }
+  }
+  return {};
+}
+
+Refusal TableSet::CheckPools() const {
+  std::map<InstanceName, std::string_view> pool_of;
+  for (const auto& [name, pool] : this->pools) {
+    if (pool.availability_budget > pool.instances.size()) {
+      return {StateError::kBudgetTooLarge,
+              "pool " + name + " has a budget of " +
+                  std::to_string(pool.availability_budget) + " and " +
+                  std::to_string(pool.instances.size()) +
+                  " instances; lower the budget or add instances"};
+    }
+    for (const InstanceName& instance : pool.instances) {
+      if (auto [first, added] = pool_of.emplace(instance, name); !added) {
+        return {StateError::kInstanceInTwoPools,
+                "instance " + instance.str() + " would be in pools " +
+                    std::string(first->second) + " and " + name +
+                    "; take it out of one in the same change"};
+      }
+    }
+  }
+  if (pool_of.size() > kMaxRows) {
+    return {StateError::kTableFull, "the pools would have " +
+                                        std::to_string(pool_of.size()) +
+                                        " instances; use at most 4096"};
+  }
+  return {};
+}
+
+std::uint64_t TableSet::VersionOf(TableKind table) const {
+  return this->versions.at(IndexOf(table));
+}
+
+const Route* TableSet::FindRoute(std::string_view name) const {
+  return FindIn(this->routes, name);
+}
+
+const Pool* TableSet::FindPool(std::string_view name) const {
+  return FindIn(this->pools, name);
+}
+
+const Team* TableSet::FindTeam(std::string_view name) const {
+  return FindIn(this->teams, name);
+}
+
+std::vector<Row> TableSet::Rows(TableKind table) const {
+  switch (table) {
+    case TableKind::kRoutes:
+      return RowsOf(this->routes);
+    case TableKind::kPools:
+      return RowsOf(this->pools);
+    case TableKind::kTeams:
+      return RowsOf(this->teams);
+    case TableKind::kPolicy:
+      return {this->policy};
+  }
+  return {};
+}
+
+void TableSet::Restore(const std::array<std::uint64_t, 4>& versions,
+                       const std::vector<Row>& rows) {
+  *this = TableSet();
+  this->versions = versions;
+  for (const Row& row : rows) {
+    this->Put(row);
+  }
+}
+
+}  // namespace mimosastage
--- /dev/null
+++ b/src/mimosastage/state/table_set.h
@@ -0,0 +1,89 @@
+#ifndef MIMOSASTAGE_STATE_TABLE_SET_H_
+#define MIMOSASTAGE_STATE_TABLE_SET_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+#include "mimosastage/state/commands.h"
+#include "mimosastage/state/state_error.h"
+#include "mimosastage/state/tables.h"
+
+namespace mimosastage {
+
+/// Why a change is refused; no error means that it is accepted.
+struct Refusal {
+  std::error_code error;
+  /// What was found and the remedy.
+  std::string detail;
+};
+
+/// The tables in force, each with its version. A version counts the accepted
+/// changes of its table.
+class TableSet {
+ public:
+  static constexpr std::size_t kMaxRows = 4'096;
+  static constexpr std::size_t kMaxNameBytes = 128;
+
+  using Routes = std::map<std::string, Route, std::less<>>;
+  using Pools = std::map<std::string, Pool, std::less<>>;
+  using Teams = std::map<std::string, Team, std::less<>>;
+
+  /// Applies the whole change, or nothing of it. The base version is checked
+  /// before the content.
+  Refusal Apply(const TableChange& change);
+
+  std::uint64_t VersionOf(TableKind table) const;
+  const Routes& AllRoutes() const { return this->routes; }
+  const Pools& AllPools() const { return this->pools; }
+  const Teams& AllTeams() const { return this->teams; }
+  const Policy& ThePolicy() const { return this->policy; }
+
+  /// Null if there is none; valid until the next change.
+  const Route* FindRoute(std::string_view name) const;
+  const Pool* FindPool(std::string_view name) const;
+  const Team* FindTeam(std::string_view name) const;
+
+  /// The rows of one table in the order of their names.
+  std::vector<Row> Rows(TableKind table) const;
+
+  /// Replaces everything without checks; for snapshots.
+  void Restore(const std::array<std::uint64_t, 4>& versions,
+               const std::vector<Row>& rows);
+
+  bool operator==(const TableSet&) const = default;
+
+ private:
+  Refusal CheckForm(const TableChange& change) const;
+  Refusal ApplyRows(const TableChange& change);
+  Refusal Delete(TableKind table, const std::string& name);
+  void Put(const Row& row);
+  Refusal CheckRelations(TableKind table) const;
+  Refusal CheckPools() const;
+  Refusal CheckRoutes() const;
+
+  std::array<std::uint64_t, 4> versions{};
+  Routes routes;
+  Pools pools;
+  Teams teams;
+  Policy policy;
+};
+
+/// "routes", "pools", "teams" or "policy".
+const char* TableName(TableKind table);
+
+/// The table that holds rows of this kind.
+TableKind TableOf(const Row& row);
+
+/// A name of 1 to 128 letters, digits, dots, dashes and underscores, so that
+/// it can stand in a path, a label and a file.
+bool IsName(std::string_view text);
+
+}  // namespace mimosastage
+
+#endif  // MIMOSASTAGE_STATE_TABLE_SET_H_
