--- a/src/mimosastage/admission/allowance_lender.h
+++ b/src/mimosastage/admission/allowance_lender.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -58,6 +59,8 @@
     double hysteresis = 0.75;
     /// Repeats requests for full reports and recalls that may be lost.
     Duration repeat = std::chrono::seconds(1);
+    /// Teams and pools in which nothing waits are planned at this interval.
+    Duration calm_interval = std::chrono::seconds(1);
   };
 
   /// `leader_since`: start of this leadership. Sessions count as last heard
@@ -66,7 +69,8 @@
 
   /// Rows in force.
   void SetTeams(const std::vector<Team>& teams);
-  /// Longest deadline of the routes in force.
+  /// Longest deadline of the routes in force. A lower value than before has no
+  /// effect on this leader, because requests under the earlier one may run.
   void SetLongestDeadline(Duration longest_deadline);
   /// Announced backend servers.
   void SetServer(const LendableServer& server);
@@ -79,20 +83,25 @@
   /// The session isn't heard any more; `at` is when its last lease was granted
   /// or later.
   void SessionLapsed(Session session, TimePoint at);
-  /// False once a SessionEnd of the session was proposed. The leader then
-  /// grants it no lease, because its units may be lent to others.
+  /// False before the first round that finds the session in the ledger and
+  /// once its SessionEnd was proposed. The leader then grants it no lease,
+  /// because its units may be lent to others.
   bool MayServe(Session session) const;
 
   void HandleReport(const DemandReport& report);
   /// The command of the last round was applied to the ledger, or has failed.
-  void MovesFinished();
+  void MovesFinished(bool applied);
 
   /// One round; the caller runs it every 100 ms. `ledger` is the leader's
   /// applied state.
   LenderRound Round(const AllowanceLedger& ledger, TimePoint now);
 
  private:
-  struct ResourceReport {
+  struct ResourceHash {
+    std::size_t operator()(const Resource& resource) const noexcept;
+  };
+  /// What an entry reported about a resource, and what was recalled from it.
+  struct Use {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint64_t returned_total = 0;
@@ -101,13 +110,20 @@
   };
   struct Entry {
     Session session;
+    AvailabilityZone zone;
+    /// The ledger knows the session.
+    bool alive = false;
     bool heard = false;
-    bool ending = false;
     TimePoint lapsed_at{};
+    /// When a SessionEnd was last proposed.
+    std::optional<TimePoint> ended_at;
     std::uint64_t last_report = 0;
     bool needs_full = true;
-    TimePoint full_requested_at{};
-    std::map<Resource, ResourceReport> resources;
+    int unknown_rounds = 0;
+    std::optional<TimePoint> full_requested_at;
+    std::unordered_map<Resource, Use, ResourceHash> uses;
+
+    bool MayBorrow() const { return this->alive && this->heard; }
   };
   struct PoolTeam {
     std::map<Session, TeamDemand> demand;
@@ -120,60 +136,107 @@
   struct TeamState {
     std::uint32_t share = 1;
     std::uint32_t limit = 0;
+    /// Pools in which the team has demand.
     std::set<PoolName> pools;
-    /// Entries in the order of their next turn, for rotated limits.
+    /// The entry whose turn it is, for rotated limits.
     Session turn;
     TimePoint turn_since{};
     /// Units that each entry should hold.
     std::map<Session, double> targets;
   };
-  /// One entry's side of a resource, or of a pool's slots.
+  struct Server {
+    LendableServer row;
+    bool removed = false;
+  };
+  /// One entry's side of a team's limit or of a pool's slots, in units.
   struct Position {
     Entry* entry = nullptr;
     double target = 0;
     double held = 0;
     double demand = 0;
+
+    bool Starves() const { return this->demand > this->held; }
   };
-  struct RoundContext;
+  struct Plan;
 
+  Entry& FindEntry(Session session);
   void MergeReport(Entry& entry, const DemandReport& report);
-  void SetPoolDemand(Session session, const TeamDemand& demand);
+  void MergeUse(Entry& entry, const ResourceDemand& demand);
+  void MergeTeam(Session session, const TeamDemand& demand);
   void ClearDemand(Session session);
-  void SyncSessions(RoundContext& context);
-  void EndLapsed(RoundContext& context);
-  void PlanTeam(RoundContext& context, const std::string& name);
-  void PlanPool(RoundContext& context, const PoolName& name);
-  std::vector<Position> TeamPositions(RoundContext& context,
-                                      const Resource& resource);
-  void SetTeamTargets(RoundContext& context, TeamState& team,
+  void MarkTeam(const TeamName& name, bool soon);
+  void MarkPool(const PoolName& name, bool soon);
+  void MarkAll();
+
+  void SyncSessions(Plan& plan);
+  void EndLapsed(Plan& plan);
+  void RequestFullReports(Plan& plan);
+  void RepeatRecalls(Plan& plan);
+  void AddReturns(Plan& plan);
+
+  void PlanTeam(Plan& plan, const TeamName& name);
+  void SetTeamTargets(Plan& plan, const TeamName& name, double limit,
                       std::vector<Position>& positions);
-  void RotateTurn(RoundContext& context, TeamState& team,
-                  const std::vector<Position>& positions);
-  std::map<TeamName, double> Entitlements(const PoolState& pool,
-                                          double capacity) const;
-  void AddPoolTargets(RoundContext& context, const PoolName& name,
-                      PoolState& pool, double capacity,
-                      std::map<Session, Position>& positions);
-  void UpdateFractions(RoundContext& context, const PoolName& pool,
-                       const TeamName& team, PoolTeam& state,
-                       const std::map<Session, double>& parts);
-  void Lend(RoundContext& context, const Resource& resource, Session session,
-            std::uint32_t units);
-  std::uint32_t RecallUnits(RoundContext& context, const Resource& resource,
-                            Entry& entry, std::uint32_t units);
-  void AddReturns(RoundContext& context, const Resource& resource);
-  LenderNotice& NoticeFor(RoundContext& context, Session session);
+  /// True if more than one entry has demand, so that the turn passes on.
+  bool SetRotatedTargets(Plan& plan, TeamState& team, double limit,
+                         std::vector<Position>& positions);
+  static void SetSharedTargets(double limit, std::vector<Position>& positions);
+  /// Starving entries first, then by distance below the target.
+  static std::vector<Position*> NeediestFirst(std::vector<Position>& positions);
+  std::uint32_t UnitsToRecall(double size,
+                              const std::vector<Position>& positions) const;
+  static double TotalHeld(const std::vector<Position>& positions);
+  void BalanceTeam(Plan& plan, const Resource& resource, double limit,
+                   std::vector<Position>& positions);
+
+  void PlanPool(Plan& plan, const PoolName& name);
+  void BalancePool(Plan& plan, const PoolState& pool, double capacity,
+                   std::vector<Position>& positions);
+  void SetPoolTargets(Plan& plan, const PoolName& name, PoolState& pool,
+                      double capacity, std::vector<Position>& positions);
+  void SetTeamParts(Plan& plan, const PoolName& pool, const TeamName& name,
+                    PoolTeam& team, double entitlement,
+                    std::map<Session, double>& targets);
+  void SetFractions(Plan& plan, const PoolName& pool, const TeamName& name,
+                    PoolTeam& team, const std::map<Session, double>& parts);
+  double TeamLimit(const TeamName& name) const;
+  std::uint32_t LendSlots(Plan& plan, const PoolState& pool,
+                          const Position& position, std::uint32_t units);
+  std::uint32_t RecallSlots(Plan& plan, const PoolState& pool,
+                            const Position& position, std::uint32_t units);
+  void ForgetRemoved(const Plan& plan, PoolState& pool);
+  void RecallExcess(Plan& plan, const Server& server);
+
+  std::uint32_t Held(const Plan& plan, const Resource& resource,
+                     const Entry& entry) const;
+  static std::uint32_t Free(const Plan& plan, const Resource& resource,
+                            std::uint32_t size);
+  static void Lend(Plan& plan, const Resource& resource, Session session,
+                   std::uint32_t units);
+  std::uint32_t Recall(Plan& plan, const Resource& resource, Entry& entry,
+                       std::uint32_t units);
+  std::uint32_t Whole(double units) const;
 
   Settings settings;
   TimePoint leader_since;
   Duration longest_deadline = std::chrono::seconds(30);
   std::map<TeamName, TeamState> teams;
-  std::map<BackendServerName, LendableServer> servers;
+  std::map<BackendServerName, Server> servers;
   std::map<PoolName, PoolState> pools;
   std::map<DaemonId, AvailabilityZone> zones;
   std::map<Session, Entry> entries;
-  std::set<TeamName> dirty_teams;
-  std::set<PoolName> dirty_pools;
+
+  /// To be planned in the next round, or at the next calm time. Without anyone
+  /// waiting, units need not follow each change of demand.
+  std::set<TeamName> soon_teams;
+  std::set<PoolName> soon_pools;
+  std::set<TeamName> calm_teams;
+  std::set<PoolName> calm_pools;
+  TimePoint last_calm{};
+  /// Reported returns that the ledger doesn't have yet, and recalls whose
+  /// units haven't come back.
+  std::set<std::pair<Session, Resource>> pending_returns;
+  std::set<std::pair<Session, Resource>> pending_recalls;
   bool moves_in_progress = false;
 };
 
--- /dev/null
+++ b/src/mimosastage/admission/fair_queue.cc
@@ -0,0 +1,389 @@
+#include "mimosastage/admission/fair_queue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace mimosastage {
+namespace {
+
+/// Weight of a new measurement in the mean service time. 1/8 follows a change
+/// within some ten requests and doesn't jump with each one.
+constexpr double kGain = 0.125;
+/// A measured service time refuses requests for this long only. Without a
+/// limit, a team whose requests all have less time left would never be
+/// measured again.
+constexpr std::chrono::seconds kMeasurementValidity{5};
+/// Lower bound of a weight, because a team with waiting requests must progress
+/// even if the leader's fractions are late.
+constexpr double kMinWeight = 0.001;
+constexpr double kMaxRetryAfterSeconds = 60;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+std::chrono::seconds RetryAfter(double seconds) {
+  const double rounded = std::ceil(seconds);
+  const double bounded = std::clamp(rounded, 1.0, kMaxRetryAfterSeconds);
+  return std::chrono::seconds(static_cast<std::int64_t>(bounded));
+}
+
+}  // namespace
+
+FairQueue::FairQueue(Settings settings, Hooks hooks)
+    : settings(settings),
+      hooks(std::move(hooks)),
+      service_seconds(Seconds(settings.initial_service_time)) {}
+
+std::uint32_t FairQueue::TeamState::Waiting() const {
+  return this->lanes[0].waiting + this->lanes[1].waiting;
+}
+
+FairQueue::Lane& FairQueue::LaneOf(TeamState& team, bool urgent) {
+  return team.lanes[urgent ? 0 : 1];
+}
+
+FairQueue::TeamState& FairQueue::FindTeam(const TeamName& name) {
+  const auto [item, added] = this->teams.try_emplace(name);
+  if (added) {
+    item->second.name = name;
+  }
+  return item->second;
+}
+
+void FairQueue::SetShare(const TeamName& name, std::uint32_t share) {
+  TeamState& team = this->FindTeam(name);
+  team.share = share;
+  this->CountWeight(team);
+}
+
+void FairQueue::SetFraction(const TeamName& name, std::uint32_t permille) {
+  TeamState& team = this->FindTeam(name);
+  if (!team.permille) {
+    ++this->permille_count;
+  }
+  this->permille_sum += permille;
+  this->permille_sum -= team.permille.value_or(0);
+  team.permille = permille;
+  this->CountWeight(team);
+}
+
+double FairQueue::Weight(const TeamState& team) const {
+  // A team that the leader hasn't seen here yet counts like an average one.
+  const double mean = this->permille_count == 0
+                          ? 1000.0
+                          : static_cast<double>(this->permille_sum) /
+                                static_cast<double>(this->permille_count);
+  const double permille = team.permille ? *team.permille : mean;
+  return std::max(kMinWeight, team.share * permille / 1000.0);
+}
+
+void FairQueue::CountWeight(TeamState& team) {
+  this->waiting_weight -= team.counted_weight;
+  team.counted_weight = team.Waiting() > 0 ? this->Weight(team) : 0;
+  this->waiting_weight += team.counted_weight;
+  if (this->requests.empty()) {
+    // Clears the rounding errors of the sum.
+    this->waiting_weight = team.counted_weight;
+  }
+}
+
+double FairQueue::ServiceSeconds(const TeamState& team) const {
+  return team.service_seconds.value_or(this->service_seconds);
+}
+
+double FairQueue::MeasuredSeconds(const TeamState& team, TimePoint now) const {
+  const bool valid =
+      team.service_seconds && now - team.measured_at < kMeasurementValidity;
+  return valid ? *team.service_seconds : 0;
+}
+
+std::optional<Refusal> FairQueue::Enqueue(const QueuedRequest& request,
+                                          TimePoint now) {
+  TeamState& team = this->FindTeam(request.team);
+  if (const auto refusal = this->Check(request, team, now)) {
+    return refusal;
+  }
+  this->Insert(request, team, now);
+  this->TellDemand(team);
+  return std::nullopt;
+}
+
+std::optional<Refusal> FairQueue::Check(const QueuedRequest& request,
+                                        TeamState& team, TimePoint now) {
+  const double wait = this->ExpectedWait(team, request.urgent);
+  const Lane& lane = LaneOf(team, request.urgent);
+  if (const auto client = lane.clients.find(request.client);
+      client != lane.clients.end() &&
+      client->second.waiting.size() >= this->settings.max_waiting_per_client) {
+    return Refusal{AdmissionError::kClientQueueFull, RetryAfter(wait)};
+  }
+  const double left = Seconds(request.deadline - now);
+  const double allowed =
+      (left - this->MeasuredSeconds(team, now)) * this->settings.wait_part;
+  if (left <= 0 || allowed < 0 || wait > allowed) {
+    return Refusal{AdmissionError::kDeadlineTooShort,
+                   RetryAfter(wait - allowed)};
+  }
+  if (this->requests.size() >= this->settings.max_waiting &&
+      !this->MakeRoom(team)) {
+    return Refusal{AdmissionError::kQueueFull, RetryAfter(wait)};
+  }
+  return std::nullopt;
+}
+
+double FairQueue::ExpectedWait(const TeamState& team, bool urgent) const {
+  const std::uint32_t ahead = urgent ? team.lanes[0].waiting : team.Waiting();
+  const double slots = std::max(1U, this->hooks.slots());
+  const double own = this->Weight(team);
+  const double all = this->waiting_weight - team.counted_weight + own;
+  return ahead * this->ServiceSeconds(team) / (slots * own / all);
+}
+
+bool FairQueue::MakeRoom(const TeamState& arriving) {
+  TeamState* above = this->FurthestAbove();
+  if (above == nullptr || above == &arriving) {
+    return false;
+  }
+  const double level = above->Waiting() / above->counted_weight;
+  if (level <= (arriving.Waiting() + 1) / this->Weight(arriving)) {
+    return false;
+  }
+  Lane& lane = above->lanes[1].waiting > 0 ? above->lanes[1] : above->lanes[0];
+  const auto largest =
+      std::max_element(lane.ready.begin(), lane.ready.end(),
+                       [](const Client* a, const Client* b) {
+                         return a->waiting.size() < b->waiting.size();
+                       });
+  this->Refuse((*largest)->waiting.rbegin()->second,
+               AdmissionError::kDisplaced);
+  return true;
+}
+
+FairQueue::TeamState* FairQueue::FurthestAbove() {
+  TeamState* above = nullptr;
+  for (auto& [name, team] : this->teams) {
+    if (team.Waiting() == 0) {
+      continue;
+    }
+    if (above == nullptr || team.Waiting() * above->counted_weight >
+                                above->Waiting() * team.counted_weight) {
+      above = &team;
+    }
+  }
+  return above;
+}
+
+void FairQueue::Insert(const QueuedRequest& request, TeamState& team,
+                       TimePoint now) {
+  Lane& lane = LaneOf(team, request.urgent);
+  if (lane.clients.size() >= lane.purge_at) {
+    std::erase_if(lane.clients, [&](const auto& item) {
+      return item.second.waiting.empty() &&
+             item.second.virtual_time <= lane.virtual_time;
+    });
+    lane.purge_at = std::max<std::size_t>(64, 2 * lane.clients.size());
+  }
+  Client& client = lane.clients[request.client];
+  if (client.waiting.empty()) {
+    client.name = request.client;
+    client.virtual_time = std::max(client.virtual_time, lane.virtual_time);
+    lane.ready.insert(&client);
+  }
+  const std::uint64_t order = this->next_order++;
+  client.waiting.emplace(order, request.id);
+  ++lane.waiting;
+  const TimePoint latest_start =
+      request.deadline - FromSeconds(this->MeasuredSeconds(team, now));
+  this->requests[request.id] = {request, &team, &client, order, latest_start};
+  this->by_latest_start.emplace(latest_start, request.id);
+  if (team.Waiting() == 1) {
+    this->CountWeight(team);
+    this->SetReady(team);
+  }
+}
+
+void FairQueue::SetReady(TeamState& team) {
+  team.parked = false;
+  team.virtual_time = std::max(team.virtual_time, this->virtual_time);
+  this->ready.insert(&team);
+}
+
+void FairQueue::Remove(std::uint64_t id) {
+  const auto found = this->requests.find(id);
+  const Waiting waiting = std::move(found->second);
+  this->requests.erase(found);
+  this->by_latest_start.erase({waiting.latest_start, id});
+  TeamState& team = *waiting.team;
+  Lane& lane = LaneOf(team, waiting.request.urgent);
+  waiting.client->waiting.erase(waiting.order);
+  if (waiting.client->waiting.empty()) {
+    lane.ready.erase(waiting.client);
+  }
+  --lane.waiting;
+  if (team.Waiting() == 0) {
+    this->ready.erase(&team);
+    team.parked = false;
+    this->CountWeight(team);
+  }
+}
+
+bool FairQueue::Cancel(std::uint64_t id) {
+  const auto found = this->requests.find(id);
+  if (found == this->requests.end()) {
+    return false;
+  }
+  const TeamState& team = *found->second.team;
+  this->Remove(id);
+  this->TellDemand(team);
+  return true;
+}
+
+void FairQueue::Refuse(std::uint64_t id, AdmissionError reason) {
+  const TeamState& team = *this->requests.at(id).team;
+  const double wait = this->ExpectedWait(team, false);
+  this->Remove(id);
+  this->TellDemand(team);
+  this->hooks.on_refused(id, {reason, RetryAfter(wait)});
+}
+
+std::optional<QueuedRequest> FairQueue::Next(TimePoint now) {
+  while (!this->ready.empty()) {
+    TeamState& team = **this->ready.begin();
+    if (!this->hooks.team_may_start(team.name)) {
+      this->ready.erase(this->ready.begin());
+      team.parked = true;
+      continue;
+    }
+    const std::uint64_t id = this->Head(team);
+    if (!this->HasTime(this->requests.at(id), now)) {
+      this->Refuse(id, AdmissionError::kDeadlinePassed);
+      continue;
+    }
+    return this->Start(id, now);
+  }
+  return std::nullopt;
+}
+
+std::uint64_t FairQueue::Head(TeamState& team) {
+  const Lane& lane = team.lanes[0].waiting > 0 ? team.lanes[0] : team.lanes[1];
+  return (*lane.ready.begin())->waiting.begin()->second;
+}
+
+bool FairQueue::HasTime(const Waiting& waiting, TimePoint now) const {
+  const double needed = this->MeasuredSeconds(*waiting.team, now);
+  return now < waiting.request.deadline &&
+         now + FromSeconds(needed) <= waiting.request.deadline;
+}
+
+QueuedRequest FairQueue::Start(std::uint64_t id, TimePoint now) {
+  Waiting& waiting = this->requests.at(id);
+  QueuedRequest request = waiting.request;
+  TeamState& team = *waiting.team;
+  Lane& lane = LaneOf(team, request.urgent);
+  this->virtual_time = std::max(this->virtual_time, team.virtual_time);
+  lane.virtual_time = std::max(lane.virtual_time, waiting.client->virtual_time);
+  const double charge = this->ServiceSeconds(team);
+  this->Remove(id);
+  this->ChargeTeam(team, charge);
+  ChargeClient(lane, request.client, charge);
+  ++team.running;
+  this->running_requests[id] = {&team, request.client, request.urgent, now,
+                                charge};
+  this->TellDemand(team);
+  return request;
+}
+
+void FairQueue::ChargeTeam(TeamState& team, double seconds) {
+  const bool was_ready = this->ready.erase(&team) > 0;
+  team.virtual_time += seconds / this->Weight(team);
+  if (was_ready) {
+    this->ready.insert(&team);
+  }
+}
+
+void FairQueue::ChargeClient(Lane& lane, const ClientName& name,
+                             double seconds) {
+  const auto found = lane.clients.find(name);
+  if (found == lane.clients.end()) {
+    return;
+  }
+  Client& client = found->second;
+  const bool was_ready = lane.ready.erase(&client) > 0;
+  client.virtual_time += seconds;
+  if (was_ready) {
+    lane.ready.insert(&client);
+  }
+}
+
+void FairQueue::TeamAvailable(const TeamName& name) {
+  const auto found = this->teams.find(name);
+  if (found != this->teams.end() && found->second.parked) {
+    this->SetReady(found->second);
+  }
+}
+
+bool FairQueue::Finish(std::uint64_t id, TimePoint now, bool measured) {
+  const auto node = this->running_requests.extract(id);
+  if (node.empty()) {
+    return false;
+  }
+  const Running& running = node.mapped();
+  TeamState& team = *running.team;
+  --team.running;
+  // The slot was in use for this time, whatever the end was.
+  const double seconds = Seconds(now - running.started);
+  const double correction = seconds - running.charged_seconds;
+  this->ChargeTeam(team, correction);
+  ChargeClient(LaneOf(team, running.urgent), running.client, correction);
+  if (measured) {
+    this->Measure(team, seconds, now);
+  }
+  this->TellDemand(team);
+  return true;
+}
+
+void FairQueue::Measure(TeamState& team, double seconds, TimePoint now) {
+  const double before = team.service_seconds.value_or(seconds);
+  team.service_seconds = before + kGain * (seconds - before);
+  team.measured_at = now;
+  this->service_seconds += kGain * (seconds - this->service_seconds);
+}
+
+void FairQueue::Expire(TimePoint now) {
+  while (!this->by_latest_start.empty()) {
+    const auto [latest_start, id] = *this->by_latest_start.begin();
+    if (latest_start >= now) {
+      return;
+    }
+    Waiting& waiting = this->requests.at(id);
+    if (!this->HasTime(waiting, now)) {
+      this->Refuse(id, AdmissionError::kDeadlinePassed);
+      continue;
+    }
+    // The service time fell or its measurement is too old.
+    this->by_latest_start.erase(this->by_latest_start.begin());
+    waiting.latest_start =
+        waiting.request.deadline -
+        FromSeconds(this->MeasuredSeconds(*waiting.team, now));
+    this->by_latest_start.emplace(waiting.latest_start, id);
+  }
+}
+
+void FairQueue::RefuseAll(AdmissionError reason) {
+  while (!this->by_latest_start.empty()) {
+    this->Refuse(this->by_latest_start.begin()->second, reason);
+  }
+}
+
+void FairQueue::TellDemand(const TeamState& team) {
+  this->hooks.on_demand(team.name, team.Waiting(), team.running);
+}
+
+}  // namespace mimosastage
--- a/src/mimosastage/admission/fair_queue.h
+++ b/src/mimosastage/admission/fair_queue.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -99,27 +100,41 @@
   struct Client {
     ClientName name;
     double virtual_time = 0;
-    /// Waiting requests by order of arrival.
+    /// Ids of waiting requests by order of arrival.
     std::map<std::uint64_t, std::uint64_t> waiting;
   };
+  /// The name breaks ties, so that equal runs give equal orders.
+  struct ByVirtualTime {
+    template <class T>
+    bool operator()(const T* a, const T* b) const {
+      return std::tie(a->virtual_time, a->name) <
+             std::tie(b->virtual_time, b->name);
+    }
+  };
   /// Requests of one urgency in a team.
   struct Lane {
     std::map<ClientName, Client> clients;
-    /// Clients with waiting requests by virtual time.
-    std::set<std::pair<double, Client*>> ready;
+    /// Clients with waiting requests.
+    std::set<Client*, ByVirtualTime> ready;
     double virtual_time = 0;
-    std::size_t waiting = 0;
+    std::uint32_t waiting = 0;
+    /// Number of clients at which idle ones are removed.
+    std::size_t purge_at = 64;
   };
   struct TeamState {
     TeamName name;
     std::uint32_t share = 1;
     std::optional<std::uint32_t> permille;
     double virtual_time = 0;
-    /// Waiting for a unit of the team's limit.
+    /// Waits for a unit of the team's limit.
     bool parked = false;
+    /// Weight that this team adds to `waiting_weight`.
+    double counted_weight = 0;
+    /// Urgent requests, then the others.
     std::array<Lane, 2> lanes;
     std::uint32_t running = 0;
     std::optional<double> service_seconds;
+    TimePoint measured_at{};
 
     std::uint32_t Waiting() const;
   };
@@ -132,34 +147,44 @@
   };
   struct Running {
     TeamState* team = nullptr;
+    ClientName client;
+    bool urgent = false;
     TimePoint started{};
     double charged_seconds = 0;
   };
 
-  TeamState& Team(const TeamName& name);
+  static Lane& LaneOf(TeamState& team, bool urgent);
+  TeamState& FindTeam(const TeamName& name);
   double Weight(const TeamState& team) const;
+  void CountWeight(TeamState& team);
   double ServiceSeconds(const TeamState& team) const;
-  std::optional<Refusal> Check(const QueuedRequest& request,
-                               const TeamState& team, TimePoint now);
+  double MeasuredSeconds(const TeamState& team, TimePoint now) const;
+  std::optional<Refusal> Check(const QueuedRequest& request, TeamState& team,
+                               TimePoint now);
   double ExpectedWait(const TeamState& team, bool urgent) const;
   bool MakeRoom(const TeamState& arriving);
-  void Insert(const QueuedRequest& request, TeamState& team);
+  TeamState* FurthestAbove();
+  void Insert(const QueuedRequest& request, TeamState& team, TimePoint now);
   void Remove(std::uint64_t id);
   void Refuse(std::uint64_t id, AdmissionError reason);
   void SetReady(TeamState& team);
-  void SetNotReady(TeamState& team);
   std::uint64_t Head(TeamState& team);
   bool HasTime(const Waiting& waiting, TimePoint now) const;
   QueuedRequest Start(std::uint64_t id, TimePoint now);
+  void ChargeTeam(TeamState& team, double seconds);
+  static void ChargeClient(Lane& lane, const ClientName& name, double seconds);
+  void Measure(TeamState& team, double seconds, TimePoint now);
   void TellDemand(const TeamState& team);
 
   Settings settings;
   Hooks hooks;
   std::map<TeamName, TeamState> teams;
-  /// Teams with waiting requests that aren't parked, by virtual time.
-  std::set<std::pair<double, TeamState*>> ready;
-  double ready_weight = 0;
+  /// Teams with waiting requests that aren't parked.
+  std::set<TeamState*, ByVirtualTime> ready;
+  double waiting_weight = 0;
   double virtual_time = 0;
+  std::uint64_t permille_sum = 0;
+  std::uint64_t permille_count = 0;
   std::unordered_map<std::uint64_t, Waiting> requests;
   std::set<std::pair<TimePoint, std::uint64_t>> by_latest_start;
   std::unordered_map<std::uint64_t, Running> running_requests;
