--- a/src/mimosastage/daemons/internal/link.cc
+++ b/src/mimosastage/daemons/internal/link.cc
@@ -119,6 +119,7 @@
           self->Close();
           return;
         }
+        self->hooks.on_bytes(0, kHeaderSize + self->body.size());
         self->OnFrame();
       });
 }
@@ -224,6 +225,7 @@
           self->Close();
           return;
         }
+        self->hooks.on_bytes(self->queue.front().size(), 0);
         self->queued_bytes -= self->queue.front().size();
         self->queue.pop_front();
         self->WriteNext();
--- a/src/mimosastage/daemons/internal/link.h
+++ b/src/mimosastage/daemons/internal/link.h
@@ -25,6 +25,7 @@
     std::function<void(DaemonId from, std::string&& message)> on_message;
     std::function<void(const std::shared_ptr<Link>&)> on_closed;
     std::function<void(std::string_view reason)> on_drop;
+    std::function<void(std::size_t sent, std::size_t received)> on_bytes;
   };
 
   /// `expected` is the peer that was dialled; an accepted connection learns its
--- a/src/mimosastage/daemons/links.cc
+++ b/src/mimosastage/daemons/links.cc
@@ -80,6 +80,7 @@
     };
     link_hooks.on_message = this->hooks.on_message;
     link_hooks.on_drop = this->hooks.on_drop;
+    link_hooks.on_bytes = this->hooks.on_bytes;
     link_hooks.on_closed = [this, expected](const std::shared_ptr<Link>& link) {
       this->OnClosed(link, expected);
     };
--- a/src/mimosastage/daemons/links.h
+++ b/src/mimosastage/daemons/links.h
@@ -51,6 +51,8 @@
     std::function<void(DaemonId peer, bool up)> on_state;
     /// A message or connection was dropped; `reason` is a stable name.
     std::function<void(std::string_view reason)> on_drop;
+    /// Bytes of frames written to or read from a connection.
+    std::function<void(std::size_t sent, std::size_t received)> on_bytes;
     /// Runs after Wake.
     std::function<void()> on_wake;
   };
--- a/src/mimosastage/state/instance_table.cc
+++ b/src/mimosastage/state/instance_table.cc
@@ -28,8 +28,8 @@
   }
 }
 
-Refusal InstanceTable::Apply(const InstanceTransition& transition,
-                             const TableSet& tables) {
+ChangeRefusal InstanceTable::Apply(const InstanceTransition& transition,
+                                   const TableSet& tables) {
   const auto found = this->instances.find(transition.instance);
   if (found == this->instances.end()) {
     return {StateError::kUnknownInstance, "no pool lists instance " +
@@ -42,11 +42,11 @@
                 " does not exist; name a pool of the table"};
   }
   Instance& current = found->second;
-  if (Refusal refusal = this->CheckMembership(transition, current);
+  if (ChangeRefusal refusal = this->CheckMembership(transition, current);
       refusal.error) {
     return refusal;
   }
-  if (Refusal refusal = this->CheckDrain(transition, current, tables);
+  if (ChangeRefusal refusal = this->CheckDrain(transition, current, tables);
       refusal.error) {
     return refusal;
   }
@@ -54,8 +54,8 @@
   return {};
 }
 
-Refusal InstanceTable::CheckMembership(const InstanceTransition& transition,
-                                       const Instance& current) const {
+ChangeRefusal InstanceTable::CheckMembership(
+    const InstanceTransition& transition, const Instance& current) const {
   const std::string name = transition.instance.str();
   if (transition.epoch < current.epoch) {
     return {StateError::kStaleEpoch,
@@ -80,9 +80,9 @@
   return {};
 }
 
-Refusal InstanceTable::CheckDrain(const InstanceTransition& transition,
-                                  const Instance& current,
-                                  const TableSet& tables) const {
+ChangeRefusal InstanceTable::CheckDrain(const InstanceTransition& transition,
+                                        const Instance& current,
+                                        const TableSet& tables) const {
   if (current.state != InstanceState::kServing ||
       transition.state == InstanceState::kServing ||
       transition.state == InstanceState::kFailed) {
--- a/src/mimosastage/state/instance_table.h
+++ b/src/mimosastage/state/instance_table.h
@@ -38,7 +38,8 @@
   /// Refuses an epoch below the one in force, another pool at the same epoch,
   /// a change of pool while the instance serves, and the start of a drain
   /// beyond the availability budget of the pool.
-  Refusal Apply(const InstanceTransition& transition, const TableSet& tables);
+  ChangeRefusal Apply(const InstanceTransition& transition,
+                      const TableSet& tables);
 
   const Instances& All() const { return this->instances; }
   /// Null if there is none; valid until the next change.
@@ -51,10 +52,11 @@
  private:
   /// Instances of the pool that aren't serving.
   std::size_t OutOfService(const PoolName& pool) const;
-  Refusal CheckMembership(const InstanceTransition& transition,
-                          const Instance& current) const;
-  Refusal CheckDrain(const InstanceTransition& transition,
-                     const Instance& current, const TableSet& tables) const;
+  ChangeRefusal CheckMembership(const InstanceTransition& transition,
+                                const Instance& current) const;
+  ChangeRefusal CheckDrain(const InstanceTransition& transition,
+                           const Instance& current,
+                           const TableSet& tables) const;
 
   Instances instances;
   std::uint64_t epoch_floor = 0;
--- a/src/mimosastage/state/internal/row_check.cc
+++ b/src/mimosastage/state/internal/row_check.cc
@@ -19,13 +19,13 @@
 // measurement into an outage.
 constexpr std::uint32_t kMaxEjectionPercent = 33;
 
-Refusal Bad(const Row& row, const std::string& text) {
+ChangeRefusal Bad(const Row& row, const std::string& text) {
   const std::string table = TableName(TableOf(row));
   return {StateError::kBadRow,
           table + " row \"" + RowName(row) + "\": " + text};
 }
 
-Refusal Check(const Row& row, const Route& route) {
+ChangeRefusal Check(const Row& row, const Route& route) {
   if (!IsName(route.pool.str())) {
     return Bad(row, "pool is not a name; name the pool that hosts the service");
   }
@@ -41,7 +41,7 @@
   return {};
 }
 
-Refusal CheckInstances(const Row& row, const Pool& pool) {
+ChangeRefusal CheckInstances(const Row& row, const Pool& pool) {
   if (pool.instances.size() > TableSet::kMaxRows) {
     return Bad(row, "it has " + std::to_string(pool.instances.size()) +
                         " instances; use at most 4096");
@@ -61,7 +61,7 @@
   return {};
 }
 
-Refusal Check(const Row& row, const Pool& pool) {
+ChangeRefusal Check(const Row& row, const Pool& pool) {
   if (pool.slots_per_instance == 0 || pool.slots_per_instance > kMaxSlots) {
     return Bad(row, "slots_per_instance is " +
                         std::to_string(pool.slots_per_instance) +
@@ -88,7 +88,7 @@
   return CheckInstances(row, pool);
 }
 
-Refusal Check(const Row& row, const Team& team) {
+ChangeRefusal Check(const Row& row, const Team& team) {
   if (team.share == 0 || team.share > kMaxShare) {
     return Bad(row,
                "share is " + std::to_string(team.share) + "; use 1 to 1000000");
@@ -100,7 +100,7 @@
   return {};
 }
 
-Refusal Check(const Row& row, const Policy& policy) {
+ChangeRefusal Check(const Row& row, const Policy& policy) {
   if (policy.name != "default") {
     return Bad(row, "the table has one row; name it \"default\"");
   }
@@ -124,7 +124,7 @@
 
 }  // namespace
 
-Refusal CheckRow(const Row& row) {
+ChangeRefusal CheckRow(const Row& row) {
   if (!IsName(RowName(row))) {
     return Bad(row,
                "the name is not valid; use 1 to 128 letters, digits, dots, "
--- a/src/mimosastage/state/internal/row_check.h
+++ b/src/mimosastage/state/internal/row_check.h
@@ -7,7 +7,7 @@
 namespace mimosastage {
 
 /// Checks what can be said of a row without the other rows.
-Refusal CheckRow(const Row& row);
+ChangeRefusal CheckRow(const Row& row);
 
 }  // namespace mimosastage
 
--- a/src/mimosastage/state/key_table.cc
+++ b/src/mimosastage/state/key_table.cc
@@ -6,7 +6,7 @@
 
 namespace mimosastage {
 
-Refusal KeyTable::Grant(const KeyGrant& grant) {
+ChangeRefusal KeyTable::Grant(const KeyGrant& grant) {
   if (!IsName(grant.key_id) || !IsName(grant.client.str())) {
     return {StateError::kBadChange,
             "key_id or client is not a name; use 1 to 128 letters, digits, "
@@ -29,7 +29,7 @@
   return {};
 }
 
-Refusal KeyTable::Revoke(const KeyRevoke& revoke) {
+ChangeRefusal KeyTable::Revoke(const KeyRevoke& revoke) {
   const auto found = this->by_id.find(revoke.key_id);
   if (found == this->by_id.end()) {
     return {StateError::kUnknownKey,
--- a/src/mimosastage/state/key_table.h
+++ b/src/mimosastage/state/key_table.h
@@ -28,8 +28,8 @@
  public:
   static constexpr std::size_t kMaxKeys = 8'192;
 
-  Refusal Grant(const KeyGrant& grant);
-  Refusal Revoke(const KeyRevoke& revoke);
+  ChangeRefusal Grant(const KeyGrant& grant);
+  ChangeRefusal Revoke(const KeyRevoke& revoke);
 
   /// The key with this secret, or null; valid until the next change.
   const Key* FindBySecret(std::string_view secret) const;
--- a/src/mimosastage/state/replicated_state.cc
+++ b/src/mimosastage/state/replicated_state.cc
@@ -11,7 +11,7 @@
 
 constexpr std::size_t kMaxChangeIdBytes = 128;
 
-Outcome OutcomeOf(Refusal refusal) {
+Outcome OutcomeOf(ChangeRefusal refusal) {
   Outcome outcome;
   outcome.error = refusal.error;
   outcome.detail = std::move(refusal.detail);
@@ -20,7 +20,7 @@
 
 Outcome OutcomeOf(StateError error) {
   const std::error_code code = error;
-  return OutcomeOf(Refusal{code, code.message()});
+  return OutcomeOf(ChangeRefusal{code, code.message()});
 }
 
 /// The ledger of allowances and the table of intents join the state with their
@@ -29,7 +29,7 @@
   const std::error_code code =
       std::make_error_code(std::errc::function_not_supported);
   return OutcomeOf(
-      Refusal{code, "not part of this version yet; use a later version"});
+      ChangeRefusal{code, "not part of this version yet; use a later version"});
 }
 
 }  // namespace
@@ -50,10 +50,10 @@
 template <class Make>
 Outcome ReplicatedState::Once(const std::string& change_id, Make make) {
   if (change_id.empty() || change_id.size() > kMaxChangeIdBytes) {
-    return OutcomeOf(
-        Refusal{StateError::kBadChange, "change_id has " +
-                                            std::to_string(change_id.size()) +
-                                            " bytes; use 1 to 128"});
+    return OutcomeOf(ChangeRefusal{StateError::kBadChange,
+                                   "change_id has " +
+                                       std::to_string(change_id.size()) +
+                                       " bytes; use 1 to 128"});
   }
   if (const Outcome* first = this->changes.Find(change_id)) {
     return *first;
@@ -67,7 +67,7 @@
 
 Outcome ReplicatedState::Do(const TableChange& change) {
   return this->Once(change.change_id, [&] {
-    Refusal refusal = this->CheckTeamDeletes(change);
+    ChangeRefusal refusal = this->CheckTeamDeletes(change);
     if (!refusal.error) {
       refusal = this->tables.Apply(change);
     }
@@ -80,7 +80,8 @@
   });
 }
 
-Refusal ReplicatedState::CheckTeamDeletes(const TableChange& change) const {
+ChangeRefusal ReplicatedState::CheckTeamDeletes(
+    const TableChange& change) const {
   // A conflict is reported before anything that may stem from it.
   if (change.table != TableKind::kTeams ||
       change.base_version != this->tables.VersionOf(change.table)) {
@@ -100,7 +101,7 @@
                     [&] { return OutcomeOf(this->GrantKey(grant)); });
 }
 
-Refusal ReplicatedState::GrantKey(const KeyGrant& grant) {
+ChangeRefusal ReplicatedState::GrantKey(const KeyGrant& grant) {
   if (this->tables.FindTeam(grant.team.str()) == nullptr) {
     return {StateError::kUnknownTeam,
             "team " + grant.team.str().substr(0, TableSet::kMaxNameBytes) +
--- a/src/mimosastage/state/replicated_state.h
+++ b/src/mimosastage/state/replicated_state.h
@@ -61,8 +61,8 @@
   /// Runs `make` for a new change id and keeps its outcome.
   template <class Make>
   Outcome Once(const std::string& change_id, Make make);
-  Refusal CheckTeamDeletes(const TableChange& change) const;
-  Refusal GrantKey(const KeyGrant& grant);
+  ChangeRefusal CheckTeamDeletes(const TableChange& change) const;
+  ChangeRefusal GrantKey(const KeyGrant& grant);
 
   LogIndex applied = 0;
   TableSet tables;
--- a/src/mimosastage/state/table_set.cc
+++ b/src/mimosastage/state/table_set.cc
@@ -48,7 +48,7 @@
   return plain && !text.empty() && text.size() <= TableSet::kMaxNameBytes;
 }
 
-Refusal TableSet::Apply(const TableChange& change) {
+ChangeRefusal TableSet::Apply(const TableChange& change) {
   const std::uint64_t version = this->VersionOf(change.table);
   if (change.base_version != version) {
     return {StateError::kVersionConflict,
@@ -57,14 +57,15 @@
                 std::to_string(change.base_version) +
                 "; read the table and repeat the change with a new id"};
   }
-  if (Refusal refusal = this->CheckForm(change); refusal.error) {
+  if (ChangeRefusal refusal = this->CheckForm(change); refusal.error) {
     return refusal;
   }
   TableSet candidate = *this;
-  if (Refusal refusal = candidate.ApplyRows(change); refusal.error) {
+  if (ChangeRefusal refusal = candidate.ApplyRows(change); refusal.error) {
     return refusal;
   }
-  if (Refusal refusal = candidate.CheckRelations(change.table); refusal.error) {
+  if (ChangeRefusal refusal = candidate.CheckRelations(change.table);
+      refusal.error) {
     return refusal;
   }
   ++candidate.versions.at(IndexOf(change.table));
@@ -72,7 +73,7 @@
   return {};
 }
 
-Refusal TableSet::CheckForm(const TableChange& change) const {
+ChangeRefusal TableSet::CheckForm(const TableChange& change) const {
   if (change.change_id.empty() || change.change_id.size() > kMaxChangeIdBytes) {
     return {StateError::kBadChange,
             "change_id has " + std::to_string(change.change_id.size()) +
@@ -90,7 +91,7 @@
                   " is in a change of " + TableName(change.table) +
                   "; send one change for each table"};
     }
-    if (Refusal refusal = CheckRow(row); refusal.error) {
+    if (ChangeRefusal refusal = CheckRow(row); refusal.error) {
       return refusal;
     }
     if (!names.insert(RowName(row)).second) {
@@ -107,9 +108,10 @@
   return {};
 }
 
-Refusal TableSet::ApplyRows(const TableChange& change) {
+ChangeRefusal TableSet::ApplyRows(const TableChange& change) {
   for (const std::string& name : change.deletes) {
-    if (Refusal refusal = this->Delete(change.table, name); refusal.error) {
+    if (ChangeRefusal refusal = this->Delete(change.table, name);
+        refusal.error) {
       return refusal;
     }
   }
@@ -125,7 +127,7 @@
   return {};
 }
 
-Refusal TableSet::Delete(TableKind table, const std::string& name) {
+ChangeRefusal TableSet::Delete(TableKind table, const std::string& name) {
   std::size_t erased = 0;
   if (table == TableKind::kRoutes) {
     erased = this->routes.erase(name);
@@ -157,24 +159,24 @@
   }
 }
 
-Refusal TableSet::CheckRelations(TableKind table) const {
+ChangeRefusal TableSet::CheckRelations(TableKind table) const {
   if (table == TableKind::kRoutes) {
     return this->CheckRoutes();
   }
   if (table != TableKind::kPools) {
     return {};
   }
-  if (Refusal refusal = this->CheckPools(); refusal.error) {
+  if (ChangeRefusal refusal = this->CheckPools(); refusal.error) {
     return refusal;
   }
-  if (Refusal refusal = this->CheckRoutes(); refusal.error) {
+  if (ChangeRefusal refusal = this->CheckRoutes(); refusal.error) {
     return {StateError::kPoolInUse,
             refusal.detail + ", or change the route first"};
   }
   return {};
 }
 
-Refusal TableSet::CheckRoutes() const {
+ChangeRefusal TableSet::CheckRoutes() const {
   for (const auto& [name, route] : this->routes) {
     if (!this->pools.contains(route.pool.str())) {
       return {StateError::kUnknownPool, "route " + name + " refers to pool " +
@@ -186,7 +188,7 @@
   return {};
 }
 
-Refusal TableSet::CheckPools() const {
+ChangeRefusal TableSet::CheckPools() const {
   std::map<InstanceName, std::string_view> pool_of;
   for (const auto& [name, pool] : this->pools) {
     if (pool.availability_budget > pool.instances.size()) {
--- a/src/mimosastage/state/table_set.h
+++ b/src/mimosastage/state/table_set.h
@@ -17,7 +17,7 @@
 namespace mimosastage {
 
 /// Why a change is refused; no error means that it is accepted.
-struct Refusal {
+struct ChangeRefusal {
   std::error_code error;
   /// What was found and the remedy.
   std::string detail;
@@ -36,7 +36,7 @@
 
   /// Applies the whole change, or nothing of it. The base version is checked
   /// before the content.
-  Refusal Apply(const TableChange& change);
+  ChangeRefusal Apply(const TableChange& change);
 
   std::uint64_t VersionOf(TableKind table) const;
   const Routes& AllRoutes() const { return this->routes; }
@@ -59,13 +59,13 @@
   bool operator==(const TableSet&) const = default;
 
  private:
-  Refusal CheckForm(const TableChange& change) const;
-  Refusal ApplyRows(const TableChange& change);
-  Refusal Delete(TableKind table, const std::string& name);
+  ChangeRefusal CheckForm(const TableChange& change) const;
+  ChangeRefusal ApplyRows(const TableChange& change);
+  ChangeRefusal Delete(TableKind table, const std::string& name);
   void Put(const Row& row);
-  Refusal CheckRelations(TableKind table) const;
-  Refusal CheckPools() const;
-  Refusal CheckRoutes() const;
+  ChangeRefusal CheckRelations(TableKind table) const;
+  ChangeRefusal CheckPools() const;
+  ChangeRefusal CheckRoutes() const;
 
   std::array<std::uint64_t, 4> versions{};
   Routes routes;
--- a/src/mimosastage/telemetry/metrics.h
+++ b/src/mimosastage/telemetry/metrics.h
@@ -41,6 +41,9 @@
                                       "Attempts after the first."};
 inline constexpr CounterName kDrops{"mimosastage_drops_total", "reason",
                                     "Messages and items dropped at a bound."};
+inline constexpr CounterName kLinkBytes{
+    "mimosastage_link_bytes_total", "direction",
+    "Bytes of frames exchanged with other daemons."};
 inline constexpr CounterName kEjections{"mimosastage_ejections_total", "reason",
                                         "Backend servers ejected."};
 inline constexpr CounterName kLeaseLapses{"mimosastage_lease_lapses_total", "",
--- a/tests/daemons/links_test.cc
+++ b/tests/daemons/links_test.cc
@@ -61,6 +61,7 @@
                  ++this->drops[std::string(reason)];
                  this->changed.notify_all();
                },
+               [](std::size_t, std::size_t) {},
                [this] { this->SendPending(); }}) {}
 
   template <class Condition>
