--- a/src/mimosastage/state/key_secret.cc
+++ b/src/mimosastage/state/key_secret.cc
@@ -24,8 +24,10 @@
 }
 
 bool SecretsEqual(std::string_view a, std::string_view b) {
-  return a.size() == b.size() &&
-         CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+  // Hashes of equal length hide the length of the secret too.
+  const KeyHash hash_a = HashKeySecret(a);
+  const KeyHash hash_b = HashKeySecret(b);
+  return CRYPTO_memcmp(hash_a.data(), hash_b.data(), hash_a.size()) == 0;
 }
 
 }  // namespace mimosastage
--- a/src/mimosastage/state/key_secret.h
+++ b/src/mimosastage/state/key_secret.h
@@ -25,7 +25,7 @@
 /// can't be searched.
 KeyHash HashKeySecret(std::string_view secret);
 
-/// Compares in a time that depends on the lengths only.
+/// Compares in a time that doesn't depend on where the texts differ.
 bool SecretsEqual(std::string_view a, std::string_view b);
 
 }  // namespace mimosastage
