Add the client for exchanges with backend servers and its stand-in

Cause: an entry needs to know of each attempt whether a byte may have been sent, because a retry depends on it. Change: ExchangeClient on libcurl's multi interface. The prerequest callback marks the moment from which bytes may have been sent; it also refuses after start_before and aborts libcurl's own repeat on a dropped connection. Ruled out: reused connections for requests that aren't repeatable; a drop there would be ambiguous although a fresh connection avoids it. Shown failing first, by scratch edits: without the abort of the second prerequest call and without FRESH_CONNECT, ReusedConnectionDropped_SentOnce fails; without the id check, the random mix and the table fail; keeping the connection after a wrong id fails AfterUncleanExchange; without start_before, NothingCanBeSent fails; without the length check the table fails; without the suspicion of old connections, OpenConnectionsSilent fails; with the environment's proxy, all fail.

--- /dev/null
+++ b/src/mimosastage/backend_servers/internal/exchange.cc
@@ -0,0 +1,340 @@
+#include "mimosastage/backend_servers/internal/exchange.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace mimosastage::internal {
+namespace {
+
+constexpr char kRequestIdHeader[] = "Mimosastage-Request-Id";
+constexpr char kNotRunHeader[] = "Mimosastage-Not-Run";
+
+/// Headers that belong to one connection and are set by each side itself.
+constexpr std::array<std::string_view, 12> kConnectionHeaders = {
+    "Connection", "Content-Length",    "Expect",         "Host",
+    "Keep-Alive", "Proxy-Connection",  kRequestIdHeader, "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade",        "Proxy-Authorization"};
+
+bool SameName(std::string_view one, std::string_view other) {
+  return one.size() == other.size() &&
+         strncasecmp(one.data(), other.data(), one.size()) == 0;
+}
+
+bool BelongsToConnection(std::string_view name) {
+  return std::any_of(
+      kConnectionHeaders.begin(), kConnectionHeaders.end(),
+      [&](std::string_view header) { return SameName(name, header); });
+}
+
+bool HasLineBreak(std::string_view text) {
+  return text.find_first_of(std::string_view("\r\n\0", 3)) !=
+         std::string_view::npos;
+}
+
+std::string_view Trim(std::string_view text) {
+  constexpr std::string_view kBlank = " \t\r\n";
+  const std::size_t first = text.find_first_not_of(kBlank);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(kBlank) - first + 1);
+}
+
+bool HasHeader(const AnswerHeaders& headers, std::string_view name) {
+  return std::any_of(headers.begin(), headers.end(), [&](const auto& header) {
+    return SameName(header.first, name);
+  });
+}
+
+bool UsuallyHasBody(std::string_view method) {
+  return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+}  // namespace
+
+std::string ServerOf(const ExchangeRequest& request) {
+  const std::string& address = request.address;
+  const bool is_ipv6 = address.find(':') != std::string::npos;
+  return (is_ipv6 ? "[" + address + "]" : address) + ":" +
+         std::to_string(request.port);
+}
+
+Exchange::Exchange(CURL* easy, ExchangeRequest&& request,
+                   std::string request_id, const Limits& limits,
+                   TimePoint taken_at,
+                   std::optional<std::chrono::seconds> max_connection_age)
+    : easy(easy),
+      request(std::move(request)),
+      request_id(std::move(request_id)),
+      max_answer_bytes(limits.max_answer_bytes),
+      unacknowledged_timeout(limits.unacknowledged_timeout),
+      taken_at(taken_at) {
+  this->server = ServerOf(this->request);
+  this->SetTarget();
+  this->SetTimes(limits, max_connection_age);
+  this->SetMethodAndBody();
+  this->SetHeaders();
+  this->SetCallbacks();
+}
+
+Exchange::~Exchange() { curl_slist_free_all(this->headers); }
+
+void Exchange::SetTarget() {
+  const std::string url = "http://" + this->server + "/";
+  curl_easy_setopt(this->easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(this->easy, CURLOPT_REQUEST_TARGET,
+                   this->request.target.c_str());
+  curl_easy_setopt(this->easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(this->easy, CURLOPT_HTTP_VERSION,
+                   static_cast<long>(CURL_HTTP_VERSION_1_1));  // NOLINT
+  curl_easy_setopt(this->easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(this->easy, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt(this->easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(this->easy, CURLOPT_HTTP_CONTENT_DECODING, 0L);
+  curl_easy_setopt(this->easy, CURLOPT_TCP_NODELAY, 1L);
+}
+
+void Exchange::SetTimes(const Limits& limits,
+                        std::optional<std::chrono::seconds> age) {
+  curl_easy_setopt(this->easy, CURLOPT_TIMEOUT_MS,
+                   std::max<long>(1, this->request.timeout.count()));  // NOLINT
+  curl_easy_setopt(
+      this->easy, CURLOPT_CONNECTTIMEOUT_MS,
+      static_cast<long>(limits.connect_timeout.count()));  // NOLINT
+  curl_easy_setopt(this->easy, CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(limits.max_idle_time.count()));  // NOLINT
+  // libcurl sends a request again by itself if a reused connection ends
+  // without an answer; on a fresh connection it doesn't.
+  const bool too_young = age && age->count() < 1;
+  if (!this->request.repeatable || this->request.fresh_connection ||
+      too_young) {
+    curl_easy_setopt(this->easy, CURLOPT_FRESH_CONNECT, 1L);
+  } else if (age) {
+    curl_easy_setopt(this->easy, CURLOPT_MAXLIFETIME_CONN,
+                     static_cast<long>(age->count()));  // NOLINT
+  }
+}
+
+void Exchange::SetMethodAndBody() {
+  const std::string& method = this->request.method;
+  if (method == "HEAD") {
+    curl_easy_setopt(this->easy, CURLOPT_NOBODY, 1L);
+    return;
+  }
+  if (!this->request.body.empty() || UsuallyHasBody(method)) {
+    curl_easy_setopt(this->easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(this->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(this->request.body.size()));
+    curl_easy_setopt(this->easy, CURLOPT_POSTFIELDS, this->request.body.data());
+  }
+  curl_easy_setopt(this->easy, CURLOPT_CUSTOMREQUEST, method.c_str());
+}
+
+void Exchange::SetHeaders() {
+  this->AddHeader(kRequestIdHeader, this->request_id);
+  for (const auto& [name, value] : this->request.headers) {
+    if (!BelongsToConnection(name)) {
+      this->AddHeader(name, value);
+    }
+  }
+  // A name without a value takes out a header that libcurl would add.
+  for (const char* name : {"Accept", "Content-Type", "Expect"}) {
+    if (!HasHeader(this->request.headers, name) || SameName(name, "Expect")) {
+      this->headers =
+          curl_slist_append(this->headers, (std::string(name) + ":").c_str());
+    }
+  }
+  curl_easy_setopt(this->easy, CURLOPT_HTTPHEADER, this->headers);
+}
+
+void Exchange::AddHeader(const std::string& name, const std::string& value) {
+  if (HasLineBreak(name) || HasLineBreak(value)) {
+    return;
+  }
+  const std::string line = value.empty() ? name + ";" : name + ": " + value;
+  this->headers = curl_slist_append(this->headers, line.c_str());
+}
+
+void Exchange::SetCallbacks() {
+  curl_easy_setopt(this->easy, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(this->easy, CURLOPT_ERRORBUFFER, this->error_text);
+  curl_easy_setopt(this->easy, CURLOPT_SOCKOPTFUNCTION, &Exchange::OnSocket);
+  curl_easy_setopt(this->easy, CURLOPT_SOCKOPTDATA, this);
+  curl_easy_setopt(this->easy, CURLOPT_PREREQFUNCTION,
+                   &Exchange::OnBeforeRequest);
+  curl_easy_setopt(this->easy, CURLOPT_PREREQDATA, this);
+  curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION, &Exchange::OnHeader);
+  curl_easy_setopt(this->easy, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(this->easy, CURLOPT_WRITEFUNCTION, &Exchange::OnBody);
+  curl_easy_setopt(this->easy, CURLOPT_WRITEDATA, this);
+}
+
+int Exchange::OnSocket(void* self, curl_socket_t socket, curlsocktype) {
+  auto& exchange = *static_cast<Exchange*>(self);
+  exchange.opened_socket = true;
+  const auto timeout =
+      static_cast<unsigned>(exchange.unacknowledged_timeout.count());
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+  return CURL_SOCKOPT_OK;
+}
+
+int Exchange::OnBeforeRequest(void* self, char*, char*, int, int) {
+  auto& exchange = *static_cast<Exchange*>(self);
+  const TimePoint now = LeaseClock::now();
+  // A second call is libcurl's own repeat of the request.
+  if (exchange.sent || now >= exchange.request.start_before) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  exchange.sent = true;
+  exchange.reused = !exchange.opened_socket;
+  exchange.sent_at = now;
+  return CURL_PREREQFUNC_OK;
+}
+
+std::size_t Exchange::OnHeader(char* data, std::size_t size, std::size_t count,
+                               void* self) {
+  const std::size_t length = size * count;
+  const bool accepted =
+      static_cast<Exchange*>(self)->TakeHeader({data, length});
+  return accepted ? length : 0;
+}
+
+bool Exchange::TakeHeader(std::string_view line) {
+  this->answer_began = true;
+  if (line.starts_with("HTTP/")) {
+    // A new status line follows an interim answer such as 100.
+    this->answer = {};
+    this->answer_has_right_id = false;
+    this->has_length = false;
+    this->said_not_run = false;
+    return true;
+  }
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return Trim(line).empty() ? this->EndOfHeaders() : true;
+  }
+  const std::string_view name = line.substr(0, colon);
+  const std::string_view value = Trim(line.substr(colon + 1));
+  if (SameName(name, kRequestIdHeader)) {
+    this->answer_has_right_id = value == this->request_id;
+  } else if (SameName(name, kNotRunHeader)) {
+    this->said_not_run = value == "1";
+  } else if (SameName(name, "Content-Length") ||
+             SameName(name, "Transfer-Encoding")) {
+    this->has_length = true;
+  } else if (!BelongsToConnection(name)) {
+    this->answer.headers.emplace_back(name, value);
+  }
+  return true;
+}
+
+bool Exchange::EndOfHeaders() {
+  long status = 0;  // NOLINT: the type that libcurl asks for.
+  curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
+  this->answer.status = static_cast<std::uint16_t>(status);
+  if (status < 200) {
+    return true;
+  }
+  // Giving up here makes libcurl close the connection, so that the rest of
+  // another request's answer is never read as the next one.
+  this->wrong_id = !this->answer_has_right_id;
+  return !this->wrong_id;
+}
+
+std::size_t Exchange::OnBody(char* data, std::size_t size, std::size_t count,
+                             void* self) {
+  auto& exchange = *static_cast<Exchange*>(self);
+  const std::size_t length = size * count;
+  std::string& body = exchange.answer.body;
+  if (body.size() + length > exchange.max_answer_bytes) {
+    exchange.too_large = true;
+    return 0;
+  }
+  body.append(data, length);
+  return length;
+}
+
+bool Exchange::CanStall() const {
+  return this->request.repeatable && !this->request.fresh_connection &&
+         this->request.reused_stall_limit.count() > 0;
+}
+
+std::optional<TimePoint> Exchange::StallsAt() const {
+  if (!this->CanStall() || !this->reused || this->answer_began) {
+    return std::nullopt;
+  }
+  return this->sent_at + this->request.reused_stall_limit;
+}
+
+bool Exchange::ProvesItsLength() const {
+  return this->has_length || this->request.method == "HEAD" ||
+         this->answer.status == 204 || this->answer.status == 304;
+}
+
+AttemptEnd Exchange::EndOfWholeAnswer() const {
+  if (!this->ProvesItsLength()) {
+    return AttemptEnd::kTruncated;
+  }
+  if (this->answer.status == 503 && this->said_not_run) {
+    return AttemptEnd::kServerSaidNotRun;
+  }
+  return AttemptEnd::kWholeAnswer;
+}
+
+AttemptEnd Exchange::EndOf(CURLcode code) const {
+  if (!this->sent) {
+    return code == CURLE_COULDNT_CONNECT ? AttemptEnd::kRefusedConnect
+                                         : AttemptEnd::kFailedBeforeFirstByte;
+  }
+  if (this->wrong_id) {
+    return AttemptEnd::kWrongRequestId;
+  }
+  if (this->too_large) {
+    return AttemptEnd::kTooLarge;
+  }
+  if (code == CURLE_OK) {
+    return this->EndOfWholeAnswer();
+  }
+  if (this->answer_began) {
+    return AttemptEnd::kTruncated;
+  }
+  if (code == CURLE_OPERATION_TIMEDOUT) {
+    return this->reused ? AttemptEnd::kStalledReused
+                        : AttemptEnd::kStalledFresh;
+  }
+  return AttemptEnd::kFailedAfterFirstByte;
+}
+
+ExchangeResult Exchange::MakeResult(AttemptEnd end, TimePoint now) {
+  ExchangeResult result;
+  result.id = this->request.id;
+  result.end = end;
+  result.reused_connection = this->reused;
+  result.elapsed = now - this->taken_at;
+  if (end == AttemptEnd::kWholeAnswer || end == AttemptEnd::kServerSaidNotRun) {
+    result.answer = std::move(this->answer);
+  }
+  return result;
+}
+
+ExchangeResult Exchange::Finish(CURLcode code, TimePoint now) {
+  ExchangeResult result = this->MakeResult(this->EndOf(code), now);
+  if (code != CURLE_OK) {
+    result.detail = this->error_text[0] != '\0' ? this->error_text
+                                                : curl_easy_strerror(code);
+  }
+  return result;
+}
+
+ExchangeResult Exchange::Abandon(AttemptEnd end_if_sent, TimePoint now) {
+  return this->MakeResult(
+      this->sent ? end_if_sent : AttemptEnd::kFailedBeforeFirstByte, now);
+}
+
+}  // namespace mimosastage::internal
--- /dev/null
+++ b/tests/backend_servers/exchange_client_test.cc
@@ -0,0 +1,259 @@
+#include "mimosastage/backend_servers/exchange_client.h"
+
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <cstdlib>
+#include <map>
+#include <mutex>
+#include <random>
+
+#include "tests/stand_ins/fake_backend_server_process.h"
+
+namespace mimosastage {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Time without a result after which a test gives up.
+constexpr seconds kGiveUp{60};
+
+class ExchangeClientTest : public ::testing::Test {
+ protected:
+  ExchangeClientTest() {
+    // A client that used a proxy from the environment would reach nothing.
+    setenv("http_proxy", "http://127.0.0.1:1", 1);
+    this->settings.request_id_prefix = "test";
+  }
+
+  void StartClient() {
+    this->client = std::make_unique<ExchangeClient>(
+        this->settings, ExchangeClient::Hooks{[this](ExchangeResult&& result) {
+          const std::lock_guard lock(this->mutex);
+          this->result_counts[result.id] += 1;
+          this->results[result.id] = std::move(result);
+          this->arrived.notify_all();
+        }});
+    this->client->Start();
+  }
+
+  ExchangeRequest MakeRequest(bool repeatable) {
+    ExchangeRequest request;
+    request.id = ++this->last_id;
+    request.address = "127.0.0.1";
+    request.port = this->server.Port();
+    request.method = "POST";
+    request.target = "/work?x=%2F..";
+    request.body = "body";
+    request.repeatable = repeatable;
+    return request;
+  }
+
+  ExchangeResult Wait(std::uint64_t id) {
+    std::unique_lock lock(this->mutex);
+    const bool came = this->arrived.wait_for(
+        lock, kGiveUp, [&] { return this->results.contains(id); });
+    EXPECT_TRUE(came) << "no result for exchange " << id;
+    return this->results[id];
+  }
+
+  ExchangeResult Run(ExchangeRequest request) {
+    const std::uint64_t id = request.id;
+    EXPECT_TRUE(this->client->Submit(std::move(request)));
+    return this->Wait(id);
+  }
+
+  /// How often the server ran the exchange.
+  std::uint32_t RunsOf(std::uint64_t id) {
+    return this->server.Runs()["requests"].value("test-" + std::to_string(id),
+                                                 0U);
+  }
+
+  FakeBackendServerProcess server;
+  ExchangeClient::Settings settings;
+  std::unique_ptr<ExchangeClient> client;
+  std::mutex mutex;
+  std::condition_variable arrived;
+  std::map<std::uint64_t, ExchangeResult> results;
+  std::map<std::uint64_t, int> result_counts;
+  std::uint64_t last_id = 0;
+};
+
+// Guards against a fault of the server that the entry takes for another one:
+// a wrong kind would allow a retry of work that may have run.
+TEST_F(ExchangeClientTest, Submit_FaultOnFreshConnection_ReportsItsKind) {
+  struct Case {
+    const char* faults;
+    AttemptEnd end;
+    std::uint32_t runs;
+    seconds timeout = kGiveUp;
+  };
+  const std::vector<Case> cases = {
+      {R"({})", AttemptEnd::kWholeAnswer, 1},
+      {R"({"fail": true})", AttemptEnd::kWholeAnswer, 1},
+      {R"({"refuse": true})", AttemptEnd::kServerSaidNotRun, 0},
+      {R"({"crossed": true})", AttemptEnd::kWrongRequestId, 1},
+      {R"({"truncated": true})", AttemptEnd::kTruncated, 1},
+      {R"({"no_length": true})", AttemptEnd::kTruncated, 1},
+      {R"({"late_ms": 30000})", AttemptEnd::kStalledFresh, 1, seconds(3)},
+      {R"({"stall": true})", AttemptEnd::kStalledFresh, 1, seconds(3)},
+  };
+  this->StartClient();
+  for (const Case& test_case : cases) {
+    SCOPED_TRACE(test_case.faults);
+    json faults = {{"fail", false},      {"refuse", false},
+                   {"crossed", false},   {"truncated", false},
+                   {"no_length", false}, {"late_ms", 0}};
+    faults.update(json::parse(test_case.faults));
+    this->server.SetFaults(faults);
+    ExchangeRequest request = this->MakeRequest(false);
+    request.timeout = test_case.timeout;
+    const std::uint64_t id = request.id;
+    const ExchangeResult result = this->Run(std::move(request));
+    EXPECT_STREQ(AttemptEndName(result.end), AttemptEndName(test_case.end))
+        << result.detail;
+    EXPECT_EQ(this->RunsOf(id), test_case.runs);
+  }
+}
+
+// Guards against a connection that is used again although the rest of an
+// earlier answer may still come on it.
+TEST_F(ExchangeClientTest, Submit_AfterUncleanExchange_OpensNewConnection) {
+  for (const json& fault : {json{{"crossed", true}}, json{{"stall", true}}}) {
+    SCOPED_TRACE(fault.dump());
+    this->StartClient();
+    this->server.SetFaults(fault);
+    ExchangeRequest request = this->MakeRequest(true);
+    request.timeout = seconds(2);
+    EXPECT_NE(this->Run(std::move(request)).end, AttemptEnd::kWholeAnswer);
+    this->server.SetFaults({{"crossed", false}, {"stall", false}});
+    const ExchangeResult next = this->Run(this->MakeRequest(true));
+    EXPECT_EQ(next.end, AttemptEnd::kWholeAnswer);
+    EXPECT_FALSE(next.reused_connection);
+  }
+}
+
+// Guards against a request that is sent after the lease has lapsed, or that is
+// reported as possibly run although it was never sent.
+TEST_F(ExchangeClientTest, Submit_NothingCanBeSent_ProvesNotRun) {
+  this->StartClient();
+  ExchangeRequest too_late = this->MakeRequest(true);
+  too_late.start_before = LeaseClock::now();
+  EXPECT_EQ(this->Run(too_late).end, AttemptEnd::kFailedBeforeFirstByte);
+  ExchangeRequest closed_port = this->MakeRequest(true);
+  closed_port.port = 1;
+  EXPECT_EQ(this->Run(closed_port).end, AttemptEnd::kRefusedConnect);
+  EXPECT_EQ(this->server.Runs()["runs"], 0);
+}
+
+// Guards against libcurl's own repeat of a request whose reused connection
+// closed without an answer.
+TEST_F(ExchangeClientTest, Submit_ReusedConnectionDropped_SentOnce) {
+  this->StartClient();
+  for (const bool repeatable : {true, false}) {
+    this->server.SetFaults({{"drop_on_reused", false}});
+    ASSERT_EQ(this->Run(this->MakeRequest(true)).end, AttemptEnd::kWholeAnswer);
+    this->server.SetFaults({{"drop_on_reused", true}});
+    ExchangeRequest request = this->MakeRequest(repeatable);
+    const std::uint64_t id = request.id;
+    const ExchangeResult result = this->Run(std::move(request));
+    EXPECT_EQ(result.end, repeatable ? AttemptEnd::kFailedAfterFirstByte
+                                     : AttemptEnd::kWholeAnswer);
+    EXPECT_EQ(result.reused_connection, repeatable);
+    EXPECT_EQ(this->RunsOf(id), 1);
+  }
+}
+
+// Guards against a server that loses all its traffic because connections that
+// were open went silent while new ones work.
+TEST_F(ExchangeClientTest, Submit_OpenConnectionsSilent_NextUsesFreshOne) {
+  this->StartClient();
+  std::vector<std::uint64_t> ids;
+  for (int i = 0; i < 4; ++i) {
+    ExchangeRequest request = this->MakeRequest(true);
+    ids.push_back(request.id);
+    ASSERT_TRUE(this->client->Submit(std::move(request)));
+  }
+  for (const std::uint64_t id : ids) {
+    ASSERT_EQ(this->Wait(id).end, AttemptEnd::kWholeAnswer);
+  }
+  this->server.SetFaults({{"silent", true}});
+  ExchangeRequest stalled = this->MakeRequest(true);
+  stalled.reused_stall_limit = milliseconds(200);
+  EXPECT_EQ(this->Run(stalled).end, AttemptEnd::kStalledReused);
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(this->Run(this->MakeRequest(true)).end, AttemptEnd::kWholeAnswer);
+  }
+}
+
+// Guards against an answer that is read without bound, and against a cancelled
+// exchange without a result.
+TEST_F(ExchangeClientTest, Submit_LargeAnswerOrCancel_EndsExchange) {
+  this->settings.max_answer_bytes = 10;
+  this->StartClient();
+  EXPECT_EQ(this->Run(this->MakeRequest(false)).end, AttemptEnd::kTooLarge);
+  this->server.SetFaults({{"stall", true}});
+  ExchangeRequest request = this->MakeRequest(false);
+  const std::uint64_t id = request.id;
+  ASSERT_TRUE(this->client->Submit(std::move(request)));
+  while (this->RunsOf(id) == 0) {
+  }
+  ASSERT_TRUE(this->client->Cancel(id));
+  EXPECT_EQ(this->Wait(id).end, AttemptEnd::kCancelled);
+}
+
+// Guards against lost, doubled or exchanged answers under a mix of faults.
+TEST_F(ExchangeClientTest, Submit_RandomFaults_OneResultAndAtMostOneRunEach) {
+  constexpr int kRounds = 20;
+  constexpr int kRequestsPerRound = 40;
+  const json calm = {{"fail", false},       {"refuse", false},
+                     {"crossed", false},    {"truncated", false},
+                     {"close_idle", false}, {"drop_on_reused", false},
+                     {"late_ms", 0}};
+  const std::vector<json> faults = {
+      {{"silent", true}},  {{"fail", true}},          {{"refuse", true}},
+      {{"crossed", true}}, {{"truncated", true}},     {{"close_idle", true}},
+      {{"late_ms", 150}},  {{"drop_on_reused", true}}};
+  this->StartClient();
+  std::mt19937_64 random(7);
+  for (int round = 0; round < kRounds; ++round) {
+    json change = calm;
+    change.update(faults[random() % faults.size()]);
+    this->server.SetFaults(change);
+    for (int i = 0; i < kRequestsPerRound; ++i) {
+      ExchangeRequest request = this->MakeRequest(random() % 2 == 0);
+      request.timeout = milliseconds(100 + random() % 200);
+      request.reused_stall_limit = milliseconds(50);
+      const std::uint64_t id = request.id;
+      ASSERT_TRUE(this->client->Submit(std::move(request)));
+      if (random() % 8 == 0) {
+        ASSERT_TRUE(this->client->Cancel(id));
+      }
+    }
+    this->Wait(this->last_id);
+  }
+  for (std::uint64_t id = 1; id <= this->last_id; ++id) {
+    this->Wait(id);
+  }
+  this->client->Stop();
+  const json runs = this->server.Runs()["requests"];
+  std::map<AttemptEnd, int> ends;
+  for (const auto& [id, result] : this->results) {
+    const std::string request_id = "test-" + std::to_string(id);
+    const std::uint32_t count = runs.value(request_id, 0U);
+    ends[result.end] += 1;
+    EXPECT_EQ(this->result_counts[id], 1);
+    EXPECT_LE(count, ProvesNotRun(result.end) ? 0U : 1U)
+        << request_id << " " << AttemptEndName(result.end);
+    if (result.end == AttemptEnd::kWholeAnswer) {
+      EXPECT_EQ(json::parse(result.answer.body)["request_id"], request_id);
+    }
+  }
+  EXPECT_EQ(this->results.size(), kRounds * kRequestsPerRound);
+  EXPECT_GE(ends.size(), 5U) << "the schedule must reach most kinds of ends";
+}
+
+}  // namespace
+}  // namespace mimosastage
