--- a/src/mimosastage/backend_servers/exchange_client.cc
+++ b/src/mimosastage/backend_servers/exchange_client.cc
@@ -136,7 +136,7 @@
         curl_multi_add_handle(this->multi, exchange->Easy());
     this->exchanges.emplace(id, std::move(exchange));
     if (added != CURLM_OK) {
-      this->GiveUp(id, AttemptEnd::kFailedBeforeFirstByte);
+      this->GiveUp(id, AttemptEnd::kNotStarted);
     }
   }
 
--- a/src/mimosastage/backend_servers/exchange_client.h
+++ b/src/mimosastage/backend_servers/exchange_client.h
@@ -95,7 +95,7 @@
   bool Submit(ExchangeRequest&& request);
 
   /// Closes the exchange's connection; the result says kCancelled, or
-  /// kFailedBeforeFirstByte if nothing was sent. Ignored if the exchange has
+  /// kNotStarted if nothing was sent. Ignored if the exchange has
   /// ended. False if the ring is full.
   bool Cancel(std::uint64_t id);
 
--- a/src/mimosastage/backend_servers/internal/exchange.cc
+++ b/src/mimosastage/backend_servers/internal/exchange.cc
@@ -187,8 +187,9 @@
 int Exchange::OnBeforeRequest(void* self, char*, char*, int, int) {
   auto& exchange = *static_cast<Exchange*>(self);
   const TimePoint now = LeaseClock::now();
+  exchange.too_late = now >= exchange.request.start_before;
   // A second call is libcurl's own repeat of the request.
-  if (exchange.sent || now >= exchange.request.start_before) {
+  if (exchange.sent || exchange.too_late) {
     return CURL_PREREQFUNC_ABORT;
   }
   exchange.sent = true;
@@ -287,10 +288,17 @@
   return AttemptEnd::kWholeAnswer;
 }
 
+AttemptEnd Exchange::EndOfUnsent(CURLcode code) const {
+  if (this->too_late) {
+    return AttemptEnd::kNotStarted;
+  }
+  return code == CURLE_COULDNT_CONNECT ? AttemptEnd::kRefusedConnect
+                                       : AttemptEnd::kFailedBeforeFirstByte;
+}
+
 AttemptEnd Exchange::EndOf(CURLcode code) const {
   if (!this->sent) {
-    return code == CURLE_COULDNT_CONNECT ? AttemptEnd::kRefusedConnect
-                                         : AttemptEnd::kFailedBeforeFirstByte;
+    return this->EndOfUnsent(code);
   }
   if (this->wrong_id) {
     return AttemptEnd::kWrongRequestId;
@@ -333,8 +341,8 @@
 }
 
 ExchangeResult Exchange::Abandon(AttemptEnd end_if_sent, TimePoint now) {
-  return this->MakeResult(
-      this->sent ? end_if_sent : AttemptEnd::kFailedBeforeFirstByte, now);
+  return this->MakeResult(this->sent ? end_if_sent : AttemptEnd::kNotStarted,
+                          now);
 }
 
 }  // namespace mimosastage::internal
--- a/src/mimosastage/backend_servers/internal/exchange.h
+++ b/src/mimosastage/backend_servers/internal/exchange.h
@@ -71,6 +71,7 @@
   bool EndOfHeaders();
   bool ProvesItsLength() const;
   AttemptEnd EndOf(CURLcode code) const;
+  AttemptEnd EndOfUnsent(CURLcode code) const;
   AttemptEnd EndOfWholeAnswer() const;
   ExchangeResult MakeResult(AttemptEnd end, TimePoint now);
 
@@ -90,6 +91,8 @@
   /// The connection was ready, so that bytes may have been sent from then on.
   bool sent = false;
   bool reused = false;
+  /// start_before had passed when the connection was ready.
+  bool too_late = false;
   bool answer_began = false;
   bool answer_has_right_id = false;
   bool wrong_id = false;
--- a/src/mimosastage/routing/announcement.h
+++ b/src/mimosastage/routing/announcement.h
@@ -59,11 +59,11 @@
 
 std::error_code make_error_code(AnnouncementError error);
 
-/// FlatBuffers encoding; see announcement.fbs.
+/// FlatBuffers encoding; see internal/announcement.fbs.
 std::string EncodeAnnouncementDelta(const AnnouncementDelta& delta);
 
-/// kMalformed if the bytes don't pass the FlatBuffers verifier or a port is
-/// out of range.
+/// kMalformed if the bytes don't pass the FlatBuffers verifier. The fields
+/// aren't validated; BackendServerDirectory does so.
 Result<AnnouncementDelta> DecodeAnnouncementDelta(std::string_view bytes);
 
 /// kInvalidField if a name is empty or longer than 128 bytes, the address
--- a/src/mimosastage/routing/attempt.cc
+++ b/src/mimosastage/routing/attempt.cc
@@ -12,6 +12,8 @@
       return "server_said_not_run";
     case AttemptEnd::kFailedBeforeFirstByte:
       return "failed_before_first_byte";
+    case AttemptEnd::kNotStarted:
+      return "not_started";
     case AttemptEnd::kFailedAfterFirstByte:
       return "failed_after_first_byte";
     case AttemptEnd::kStalledReused:
--- a/src/mimosastage/routing/attempt.h
+++ b/src/mimosastage/routing/attempt.h
@@ -16,8 +16,11 @@
   kRefusedConnect,
   /// Status 503 with `Mimosastage-Not-Run: 1` and the request's own id.
   kServerSaidNotRun,
-  /// No byte of the request was sent; also if the client's ring was full.
+  /// The connection failed before a byte of the request was sent.
   kFailedBeforeFirstByte,
+  /// Not the server's fault and no byte was sent: the client's ring was full,
+  /// the lease or deadline passed, or the attempt was cancelled in time.
+  kNotStarted,
   kFailedAfterFirstByte,
   /// No answer in time, on a connection that had been open before.
   kStalledReused,
@@ -37,7 +40,8 @@
 constexpr bool ProvesNotRun(AttemptEnd end) {
   return end == AttemptEnd::kRefusedConnect ||
          end == AttemptEnd::kServerSaidNotRun ||
-         end == AttemptEnd::kFailedBeforeFirstByte;
+         end == AttemptEnd::kFailedBeforeFirstByte ||
+         end == AttemptEnd::kNotStarted;
 }
 
 /// Name for logs and counters, such as "stalled_reused".
--- a/src/mimosastage/routing/backend_server_directory.h
+++ b/src/mimosastage/routing/backend_server_directory.h
@@ -99,13 +99,20 @@
     std::uint64_t instance_epoch = 0;
   };
 
+  struct Accepted {
+    Server* server = nullptr;
+    /// New, changed, or absent before.
+    bool changed = false;
+  };
+
   std::error_code Check(const Announcement& announcement) const;
-  std::error_code CheckMembership(const Announcement& announcement) const;
-  Result<bool> Accept(const Announcement& announcement);
+  Result<Accepted> Accept(const Announcement& announcement);
   bool MakeRoom();
   void Renew(Server& server, std::chrono::milliseconds interval, TimePoint now);
   void MakeAbsent(Server& server);
-  void AddToDelta(const Server& server, AnnouncementDelta& delta) const;
+  void Erase(const BackendServerName& name);
+  void ExpireHeard(Server& server, TimePoint now);
+  static void AddToDelta(Server& server, AnnouncementDelta& delta);
   void Index(const Server& server);
   void Unindex(const Server& server);
 
--- a/src/mimosastage/routing/backend_server_picker.h
+++ b/src/mimosastage/routing/backend_server_picker.h
@@ -69,7 +69,8 @@
 
  private:
   bool HasRoom(const Announcement& server) const;
-  const Announcement* ChooseOf(const std::vector<const Announcement*>& of);
+  /// The one with fewer requests in progress of two random candidates.
+  const Announcement& ChooseOf(const std::vector<const Announcement*>& from);
 
   Settings settings;
   Hooks hooks;
@@ -77,6 +78,9 @@
   Ejection& ejection;
   std::mt19937_64 random;
   std::unordered_map<BackendServerName, std::uint32_t> in_progress;
+  // Members only to keep their memory between calls of Pick.
+  std::vector<const Announcement*> near_candidates;
+  std::vector<const Announcement*> far_candidates;
 };
 
 }  // namespace mimosastage
--- a/src/mimosastage/routing/ejection.h
+++ b/src/mimosastage/routing/ejection.h
@@ -49,10 +49,10 @@
   void SetCapPercent(std::uint32_t percent);
 
   /// Feeds the end of an attempt. A status of 500 or more counts as a failure,
-  /// a cancelled attempt counts as nothing. A stall on a reused connection
-  /// counts only after a fresh connection has failed too. `pool_size` is the
-  /// number of servers of the pool that could be used. Returns the reason if
-  /// this attempt caused an ejection.
+  /// a cancelled attempt or one that wasn't started counts as nothing. A stall
+  /// on a reused connection counts only after a fresh connection has failed
+  /// too. `pool_size` is the number of servers of the pool that could be used.
+  /// Returns the reason if this attempt caused an ejection.
   std::optional<Reason> OnAttemptEnd(const BackendServerName& name,
                                      const PoolName& pool,
                                      std::size_t pool_size, AttemptEnd end,
@@ -83,11 +83,13 @@
     Duration latency{};
     State state = State::kIn;
     TimePoint out_until{};
+    TimePoint in_since{};
   };
 
-  void CountEnd(Server& server, AttemptEnd end, std::uint16_t status,
-                Duration latency) const;
-  void EndProbe(Server& server, bool succeeded, TimePoint now);
+  static void CountSuccess(Server& server, Duration latency);
+  static void CountFailure(Server& server);
+  std::optional<Reason> EndProbe(Server& server, bool succeeded, bool failed,
+                                 TimePoint now);
   std::optional<Reason> ReasonToEject(const Server& server) const;
   bool IsSlow(const Server& server) const;
   std::size_t Cap(std::size_t pool_size) const;
--- a/src/mimosastage/routing/request_tracker.h
+++ b/src/mimosastage/routing/request_tracker.h
@@ -217,16 +217,23 @@
   void On(const DeadlinePassed& event, TimePoint now, Actions& actions);
   void On(const LeaseLapsed& event, TimePoint now, Actions& actions);
 
-  /// Ends a request that has no attempt in progress, or cancels the attempt.
+  /// Refuses the caller and ends what can be ended now.
   void GiveUp(std::uint16_t status, RefusalReason reason, Actions& actions);
+  /// Ends what can be ended now; the caller has been answered or is gone.
+  void Abandon(Actions& actions);
   void TryAttempt(TimePoint now, Actions& actions);
-  void Retry(AttemptEnd end, TimePoint now, Actions& actions);
+  Duration StallLimit(TimePoint now) const;
+  /// False if the request can't be tried again.
+  bool TryRetry(AttemptEnd end, TimePoint now, Actions& actions);
   bool MayRetry(AttemptEnd end, TimePoint now) const;
   void Refuse(std::uint16_t status, RefusalReason reason, Actions& actions,
               std::chrono::seconds retry_after = std::chrono::seconds(0));
+  RefusalOutcome OutcomeFor(RefusalReason reason) const;
   void RefuseAfter(AttemptEnd end, Actions& actions);
   void Complete(BackendServerAnswer&& answer, Actions& actions);
+  /// Ends the intent without an answer, if it is open.
   void EndIntent(Actions& actions);
+  void GiveBackUnits(Actions& actions);
   void GiveBackSlotOfServer(Actions& actions);
   void Finish(Actions& actions);
 
@@ -238,8 +245,9 @@
   std::optional<BackendServerName> slot_of;
   /// The intent is begun and not ended.
   bool intent_open = false;
-  /// An attempt may have run.
+  /// An attempt that has ended may have run.
   bool may_have_run = false;
+  bool attempt_in_progress = false;
   std::uint32_t attempts = 0;
   std::vector<BackendServerName> tried;
 };
--- a/src/mimosastage/state/commands.h
+++ b/src/mimosastage/state/commands.h
@@ -23,6 +23,8 @@
   DaemonId daemon{};
   SessionId id{};
 
+  // clang-tidy takes the comparison's literal 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Session&) const = default;
 };
 
@@ -72,6 +74,8 @@
   ResourceKind kind = ResourceKind::kTeamLimit;
   std::string name;
 
+  // clang-tidy takes the comparison's literal 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Resource&) const = default;
 };
 
@@ -100,6 +104,8 @@
   TeamName team;
   std::string idempotency_key;
 
+  // clang-tidy takes the comparison's literal 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const IntentKey&) const = default;
 };
 
