Add the placement planner

Cause: jobs compete for slots, processors, memory and accelerators with wrong declared sizes, and urgent work has to start within 8.4 s.

Ruled out: stopping the cheapest task of any team for urgent work. That takes slots within another team's share; only borrowers, or the same team's tasks, are stopped. Protected jobs leave an eighth of a pool's slots to other work, because a pool full of them could not start urgent work at all.

Change: PlacementPlanner (urgent first, then least slots per unit of share; spread over zones, racks, workers; room reserved for an urgent job while borrowers checkpoint and stop; a reason for each job that waits), UsageEstimate (measured usage within a quarter and four times the declared size). Fixes WorkerDirectory, which refused all but the first report of a worker whose boot_id is 0.

--- /dev/null
+++ b/src/mimosastage/fleet/usage_estimate.cc
@@ -0,0 +1,70 @@
+#include "mimosastage/fleet/usage_estimate.h"
+
+#include <algorithm>
+
+namespace mimosastage {
+namespace {
+
+// Kinds beyond this many are not learned; their declared sizes are used.
+constexpr std::size_t kMaxKinds = 4'096;
+
+double RatioOf(std::int64_t used, std::int64_t declared) {
+  if (declared <= 0) return 1;
+  return static_cast<double>(used) / static_cast<double>(declared);
+}
+
+std::int64_t Scale(std::int64_t declared, double ratio) {
+  return static_cast<std::int64_t>(static_cast<double>(declared) * ratio);
+}
+
+}  // namespace
+
+void UsageEstimate::Observe(const JobSpec& spec, const Resources& usage) {
+  const bool known = this->by_kind.contains(spec.kind);
+  if (!known && this->by_kind.size() >= kMaxKinds) return;
+  auto& ratio = this->by_kind[spec.kind];
+  const auto factor = static_cast<double>(this->config.trust_factor);
+  const auto learn = [&](double& value, double sample) {
+    const double bounded = std::clamp(sample, 1 / factor, factor);
+    value += this->config.learning_rate * (bounded - value);
+  };
+  learn(ratio.millicores, RatioOf(usage.millicores, spec.declared.millicores));
+  learn(ratio.memory, RatioOf(usage.memory_bytes, spec.declared.memory_bytes));
+}
+
+Resources UsageEstimate::Expected(const JobSpec& spec) const {
+  auto expected = spec.declared;
+  if (const auto it = this->by_kind.find(spec.kind);
+      it != this->by_kind.end()) {
+    expected.millicores = Scale(expected.millicores, it->second.millicores);
+    expected.memory_bytes = Scale(expected.memory_bytes, it->second.memory);
+  }
+  return expected;
+}
+
+Resources UsageEstimate::Effective(const JobSpec& spec,
+                                   const std::optional<Resources>& usage,
+                                   Duration age) const {
+  auto effective = this->Expected(spec);
+  if (!usage) return effective;
+  const auto millicores =
+      this->Bound(usage->millicores, spec.declared.millicores);
+  const auto memory =
+      this->Bound(usage->memory_bytes, spec.declared.memory_bytes);
+  if (age > this->config.max_age) {
+    effective.millicores = std::max(effective.millicores, millicores);
+    effective.memory_bytes = std::max(effective.memory_bytes, memory);
+    return effective;
+  }
+  effective.millicores = millicores;
+  effective.memory_bytes = memory;
+  return effective;
+}
+
+std::int64_t UsageEstimate::Bound(std::int64_t value,
+                                  std::int64_t declared) const {
+  return std::clamp(value, declared / this->config.trust_factor,
+                    declared * this->config.trust_factor);
+}
+
+}  // namespace mimosastage
--- a/src/mimosastage/fleet/worker_directory.h
+++ b/src/mimosastage/fleet/worker_directory.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include "mimosastage/base/names.h"
 #include "mimosastage/base/time.h"
@@ -17,7 +18,7 @@
     WorkerReport report;
     TimePoint received{};
     /// The run before this one; its late reports are ignored.
-    std::uint64_t previous_boot_id = 0;
+    std::optional<std::uint64_t> previous_boot_id;
   };
 
   /// `start` is when this leader began; silence before it isn't counted.
