--- a/src/mimosastage/state/replicated_state.cc
+++ b/src/mimosastage/state/replicated_state.cc
@@ -23,17 +23,32 @@
   return OutcomeOf(Refusal{code, code.message()});
 }
 
-/// The ledger of allowances and the table of intents join the state with their
-/// own branches; until then their commands are refused.
-Outcome NotSupported() {
-  const std::error_code code =
-      std::make_error_code(std::errc::function_not_supported);
-  return OutcomeOf(
-      Refusal{code, "not part of this version yet; use a later version"});
+std::error_code ErrorOf(IntentBeginResult result) {
+  switch (result) {
+    case IntentBeginResult::kStarted:
+      return {};
+    case IntentBeginResult::kInProgress:
+      return StateError::kIntentInProgress;
+    case IntentBeginResult::kCompleted:
+      return StateError::kIntentCompleted;
+    case IntentBeginResult::kUnknown:
+      return StateError::kIntentUnknown;
+    case IntentBeginResult::kFingerprintDiffers:
+      return StateError::kIntentDiffers;
+    case IntentBeginResult::kFull:
+      return StateError::kIntentsFull;
+  }
+  return StateError::kIntentUnknown;
 }
 
 }  // namespace
 
+ReplicatedState::ReplicatedState()
+    : allowances([this](const std::string& team) -> std::uint32_t {
+        const Team* row = this->tables.FindTeam(team);
+        return row == nullptr ? 0 : row->upper_limit;
+      }) {}
+
 Outcome ReplicatedState::Apply(LogIndex index, const Command& command) {
   if (index <= this->applied) {
     return OutcomeOf(StateError::kAlreadyApplied);
@@ -120,26 +135,53 @@
     return OutcomeOf(StateError::kSessionsFull);
   }
   this->sessions.insert(start.session);
+  this->allowances.StartSession(start.session);
   return {};
 }
 
 Outcome ReplicatedState::Do(const SessionEnd& end) {
   this->sessions.erase(end.session);
+  this->allowances.EndSession(end.session);
+  this->intents.EndSession(end.session);
   return {};
 }
 
-Outcome ReplicatedState::Do(const AllowanceMoves& /*moves*/) {
-  return NotSupported();
+Outcome ReplicatedState::Do(const AllowanceMoves& moves) {
+  this->allowances.Apply(moves);
+  return {};
 }
 
-Outcome ReplicatedState::Do(const IntentBegin& /*begin*/) {
-  return NotSupported();
+Outcome ReplicatedState::Do(const IntentBegin& begin) {
+  // An intent of a session that has ended would never end.
+  if (!this->sessions.contains(begin.session)) {
+    return OutcomeOf(StateError::kSessionNotAlive);
+  }
+  IntentBeginOutcome begun = this->intents.Begin(begin);
+  Outcome outcome;
+  outcome.error = ErrorOf(begun.result);
+  if (outcome.error) {
+    outcome.detail = outcome.error.message();
+  }
+  outcome.answer = std::move(begun.answer);
+  return outcome;
 }
 
-Outcome ReplicatedState::Do(const IntentEnd& /*end*/) { return NotSupported(); }
+Outcome ReplicatedState::Do(const IntentEnd& end) {
+  switch (this->intents.End(end)) {
+    case IntentEndResult::kEnded:
+    case IntentEndResult::kAlreadyEnded:
+      return {};
+    case IntentEndResult::kNotOwner:
+      return OutcomeOf(StateError::kIntentNotOwner);
+    case IntentEndResult::kNotFound:
+      return OutcomeOf(StateError::kIntentNotFound);
+  }
+  return {};
+}
 
-Outcome ReplicatedState::Do(const IntentExpiry& /*expiry*/) {
-  return NotSupported();
+Outcome ReplicatedState::Do(const IntentExpiry& expiry) {
+  this->intents.Expire(expiry);
+  return {};
 }
 
 Outcome ReplicatedState::Do(const InstanceTransition& transition) {
@@ -159,6 +201,8 @@
   content.changes = this->changes.Records();
   content.keys = this->keys.Keys();
   content.sessions = this->sessions;
+  content.allowances = this->allowances.Holdings();
+  content.intents = this->intents.Records();
   content.instances = this->instances.All();
   content.epoch_floor = this->instances.EpochFloor();
   return EncodeSnapshot(content);
@@ -176,6 +220,11 @@
   this->keys.Restore(content.keys);
   this->instances.Restore(std::move(content.instances), content.epoch_floor);
   this->sessions = content.sessions;
+  this->allowances.Restore(content.allowances);
+  for (const Session& session : this->sessions) {
+    this->allowances.StartSession(session);
+  }
+  this->intents.Restore(std::move(content.intents));
   return {};
 }
 
--- a/src/mimosastage/state/replicated_state.h
+++ b/src/mimosastage/state/replicated_state.h
@@ -7,7 +7,9 @@
 #include <string_view>
 #include <system_error>
 
+#include "mimosastage/admission/allowance_ledger.h"
 #include "mimosastage/replication/messages.h"
+#include "mimosastage/routing/intent_table.h"
 #include "mimosastage/state/change_outcomes.h"
 #include "mimosastage/state/commands.h"
 #include "mimosastage/state/instance_table.h"
@@ -23,6 +25,11 @@
  public:
   static constexpr std::size_t kMaxSessions = 256;
 
+  ReplicatedState();
+  // The ledger reads the table of teams of this object.
+  ReplicatedState(const ReplicatedState&) = delete;
+  ReplicatedState& operator=(const ReplicatedState&) = delete;
+
   /// Applies the command at `index`, which must be above Applied(). Errors are
   /// of StateError; a refused command changes nothing but the table of change
   /// ids. A change id that was seen before gets its first outcome.
@@ -34,6 +41,8 @@
   const TableSet& Tables() const { return this->tables; }
   const KeyTable& Keys() const { return this->keys; }
   const InstanceTable& Instances() const { return this->instances; }
+  const AllowanceLedger& Allowances() const { return this->allowances; }
+  const IntentTable& Intents() const { return this->intents; }
   /// Sessions that have started and not ended.
   const std::set<Session>& Sessions() const { return this->sessions; }
   /// The outcome of a change among the last 4,096, or null.
@@ -70,6 +79,8 @@
   KeyTable keys;
   InstanceTable instances;
   std::set<Session> sessions;
+  AllowanceLedger allowances;
+  IntentTable intents;
 };
 
 }  // namespace mimosastage
--- a/tests/state/replicated_state_test.cc
+++ b/tests/state/replicated_state_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -223,6 +224,94 @@
   EXPECT_GT(accepted, 1'000U);
 }
 
+// Guards against sessions, units and intents that differ between replicas or
+// after a snapshot.
+TEST_F(ReplicatedStateTest, Apply_RandomLentUnitsAndIntents_ReplicasAgree) {
+  RandomCommands random(9);
+  auto replica = std::make_unique<ReplicatedState>();
+  std::map<StateError, int> errors;
+  const auto apply = [&](const Command& command) {
+    const Outcome outcome = this->Apply(command);
+    const Outcome other = replica->Apply(this->index, command);
+    ASSERT_EQ(outcome.error, other.error);
+    ASSERT_EQ(outcome.answer, other.answer);
+    ++errors[AsStateError(outcome.error)];
+  };
+  apply(TableChange{
+      "t", TableKind::kTeams, 0, {Team{TeamName("team-0"), 1, 5}}, {}});
+  for (int step = 0; step < 4'000; ++step) {
+    const Session session = random.RandomSession();
+    const IntentKey key{TeamName("team-0"), random.Pick("intent-", 12)};
+    const WallTime at{step};
+    switch (random.Below(6)) {
+      case 0:
+        apply(SessionStart{session});
+        break;
+      case 1:
+        random.OneIn(3) ? apply(SessionEnd{session})
+                        : apply(IntentExpiry{at - WallTime(400)});
+        break;
+      case 2:
+        apply(AllowanceMoves{{{"server-0", 8}},
+                             {{{ResourceKind::kTeamLimit, "team-0"},
+                               session,
+                               static_cast<std::uint32_t>(random.Below(4)),
+                               random.Below(40)},
+                              {{ResourceKind::kBackendServerSlots, "server-0"},
+                               session,
+                               1,
+                               0}}});
+        break;
+      case 3:
+        apply(IntentEnd{key,
+                        session,
+                        static_cast<IntentOutcome>(random.Below(3)),
+                        {200, "text/plain", "stored", true}});
+        break;
+      default:
+        apply(IntentBegin{key, session, random.OneIn(6) ? 1U : 0U, at});
+    }
+    ASSERT_FALSE(HasFailure()) << "step " << step;
+    const Resource limit{ResourceKind::kTeamLimit, "team-0"};
+    ASSERT_LE(this->state.Allowances().Lent(limit), 5U);
+    if (random.OneIn(50)) {
+      const std::string snapshot = this->state.Snapshot();
+      ASSERT_EQ(replica->Snapshot(), snapshot);
+      replica = std::make_unique<ReplicatedState>();
+      ASSERT_FALSE(replica->Restore(snapshot));
+      ASSERT_EQ(replica->Snapshot(), snapshot);
+    }
+  }
+  for (const StateError seen :
+       {StateError{}, StateError::kSessionNotAlive,
+        StateError::kIntentInProgress, StateError::kIntentCompleted,
+        StateError::kIntentUnknown, StateError::kIntentDiffers,
+        StateError::kIntentNotOwner, StateError::kIntentNotFound}) {
+    EXPECT_GT(errors[seen], 0) << ReasonOf(seen);
+  }
+}
+
+// Guards against an intent that stays in progress after its session ended, and
+// against more sessions than the bound.
+TEST_F(ReplicatedStateTest, Apply_SessionEnd_IntentsBecomeUnknown) {
+  const Session first{DaemonId{0}, SessionId{1}};
+  const IntentKey key{TeamName("t"), "k"};
+  EXPECT_EQ(this->Apply(IntentBegin{key, first, 1}).error,
+            StateError::kSessionNotAlive);
+  this->Apply(SessionStart{first});
+  EXPECT_FALSE(this->Apply(IntentBegin{key, first, 1}).error);
+  this->Apply(SessionEnd{first});
+  for (std::uint64_t i = 0; i < ReplicatedState::kMaxSessions; ++i) {
+    const Session session{DaemonId{1}, SessionId{i}};
+    EXPECT_FALSE(this->Apply(SessionStart{session}).error);
+  }
+  EXPECT_EQ(this->Apply(SessionStart{first}).error, StateError::kSessionsFull);
+  const Session alive{DaemonId{1}, SessionId{1}};
+  EXPECT_FALSE(this->Apply(SessionStart{alive}).error);
+  EXPECT_EQ(this->Apply(IntentBegin{key, alive, 1}).error,
+            StateError::kIntentUnknown);
+}
+
 struct RefusedChange {
   const char* name;
   TableKind table;
