Add mimosastagectl

Cause: operators need a tool that survives lost answers and dead daemons.

Change: apply, diff, get, keys grant|revoke, members, status, and the GET views of pools, waves, workers and jobs over libcurl.

Proof: operators_test runs the tool against an in-process daemon. Scratch edits that made it fail: no repeat after 504, unknown outcomes reported as not accepted, no next daemon, numbered steps, exit code 1 on a bad flag. The test for numbered steps passed at first and was made stricter.

Remains: waves start|pause wait for the form of a wave request.

--- a/src/mimosastage/state/declaration.cc
+++ b/src/mimosastage/state/declaration.cc
@@ -1,6 +1,10 @@
 #include "mimosastage/state/declaration.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -266,12 +270,23 @@
   }
 }
 
+/// 16 hex digits that differ for changes with another content or base version.
+std::string Fingerprint(const TableChange& change) {
+  const std::string text =
+      TableName(change.table) + ChangeToJson(change).dump();
+  std::array<char, 17> digits{};
+  std::snprintf(digits.data(), digits.size(), "%016llx",
+                static_cast<unsigned long long>(  // NOLINT(google-runtime-int)
+                    XXH64(text.data(), text.size(), 0)));
+  return digits.data();
+}
+
 void AddStep(TableChange change, const std::string& change_id,
              std::vector<TableChange>* steps) {
   if (change.upserts.empty() && change.deletes.empty()) {
     return;
   }
-  change.change_id = change_id + "-" + std::to_string(steps->size() + 1);
+  change.change_id = change_id + "-" + Fingerprint(change);
   steps->push_back(std::move(change));
 }
 
--- a/src/mimosastage/state/declaration.h
+++ b/src/mimosastage/state/declaration.h
@@ -56,8 +56,10 @@
 /// The changes that turn the tables in force into the declared ones, to be
 /// applied in this order: pools that are new or changed, teams, policy, routes,
 /// and at last deleted pools, so that no step breaks a relation between the
-/// tables. Each id is `change_id` and the number of the step. Equal tables give
-/// no change.
+/// tables. Each id is `change_id` and a fingerprint of the change: a command
+/// that is run again after a lost answer sends what is left to do, and a step
+/// with other content must not get the outcome of an earlier one. Equal tables
+/// give no change.
 std::vector<TableChange> Diff(const Declaration& declaration,
                               const TableSet& tables,
                               const std::string& change_id);
--- /dev/null
+++ b/src/mimosastagectl/commands.cc
@@ -0,0 +1,298 @@
+#include "mimosastagectl/commands.h"
+
+#include <openssl/rand.h>
+
+#include <array>
+#include <cstdint>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "mimosastage/state/declaration.h"
+#include "mimosastage/state/key_secret.h"
+
+namespace mimosastage {
+namespace {
+
+constexpr TableKind kTables[] = {TableKind::kRoutes, TableKind::kPools,
+                                 TableKind::kTeams, TableKind::kPolicy};
+
+void PrintError(const std::string& text) {
+  std::cerr << "mimosastagectl: " << text << "\n";
+}
+
+ExitCode Fail(const ApiReply& reply) {
+  PrintError(reply.error);
+  return reply.code;
+}
+
+void PrintProblems(const std::string& source,
+                   const std::vector<Problem>& problems) {
+  for (const Problem& problem : problems) {
+    PrintError(source + ": " + problem.Message());
+  }
+}
+
+std::string Hex(std::span<const std::uint8_t> bytes) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  for (const std::uint8_t byte : bytes) {
+    text += kDigits[byte >> 4U];
+    text += kDigits[byte & 15U];
+  }
+  return text;
+}
+
+template <std::size_t kSize>
+std::array<std::uint8_t, kSize> RandomBytes() {
+  std::array<std::uint8_t, kSize> bytes{};
+  if (RAND_bytes(bytes.data(), kSize) != 1) {
+    PrintError("the system gives no random numbers; try again later");
+    std::exit(static_cast<int>(ExitCode::kNotAccepted));
+  }
+  return bytes;
+}
+
+std::optional<Declaration> ReadDeclaration(const std::string& file) {
+  std::ifstream stream(file, std::ios::binary);
+  if (!stream) {
+    PrintError(file + ": file not readable; correct the path of -f");
+    return std::nullopt;
+  }
+  const std::string text(std::istreambuf_iterator<char>(stream), {});
+  std::vector<Problem> problems;
+  auto declaration = ParseDeclaration(text, &problems);
+  PrintProblems(file, problems);
+  return declaration;
+}
+
+/// The tables in force; on failure `code` is set and the error printed.
+std::optional<TableSet> ReadTables(ApiClient* client, ExitCode* code) {
+  std::array<std::uint64_t, 4> versions{};
+  std::vector<Row> rows;
+  for (const TableKind table : kTables) {
+    const std::string path = std::string("/v1/tables/") + TableName(table);
+    const ApiReply reply = client->Send("GET", path);
+    if (reply.code != ExitCode::kDone) {
+      *code = Fail(reply);
+      return std::nullopt;
+    }
+    std::vector<Problem> problems;
+    const nlohmann::json value = ParseJson(reply.body, &problems);
+    const auto view = problems.empty() ? TableFromJson(value, &problems)
+                                       : std::optional<TableView>();
+    if (!view) {
+      PrintProblems("answer of the daemon", problems);
+      *code = ExitCode::kNotAccepted;
+      return std::nullopt;
+    }
+    versions.at(static_cast<std::size_t>(table)) = view->version;
+    rows.insert(rows.end(), view->rows.begin(), view->rows.end());
+  }
+  TableSet tables;
+  tables.Restore(versions, rows);
+  return tables;
+}
+
+/// The steps from the tables in force to the declaration, checked as a whole.
+/// Prints a line for each row if `print` is set.
+std::optional<std::vector<TableChange>> PlanSteps(ApiClient* client,
+                                                  const std::string& file,
+                                                  const std::string& change_id,
+                                                  bool print, ExitCode* code) {
+  *code = ExitCode::kBadInput;
+  const auto declaration = ReadDeclaration(file);
+  if (!declaration) {
+    return std::nullopt;
+  }
+  auto tables = ReadTables(client, code);
+  if (!tables) {
+    return std::nullopt;
+  }
+  std::vector<TableChange> steps = Diff(*declaration, *tables, change_id);
+  for (const TableChange& step : steps) {
+    for (const std::string& line : DescribeChange(step, *tables)) {
+      if (print) {
+        std::cout << line << "\n";
+      }
+    }
+    if (const Refusal refusal = tables->Apply(step); refusal.error) {
+      PrintError(file + ": " + refusal.detail);
+      *code = ExitCode::kBadInput;
+      return std::nullopt;
+    }
+  }
+  return steps;
+}
+
+ExitCode SendStep(ApiClient* client, const TableChange& step) {
+  const std::string table = TableName(step.table);
+  const ApiReply reply =
+      client->Send("POST", "/v1/tables/" + table, ChangeToJson(step).dump());
+  if (reply.code != ExitCode::kDone) {
+    return Fail(reply);
+  }
+  std::cout << table << ": " << step.upserts.size() << " set, "
+            << step.deletes.size() << " deleted\n";
+  return ExitCode::kDone;
+}
+
+std::string Pretty(const std::string& body) {
+  return nlohmann::json::parse(body, nullptr, false)
+      .dump(2, ' ', true, nlohmann::json::error_handler_t::replace);
+}
+
+/// One "name: value" line for each member of the answer.
+void PrintMembersOf(const nlohmann::json& object) {
+  for (const auto& [name, value] : object.items()) {
+    std::cout << name << ": "
+              << (value.is_string() ? value.get<std::string>() : value.dump())
+              << "\n";
+  }
+}
+
+}  // namespace
+
+std::string RandomId(const std::string& prefix) {
+  return prefix + "-" + Hex(RandomBytes<8>());
+}
+
+ExitCode RunApply(ApiClient* client, const std::string& file,
+                  const std::string& change_id) {
+  ExitCode code = ExitCode::kDone;
+  const auto steps = PlanSteps(client, file, change_id, false, &code);
+  if (!steps) {
+    return code;
+  }
+  for (const TableChange& step : *steps) {
+    if (const ExitCode sent = SendStep(client, step); sent != ExitCode::kDone) {
+      if (sent == ExitCode::kUnknown) {
+        PrintError("outcome unknown; run the command again with --change_id=" +
+                   change_id);
+      }
+      return sent;
+    }
+  }
+  if (steps->empty()) {
+    std::cout << "no difference\n";
+  }
+  return ExitCode::kDone;
+}
+
+ExitCode RunDiff(ApiClient* client, const std::string& file) {
+  ExitCode code = ExitCode::kDone;
+  const auto steps = PlanSteps(client, file, "diff", true, &code);
+  if (!steps) {
+    return code;
+  }
+  return steps->empty() ? ExitCode::kDone : ExitCode::kDifference;
+}
+
+ExitCode RunGet(ApiClient* client, const std::string& what) {
+  if (what == "keys") {
+    return RunView(client, "/v1/keys");
+  }
+  if (!TableFromName(what)) {
+    PrintError("no table is named \"" + what +
+               "\"; use routes, pools, teams, policy or keys");
+    return ExitCode::kBadInput;
+  }
+  return RunView(client, "/v1/tables/" + what);
+}
+
+ExitCode RunGrant(ApiClient* client, const GrantOptions& options) {
+  if (!IsName(options.team) || !IsName(options.client)) {
+    PrintError("keys grant needs --team=TEAM and --client=CLIENT");
+    return ExitCode::kBadInput;
+  }
+  const std::string key_id =
+      options.key_id.empty() ? RandomId(options.client) : options.key_id;
+  const std::string secret = KeySecretFrom(RandomBytes<kKeySecretBytes>());
+  const nlohmann::json body = {{"change_id", RandomId("grant")},
+                               {"key_id", key_id},
+                               {"team", options.team},
+                               {"client", options.client},
+                               {"hash", Hex(HashKeySecret(secret))}};
+  const ApiReply reply = client->Send("POST", "/v1/keys", body.dump());
+  if (reply.code == ExitCode::kUnknown) {
+    PrintError("the key may be in force; revoke " + key_id +
+               " and grant another");
+  }
+  if (reply.code != ExitCode::kDone) {
+    return Fail(reply);
+  }
+  std::cout << "key_id: " << key_id << "\nkey: " << secret << "\n";
+  return ExitCode::kDone;
+}
+
+ExitCode RunRevoke(ApiClient* client, const std::string& key_id) {
+  if (!IsName(key_id)) {
+    PrintError("keys revoke needs the id of a key; list them with get keys");
+    return ExitCode::kBadInput;
+  }
+  const ApiReply reply = client->Send(
+      "DELETE", "/v1/keys/" + key_id + "?change_id=" + RandomId("revoke"));
+  if (reply.code == ExitCode::kUnknown) {
+    PrintError("the key may still be in force; revoke " + key_id + " again");
+  }
+  if (reply.code != ExitCode::kDone) {
+    return Fail(reply);
+  }
+  std::cout << "revoked: " << key_id << "\n";
+  return ExitCode::kDone;
+}
+
+ExitCode RunMembers(ApiClient* client, bool json) {
+  const ApiReply reply = client->Send("GET", "/v1/members");
+  if (reply.code != ExitCode::kDone) {
+    return Fail(reply);
+  }
+  const auto value = nlohmann::json::parse(reply.body, nullptr, false);
+  if (json || !value.is_object() || !value.contains("members")) {
+    std::cout << Pretty(reply.body) << "\n";
+    return ExitCode::kDone;
+  }
+  for (const nlohmann::json& member : value["members"]) {
+    std::cout << member.value("name", "") << "  " << member.value("link", "")
+              << "  " << member.value("availability_zone", "") << "  "
+              << (member.value("leader", false)  ? "leader"
+                  : member.value("voter", false) ? "voter"
+                                                 : "entry")
+              << "  "
+              << (member.value("connected", false) ? "connected"
+                                                   : "not connected")
+              << "\n";
+  }
+  return ExitCode::kDone;
+}
+
+ExitCode RunStatus(ApiClient* client, bool json) {
+  const ApiReply reply = client->Send("GET", "/v1/status");
+  if (reply.code != ExitCode::kDone) {
+    return Fail(reply);
+  }
+  const auto value = nlohmann::json::parse(reply.body, nullptr, false);
+  if (json || !value.is_object()) {
+    std::cout << Pretty(reply.body) << "\n";
+  } else {
+    PrintMembersOf(value);
+  }
+  return ExitCode::kDone;
+}
+
+ExitCode RunView(ApiClient* client, const std::string& path) {
+  const ApiReply reply = client->Send("GET", path);
+  if (reply.code != ExitCode::kDone) {
+    return Fail(reply);
+  }
+  std::cout << Pretty(reply.body) << "\n";
+  return ExitCode::kDone;
+}
+
+}  // namespace mimosastage
--- /dev/null
+++ b/src/mimosastagectl/main.cc
@@ -0,0 +1,208 @@
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/time/time.h>
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "mimosastage/state/table_set.h"
+#include "mimosastagectl/api_client.h"
+#include "mimosastagectl/commands.h"
+#include "mimosastagectl/exit_code.h"
+
+ABSL_FLAG(std::string, server, "127.0.0.1:8081",
+          "Operator ports of the daemons as HOST:PORT,HOST:PORT; the next one "
+          "is tried if one fails.");
+ABSL_FLAG(std::string, operator_key_file, "",
+          "File with the operator key. Without it the environment variable "
+          "MIMOSASTAGE_OPERATOR_KEY is used.");
+ABSL_FLAG(std::string, f, "", "Declaration for apply and diff.");
+ABSL_FLAG(std::string, output, "text", "text or json, for status and members.");
+ABSL_FLAG(std::string, change_id, "",
+          "Id of an earlier apply whose outcome is unknown.");
+ABSL_FLAG(std::string, team, "", "Team of the key, for keys grant.");
+ABSL_FLAG(std::string, client, "", "Client of the key, for keys grant.");
+ABSL_FLAG(std::string, key_id, "",
+          "Id of the key, for keys grant; made up if empty.");
+ABSL_FLAG(absl::Duration, attempt_timeout, absl::Seconds(5),
+          "Time for one attempt at one daemon.");
+ABSL_FLAG(absl::Duration, timeout, absl::Seconds(30),
+          "Time for all attempts of one request.");
+
+namespace mimosastage {
+namespace {
+
+constexpr const char* kUsage =
+    "Changes and shows a cluster of mimosastage.\n\n"
+    "  mimosastagectl [FLAGS] apply -f FILE\n"
+    "  mimosastagectl [FLAGS] diff -f FILE\n"
+    "  mimosastagectl [FLAGS] get routes|pools|teams|policy|keys\n"
+    "  mimosastagectl [FLAGS] keys grant --team=TEAM --client=CLIENT\n"
+    "  mimosastagectl [FLAGS] keys revoke KEY_ID\n"
+    "  mimosastagectl [FLAGS] members|status [--output=json]\n"
+    "  mimosastagectl [FLAGS] pools status|waves status|workers|jobs\n\n"
+    "Exit codes: 0 done or no difference, 1 difference, 2 bad input, "
+    "3 conflict, 4 unreachable or not accepted, 5 outcome unknown.";
+
+/// True once the flags are read; see ExitBeforeParsed.
+bool flags_parsed = false;
+bool help_wanted = false;
+
+/// absl::ParseCommandLine ends the process with 1 on a bad flag, which would
+/// read as "difference".
+void ExitBeforeParsed() {
+  if (!flags_parsed) {
+    std::fflush(stdout);
+    std::fflush(stderr);
+    std::_Exit(
+        static_cast<int>(help_wanted ? ExitCode::kDone : ExitCode::kBadInput));
+  }
+}
+
+void PrintError(const std::string& text) {
+  std::cerr << "mimosastagectl: " << text << "\n";
+}
+
+std::vector<std::string> SplitServers(std::string_view text) {
+  std::vector<std::string> servers;
+  while (!text.empty()) {
+    const std::string_view server = text.substr(0, text.find(','));
+    if (!server.empty()) {
+      servers.emplace_back(server);
+    }
+    text.remove_prefix(std::min(server.size() + 1, text.size()));
+  }
+  return servers;
+}
+
+std::optional<std::string> ReadOperatorKey() {
+  const std::string file = absl::GetFlag(FLAGS_operator_key_file);
+  std::string key;
+  if (!file.empty()) {
+    std::ifstream stream(file);
+    if (!std::getline(stream, key)) {
+      PrintError(file + ": file not readable; correct --operator_key_file");
+      return std::nullopt;
+    }
+  } else if (const char* text = std::getenv("MIMOSASTAGE_OPERATOR_KEY")) {
+    key = text;
+  }
+  if (key.empty()) {
+    PrintError(
+        "no operator key; set --operator_key_file or the environment variable "
+        "MIMOSASTAGE_OPERATOR_KEY");
+    return std::nullopt;
+  }
+  return key;
+}
+
+std::optional<ApiClient::Settings> ReadClientSettings() {
+  ApiClient::Settings settings;
+  settings.servers = SplitServers(absl::GetFlag(FLAGS_server));
+  if (settings.servers.empty()) {
+    PrintError("no daemon; set --server=HOST:PORT");
+    return std::nullopt;
+  }
+  const auto key = ReadOperatorKey();
+  if (!key) {
+    return std::nullopt;
+  }
+  settings.operator_key = *key;
+  settings.attempt_timeout =
+      absl::ToChronoMilliseconds(absl::GetFlag(FLAGS_attempt_timeout));
+  settings.total_timeout =
+      absl::ToChronoMilliseconds(absl::GetFlag(FLAGS_timeout));
+  return settings;
+}
+
+ExitCode RunApplyCommand(ApiClient* client) {
+  const std::string given = absl::GetFlag(FLAGS_change_id);
+  const std::string change_id = given.empty() ? RandomId("apply") : given;
+  // The fingerprint of a step adds 17 characters.
+  if (!IsName(change_id) || change_id.size() > 100) {
+    PrintError(
+        "--change_id is not a name of 1 to 100 characters; use the one "
+        "that the earlier apply printed");
+    return ExitCode::kBadInput;
+  }
+  return RunApply(client, absl::GetFlag(FLAGS_f), change_id);
+}
+
+ExitCode Run(ApiClient* client, const std::vector<std::string>& words) {
+  const std::string& command = words[0];
+  const std::string argument = words.size() > 1 ? words[1] : "";
+  const bool json = absl::GetFlag(FLAGS_output) == "json";
+  const std::size_t count = words.size();
+  if (command == "apply" && count == 1) {
+    return RunApplyCommand(client);
+  }
+  if (command == "diff" && count == 1) {
+    return RunDiff(client, absl::GetFlag(FLAGS_f));
+  }
+  if (command == "get" && count == 2) {
+    return RunGet(client, argument);
+  }
+  if (command == "keys" && argument == "grant" && count == 2) {
+    return RunGrant(client,
+                    {absl::GetFlag(FLAGS_team), absl::GetFlag(FLAGS_client),
+                     absl::GetFlag(FLAGS_key_id)});
+  }
+  if (command == "keys" && argument == "revoke" && count == 3) {
+    return RunRevoke(client, words[2]);
+  }
+  if (command == "members" && count == 1) {
+    return RunMembers(client, json);
+  }
+  if (command == "status" && count == 1) {
+    return RunStatus(client, json);
+  }
+  const bool view =
+      ((command == "workers" || command == "jobs") && count == 1) ||
+      ((command == "pools" || command == "waves") && argument == "status" &&
+       count == 2);
+  if (view) {
+    return RunView(client, "/v1/" + command);
+  }
+  PrintError("unknown command; see mimosastagectl --help");
+  return ExitCode::kBadInput;
+}
+
+ExitCode Main(int argc, char** argv) {
+  const std::vector<std::string> arguments(argv, argv + argc);
+  help_wanted = std::find(arguments.begin(), arguments.end(), "--help") !=
+                arguments.end();
+  std::atexit(&ExitBeforeParsed);
+  absl::SetProgramUsageMessage(kUsage);
+  const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
+  flags_parsed = true;
+  const std::vector<std::string> words(rest.begin() + 1, rest.end());
+  if (words.empty()) {
+    PrintError("no command; see mimosastagectl --help");
+    return ExitCode::kBadInput;
+  }
+  auto settings = ReadClientSettings();
+  if (!settings) {
+    return ExitCode::kBadInput;
+  }
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  ApiClient client(*std::move(settings));
+  const ExitCode code = Run(&client, words);
+  curl_global_cleanup();
+  return code;
+}
+
+}  // namespace
+}  // namespace mimosastage
+
+int main(int argc, char** argv) {
+  return static_cast<int>(mimosastage::Main(argc, argv));
+}
--- /dev/null
+++ b/tests/operators/ctl_test.cc
@@ -0,0 +1,290 @@
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+#include <thread>
+
+#include "mimosastage/http/http_server.h"
+#include "mimosastage/operators/operator_api.h"
+#include "mimosastage/state/replicated_state.h"
+
+namespace mimosastage {
+namespace {
+
+constexpr const char* kOperatorKey = "operator-key-0123456789";
+
+/// A daemon's operator port over a state of its own.
+class FakeDaemon {
+ public:
+  FakeDaemon()
+      : api({kOperatorKey, "platform"}, this->MakeHooks()),
+        server({}, {[this](HttpRequest&& request) {
+                      this->Handle(std::move(request));
+                    },
+                    [](std::uint64_t) {}, [] {}}) {
+    this->port = *this->server.Start();
+  }
+  ~FakeDaemon() { this->server.Stop(); }
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(this->port);
+  }
+
+  /// Runs `use` while no request is handled.
+  template <class Use>
+  auto With(Use use) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return use(this->state);
+  }
+
+  /// Commits that are answered as if the outcome were unknown.
+  std::atomic<int> lost_answers{0};
+  std::atomic<int> refused{0};
+  /// Another operator's change that comes right after the tables were read.
+  std::atomic<bool> race{false};
+
+ private:
+  OperatorHooks MakeHooks() {
+    OperatorHooks hooks;
+    hooks.propose = [this](const Command& command, const auto& done) {
+      done(this->Propose(command));
+    };
+    hooks.view = [this] {
+      return std::make_shared<const OperatorView>(
+          OperatorView{this->state.Tables(), this->state.Keys().Keys()});
+    };
+    hooks.status = [] {
+      DaemonStatus status;
+      status.daemon = "entry-1";
+      return status;
+    };
+    return hooks;
+  }
+
+  ProposalResult Propose(const Command& command) {
+    if (this->refused-- > 0) {
+      return {ProposalResult::Kind::kNotAccepted, {}, "no leader is known"};
+    }
+    ProposalResult result{ProposalResult::Kind::kCommitted,
+                          this->state.Apply(this->state.Applied() + 1, command),
+                          "the leader changed"};
+    if (this->lost_answers-- > 0) {
+      result.kind = ProposalResult::Kind::kUnknown;
+    }
+    return result;
+  }
+
+  void Handle(HttpRequest&& request) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const std::uint64_t id = request.id;
+    const bool last_read =
+        request.target == "/v1/tables/policy" && request.method == "GET";
+    this->api.Handle(std::move(request), [this, id](HttpAnswer&& answer) {
+      this->server.Answer(id, std::move(answer));
+    });
+    if (last_read && this->race.exchange(false)) {
+      this->Propose(TableChange{
+          "other", TableKind::kTeams, 0, {Team{TeamName("other"), 1, 1}}, {}});
+    }
+  }
+
+  std::mutex mutex;
+  ReplicatedState state;
+  OperatorApi api;
+  HttpServer server;
+  std::uint16_t port = 0;
+};
+
+/// Accepts connections, reads a request and closes without an answer.
+class SilentDaemon {
+ public:
+  SilentDaemon() {
+    this->listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    EXPECT_EQ(bind(this->listener, generic, size), 0);
+    listen(this->listener, 8);
+    getsockname(this->listener, generic, &size);
+    this->address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    this->thread = std::thread([this] { this->Run(); });
+  }
+  ~SilentDaemon() {
+    shutdown(this->listener, SHUT_RDWR);
+    this->thread.join();
+    close(this->listener);
+  }
+
+  std::string address;
+
+ private:
+  void Run() {
+    for (;;) {
+      const int connection = accept(this->listener, nullptr, nullptr);
+      if (connection < 0) {
+        return;
+      }
+      std::array<char, 4096> buffer{};
+      [[maybe_unused]] const auto got =
+          recv(connection, buffer.data(), buffer.size(), 0);
+      close(connection);
+    }
+  }
+
+  int listener = -1;
+  std::thread thread;
+};
+
+class CtlTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    std::string pattern = testing::TempDir() + "ctl-XXXXXX";
+    this->folder = mkdtemp(pattern.data());
+    std::ofstream(this->folder / "key") << kOperatorKey << "\n";
+  }
+  void TearDown() override { std::filesystem::remove_all(this->folder); }
+
+  std::string Write(const std::string& name, const std::string& text) {
+    std::ofstream(this->folder / name) << text;
+    return this->folder / name;
+  }
+
+  /// Runs the tool; its output is in `output`. Returns the exit code.
+  int Run(const std::string& arguments, const std::string& servers) {
+    const std::string command =
+        std::string(MIMOSASTAGE_BIN_DIR) +
+        "/mimosastagectl --server=" + servers +
+        " --operator_key_file=" + (this->folder / "key").string() + " " +
+        arguments + " 2>&1";
+    FILE* pipe = popen(command.c_str(), "r");
+    this->output.clear();
+    std::array<char, 4096> buffer{};
+    while (const std::size_t got =
+               fread(buffer.data(), 1, buffer.size(), pipe)) {
+      this->output.append(buffer.data(), got);
+    }
+    EXPECT_EQ(this->output.find(kOperatorKey), std::string::npos);
+    return WEXITSTATUS(pclose(pipe));
+  }
+  int Run(const std::string& arguments) {
+    return this->Run(arguments, this->daemon.Address());
+  }
+
+  std::string Example() const {
+    return std::string(MIMOSASTAGE_SOURCE_DIR) +
+           "/examples/vergara/declaration.json";
+  }
+
+  FakeDaemon daemon;
+  std::filesystem::path folder;
+  std::string output;
+};
+
+// Guards against a difference that the exit code or the tables don't show.
+TEST_F(CtlTest, Apply_Example_DiffTellsBeforeAndAfter) {
+  EXPECT_EQ(this->Run("diff -f " + this->Example()), 1) << this->output;
+  EXPECT_NE(this->output.find("+ routes/sheets"), std::string::npos);
+  EXPECT_EQ(this->Run("apply -f " + this->Example()), 0) << this->output;
+  EXPECT_EQ(this->Run("diff -f " + this->Example()), 0) << this->output;
+  EXPECT_EQ(this->Run("get pools"), 0);
+  EXPECT_NE(this->output.find("front-desk"), std::string::npos);
+  EXPECT_EQ(this->Run("status --output=json"), 0);
+  EXPECT_NE(this->output.find("\"routes\": 1"), std::string::npos);
+}
+
+// Guards against a change that runs twice because its answer was lost, and a
+// tool that gives up at the first daemon.
+TEST_F(CtlTest, Apply_LostAnswersAndDeadDaemon_AppliesOnce) {
+  const std::string file = this->Write(
+      "teams.json",
+      R"({"teams": [{"name": "t", "share": 1, "upper_limit": 5}]})");
+  this->daemon.lost_answers = 2;
+  this->daemon.refused = 1;
+  EXPECT_EQ(
+      this->Run("apply -f " + file, "127.0.0.1:1," + this->daemon.Address()), 0)
+      << this->output;
+  EXPECT_EQ(this->daemon.With([](const ReplicatedState& state) {
+    return state.Tables().VersionOf(TableKind::kTeams);
+  }),
+            1U);
+  // A run with the id of an earlier one must not take its outcome for a step
+  // with other content.
+  for (const char* share : {"3", "2"}) {
+    const std::string text = R"({"teams": [{"name": "t", "share": )" +
+                             std::string(share) + R"(, "upper_limit": 5}]})";
+    const std::string next = this->Write("next.json", text);
+    EXPECT_EQ(this->Run("apply --change_id=x -f " + next), 0);
+  }
+  EXPECT_EQ(this->daemon.With([](const ReplicatedState& state) {
+    return state.Tables().FindTeam("t")->share;
+  }),
+            2U);
+}
+
+// Guards against an exit code that a script would misread.
+TEST_F(CtlTest, Run_EachFailure_HasItsExitCode) {
+  const std::string good = this->Write(
+      "good.json",
+      R"({"teams": [{"name": "t", "share": 1, "upper_limit": 5}]})");
+  const std::string bad = this->Write("bad.json", R"({"team": []})");
+  const std::string broken = this->Write(
+      "broken.json", R"({"routes": [{"name": "r", "pool": "absent"}]})");
+  const SilentDaemon silent;
+  const std::string quick = "--timeout=1s ";
+  EXPECT_EQ(this->Run("apply -f " + bad), 2);
+  EXPECT_NE(this->output.find("unknown field"), std::string::npos);
+  EXPECT_EQ(this->Run("apply -f " + broken), 2);
+  EXPECT_EQ(this->Run("apply -f absent.json"), 2);
+  EXPECT_EQ(this->Run("nothing"), 2);
+  EXPECT_EQ(this->Run("--nothing status"), 2);
+  EXPECT_EQ(this->Run("get rows"), 2);
+  EXPECT_EQ(this->Run(quick + "status", "127.0.0.1:1"), 4);
+  EXPECT_EQ(this->Run(quick + "status", silent.address), 4);
+  EXPECT_EQ(this->Run(quick + "keys revoke k", silent.address), 5);
+  EXPECT_EQ(this->Run(quick + "keys revoke k", "127.0.0.1:1"), 4);
+  this->daemon.refused = 1'000'000;
+  EXPECT_EQ(this->Run(quick + "apply -f " + good), 4);
+  this->daemon.refused = 0;
+  this->daemon.race = true;
+  EXPECT_EQ(this->Run("apply -f " + good), 3) << this->output;
+  EXPECT_NE(this->output.find("version_conflict"), std::string::npos);
+  std::ofstream(this->folder / "key") << "another-key-0123456789\n";
+  EXPECT_EQ(this->Run("status"), 2);
+}
+
+// Guards against a printed key that doesn't work, and one that outlives its
+// revocation.
+TEST_F(CtlTest, Keys_GrantAndRevoke_PrintsAKeyThatWorks) {
+  ASSERT_EQ(this->Run("apply -f " + this->Example()), 0);
+  this->daemon.lost_answers = 1;
+  ASSERT_EQ(this->Run("keys grant --team=duero --client=web --key_id=web-1"), 0)
+      << this->output;
+  const std::string secret =
+      this->output.substr(this->output.find("key: ") + 5, 68);
+  const auto team = [&] {
+    return this->daemon.With([&](const ReplicatedState& state) {
+      const Key* key = state.Keys().FindBySecret(secret);
+      return key == nullptr ? "" : key->team.str();
+    });
+  };
+  EXPECT_EQ(team(), "duero") << this->output;
+  EXPECT_EQ(this->Run("get keys"), 0);
+  EXPECT_EQ(this->output.find(secret), std::string::npos);
+  EXPECT_EQ(this->Run("keys revoke web-1"), 0);
+  EXPECT_EQ(team(), "");
+  EXPECT_EQ(this->Run("keys revoke web-1"), 2);
+  EXPECT_EQ(this->Run("keys grant --team=nobody --client=web"), 2);
+}
+
+}  // namespace
+}  // namespace mimosastage
