--- a/src/mimosastage/routing/backend_server_picker.cc
+++ b/src/mimosastage/routing/backend_server_picker.cc
@@ -93,8 +93,10 @@
 bool BackendServerPicker::HasRoom(const Announcement& server) const {
   const std::uint32_t limit =
       std::min(server.slots, this->ConnectionPart(server));
-  return this->InProgress(
-      server.name)<limit&& this->hooks.free_lent_slots(server.name)> 0;
+  if (this->InProgress(server.name) >= limit) {
+    return false;
+  }
+  return this->hooks.free_lent_slots(server.name) > 0;
 }
 
 const Announcement& BackendServerPicker::ChooseOf(
