--- a/tests/replication/replica_test.cc
+++ b/tests/replication/replica_test.cc
@@ -68,5 +68,23 @@
   EXPECT_FALSE(this->group.Propose(leader));
 }
 
+// Guards against a voter that unseats a healthy leader when it returns from a
+// long partition.
+TEST_F(ReplicaTest, Voter_ReturnsFromLongPartition_LeaderStays) {
+  ASSERT_TRUE(this->CommitEverywhere(1));
+  const std::size_t leader = *this->group.Leader();
+  const ViewNumber view = this->group.VoterAt(leader)->View();
+  const std::size_t away = (leader + 1) % 3;
+  for (std::size_t i = 0; i < this->group.Size(); ++i) {
+    this->group.Partition(away, i, i != away);
+  }
+  this->group.Run(seconds(30));
+  this->group.Heal();
+  ASSERT_TRUE(this->CommitEverywhere(10));
+  this->group.Run(seconds(5));
+  EXPECT_EQ(this->group.Leader(), leader);
+  EXPECT_EQ(this->group.VoterAt(leader)->View(), view);
+}
+
 }  // namespace
 }  // namespace mimosastage
--- a/tests/replication/support/replication_group.cc
+++ b/tests/replication/support/replication_group.cc
@@ -250,9 +250,7 @@
 bool ReplicationGroup::RestoreDisk(std::size_t voter) {
   Daemon& d = this->daemons[voter];
   // A copy made since the voter's latest start can't be told from its disk.
-  const bool older =
-      d.copy.has_value() &&
-      IncarnationCounter(d.copy->incarnation) < IncarnationCounter(d.latest);
+  const bool older = d.copy.has_value() && d.copy->starts.back() != d.latest;
   if (!older || !this->UnsoundAllowed(voter)) {
     return false;
   }
