Add pool sizing and moves between pools

Cause: pools need instances by the demand of minutes and hours, and an instance must be in one pool at every step of a move.

Ruled out: continuing a move after a leader change. The target isn't part of a committed transition; the new leader returns the instance to its old pool under a new epoch, and the sizer decides again.

Change: DemandHistory (means of minutes and of ten minutes), PoolSizer (adds up slot-seconds of a wrong size and moves once they exceed the cost of a move; the weights set the quantile, the reserve and the cost), InstanceMover (drain, end of the membership lease, then pool and epoch + 1 in one transition).

MaintenancePlanner now sends a join only to a worker of an earlier epoch, and returns a worker that drains without reason under a new epoch.

--- a/src/mimosastage/fleet/maintenance_planner.cc
+++ b/src/mimosastage/fleet/maintenance_planner.cc
@@ -49,7 +49,6 @@
   FleetActions actions;
   this->WatchAvailability(now, actions);
   for (const auto& [name, instance] : this->fleet.instances()) {
-    if (instance.state == InstanceState::kServing) continue;
     if (instance.proposed || this->hooks.moving(name)) continue;
     this->Advance(instance, now, actions);
   }
@@ -102,6 +101,7 @@
                                  FleetActions& actions) {
   switch (instance.state) {
     case InstanceState::kServing:
+      this->RepairStrayDrain(instance, actions);
       break;
     case InstanceState::kDraining:
       this->AdvanceDrain(instance, now, actions);
@@ -191,11 +191,9 @@
 void MaintenancePlanner::AdvanceReturn(const FleetInstance& instance,
                                        TimePoint now, FleetActions& actions) {
   const auto* entry = this->workers.Find(instance.name);
-  const bool joined = entry != nullptr &&
-                      entry->report.epoch == instance.epoch &&
-                      entry->report.pool == instance.pool &&
-                      entry->report.state == WorkerState::kReady;
-  if (joined) {
+  const bool known = entry != nullptr && !instance.unavailable;
+  if (known && entry->report.epoch == instance.epoch) {
+    if (this->RepairStrayDrain(instance, actions)) return;
     this->Propose(instance, instance.epoch, InstanceState::kServing, actions);
     return;
   }
@@ -203,11 +201,23 @@
                           actions)) {
     return;
   }
-  if (this->ResendDue(instance.name, now)) {
+  // Only a worker of an earlier epoch is told to join: a command to join under
+  // the epoch of a drain would make the next drain look like a repeat.
+  if (known && this->ResendDue(instance.name, now)) {
     this->Send(instance, MoveInstance{instance.pool}, actions);
   }
 }
 
+bool MaintenancePlanner::RepairStrayDrain(const FleetInstance& instance,
+                                          FleetActions& actions) {
+  const auto* entry = this->workers.Find(instance.name);
+  if (entry == nullptr || entry->report.epoch != instance.epoch) return false;
+  if (entry->report.state == WorkerState::kReady) return false;
+  this->Propose(instance, instance.epoch + 1, InstanceState::kReturning,
+                actions);
+  return true;
+}
+
 void MaintenancePlanner::AdvanceFailed(const FleetInstance& instance,
                                        FleetActions& actions) {
   const auto* entry = this->workers.Find(instance.name);
--- a/src/mimosastage/fleet/maintenance_planner.h
+++ b/src/mimosastage/fleet/maintenance_planner.h
@@ -124,6 +124,10 @@
                      FleetActions& actions);
   void AdvanceReturn(const FleetInstance& instance, TimePoint now,
                      FleetActions& actions);
+  /// A late copy of a drain command reached a worker that isn't to drain, for
+  /// example after it restarted. A new epoch returns it to service. Returns
+  /// false if the worker is ready.
+  bool RepairStrayDrain(const FleetInstance& instance, FleetActions& actions);
   void AdvanceFailed(const FleetInstance& instance, FleetActions& actions);
   bool FailIfOverdue(const FleetInstance& instance, const std::string& what,
                      TimePoint now, FleetActions& actions);
--- /dev/null
+++ b/src/mimosastage/fleet/pool_sizer.cc
@@ -0,0 +1,190 @@
+#include "mimosastage/fleet/pool_sizer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace mimosastage {
+namespace {
+
+double WeightSum(const PoolWeights& weights) {
+  return std::max(1.0, static_cast<double>(weights.buffer) + weights.share +
+                           weights.moves + weights.roll_out);
+}
+
+// A pool that weights idle capacity more covers fewer of the busiest minutes:
+// 91% with equal weights, 70% if only the buffer counts, 98% if it doesn't.
+double NeedQuantile(const PoolWeights& weights) {
+  return 0.98 - 0.28 * weights.buffer / WeightSum(weights);
+}
+
+// Instances kept so that maintenance doesn't take capacity that is needed. A
+// pool that weights idle capacity more keeps fewer.
+std::uint32_t MaintenanceReserve(const FleetView::PoolEntry& pool) {
+  const double roll_out = pool.weights.roll_out;
+  const double sum = std::max(1.0, roll_out + pool.weights.buffer);
+  return static_cast<std::uint32_t>(std::lround(pool.budget * roll_out / sum));
+}
+
+}  // namespace
+
+PoolSizer::PoolSizer(
+    Config config, const FleetView& fleet, InstanceMover& mover,
+    std::function<std::vector<LeasedTask>(const InstanceName&)> tasks_on)
+    : config(config),
+      fleet(fleet),
+      mover(mover),
+      tasks_on(std::move(tasks_on)) {}
+
+void PoolSizer::Observe(const PoolName& pool, double slots, TimePoint now) {
+  this->accounts.try_emplace(pool).first->second.history.Observe(slots, now);
+}
+
+PoolSizer::Round PoolSizer::Plan(TimePoint now) {
+  Round round;
+  for (auto& [pool, account] : this->accounts) {
+    const auto* entry = this->fleet.FindPool(pool);
+    if (entry == nullptr) continue;
+    this->UpdateRegret(pool, account, now);
+    if (entry->spare) continue;
+    const double cost = this->MoveCost(pool);
+    if (account.regret > cost) this->Grow(pool, account, now, round);
+    if (account.regret < -cost) this->Shrink(pool, account, now, round);
+  }
+  return round;
+}
+
+std::optional<std::uint32_t> PoolSizer::Desired(const PoolName& pool) const {
+  const auto it = this->accounts.find(pool);
+  const auto* entry = this->fleet.FindPool(pool);
+  if (it == this->accounts.end() || entry == nullptr) return std::nullopt;
+  const auto& history = it->second.history;
+  if (history.minutes() < this->config.minutes_to_learn) return std::nullopt;
+  const double need = history.Need(NeedQuantile(entry->weights));
+  const auto slots = std::max(1U, entry->slots_per_instance);
+  const auto base = static_cast<std::uint32_t>(std::ceil(need / slots));
+  // A pool of no more instances than its budget could be drained as a whole.
+  return std::max(base + MaintenanceReserve(*entry), entry->budget + 1);
+}
+
+void PoolSizer::UpdateRegret(const PoolName& pool, Account& account,
+                             TimePoint now) {
+  const auto passed =
+      account.last == TimePoint{} ? Duration{} : now - account.last;
+  account.last = now;
+  const auto desired = this->Desired(pool);
+  if (!desired) return;
+  const auto size = this->SizeAfterMoves(pool);
+  const auto gap = static_cast<std::int64_t>(*desired) - size;
+  const bool excess = gap < -static_cast<std::int64_t>(this->config.dead_band);
+  if (gap == 0 || (gap < 0 && !excess) || (gap > 0) != (account.regret > 0)) {
+    account.regret = 0;
+  }
+  if (gap <= 0 && !excess) return;
+  const auto slots = this->fleet.FindPool(pool)->slots_per_instance;
+  account.regret += static_cast<double>(gap) * slots *
+                    std::chrono::duration<double>(passed).count();
+}
+
+void PoolSizer::Grow(const PoolName& pool, Account& account, TimePoint now,
+                     Round& round) {
+  const auto source = this->SpareWithSurplus();
+  if (!source) {
+    round.held.push_back(
+        {pool.str(), "growth of pool " + pool.str() +
+                         " waits: no spare pool has an instance to give"});
+    return;
+  }
+  if (this->StartMove(*source, pool, now, round)) account.regret = 0;
+}
+
+void PoolSizer::Shrink(const PoolName& pool, Account& account, TimePoint now,
+                       Round& round) {
+  const auto& pools = this->fleet.pools();
+  const auto spare =
+      std::find_if(pools.begin(), pools.end(), [&](const auto& entry) {
+        return entry.second.spare && entry.first != pool;
+      });
+  if (spare == pools.end()) return;
+  if (this->StartMove(pool, spare->first, now, round)) account.regret = 0;
+}
+
+bool PoolSizer::StartMove(const PoolName& from, const PoolName& to,
+                          TimePoint now, Round& round) {
+  const auto& tried = this->fleet.FindPool(from)->spare ? to : from;
+  const auto of_pool = this->mover.Joining(tried) + this->mover.Leaving(tried);
+  if (this->mover.active() >= this->config.max_active_moves ||
+      of_pool >= this->config.max_moves_of_pool) {
+    round.held.push_back({tried.str(), "a move of pool " + tried.str() +
+                                           " waits: other moves are active"});
+    return false;
+  }
+  for (const auto& name : this->IdleFirst(from, to)) {
+    if (auto refusal = this->fleet.DrainRefusal(name)) {
+      round.held.push_back({name.str(), *std::move(refusal)});
+      return false;
+    }
+    if (const auto started = this->mover.Start(name, to, now)) {
+      round.transitions.push_back(*started);
+      return true;
+    }
+  }
+  return false;
+}
+
+std::optional<PoolName> PoolSizer::SpareWithSurplus() const {
+  std::optional<PoolName> best;
+  std::int64_t most = 0;
+  for (const auto& [name, entry] : this->fleet.pools()) {
+    if (!entry.spare) continue;
+    const auto needed = this->Desired(name).value_or(entry.budget + 1);
+    const auto surplus =
+        this->SizeAfterMoves(name) - static_cast<std::int64_t>(needed);
+    if (surplus <= most) continue;
+    most = surplus;
+    best = name;
+  }
+  return best;
+}
+
+std::vector<InstanceName> PoolSizer::IdleFirst(const PoolName& from,
+                                               const PoolName& to) const {
+  std::map<AvailabilityZone, int> zones;
+  for (const auto& name : this->fleet.FindPool(to)->instances) {
+    ++zones[this->fleet.Find(name)->zone];
+  }
+  // Idle ones first, without protected jobs, and into the zone that has least.
+  using Key = std::tuple<bool, std::size_t, int, InstanceName>;
+  std::vector<Key> keys;
+  for (const auto& name : this->fleet.FindPool(from)->instances) {
+    const auto* instance = this->fleet.Find(name);
+    if (instance->OutOfService()) continue;
+    const auto tasks = this->tasks_on(name);
+    const bool has_protected =
+        std::any_of(tasks.begin(), tasks.end(),
+                    [](const auto& task) { return task.is_protected; });
+    keys.emplace_back(has_protected, tasks.size(), zones[instance->zone], name);
+  }
+  std::sort(keys.begin(), keys.end());
+  std::vector<InstanceName> names;
+  names.reserve(keys.size());
+  for (const auto& key : keys) names.push_back(std::get<InstanceName>(key));
+  return names;
+}
+
+double PoolSizer::MoveCost(const PoolName& pool) const {
+  const auto& weights = this->fleet.FindPool(pool)->weights;
+  const double others =
+      std::max(1.0, (static_cast<double>(weights.buffer) + weights.share) / 2);
+  return this->config.move_cost * weights.moves / others;
+}
+
+std::int64_t PoolSizer::SizeAfterMoves(const PoolName& pool) const {
+  const auto& entry = *this->fleet.FindPool(pool);
+  return static_cast<std::int64_t>(entry.instances.size()) +
+         static_cast<std::int64_t>(this->mover.Joining(pool)) -
+         static_cast<std::int64_t>(this->mover.Leaving(pool));
+}
+
+}  // namespace mimosastage
--- /dev/null
+++ b/tests/fleet/pool_sizer_test.cc
@@ -0,0 +1,216 @@
+#include "mimosastage/fleet/pool_sizer.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <memory>
+
+#include "mimosastage/fleet/fleet_error.h"
+#include "tests/fleet/support/fake_fleet.h"
+
+namespace mimosastage {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr int kSeeds = 1'000;
+
+class InstanceMoverTest : public ::testing::Test {};
+
+// Guards against an instance that is in two pools, loses a running task or
+// takes more than the budget while it moves, under failures, waves and leader
+// changes.
+TEST_F(InstanceMoverTest, Moves_SeededFailures_KeepOnePoolAndTheBudget) {
+  int changes = 0;
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    FakeFleet::Options options;
+    options.pools = 3;
+    options.config.patience = seconds(30);
+    options.config.return_patience = seconds(90);
+    options.budget = 1 + seed % 2;
+    options.move_chance = 0.1;
+    options.crash_chance = seed % 2 == 0 ? 0.0004 : 0;
+    options.leader_change_chance = seed % 3 == 0 ? 0.02 : 0;
+    options.loss_chance = seed % 4 == 0 ? 0.1 : 0;
+    FakeFleet fake(options, static_cast<std::uint64_t>(seed));
+    for (int i = 0; i < 400; ++i) {
+      fake.Step();
+      ASSERT_EQ(fake.violation, "");
+    }
+    // Without new moves, everything returns to service.
+    fake.options.move_chance = 0;
+    fake.options.crash_chance = 0;
+    fake.options.leader_change_chance = 0;
+    const auto settled = [&] {
+      return fake.planner->WaveDone() && fake.mover->active() == 0;
+    };
+    for (int i = 0; i < 20'000 && !settled(); ++i) fake.Step();
+    ASSERT_TRUE(fake.planner->WaveDone());
+    ASSERT_EQ(fake.mover->active(), 0U);
+    fake.options.loss_chance = 0;
+    for (int i = 0; i < 60; ++i) fake.Step();
+    for (const auto& [name, worker] : fake.workers) {
+      ASSERT_FALSE(worker.draining) << name.str();
+    }
+    changes += fake.pool_changes;
+  }
+  EXPECT_GT(changes, kSeeds);
+}
+
+/// A pool and a spare pool whose moves take effect at once.
+class PoolSizerTest : public ::testing::Test {
+ protected:
+  void SetUp() override { this->Reset({}); }
+
+  void Reset(const PoolWeights& weights) {
+    this->now = TimePoint(seconds(1'000));
+    this->moves = 0;
+    this->fleet = std::make_unique<FleetView>();
+    this->workers = std::make_unique<WorkerDirectory>(this->now);
+    const auto no_tasks = [](const auto&) { return std::vector<LeasedTask>(); };
+    this->mover = std::make_unique<InstanceMover>(
+        InstanceMover::Config{}, *this->fleet, *this->workers, no_tasks, 1);
+    this->sizer = std::make_unique<PoolSizer>(PoolSizer::Config{}, *this->fleet,
+                                              *this->mover, no_tasks);
+    Pool row;
+    row.name = this->pool;
+    row.weights = weights;
+    this->fleet->SetPool(row);
+    row.name = this->spare;
+    row.spare = true;
+    this->fleet->SetPool(row);
+    for (int i = 0; i < 20; ++i) {
+      FleetInstance instance;
+      instance.name = InstanceName("i" + std::to_string(100 + i));
+      instance.pool = i < 10 ? this->pool : this->spare;
+      this->fleet->AddInstance(instance);
+    }
+  }
+
+  std::size_t Size(const PoolName& name) const {
+    return this->fleet->FindPool(name)->instances.size();
+  }
+
+  template <class Demand>
+  void Run(minutes length, const Demand& demand) {
+    const auto end = this->now + length;
+    for (; this->now < end; this->now += seconds(1)) {
+      const auto second = (this->now - TimePoint(seconds(1'000))) / seconds(1);
+      const double slots = demand(second);
+      this->sizer->Observe(this->pool, slots, this->now);
+      this->sizer->Observe(this->spare, 4, this->now);
+      this->reactive_moves += this->Reactive(slots);
+      if (second % 5 == 0) this->Move();
+    }
+  }
+
+  // Reactive sizing: the size that the present demand asks for, each second.
+  int Reactive(double slots) {
+    const int wanted = static_cast<int>(std::ceil(slots / 8));
+    const int moved = std::abs(wanted - this->reactive_size);
+    this->reactive_size = wanted;
+    return moved;
+  }
+
+  void Move() {
+    for (const auto& drain : this->sizer->Plan(this->now).transitions) {
+      const auto to = drain.pool == this->pool ? this->spare : this->pool;
+      this->Apply(drain);
+      this->Apply(
+          {drain.instance, to, drain.epoch + 1, InstanceState::kReturning});
+      this->Apply(
+          {drain.instance, to, drain.epoch + 1, InstanceState::kServing});
+      ++this->moves;
+    }
+  }
+
+  void Apply(const InstanceTransition& transition) {
+    this->fleet->Apply(transition);
+    this->mover->Apply(transition, this->now);
+  }
+
+  // Five times the mean of 16 slots for 8 of 40 s, a twentieth between.
+  static double Surges(std::int64_t second) {
+    return second % 40 < 8 ? 80 : 0.8;
+  }
+
+  PoolName pool{"p"};
+  PoolName spare{"s"};
+  TimePoint now;
+  int moves = 0;
+  int reactive_size = 10;
+  int reactive_moves = 0;
+  std::unique_ptr<FleetView> fleet;
+  std::unique_ptr<WorkerDirectory> workers;
+  std::unique_ptr<InstanceMover> mover;
+  std::unique_ptr<PoolSizer> sizer;
+};
+
+// Guards against instances that follow surges of some seconds.
+TEST_F(PoolSizerTest, SurgesOfSeconds_AfterSettling_MoveNothing) {
+  this->Run(minutes(60), Surges);
+  EXPECT_LT(this->Size(this->pool), 8U);
+  this->moves = 0;
+  this->reactive_moves = 0;
+  this->Run(minutes(60), Surges);
+  EXPECT_EQ(this->moves, 0);
+  EXPECT_GT(this->reactive_moves, 1'000);
+}
+
+// Guards against a pool that doesn't follow a lasting change of its demand, and
+// against a spare pool that gives away what it needs itself.
+TEST_F(PoolSizerTest, LastingDemand_IsFollowedWithinTheSparePool) {
+  this->Run(minutes(60), [](auto) { return 70.0; });
+  const auto settled = this->Size(this->pool);
+  EXPECT_GE(settled, 9U);
+  this->Run(minutes(60), [](auto) { return 110.0; });
+  EXPECT_GE(this->Size(this->pool), 14U);
+  this->Run(minutes(60), [](auto) { return 500.0; });
+  EXPECT_EQ(this->Size(this->spare), 2U);
+  this->Run(minutes(24 * 60), [](auto) { return 8.0; });
+  EXPECT_LE(this->Size(this->pool), 3U);
+}
+
+// Guards against weights without effect: a pool that weights idle capacity more
+// keeps fewer instances, and one that weights moves more moves less.
+TEST_F(PoolSizerTest, Weights_BufferAndMoves_Decide) {
+  const auto waves = [](auto second) {
+    return second / 1'800 % 2 == 0 ? 30.0 : 70.0;
+  };
+  struct Result {
+    std::size_t size = 0;
+    int moves = 0;
+  };
+  const auto run = [&](const PoolWeights& weights) {
+    this->Reset(weights);
+    this->Run(minutes(480), waves);
+    return Result{this->Size(this->pool), this->moves};
+  };
+  const auto equal = run({.buffer = 1, .share = 1, .moves = 1, .roll_out = 1});
+  const auto lean = run({.buffer = 9, .share = 1, .moves = 1, .roll_out = 1});
+  // Both have the same part of the buffer's weight, so only the cost differs.
+  const auto eager = run({.buffer = 1, .share = 8, .moves = 1, .roll_out = 1});
+  const auto calm = run({.buffer = 1, .share = 1, .moves = 8, .roll_out = 1});
+  EXPECT_LT(lean.size, equal.size);
+  EXPECT_LT(calm.moves, eager.moves);
+}
+
+// Guards against a move that starts beyond the budget or of an instance that
+// is out already.
+TEST_F(PoolSizerTest, Start_BudgetUsedOrOut_IsRefused) {
+  const auto first =
+      this->mover->Start(InstanceName("i100"), this->spare, this->now);
+  ASSERT_TRUE(first.has_value());
+  EXPECT_TRUE(this->mover->Start(InstanceName("i100"), this->spare, this->now)
+                  .error() == FleetError::kNotServing);
+  EXPECT_TRUE(this->mover->Start(InstanceName("i101"), this->spare, this->now)
+                  .error() == FleetError::kBudgetUsed);
+  EXPECT_TRUE(
+      this->mover->Start(InstanceName("i101"), this->pool, this->now).error() ==
+      FleetError::kSamePool);
+}
+
+}  // namespace
+}  // namespace mimosastage
--- a/tests/fleet/support/fake_fleet.h
+++ b/tests/fleet/support/fake_fleet.h
@@ -11,6 +11,7 @@
 
 #include "mimosastage/fleet/command_fence.h"
 #include "mimosastage/fleet/fleet_view.h"
+#include "mimosastage/fleet/instance_mover.h"
 #include "mimosastage/fleet/maintenance_planner.h"
 #include "mimosastage/fleet/worker_directory.h"
 
@@ -46,6 +47,8 @@
     double rack_crash_chance = 0;
     double leader_change_chance = 0;
     double loss_chance = 0;
+    /// Chance each second that a move of a random instance is tried.
+    double move_chance = 0;
     MaintenancePlanner::Config config;
   };
 
@@ -78,11 +81,9 @@
     this->DeliverReports();
     if (this->Chance(this->options.leader_change_chance)) this->ChangeLeader();
     this->last = this->planner->Plan(this->Now());
-    for (const auto& transition : this->last.transitions) {
-      this->CheckProposal(transition);
-      this->log.push_back(transition);
-    }
-    for (const auto& command : this->last.commands) this->SendCommand(command);
+    this->Take(this->last);
+    this->StartMove();
+    this->Take(this->mover->Plan(this->Now()));
     this->DeliverCommands();
     const auto count = this->Draw(0, static_cast<int>(this->log.size()));
     this->Commit(static_cast<std::size_t>(count));
@@ -110,11 +111,46 @@
   std::unique_ptr<FleetView> fleet;
   std::unique_ptr<WorkerDirectory> directory;
   std::unique_ptr<MaintenancePlanner> planner;
+  std::unique_ptr<InstanceMover> mover;
+  int pool_changes = 0;
   FleetActions last;
   /// What broke an invariant, empty if nothing did.
   std::string violation;
 
  private:
+  void Take(const FleetActions& actions) {
+    for (const auto& transition : actions.transitions) {
+      this->CheckProposal(transition);
+      this->log.push_back(transition);
+    }
+    for (const auto& command : actions.commands) this->SendCommand(command);
+  }
+
+  void StartMove() {
+    if (!this->Chance(this->options.move_chance)) return;
+    const auto last = static_cast<int>(this->workers.size()) - 1;
+    const auto it = std::next(this->workers.begin(), this->Draw(0, last));
+    const PoolName to("p" +
+                      std::to_string(this->Draw(0, this->options.pools - 1)));
+    if (const auto started = this->mover->Start(it->first, to, this->Now())) {
+      this->Take({.transitions = {*started}});
+    }
+  }
+
+  // The instance must have left its old pool when it joins the new one.
+  void CheckPoolChange(const InstanceTransition& transition) {
+    const auto& worker = this->workers[transition.instance];
+    const auto& current = this->committed[transition.instance];
+    if (current.pool == transition.pool) return;
+    if (transition.epoch != current.epoch + 1) {
+      this->violation = "a change of pool without a new epoch";
+    }
+    if (!worker.tasks.empty()) {
+      this->violation = "a task runs in the old pool after the change";
+    }
+    ++this->pool_changes;
+  }
+
   struct Delayed {
     int due = 0;
     PlatformCommand command;
@@ -152,11 +188,14 @@
     const MaintenancePlanner::Hooks hooks{
         .tasks_on = [this](const auto& name) { return this->TasksOn(name); },
         .quarantined = [](const auto&) { return false; },
-        .moving = [](const auto&) { return false; }};
+        .moving = [this](const auto& name) { return this->mover->Owns(name); }};
     this->planner = std::make_unique<MaintenancePlanner>(
         this->options.config, hooks, *this->fleet, *this->directory, this->view,
         this->Now());
     this->planner->SetWave(this->wave);
+    this->mover = std::make_unique<InstanceMover>(
+        InstanceMover::Config{.patience = this->options.config.patience},
+        *this->fleet, *this->directory, hooks.tasks_on, this->view);
   }
 
   void ChangeLeader() {
@@ -281,6 +320,7 @@
     for (std::size_t i = 0; i < count; ++i) {
       const auto transition = this->log.front();
       this->log.pop_front();
+      this->CheckPoolChange(transition);
       auto& current = this->committed[transition.instance];
       if (transition.state == InstanceState::kDraining) {
         ++this->workers[transition.instance].drains;
@@ -288,6 +328,7 @@
       current = transition;
       this->wave.Apply(transition);
       this->planner->Apply(transition, this->Now());
+      this->mover->Apply(transition, this->Now());
     }
   }
 
