--- a/src/mimosastage/admission/allowance_holder.cc
+++ b/src/mimosastage/admission/allowance_holder.cc
@@ -148,6 +148,8 @@
   entry.second.recalled_total =
       std::max(entry.second.recalled_total, recall.recalled_total);
   this->SetAside(entry);
+  // A repeated recall shows that the report of the return may be lost.
+  this->MarkChanged(entry, false);
 }
 
 void AllowanceHolder::RecallAll() {
--- a/src/mimosastage/admission/allowance_lender.cc
+++ b/src/mimosastage/admission/allowance_lender.cc
@@ -23,13 +23,17 @@
 /// its start may not be applied yet.
 constexpr int kUnknownRounds = 100;
 
-/// Fractions that differ by less aren't sent again, to keep notices small.
-bool DiffersMuch(std::uint32_t known, std::uint32_t wanted) {
-  const std::uint32_t difference =
-      known > wanted ? known - wanted : wanted - known;
-  return difference > 10 && difference * 20 > known;
+/// Fractions that differ by less than 3% aren't sent again, to keep notices
+/// small.
+bool DiffersMuch(double known, double wanted) {
+  return std::abs(known - wanted) > 0.03 * known;
 }
 
+/// Gain of the correction of shares. 0.05 for each round of 100 ms settles in
+/// about 2 s, slower than a report and a notice take together.
+constexpr double kCorrectionGain = 0.05;
+constexpr double kLargestCorrection = 2;
+
 }  // namespace
 
 /// What one round has read and decided so far.
@@ -85,7 +89,8 @@
 }
 
 void AllowanceLender::SetLongestDeadline(Duration longest_deadline) {
-  this->longest_deadline = std::max(this->longest_deadline, longest_deadline);
+  this->longest_deadline = std::max(
+      this->longest_deadline.value_or(longest_deadline), longest_deadline);
 }
 
 void AllowanceLender::SetServer(const LendableServer& server) {
@@ -126,15 +131,19 @@
   const auto [item, added] = this->entries.try_emplace(session);
   if (added) {
     item->second.session = session;
-    item->second.lapsed_at = this->leader_since;
+    item->second.heard_at = this->leader_since;
     item->second.zone = this->zones[session.daemon];
   }
   return item->second;
 }
 
-void AllowanceLender::SessionHeard(Session session) {
+void AllowanceLender::SessionHeard(Session session, TimePoint at) {
   Entry& entry = this->FindEntry(session);
-  if (!entry.heard && !entry.ended_at) {
+  if (entry.ended_at) {
+    return;
+  }
+  entry.heard_at = std::max(entry.heard_at, at);
+  if (!entry.heard) {
     entry.heard = true;
     entry.needs_full = true;
     this->MarkAll();
@@ -144,13 +153,17 @@
 void AllowanceLender::SessionLapsed(Session session, TimePoint at) {
   Entry& entry = this->FindEntry(session);
   if (entry.heard) {
-    entry.heard = false;
-    entry.lapsed_at = std::max(at, this->leader_since);
-    this->ClearDemand(session);
-    this->MarkAll();
+    this->Lapse(entry, at);
   }
 }
 
+void AllowanceLender::Lapse(Entry& entry, TimePoint at) {
+  entry.heard = false;
+  entry.heard_at = std::max(at, this->leader_since);
+  this->ClearDemand(entry.session);
+  this->MarkAll();
+}
+
 bool AllowanceLender::MayServe(Session session) const {
   const auto found = this->entries.find(session);
   return found != this->entries.end() && found->second.alive &&
@@ -299,7 +312,7 @@
     if (!entry.alive) {
       entry.alive = true;
       // A session that started under this leader isn't older than this round.
-      entry.lapsed_at = std::max(entry.lapsed_at, plan.now);
+      entry.heard_at = std::max(entry.heard_at, plan.now);
       changed = true;
     }
   }
@@ -321,9 +334,13 @@
 }
 
 void AllowanceLender::EndLapsed(Plan& plan) {
-  const Duration wait = this->settings.lease + this->longest_deadline;
   for (auto& [session, entry] : this->entries) {
-    if (!entry.alive || entry.heard || plan.now - entry.lapsed_at <= wait) {
+    if (entry.heard && plan.now - entry.heard_at > this->settings.lease) {
+      this->Lapse(entry, entry.heard_at);
+    }
+    if (!entry.alive || entry.heard || !this->longest_deadline ||
+        plan.now - entry.heard_at <=
+            this->settings.lease + *this->longest_deadline) {
       continue;
     }
     if (!entry.ended_at ||
@@ -745,6 +762,7 @@
     by_session[session] = parts[index];
     targets[session] += parts[index++];
   }
+  Correct(team, entitlement);
   this->SetFractions(plan, pool, name, team, by_session);
 }
 
@@ -759,18 +777,35 @@
     return;
   }
   for (const auto& [session, part] : parts) {
-    const auto permille =
-        static_cast<std::uint32_t>(std::lround(part * 1000 / sum));
-    const auto known = team.fractions.find(session);
-    if (known != team.fractions.end() &&
-        !DiffersMuch(known->second, permille)) {
+    const double exact = 1'000'000 * team.correction * part / sum;
+    const auto millionths = static_cast<std::uint32_t>(std::lround(exact));
+    SentFraction& sent = team.fractions[session];
+    if (sent.millionths > 0 &&
+        (plan.now - sent.at < this->settings.fraction_interval ||
+         !DiffersMuch(sent.millionths, millionths))) {
       continue;
     }
-    team.fractions[session] = permille;
-    plan.Notice(session).fractions.push_back({pool, name, permille});
+    sent = {millionths, plan.now};
+    plan.Notice(session).fractions.push_back({pool, name, millionths});
   }
 }
 
+void AllowanceLender::Correct(PoolTeam& team, double entitlement) {
+  double running = 0;
+  double waiting = 0;
+  for (const auto& [session, demand] : team.demand) {
+    running += demand.running;
+    waiting += demand.waiting;
+  }
+  // Slots are whole units, so a team with small parts at many entries receives
+  // more or less than its parts. The weights at all entries make up for it.
+  const double ratio = waiting > 0 && running > 0 ? entitlement / running : 1;
+  const double corrected = std::pow(team.correction, 1 - kCorrectionGain / 5) *
+                           std::pow(ratio, kCorrectionGain);
+  team.correction =
+      std::clamp(corrected, 1 / kLargestCorrection, kLargestCorrection);
+}
+
 std::uint32_t AllowanceLender::LendSlots(Plan& plan, const PoolState& pool,
                                          const Position& position,
                                          std::uint32_t units) {
--- a/src/mimosastage/admission/allowance_lender.h
+++ b/src/mimosastage/admission/allowance_lender.h
@@ -58,7 +58,9 @@
     /// so that a unit moved to the next whole number doesn't move back.
     double hysteresis = 0.75;
     /// Repeats requests for full reports and recalls that may be lost.
-    Duration repeat = std::chrono::seconds(1);
+    Duration repeat = std::chrono::milliseconds(300);
+    /// Shortest time between two fractions for a team, pool and entry.
+    Duration fraction_interval = std::chrono::milliseconds(500);
     /// Teams and pools in which nothing waits are planned at this interval.
     Duration calm_interval = std::chrono::seconds(1);
   };
@@ -69,7 +71,8 @@
 
   /// Rows in force.
   void SetTeams(const std::vector<Team>& teams);
-  /// Longest deadline of the routes in force. A lower value than before has no
+  /// Longest deadline of the routes in force. No session is ended before the
+  /// first call. A lower value than before has no
   /// effect on this leader, because requests under the earlier one may run.
   void SetLongestDeadline(Duration longest_deadline);
   /// Announced backend servers.
@@ -78,10 +81,12 @@
   /// Zone of a daemon, from its settings.
   void SetZone(DaemonId daemon, const AvailabilityZone& zone);
 
-  /// The session asked for a lease or sent a report.
-  void SessionHeard(Session session);
-  /// The session isn't heard any more; `at` is when its last lease was granted
-  /// or later.
+  /// The session asked for a serving lease at `at` by the leader's clock; its
+  /// request was sent earlier, so the lease ends before `at` + lease. A session
+  /// that isn't heard for the length of a lease has lapsed.
+  void SessionHeard(Session session, TimePoint at);
+  /// The caller knows earlier that the session has ended, for example because
+  /// its daemon runs under a new one. `at` is when it was last heard or later.
   void SessionLapsed(Session session, TimePoint at);
   /// False before the first round that finds the session in the ledger and
   /// once its SessionEnd was proposed. The leader then grants it no lease,
@@ -114,7 +119,8 @@
     /// The ledger knows the session.
     bool alive = false;
     bool heard = false;
-    TimePoint lapsed_at{};
+    /// When it was last heard, or the start of the leadership.
+    TimePoint heard_at{};
     /// When a SessionEnd was last proposed.
     std::optional<TimePoint> ended_at;
     std::uint64_t last_report = 0;
@@ -125,9 +131,15 @@
 
     bool MayBorrow() const { return this->alive && this->heard; }
   };
+  struct SentFraction {
+    std::uint32_t millionths = 0;
+    TimePoint at{};
+  };
   struct PoolTeam {
     std::map<Session, TeamDemand> demand;
-    std::map<Session, std::uint32_t> fractions;
+    std::map<Session, SentFraction> fractions;
+    /// Raises or lowers the fractions by what the team received.
+    double correction = 1;
   };
   struct PoolState {
     std::set<BackendServerName> servers;
@@ -169,6 +181,7 @@
   void MarkAll();
 
   void SyncSessions(Plan& plan);
+  void Lapse(Entry& entry, TimePoint at);
   void EndLapsed(Plan& plan);
   void RequestFullReports(Plan& plan);
   void RepeatRecalls(Plan& plan);
@@ -199,6 +212,7 @@
                     std::map<Session, double>& targets);
   void SetFractions(Plan& plan, const PoolName& pool, const TeamName& name,
                     PoolTeam& team, const std::map<Session, double>& parts);
+  static void Correct(PoolTeam& team, double entitlement);
   double TeamLimit(const TeamName& name) const;
   std::uint32_t LendSlots(Plan& plan, const PoolState& pool,
                           const Position& position, std::uint32_t units);
@@ -219,7 +233,7 @@
 
   Settings settings;
   TimePoint leader_since;
-  Duration longest_deadline = std::chrono::seconds(30);
+  std::optional<Duration> longest_deadline;
   std::map<TeamName, TeamState> teams;
   std::map<BackendServerName, Server> servers;
   std::map<PoolName, PoolState> pools;
--- a/src/mimosastage/admission/allowance_messages.cc
+++ b/src/mimosastage/admission/allowance_messages.cc
@@ -62,7 +62,7 @@
 auto Encode(Builder& builder, const TeamFraction& fraction) {
   const auto pool = builder.CreateSharedString(fraction.pool.str());
   const auto team = builder.CreateString(fraction.team.str());
-  return wire::CreateTeamFraction(builder, pool, team, fraction.permille);
+  return wire::CreateTeamFraction(builder, pool, team, fraction.millionths);
 }
 
 template <class WireItem, class Item>
@@ -157,7 +157,8 @@
   });
   ForEach(root->fractions(), [&](const auto& item) {
     notice.fractions.push_back({PoolName(item.pool()->str()),
-                                TeamName(item.team()->str()), item.permille()});
+                                TeamName(item.team()->str()),
+                                item.millionths()});
   });
   if (!known) {
     return make_error_code(AdmissionError::kMalformedMessage);
--- a/src/mimosastage/admission/allowance_messages.h
+++ b/src/mimosastage/admission/allowance_messages.h
@@ -71,8 +71,8 @@
 struct TeamFraction {
   PoolName pool;
   TeamName team;
-  /// 0 to 1000.
-  std::uint32_t permille = 1000;
+  /// 1,000,000 is the whole; higher if the team has received less elsewhere.
+  std::uint32_t millionths = 1'000'000;
 
   bool operator==(const TeamFraction&) const = default;
 };
--- a/src/mimosastage/admission/fair_queue.cc
+++ b/src/mimosastage/admission/fair_queue.cc
@@ -16,7 +16,8 @@
 constexpr std::chrono::seconds kMeasurementValidity{5};
 /// Lower bound of a weight, because a team with waiting requests must progress
 /// even if the leader's fractions are late.
-constexpr double kMinWeight = 0.001;
+constexpr double kMinWeight = 0.0001;
+constexpr double kWhole = 1'000'000;
 constexpr double kMaxRetryAfterSeconds = 60;
 
 double Seconds(Duration duration) {
@@ -63,25 +64,25 @@
   this->CountWeight(team);
 }
 
-void FairQueue::SetFraction(const TeamName& name, std::uint32_t permille) {
+void FairQueue::SetFraction(const TeamName& name, std::uint32_t millionths) {
   TeamState& team = this->FindTeam(name);
-  if (!team.permille) {
-    ++this->permille_count;
+  if (!team.millionths) {
+    ++this->fraction_count;
   }
-  this->permille_sum += permille;
-  this->permille_sum -= team.permille.value_or(0);
-  team.permille = permille;
+  this->fraction_sum += millionths;
+  this->fraction_sum -= team.millionths.value_or(0);
+  team.millionths = millionths;
   this->CountWeight(team);
 }
 
 double FairQueue::Weight(const TeamState& team) const {
   // A team that the leader hasn't seen here yet counts like an average one.
-  const double mean = this->permille_count == 0
-                          ? 1000.0
-                          : static_cast<double>(this->permille_sum) /
-                                static_cast<double>(this->permille_count);
-  const double permille = team.permille ? *team.permille : mean;
-  return std::max(kMinWeight, team.share * permille / 1000.0);
+  const double mean = this->fraction_count == 0
+                          ? kWhole
+                          : static_cast<double>(this->fraction_sum) /
+                                static_cast<double>(this->fraction_count);
+  const double millionths = team.millionths ? *team.millionths : mean;
+  return std::max(kMinWeight, team.share * millionths / kWhole);
 }
 
 void FairQueue::CountWeight(TeamState& team) {
--- a/src/mimosastage/admission/fair_queue.h
+++ b/src/mimosastage/admission/fair_queue.h
@@ -65,9 +65,9 @@
 
   /// Share of a team by the table in force; 1 until set.
   void SetShare(const TeamName& team, std::uint32_t share);
-  /// Part of the team's entitlement that falls to this entry, in thousandths,
-  /// from LenderNotice.
-  void SetFraction(const TeamName& team, std::uint32_t permille);
+  /// Part of the team's entitlement that falls to this entry, from
+  /// LenderNotice.
+  void SetFraction(const TeamName& team, std::uint32_t millionths);
 
   /// Accepts the request, or says why not. A request of a team below its share
   /// displaces one of the team furthest above when the queue is full.
@@ -124,7 +124,7 @@
   struct TeamState {
     TeamName name;
     std::uint32_t share = 1;
-    std::optional<std::uint32_t> permille;
+    std::optional<std::uint32_t> millionths;
     double virtual_time = 0;
     /// Waits for a unit of the team's limit.
     bool parked = false;
@@ -183,8 +183,8 @@
   std::set<TeamState*, ByVirtualTime> ready;
   double waiting_weight = 0;
   double virtual_time = 0;
-  std::uint64_t permille_sum = 0;
-  std::uint64_t permille_count = 0;
+  std::uint64_t fraction_sum = 0;
+  std::uint64_t fraction_count = 0;
   std::unordered_map<std::uint64_t, Waiting> requests;
   std::set<std::pair<TimePoint, std::uint64_t>> by_latest_start;
   std::unordered_map<std::uint64_t, Running> running_requests;
--- a/src/mimosastage/admission/internal/allowance_generated.h
+++ b/src/mimosastage/admission/internal/allowance_generated.h
@@ -445,7 +445,7 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_POOL = 4,
     VT_TEAM = 6,
-    VT_PERMILLE = 8
+    VT_MILLIONTHS = 8
   };
   const flatbuffers::String *pool() const {
     return GetPointer<const flatbuffers::String *>(VT_POOL);
@@ -453,8 +453,8 @@
   const flatbuffers::String *team() const {
     return GetPointer<const flatbuffers::String *>(VT_TEAM);
   }
-  uint32_t permille() const {
-    return GetField<uint32_t>(VT_PERMILLE, 1000);
+  uint32_t millionths() const {
+    return GetField<uint32_t>(VT_MILLIONTHS, 1000000);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -462,7 +462,7 @@
            verifier.VerifyString(pool()) &&
            VerifyOffsetRequired(verifier, VT_TEAM) &&
            verifier.VerifyString(team()) &&
-           VerifyField<uint32_t>(verifier, VT_PERMILLE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_MILLIONTHS, 4) &&
            verifier.EndTable();
   }
 };
@@ -477,8 +477,8 @@
   void add_team(flatbuffers::Offset<flatbuffers::String> team) {
     fbb_.AddOffset(TeamFraction::VT_TEAM, team);
   }
-  void add_permille(uint32_t permille) {
-    fbb_.AddElement<uint32_t>(TeamFraction::VT_PERMILLE, permille, 1000);
+  void add_millionths(uint32_t millionths) {
+    fbb_.AddElement<uint32_t>(TeamFraction::VT_MILLIONTHS, millionths, 1000000);
   }
   explicit TeamFractionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -497,9 +497,9 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> pool = 0,
     flatbuffers::Offset<flatbuffers::String> team = 0,
-    uint32_t permille = 1000) {
+    uint32_t millionths = 1000000) {
   TeamFractionBuilder builder_(_fbb);
-  builder_.add_permille(permille);
+  builder_.add_millionths(millionths);
   builder_.add_team(team);
   builder_.add_pool(pool);
   return builder_.Finish();
@@ -509,14 +509,14 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *pool = nullptr,
     const char *team = nullptr,
-    uint32_t permille = 1000) {
+    uint32_t millionths = 1000000) {
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   auto team__ = team ? _fbb.CreateString(team) : 0;
   return mimosastage::admission_wire::CreateTeamFraction(
       _fbb,
       pool__,
       team__,
-      permille);
+      millionths);
 }
 
 struct LenderNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- /dev/null
+++ b/tests/admission/allowance_lender_test.cc
@@ -0,0 +1,163 @@
+#include "mimosastage/admission/allowance_lender.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace mimosastage {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class AllowanceLenderTest : public ::testing::Test {
+ protected:
+  AllowanceLenderTest()
+      : ledger([this](const std::string&) { return this->team.upper_limit; }),
+        lender({}, this->now) {
+    for (const Session session : {this->a, this->b}) {
+      this->ledger.StartSession(session);
+      this->lender.SetZone(session.daemon, this->Zone(session));
+    }
+    this->lender.SetTeams({this->team});
+    this->lender.SetLongestDeadline(seconds(30));
+    for (const char* name : {"x", "y"}) {
+      this->lender.SetServer({BackendServerName(name), this->pool,
+                              AvailabilityZone(name), 8, true});
+    }
+  }
+
+  AvailabilityZone Zone(Session session) const {
+    return AvailabilityZone(session == this->a ? "x" : "y");
+  }
+
+  /// Reports the session's demand, and its units as its holder would.
+  void Report(Session session, std::uint32_t waiting) {
+    this->lender.SessionHeard(session, this->now);
+    DemandReport report{session, ++this->numbers[session], 0, true, {}, {}};
+    for (const AllowanceHolding& holding : this->ledger.HoldingsOf(session)) {
+      const bool limit = holding.resource.kind == ResourceKind::kTeamLimit;
+      const std::uint64_t recalled = std::min(
+          this->recalls[{session, holding.resource}], holding.lent_total);
+      report.resources.push_back(
+          {holding.resource, 0, 0, limit ? waiting : 0, recalled});
+    }
+    if (report.resources.empty()) {
+      report.resources.push_back({this->limit, 0, 0, waiting, 0});
+    }
+    report.teams.push_back({this->pool, this->team.name, waiting, 0});
+    this->lender.HandleReport(report);
+  }
+
+  LenderRound Round(bool apply = true) {
+    LenderRound round = this->lender.Round(this->ledger, this->now);
+    for (const LenderNotice& notice : round.notices) {
+      for (const RecallRequest& recall : notice.recalls) {
+        this->recalls[{notice.session, recall.resource}] =
+            recall.recalled_total;
+      }
+    }
+    if (round.moves) {
+      if (apply) {
+        this->ledger.Apply(*round.moves);
+      }
+      this->lender.MovesFinished(apply);
+    }
+    this->now += milliseconds(100);
+    return round;
+  }
+
+  /// Rounds with reports from both entries; returns how many moved units.
+  int RunRounds(int rounds, std::uint32_t waiting_a, std::uint32_t waiting_b) {
+    int moving = 0;
+    for (int i = 0; i < rounds; ++i) {
+      this->Report(this->a, waiting_a);
+      this->Report(this->b, waiting_b);
+      moving += this->Round().moves ? 1 : 0;
+    }
+    return moving;
+  }
+
+  std::uint32_t Slots(const char* server, Session session) {
+    return this->ledger.Held({ResourceKind::kBackendServerSlots, server},
+                             session);
+  }
+
+  TimePoint now{seconds(100)};
+  Team team{TeamName("team"), 1, 16};
+  PoolName pool{"pool"};
+  Resource limit{ResourceKind::kTeamLimit, "team"};
+  Session a{DaemonId{0}, SessionId{1}};
+  Session b{DaemonId{1}, SessionId{1}};
+  std::map<Session, std::uint64_t> numbers;
+  std::map<std::pair<Session, Resource>, std::uint64_t> recalls;
+  AllowanceLedger ledger;
+  AllowanceLender lender;
+};
+
+// Guards against units that come back while a request of a lapsed entry may
+// run, against a lease for a session whose units are already given away, and
+// against a new leader that counts from an earlier leadership.
+TEST_F(AllowanceLenderTest, LapsedSession_BeforeAndAfterWait_EndsOnceSafe) {
+  this->RunRounds(5, 20, 20);
+  const TimePoint heard = this->now - milliseconds(100);
+  AllowanceLender next({}, this->now + seconds(20));
+  next.SetLongestDeadline(seconds(30));
+  while (this->now <= heard + seconds(32)) {
+    this->lender.SessionHeard(this->b, this->now);
+    ASSERT_TRUE(this->Round().ended.empty());
+    ASSERT_TRUE(this->lender.MayServe(this->a));
+  }
+  this->lender.SessionHeard(this->b, this->now);
+  const LenderRound round = this->Round();
+  ASSERT_EQ(round.ended.size(), 1U);
+  EXPECT_EQ(round.ended.front().session, this->a);
+  this->lender.SessionHeard(this->a, this->now);
+  EXPECT_FALSE(this->lender.MayServe(this->a));
+  EXPECT_TRUE(this->lender.MayServe(this->b));
+  EXPECT_TRUE(next.Round(this->ledger, heard + seconds(50)).ended.empty());
+  EXPECT_EQ(next.Round(this->ledger, heard + seconds(90)).ended.size(), 2U);
+}
+
+// Guards against units that bounce between entries under steady demand, and
+// against slots in a far zone where near ones are free.
+TEST_F(AllowanceLenderTest, SteadyDemand_AfterSettling_MovesNothing) {
+  this->team.upper_limit = 15;
+  this->lender.SetTeams({this->team});
+  this->RunRounds(30, 20, 20);
+  EXPECT_EQ(this->RunRounds(100, 20, 20), 0);
+  EXPECT_EQ(this->Slots("x", this->a) + this->Slots("y", this->b), 16U);
+  EXPECT_EQ(this->ledger.Lent(this->limit), 15U);
+}
+
+// Guards against moves that are forgotten when their command fails, and against
+// a second command while the first is on its way.
+TEST_F(AllowanceLenderTest, FailedCommand_NextRound_ProposesAgain) {
+  this->Report(this->a, 20);
+  this->Report(this->b, 20);
+  EXPECT_TRUE(this->lender.Round(this->ledger, this->now).moves.has_value());
+  EXPECT_FALSE(this->lender.Round(this->ledger, this->now).moves.has_value());
+  this->lender.MovesFinished(false);
+  EXPECT_TRUE(this->Round().moves.has_value());
+  EXPECT_EQ(this->ledger.Lent(this->limit), 16U);
+}
+
+// Guards against units that stay lent above a lowered limit or for a departing
+// or removed server.
+TEST_F(AllowanceLenderTest, ShrunkResources_AfterRounds_AreRecalled) {
+  this->RunRounds(30, 20, 20);
+  this->team.upper_limit = 9;
+  this->lender.SetTeams({this->team});
+  this->lender.SetServer(
+      {BackendServerName("x"), this->pool, AvailabilityZone("x"), 8, false});
+  this->lender.RemoveServer(BackendServerName("y"));
+  this->RunRounds(30, 20, 20);
+  EXPECT_EQ(this->ledger.Lent(this->limit), 9U);
+  EXPECT_EQ(this->ledger.Lent({ResourceKind::kBackendServerSlots, "x"}), 0U);
+  EXPECT_EQ(this->ledger.Size({ResourceKind::kBackendServerSlots, "y"}), 0U);
+}
+
+}  // namespace
+}  // namespace mimosastage
