--- a/src/mimosastage/daemons/internal/link.cc
+++ b/src/mimosastage/daemons/internal/link.cc
@@ -81,7 +81,7 @@
   const auto nonce = builder.CreateVector(
       reinterpret_cast<const std::uint8_t*>(this->self.nonce.data()),
       this->self.nonce.size());
-  builder.Finish(wire::CreateHello(
+  builder.Finish(link_wire::CreateHello(
       builder, kProtocolVersion, builder.CreateString(this->settings.cluster),
       static_cast<std::uint16_t>(this->self.daemon), nonce));
   const std::string_view payload(
@@ -140,11 +140,11 @@
   flatbuffers::Verifier verifier(
       reinterpret_cast<const std::uint8_t*>(this->body.data()),
       this->body.size());
-  if (!wire::VerifyHelloBuffer(verifier)) {
+  if (!link_wire::VerifyHelloBuffer(verifier)) {
     this->hooks.on_drop("bad_hello");
     return false;
   }
-  const wire::Hello* hello = wire::GetHello(this->body.data());
+  const link_wire::Hello* hello = link_wire::GetHello(this->body.data());
   if (hello->version() != kProtocolVersion || hello->cluster() == nullptr ||
       hello->cluster()->string_view() != this->settings.cluster ||
       hello->nonce() == nullptr || hello->nonce()->size() != kNonceSize) {
--- a/src/mimosastage/daemons/message_codec.cc
+++ b/src/mimosastage/daemons/message_codec.cc
@@ -26,16 +26,16 @@
           builder.GetSize()};
 }
 
-flatbuffers::Offset<wire::Proposal> ToWire(FlatBufferBuilder& builder,
-                                           const Proposal& proposal) {
+flatbuffers::Offset<link_wire::Proposal> ToWire(FlatBufferBuilder& builder,
+                                                const Proposal& proposal) {
   const auto command = ToVector(builder, proposal.command);
-  return wire::CreateProposal(
+  return link_wire::CreateProposal(
       builder, static_cast<std::uint16_t>(proposal.session.daemon),
       static_cast<std::uint64_t>(proposal.session.id), proposal.number,
       command);
 }
 
-Proposal FromWire(const wire::Proposal& proposal) {
+Proposal FromWire(const link_wire::Proposal& proposal) {
   return Proposal{
       Session{DaemonId{proposal.daemon()}, SessionId{proposal.session()}},
       proposal.number(), ToString(proposal.command())};
@@ -43,32 +43,32 @@
 
 /// Writes the body of each kind of message; returns its union type and offset.
 struct BodyWriter {
-  using Body = std::pair<wire::Body, flatbuffers::Offset<void>>;
+  using Body = std::pair<link_wire::Body, flatbuffers::Offset<void>>;
 
   FlatBufferBuilder& builder;
 
   Body operator()(const ReplicationBytes& message) const {
     const auto bytes = ToVector(this->builder, message.bytes);
-    return {wire::Body_Replication,
-            wire::CreateReplication(this->builder, bytes).Union()};
+    return {link_wire::Body_Replication,
+            link_wire::CreateReplication(this->builder, bytes).Union()};
   }
   Body operator()(const Proposal& message) const {
-    return {wire::Body_Proposal, ToWire(this->builder, message).Union()};
+    return {link_wire::Body_Proposal, ToWire(this->builder, message).Union()};
   }
   Body operator()(const DemandBytes& message) const {
     const auto bytes = ToVector(this->builder, message.bytes);
-    return {wire::Body_Demand,
-            wire::CreateDemand(this->builder, bytes).Union()};
+    return {link_wire::Body_Demand,
+            link_wire::CreateDemand(this->builder, bytes).Union()};
   }
   Body operator()(const RecallBytes& message) const {
     const auto bytes = ToVector(this->builder, message.bytes);
-    return {wire::Body_Recall,
-            wire::CreateRecall(this->builder, bytes).Union()};
+    return {link_wire::Body_Recall,
+            link_wire::CreateRecall(this->builder, bytes).Union()};
   }
   Body operator()(const AnnouncementBytes& message) const {
     const auto bytes = ToVector(this->builder, message.bytes);
-    return {wire::Body_Announcements,
-            wire::CreateAnnouncements(this->builder, bytes).Union()};
+    return {link_wire::Body_Announcements,
+            link_wire::CreateAnnouncements(this->builder, bytes).Union()};
   }
 };
 
@@ -81,33 +81,33 @@
 std::string EncodeMessage(const DaemonMessage& message) {
   FlatBufferBuilder builder;
   const auto [type, body] = std::visit(BodyWriter{builder}, message);
-  builder.Finish(wire::CreateMessage(builder, type, body));
+  builder.Finish(link_wire::CreateMessage(builder, type, body));
   return Finished(builder);
 }
 
 Result<DaemonMessage> DecodeMessage(std::string_view bytes) {
   flatbuffers::Verifier verifier(
       reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
-  if (!wire::VerifyMessageBuffer(verifier)) {
+  if (!link_wire::VerifyMessageBuffer(verifier)) {
     return BadMessage();
   }
-  const wire::Message* message = wire::GetMessage(bytes.data());
+  const link_wire::Message* message = link_wire::GetMessage(bytes.data());
   if (message->body() == nullptr) {
     return BadMessage();
   }
   switch (message->body_type()) {
-    case wire::Body_Replication:
+    case link_wire::Body_Replication:
       return DaemonMessage(
           ReplicationBytes{ToString(message->body_as_Replication()->bytes())});
-    case wire::Body_Proposal:
+    case link_wire::Body_Proposal:
       return DaemonMessage(FromWire(*message->body_as_Proposal()));
-    case wire::Body_Demand:
+    case link_wire::Body_Demand:
       return DaemonMessage(
           DemandBytes{ToString(message->body_as_Demand()->bytes())});
-    case wire::Body_Recall:
+    case link_wire::Body_Recall:
       return DaemonMessage(
           RecallBytes{ToString(message->body_as_Recall()->bytes())});
-    case wire::Body_Announcements:
+    case link_wire::Body_Announcements:
       return DaemonMessage(AnnouncementBytes{
           ToString(message->body_as_Announcements()->bytes())});
     default:
@@ -124,10 +124,10 @@
 Result<Proposal> DecodeProposal(std::string_view bytes) {
   flatbuffers::Verifier verifier(
       reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
-  if (!verifier.VerifyBuffer<wire::Proposal>(nullptr)) {
+  if (!verifier.VerifyBuffer<link_wire::Proposal>(nullptr)) {
     return BadMessage();
   }
-  return FromWire(*flatbuffers::GetRoot<wire::Proposal>(bytes.data()));
+  return FromWire(*flatbuffers::GetRoot<link_wire::Proposal>(bytes.data()));
 }
 
 }  // namespace mimosastage
--- /dev/null
+++ b/src/mimosastage/node/lending_service.h
@@ -0,0 +1,69 @@
+#ifndef MIMOSASTAGE_NODE_LENDING_SERVICE_H_
+#define MIMOSASTAGE_NODE_LENDING_SERVICE_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "mimosastage/admission/allowance_lender.h"
+#include "mimosastage/base/time.h"
+#include "mimosastage/routing/backend_server_directory.h"
+#include "mimosastage/state/commands.h"
+
+namespace mimosastage {
+
+/// Lends units while this daemon leads: keeps the lender's view of sessions,
+/// rows and backend servers up to date, and proposes its moves.
+class LendingService {
+ public:
+  struct Settings {
+    AllowanceLender::Settings lender;
+    /// Zone of each daemon, by its id.
+    std::vector<AvailabilityZone> zones;
+  };
+
+  struct Hooks {
+    std::function<void(const AllowanceMoves& moves,
+                       std::function<void(bool applied)> finished)>
+        propose_moves;
+    std::function<void(const SessionEnd& command)> propose_end;
+    std::function<void(const LenderNotice& notice)> send_notice;
+  };
+
+  LendingService(Settings settings, Hooks hooks);
+
+  /// Starts or ends lending with the leadership.
+  void SetLeader(bool leader, TimePoint now);
+  void OnTablesChanged(const std::vector<Team>& teams,
+                       Duration longest_deadline);
+  /// Compares the directory with what the lender knows.
+  void OnDirectoryChange(const BackendServerDirectory& directory,
+                         const std::map<PoolName, std::uint32_t>& pool_slots);
+
+  /// False if the session must get no lease because its units may already be
+  /// lent to others. Call for each lease request that arrives.
+  bool OnLeaseRequest(Session session, TimePoint now);
+  void OnReport(const DemandReport& report, TimePoint now);
+
+  /// One round; the owner calls it every 100 ms. Does nothing on a daemon that
+  /// doesn't lead.
+  void Round(const AllowanceLedger& ledger, TimePoint now);
+
+ private:
+  void ResetLender(TimePoint now);
+
+  Settings settings;
+  Hooks hooks;
+  std::optional<AllowanceLender> lender;
+  std::vector<Team> teams;
+  Duration longest_deadline{};
+  std::map<BackendServerName, LendableServer> servers;
+  /// Tells the end of moves that a former leadership proposed apart.
+  std::uint64_t leadership = 0;
+};
+
+}  // namespace mimosastage
+
+#endif  // MIMOSASTAGE_NODE_LENDING_SERVICE_H_
--- /dev/null
+++ b/src/mimosastage/node/node.cc
@@ -0,0 +1,742 @@
+#include "mimosastage/node/node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "mimosastage/backend_servers/announcement_json.h"
+#include "mimosastage/state/state_error.h"
+#include "mimosastage/telemetry/log.h"
+
+namespace mimosastage {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kReplicationTick{20};
+constexpr milliseconds kLendingRound{100};
+constexpr milliseconds kDemandCheck{20};
+constexpr milliseconds kAnnouncementCheck{100};
+/// Renewals wait this long, so that one message carries many.
+constexpr milliseconds kAnnouncementInterval{500};
+constexpr milliseconds kQueueCheck{50};
+constexpr milliseconds kDirectoryCheck{250};
+constexpr seconds kGaugeInterval{1};
+constexpr seconds kIntentExpiryInterval{600};
+constexpr std::chrono::hours kIntentsKept{24};
+/// How long a planned stop waits for its last command.
+constexpr seconds kSessionEndWait{2};
+/// An operator's change that wasn't applied by then has an unknown outcome.
+constexpr seconds kChangeWait{10};
+
+TimePoint Never() { return TimePoint::max(); }
+
+/// What the outcome of an IntentBegin means for its request.
+RequestEvent ToEvent(const Outcome& outcome) {
+  IntentBeginOutcome begun;
+  begun.answer = outcome.answer;
+  if (!outcome.error) {
+    return IntentAnswered{begun};
+  }
+  switch (AsStateError(outcome.error)) {
+    case StateError::kIntentInProgress:
+      begun.result = IntentBeginResult::kInProgress;
+      return IntentAnswered{begun};
+    case StateError::kIntentCompleted:
+      begun.result = IntentBeginResult::kCompleted;
+      return IntentAnswered{begun};
+    case StateError::kIntentUnknown:
+      begun.result = IntentBeginResult::kUnknown;
+      return IntentAnswered{begun};
+    case StateError::kIntentDiffers:
+      begun.result = IntentBeginResult::kFingerprintDiffers;
+      return IntentAnswered{begun};
+    case StateError::kIntentsFull:
+      begun.result = IntentBeginResult::kFull;
+      return IntentAnswered{begun};
+    default:
+      return IntentNotCommitted{};
+  }
+}
+
+}  // namespace
+
+Node::Node(Config config, Hooks hooks, Metrics& metrics)
+    : config(std::move(config)),
+      hooks(std::move(hooks)),
+      metrics(metrics),
+      holder(AllowanceHolder::Settings{},
+             Session{this->config.settings.self, this->hooks.new_session()},
+             [this](const Resource& resource) {
+               this->requests.OnAvailable(resource);
+             }),
+      replication(this->ReplicationSettings(), this->ReplicationHooks()),
+      lending(this->LendingSettings(), this->LendingHooks()),
+      requests(this->RequestSettings(), this->RequestHooks(), this->directory,
+               this->holder, this->timers),
+      operators(OperatorApi::Keys{this->config.settings.operator_key.Reveal(),
+                                  this->config.settings.platform_key.Reveal()},
+                this->MakeOperatorHooks()),
+      session(this->holder.session()) {}
+
+ReplicationService::Settings Node::ReplicationSettings() const {
+  const Settings& settings = this->config.settings;
+  ReplicationService::Settings replication_settings;
+  replication_settings.replica.self = settings.self;
+  replication_settings.replica.voters = settings.Voters();
+  for (std::size_t i = 0; i < settings.daemons.size(); ++i) {
+    if (!settings.daemons[i].voter) {
+      replication_settings.replica.followers.push_back(
+          DaemonId{static_cast<std::uint16_t>(i)});
+    }
+  }
+  replication_settings.replica.seed = this->config.seed;
+  replication_settings.replica.timing.heartbeat_interval =
+      settings.timing.heartbeat;
+  replication_settings.lease.length = settings.timing.lease;
+  replication_settings.lease.renewal = settings.timing.lease / 4;
+  replication_settings.proposer = this->holder.session().id;
+  return replication_settings;
+}
+
+ReplicationService::Hooks Node::ReplicationHooks() {
+  ReplicationService::Hooks replication_hooks;
+  replication_hooks.send = [this](DaemonId to, const DaemonMessage& message) {
+    this->SendTo(to, message);
+  };
+  replication_hooks.persist = [this](DurableWrite&& write) {
+    this->hooks.persist(std::move(write));
+  };
+  replication_hooks.on_applied = [this](LogIndex index, const Command& command,
+                                        const Outcome& outcome) {
+    this->OnApplied(index, command, outcome);
+  };
+  replication_hooks.on_restored = [this] { this->OnRestored(); };
+  replication_hooks.may_grant = [this](Session asking, TimePoint now) {
+    return this->lending.OnLeaseRequest(asking, now);
+  };
+  replication_hooks.on_leader_changed = [this](std::optional<DaemonId> leader) {
+    this->OnLeaderChanged(leader);
+  };
+  replication_hooks.count_drop = [this](std::string_view reason) {
+    this->Drop(reason);
+  };
+  return replication_hooks;
+}
+
+LendingService::Settings Node::LendingSettings() const {
+  LendingService::Settings lending_settings;
+  lending_settings.lender.lease = this->config.settings.timing.lease;
+  for (const DaemonSettings& daemon : this->config.settings.daemons) {
+    lending_settings.zones.push_back(daemon.availability_zone);
+  }
+  return lending_settings;
+}
+
+LendingService::Hooks Node::LendingHooks() {
+  LendingService::Hooks lending_hooks;
+  lending_hooks.propose_moves = [this](const AllowanceMoves& moves,
+                                       std::function<void(bool)> finished) {
+    this->replication.ProposeOnce(moves, this->last_now,
+                                  [finished = std::move(finished)](
+                                      const std::optional<Outcome>& outcome) {
+                                    finished(outcome.has_value());
+                                  });
+  };
+  lending_hooks.propose_end = [this](const SessionEnd& command) {
+    this->replication.ProposeOnce(command, this->last_now,
+                                  [](const std::optional<Outcome>&) {});
+  };
+  lending_hooks.send_notice = [this](const LenderNotice& notice) {
+    if (notice.session.daemon == this->config.settings.self) {
+      this->OnNotice(notice);
+    } else {
+      this->SendTo(notice.session.daemon,
+                   RecallBytes{EncodeLenderNotice(notice)});
+    }
+  };
+  return lending_hooks;
+}
+
+RequestService::Settings Node::RequestSettings() const {
+  const Settings& settings = this->config.settings;
+  RequestService::Settings request_settings;
+  request_settings.self = settings.self;
+  request_settings.availability_zone = settings.availability_zone;
+  request_settings.entry_count =
+      static_cast<std::uint32_t>(settings.daemons.size());
+  request_settings.queue.max_waiting = settings.limits.queue_length;
+  request_settings.seed = this->config.seed + 1;
+  return request_settings;
+}
+
+RequestService::Hooks Node::RequestHooks() {
+  RequestService::Hooks request_hooks;
+  request_hooks.find_route =
+      [this](const RouteName& name) -> std::optional<Route> {
+    const Route* route =
+        this->replication.State().Tables().FindRoute(name.str());
+    return route == nullptr ? std::nullopt : std::optional<Route>(*route);
+  };
+  request_hooks.find_key =
+      [this](const std::string& key) -> std::optional<KeyOwner> {
+    const Key* found = this->replication.State().Keys().FindBySecret(key);
+    return found == nullptr
+               ? std::nullopt
+               : std::optional<KeyOwner>(KeyOwner{found->team, found->client});
+  };
+  request_hooks.serving_until = [this](TimePoint now) {
+    return this->replication.ServingUntil(now);
+  };
+  request_hooks.session = [this] { return this->session; };
+  request_hooks.wall_time = this->hooks.wall_time;
+  request_hooks.begin_intent = [this](
+                                   const IntentBegin& command,
+                                   std::function<void(RequestEvent &&)> done) {
+    return this->replication.Propose(
+        command, this->last_now, Never(),
+        [done = std::move(done)](const std::optional<Outcome>& outcome) {
+          done(ToEvent(*outcome));
+        });
+  };
+  request_hooks.end_intent = [this](const IntentEnd& command) {
+    this->ProposeReliably(command);
+  };
+  request_hooks.start_exchange = this->hooks.start_exchange;
+  request_hooks.cancel_exchange = this->hooks.cancel_exchange;
+  request_hooks.answer = this->hooks.answer_caller;
+  request_hooks.count_refusal = [this](std::string_view reason) {
+    this->metrics.Add(metrics::kRefusals, reason);
+  };
+  request_hooks.count_retry = [this](std::string_view reason) {
+    this->metrics.Add(metrics::kRetries, reason);
+  };
+  request_hooks.count_ejection = [this](std::string_view reason) {
+    this->metrics.Add(metrics::kEjections, reason);
+  };
+  request_hooks.record_wait = [this](const RouteName& route, Duration wait) {
+    this->metrics.Observe(metrics::kWaitTime, wait, route.str());
+  };
+  request_hooks.record_service = [this](const RouteName& route,
+                                        Duration service) {
+    this->metrics.Observe(metrics::kServiceTime, service, route.str());
+  };
+  return request_hooks;
+}
+
+OperatorHooks Node::MakeOperatorHooks() {
+  OperatorHooks operator_hooks;
+  operator_hooks.propose = [this](const Command& command,
+                                  OperatorHooks::ProposalDone done) {
+    this->ProposeForOperator(command, std::move(done));
+  };
+  operator_hooks.view = [this] { return this->View(); };
+  operator_hooks.status = [this] { return this->Status(); };
+  operator_hooks.members = [this] { return this->Members(); };
+  operator_hooks.metrics_text = [this] {
+    return this->metrics.PrometheusText();
+  };
+  operator_hooks.announce = [this](const std::string& body,
+                                   OperatorHooks::ReplyDone done) {
+    this->OnAnnouncement(body, std::move(done));
+  };
+  return operator_hooks;
+}
+
+void Node::ProposeForOperator(const Command& command,
+                              OperatorHooks::ProposalDone done) {
+  const bool proposed = this->replication.Propose(
+      command, this->last_now, this->last_now + kChangeWait,
+      [done](const std::optional<Outcome>& outcome) {
+        ProposalResult result;
+        if (outcome.has_value()) {
+          result.kind = ProposalResult::Kind::kCommitted;
+          result.outcome = *outcome;
+        } else {
+          result.detail =
+              "the change wasn't applied in time; send it again with the same "
+              "change id";
+        }
+        done(result);
+      });
+  if (!proposed) {
+    ProposalResult result;
+    result.kind = ProposalResult::Kind::kNotAccepted;
+    result.detail = "too many changes wait for the log; send it again later";
+    done(result);
+  }
+}
+
+// The view is copied once for each applied index at most, and only if someone
+// asks.
+std::shared_ptr<const OperatorView> Node::View() {
+  const LogIndex applied = this->replication.Applied();
+  if (this->view == nullptr || this->view_index != applied) {
+    auto fresh = std::make_shared<OperatorView>();
+    fresh->tables = this->replication.State().Tables();
+    fresh->keys = this->replication.State().Keys().Keys();
+    this->view = std::move(fresh);
+    this->view_index = applied;
+  }
+  return this->view;
+}
+
+DaemonStatus Node::Status() const {
+  DaemonStatus status;
+  status.cluster = this->config.settings.cluster;
+  status.daemon = this->config.settings.daemon;
+  status.ready = this->Ready(this->last_now);
+  if (!status.ready) {
+    status.not_ready_reason =
+        this->shutdown_began.has_value()
+            ? "the daemon is stopping"
+            : "no serving lease: no contact with a quorum";
+  }
+  if (const auto leader = this->replication.Leader(this->last_now);
+      leader.has_value()) {
+    status.leader =
+        this->config.settings.daemons[static_cast<std::size_t>(*leader)].name;
+  }
+  status.view = this->replication.View();
+  status.commit = this->replication.Applied();
+  status.applied = this->replication.Applied();
+  return status;
+}
+
+std::vector<MemberStatus> Node::Members() const {
+  const auto leader = this->replication.Leader(this->last_now);
+  std::vector<MemberStatus> members;
+  for (std::size_t i = 0; i < this->config.settings.daemons.size(); ++i) {
+    const DaemonSettings& daemon = this->config.settings.daemons[i];
+    const DaemonId id{static_cast<std::uint16_t>(i)};
+    MemberStatus member;
+    member.name = daemon.name;
+    member.link = daemon.link.str();
+    member.availability_zone = daemon.availability_zone;
+    member.voter = daemon.voter;
+    member.leader = leader == id;
+    member.connected =
+        id == this->config.settings.self || this->connected.contains(id);
+    members.push_back(std::move(member));
+  }
+  return members;
+}
+
+void Node::OnAnnouncement(const std::string& body,
+                          OperatorHooks::ReplyDone done) {
+  const auto announcement = ParseAnnouncement(body);
+  if (!announcement.has_value()) {
+    done(JsonReply{400, AnnouncementErrorBody(400, announcement.error())});
+    return;
+  }
+  const bool was_known = this->directory.Find(announcement->name) != nullptr;
+  const auto interval =
+      this->directory.OnAnnouncement(*announcement, this->last_now);
+  if (!interval.has_value()) {
+    this->Drop("refused_announcement");
+    done(JsonReply{409, AnnouncementErrorBody(409, interval.error())});
+    return;
+  }
+  if (this->directory.HasUrgentChanges()) {
+    this->OnDirectoryChange();
+  }
+  if (!was_known) {
+    LogEvent(LogSeverity::kInfo, events::kBackendServerAnnounced,
+             "a backend server announced itself")
+        .With("backend_server", announcement->name.str())
+        .With("pool", announcement->pool.str());
+  }
+  done(JsonReply{200, AnnouncementReplyBody(*interval)});
+}
+
+void Node::OnOperatorRequest(HttpRequest&& request, TimePoint now) {
+  this->last_now = now;
+  const std::uint64_t id = request.id;
+  this->operators.Handle(std::move(request), [this, id](HttpAnswer&& answer) {
+    this->hooks.answer_operator(id, std::move(answer));
+  });
+}
+
+void Node::Start(std::optional<DurableImage> image, TimePoint now) {
+  this->last_now = now;
+  this->replication.Start(std::move(image), now);
+  this->BeginSession();
+  this->Subscribe(now);
+}
+
+void Node::Subscribe(TimePoint now) {
+  const auto every = [&](Duration period, void (Node::*action)(TimePoint)) {
+    this->subscriptions.push_back(this->timers.Every(
+        now + period, period,
+        [this, action](TimePoint due) { (this->*action)(due); }));
+  };
+  every(kReplicationTick, &Node::TickReplication);
+  every(kLendingRound, &Node::LendingRound);
+  every(kDemandCheck, &Node::SendDemand);
+  every(kAnnouncementCheck, &Node::SendAnnouncements);
+  every(kQueueCheck, &Node::ExpireQueues);
+  every(kDirectoryCheck, &Node::ExpireDirectory);
+  every(kGaugeInterval, &Node::UpdateGauges);
+  every(kIntentExpiryInterval, &Node::ExpireIntents);
+}
+
+void Node::BeginSession() {
+  this->session_alive = false;
+  this->replication.SetSession(this->session);
+  this->ProposeReliably(SessionStart{this->session});
+}
+
+void Node::ProposeReliably(const Command& command) {
+  this->replication.Propose(command, this->last_now, Never(),
+                            [](const std::optional<Outcome>&) {});
+}
+
+void Node::OnDaemonMessage(DaemonId from, std::string&& message,
+                           TimePoint now) {
+  this->last_now = now;
+  const auto decoded = DecodeMessage(message);
+  if (!decoded.has_value()) {
+    this->Drop("malformed_daemon_message");
+    return;
+  }
+  if (const auto* replicated = std::get_if<ReplicationBytes>(&*decoded)) {
+    this->replication.OnReplication(from, *replicated, now);
+  } else if (const auto* proposal = std::get_if<Proposal>(&*decoded)) {
+    this->replication.OnProposal(*proposal, now);
+  } else if (const auto* demand = std::get_if<DemandBytes>(&*decoded)) {
+    this->OnDemand(*demand, now);
+  } else if (const auto* recall = std::get_if<RecallBytes>(&*decoded)) {
+    const auto notice = DecodeLenderNotice(recall->bytes);
+    if (notice.has_value()) {
+      this->OnNotice(*notice);
+    } else {
+      this->Drop("malformed_notice");
+    }
+  } else if (const auto* announcements =
+                 std::get_if<AnnouncementBytes>(&*decoded)) {
+    this->OnAnnouncements(from, *announcements, now);
+  }
+}
+
+void Node::OnLinkState(DaemonId peer, bool up, TimePoint now) {
+  this->last_now = now;
+  if (!up) {
+    this->connected.erase(peer);
+  } else {
+    this->connected.insert(peer);
+    // The peer may have missed everything that was said before.
+    this->SendTo(peer, AnnouncementBytes{EncodeAnnouncementDelta(
+                           this->directory.FullDelta(now))});
+  }
+}
+
+void Node::OnStorageSynced(std::uint64_t ticket, TimePoint now) {
+  this->last_now = now;
+  this->replication.OnStorageSynced(ticket, now);
+}
+
+void Node::OnCallerRequest(HttpRequest&& request, TimePoint now) {
+  this->last_now = now;
+  const std::uint64_t id = request.id;
+  if (request.target == "/readyz" || request.target == "/healthz") {
+    HttpAnswer answer;
+    answer.status =
+        request.target == "/healthz" || this->Ready(now) ? 200 : 503;
+    this->hooks.answer_caller(id, std::move(answer));
+    return;
+  }
+  auto parsed = ParseCallerRequest(std::move(request));
+  if (auto* caller = std::get_if<CallerRequest>(&parsed)) {
+    this->requests.OnRequest(std::move(*caller), now);
+  } else if (const auto* cancel = std::get_if<CancelRequest>(&parsed)) {
+    this->requests.OnCancel(*cancel, now);
+  } else {
+    const auto& refusal = std::get<CallerRefusal>(parsed);
+    this->metrics.Add(metrics::kRefusals, refusal.reason);
+    this->hooks.answer_caller(id, ToHttpAnswer(refusal));
+  }
+}
+
+void Node::OnCallerDisconnect(std::uint64_t request, TimePoint now) {
+  this->last_now = now;
+  this->requests.OnDisconnect(request, now);
+}
+
+void Node::OnExchangeResult(ExchangeResult&& result, TimePoint now) {
+  this->last_now = now;
+  this->requests.OnExchangeResult(std::move(result), now);
+}
+
+void Node::Advance(TimePoint now) {
+  this->last_now = now;
+  this->timers.RunDue(now);
+  this->requests.Pump(now);
+  this->WatchLease(now);
+  this->ContinueShutdown(now);
+}
+
+bool Node::Ready(TimePoint now) const {
+  return !this->shutdown_began.has_value() &&
+         this->replication.ServingUntil(now) > now;
+}
+
+void Node::SendTo(DaemonId to, const DaemonMessage& message) {
+  this->hooks.send(to, EncodeMessage(message));
+}
+
+void Node::SendToOthers(const DaemonMessage& message) {
+  const std::string bytes = EncodeMessage(message);
+  for (std::size_t i = 0; i < this->config.settings.daemons.size(); ++i) {
+    const DaemonId daemon{static_cast<std::uint16_t>(i)};
+    if (daemon != this->config.settings.self) {
+      this->hooks.send(daemon, std::string(bytes));
+    }
+  }
+}
+
+void Node::OnApplied(LogIndex index, const Command& command,
+                     const Outcome& outcome) {
+  if (const auto* moves = std::get_if<AllowanceMoves>(&command)) {
+    this->holder.Update(
+        index, this->replication.State().Allowances().HoldingsOf(this->session,
+                                                                 *moves));
+  } else if (const auto* start = std::get_if<SessionStart>(&command)) {
+    this->session_alive =
+        this->session_alive || (start->session == this->session);
+  } else if (const auto* end = std::get_if<SessionEnd>(&command)) {
+    if (end->session == this->session) {
+      this->ReplaceSession();
+    }
+  } else if (std::holds_alternative<TableChange>(command)) {
+    if (!outcome.error) {
+      this->RefreshTables();
+    }
+  } else if (const auto* moved = std::get_if<InstanceTransition>(&command)) {
+    if (!outcome.error) {
+      this->directory.RequireMembership(
+          BackendServerName(moved->instance.str()), moved->pool, moved->epoch);
+      this->OnDirectoryChange();
+    }
+  }
+}
+
+void Node::ReplaceSession() {
+  if (this->shutdown_began.has_value()) {
+    return;
+  }
+  this->session =
+      Session{this->config.settings.self, this->hooks.new_session()};
+  this->holder.StartSession(this->session);
+  this->BeginSession();
+}
+
+void Node::OnRestored() {
+  const AllowanceLedger& ledger = this->replication.State().Allowances();
+  if (this->session_alive && !ledger.IsAlive(this->session)) {
+    this->ReplaceSession();
+  }
+  this->session_alive = ledger.IsAlive(this->session);
+  this->holder.Update(this->replication.Applied(),
+                      ledger.HoldingsOf(this->session));
+  this->RefreshTables();
+  this->RefreshMemberships();
+}
+
+void Node::OnLeaderChanged(std::optional<DaemonId> leader) {
+  if (leader.has_value()) {
+    this->holder.RequestFullReport();
+  }
+}
+
+void Node::RefreshTables() {
+  const TableSet& tables = this->replication.State().Tables();
+  std::vector<Team> teams;
+  for (const auto& [name, team] : tables.AllTeams()) {
+    teams.push_back(team);
+  }
+  milliseconds longest{0};
+  for (const auto& [name, route] : tables.AllRoutes()) {
+    longest = std::max(longest, route.deadline);
+  }
+  this->lending.OnTablesChanged(teams, longest);
+  this->requests.OnTablesChanged(teams, tables.ThePolicy());
+  this->RefreshMemberships();
+}
+
+void Node::RefreshMemberships() {
+  for (const auto& [name, record] :
+       this->replication.State().Instances().All()) {
+    this->directory.RequireMembership(BackendServerName(name.str()),
+                                      record.pool, record.epoch);
+  }
+  this->OnDirectoryChange();
+}
+
+void Node::OnAnnouncements(DaemonId from, const AnnouncementBytes& message,
+                           TimePoint now) {
+  const auto delta = DecodeAnnouncementDelta(message.bytes);
+  if (!delta.has_value()) {
+    this->Drop("malformed_announcements");
+    return;
+  }
+  const auto counts = this->directory.OnDelta(from, *delta, now);
+  for (std::size_t i = 0; i < counts.refused; ++i) {
+    this->Drop("refused_announcement");
+  }
+  if (!delta->changed.empty() || !delta->gone.empty()) {
+    this->OnDirectoryChange();
+  }
+}
+
+void Node::OnDemand(const DemandBytes& message, TimePoint now) {
+  const auto report = DecodeDemandReport(message.bytes);
+  if (!report.has_value()) {
+    this->Drop("malformed_demand");
+    return;
+  }
+  this->lending.OnReport(*report, now);
+}
+
+void Node::OnNotice(const LenderNotice& notice) {
+  if (notice.session != this->session) {
+    this->Drop("notice_for_other_session");
+    return;
+  }
+  if (notice.wants_full_report) {
+    this->holder.RequestFullReport();
+  }
+  for (const RecallRequest& recall : notice.recalls) {
+    this->holder.Recall(recall);
+  }
+  for (const TeamFraction& fraction : notice.fractions) {
+    this->requests.SetFraction(fraction);
+  }
+}
+
+void Node::OnDirectoryChange() {
+  std::map<PoolName, std::uint32_t> pool_slots;
+  for (const auto& [name, pool] :
+       this->replication.State().Tables().AllPools()) {
+    pool_slots[pool.name] = pool.slots_per_instance;
+  }
+  this->lending.OnDirectoryChange(this->directory, pool_slots);
+  this->requests.OnDirectoryChange();
+}
+
+void Node::TickReplication(TimePoint now) { this->replication.Tick(now); }
+
+void Node::LendingRound(TimePoint now) {
+  this->lending.SetLeader(this->replication.IsLeader(), now);
+  this->lending.Round(this->replication.State().Allowances(), now);
+}
+
+void Node::SendDemand(TimePoint now) {
+  const auto leader = this->replication.Leader(now);
+  if (!leader.has_value() || !this->session_alive) {
+    return;
+  }
+  if (const auto report = this->holder.TakeReport(now); report.has_value()) {
+    if (*leader == this->config.settings.self) {
+      this->lending.OnReport(*report, now);
+    } else {
+      this->SendTo(*leader, DemandBytes{EncodeDemandReport(*report)});
+    }
+  }
+}
+
+void Node::SendAnnouncements(TimePoint now) {
+  if (!this->directory.HasUrgentChanges() &&
+      now - this->last_announcements < kAnnouncementInterval) {
+    return;
+  }
+  this->last_announcements = now;
+  const AnnouncementDelta delta = this->directory.TakeDelta(now);
+  if (!delta.changed.empty() || !delta.renewed.empty() || !delta.gone.empty()) {
+    this->SendToOthers(AnnouncementBytes{EncodeAnnouncementDelta(delta)});
+  }
+}
+
+void Node::ExpireQueues(TimePoint now) { this->requests.Expire(now); }
+
+void Node::ExpireDirectory(TimePoint now) {
+  const auto gone = this->directory.Expire(now);
+  if (gone.empty()) {
+    return;
+  }
+  for (const BackendServerName& name : gone) {
+    LogEvent(LogSeverity::kWarning, events::kBackendServerGone,
+             "backend server no longer announces itself")
+        .With("backend_server", name.str());
+    this->requests.Forget(name);
+  }
+  this->OnDirectoryChange();
+}
+
+void Node::ExpireIntents(TimePoint now) {
+  if (this->replication.IsLeader()) {
+    this->replication.ProposeOnce(
+        IntentExpiry{this->hooks.wall_time() - kIntentsKept}, now,
+        [](const std::optional<Outcome>&) {});
+  }
+}
+
+void Node::UpdateGauges(TimePoint now) {
+  this->metrics.Set(metrics::kReady, this->Ready(now) ? 1 : 0);
+  this->metrics.Set(metrics::kView,
+                    static_cast<double>(this->replication.View()));
+  this->metrics.Set(metrics::kCommitIndex,
+                    static_cast<double>(this->replication.Applied()));
+}
+
+void Node::WatchLease(TimePoint now) {
+  const bool serving = this->replication.ServingUntil(now) > now;
+  if (std::exchange(this->was_serving, serving) != serving) {
+    if (!serving) {
+      this->metrics.Add(metrics::kLeaseLapses);
+    }
+    LogEvent(serving ? LogSeverity::kInfo : LogSeverity::kWarning,
+             serving ? events::kLeaseGained : events::kLeaseLapsed,
+             serving ? "this entry holds a serving lease"
+                     : "the serving lease has lapsed; requests are refused "
+                       "until the quorum is reached again");
+  }
+  if (const ViewNumber view = this->replication.View();
+      std::exchange(this->last_view, view) != view) {
+    this->metrics.Add(metrics::kViewChanges);
+    LogEvent(LogSeverity::kInfo, events::kViewChanged, "the view has changed")
+        .With("view", view);
+  }
+}
+
+void Node::BeginShutdown(TimePoint now) {
+  if (!this->shutdown_began.has_value()) {
+    this->shutdown_began = now;
+  }
+}
+
+void Node::ContinueShutdown(TimePoint now) {
+  if (!this->shutdown_began.has_value() || this->stopped ||
+      now - *this->shutdown_began <
+          this->config.settings.timing.load_balancer_wait) {
+    return;
+  }
+  this->requests.StopAccepting();
+  // The ends of intents must reach the log before the end of their session,
+  // which would make their outcome unknown.
+  if (this->requests.Open() > 0 || this->session_end_proposed ||
+      this->replication.PendingReliable() > 0) {
+    return;
+  }
+  // Nothing runs under the session any more: its units are free at once.
+  this->session_end_proposed = true;
+  const bool proposed = this->replication.Propose(
+      SessionEnd{this->session}, now, now + kSessionEndWait,
+      [this](const std::optional<Outcome>&) { this->stopped = true; });
+  this->stopped = this->stopped || !proposed;
+}
+
+void Node::Drop(std::string_view reason) {
+  this->metrics.Add(metrics::kDrops, reason);
+}
+
+}  // namespace mimosastage
--- /dev/null
+++ b/src/mimosastage/node/request_service.cc
@@ -0,0 +1,612 @@
+#include "mimosastage/node/request_service.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mimosastage {
+namespace {
+
+Resource TeamResource(const TeamName& team) {
+  return Resource{ResourceKind::kTeamLimit, team.str()};
+}
+
+Resource SlotResource(const BackendServerName& server) {
+  return Resource{ResourceKind::kBackendServerSlots, server.str()};
+}
+
+CallerRefusal NotRun(std::uint16_t status, std::string reason,
+                     std::string title) {
+  CallerRefusal refusal;
+  refusal.status = status;
+  refusal.reason = std::move(reason);
+  refusal.title = std::move(title);
+  return refusal;
+}
+
+CallerRefusal Unavailable(std::string reason, std::string title) {
+  CallerRefusal refusal = NotRun(503, std::move(reason), std::move(title));
+  refusal.retry_after = std::chrono::seconds(1);
+  return refusal;
+}
+
+std::string_view QueueReasonName(AdmissionError reason) {
+  switch (reason) {
+    case AdmissionError::kQueueFull:
+      return "queue_full";
+    case AdmissionError::kClientQueueFull:
+      return "client_queue_full";
+    case AdmissionError::kDeadlineTooShort:
+      return "would_miss_deadline";
+    case AdmissionError::kDeadlinePassed:
+      return "deadline_passed_in_queue";
+    case AdmissionError::kDisplaced:
+      return "displaced";
+    case AdmissionError::kNotServing:
+      return "no_serving_lease";
+    case AdmissionError::kMalformedMessage:
+      break;
+  }
+  return "queue";
+}
+
+RequestNotAdmitted ToEvent(const Refusal& refusal) {
+  const bool full = refusal.reason == AdmissionError::kQueueFull ||
+                    refusal.reason == AdmissionError::kClientQueueFull ||
+                    refusal.reason == AdmissionError::kDisplaced;
+  return RequestNotAdmitted{
+      full ? RequestNotAdmitted::Reason::kQueueFull
+           : RequestNotAdmitted::Reason::kWouldMissDeadline,
+      refusal.retry_after};
+}
+
+HttpAnswer ToHttpAnswer(BackendServerAnswer&& answer) {
+  HttpAnswer http;
+  http.status = answer.status;
+  http.headers = std::move(answer.headers);
+  http.body = std::move(answer.body);
+  return http;
+}
+
+HttpAnswer ToHttpAnswer(StoredAnswer&& stored) {
+  HttpAnswer http;
+  http.status = stored.status;
+  if (!stored.content_type.empty()) {
+    http.headers.emplace_back("Content-Type", std::move(stored.content_type));
+  }
+  // Tells the caller that it has a repeat, and whether the body is missing.
+  http.headers.emplace_back("Mimosastage-Stored-Answer",
+                            stored.body_kept ? "whole" : "without-body");
+  http.body = std::move(stored.body);
+  return http;
+}
+
+}  // namespace
+
+RequestService::RequestService(Settings settings, Hooks hooks,
+                               const BackendServerDirectory& directory,
+                               AllowanceHolder& holder, TimerService& timers)
+    : settings(std::move(settings)),
+      hooks(std::move(hooks)),
+      directory(directory),
+      holder(holder),
+      timers(timers),
+      picker(
+          BackendServerPicker::Settings{this->settings.availability_zone,
+                                        this->settings.entry_count,
+                                        this->settings.seed},
+          BackendServerPicker::Hooks{[this](const BackendServerName& server) {
+            return this->holder.Available(SlotResource(server));
+          }},
+          directory, this->ejection) {}
+
+void RequestService::OnRequest(CallerRequest&& request, TimePoint now) {
+  this->last_now = now;
+  OpenRequest open;
+  const std::uint64_t id = request.id;
+  if (const auto refusal = this->Check(request, open, now);
+      refusal.has_value()) {
+    this->Refuse(id, *refusal);
+    return;
+  }
+  open.arrived = now;
+  const Duration time = std::min<Duration>(
+      open.route.deadline, request.deadline.value_or(open.route.deadline));
+  open.deadline = now + time;
+  open.request = std::move(request);
+  this->Open(std::move(open), now);
+}
+
+std::optional<CallerRefusal> RequestService::Check(const CallerRequest& request,
+                                                   OpenRequest& open,
+                                                   TimePoint now) const {
+  if (!this->accepting) {
+    return Unavailable("shutting_down",
+                       "this entry is stopping; send the request again");
+  }
+  // Without a lease the tables below may be out of date.
+  if (this->hooks.serving_until(now) <= now) {
+    return Unavailable("no_serving_lease",
+                       "this entry has lost contact with the quorum; send the "
+                       "request to another entry");
+  }
+  auto route = this->hooks.find_route(request.route);
+  if (!route.has_value()) {
+    return NotRun(404, "unknown_route",
+                  "no route has this name; check the path");
+  }
+  open.route = *std::move(route);
+  if (!open.route.open) {
+    if (request.key.empty()) {
+      return NotRun(401, "missing_key",
+                    "send the team's key as Authorization: Bearer <key>");
+    }
+    auto owner = this->hooks.find_key(request.key);
+    if (!owner.has_value()) {
+      return NotRun(401, "unknown_key",
+                    "the key is unknown or was revoked; ask for a new one");
+    }
+    open.owner = *std::move(owner);
+  }
+  if (request.body.size() > open.route.max_body_bytes) {
+    return NotRun(413, "body_too_large",
+                  "the route accepts at most " +
+                      std::to_string(open.route.max_body_bytes) + " bytes");
+  }
+  return std::nullopt;
+}
+
+void RequestService::Open(OpenRequest&& open, TimePoint now) {
+  const std::uint64_t id = open.request.id;
+  open.intent = IntentKey{open.owner.team, open.request.idempotency_key};
+  RequestArrival arrival;
+  arrival.pool = open.route.pool;
+  arrival.repeatable = open.route.repeatable;
+  arrival.deadline = open.deadline;
+  if (!open.request.idempotency_key.empty()) {
+    arrival.intent = open.intent;
+    this->by_key.emplace(open.intent, id);
+  }
+  arrival.fingerprint = Fingerprint(open.request);
+  const PoolName pool = open.route.pool;
+  RequestTracker::Hooks tracker_hooks;
+  tracker_hooks.serving_until = [this] {
+    return this->hooks.serving_until(this->last_now);
+  };
+  tracker_hooks.reserve_another =
+      [this, id](std::span<const BackendServerName> excluded) {
+        return this->ReserveAnother(id, excluded);
+      };
+  tracker_hooks.take_retry_token = [this, pool] {
+    return this->retry_budget.TryTake(pool);
+  };
+  tracker_hooks.on_first_attempt = [this, pool] {
+    this->retry_budget.OnFirstAttempt(pool);
+  };
+  open.tracker = std::make_unique<RequestTracker>(std::move(arrival),
+                                                  std::move(tracker_hooks));
+  open.deadline_timer = this->timers.At(
+      open.deadline,
+      [this, id](TimePoint due) { this->Feed(id, DeadlinePassed{}, due); });
+  const auto [position, inserted] = this->requests.emplace(id, std::move(open));
+  this->CarryOut(id, position->second.tracker->Start(now), now);
+  if (this->requests.contains(id)) {
+    this->Enqueue(id, now);
+  }
+}
+
+void RequestService::Enqueue(std::uint64_t id, TimePoint now) {
+  const OpenRequest& open = this->requests.at(id);
+  QueuedRequest queued;
+  queued.id = id;
+  queued.team = open.owner.team;
+  queued.client = open.owner.client;
+  queued.urgent = open.route.urgent;
+  queued.deadline = open.deadline;
+  const PoolName pool = open.route.pool;
+  if (const auto refusal = this->QueueOf(pool).Enqueue(queued, now);
+      refusal.has_value()) {
+    this->OnQueueRefusal(id, *refusal);
+  }
+  this->queues[pool].dirty = true;
+}
+
+FairQueue& RequestService::QueueOf(const PoolName& pool) {
+  PoolQueue& state = this->queues[pool];
+  if (state.queue == nullptr) {
+    FairQueue::Hooks queue_hooks;
+    queue_hooks.team_may_start = [this](const TeamName& team) {
+      return team.empty() || this->holder.Available(TeamResource(team)) > 0;
+    };
+    queue_hooks.slots = [this, pool] { return this->HeldSlots(pool); };
+    queue_hooks.on_refused = [this](std::uint64_t id, const Refusal& refusal) {
+      this->OnQueueRefusal(id, refusal);
+    };
+    queue_hooks.on_demand = [this, pool](const TeamName& team,
+                                         std::uint32_t waiting,
+                                         std::uint32_t running) {
+      this->holder.SetDemand(pool, team, waiting, running);
+    };
+    state.queue = std::make_unique<FairQueue>(this->settings.queue,
+                                              std::move(queue_hooks));
+    for (const auto& [team, share] : this->shares) {
+      state.queue->SetShare(team, share);
+    }
+  }
+  return *state.queue;
+}
+
+std::uint32_t RequestService::HeldSlots(const PoolName& pool) const {
+  std::uint32_t slots = 0;
+  for (const Announcement* server : this->directory.ServersOf(pool)) {
+    slots += this->holder.Available(SlotResource(server->name));
+    slots += this->picker.InProgress(server->name);
+  }
+  return slots;
+}
+
+// The queue may be in the middle of a call, so the tracker is told later.
+void RequestService::OnQueueRefusal(std::uint64_t id, const Refusal& refusal) {
+  this->queue_refusals.emplace_back(id, refusal);
+}
+
+void RequestService::Pump(TimePoint now) {
+  this->last_now = now;
+  const bool serving = this->hooks.serving_until(now) > now;
+  for (auto& [pool, state] : this->queues) {
+    if (!serving && state.queue->waiting() > 0) {
+      state.queue->RefuseAll(AdmissionError::kNotServing);
+    }
+    if (serving && std::exchange(state.dirty, false)) {
+      this->PumpPool(pool, state, now);
+    }
+  }
+  while (this->HasDeferredEvents()) {
+    this->FeedQueueRefusals(now);
+    this->FeedFailures(now);
+  }
+}
+
+bool RequestService::HasDeferredEvents() const {
+  return !this->queue_refusals.empty() || !this->failed_exchanges.empty() ||
+         !this->failed_intents.empty();
+}
+
+void RequestService::FeedFailures(TimePoint now) {
+  for (std::uint64_t id : std::exchange(this->failed_intents, {})) {
+    this->Feed(id, IntentNotCommitted{}, now);
+  }
+  for (auto& failed : std::exchange(this->failed_exchanges, {})) {
+    this->OnExchangeResult(std::move(failed), now);
+  }
+}
+
+void RequestService::FeedQueueRefusals(TimePoint now) {
+  for (const auto& [id, refusal] : std::exchange(this->queue_refusals, {})) {
+    if (refusal.reason == AdmissionError::kNotServing) {
+      this->Feed(id, LeaseLapsed{}, now);
+    } else {
+      this->hooks.count_refusal(QueueReasonName(refusal.reason));
+      this->Feed(id, ToEvent(refusal), now);
+    }
+  }
+}
+
+void RequestService::PumpPool(const PoolName& pool, PoolQueue& state,
+                              TimePoint now) {
+  while (state.queue->waiting() > 0 && this->picker.CanPick(pool, now)) {
+    const auto queued = state.queue->Next(now);
+    if (!queued.has_value()) {
+      return;
+    }
+    if (auto found = this->requests.find(queued->id);
+        found != this->requests.end()) {
+      this->Admit(*queued, found->second, now);
+    } else {
+      state.queue->Finish(queued->id, now, /*measured=*/false);
+    }
+  }
+}
+
+void RequestService::Admit(const QueuedRequest& queued, OpenRequest& open,
+                           TimePoint now) {
+  const auto choice = this->picker.Pick(open.route.pool, {}, now);
+  const bool team_taken =
+      queued.team.empty() ||
+      this->holder.Take(queued.id, TeamResource(queued.team));
+  if (!choice.has_value() || !team_taken ||
+      !this->holder.Take(queued.id, SlotResource(choice->name))) {
+    this->holder.GiveBackAll(queued.id);
+    this->Feed(queued.id, RequestNotAdmitted{}, now);
+    return;
+  }
+  open.choice = choice;
+  open.started = now;
+  this->hooks.record_wait(open.route.name, now - open.arrived);
+  this->Feed(queued.id, RequestAdmitted{choice->name}, now);
+}
+
+std::optional<BackendServerName> RequestService::ReserveAnother(
+    std::uint64_t id, std::span<const BackendServerName> excluded) {
+  OpenRequest& open = this->requests.at(id);
+  const auto choice =
+      this->picker.Pick(open.route.pool, excluded, this->last_now);
+  if (!choice.has_value() ||
+      !this->holder.Take(id, SlotResource(choice->name))) {
+    return std::nullopt;
+  }
+  open.choice = choice;
+  return choice->name;
+}
+
+void RequestService::Feed(std::uint64_t id, RequestEvent event, TimePoint now) {
+  this->last_now = now;
+  if (auto found = this->requests.find(id); found != this->requests.end()) {
+    this->CarryOut(id, found->second.tracker->Handle(std::move(event), now),
+                   now);
+  }
+}
+
+void RequestService::CarryOut(std::uint64_t id,
+                              std::vector<RequestAction>&& actions,
+                              TimePoint now) {
+  for (RequestAction& action : actions) {
+    std::visit([&](auto& typed) { this->Do(id, typed, now); }, action);
+  }
+  this->CloseIfDone(id, now);
+}
+
+void RequestService::Do(std::uint64_t id, CommitIntent&, TimePoint) {
+  const OpenRequest& open = this->requests.at(id);
+  IntentBegin command;
+  command.key = open.intent;
+  command.session = this->hooks.session();
+  command.fingerprint = open.tracker->Arrival().fingerprint;
+  command.at = this->hooks.wall_time();
+  const bool proposed =
+      this->hooks.begin_intent(command, [this, id](RequestEvent&& event) {
+        this->Feed(id, std::move(event), this->last_now);
+      });
+  if (!proposed) {
+    this->failed_intents.push_back(id);
+  }
+}
+
+void RequestService::Do(std::uint64_t id, StartAttempt& action, TimePoint now) {
+  OpenRequest& open = this->requests.at(id);
+  const Announcement* server = this->directory.Find(action.server);
+  ExchangeRequest exchange;
+  exchange.id = this->next_exchange++;
+  if (action.attempt > 1) {
+    this->hooks.count_retry(open.route.repeatable ? "repeatable" : "not_run");
+  }
+  if (server != nullptr) {
+    exchange.address = server->address;
+    exchange.port = server->port;
+  }
+  exchange.method = open.request.method;
+  exchange.target = open.request.target;
+  exchange.headers = open.request.headers;
+  if (!open.owner.team.empty()) {
+    exchange.headers.emplace_back("Mimosastage-Team", open.owner.team.str());
+  }
+  exchange.body = open.request.body;
+  exchange.timeout = std::max(
+      std::chrono::milliseconds(1),
+      std::chrono::ceil<std::chrono::milliseconds>(action.deadline - now));
+  exchange.repeatable = open.route.repeatable;
+  exchange.fresh_connection =
+      this->ejection.NeedsFreshConnection(action.server);
+  exchange.start_before = action.start_before;
+  exchange.reused_stall_limit =
+      std::chrono::ceil<std::chrono::milliseconds>(action.reused_stall_limit);
+  const std::uint64_t exchange_id = exchange.id;
+  this->picker.OnStart(open.choice.value_or(
+      BackendServerPicker::Choice{action.server, /*probe=*/false}));
+  open.exchange = exchange_id;
+  open.attempt = action.attempt;
+  this->exchanges[exchange_id] = Exchange{id, action.attempt, action.server};
+  if (server == nullptr || !this->hooks.start_exchange(std::move(exchange))) {
+    ExchangeResult failed;
+    failed.id = exchange_id;
+    failed.end = AttemptEnd::kFailedBeforeFirstByte;
+    // The tracker's actions are still being carried out.
+    this->failed_exchanges.push_back(std::move(failed));
+  }
+}
+
+void RequestService::Do(std::uint64_t id, CancelAttempt&, TimePoint) {
+  if (const auto& open = this->requests.at(id); open.exchange.has_value()) {
+    this->hooks.cancel_exchange(*open.exchange);
+  }
+}
+
+void RequestService::Do(std::uint64_t id, AnswerCaller& action, TimePoint now) {
+  const OpenRequest& open = this->requests.at(id);
+  this->hooks.record_service(open.route.name, now - open.started);
+  this->hooks.answer(id, ToHttpAnswer(std::move(action.answer)));
+}
+
+void RequestService::Do(std::uint64_t id, AnswerFromStore& action, TimePoint) {
+  this->hooks.answer(id, ToHttpAnswer(std::move(action.answer)));
+}
+
+void RequestService::Do(std::uint64_t id, RefuseCaller& action, TimePoint) {
+  CallerRefusal refusal;
+  refusal.status = action.status;
+  refusal.reason = RefusalReasonName(action.reason);
+  refusal.title = action.outcome == RefusalOutcome::kNotRun
+                      ? "the request was not run; it may be sent again"
+                      : "the request may have run; check before sending it "
+                        "again";
+  refusal.outcome = action.outcome == RefusalOutcome::kNotRun
+                        ? RefusedOutcome::kNotRun
+                        : RefusedOutcome::kUnknown;
+  if (action.retry_after.count() > 0) {
+    refusal.retry_after = action.retry_after;
+  }
+  this->Refuse(id, refusal);
+}
+
+void RequestService::Do(std::uint64_t id, GiveBackSlot& action, TimePoint) {
+  this->holder.GiveBack(id, SlotResource(action.server));
+  this->queues[this->requests.at(id).route.pool].dirty = true;
+}
+
+void RequestService::Do(std::uint64_t id, GiveBackTeamUnit&, TimePoint) {
+  const OpenRequest& open = this->requests.at(id);
+  if (open.owner.team.empty()) {
+    return;
+  }
+  this->holder.GiveBack(id, TeamResource(open.owner.team));
+  // Requests of the team may wait in the queues of other pools too.
+  for (auto& [pool, state] : this->queues) {
+    state.queue->TeamAvailable(open.owner.team);
+    state.dirty = true;
+  }
+}
+
+void RequestService::Do(std::uint64_t id, CommitIntentEnd& action, TimePoint) {
+  IntentEnd command;
+  command.key = this->requests.at(id).intent;
+  command.session = this->hooks.session();
+  command.outcome = action.outcome;
+  command.answer = std::move(action.answer);
+  this->hooks.end_intent(command);
+}
+
+void RequestService::CloseIfDone(std::uint64_t id, TimePoint now) {
+  auto found = this->requests.find(id);
+  if (found == this->requests.end() || !found->second.tracker->Done()) {
+    return;
+  }
+  OpenRequest& open = found->second;
+  FairQueue& queue = this->QueueOf(open.route.pool);
+  queue.Cancel(id);
+  queue.Finish(id, now, /*measured=*/open.attempt > 0);
+  this->holder.GiveBackAll(id);
+  const auto [begin, end] = this->by_key.equal_range(open.intent);
+  for (auto position = begin; position != end; ++position) {
+    if (position->second == id) {
+      this->by_key.erase(position);
+      break;
+    }
+  }
+  this->requests.erase(found);
+}
+
+void RequestService::OnCancel(const CancelRequest& request, TimePoint now) {
+  const auto owner = this->hooks.find_key(request.key);
+  if (!owner.has_value()) {
+    this->Refuse(request.id,
+                 NotRun(401, "unknown_key",
+                        "send the team's key as Authorization: Bearer <key>"));
+    return;
+  }
+  std::vector<std::uint64_t> ids;
+  const auto [begin, end] =
+      this->by_key.equal_range(IntentKey{owner->team, request.idempotency_key});
+  for (auto position = begin; position != end; ++position) {
+    ids.push_back(position->second);
+  }
+  for (std::uint64_t id : ids) {
+    this->Feed(id, RequestCancelled{RequestCancelled::Kind::kAsked}, now);
+  }
+  HttpAnswer answer;
+  answer.status = ids.empty() ? 404 : 204;
+  this->hooks.answer(request.id, std::move(answer));
+}
+
+void RequestService::OnDisconnect(std::uint64_t request, TimePoint now) {
+  this->Feed(request, RequestCancelled{RequestCancelled::Kind::kDisconnected},
+             now);
+}
+
+void RequestService::OnExchangeResult(ExchangeResult&& result, TimePoint now) {
+  this->last_now = now;
+  auto found = this->exchanges.find(result.id);
+  if (found == this->exchanges.end()) {
+    return;
+  }
+  const Exchange exchange = std::move(found->second);
+  this->exchanges.erase(found);
+  this->picker.OnEnd(exchange.server);
+  auto open = this->requests.find(exchange.request);
+  if (open == this->requests.end()) {
+    return;
+  }
+  const PoolName pool = open->second.route.pool;
+  if (const auto reason = this->ejection.OnAttemptEnd(
+          exchange.server, pool, this->directory.ServersOf(pool).size(),
+          result.end, result.answer.status, result.elapsed, now);
+      reason.has_value()) {
+    this->hooks.count_ejection(EjectionReasonName(*reason));
+  }
+  this->queues[pool].dirty = true;
+  AttemptEnded event;
+  event.attempt = exchange.attempt;
+  event.end = result.end;
+  event.answer = std::move(result.answer);
+  this->Feed(exchange.request, std::move(event), now);
+}
+
+void RequestService::OnAvailable(const Resource& resource) {
+  for (auto& [pool, state] : this->queues) {
+    if (resource.kind == ResourceKind::kTeamLimit) {
+      state.queue->TeamAvailable(TeamName(resource.name));
+    }
+    state.dirty = true;
+  }
+}
+
+void RequestService::OnDirectoryChange() {
+  for (auto& [pool, state] : this->queues) {
+    state.dirty = true;
+  }
+}
+
+void RequestService::OnTablesChanged(const std::vector<Team>& teams,
+                                     const Policy& policy) {
+  for (const Team& team : teams) {
+    this->shares[team.name] = team.share;
+    for (auto& [pool, state] : this->queues) {
+      state.queue->SetShare(team.name, team.share);
+    }
+  }
+  this->retry_budget.SetRetryPercent(policy.retry_percent);
+  this->ejection.SetCapPercent(policy.ejection_percent);
+  this->OnDirectoryChange();
+}
+
+void RequestService::SetFraction(const TeamFraction& fraction) {
+  this->QueueOf(fraction.pool).SetFraction(fraction.team, fraction.millionths);
+}
+
+void RequestService::Forget(const BackendServerName& server) {
+  this->ejection.Forget(server);
+}
+
+void RequestService::Expire(TimePoint now) {
+  for (auto& [pool, state] : this->queues) {
+    state.queue->Expire(now);
+    // Probes fall due by time alone.
+    state.dirty = true;
+  }
+  this->Pump(now);
+}
+
+std::size_t RequestService::Waiting() const {
+  std::size_t waiting = 0;
+  for (const auto& [pool, state] : this->queues) {
+    waiting += state.queue->waiting();
+  }
+  return waiting;
+}
+
+std::size_t RequestService::Running() const { return this->exchanges.size(); }
+
+void RequestService::Refuse(std::uint64_t id, const CallerRefusal& refusal) {
+  this->hooks.count_refusal(refusal.reason);
+  this->hooks.answer(id, ToHttpAnswer(refusal));
+}
+
+}  // namespace mimosastage
--- a/src/mimosastage/state/declaration.cc
+++ b/src/mimosastage/state/declaration.cc
@@ -339,7 +339,7 @@
   if (problems->size() != before) {
     return std::nullopt;
   }
-  if (Refusal refusal = CheckRow(row); refusal.error) {
+  if (ChangeRefusal refusal = CheckRow(row); refusal.error) {
     problems->push_back({refusal.error, path, "", refusal.detail});
     return std::nullopt;
   }
--- a/src/mimosastagectl/commands.cc
+++ b/src/mimosastagectl/commands.cc
@@ -122,7 +122,7 @@
         std::cout << line << "\n";
       }
     }
-    if (const Refusal refusal = tables->Apply(step); refusal.error) {
+    if (const ChangeRefusal refusal = tables->Apply(step); refusal.error) {
       PrintError(file + ": " + refusal.detail);
       *code = ExitCode::kBadInput;
       return std::nullopt;
--- /dev/null
+++ b/src/mimosastaged/main.cc
@@ -0,0 +1,127 @@
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <csignal>
+#include <iostream>
+#include <string>
+#include <thread>
+
+#include "mimosastage/node/daemon.h"
+#include "mimosastage/settings/settings.h"
+#include "mimosastage/storage/data_folder.h"
+#include "mimosastage/telemetry/log.h"
+
+ABSL_FLAG(std::string, settings, "", "the daemon's settings file (JSON)");
+ABSL_FLAG(bool, check_settings, false,
+          "only check the settings, the data folder and the addresses");
+ABSL_FLAG(bool, format_data_dir, false,
+          "write the identity of this voter into its empty data folder, once, "
+          "at the first install of the cluster");
+
+namespace {
+
+using mimosastage::Daemon;
+using mimosastage::LogEvent;
+using mimosastage::LogSeverity;
+using mimosastage::Settings;
+using mimosastage::SettingsProblem;
+
+constexpr int kBadSettings = 2;
+
+int Report(const std::vector<SettingsProblem>& problems) {
+  for (const SettingsProblem& problem : problems) {
+    std::cerr << problem.Message() << '\n';
+  }
+  return problems.empty() ? 0 : kBadSettings;
+}
+
+int Format(const Settings& settings) {
+  if (!settings.Self().voter) {
+    std::cerr << "daemon " << settings.daemon
+              << " isn't a voter and has no data folder to format\n";
+    return kBadSettings;
+  }
+  const auto formatted = mimosastage::DataFolder::Format(
+      settings.data_dir, settings.cluster, settings.self);
+  if (!formatted.has_value()) {
+    std::cerr << settings.data_dir << ": " << formatted.error().message()
+              << '\n';
+    return kBadSettings;
+  }
+  std::cout << settings.data_dir << " is formatted for daemon "
+            << settings.daemon << " of cluster " << settings.cluster << '\n';
+  return 0;
+}
+
+/// Signals are taken by one thread, so that no handler runs in the middle of
+/// other code.
+void BlockStopSignals(sigset_t& signals) {
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+void ForwardStopSignals(const sigset_t& signals, Daemon& daemon) {
+  while (true) {
+    int signal = 0;
+    sigwait(&signals, &signal);
+    daemon.RequestStop();
+  }
+}
+
+int Run(const Settings& settings) {
+  sigset_t signals;
+  BlockStopSignals(signals);
+  const mimosastage::JsonLogging logging(
+      "mimosastaged", settings.daemon,
+      {settings.link_key.Reveal(), settings.operator_key.Reveal(),
+       settings.platform_key.Reveal()});
+  // Outlives main's end, because the signal thread may still call it.
+  static Daemon daemon(settings);
+  if (const std::string problem = daemon.Start(); !problem.empty()) {
+    LogEvent(LogSeverity::kError, mimosastage::events::kListenerFailed,
+             problem);
+    return kBadSettings;
+  }
+  LogEvent(LogSeverity::kInfo, mimosastage::events::kDaemonStarted,
+           "daemon has started")
+      .With("cluster", settings.cluster)
+      .With("callers", settings.callers_listen.str())
+      .With("operators", settings.operators_listen.str());
+  std::thread([signals] { ForwardStopSignals(signals, daemon); }).detach();
+  return daemon.Wait();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(
+      "The mimosastage daemon. mimosastaged --settings=FILE "
+      "[--check_settings | --format_data_dir]");
+  absl::ParseCommandLine(argc, argv);
+  const std::string file = absl::GetFlag(FLAGS_settings);
+  if (file.empty()) {
+    std::cerr << "no settings; give --settings=FILE\n";
+    return kBadSettings;
+  }
+  mimosastage::SettingsLoad load = mimosastage::LoadSettings(file);
+  if (!load.settings.has_value()) {
+    return Report(load.problems);
+  }
+  if (absl::GetFlag(FLAGS_format_data_dir)) {
+    return Format(*load.settings);
+  }
+  if (const int status =
+          Report(mimosastage::CheckEnvironment(*load.settings, file));
+      status != 0) {
+    return status;
+  }
+  if (absl::GetFlag(FLAGS_check_settings)) {
+    std::cout << file << " is valid\n";
+    return 0;
+  }
+  return Run(*load.settings);
+}
--- a/tests/state/declaration_test.cc
+++ b/tests/state/declaration_test.cc
@@ -54,7 +54,7 @@
     ASSERT_TRUE(declaration);
     TableSet tables;
     for (const TableChange& change : Diff(*declaration, tables, "example")) {
-      const Refusal refusal = tables.Apply(change);
+      const ChangeRefusal refusal = tables.Apply(change);
       EXPECT_FALSE(refusal.error) << refusal.detail;
     }
     EXPECT_EQ(tables.AllPools().size(), 5U);
@@ -74,7 +74,7 @@
     for (const TableChange& change : Diff(declaration, tables, "change")) {
       ++steps;
       EXPECT_FALSE(DescribeChange(change, tables).empty());
-      const Refusal refusal = tables.Apply(change);
+      const ChangeRefusal refusal = tables.Apply(change);
       ASSERT_FALSE(refusal.error) << "seed " << seed << ": " << refusal.detail;
     }
     for (const auto& [table, rows] : declaration.tables) {
--- /dev/null
+++ b/tests/system/failover_test.cc
@@ -0,0 +1,204 @@
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <atomic>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "tests/system/support/cluster.h"
+
+namespace mimosastage::testing {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+/// Four daemons, the last without a disk, and one backend server.
+class FailoverTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    this->cluster.StartAllDaemons();
+    this->cluster.StartBackendServer("p");
+    ASSERT_TRUE(this->cluster.WaitReady());
+    this->key = this->cluster.ApplyBasics();
+    ASSERT_FALSE(this->key.empty());
+  }
+
+  Reply RequestWith(int daemon, const std::string& secret,
+                    const std::string& idempotency_key = "") {
+    std::vector<std::string> headers = {"Authorization: Bearer " + secret};
+    if (!idempotency_key.empty()) {
+      headers.push_back("Idempotency-Key: " + idempotency_key);
+    }
+    return this->cluster.Request(
+        daemon, idempotency_key.empty() ? "/r/r/x" : "/r/once/x", headers);
+  }
+
+  json TeamsAt(int daemon) {
+    const Reply reply =
+        this->cluster.Operate(daemon, "GET", "/v1/tables/teams");
+    return reply.status == 200 ? json::parse(reply.body) : json();
+  }
+
+  bool HasTeam(int daemon, const std::string& name) {
+    const json table = this->TeamsAt(daemon);
+    for (const json& row : table.value("rows", json::array())) {
+      if (row["name"] == name) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  Cluster cluster{4, 3};
+  std::string key;
+};
+
+// Guards against an accepted change that is lost or reverted when the leader is
+// killed in the middle of changes.
+TEST_F(FailoverTest, LeaderKilled_InTheMiddleOfChanges_NoAcceptedChangeIsLost) {
+  std::atomic<bool> done{false};
+  std::vector<std::string> accepted;
+  std::thread changer([&] {
+    for (int i = 0; !done || i < 20; ++i) {
+      const std::string name = "team-" + std::to_string(i);
+      if (this->cluster.Apply(
+              "teams",
+              json::array({{{"name", name}, {"share", 1}, {"upper_limit", 4}}})
+                  .dump())) {
+        accepted.push_back(name);
+      }
+      if (i == 40) {
+        break;
+      }
+    }
+  });
+  SleepFor(milliseconds(300));
+  const int leader = this->cluster.Leader();
+  ASSERT_GE(leader, 0);
+  this->cluster.Daemon(leader).Signal(SIGKILL);
+  this->cluster.Daemon(leader).Wait();
+  done = true;
+  changer.join();
+  this->cluster.StartDaemon(leader);
+  ASSERT_TRUE(this->cluster.WaitReady());
+  ASSERT_GE(accepted.size(), 20U);
+  for (int i = 0; i < 4; ++i) {
+    for (const std::string& name : accepted) {
+      EXPECT_TRUE(Eventually([&] { return this->HasTeam(i, name); }))
+          << name << " is missing on entry " << i;
+    }
+  }
+}
+
+// Guards against a frozen entry that accepts a revoked key after it thaws.
+TEST_F(FailoverTest, EntryFrozen_KeyRevokedMeanwhile_KeyIsRefusedAfterThaw) {
+  ASSERT_TRUE(Eventually(
+      [&] { return this->RequestWith(3, this->key).status == 200; }));
+  this->cluster.Daemon(3).Signal(SIGSTOP);
+  ASSERT_TRUE(Eventually([&] {
+    return this->cluster
+                   .Operate(0, "DELETE", "/v1/keys/key-a?change_id=revoke-a")
+                   .status /
+               100 ==
+           2;
+  }));
+  SleepFor(milliseconds(2'500));
+  std::atomic<int> accepted{0};
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.emplace_back([&] {
+      const Reply reply = this->RequestWith(3, this->key);
+      accepted += reply.status == 200 ? 1 : 0;
+    });
+  }
+  // The requests wait in the frozen process and are the first thing it sees.
+  SleepFor(milliseconds(300));
+  this->cluster.Daemon(3).Signal(SIGCONT);
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  EXPECT_EQ(accepted, 0);
+  EXPECT_TRUE(Eventually([&] { return this->cluster.Ready(3); }));
+  EXPECT_EQ(this->RequestWith(3, this->key).status, 401);
+}
+
+// Guards against an entry that serves on without contact with a quorum, and
+// against one that doesn't recover by itself.
+TEST_F(FailoverTest, QuorumLost_LeaseLapses_RefusesNotRunAndRecovers) {
+  ASSERT_TRUE(Eventually(
+      [&] { return this->RequestWith(3, this->key).status == 200; }));
+  this->cluster.Daemon(0).Signal(SIGSTOP);
+  this->cluster.Daemon(1).Signal(SIGSTOP);
+  Reply refused;
+  EXPECT_TRUE(Eventually([&] {
+    refused = this->RequestWith(3, this->key);
+    return refused.status == 503;
+  }));
+  EXPECT_EQ(json::parse(refused.body)["outcome"], "not_run");
+  EXPECT_FALSE(this->cluster.Ready(3));
+  this->cluster.Daemon(0).Signal(SIGCONT);
+  this->cluster.Daemon(1).Signal(SIGCONT);
+  EXPECT_TRUE(Eventually(
+      [&] { return this->RequestWith(3, this->key).status == 200; }));
+}
+
+// Guards against accepted changes that are lost when a voter loses its disk and
+// another one fails right after the repair.
+TEST_F(FailoverTest, DiskLost_SecondFailureAfterRepair_NothingIsLost) {
+  ASSERT_TRUE(this->cluster.Apply(
+      "teams", R"([{"name": "kept", "share": 1, "upper_limit": 4}])"));
+  this->cluster.KillDaemon(0);
+  std::filesystem::remove_all(this->cluster.DataDir(0));
+  std::filesystem::create_directories(this->cluster.DataDir(0));
+  this->cluster.StartDaemon(0);
+  ASSERT_TRUE(Eventually([&] { return this->cluster.Ready(0); }));
+  ASSERT_TRUE(Eventually([&] { return this->HasTeam(0, "kept"); }));
+  this->cluster.KillDaemon(1);
+  ASSERT_TRUE(this->cluster.Apply(
+      "teams", R"([{"name": "later", "share": 1, "upper_limit": 4}])"));
+  EXPECT_TRUE(Eventually([&] { return this->HasTeam(0, "later"); }));
+  EXPECT_TRUE(this->HasTeam(0, "kept"));
+}
+
+// Guards against two operators who both believe that their change is in force.
+TEST_F(FailoverTest, TwoOperators_SameBaseVersion_OneWinsOtherGets409) {
+  const std::uint64_t version = this->TeamsAt(0)["version"];
+  std::vector<Reply> replies(2);
+  std::vector<std::thread> operators;
+  const auto change = [&](int i) {
+    return json{
+        {"change_id", "race-" + std::to_string(i)},
+        {"base_version", version},
+        {"upserts",
+         json::array(
+             {{{"name", "raced"}, {"share", i + 1}, {"upper_limit", 4}}})}}
+        .dump();
+  };
+  for (int i = 0; i < 2; ++i) {
+    operators.emplace_back([&, i] {
+      replies[i] =
+          this->cluster.Operate(i, "POST", "/v1/tables/teams", change(i));
+    });
+  }
+  for (auto& thread : operators) {
+    thread.join();
+  }
+  const int winner = replies[0].status == 200 ? 0 : 1;
+  EXPECT_EQ(replies[winner].status, 200) << replies[winner].body;
+  EXPECT_EQ(replies[1 - winner].status, 409) << replies[1 - winner].body;
+  // The same changes sent again after a lost answer, through other entries.
+  EXPECT_EQ(this->cluster.Operate(3, "POST", "/v1/tables/teams", change(winner))
+                .status,
+            200);
+  EXPECT_EQ(
+      this->cluster.Operate(2, "POST", "/v1/tables/teams", change(1 - winner))
+          .status,
+      409);
+}
+
+}  // namespace
+}  // namespace mimosastage::testing
--- /dev/null
+++ b/tests/system/serving_test.cc
@@ -0,0 +1,176 @@
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <atomic>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <thread>
+
+#include "tests/system/support/cluster.h"
+
+namespace mimosastage::testing {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string ReasonOf(const Reply& reply) {
+  const json problem = json::parse(reply.body, nullptr, false);
+  return problem.is_object() ? problem.value("reason", "") : "";
+}
+
+std::string OutcomeOf(const Reply& reply) {
+  const json problem = json::parse(reply.body, nullptr, false);
+  return problem.is_object() ? problem.value("outcome", "") : "";
+}
+
+/// Four daemons, the last without a disk, and two backend servers.
+class ServingTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    this->cluster.StartAllDaemons();
+    this->cluster.StartBackendServer("p");
+    this->cluster.StartBackendServer("p");
+    ASSERT_TRUE(this->cluster.WaitReady());
+    this->key = this->cluster.ApplyBasics();
+    ASSERT_FALSE(this->key.empty());
+    for (int i = 0; i < 4; ++i) {
+      ASSERT_TRUE(Eventually([&] {
+        return this->cluster.Request(i, "/r/r/warm", this->Auth()).status ==
+               200;
+      })) << "entry "
+          << i;
+    }
+  }
+
+  std::vector<std::string> Auth(const std::string& idempotency_key = "") const {
+    std::vector<std::string> headers = {"Authorization: Bearer " + this->key};
+    if (!idempotency_key.empty()) {
+      headers.push_back("Idempotency-Key: " + idempotency_key);
+    }
+    return headers;
+  }
+
+  Cluster cluster{4, 3};
+  std::string key;
+};
+
+// Guards against an entry that answers without the team's key, or refuses an
+// open route.
+TEST_F(ServingTest, Entry_WithAndWithoutKey_AcceptsOnlyTheTeamsKey) {
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_EQ(this->cluster.Request(i, "/r/r/x", this->Auth()).status, 200);
+    const Reply missing = this->cluster.Request(i, "/r/r/x");
+    EXPECT_EQ(missing.status, 401);
+    EXPECT_EQ(ReasonOf(missing), "missing_key");
+    EXPECT_EQ(OutcomeOf(missing), "not_run");
+    const Reply wrong =
+        this->cluster.Request(i, "/r/r/x", {"Authorization: Bearer wrong"});
+    EXPECT_EQ(ReasonOf(wrong), "unknown_key");
+    EXPECT_TRUE(Eventually(
+        [&] { return this->cluster.Request(i, "/r/open/x").status == 200; }));
+    EXPECT_EQ(this->cluster.Request(i, "/r/none/x", this->Auth()).status, 404);
+  }
+}
+
+// Guards against a request that may not be repeated and runs again when it is
+// sent again, also through another entry.
+TEST_F(ServingTest, NotRepeatable_SentAgainThroughOtherEntry_RunsOnce) {
+  const Reply first = this->cluster.Request(0, "/r/once/x", this->Auth("k-1"));
+  ASSERT_EQ(first.status, 200) << first.body;
+  for (int i = 0; i < 4; ++i) {
+    Reply again;
+    EXPECT_TRUE(Eventually([&] {
+      again = this->cluster.Request(i, "/r/once/x", this->Auth("k-1"));
+      return again.status == 200;
+    })) << again.body;
+    EXPECT_EQ(again.body, first.body);
+    EXPECT_EQ(again.headers["mimosastage-stored-answer"], "whole");
+  }
+  EXPECT_EQ(this->cluster.RunsOf("k-1"), 1);
+  const Reply other =
+      this->cluster.Request(1, "/r/once/x", this->Auth("k-1"), "other body");
+  EXPECT_EQ(ReasonOf(other), "idempotency_key_reused") << other.body;
+  const Reply without = this->cluster.Request(1, "/r/once/x", this->Auth());
+  EXPECT_EQ(ReasonOf(without), "idempotency_key_missing") << without.body;
+}
+
+// Guards against answers of other requests, cut answers that look whole, and
+// "not run" where the work may have run.
+TEST_F(ServingTest, FaultyBackendServers_EachFault_CallerIsNeverMisled) {
+  for (const char* fault : {"crossed", "truncated", "no_length"}) {
+    for (int server = 0; server < 2; ++server) {
+      this->cluster.SetFaults(server, json{{fault, true}}.dump());
+    }
+    const std::string idempotency_key = std::string("fault-") + fault;
+    const Reply reply =
+        this->cluster.Request(0, "/r/once/x", this->Auth(idempotency_key));
+    EXPECT_NE(reply.status, 200) << fault;
+    EXPECT_EQ(OutcomeOf(reply), "unknown") << fault << reply.body;
+    const Reply again =
+        this->cluster.Request(2, "/r/once/x", this->Auth(idempotency_key));
+    EXPECT_NE(again.status, 200) << fault;
+    EXPECT_EQ(OutcomeOf(again), "unknown") << fault << again.body;
+    EXPECT_LE(this->cluster.RunsOf(idempotency_key), 1) << fault;
+    for (int server = 0; server < 2; ++server) {
+      this->cluster.SetFaults(server, json{{fault, false}}.dump());
+    }
+  }
+}
+
+// Guards against a refusal by one backend server that reaches the caller while
+// another server could run the request.
+TEST_F(ServingTest, OneServerRefuses_NotRepeatable_RunsOnTheOther) {
+  this->cluster.SetFaults(0, R"({"refuse": true})");
+  int answered = 0;
+  for (int i = 0; i < 8; ++i) {
+    const std::string idempotency_key = "refuse-" + std::to_string(i);
+    const Reply reply =
+        this->cluster.Request(i % 4, "/r/once/x", this->Auth(idempotency_key));
+    answered += reply.status == 200 ? 1 : 0;
+    EXPECT_LE(this->cluster.RunsOf(idempotency_key), 1);
+  }
+  EXPECT_EQ(answered, 8);
+}
+
+// Guards against requests that a planned stop cuts.
+TEST_F(ServingTest, Sigterm_RequestsInProgress_AllAnsweredAndExitZero) {
+  for (int server = 0; server < 2; ++server) {
+    this->cluster.SetFaults(server, R"({"service_time_ms": 700})");
+  }
+  std::atomic<int> answered{0};
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.emplace_back([&] {
+      if (this->cluster.Request(3, "/r/r/slow", this->Auth()).status == 200) {
+        ++answered;
+      }
+    });
+  }
+  SleepFor(milliseconds(300));
+  this->cluster.Daemon(3).Signal(SIGTERM);
+  EXPECT_TRUE(Eventually([&] { return !this->cluster.Ready(3); }));
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  EXPECT_EQ(answered, 8);
+  EXPECT_EQ(this->cluster.Daemon(3).Wait(), 0);
+}
+
+// Guards against a departing backend server that gets new work.
+TEST_F(ServingTest, DepartingServer_AfterThreeSeconds_GetsNothingNew) {
+  this->cluster.SetFaults(0, R"({"depart": true})");
+  SleepFor(seconds(3));
+  const auto runs = [&] {
+    return Send({"GET", this->cluster.BackendServerUrl(0, "/runs")}).body;
+  };
+  const std::string before = runs();
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(this->cluster.Request(i % 4, "/r/r/x", this->Auth()).status, 200);
+  }
+  EXPECT_EQ(runs(), before);
+}
+
+}  // namespace
+}  // namespace mimosastage::testing
--- /dev/null
+++ b/tests/system/support/http.cc
@@ -0,0 +1,67 @@
+#include "tests/system/support/http.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace mimosastage::testing {
+namespace {
+
+std::size_t AppendBody(char* data, std::size_t size, std::size_t count,
+                       void* target) {
+  static_cast<Reply*>(target)->body.append(data, size * count);
+  return size * count;
+}
+
+std::size_t ReadHeader(char* data, std::size_t size, std::size_t count,
+                       void* target) {
+  const std::string line(data, size * count);
+  if (const auto colon = line.find(':'); colon != std::string::npos) {
+    std::string name = line.substr(0, colon);
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
+    const auto first = line.find_first_not_of(' ', colon + 1);
+    const auto last = line.find_last_not_of("\r\n ");
+    if (first != std::string::npos && last >= first) {
+      static_cast<Reply*>(target)->headers[name] =
+          line.substr(first, last - first + 1);
+    }
+  }
+  return size * count;
+}
+
+}  // namespace
+
+Reply Send(const Call& call) {
+  Reply reply;
+  CURL* handle = curl_easy_init();
+  curl_slist* headers = curl_slist_append(nullptr, "Expect:");
+  for (const std::string& header : call.headers) {
+    headers = curl_slist_append(headers, header.c_str());
+  }
+  curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
+  curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(call.timeout.count()));
+  if (!call.body.empty() || call.method == "POST") {
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.data());
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE,
+                     static_cast<long>(call.body.size()));
+  }
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, AppendBody);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &reply);
+  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, ReadHeader);
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &reply);
+  if (curl_easy_perform(handle) == CURLE_OK) {
+    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &reply.status);
+  }
+  curl_slist_free_all(headers);
+  curl_easy_cleanup(handle);
+  return reply;
+}
+
+}  // namespace mimosastage::testing
