--- a/bench/cluster_bench.cc
+++ b/bench/cluster_bench.cc
@@ -103,6 +103,7 @@
              int clients, int rate, seconds length) {
   std::vector<Load> parts(static_cast<std::size_t>(clients));
   std::vector<std::thread> threads;
+  threads.reserve(parts.size());
   const auto start = steady_clock::now();
   for (int i = 0; i < clients; ++i) {
     threads.emplace_back([&, i] {
@@ -178,6 +179,7 @@
   const std::vector<std::string> direct = {cluster.BackendServerUrl(0, "/x"),
                                            cluster.BackendServerUrl(1, "/x")};
   std::vector<std::string> path;
+  path.reserve(static_cast<std::size_t>(absl::GetFlag(FLAGS_daemons)));
   for (int i = 0; i < absl::GetFlag(FLAGS_daemons); ++i) {
     path.push_back(cluster.CallerUrl(i, "/r/r/x"));
   }
@@ -249,6 +251,7 @@
   std::atomic<bool> done{false};
   std::atomic<std::int64_t> last{0};
   std::vector<std::thread> callers;
+  callers.reserve(static_cast<std::size_t>(daemons));
   for (int i = 0; i < daemons; ++i) {
     callers.emplace_back([&, i] {
       Client client(cluster.CallerUrl(i, "/r/r/x"), key);
@@ -375,6 +378,7 @@
                  R"(mimosastage_link_bytes_total{direction="received"})")};
   };
   std::vector<Reading> before;
+  before.reserve(static_cast<std::size_t>(daemons));
   for (int i = 0; i < daemons; ++i) {
     before.push_back(read(i));
   }
--- a/src/mimosastage/base/ring.h
+++ b/src/mimosastage/base/ring.h
@@ -2,8 +2,10 @@
 #define MIMOSASTAGE_BASE_RING_H_
 
 #include <boost/lockfree/spsc_queue.hpp>
+#include <chrono>
 #include <cstddef>
 #include <functional>
+#include <thread>
 #include <utility>
 
 namespace mimosastage {
@@ -27,6 +29,16 @@
     return true;
   }
 
+  /// Waits while the ring is full, for items that must not be lost. The reading
+  /// thread must never wait for the writing one.
+  void PushOrWait(T&& item) {
+    constexpr std::chrono::microseconds kPause{50};
+    while (!this->items.push(std::move(item))) {
+      std::this_thread::sleep_for(kPause);
+    }
+    this->wake();
+  }
+
   /// Hands at most `limit` items to `consume`; returns how many there were.
   template <class Consume>
   std::size_t Drain(Consume&& consume, std::size_t limit) {
--- a/src/mimosastage/node/daemon.cc
+++ b/src/mimosastage/node/daemon.cc
@@ -26,7 +26,6 @@
 constexpr std::size_t kRingCapacity = 8'192;
 /// Events taken from one ring before the others get their turn.
 constexpr std::size_t kBatch = 256;
-constexpr std::chrono::microseconds kFullRingPause{50};
 constexpr std::chrono::milliseconds kLongestWait{100};
 
 struct Disconnect {
@@ -61,14 +60,6 @@
   return number;
 }
 
-/// For what must not be lost; the reader never waits for the writer.
-template <class T>
-void PushOrWait(Ring<T>& ring, T&& item) {
-  while (!ring.Push(std::move(item))) {
-    std::this_thread::sleep_for(kFullRingPause);
-  }
-}
-
 HttpAnswer OverloadedAnswer() {
   CallerRefusal refusal;
   refusal.reason = "daemon_overloaded";
@@ -159,13 +150,15 @@
   }
   if (!this->folder->Report().empty()) {
     LogEvent(LogSeverity::kWarning, events::kLogTruncated,
-             this->folder->Report());
+             this->folder->Report())
+        .With("folder", this->settings.data_dir);
   }
   image = std::move(*opened);
   StorageThread::Hooks storage_hooks;
   storage_hooks.on_synced = this->wake_node;
   storage_hooks.on_failed = [this](const std::string& detail) {
-    LogEvent(LogSeverity::kError, events::kStorageFailed, detail);
+    LogEvent(LogSeverity::kError, events::kStorageFailed, detail)
+        .With("folder", this->settings.data_dir);
     this->storage_failed.store(true);
     this->wake.Notify();
   };
@@ -286,7 +279,7 @@
       this->settings.daemon + "-" + std::to_string(RandomNumber());
   ExchangeClient::Hooks client_hooks;
   client_hooks.on_result = [this](ExchangeResult&& result) {
-    PushOrWait(this->from_exchanges, std::move(result));
+    this->from_exchanges.PushOrWait(std::move(result));
   };
   this->exchanges = std::make_unique<ExchangeClient>(std::move(client),
                                                      std::move(client_hooks));
@@ -320,11 +313,11 @@
   };
   node_hooks.answer_caller = [this](std::uint64_t request,
                                     HttpAnswer&& answer) {
-    PushOrWait(this->to_callers, OutgoingAnswer{request, std::move(answer)});
+    this->to_callers.PushOrWait(OutgoingAnswer{request, std::move(answer)});
   };
   node_hooks.answer_operator = [this](std::uint64_t request,
                                       HttpAnswer&& answer) {
-    PushOrWait(this->to_operators, OutgoingAnswer{request, std::move(answer)});
+    this->to_operators.PushOrWait(OutgoingAnswer{request, std::move(answer)});
   };
   node_hooks.wall_time = [] {
     return std::chrono::duration_cast<WallTime>(
--- a/src/mimosastage/node/node.cc
+++ b/src/mimosastage/node/node.cc
@@ -227,8 +227,8 @@
 OperatorHooks Node::MakeOperatorHooks() {
   OperatorHooks operator_hooks;
   operator_hooks.propose = [this](const Command& command,
-                                  OperatorHooks::ProposalDone done) {
-    this->ProposeForOperator(command, std::move(done));
+                                  const OperatorHooks::ProposalDone& done) {
+    this->ProposeForOperator(command, done);
   };
   operator_hooks.view = [this] { return this->View(); };
   operator_hooks.status = [this] { return this->Status(); };
@@ -237,14 +237,14 @@
     return this->metrics.PrometheusText();
   };
   operator_hooks.announce = [this](const std::string& body,
-                                   OperatorHooks::ReplyDone done) {
-    this->OnAnnouncement(body, std::move(done));
+                                   const OperatorHooks::ReplyDone& done) {
+    this->OnAnnouncement(body, done);
   };
   return operator_hooks;
 }
 
 void Node::ProposeForOperator(const Command& command,
-                              OperatorHooks::ProposalDone done) {
+                              const OperatorHooks::ProposalDone& done) {
   const bool proposed = this->replication.Propose(
       command, this->last_now, this->last_now + kChangeWait,
       [done](const std::optional<Outcome>& outcome) {
@@ -323,7 +323,7 @@
 }
 
 void Node::OnAnnouncement(const std::string& body,
-                          OperatorHooks::ReplyDone done) {
+                          const OperatorHooks::ReplyDone& done) {
   const auto announcement = ParseAnnouncement(body);
   if (!announcement.has_value()) {
     done(JsonReply{400, AnnouncementErrorBody(400, announcement.error())});
--- a/src/mimosastage/node/node.h
+++ b/src/mimosastage/node/node.h
@@ -83,8 +83,9 @@
   LendingService::Hooks LendingHooks();
   OperatorHooks MakeOperatorHooks();
   void ProposeForOperator(const Command& command,
-                          OperatorHooks::ProposalDone done);
-  void OnAnnouncement(const std::string& body, OperatorHooks::ReplyDone done);
+                          const OperatorHooks::ProposalDone& done);
+  void OnAnnouncement(const std::string& body,
+                      const OperatorHooks::ReplyDone& done);
   DaemonStatus Status() const;
   std::vector<MemberStatus> Members() const;
   std::shared_ptr<const OperatorView> View();
--- a/src/mimosastage/storage/storage_thread.cc
+++ b/src/mimosastage/storage/storage_thread.cc
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr std::size_t kRingCapacity = 1'024;
-constexpr std::chrono::microseconds kFullRingPause{50};
 constexpr std::chrono::seconds kLongestWait{1};
 
 }  // namespace
@@ -32,9 +31,7 @@
 }
 
 void StorageThread::Write(DurableWrite&& write) {
-  while (!this->ring.Push(std::move(write))) {
-    std::this_thread::sleep_for(kFullRingPause);
-  }
+  this->ring.PushOrWait(std::move(write));
 }
 
 void StorageThread::Run() {
--- a/src/mimosastaged/main.cc
+++ b/src/mimosastaged/main.cc
@@ -82,8 +82,8 @@
   // Outlives main's end, because the signal thread may still call it.
   static Daemon daemon(settings);
   if (const std::string problem = daemon.Start(); !problem.empty()) {
-    LogEvent(LogSeverity::kError, mimosastage::events::kListenerFailed,
-             problem);
+    LogEvent(LogSeverity::kError, mimosastage::events::kListenerFailed, problem)
+        .With("cluster", settings.cluster);
     return kBadSettings;
   }
   LogEvent(LogSeverity::kInfo, mimosastage::events::kDaemonStarted,
--- a/tests/system/failover_test.cc
+++ b/tests/system/failover_test.cc
@@ -13,8 +13,6 @@
 
 using nlohmann::json;
 using std::chrono::milliseconds;
-using std::chrono::seconds;
-using std::chrono::steady_clock;
 
 /// Four daemons, the last without a disk, and one backend server.
 class FailoverTest : public ::testing::Test {
@@ -109,6 +107,7 @@
   SleepFor(milliseconds(2'500));
   std::atomic<int> accepted{0};
   std::vector<std::thread> callers;
+  callers.reserve(8);
   for (int i = 0; i < 8; ++i) {
     callers.emplace_back([&] {
       const Reply reply = this->RequestWith(3, this->key);
@@ -169,6 +168,7 @@
   const std::uint64_t version = this->TeamsAt(0)["version"];
   std::vector<Reply> replies(2);
   std::vector<std::thread> operators;
+  operators.reserve(2);
   const auto change = [&](int i) {
     return json{
         {"change_id", "race-" + std::to_string(i)},
--- a/tests/system/serving_test.cc
+++ b/tests/system/serving_test.cc
@@ -141,6 +141,7 @@
   }
   std::atomic<int> answered{0};
   std::vector<std::thread> callers;
+  callers.reserve(8);
   for (int i = 0; i < 8; ++i) {
     callers.emplace_back([&] {
       if (this->cluster.Request(3, "/r/r/slow", this->Auth()).status == 200) {
--- a/tests/system/support/http.cc
+++ b/tests/system/support/http.cc
@@ -57,7 +57,9 @@
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, ReadHeader);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, &reply);
   if (curl_easy_perform(handle) == CURLE_OK) {
-    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &reply.status);
+    long status = 0;  // NOLINT(google-runtime-int): libcurl's type.
+    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+    reply.status = static_cast<int>(status);
   }
   curl_slist_free_all(headers);
   curl_easy_cleanup(handle);
--- a/tests/system/support/http.h
+++ b/tests/system/support/http.h
@@ -10,7 +10,7 @@
 
 struct Reply {
   /// 0 if no whole answer came.
-  long status = 0;
+  int status = 0;
   /// Names in lower case.
   std::map<std::string, std::string> headers;
   std::string body;
--- a/tests/system/support/process.cc
+++ b/tests/system/support/process.cc
@@ -21,6 +21,7 @@
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
   std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
   for (const std::string& part : command) {
     arguments.push_back(const_cast<char*>(part.c_str()));
   }
