--- a/src/mimosastagectl/commands.cc
+++ b/src/mimosastagectl/commands.cc
@@ -227,7 +227,9 @@
   if (reply.code != ExitCode::kDone) {
     return Fail(reply);
   }
-  std::cout << "key_id: " << key_id << "\nkey: " << secret << "\n";
+  // Only the key goes to stdout, so that a script can take it from there.
+  std::cerr << "key " << key_id << " is granted and shown this once\n";
+  std::cout << secret << "\n";
   return ExitCode::kDone;
 }
 
--- a/src/mimosastagectl/main.cc
+++ b/src/mimosastagectl/main.cc
@@ -31,7 +31,7 @@
           "Id of an earlier apply whose outcome is unknown.");
 ABSL_FLAG(std::string, team, "", "Team of the key, for keys grant.");
 ABSL_FLAG(std::string, client, "", "Client of the key, for keys grant.");
-ABSL_FLAG(std::string, key_id, "",
+ABSL_FLAG(std::string, id, "",
           "Id of the key, for keys grant; made up if empty.");
 ABSL_FLAG(absl::Duration, attempt_timeout, absl::Seconds(5),
           "Time for one attempt at one daemon.");
@@ -46,7 +46,8 @@
     "  mimosastagectl [FLAGS] apply -f FILE\n"
     "  mimosastagectl [FLAGS] diff -f FILE\n"
     "  mimosastagectl [FLAGS] get routes|pools|teams|policy|keys\n"
-    "  mimosastagectl [FLAGS] keys grant --team=TEAM --client=CLIENT\n"
+    "  mimosastagectl [FLAGS] keys grant --team=TEAM --client=CLIENT "
+    "[--id=KEY_ID]\n"
     "  mimosastagectl [FLAGS] keys revoke KEY_ID\n"
     "  mimosastagectl [FLAGS] members|status [--output=json]\n"
     "  mimosastagectl [FLAGS] pools status|waves status|workers|jobs\n\n"
@@ -154,7 +155,7 @@
   if (command == "keys" && argument == "grant" && count == 2) {
     return RunGrant(client,
                     {absl::GetFlag(FLAGS_team), absl::GetFlag(FLAGS_client),
-                     absl::GetFlag(FLAGS_key_id)});
+                     absl::GetFlag(FLAGS_id)});
   }
   if (command == "keys" && argument == "revoke" && count == 3) {
     return RunRevoke(client, words[2]);
--- a/tests/operators/ctl_test.cc
+++ b/tests/operators/ctl_test.cc
@@ -267,10 +267,9 @@
 TEST_F(CtlTest, Keys_GrantAndRevoke_PrintsAKeyThatWorks) {
   ASSERT_EQ(this->Run("apply -f " + this->Example()), 0);
   this->daemon.lost_answers = 1;
-  ASSERT_EQ(this->Run("keys grant --team=duero --client=web --key_id=web-1"), 0)
+  ASSERT_EQ(this->Run("keys grant --team=duero --client=web --id=web-1"), 0)
       << this->output;
-  const std::string secret =
-      this->output.substr(this->output.find("key: ") + 5, 68);
+  const std::string secret = this->output.substr(this->output.find("msk_"), 68);
   const auto team = [&] {
     return this->daemon.With([&](const ReplicatedState& state) {
       const Key* key = state.Keys().FindBySecret(secret);
