Don't reuse connections of equal age after a stall

Cause: libcurl compares whole seconds, so that a second after a stall a connection that had been open before it could be used again and stalled for the whole timeout. Change: the age limit is one second less. The headers of one answer are bounded by 64 KiB, because libcurl 7.88 bounds single lines only. The bound on headers has no test.

--- a/src/mimosastage/backend_servers/exchange_client.cc
+++ b/src/mimosastage/backend_servers/exchange_client.cc
@@ -236,7 +236,8 @@
       this->suspected_since.erase(found);
       return std::nullopt;
     }
-    return std::chrono::floor<seconds>(since);
+    // libcurl compares whole seconds and reuses a connection of equal age.
+    return std::chrono::floor<seconds>(since) - seconds(1);
   }
 
   void CancelAll() {
--- a/src/mimosastage/backend_servers/internal/exchange.cc
+++ b/src/mimosastage/backend_servers/internal/exchange.cc
@@ -52,6 +52,10 @@
   });
 }
 
+/// Bound on the headers of one answer, interim answers included; libcurl 7.88
+/// bounds single lines only.
+constexpr std::size_t kMaxHeaderBytes = 64U << 10U;
+
 bool UsuallyHasBody(std::string_view method) {
   return method == "POST" || method == "PUT" || method == "PATCH";
 }
@@ -208,6 +212,11 @@
 
 bool Exchange::TakeHeader(std::string_view line) {
   this->answer_began = true;
+  this->header_bytes += line.size();
+  if (this->header_bytes > kMaxHeaderBytes) {
+    this->too_large = true;
+    return false;
+  }
   if (line.starts_with("HTTP/")) {
     // A new status line follows an interim answer such as 100.
     this->answer = {};
--- a/src/mimosastage/backend_servers/internal/exchange.h
+++ b/src/mimosastage/backend_servers/internal/exchange.h
@@ -98,6 +98,7 @@
   bool wrong_id = false;
   bool has_length = false;
   bool too_large = false;
+  std::size_t header_bytes = 0;
   bool said_not_run = false;
   BackendServerAnswer answer;
 };
--- a/tests/backend_servers/exchange_client_test.cc
+++ b/tests/backend_servers/exchange_client_test.cc
@@ -7,6 +7,7 @@
 #include <map>
 #include <mutex>
 #include <random>
+#include <thread>
 
 #include "tests/stand_ins/fake_backend_server_process.h"
 
@@ -183,8 +184,13 @@
   ExchangeRequest stalled = this->MakeRequest(true);
   stalled.reused_stall_limit = milliseconds(200);
   EXPECT_EQ(this->Run(stalled).end, AttemptEnd::kStalledReused);
-  for (int i = 0; i < 3; ++i) {
-    EXPECT_EQ(this->Run(this->MakeRequest(true)).end, AttemptEnd::kWholeAnswer);
+  // libcurl counts ages in whole seconds, so a second round comes later.
+  for (const milliseconds pause : {milliseconds(0), milliseconds(1'200)}) {
+    std::this_thread::sleep_for(pause);
+    for (int i = 0; i < 3; ++i) {
+      EXPECT_EQ(this->Run(this->MakeRequest(true)).end,
+                AttemptEnd::kWholeAnswer);
+    }
   }
 }
 
