Check leases across a leader crash, and make each scratch edit fail a test

Cause: some scratch edits still passed all tests, and nothing showed that serving continues while the leader is replaced. Change: tests for a confirmation before its sync, a voter that returns from 20 long partitions, leases while the leader is replaced, and a single voter. A group of one voter no longer reads outside the list of rounds. Storage tests report an error in place of a crash.

--- a/src/mimosastage/replication/internal/follower_stream.cc
+++ b/src/mimosastage/replication/internal/follower_stream.cc
@@ -64,12 +64,13 @@
   if (this->grants.empty() || this->commit < this->view_start) {
     return;
   }
-  std::vector<std::uint64_t> rounds;
+  // This voter's own vote counts for every round.
+  std::vector<std::uint64_t> rounds{this->round};
   for (const auto& [voter, voter_progress] : this->progress) {
     rounds.push_back(voter_progress.acked_round);
   }
   std::sort(rounds.begin(), rounds.end(), std::greater<>());
-  const std::uint64_t acknowledged = rounds[this->FaultsTolerated() - 1];
+  const std::uint64_t acknowledged = rounds[this->FaultsTolerated()];
   std::vector<PendingGrant> due;
   std::erase_if(this->grants, [&](const PendingGrant& grant) {
     if (grant.round > acknowledged) {
--- a/src/mimosastage/replication/internal/recovery.cc
+++ b/src/mimosastage/replication/internal/recovery.cc
@@ -29,6 +29,7 @@
     this->verified = this->commit;
   }
   this->SendRecovery(now);
+  this->CheckConfirmation(now);
 }
 
 void Replica::Core::SendRecovery(TimePoint now) {
@@ -119,8 +120,13 @@
     this->ChooseRefill(now);
     return;
   }
+  this->CheckConfirmation(now);
+}
+
+void Replica::Core::CheckConfirmation(TimePoint now) {
   const std::size_t others = this->config.voters.size() - 1;
-  if (others - this->unconfirmed.size() >= this->FaultsTolerated()) {
+  if (this->disk_intact &&
+      others - this->unconfirmed.size() >= this->FaultsTolerated()) {
     this->FinishConfirmation(now);
   }
 }
--- a/src/mimosastage/replication/internal/replica_core.h
+++ b/src/mimosastage/replication/internal/replica_core.h
@@ -147,6 +147,7 @@
   void On(DaemonId from, const Recovery& m, TimePoint now);
   void SendRecoveryResponses();
   void On(DaemonId from, const RecoveryResponse& m, TimePoint now);
+  void CheckConfirmation(TimePoint now);
   void FinishConfirmation(TimePoint now);
   void CheckRecovery(TimePoint now);
   /// `known` is a start of this voter that its disk doesn't know.
--- a/src/mimosastage/replication/internal/view_change.cc
+++ b/src/mimosastage/replication/internal/view_change.cc
@@ -40,6 +40,7 @@
   this->votes.clear();
   this->next_repeat = now + this->config.timing.heartbeat_interval;
   this->SendToVoters(StartViewChange{this->target_view});
+  this->CountVotes(now);
 }
 
 void Replica::Core::ClearSuspicion() {
--- a/src/mimosastage/replication/replication_config.h
+++ b/src/mimosastage/replication/replication_config.h
@@ -45,7 +45,8 @@
 
 struct ReplicaConfig {
   DaemonId self{};
-  /// 3 or 5 voters; the leader of view v is voters[v mod size].
+  /// 3 or 5 voters (or 1, which tolerates no fault); the leader of view v is
+  /// voters[v mod size].
   std::vector<DaemonId> voters;
   /// Daemons that aren't voters. A new leader makes itself known to them.
   std::vector<DaemonId> followers;
--- a/tests/replication/replica_test.cc
+++ b/tests/replication/replica_test.cc
@@ -56,6 +56,27 @@
   EXPECT_EQ(this->group.Violation(), "");
 }
 
+// Guards against a gap in serving while the leader is replaced: the others'
+// leases must last until the new leader grants.
+TEST_F(ReplicaTest, Lease_LeaderCrashes_StaysValidOnOthers) {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    ReplicationGroup group(3, 3, seed);
+    const auto all_valid = [&] {
+      for (std::size_t i = 0; i < group.Size(); ++i) {
+        if (group.Running(i) && !group.LeaseValid(i)) {
+          return false;
+        }
+      }
+      return true;
+    };
+    ASSERT_TRUE(group.RunUntil(all_valid, seconds(5)));
+    group.Run(milliseconds(1000 + seed * 7 % 500));
+    group.Crash(*group.Leader());
+    EXPECT_FALSE(group.RunUntil([&] { return !all_valid(); }, seconds(5)))
+        << "seed " << seed;
+  }
+}
+
 // Guards against a leader that goes on without a quorum.
 TEST_F(ReplicaTest, Leader_LosesQuorum_StepsDown) {
   ASSERT_TRUE(this->CommitEverywhere(1));
@@ -75,16 +96,36 @@
   const std::size_t leader = *this->group.Leader();
   const ViewNumber view = this->group.VoterAt(leader)->View();
   const std::size_t away = (leader + 1) % 3;
-  for (std::size_t i = 0; i < this->group.Size(); ++i) {
-    this->group.Partition(away, i, i != away);
+  for (int round = 0; round < 20; ++round) {
+    for (std::size_t i = 0; i < this->group.Size(); ++i) {
+      this->group.Partition(away, i, i != away);
+    }
+    this->group.Run(milliseconds(5000 + 7 * round));
+    this->group.Heal();
+    ASSERT_TRUE(this->CommitEverywhere(1));
   }
-  this->group.Run(seconds(30));
-  this->group.Heal();
-  ASSERT_TRUE(this->CommitEverywhere(10));
-  this->group.Run(seconds(5));
   EXPECT_EQ(this->group.Leader(), leader);
   EXPECT_EQ(this->group.VoterAt(leader)->View(), view);
 }
 
+class SingleVoterTest : public ::testing::Test {};
+
+// Guards against a read outside the list of voters without any other voter.
+TEST_F(SingleVoterTest, Propose_AloneAndRestarted_Commits) {
+  ReplicationGroup group(1, 1, 1);
+  for (LogIndex count = 1; count <= 3; ++count) {
+    ASSERT_TRUE(
+        group.RunUntil([&] { return group.Leader().has_value(); }, seconds(3)));
+    EXPECT_TRUE(group.Propose(0));
+    EXPECT_TRUE(
+        group.RunUntil([&] { return group.Applied(1) == count; }, seconds(3)));
+    EXPECT_TRUE(
+        group.RunUntil([&] { return group.LeaseValid(1); }, seconds(3)));
+    group.Crash(0);
+    group.Restart(0);
+  }
+  EXPECT_EQ(group.Violation(), "");
+}
+
 }  // namespace
 }  // namespace mimosastage
--- a/tests/replication/replica_votes_test.cc
+++ b/tests/replication/replica_votes_test.cc
@@ -147,14 +147,17 @@
 }
 
 // Guards against an old copy of a disk that restarts until its counter passes
-// the incarnation that the others know.
+// the incarnation that the others know, and against a confirmation that a crash
+// of the confirming voter would forget.
 TEST_F(ReplicaVotesTest, Recovery_StartsLackTheKnownOne_IsRefused) {
   this->Begin(1, 3, Intact(0));
   Recovery start;
   start.starts = {MakeIncarnation(1, 1), MakeIncarnation(2, 2)};
   start.incarnation = start.starts.back();
   this->Receive(0, start);
+  EXPECT_EQ(this->Last<RecoveryResponse>(), nullptr);
   this->Sync();
+  ASSERT_NE(this->Last<RecoveryResponse>(), nullptr);
   EXPECT_EQ(this->Last<RecoveryResponse>()->known_incarnation,
             start.incarnation);
   Recovery copy;
--- a/tests/replication/support/replication_group.cc
+++ b/tests/replication/support/replication_group.cc
@@ -325,8 +325,11 @@
 void ReplicationGroup::RenewLease(std::size_t daemon) {
   Daemon& d = this->daemons[daemon];
   const TimePoint now = this->Now(daemon);
-  std::optional<DaemonId> target =
-      d.replica != nullptr ? d.replica->Leader() : std::nullopt;
+  const std::optional<DaemonId> target =
+      d.replica != nullptr ? d.replica->Leader() : d.follower->Leader(now);
+  if (target.has_value() && std::exchange(d.leader, target) != target) {
+    d.lease->LeaderChanged();
+  }
   if (d.replica != nullptr && !target.has_value()) {
     return;
   }
--- a/tests/replication/support/replication_group.h
+++ b/tests/replication/support/replication_group.h
@@ -95,6 +95,7 @@
     std::unique_ptr<Replica> replica;
     std::unique_ptr<Follower> follower;
     std::unique_ptr<ServingLease> lease;
+    std::optional<DaemonId> leader;
     std::vector<std::uint32_t> state;
     TestDisk disk;
     std::optional<DurableImage> copy;
--- a/tests/storage/data_folder_test.cc
+++ b/tests/storage/data_folder_test.cc
@@ -97,7 +97,8 @@
   ASSERT_TRUE(lost.has_value());
   EXPECT_FALSE(lost->intact);
   EXPECT_NE(this->open_folder->Report(), "");
-  EXPECT_FALSE(this->Open()->intact) << "the mark must survive a restart";
+  EXPECT_FALSE(this->Open().value().intact)
+      << "the mark must survive a restart";
   EXPECT_EQ(DataFolder::Format(this->folder, kCluster, kVoter).error(),
             StorageError::kNotEmpty);
   EXPECT_EQ(this->Open("other").error(), StorageError::kForeignFolder);
@@ -109,7 +110,7 @@
   ASSERT_TRUE(first.has_value());
   EXPECT_TRUE(first->intact);
   EXPECT_EQ(IncarnationCounter(first->incarnation), 1);
-  EXPECT_EQ(IncarnationCounter(this->Open()->incarnation), 2);
+  EXPECT_EQ(IncarnationCounter(this->Open().value().incarnation), 2);
   DataFolder second(this->folder, kCluster, kVoter);
   EXPECT_EQ(second.Open().error(), StorageError::kAlreadyOpen);
 }
@@ -133,7 +134,7 @@
     EXPECT_EQ(image->entries, Entries(1, 3).entries) << "cut at " << size;
     EXPECT_EQ(this->open_folder->Report().empty(), size == synced);
     this->Store(Entries(4, 4));
-    EXPECT_EQ(this->Open()->entries, Entries(1, 4).entries);
+    EXPECT_EQ(this->Open().value().entries, Entries(1, 4).entries);
   }
 }
 
@@ -156,7 +157,7 @@
     bytes[at] ^= 0x10;
   }
   Overwrite(segment, bytes);
-  EXPECT_EQ(this->Open()->entries, Entries(1, 5).entries);
+  EXPECT_EQ(this->Open().value().entries, Entries(1, 5).entries);
 }
 
 // Guards against a damaged snapshot, or missing files, that pass for less data.
@@ -187,7 +188,7 @@
       Overwrite(path, bytes);
     }
   }
-  EXPECT_EQ(this->Open()->entries, Entries(6, 7).entries);
+  EXPECT_EQ(this->Open().value().entries, Entries(6, 7).entries);
 }
 
 /// What a voter stored, kept the plain way.
@@ -325,7 +326,7 @@
       this->Store(write);
     }
     const auto image = this->Open();
-    ASSERT_TRUE(image.has_value());
+    ASSERT_TRUE(image.has_value()) << this->open_folder->ErrorDetail();
     EXPECT_EQ(image->entries, Entries(snapshot + 1, kCount).entries);
     EXPECT_LE(this->Segments().size(), 2);
   }
