--- a/bench/replication_bench.cc
+++ b/bench/replication_bench.cc
@@ -78,7 +78,7 @@
   std::uint64_t Syncs() const { return this->syncs; }
 
  private:
-  struct Letter {
+  struct Delivery {
     std::size_t from = 0;
     std::size_t to = 0;
     ReplicationMessage message;
@@ -97,7 +97,7 @@
     }
     Replica::Hooks hooks;
     hooks.send = [this, index](DaemonId to, ReplicationMessage message) {
-      this->letters.push_back(
+      this->deliveries.push_back(
           {index, static_cast<std::size_t>(to), std::move(message)});
     };
     hooks.persist = [this, index](DurableWrite write) {
@@ -122,11 +122,11 @@
   }
 
   void Step() {
-    while (!this->letters.empty()) {
-      const Letter letter = std::move(this->letters.front());
-      this->letters.pop_front();
-      this->replicas[letter.to]->Handle(
-          DaemonId{static_cast<std::uint16_t>(letter.from)}, letter.message,
+    while (!this->deliveries.empty()) {
+      const Delivery delivery = std::move(this->deliveries.front());
+      this->deliveries.pop_front();
+      this->replicas[delivery.to]->Handle(
+          DaemonId{static_cast<std::uint16_t>(delivery.from)}, delivery.message,
           LeaseClock::now());
     }
     if (!this->writes.empty()) {
@@ -144,7 +144,7 @@
 
   std::array<std::unique_ptr<DataFolder>, kVoters> folders;
   std::array<std::unique_ptr<Replica>, kVoters> replicas;
-  std::deque<Letter> letters;
+  std::deque<Delivery> deliveries;
   std::deque<std::pair<std::size_t, DurableWrite>> writes;
   std::uint64_t syncs = 0;
 };
--- a/src/mimosastage/replication/durable_state.h
+++ b/src/mimosastage/replication/durable_state.h
@@ -79,7 +79,7 @@
   /// Already raised and synced for this start.
   Incarnation incarnation = 0;
   /// The last confirmed incarnation and those of all later starts, this one
-  /// included; at most kMaxStarts.
+  /// included; at most kMaxStarts. See AddStart.
   std::vector<Incarnation> starts;
   ViewNumber view = 0;
   ViewNumber last_normal_view = 0;
--- a/src/mimosastage/replication/follower.cc
+++ b/src/mimosastage/replication/follower.cc
@@ -90,8 +90,8 @@
     return this->config.voters[this->view % this->config.voters.size()];
   }
 
-  /// A voter that doesn't lead tells of a view only while it hears the leader,
-  /// so its word counts as the leader's.
+  /// A voter that doesn't lead names a view only while it hears that view's
+  /// leader, so its message counts like one of the leader.
   void NoteLeader(ViewNumber view, LogIndex commit, TimePoint now) {
     this->known_commit = std::max(this->known_commit, commit);
     if (view >= this->view) {
--- a/src/mimosastage/replication/internal/durable_queue.cc
+++ b/src/mimosastage/replication/internal/durable_queue.cc
@@ -71,7 +71,7 @@
 }
 
 bool DurableQueue::Flush(const ReplicatedLog& log, TimePoint now) {
-  if (!this->Idle() || !this->HasNews(log)) {
+  if (!this->Idle() || !this->HasUnwritten(log)) {
     return false;
   }
   DurableWrite write = std::exchange(this->next, DurableWrite{});
@@ -103,7 +103,7 @@
 }
 
 bool DurableQueue::AllSynced(const ReplicatedLog& log) const {
-  return this->Idle() && !this->HasNews(log);
+  return this->Idle() && !this->HasUnwritten(log);
 }
 
 Incarnation DurableQueue::KnownIncarnation(DaemonId voter) const {
@@ -123,7 +123,7 @@
   }
 }
 
-bool DurableQueue::HasNews(const ReplicatedLog& log) const {
+bool DurableQueue::HasUnwritten(const ReplicatedLog& log) const {
   return this->dirty || this->written_end < log.End();
 }
 
--- a/src/mimosastage/replication/internal/durable_queue.h
+++ b/src/mimosastage/replication/internal/durable_queue.h
@@ -65,7 +65,7 @@
   };
 
   void ForgetLastNormalView();
-  bool HasNews(const ReplicatedLog& log) const;
+  bool HasUnwritten(const ReplicatedLog& log) const;
   void TakeEntries(const ReplicatedLog& log, DurableWrite& write);
 
   Persist persist;
--- a/src/mimosastage/replication/internal/replica_core.cc
+++ b/src/mimosastage/replication/internal/replica_core.cc
@@ -37,6 +37,9 @@
   this->snapshot_index = image.snapshot_index;
   this->incarnation = image.incarnation;
   this->starts = image.starts;
+  if (this->starts.empty()) {
+    this->starts = {this->incarnation};
+  }
   this->disk_intact = image.intact;
   this->known_incarnations = {image.incarnations.begin(),
                               image.incarnations.end()};
--- a/src/mimosastage/replication/internal/replica_core.h
+++ b/src/mimosastage/replication/internal/replica_core.h
@@ -76,8 +76,8 @@
   };
 
   // replica_core.cc
-  /// False for messages that are only for other states, or from daemons that
-  /// have no business to send them.
+  /// False for messages that this voter ignores in its present status, or that
+  /// only voters may send.
   template <class Message>
   bool Accepts(DaemonId from) const;
   std::size_t FaultsTolerated() const;
@@ -154,8 +154,8 @@
   void LoseDisk(Incarnation known, TimePoint now);
   void ChooseRefill(TimePoint now);
   void FinishRefill(TimePoint now);
-  /// Records the start that `m` tells of, unless the sender's disk lacks one
-  /// that is recorded.
+  /// Records the sender's start, unless its disk lacks a start that is already
+  /// recorded.
   void RecordStart(DaemonId voter, const Recovery& m);
   void Record(DaemonId voter, Incarnation incarnation);
   void NoteIncarnations(
@@ -224,7 +224,7 @@
   std::vector<Incarnation> starts;
   /// Recorded of the other voters; on the disk too.
   std::map<DaemonId, Incarnation> known_incarnations;
-  /// Latest that any voter told of; decides which DoViewChange counts.
+  /// Latest in any voter's messages; decides which DoViewChange counts.
   std::map<DaemonId, Incarnation> latest_incarnations;
   bool disk_intact = false;
   std::uint64_t nonce = 0;
--- a/src/mimosastage/storage/data_folder.h
+++ b/src/mimosastage/storage/data_folder.h
@@ -34,10 +34,11 @@
   DataFolder(const DataFolder&) = delete;
   DataFolder& operator=(const DataFolder&) = delete;
 
-  /// Locks the folder, reads everything and raises the incarnation. An empty
-  /// or missing folder gives an image that isn't intact. A torn last record is
-  /// cut off; see Report. Errors: kForeignFolder, kDamaged, kAlreadyOpen,
-  /// kInputOutput; ErrorDetail names file, offset and remedy.
+  /// Called once. Locks the folder until this object is destroyed, reads
+  /// everything and raises the incarnation. An empty or missing folder gives an
+  /// image that isn't intact. A torn last record is cut off; see Report.
+  /// Errors: kForeignFolder, kDamaged, kAlreadyOpen, kInputOutput; ErrorDetail
+  /// names file, offset and remedy.
   Result<DurableImage> Open();
 
   /// Takes the changes; they are durable after the next Sync. A snapshot is
--- a/src/mimosastage/storage/internal/log_records.cc
+++ b/src/mimosastage/storage/internal/log_records.cc
@@ -127,7 +127,7 @@
 bool LogContent::ApplyEntry(LogEntry entry) {
   if (entry.index > this->End() + 1) {
     // The segment with the entries between was removed behind a snapshot;
-    // Complete tells in the end whether that snapshot is there.
+    // Complete checks that this snapshot is there.
     this->entries.clear();
     this->first = entry.index;
   }
--- a/tests/replication/replica_votes_test.cc
+++ b/tests/replication/replica_votes_test.cc
@@ -110,8 +110,8 @@
   EXPECT_EQ(this->Last<PrepareOk>()->synced, 5);
 }
 
-// Guards against a view that begins with the word of a voter from before it
-// lost its disk; what it acknowledged after its recovery would be lost.
+// Guards against a view that counts a message which a voter sent before it lost
+// its disk; what the voter acknowledged after its recovery would be lost.
 TEST_F(ReplicaVotesTest, DoViewChange_FromBeforeLostDisk_IsNotCounted) {
   this->Begin(1, 5, Intact(0));
   this->Receive(0, this->Response(0, false));
--- a/tests/replication/support/replication_group.cc
+++ b/tests/replication/support/replication_group.cc
@@ -65,14 +65,14 @@
   image.last_normal_view =
       write.last_normal_view.value_or(image.last_normal_view);
   image.intact = write.intact.value_or(image.intact);
-  for (const auto& news : write.incarnations) {
-    if (news.first == self) {
-      image.starts = {news.second};
+  for (const auto& change : write.incarnations) {
+    if (change.first == self) {
+      image.starts = {change.second};
       continue;
     }
     std::erase_if(image.incarnations,
-                  [&](const auto& item) { return item.first == news.first; });
-    image.incarnations.push_back(news);
+                  [&](const auto& item) { return item.first == change.first; });
+    image.incarnations.push_back(change);
   }
 }
 
@@ -236,13 +236,13 @@
   }
   Daemon& d = this->daemons[voter];
   const DurableImage before = d.disk.synced;
-  d.disk.synced = DurableImage();
+  d.disk.synced = this->empty_disk;
   if (!this->StartsKnown()) {
     d.disk.synced = before;
     return false;
   }
   this->Crash(voter);
-  d.disk = TestDisk();
+  d.disk = TestDisk{this->empty_disk, std::nullopt};
   d.unsound = true;
   return true;
 }
--- a/tests/replication/support/replication_group.h
+++ b/tests/replication/support/replication_group.h
@@ -157,6 +157,7 @@
   /// Which run of which voter committed as the leader of a view.
   std::map<ViewNumber, std::pair<std::size_t, std::uint64_t>> committed_by;
   std::uint32_t next_command = 1;
+  const DurableImage empty_disk;
   std::string violation;
 };
 
