--- a/tests/replication/support/replication_group.h
+++ b/tests/replication/support/replication_group.h
@@ -95,6 +95,7 @@
     std::unique_ptr<Replica> replica;
     std::unique_ptr<Follower> follower;
     std::unique_ptr<ServingLease> lease;
+    std::optional<DaemonId> leader;
     std::vector<std::uint32_t> state;
     TestDisk disk;
     std::optional<DurableImage> copy;
@@ -156,6 +157,7 @@
   /// Which run of which voter committed as the leader of a view.
   std::map<ViewNumber, std::pair<std::size_t, std::uint64_t>> committed_by;
   std::uint32_t next_command = 1;
+  const DurableImage empty_disk;
   std::string violation;
 };
 
