Return every absent server from Expire

Cause: TakeDelta called Expire and dropped its result, so that the owner never heard of servers that went absent there, and kept their ejection state. Change: TakeDelta leaves the expiry to the owner; a server that becomes absent leaves the pending delta. Shown failing first: with the call of Expire in TakeDelta, ServersOf_DepartingOrAbsent_LeavesThemOut fails.

--- a/src/mimosastage/routing/backend_server_directory.cc
+++ b/src/mimosastage/routing/backend_server_directory.cc
@@ -178,6 +178,8 @@
 void BackendServerDirectory::MakeAbsent(Server& server) {
   this->Unindex(server);
   server.present = false;
+  this->changed.erase(server.announcement.name);
+  this->renewed.erase(server.announcement.name);
 }
 
 void BackendServerDirectory::Erase(const BackendServerName& name) {
@@ -189,8 +191,7 @@
   this->servers.erase(found);
 }
 
-AnnouncementDelta BackendServerDirectory::TakeDelta(TimePoint now) {
-  this->Expire(now);
+AnnouncementDelta BackendServerDirectory::TakeDelta(TimePoint) {
   AnnouncementDelta delta;
   delta.interval = this->NextInterval();
   for (const BackendServerName& name : this->changed) {
@@ -258,10 +259,6 @@
   for (const BackendServerName& name : forgotten) {
     this->Erase(name);
   }
-  for (const BackendServerName& name : absent) {
-    this->changed.erase(name);
-    this->renewed.erase(name);
-  }
   std::sort(absent.begin(), absent.end());
   return absent;
 }
--- a/src/mimosastage/routing/backend_server_directory.h
+++ b/src/mimosastage/routing/backend_server_directory.h
@@ -59,7 +59,8 @@
   void RequireMembership(const BackendServerName& name, const PoolName& pool,
                          std::uint64_t instance_epoch);
 
-  /// What this daemon heard since the last call, for all links.
+  /// What this daemon heard since the last call, for all links. Call Expire
+  /// before, so that servers that went silent are in the delta.
   AnnouncementDelta TakeDelta(TimePoint now);
   /// True if a delta should be sent without waiting for the next heartbeat.
   bool HasUrgentChanges() const;
--- a/tests/routing/backend_server_directory_test.cc
+++ b/tests/routing/backend_server_directory_test.cc
@@ -32,6 +32,11 @@
     return result ? std::error_code() : result.error();
   }
 
+  AnnouncementDelta TakeDelta(BackendServerDirectory& of) const {
+    of.Expire(this->now);
+    return of.TakeDelta(this->now);
+  }
+
   TimePoint now{seconds(1'000)};
   BackendServerDirectory directory;
 };
@@ -63,8 +68,10 @@
   this->now += milliseconds(2'999);
   EXPECT_TRUE(this->directory.Expire(this->now).empty());
   this->now += milliseconds(1);
+  this->directory.TakeDelta(this->now);
   EXPECT_EQ(this->directory.Expire(this->now).size(), 2U);
   EXPECT_TRUE(this->directory.ServersOf(PoolName("p")).empty());
+  EXPECT_EQ(this->directory.TakeDelta(this->now).gone.size(), 2U);
   this->directory.OnDelta(DaemonId{1}, {{}, {Make(1).name}, {}}, this->now);
   EXPECT_EQ(this->directory.ServersOf(PoolName("p")).size(), 1U);
 }
@@ -118,7 +125,7 @@
       }
       for (int from = 0; from < kDaemons; ++from) {
         const std::string bytes =
-            EncodeAnnouncementDelta(daemons[from].TakeDelta(this->now));
+            EncodeAnnouncementDelta(TakeDelta(daemons[from]));
         const AnnouncementDelta delta = *DecodeAnnouncementDelta(bytes);
         for (int to = 0; to < kDaemons; ++to) {
           if (to != from && !(lossy && random() % 3 == 0)) {
