Renew a voter's incarnation every ten minutes

Cause: an old copy of a disk was noticed only if the voter had restarted since the copy was made; a voter that runs for weeks would not be protected. Ruled out: that the leader compares what the voter acknowledged with what its disk holds, because the leader's memory is lost in a restart too. Change: a normal voter takes a new incarnation every 10 minutes, syncs it and then has the others record it. A copy made since the latest one still can't be told from the disk; the schedules use 2 s and leave only that case out. Shown failing first: never renewing, and telling the others before the sync, fail Incarnation_RenewalDue_IsSentOnceSynced. Conclusion: the window in which an old copy goes unnoticed is 10 minutes.

--- a/src/mimosastage/replication/internal/recovery.cc
+++ b/src/mimosastage/replication/internal/recovery.cc
@@ -17,19 +17,50 @@
   this->refill.reset();
   this->recovery_responses.clear();
   this->acknowledgement_owed = false;
+  this->next_incarnation.reset();
+  this->next_renewal = now + this->config.timing.incarnation_renewal;
+  this->AskAllToConfirm();
+  if (!this->disk_intact) {
+    // What follows the committed entries may differ from the real log.
+    this->TruncateFrom(this->commit + 1);
+    this->verified = this->commit;
+  }
+  this->SendRecovery(now);
+  this->CheckConfirmation(now);
+}
+
+void Replica::Core::AskAllToConfirm() {
   this->nonce = this->random();
   for (const DaemonId voter : this->config.voters) {
     if (voter != this->config.self) {
       this->unconfirmed.insert(voter);
     }
   }
-  if (!this->disk_intact) {
-    // What follows the committed entries may differ from the real log.
-    this->TruncateFrom(this->commit + 1);
-    this->verified = this->commit;
+}
+
+void Replica::Core::RenewIncarnation(TimePoint now) {
+  if (now < this->next_renewal || this->status != ReplicaStatus::kNormal ||
+      this->next_incarnation.has_value()) {
+    return;
   }
+  this->next_renewal = now + this->config.timing.incarnation_renewal;
+  this->next_incarnation = MakeIncarnation(
+      IncarnationCounter(this->incarnation) + 1, this->random());
+  this->durable.SetIncarnation(this->config.self, *this->next_incarnation);
+}
+
+void Replica::Core::AdoptRenewal(TimePoint now) {
+  // The others must not know of it before this voter's own disk does, or else
+  // a crash would make that disk look like an old copy.
+  if (!this->next_incarnation.has_value() ||
+      this->durable.KnownIncarnation(this->config.self) !=
+          *this->next_incarnation) {
+    return;
+  }
+  this->incarnation = *std::exchange(this->next_incarnation, std::nullopt);
+  this->starts = {this->incarnation};
+  this->AskAllToConfirm();
   this->SendRecovery(now);
-  this->CheckConfirmation(now);
 }
 
 void Replica::Core::SendRecovery(TimePoint now) {
@@ -48,6 +79,7 @@
 }
 
 void Replica::Core::CheckRecovery(TimePoint now) {
+  this->RenewIncarnation(now);
   if (this->refill.has_value() &&
       now - this->refill_heard > 2 * this->config.timing.view_change_max) {
     this->BeginRecovery(now);
--- a/src/mimosastage/replication/internal/replica_core.cc
+++ b/src/mimosastage/replication/internal/replica_core.cc
@@ -173,6 +173,7 @@
 
 void Replica::Core::Progress(TimePoint now) {
   this->SendRecoveryResponses();
+  this->AdoptRenewal(now);
   if (this->leading) {
     this->AdvanceCommit(now);
     this->ReleaseGrants();
--- a/src/mimosastage/replication/internal/replica_core.h
+++ b/src/mimosastage/replication/internal/replica_core.h
@@ -147,6 +147,9 @@
   void On(DaemonId from, const Recovery& m, TimePoint now);
   void SendRecoveryResponses();
   void On(DaemonId from, const RecoveryResponse& m, TimePoint now);
+  void AskAllToConfirm();
+  void RenewIncarnation(TimePoint now);
+  void AdoptRenewal(TimePoint now);
   void CheckConfirmation(TimePoint now);
   void FinishConfirmation(TimePoint now);
   void CheckRecovery(TimePoint now);
@@ -226,6 +229,9 @@
   std::map<DaemonId, Incarnation> known_incarnations;
   /// Latest in any voter's messages; decides which DoViewChange counts.
   std::map<DaemonId, Incarnation> latest_incarnations;
+  /// Replaces `incarnation` once it is on the disk.
+  std::optional<Incarnation> next_incarnation;
+  TimePoint next_renewal;
   bool disk_intact = false;
   std::uint64_t nonce = 0;
   std::map<DaemonId, RecoveryResponse> recovery_responses;
--- a/src/mimosastage/replication/replication_config.h
+++ b/src/mimosastage/replication/replication_config.h
@@ -24,6 +24,9 @@
   /// A voter whose disk takes longer to sync stops answering the leader; a
   /// leader steps down.
   Duration storage_stall = std::chrono::milliseconds(1500);
+  /// A voter takes a new incarnation this often. An old copy of its disk is
+  /// noticed if the copy was made before the latest one.
+  Duration incarnation_renewal = std::chrono::minutes(10);
 };
 
 struct ReplicationLimits {
--- a/tests/replication/replica_votes_test.cc
+++ b/tests/replication/replica_votes_test.cc
@@ -170,6 +170,25 @@
             start.incarnation);
 }
 
+// Guards against a new incarnation that the others know before the voter's own
+// disk does, and against one that is never taken.
+TEST_F(ReplicaVotesTest, Incarnation_RenewalDue_IsSentOnceSynced) {
+  this->Begin(2, 3, Intact(0));
+  this->Receive(0, this->Response(1, true));
+  this->Receive(1, this->Response(1, true));
+  this->Sync();
+  this->now += std::chrono::minutes(10);
+  this->replica->Tick(this->now);
+  EXPECT_EQ(this->Last<Recovery>()->incarnation, this->incarnation);
+  ASSERT_FALSE(this->writes.empty());
+  const auto renewed = this->writes.back().incarnations;
+  this->Sync();
+  ASSERT_EQ(renewed.size(), 1);
+  EXPECT_EQ(this->Last<Recovery>()->incarnation, renewed[0].second);
+  EXPECT_EQ(this->Last<Recovery>()->starts,
+            std::vector<Incarnation>{renewed[0].second});
+}
+
 // Guards against a voter that keeps its log although another voter knows a
 // later start of it.
 TEST_F(ReplicaVotesTest, RecoveryResponse_KnowsAnotherStart_RecoversAsLost) {
--- a/tests/replication/support/replication_group.cc
+++ b/tests/replication/support/replication_group.cc
@@ -249,7 +249,8 @@
 
 bool ReplicationGroup::RestoreDisk(std::size_t voter) {
   Daemon& d = this->daemons[voter];
-  // A copy made since the voter's latest start can't be told from its disk.
+  // A copy made since the voter's latest incarnation can't be told from its
+  // disk.
   const bool older = d.copy.has_value() && d.copy->starts.back() != d.latest;
   if (!older || !this->UnsoundAllowed(voter)) {
     return false;
@@ -444,6 +445,7 @@
     auto& list = i < this->voter_count ? config.voters : config.followers;
     list.push_back(DaemonId{static_cast<std::uint16_t>(i)});
   }
+  config.timing.incarnation_renewal = seconds(2);
   // Small limits, so that short runs reach snapshots and partial answers.
   config.limits.snapshot_entries = 24;
   config.limits.message_bytes = 256;
--- a/tests/replication/support/replication_group.h
+++ b/tests/replication/support/replication_group.h
@@ -84,8 +84,8 @@
   /// unsound; false otherwise.
   bool LoseDisk(std::size_t voter);
   /// Crashes the voter and puts the copy back, under the same condition, if the
-  /// voter has started since the copy was made, and if enough of the others
-  /// know the latest start.
+  /// voter has taken an incarnation since the copy was made, and if enough of
+  /// the others know the latest start.
   bool RestoreDisk(std::size_t voter);
   /// Ends all faults and starts every daemon.
   void Heal();
