--- a/src/mimosastage/fleet/internal/pool_round.cc
+++ b/src/mimosastage/fleet/internal/pool_round.cc
@@ -154,7 +154,11 @@
   }
   auto* candidate = this->BestCandidate(job);
   if (candidate == nullptr) {
-    this->Hold(job, this->NoRoomReason(job));
+    // The reason is built only if it is listed: with thousands of waiting jobs
+    // the texts took most of the round.
+    if (this->round.held.size() < kMaxHeld) {
+      this->Hold(job, this->NoRoomReason(job));
+    }
     return false;
   }
   this->Commit(job, *candidate);
--- a/src/mimosastage/fleet/maintenance_planner.cc
+++ b/src/mimosastage/fleet/maintenance_planner.cc
@@ -36,9 +36,7 @@
                                TimePoint now) {
   this->fleet.Apply(transition);
   if (this->current) this->current->Apply(transition);
-  auto& tracking = this->Track(transition.instance);
-  tracking =
-      Tracking{.since = now, .failure_recorded = tracking.failure_recorded};
+  this->Track(transition.instance) = Tracking{.since = now};
 }
 
 void MaintenancePlanner::Reject(const InstanceName& instance) {
@@ -65,19 +63,24 @@
 void MaintenancePlanner::WatchAvailability(TimePoint now,
                                            FleetActions& actions) {
   for (const auto& [name, instance] : this->fleet.instances()) {
-    const auto silence = this->workers.Silence(name, now);
+    const auto* entry = this->workers.Find(name);
+    const auto silence = entry == nullptr ? this->workers.Silence(name, now)
+                                          : now - entry->received;
     // A rebooting instance is silent by plan; its return has a limit of its
     // own.
     const bool silent = instance.state != InstanceState::kRebooting &&
                         silence >= this->config.silence_limit;
     // A new leader can't know whether an instance works before its first
     // report, and a drain that it starts too early could exceed the budget.
-    const bool unknown = this->workers.Find(name) == nullptr;
-    this->fleet.SetUnavailable(
-        name, silent || unknown || this->hooks.quarantined(name));
+    const bool unavailable =
+        silent || entry == nullptr || this->hooks.quarantined(name);
+    if (unavailable != instance.unavailable) {
+      this->fleet.SetUnavailable(name, unavailable);
+    }
     if (silent) this->RecordFailure(instance, "is silent", now, actions);
-    if (!silent && instance.state == InstanceState::kServing) {
-      this->Track(name).failure_recorded = false;
+    const bool works = !silent && instance.state == InstanceState::kServing;
+    if (works && !this->recorded_failures.empty()) {
+      this->recorded_failures.erase(name);
     }
     if (silent && silence >= this->config.failed_after && !instance.proposed &&
         instance.state != InstanceState::kFailed) {
@@ -89,9 +92,7 @@
 void MaintenancePlanner::RecordFailure(const FleetInstance& instance,
                                        const std::string& reason, TimePoint now,
                                        FleetActions& actions) {
-  auto& tracking = this->Track(instance.name);
-  if (tracking.failure_recorded) return;
-  tracking.failure_recorded = true;
+  if (!this->recorded_failures.insert(instance.name).second) return;
   this->correlation.Record(instance, now);
   actions.failures.push_back(
       {instance.name, "instance " + instance.name.str() + " " + reason});
--- a/src/mimosastage/fleet/maintenance_planner.h
+++ b/src/mimosastage/fleet/maintenance_planner.h
@@ -106,7 +106,6 @@
     TimePoint since{};
     TimePoint last_sent{};
     std::optional<TimePoint> checkpoint_sent;
-    bool failure_recorded = false;
   };
 
   Tracking& Track(const InstanceName& name);
@@ -149,6 +148,8 @@
   std::optional<WaveProgress> current;
   bool paused = false;
   std::map<InstanceName, Tracking> tracking;
+  /// Failed instances that have been reported and haven't served since.
+  std::set<InstanceName> recorded_failures;
 };
 
 }  // namespace mimosastage
--- a/src/mimosastage/fleet/pool_sizer.cc
+++ b/src/mimosastage/fleet/pool_sizer.cc
@@ -77,7 +77,10 @@
   if (!desired) return;
   const auto size = this->SizeAfterMoves(pool);
   const auto gap = static_cast<std::int64_t>(*desired) - size;
-  const bool excess = gap < -static_cast<std::int64_t>(this->config.dead_band);
+  const auto& weights = this->fleet.FindPool(pool)->weights;
+  const auto dead_band =
+      weights.buffer > weights.moves ? 0 : this->config.dead_band;
+  const bool excess = gap < -static_cast<std::int64_t>(dead_band);
   if (gap == 0 || (gap < 0 && !excess) || (gap > 0) != (account.regret > 0)) {
     account.regret = 0;
   }
@@ -101,13 +104,9 @@
 
 void PoolSizer::Shrink(const PoolName& pool, Account& account, TimePoint now,
                        Round& round) {
-  const auto& pools = this->fleet.pools();
-  const auto spare =
-      std::find_if(pools.begin(), pools.end(), [&](const auto& entry) {
-        return entry.second.spare && entry.first != pool;
-      });
-  if (spare == pools.end()) return;
-  if (this->StartMove(pool, spare->first, now, round)) account.regret = 0;
+  const auto spare = this->SmallestSpare(pool);
+  if (!spare) return;
+  if (this->StartMove(pool, *spare, now, round)) account.regret = 0;
 }
 
 bool PoolSizer::StartMove(const PoolName& from, const PoolName& to,
@@ -148,6 +147,19 @@
   return best;
 }
 
+std::optional<PoolName> PoolSizer::SmallestSpare(
+    const PoolName& not_this) const {
+  std::optional<PoolName> best;
+  for (const auto& [name, entry] : this->fleet.pools()) {
+    if (!entry.spare || name == not_this) continue;
+    if (best && this->SizeAfterMoves(name) >= this->SizeAfterMoves(*best)) {
+      continue;
+    }
+    best = name;
+  }
+  return best;
+}
+
 std::vector<InstanceName> PoolSizer::IdleFirst(const PoolName& from,
                                                const PoolName& to) const {
   std::map<AvailabilityZone, int> zones;
--- a/src/mimosastage/fleet/pool_sizer.h
+++ b/src/mimosastage/fleet/pool_sizer.h
@@ -30,8 +30,8 @@
     /// Slot-seconds that one move costs in a pool whose weights are all equal:
     /// an instance of 8 slots that is missing for 5 minutes.
     double move_cost = 2'400;
-    /// Slots above the need that a pool may keep before it gives back an
-    /// instance, in instances.
+    /// Instances above the need that a pool keeps. A pool that weights idle
+    /// capacity more than moves keeps none.
     std::uint32_t dead_band = 1;
     std::size_t max_active_moves = 8;
     std::size_t max_moves_of_pool = 1;
@@ -73,6 +73,8 @@
   bool StartMove(const PoolName& from, const PoolName& to, TimePoint now,
                  Round& round);
   std::optional<PoolName> SpareWithSurplus() const;
+  /// Instances go back evenly: a large spare pool would make waves longer.
+  std::optional<PoolName> SmallestSpare(const PoolName& not_this) const;
   std::vector<InstanceName> IdleFirst(const PoolName& from,
                                       const PoolName& to) const;
   double MoveCost(const PoolName& pool) const;
