Send no starts to a draining worker

Cause: a placement may be committed just before its worker's drain. The worker refuses the start, and each repeated start extended the job's lease, so the drain, which waits for the lease, never ended.

Ruled out: cancelling the placement at the drain's commit. The start may have been executed before; only the lease's end shows that it can't run.

Change: JobTable answers starts only to a report of a ready worker; the lease then ends after 17 s and the job is placed elsewhere.

Proof: DrainingWorker_StartNotSeen_LeaseEnds fails without the change (17 starts are sent and the lease doesn't end).

--- a/src/mimosastage/fleet/job_table.cc
+++ b/src/mimosastage/fleet/job_table.cc
@@ -287,6 +287,9 @@
 
 void JobTable::AddStarts(const WorkerReport& report, TimePoint now,
                          ReportResult& result) {
+  // A worker that drains refuses starts. Repeating them would extend the lease
+  // for ever, and the drain waits for its end.
+  if (report.state != WorkerState::kReady) return;
   for (const auto& name : this->On(report.worker)) {
     auto& job = this->all.at(name);
     if (job.committed.state != JobState::kPlaced || job.proposed) continue;
--- a/tests/fleet/job_table_test.cc
+++ b/tests/fleet/job_table_test.cc
@@ -324,6 +324,25 @@
   EXPECT_EQ(placed->lease, 2U);
 }
 
+// Guards against a drain that never ends: a start that a draining worker
+// refuses must not be repeated, because each repeat extends the job's lease.
+TEST_F(JobTableTest, DrainingWorker_StartNotSeen_LeaseEnds) {
+  WorkerHealth health({}, [](const auto&) { return 9U; });
+  TimePoint now{seconds(10)};
+  JobTable table({}, health, 1, now);
+  JobSpec spec;
+  spec.name = JobName("j");
+  ASSERT_FALSE(table.Submit(spec, now));
+  table.Apply(table.Place(spec.name, InstanceName("w"), 0, now).value(), now);
+  WorkerReport report;
+  report.worker = InstanceName("w");
+  report.state = WorkerState::kDrained;
+  for (int i = 0; i < 17; ++i, now += seconds(1)) {
+    EXPECT_TRUE(table.Handle(report, true, now).answer.commands.empty());
+  }
+  EXPECT_EQ(table.Expire(now).size(), 1U);
+}
+
 class WorkerHealthTest : public ::testing::Test {
  protected:
   void Fail(const std::string& worker, const std::string& jobs) {
