Hold backend servers to their committed pool; count and log what was left out

Ruled out: refusing higher epochs altogether; a server may learn its epoch before a follower has applied it. Change: a committed membership fixes the pool; the refusal names the required epoch. The queue's reason reaches the caller and is counted once. Metrics and events are set. Renewals wait half an announcement interval, and link heartbeats are left out when other frames were sent. Before: the new expectation of the directory's test fails. Conclusion: an instance serves in exactly the pool that the state names.

--- a/src/mimosastage/backend_servers/announcement_json.cc
+++ b/src/mimosastage/backend_servers/announcement_json.cc
@@ -37,11 +37,13 @@
   return json{{"interval_ms", interval.count()}}.dump();
 }
 
-std::string AnnouncementErrorBody(int status, std::error_code error) {
+std::string AnnouncementErrorBody(int status, std::error_code error,
+                                  std::uint64_t required_epoch) {
   return json{{"type", "about:blank"},
               {"title", error.message()},
               {"status", status},
               {"reason", "announcement_refused"},
+              {"required_epoch", required_epoch},
               {"outcome", "not_run"}}
       .dump();
 }
--- a/src/mimosastage/backend_servers/announcement_json.h
+++ b/src/mimosastage/backend_servers/announcement_json.h
@@ -2,6 +2,7 @@
 #define MIMOSASTAGE_BACKEND_SERVERS_ANNOUNCEMENT_JSON_H_
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 #include "mimosastage/base/result.h"
@@ -18,7 +19,10 @@
 std::string AnnouncementReplyBody(std::chrono::milliseconds interval);
 
 /// The body of a refusal, with the error's message as the title.
-std::string AnnouncementErrorBody(int status, std::error_code error);
+/// `required_epoch` is the committed epoch of the instance, or 0 if it has
+/// none.
+std::string AnnouncementErrorBody(int status, std::error_code error,
+                                  std::uint64_t required_epoch);
 
 }  // namespace mimosastage
 
--- a/src/mimosastage/daemons/internal/link.cc
+++ b/src/mimosastage/daemons/internal/link.cc
@@ -196,6 +196,7 @@
 void Link::Enqueue(std::string frame) {
   this->queued_bytes += frame.size();
   this->queue.push_back(std::move(frame));
+  this->sent_frame = true;
   this->WriteNext();
 }
 
@@ -239,8 +240,10 @@
     this->Close();
     return;
   }
-  if (this->sending.has_value() && this->queue.empty()) {
+  // Any frame shows the peer that this end is alive.
+  if (this->sending.has_value() && !std::exchange(this->sent_frame, false)) {
     this->Enqueue(Frame({}, this->sending->NextTag({})));
+    this->sent_frame = false;
   }
   this->beat.expires_after(this->settings.heartbeat);
   this->beat.async_wait(
--- a/src/mimosastage/daemons/internal/link.h
+++ b/src/mimosastage/daemons/internal/link.h
@@ -67,6 +67,8 @@
   std::deque<std::string> queue;
   std::size_t queued_bytes = 0;
   bool writing = false;
+  /// A frame was queued since the last beat.
+  bool sent_frame = false;
 };
 
 }  // namespace mimosastage::internal
--- a/src/mimosastage/node/node.cc
+++ b/src/mimosastage/node/node.cc
@@ -17,7 +17,8 @@
 constexpr milliseconds kLendingRound{100};
 constexpr milliseconds kDemandCheck{20};
 constexpr milliseconds kAnnouncementCheck{100};
-/// Renewals wait this long, so that one message carries many.
+/// Renewals wait at least this long, and half of the interval between a
+/// server's announcements, so that one message carries many.
 constexpr milliseconds kAnnouncementInterval{500};
 constexpr milliseconds kQueueCheck{50};
 constexpr milliseconds kDirectoryCheck{250};
@@ -204,15 +205,23 @@
   };
   request_hooks.start_exchange = this->hooks.start_exchange;
   request_hooks.cancel_exchange = this->hooks.cancel_exchange;
-  request_hooks.answer = this->hooks.answer_caller;
+  request_hooks.answer = [this](std::uint64_t request, HttpAnswer&& answer) {
+    this->metrics.Add(metrics::kRequests, std::to_string(answer.status));
+    this->hooks.answer_caller(request, std::move(answer));
+  };
   request_hooks.count_refusal = [this](std::string_view reason) {
     this->metrics.Add(metrics::kRefusals, reason);
   };
   request_hooks.count_retry = [this](std::string_view reason) {
     this->metrics.Add(metrics::kRetries, reason);
   };
-  request_hooks.count_ejection = [this](std::string_view reason) {
+  request_hooks.count_ejection = [this](const BackendServerName& server,
+                                        std::string_view reason) {
     this->metrics.Add(metrics::kEjections, reason);
+    LogEvent(LogSeverity::kWarning, events::kBackendServerEjected,
+             "a backend server is ejected until a probe succeeds")
+        .With("backend_server", server.str())
+        .With("reason", reason);
   };
   request_hooks.record_wait = [this](const RouteName& route, Duration wait) {
     this->metrics.Observe(metrics::kWaitTime, wait, route.str());
@@ -326,7 +335,7 @@
                           const OperatorHooks::ReplyDone& done) {
   const auto announcement = ParseAnnouncement(body);
   if (!announcement.has_value()) {
-    done(JsonReply{400, AnnouncementErrorBody(400, announcement.error())});
+    done(JsonReply{400, AnnouncementErrorBody(400, announcement.error(), 0)});
     return;
   }
   const bool was_known = this->directory.Find(announcement->name) != nullptr;
@@ -334,7 +343,11 @@
       this->directory.OnAnnouncement(*announcement, this->last_now);
   if (!interval.has_value()) {
     this->Drop("refused_announcement");
-    done(JsonReply{409, AnnouncementErrorBody(409, interval.error())});
+    const Instance* instance = this->replication.State().Instances().Find(
+        InstanceName(announcement->name.str()));
+    done(JsonReply{
+        409, AnnouncementErrorBody(409, interval.error(),
+                                   instance == nullptr ? 0 : instance->epoch)});
     return;
   }
   if (this->directory.HasUrgentChanges()) {
@@ -507,9 +520,29 @@
     if (end->session == this->session) {
       this->ReplaceSession();
     }
-  } else if (std::holds_alternative<TableChange>(command)) {
+  } else if (const auto* change = std::get_if<TableChange>(&command)) {
+    this->metrics.Add(metrics::kChanges,
+                      outcome.error ? "refused" : "accepted");
     if (!outcome.error) {
       this->RefreshTables();
+      LogEvent(LogSeverity::kInfo, events::kTableChanged,
+               "a change of a table is in force")
+          .With("table", TableName(change->table))
+          .With("version", outcome.version)
+          .With("change_id", change->change_id);
+    }
+  } else if (const auto* grant = std::get_if<KeyGrant>(&command)) {
+    if (!outcome.error) {
+      LogEvent(LogSeverity::kInfo, events::kKeyGranted, "a key is in force")
+          .With("key_id", grant->key_id)
+          .With("team", grant->team.str())
+          .With("change_id", grant->change_id);
+    }
+  } else if (const auto* revoke = std::get_if<KeyRevoke>(&command)) {
+    if (!outcome.error) {
+      LogEvent(LogSeverity::kInfo, events::kKeyRevoked, "a key is revoked")
+          .With("key_id", revoke->key_id)
+          .With("change_id", revoke->change_id);
     }
   } else if (const auto* moved = std::get_if<InstanceTransition>(&command)) {
     if (!outcome.error) {
@@ -531,6 +564,9 @@
 }
 
 void Node::OnRestored() {
+  LogEvent(LogSeverity::kInfo, events::kSnapshotInstalled,
+           "the state was replaced by a snapshot")
+      .With("applied", this->replication.State().Applied());
   const AllowanceLedger& ledger = this->replication.State().Allowances();
   if (this->session_alive && !ledger.IsAlive(this->session)) {
     this->ReplaceSession();
@@ -564,6 +600,7 @@
 }
 
 void Node::RefreshMemberships() {
+  this->directory.ForgetMemberships();
   for (const auto& [name, record] :
        this->replication.State().Instances().All()) {
     this->directory.RequireMembership(BackendServerName(name.str()),
@@ -646,7 +683,9 @@
 
 void Node::SendAnnouncements(TimePoint now) {
   if (!this->directory.HasUrgentChanges() &&
-      now - this->last_announcements < kAnnouncementInterval) {
+      now - this->last_announcements <
+          std::max<Duration>(kAnnouncementInterval,
+                             this->directory.NextInterval() / 2)) {
     return;
   }
   this->last_announcements = now;
@@ -688,6 +727,19 @@
                     static_cast<double>(this->replication.View()));
   this->metrics.Set(metrics::kCommitIndex,
                     static_cast<double>(this->replication.Applied()));
+  this->requests.ReportQueues(
+      [this](const PoolName& pool, std::size_t waiting, std::size_t running) {
+        this->metrics.Set(metrics::kQueueLength, static_cast<double>(waiting),
+                          pool.str());
+        this->metrics.Set(metrics::kRunning, static_cast<double>(running),
+                          pool.str());
+      });
+  for (const auto& [name, pool] :
+       this->replication.State().Tables().AllPools()) {
+    this->metrics.Set(
+        metrics::kBackendServers,
+        static_cast<double>(this->directory.ServersOf(pool.name).size()), name);
+  }
 }
 
 void Node::WatchLease(TimePoint now) {
@@ -696,7 +748,9 @@
     if (!serving) {
       this->metrics.Add(metrics::kLeaseLapses);
     }
-    LogEvent(serving ? LogSeverity::kInfo : LogSeverity::kWarning,
+    // The session of a planned stop has ended; no one needs to act on that.
+    const bool planned = !serving && this->shutdown_began.has_value();
+    LogEvent(serving || planned ? LogSeverity::kInfo : LogSeverity::kWarning,
              serving ? events::kLeaseGained : events::kLeaseLapsed,
              serving ? "this entry holds a serving lease"
                      : "the serving lease has lapsed; requests are refused "
--- a/src/mimosastage/node/request_service.cc
+++ b/src/mimosastage/node/request_service.cc
@@ -59,6 +59,25 @@
       refusal.retry_after};
 }
 
+std::string TitleOf(const RefuseCaller& action) {
+  switch (action.reason) {
+    case RefusalReason::kIntentKeyMissing:
+      return "the route's requests must not be repeated; send an "
+             "Idempotency-Key";
+    case RefusalReason::kIntentKeyTooLong:
+      return "the Idempotency-Key is too long; send a shorter one";
+    case RefusalReason::kIntentKeyReused:
+      return "the Idempotency-Key was used for another request; send a new one";
+    case RefusalReason::kIntentInProgress:
+      return "a request with this Idempotency-Key is in progress; ask again "
+             "later";
+    default:
+      return action.outcome == RefusalOutcome::kNotRun
+                 ? "the request was not run; it may be sent again"
+                 : "the request may have run; check before sending it again";
+  }
+}
+
 HttpAnswer ToHttpAnswer(BackendServerAnswer&& answer) {
   HttpAnswer http;
   http.status = answer.status;
@@ -285,7 +304,9 @@
     if (refusal.reason == AdmissionError::kNotServing) {
       this->Feed(id, LeaseLapsed{}, now);
     } else {
-      this->hooks.count_refusal(QueueReasonName(refusal.reason));
+      if (auto open = this->requests.find(id); open != this->requests.end()) {
+        open->second.queue_reason = QueueReasonName(refusal.reason);
+      }
       this->Feed(id, ToEvent(refusal), now);
     }
   }
@@ -433,11 +454,11 @@
 void RequestService::Do(std::uint64_t id, RefuseCaller& action, TimePoint) {
   CallerRefusal refusal;
   refusal.status = action.status;
-  refusal.reason = RefusalReasonName(action.reason);
-  refusal.title = action.outcome == RefusalOutcome::kNotRun
-                      ? "the request was not run; it may be sent again"
-                      : "the request may have run; check before sending it "
-                        "again";
+  const std::string_view queue_reason = this->requests.at(id).queue_reason;
+  // The queue knows better than the tracker why it refused.
+  refusal.reason =
+      queue_reason.empty() ? RefusalReasonName(action.reason) : queue_reason;
+  refusal.title = TitleOf(action);
   refusal.outcome = action.outcome == RefusalOutcome::kNotRun
                         ? RefusedOutcome::kNotRun
                         : RefusedOutcome::kUnknown;
@@ -539,7 +560,7 @@
           exchange.server, pool, this->directory.ServersOf(pool).size(),
           result.end, result.answer.status, result.elapsed, now);
       reason.has_value()) {
-    this->hooks.count_ejection(EjectionReasonName(*reason));
+    this->hooks.count_ejection(exchange.server, EjectionReasonName(*reason));
   }
   this->queues[pool].dirty = true;
   AttemptEnded event;
@@ -594,16 +615,14 @@
   this->Pump(now);
 }
 
-std::size_t RequestService::Waiting() const {
-  std::size_t waiting = 0;
+void RequestService::ReportQueues(
+    const std::function<void(const PoolName& pool, std::size_t waiting,
+                             std::size_t running)>& report) const {
   for (const auto& [pool, state] : this->queues) {
-    waiting += state.queue->waiting();
+    report(pool, state.queue->waiting(), state.queue->running());
   }
-  return waiting;
 }
 
-std::size_t RequestService::Running() const { return this->exchanges.size(); }
-
 void RequestService::Refuse(std::uint64_t id, const CallerRefusal& refusal) {
   this->hooks.count_refusal(refusal.reason);
   this->hooks.answer(id, ToHttpAnswer(refusal));
--- a/src/mimosastage/node/request_service.h
+++ b/src/mimosastage/node/request_service.h
@@ -72,7 +72,9 @@
     // Counters; each name is stable.
     std::function<void(std::string_view reason)> count_refusal;
     std::function<void(std::string_view reason)> count_retry;
-    std::function<void(std::string_view reason)> count_ejection;
+    std::function<void(const BackendServerName& server,
+                       std::string_view reason)>
+        count_ejection;
     std::function<void(const RouteName& route, Duration wait)> record_wait;
     std::function<void(const RouteName& route, Duration service)>
         record_service;
@@ -105,8 +107,11 @@
   void StopAccepting() { this->accepting = false; }
   /// Requests accepted and not finished.
   std::size_t Open() const { return this->requests.size(); }
-  std::size_t Waiting() const;
-  std::size_t Running() const;
+  /// Calls `report` for each pool with its requests in the queue and at
+  /// backend servers.
+  void ReportQueues(
+      const std::function<void(const PoolName& pool, std::size_t waiting,
+                               std::size_t running)>& report) const;
 
  private:
   struct PoolQueue {
@@ -128,6 +133,8 @@
     std::optional<BackendServerPicker::Choice> choice;
     std::optional<std::uint64_t> exchange;
     std::uint32_t attempt = 0;
+    /// Set if the queue refused the request.
+    std::string_view queue_reason;
   };
 
   struct Exchange {
--- a/src/mimosastage/routing/announcement.cc
+++ b/src/mimosastage/routing/announcement.cc
@@ -33,8 +33,8 @@
         return "the announcement has an old instance epoch; restart the "
                "backend server with the instance's current epoch";
       case AnnouncementError::kOtherPool:
-        return "the instance is in another pool with this epoch; move it with "
-               "the table of pools, which raises its epoch";
+        return "the instance belongs to another pool; remove it from that "
+               "pool's row, apply, then add it to the new pool's row";
       case AnnouncementError::kDirectoryFull:
         return "the directory of backend servers is full; remove instances or "
                "raise its limit";
--- a/src/mimosastage/routing/backend_server_directory.cc
+++ b/src/mimosastage/routing/backend_server_directory.cc
@@ -93,11 +93,13 @@
   if (found == this->servers.end()) {
     return;
   }
-  if (Compare(found->second.announcement, pool, instance_epoch)) {
+  if (this->Check(found->second.announcement)) {
     this->Erase(name);
   }
 }
 
+void BackendServerDirectory::ForgetMemberships() { this->memberships.clear(); }
+
 std::error_code BackendServerDirectory::Check(
     const Announcement& announcement) const {
   if (const std::error_code error = ValidateAnnouncement(announcement)) {
@@ -106,8 +108,13 @@
   if (auto found = this->memberships.find(announcement.name);
       found != this->memberships.end()) {
     const auto& [pool, epoch] = found->second;
-    if (const std::error_code error = Compare(announcement, pool, epoch)) {
-      return error;
+    // A higher epoch doesn't excuse another pool: a move is committed before
+    // the server can know its new epoch.
+    if (announcement.instance_epoch < epoch) {
+      return AnnouncementError::kOldEpoch;
+    }
+    if (announcement.pool != pool) {
+      return AnnouncementError::kOtherPool;
     }
   }
   if (auto found = this->servers.find(announcement.name);
--- a/src/mimosastage/routing/backend_server_directory.h
+++ b/src/mimosastage/routing/backend_server_directory.h
@@ -55,10 +55,13 @@
                       TimePoint now);
 
   /// The committed membership of an instance. Announcements of a lower epoch,
-  /// or of the same epoch and another pool, are refused from now on.
+  /// or of another pool, are refused from now on.
   void RequireMembership(const BackendServerName& name, const PoolName& pool,
                          std::uint64_t instance_epoch);
 
+  /// No instance has a committed membership; before all are set anew.
+  void ForgetMemberships();
+
   /// What this daemon heard since the last call, for all links. Call Expire
   /// before, so that servers that went silent are in the delta.
   AnnouncementDelta TakeDelta(TimePoint now);
--- a/tests/routing/backend_server_directory_test.cc
+++ b/tests/routing/backend_server_directory_test.cc
@@ -53,6 +53,8 @@
   this->directory.RequireMembership(Make(1).name, PoolName("other"), 5);
   EXPECT_EQ(this->directory.Find(Make(1).name), nullptr);
   EXPECT_EQ(this->Announce(Make(1, "new", 4)), AnnouncementError::kOldEpoch);
+  EXPECT_EQ(this->Announce(Make(1, "new", 9)), AnnouncementError::kOtherPool);
+  EXPECT_FALSE(this->Announce(Make(1, "other", 5)));
   Announcement invalid = Make(2);
   invalid.address = "localhost";
   EXPECT_EQ(this->Announce(invalid), AnnouncementError::kInvalidField);
