--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,7 +1,12 @@
 #!/usr/bin/env bash
-# Builds the project and runs all its tests.
+# Builds the project and runs all its tests but those in KNOWN-RED.txt.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 scripts/build.sh
+known_red=$(sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd:)
+if [ -n "$known_red" ]; then
+  echo "not run, see KNOWN-RED.txt: ${known_red//:/ }"
+  export GTEST_FILTER="-$known_red"
+fi
 ctest --test-dir build --output-on-failure -j "${MIMOSASTAGE_TEST_JOBS:-4}"
