--- a/tests/settings/settings_test.cc
+++ b/tests/settings/settings_test.cc
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <random>
 
 namespace mimosastage {
 namespace {
@@ -160,6 +161,61 @@
   EXPECT_EQ(load.problems.front().problem.kind, JsonError::kNotJson);
 }
 
+// Guards against a number that the JSON library refuses with an exception
+// other than its parse error.
+TEST_F(SettingsTest, Parse_NumberBeyondDouble_IsReported) {
+  const SettingsLoad load = ParseSettings(R"({"cluster": 1e999})", "file");
+  EXPECT_FALSE(load.settings);
+  ASSERT_EQ(load.problems.size(), 1U);
+  EXPECT_EQ(load.problems.front().problem.kind, JsonError::kNotJson);
+}
+
+// Guards against a damaged file that crashes the reader, gives neither
+// settings nor a problem, or a problem without a remedy.
+TEST_F(SettingsTest, Parse_MutatedExample_SettingsOrTypedProblem) {
+  const std::string example = Example().dump();
+  // Pieces of JSON reach the readers behind the parser more often than bytes.
+  const std::vector<std::string> pieces = {
+      "null",    "-1",   "18446744073709551616",
+      "1.5",     "\"\"", "[]",
+      "{}",      "true", "\"9s\"",
+      "\\ud800", "\xff", "[[[["};
+  for (std::uint64_t seed = 1; seed <= 3000; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    std::mt19937_64 random(seed);
+    std::string text = example;
+    for (std::uint64_t i = 1 + random() % 4; i > 0 && !text.empty(); --i) {
+      const std::size_t at = random() % text.size();
+      switch (random() % 4) {
+        case 0:
+          text[at] = static_cast<char>(random());
+          break;
+        case 1:
+          text.erase(at, 1 + random() % 20);
+          break;
+        case 2:
+          text.insert(at, pieces[random() % pieces.size()]);
+          break;
+        default:
+          if (const std::size_t colon = text.find(':', at);
+              colon != std::string::npos) {
+            const std::size_t end = text.find_first_of(",}", colon);
+            text.replace(colon + 1, std::min(end, text.size()) - colon - 1,
+                         pieces[random() % pieces.size()]);
+          }
+      }
+    }
+    const SettingsLoad load =
+        ParseSettings(text, this->folder / "entry-1.json");
+    EXPECT_NE(load.settings.has_value(), !load.problems.empty()) << text;
+    for (const SettingsProblem& problem : load.problems) {
+      EXPECT_TRUE(problem.problem.kind) << text;
+      EXPECT_FALSE(problem.problem.remedy.empty()) << text;
+      EXPECT_EQ(problem.Message().find(kKey), std::string::npos);
+    }
+  }
+}
+
 // Guards against a start that fails later, after the settings were accepted.
 TEST_F(SettingsTest, CheckEnvironment_UsedPortAndBadFolder_AreReported) {
   const int listener = socket(AF_INET, SOCK_STREAM, 0);
--- a/tests/storage/data_folder_test.cc
+++ b/tests/storage/data_folder_test.cc
@@ -191,6 +191,64 @@
   EXPECT_EQ(this->Open().value().entries, Entries(6, 7).entries);
 }
 
+// Guards against damage of any file that crashes the voter, gives an error of
+// another kind, or passes for entries that nobody stored.
+TEST_F(DataFolderTest, Open_AnyFileMutated_StoredEntriesOrTypedError) {
+  this->Fill(5);
+  ASSERT_TRUE(this->Open().has_value());
+  DurableWrite write = Entries(6, 12);
+  write.snapshot = std::string(500, 's');
+  write.snapshot_index = 5;
+  write.snapshot_view = 1;
+  this->Store(write);
+  this->open_folder.reset();
+  const fs::path intact = this->root / "intact";
+  fs::rename(this->folder, intact);
+  std::vector<fs::path> names;
+  for (const auto& item : fs::directory_iterator(intact)) {
+    names.push_back(item.path().filename());
+  }
+  std::sort(names.begin(), names.end());
+  const std::vector<LogEntry> stored = Entries(6, 12).entries;
+  for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    std::mt19937_64 random(seed);
+    this->open_folder.reset();
+    fs::remove_all(this->folder);
+    fs::copy(intact, this->folder);
+    const fs::path path = this->folder / names[random() % names.size()];
+    std::string bytes = Read(path);
+    for (std::uint64_t i = 1 + random() % 4; i > 0 && !bytes.empty(); --i) {
+      const std::size_t at = random() % bytes.size();
+      switch (random() % 4) {
+        case 0:
+          bytes[at] = static_cast<char>(random());
+          break;
+        case 1:
+          bytes.erase(at, 1 + random() % 40);
+          break;
+        case 2:
+          bytes.insert(at, bytes.substr(random() % bytes.size(), 64));
+          break;
+        default:
+          // Large values at the place of a size or an index.
+          bytes.replace(at, 8, 8, '\xff');
+      }
+    }
+    Overwrite(path, bytes);
+    const auto image = this->Open();
+    if (image.has_error()) {
+      EXPECT_EQ(image.error().category(), StorageCategory()) << path;
+      EXPECT_NE(this->open_folder->ErrorDetail(), "") << path;
+      continue;
+    }
+    ASSERT_LE(image->entries.size(), stored.size()) << path;
+    EXPECT_TRUE(std::equal(image->entries.begin(), image->entries.end(),
+                           stored.begin()))
+        << path;
+  }
+}
+
 /// What a voter stored, kept the plain way.
 struct Model {
   DurableImage image;
