--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 
 scripts/build.sh
-known_red=$(sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd:)
+known_red=$(sed -n 's/^test: //p' KNOWN-RED.txt 2> /dev/null | paste -sd: || true)
 if [ -n "$known_red" ]; then
   echo "not run, see KNOWN-RED.txt: ${known_red//:/ }"
   export GTEST_FILTER="-$known_red"
