--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -9,6 +9,7 @@
 # whose processes and time limits are those of the plain build, and the long
 # seeded test in `long_tests`. The replication schedules run with 50 seeds in
 # place of 10,000.
+# Undefined behaviour ends the program; by default it is only printed.
 # MIMOSASTAGE_JOBS limits the parallel compiler runs.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -48,7 +49,7 @@
   for program in "${programs[@]}"; do
     log="build-$build/$program.log"
     status=0
-    MIMOSASTAGE_SCHEDULES=50 \
+    UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 MIMOSASTAGE_SCHEDULES=50 \
       timeout 120 "build-$build/tests/$program" "--gtest_filter=-$long_tests:$known_red" \
       > "$log" 2>&1 || status=$?
     case "$status" in
