Report numbers beyond a double instead of ending the daemon

Cause: nlohmann reports 1e999 as out_of_range, which ParseJson didn't catch, so a POST to /v1/tables with the operator key and such a number ended the daemon. Ruled out: catching all exceptions at the thread's top, which would hide the next fault of this kind. Change: ParseJson reports it as a problem of the text. Rings copy their items openly, since the queue can't move them.

--- a/bench/cluster_bench.cc
+++ b/bench/cluster_bench.cc
@@ -348,9 +348,8 @@
     const int daemon = server % absl::GetFlag(FLAGS_daemons);
     const Reply reply = this->cluster.Announce(daemon, announcement.dump());
     const json answer = json::parse(reply.body, nullptr, false);
-    return milliseconds(answer.is_object()
-                            ? answer.value("interval_ms", 1'000)
-                            : 1'000);
+    return milliseconds(answer.is_object() ? answer.value("interval_ms", 1'000)
+                                           : 1'000);
   }
 
   const Cluster& cluster;
--- a/src/mimosastage/base/json_reader.cc
+++ b/src/mimosastage/base/json_reader.cc
@@ -115,6 +115,10 @@
     problems->push_back({JsonError::kNotJson, "",
                          "an error at byte " + std::to_string(error.byte),
                          "correct the JSON text there"});
+  } catch (const nlohmann::json::out_of_range&) {
+    problems->push_back({JsonError::kNotJson, "",
+                         "a number beyond the range of a double",
+                         "write a smaller number"});
   }
   return nullptr;
 }
--- a/src/mimosastage/base/ring.h
+++ b/src/mimosastage/base/ring.h
@@ -11,7 +11,8 @@
 namespace mimosastage {
 
 /// Bounded queue from one thread to one other. Push never blocks: a full ring
-/// refuses, and the caller counts and reports the refusal.
+/// refuses, and the caller counts and reports the refusal. Items are copied in,
+/// because the queue can't move them.
 template <class T>
 class Ring {
  public:
@@ -20,9 +21,9 @@
   Ring(std::size_t capacity, std::function<void()> wake)
       : items(capacity), wake(std::move(wake)) {}
 
-  /// False if the ring is full; `item` is then left as it was.
-  bool Push(T&& item) {
-    if (!this->items.push(std::move(item))) {
+  /// False if the ring is full.
+  bool Push(const T& item) {
+    if (!this->items.push(item)) {
       return false;
     }
     this->wake();
@@ -31,9 +32,9 @@
 
   /// Waits while the ring is full, for items that must not be lost. The reading
   /// thread must never wait for the writing one.
-  void PushOrWait(T&& item) {
+  void PushOrWait(const T& item) {
     constexpr std::chrono::microseconds kPause{50};
-    while (!this->items.push(std::move(item))) {
+    while (!this->items.push(item)) {
       std::this_thread::sleep_for(kPause);
     }
     this->wake();
--- a/src/mimosastage/node/daemon.cc
+++ b/src/mimosastage/node/daemon.cc
@@ -211,7 +211,7 @@
   HttpServer::Hooks server_hooks;
   server_hooks.on_request = [this](HttpRequest&& request) {
     const std::uint64_t id = request.id;
-    if (!this->from_operators.Push(std::move(request))) {
+    if (!this->from_operators.Push(request)) {
       this->metrics.Add(metrics::kRefusals, "daemon_overloaded");
       this->operators->Answer(id, OverloadedAnswer());
     }
@@ -286,7 +286,7 @@
       this->settings.daemon + "-" + std::to_string(RandomNumber());
   ExchangeClient::Hooks client_hooks;
   client_hooks.on_result = [this](ExchangeResult&& result) {
-    this->from_exchanges.PushOrWait(std::move(result));
+    this->from_exchanges.PushOrWait(result);
   };
   this->exchanges = std::make_unique<ExchangeClient>(std::move(client),
                                                      std::move(client_hooks));
--- a/src/mimosastage/storage/storage_thread.cc
+++ b/src/mimosastage/storage/storage_thread.cc
@@ -31,7 +31,7 @@
 }
 
 void StorageThread::Write(DurableWrite&& write) {
-  this->ring.PushOrWait(std::move(write));
+  this->ring.PushOrWait(write);
 }
 
 void StorageThread::Run() {
