--- a/src/mimosastage/node/daemon.cc
+++ b/src/mimosastage/node/daemon.cc
@@ -423,7 +423,8 @@
   const int requests = this->stop_requests.load();
   if (requests > 0 && !std::exchange(this->shutting_down, true)) {
     LogEvent(LogSeverity::kInfo, events::kDaemonStopping,
-             "planned stop: unready now, finishing requests in progress");
+             "planned stop: unready now, finishing requests in progress")
+        .With("deadline_ms", this->settings.timing.shutdown_deadline);
     this->shutdown_deadline = now + this->settings.timing.shutdown_deadline;
     this->node->BeginShutdown(now);
   }
