Test a restart of all daemons after 1,200 changes

Cause: no real-process test restarted daemons after hundreds of changes. Change: FailoverTest.AllRestarted_AfterManyChanges_NothingIsLost.

--- a/tests/system/failover_test.cc
+++ b/tests/system/failover_test.cc
@@ -245,5 +245,33 @@
   }));
 }
 
+// Guards against changes that are lost when everything restarts after more
+// changes than one snapshot covers, and against an entry that can't catch up
+// with a log whose start is gone.
+TEST_F(FailoverTest, AllRestarted_AfterManyChanges_NothingIsLost) {
+  constexpr int kChanges = 1'200;
+  this->cluster.KillDaemon(3);
+  for (int i = 0; i < kChanges; ++i) {
+    ASSERT_TRUE(this->cluster.Apply(
+        "teams", json::array({{{"name", "team-" + std::to_string(i % 50)},
+                               {"share", 1 + i},
+                               {"upper_limit", 4}}})
+                     .dump()))
+        << i;
+  }
+  const json before = this->TeamsAt(0);
+  for (int i = 0; i < 3; ++i) {
+    this->cluster.KillDaemon(i);
+  }
+  this->cluster.StartAllDaemons();
+  ASSERT_TRUE(this->cluster.WaitReady());
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_TRUE(Eventually([&] { return this->TeamsAt(i) == before; }))
+        << "entry " << i;
+  }
+  EXPECT_TRUE(Eventually(
+      [&] { return this->RequestWith(3, this->key).status == 200; }));
+}
+
 }  // namespace
 }  // namespace mimosastage::testing
