--- a/src/mimosastage/backend_servers/exchange_client.cc
+++ b/src/mimosastage/backend_servers/exchange_client.cc
@@ -122,8 +122,10 @@
     const Exchange::Limits limits{
         this->settings.connect_timeout, this->settings.unacknowledged_timeout,
         this->settings.max_idle_time, this->settings.max_answer_bytes};
-    std::string request_id =
-        this->settings.request_id_prefix + "-" + std::to_string(id);
+    std::string request_id;
+    if (this->settings.expect_request_id) {
+      request_id = this->settings.request_id_prefix + "-" + std::to_string(id);
+    }
     const auto max_age =
         this->MaxConnectionAge(internal::ServerOf(request), now);
     auto exchange =
--- a/src/mimosastage/backend_servers/exchange_client.h
+++ b/src/mimosastage/backend_servers/exchange_client.h
@@ -60,6 +60,9 @@
     /// Start of each request's `Mimosastage-Request-Id`, which is
     /// "<prefix>-<id>". Must differ between daemons and between starts.
     std::string request_id_prefix;
+    /// False for a peer that doesn't echo `Mimosastage-Request-Id`; the header
+    /// is then neither sent nor expected.
+    bool expect_request_id = true;
     std::chrono::milliseconds connect_timeout{1'000};
     /// Sent bytes that stay unacknowledged for so long fail the connection.
     std::chrono::milliseconds unacknowledged_timeout{3'000};
--- a/src/mimosastage/backend_servers/internal/exchange.cc
+++ b/src/mimosastage/backend_servers/internal/exchange.cc
@@ -141,7 +141,9 @@
 }
 
 void Exchange::SetHeaders() {
-  this->AddHeader(kRequestIdHeader, this->request_id);
+  if (!this->request_id.empty()) {
+    this->AddHeader(kRequestIdHeader, this->request_id);
+  }
   for (const auto& [name, value] : this->request.headers) {
     if (!BelongsToConnection(name)) {
       this->AddHeader(name, value);
@@ -253,7 +255,7 @@
   }
   // Giving up here makes libcurl close the connection, so that the rest of
   // another request's answer is never read as the next one.
-  this->wrong_id = !this->answer_has_right_id;
+  this->wrong_id = !this->request_id.empty() && !this->answer_has_right_id;
   return !this->wrong_id;
 }
 
--- a/src/mimosastage/daemons/internal/link.cc
+++ b/src/mimosastage/daemons/internal/link.cc
@@ -157,9 +157,11 @@
   const auto is_peer = [this](const LinkAddress& known) {
     return known.daemon == this->peer.daemon;
   };
+  const bool welcome_guest = this->IsGuest() && this->settings.accept_guests;
   if (this->peer.daemon != this->expected.value_or(this->peer.daemon) ||
-      std::none_of(this->settings.peers.begin(), this->settings.peers.end(),
-                   is_peer)) {
+      (!welcome_guest &&
+       std::none_of(this->settings.peers.begin(), this->settings.peers.end(),
+                    is_peer))) {
     this->hooks.on_drop("unknown_daemon");
     return false;
   }
@@ -187,7 +189,7 @@
   }
   if (size > 0) {
     this->body.resize(size);
-    this->hooks.on_message(this->peer.daemon, std::move(this->body));
+    this->hooks.on_message(this->Peer(), std::move(this->body));
     this->body.clear();
   }
   return true;
--- a/src/mimosastage/daemons/internal/link.h
+++ b/src/mimosastage/daemons/internal/link.h
@@ -36,7 +36,12 @@
   void Start();
   void Close();
   void Send(std::string_view message);
-  DaemonId Peer() const { return this->peer.daemon; }
+  /// The peer as the owner knows it.
+  DaemonId Peer() const {
+    return this->guest_id.value_or(this->peer.daemon);
+  }
+  bool IsGuest() const { return this->peer.daemon == kGuest; }
+  void NameGuest(DaemonId id) { this->guest_id = id; }
 
  private:
   void SendHello();
@@ -58,6 +63,7 @@
   std::chrono::steady_clock::time_point last_received;
   LinkEnd self;
   LinkEnd peer;
+  std::optional<DaemonId> guest_id;
   std::optional<FrameSeal> sending;
   std::optional<FrameSeal> receiving;
   bool up = false;
--- a/src/mimosastage/daemons/links.cc
+++ b/src/mimosastage/daemons/links.cc
@@ -92,6 +92,9 @@
 
   void OnUp(const std::shared_ptr<Link>& link) {
     this->unproved.erase(link);
+    if (link->IsGuest()) {
+      link->NameGuest(this->NextGuest());
+    }
     this->backoff.erase(link->Peer());
     auto& current = this->proved[link->Peer()];
     const std::shared_ptr<Link> previous = std::exchange(current, link);
@@ -102,6 +105,18 @@
     }
   }
 
+  DaemonId NextGuest() {
+    constexpr auto kFirst = static_cast<std::uint16_t>(kFirstGuest);
+    constexpr auto kLast = static_cast<std::uint16_t>(kGuest) - 1;
+    do {
+      this->last_guest =
+          this->last_guest >= kLast
+              ? kFirst
+              : static_cast<std::uint16_t>(this->last_guest + 1);
+    } while (this->proved.contains(DaemonId{this->last_guest}));
+    return DaemonId{this->last_guest};
+  }
+
   void OnClosed(const std::shared_ptr<Link>& link,
                 std::optional<DaemonId> dialled) {
     this->unproved.erase(link);
@@ -193,6 +208,7 @@
   // Used by the links' thread only.
   std::mt19937_64 random;
   bool stopping = false;
+  std::uint16_t last_guest = static_cast<std::uint16_t>(kFirstGuest);
   std::set<std::shared_ptr<Link>> unproved;
   std::map<DaemonId, std::shared_ptr<Link>> proved;
   std::map<DaemonId, std::chrono::milliseconds> backoff;
--- a/src/mimosastage/daemons/links.h
+++ b/src/mimosastage/daemons/links.h
@@ -23,6 +23,12 @@
   std::uint16_t port = 0;
 };
 
+/// Introduces a daemon that the others don't list: it follows the leader and
+/// has no vote. Each of its connections is given an id of its own, from
+/// kFirstGuest on.
+inline constexpr DaemonId kGuest{0xffff};
+inline constexpr DaemonId kFirstGuest{0x8000};
+
 /// Authenticated TCP connections to all other daemons, on one thread. Messages
 /// may be lost when a connection breaks or a queue is full, and are never
 /// changed, repeated or reordered within one connection. Of each pair the
@@ -43,6 +49,8 @@
     std::size_t max_queued_frames = 1'024;
     std::size_t max_queued_bytes = 4U << 20U;
     std::uint64_t seed = 0;
+    /// Accepts connections of guests.
+    bool accept_guests = false;
   };
 
   /// All hooks run on the links' thread.
--- a/src/mimosastage/daemons/message_codec.cc
+++ b/src/mimosastage/daemons/message_codec.cc
@@ -70,6 +70,11 @@
     return {link_wire::Body_Announcements,
             link_wire::CreateAnnouncements(this->builder, bytes).Union()};
   }
+  Body operator()(const JobsBytes& message) const {
+    const auto bytes = ToVector(this->builder, message.bytes);
+    return {link_wire::Body_Jobs,
+            link_wire::CreateJobs(this->builder, bytes).Union()};
+  }
 };
 
 std::error_code BadMessage() {
@@ -110,6 +115,9 @@
     case link_wire::Body_Announcements:
       return DaemonMessage(AnnouncementBytes{
           ToString(message->body_as_Announcements()->bytes())});
+    case link_wire::Body_Jobs:
+      return DaemonMessage(
+          JobsBytes{ToString(message->body_as_Jobs()->bytes())});
     default:
       return BadMessage();
   }
--- a/src/mimosastage/daemons/message_codec.h
+++ b/src/mimosastage/daemons/message_codec.h
@@ -35,8 +35,10 @@
 using RecallBytes = Opaque<struct RecallBytesKind>;
 using AnnouncementBytes = Opaque<struct AnnouncementBytesKind>;
 
+using JobsBytes = Opaque<struct JobsBytesKind>;
+
 using DaemonMessage = std::variant<ReplicationBytes, Proposal, DemandBytes,
-                                   RecallBytes, AnnouncementBytes>;
+                                   RecallBytes, AnnouncementBytes, JobsBytes>;
 
 std::string EncodeMessage(const DaemonMessage& message);
 
--- a/src/mimosastage/daemons/messages_generated.h
+++ b/src/mimosastage/daemons/messages_generated.h
@@ -31,6 +31,9 @@
 struct Announcements;
 struct AnnouncementsBuilder;
 
+struct Jobs;
+struct JobsBuilder;
+
 struct Message;
 struct MessageBuilder;
 
@@ -41,37 +44,40 @@
   Body_Demand = 3,
   Body_Recall = 4,
   Body_Announcements = 5,
+  Body_Jobs = 6,
   Body_MIN = Body_NONE,
-  Body_MAX = Body_Announcements
+  Body_MAX = Body_Jobs
 };
 
-inline const Body (&EnumValuesBody())[6] {
+inline const Body (&EnumValuesBody())[7] {
   static const Body values[] = {
     Body_NONE,
     Body_Replication,
     Body_Proposal,
     Body_Demand,
     Body_Recall,
-    Body_Announcements
+    Body_Announcements,
+    Body_Jobs
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[7] = {
+  static const char * const names[8] = {
     "NONE",
     "Replication",
     "Proposal",
     "Demand",
     "Recall",
     "Announcements",
+    "Jobs",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body_NONE, Body_Announcements)) return "";
+  if (flatbuffers::IsOutRange(e, Body_NONE, Body_Jobs)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -100,6 +106,10 @@
   static const Body enum_value = Body_Announcements;
 };
 
+template<> struct BodyTraits<mimosastage::link_wire::Jobs> {
+  static const Body enum_value = Body_Jobs;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<uint8_t> *types);
 
@@ -394,6 +404,57 @@
       bytes__);
 }
 
+struct Jobs FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BYTES = 4
+  };
+  const flatbuffers::Vector<uint8_t> *bytes() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_BYTES) &&
+           verifier.VerifyVector(bytes()) &&
+           verifier.EndTable();
+  }
+};
+
+struct JobsBuilder {
+  typedef Jobs Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
+    fbb_.AddOffset(Jobs::VT_BYTES, bytes);
+  }
+  explicit JobsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Jobs> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Jobs>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Jobs> CreateJobs(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0) {
+  JobsBuilder builder_(_fbb);
+  builder_.add_bytes(bytes);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Jobs> CreateJobsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint8_t> *bytes = nullptr) {
+  auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
+  return mimosastage::link_wire::CreateJobs(
+      _fbb,
+      bytes__);
+}
+
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -422,6 +483,9 @@
   const mimosastage::link_wire::Announcements *body_as_Announcements() const {
     return body_type() == mimosastage::link_wire::Body_Announcements ? static_cast<const mimosastage::link_wire::Announcements *>(body()) : nullptr;
   }
+  const mimosastage::link_wire::Jobs *body_as_Jobs() const {
+    return body_type() == mimosastage::link_wire::Body_Jobs ? static_cast<const mimosastage::link_wire::Jobs *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -451,6 +515,10 @@
   return body_as_Announcements();
 }
 
+template<> inline const mimosastage::link_wire::Jobs *Message::body_as<mimosastage::link_wire::Jobs>() const {
+  return body_as_Jobs();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -507,6 +575,10 @@
       auto ptr = reinterpret_cast<const mimosastage::link_wire::Announcements *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body_Jobs: {
+      auto ptr = reinterpret_cast<const mimosastage::link_wire::Jobs *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- /dev/null
+++ b/src/mimosastage/jobs/call_handler.cc
@@ -0,0 +1,263 @@
+#include "mimosastage/jobs/call_handler.h"
+
+#include <algorithm>
+#include <cctype>
+#include <memory>
+#include <utility>
+
+#include "mimosastage/jobs/configuration_check.h"
+
+namespace mimosastage::jobs {
+namespace {
+
+Answer AnswerOf(CallOutcome outcome, std::string text = "") {
+  Answer answer;
+  answer.outcome = static_cast<std::uint8_t>(outcome);
+  answer.text = std::move(text);
+  return answer;
+}
+
+std::string JobIdIn(const Call& call, const Queue& queue) {
+  return call.path.substr(queue.path_prefix.size());
+}
+
+/// Ids become parts of task names, so they must not have a dot.
+bool IsJobId(const std::string& id) {
+  constexpr std::size_t kLongest = 64;
+  return !id.empty() && id.size() <= kLongest &&
+         std::all_of(id.begin(), id.end(), [](unsigned char letter) {
+           return std::isalnum(letter) != 0 || letter == '-' || letter == '_';
+         });
+}
+
+}  // namespace
+
+CallHandler::CallHandler(Hooks hooks, const FleetState& working,
+                         const FleetState& committed, Dispatcher& dispatcher)
+    : hooks(std::move(hooks)),
+      working(working),
+      committed(committed),
+      dispatcher(dispatcher) {}
+
+void CallHandler::Refuse(CallOutcome outcome, const char* reason,
+                         const Reply& reply) {
+  this->hooks.refuse(reason);
+  reply(AnswerOf(outcome, reason));
+}
+
+void CallHandler::Handle(const Call& call, TimePoint now, const Reply& reply) {
+  switch (static_cast<CallKind>(call.kind)) {
+    case CallKind::kSubmit:
+    case CallKind::kJobState:
+    case CallKind::kCancel:
+    case CallKind::kQueueLength:
+      this->HandleQueueCall(call, now, reply);
+      return;
+    case CallKind::kConfigure:
+      this->Configure(call, now, reply);
+      return;
+    case CallKind::kReadConfiguration:
+      if (this->committed.Config().version == 0) {
+        this->Refuse(CallOutcome::kUnavailable, "no_configuration", reply);
+      } else {
+        reply(AnswerOf(CallOutcome::kOk, this->committed.Config().source));
+      }
+      return;
+    case CallKind::kAnnounceWorker:
+      this->dispatcher.Announce(
+          *call.worker, call.sequence, now,
+          [reply] { reply(AnswerOf(CallOutcome::kOk)); });
+      return;
+    case CallKind::kWorkerLeaves:
+      this->dispatcher.Leaves(call.path, now);
+      reply(AnswerOf(CallOutcome::kOk));
+      return;
+    case CallKind::kStartWave:
+      this->StartWave(call, reply);
+      return;
+    case CallKind::kWaveState:
+      this->ShowWave(call, reply);
+      return;
+  }
+  this->Refuse(CallOutcome::kInvalid, "unknown_call", reply);
+}
+
+void CallHandler::HandleQueueCall(const Call& call, TimePoint now,
+                                  const Reply& reply) {
+  if (this->committed.Config().version == 0) {
+    this->Refuse(CallOutcome::kUnavailable, "no_configuration", reply);
+    return;
+  }
+  const Queue* queue = this->committed.QueueFor(call.host, call.path);
+  if (queue == nullptr) {
+    this->Refuse(CallOutcome::kNoQueue, "no_such_queue", reply);
+    return;
+  }
+  const Team* team = this->committed.TeamOfKey(call.key);
+  if (team == nullptr && !queue->open) {
+    this->Refuse(CallOutcome::kUnauthorised, "unknown_key", reply);
+    return;
+  }
+  switch (static_cast<CallKind>(call.kind)) {
+    case CallKind::kSubmit:
+      this->Submit(call, *queue, team, now, reply);
+      return;
+    case CallKind::kCancel:
+      this->Cancel(call, *queue, now, reply);
+      return;
+    default:
+      if (call.path.size() == queue->path_prefix.size()) {
+        this->ShowQueue(*queue, reply);
+      } else {
+        this->ShowJob(call, *queue, reply);
+      }
+  }
+}
+
+void CallHandler::Submit(const Call& call, const Queue& queue,
+                         const Team* team, TimePoint now, const Reply& reply) {
+  const std::string id = JobIdIn(call, queue);
+  if (!IsJobId(id) || call.job == nullptr) {
+    this->Refuse(CallOutcome::kInvalid, "malformed_job", reply);
+    return;
+  }
+  const bool known = this->working.FindJob(id) != nullptr;
+  if (!known) {
+    const auto& limits = this->working.limits();
+    if (const auto problem = FindProblem(*call.job, limits.tasks_per_job);
+        problem.has_value()) {
+      this->hooks.refuse("invalid_job");
+      reply(AnswerOf(CallOutcome::kInvalid, *problem));
+      return;
+    }
+    if (this->working.Jobs().size() >= limits.jobs) {
+      this->Refuse(CallOutcome::kOverloaded, "too_many_jobs", reply);
+      return;
+    }
+  }
+  Command command;
+  if (!known) {
+    command.job = std::make_unique<JobRequest>(*call.job);
+    command.job->id = id;
+    command.job->queue = queue.name;
+    command.job->team = team == nullptr ? "" : team->name;
+    command.job->accepted_ms = this->hooks.wall_time().count();
+    this->hooks.report("job_accepted", id, queue.name);
+  }
+  // A repeat waits for the first one's entry, which may not be durable yet.
+  this->hooks.propose(std::move(command), [reply](TimePoint) {
+    reply(AnswerOf(CallOutcome::kOk));
+  });
+  this->dispatcher.OnChange(id, now);
+}
+
+void CallHandler::ShowJob(const Call& call, const Queue& queue,
+                          const Reply& reply) const {
+  const Job* job = this->committed.FindJob(JobIdIn(call, queue));
+  if (job == nullptr || job->request->queue != queue.name) {
+    reply(AnswerOf(CallOutcome::kGone));
+    return;
+  }
+  Answer answer = AnswerOf(CallOutcome::kOk);
+  answer.phase = static_cast<std::uint8_t>(job->phase);
+  reply(std::move(answer));
+}
+
+void CallHandler::Cancel(const Call& call, const Queue& queue, TimePoint now,
+                         const Reply& reply) {
+  const std::string id = JobIdIn(call, queue);
+  const Job* job = this->working.FindJob(id);
+  if (job == nullptr || job->request->queue != queue.name) {
+    reply(AnswerOf(CallOutcome::kGone));
+    return;
+  }
+  Command command;
+  if (!job->Ended()) {
+    command.cancelled_job = id;
+    this->hooks.report("job_cancelled", id, queue.name);
+  }
+  this->hooks.propose(std::move(command), [reply](TimePoint) {
+    reply(AnswerOf(CallOutcome::kOk));
+  });
+  this->dispatcher.OnChange(id, now);
+}
+
+void CallHandler::ShowQueue(const Queue& queue, const Reply& reply) const {
+  Answer answer = AnswerOf(CallOutcome::kOk);
+  answer.phase = kNoPhase;
+  for (const auto& [accepted, id] : this->committed.OpenJobs()) {
+    const Job& job = *this->committed.FindJob(id);
+    answer.waiting +=
+        job.request->queue == queue.name && !job.started ? 1 : 0;
+  }
+  reply(std::move(answer));
+}
+
+void CallHandler::Configure(const Call& call, TimePoint now,
+                            const Reply& reply) {
+  if (call.configuration == nullptr) {
+    this->Refuse(CallOutcome::kInvalid, "malformed_configuration", reply);
+    return;
+  }
+  const Configuration& next = *call.configuration;
+  if (const auto problem = FindProblem(next); problem.has_value()) {
+    this->hooks.refuse("invalid_configuration");
+    reply(AnswerOf(CallOutcome::kInvalid, *problem));
+    return;
+  }
+  const Configuration& held = this->working.Config();
+  if (next.version == held.version && next.source != held.source) {
+    this->Refuse(CallOutcome::kConflict, "version_held_with_other_content",
+                 reply);
+    return;
+  }
+  Command command;
+  if (next.version > held.version) {
+    command.configuration = std::make_unique<Configuration>(next);
+    this->hooks.report("configuration_changed", std::to_string(next.version),
+                       "from version " + std::to_string(held.version));
+  }
+  this->hooks.propose(std::move(command), [reply](TimePoint) {
+    reply(AnswerOf(CallOutcome::kOk));
+  });
+  this->dispatcher.OnChange("", now);
+}
+
+void CallHandler::StartWave(const Call& call, const Reply& reply) {
+  if (call.wave == nullptr || call.wave->most_at_once == 0) {
+    this->Refuse(CallOutcome::kInvalid, "malformed_wave", reply);
+    return;
+  }
+  Command command;
+  if (!this->working.Waves().contains(call.wave->number)) {
+    command.wave = std::make_unique<Wave>(*call.wave);
+    command.wave->accepted_ms = this->hooks.wall_time().count();
+    this->hooks.report("wave_accepted", std::to_string(call.wave->number),
+                       std::to_string(call.wave->machines.size()) +
+                           " instances, at once " +
+                           std::to_string(call.wave->most_at_once));
+  }
+  this->hooks.propose(std::move(command), [reply](TimePoint) {
+    reply(AnswerOf(CallOutcome::kOk));
+  });
+}
+
+void CallHandler::ShowWave(const Call& call, const Reply& reply) const {
+  const auto found = this->committed.Waves().find(call.wave->number);
+  if (found == this->committed.Waves().end()) {
+    reply(AnswerOf(CallOutcome::kGone));
+    return;
+  }
+  const Wave& wave = found->second;
+  const bool complete = std::all_of(
+      wave.machines.begin(), wave.machines.end(), [&](const auto& machine) {
+        return std::find(wave.begun.begin(), wave.begun.end(), machine) !=
+               wave.begun.end();
+      });
+  Answer answer = AnswerOf(CallOutcome::kOk);
+  answer.phase = static_cast<std::uint8_t>(complete ? JobPhase::kCompleted
+                                                    : JobPhase::kRunning);
+  reply(std::move(answer));
+}
+
+}  // namespace mimosastage::jobs
--- /dev/null
+++ b/src/mimosastage/jobs/call_handler.h
@@ -0,0 +1,61 @@
+#ifndef MIMOSASTAGE_JOBS_CALL_HANDLER_H_
+#define MIMOSASTAGE_JOBS_CALL_HANDLER_H_
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+#include "mimosastage/base/time.h"
+#include "mimosastage/jobs/dispatcher.h"
+#include "mimosastage/jobs/fleet_state.h"
+
+namespace mimosastage::jobs {
+
+/// Serves calls on the leader: what reads show is committed, and what changes
+/// something is answered once it is.
+class CallHandler {
+ public:
+  using Reply = std::function<void(Answer answer)>;
+
+  struct Hooks {
+    /// As Dispatcher::Hooks::propose.
+    std::function<void(Command command,
+                       std::function<void(TimePoint now)> committed)>
+        propose;
+    std::function<std::chrono::milliseconds()> wall_time;
+    std::function<void(const char* event, const std::string& id,
+                       const std::string& detail)>
+        report;
+    std::function<void(const char* reason)> refuse;
+  };
+
+  /// `working` shows what is proposed, `committed` what is durable. All must
+  /// outlive the handler.
+  CallHandler(Hooks hooks, const FleetState& working,
+              const FleetState& committed, Dispatcher& dispatcher);
+
+  /// `reply` runs now or later, once; never after the handler's end.
+  void Handle(const Call& call, TimePoint now, const Reply& reply);
+
+ private:
+  void Submit(const Call& call, const Queue& queue, const Team* team,
+              TimePoint now, const Reply& reply);
+  void ShowJob(const Call& call, const Queue& queue, const Reply& reply) const;
+  void Cancel(const Call& call, const Queue& queue, TimePoint now,
+              const Reply& reply);
+  void ShowQueue(const Queue& queue, const Reply& reply) const;
+  void HandleQueueCall(const Call& call, TimePoint now, const Reply& reply);
+  void Configure(const Call& call, TimePoint now, const Reply& reply);
+  void StartWave(const Call& call, const Reply& reply);
+  void ShowWave(const Call& call, const Reply& reply) const;
+  void Refuse(CallOutcome outcome, const char* reason, const Reply& reply);
+
+  Hooks hooks;
+  const FleetState& working;
+  const FleetState& committed;
+  Dispatcher& dispatcher;
+};
+
+}  // namespace mimosastage::jobs
+
+#endif  // MIMOSASTAGE_JOBS_CALL_HANDLER_H_
--- /dev/null
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -0,0 +1,482 @@
+#include "mimosastage/jobs/dispatcher.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace mimosastage::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Ends that a worker lists in one answer; a full list may lack some.
+constexpr std::size_t kEndsPerAnswer = 500;
+
+/// Faults of workers last some seconds, so blame is short-lived here.
+WorkerHealth::Config HealthConfig() {
+  WorkerHealth::Config config;
+  config.window = seconds(15);
+  config.first_probe = seconds(2);
+  config.longest_probe = seconds(8);
+  return config;
+}
+
+bool SameRecord(const Worker& a, const Worker& b) {
+  return a.born_ms == b.born_ms && a.pool == b.pool && a.address == b.address &&
+         a.machine == b.machine && a.draining == b.draining &&
+         a.labels == b.labels &&
+         a.capacity->millicores == b.capacity->millicores &&
+         a.capacity->memory_mb == b.capacity->memory_mb &&
+         a.capacity->accelerators == b.capacity->accelerators;
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(Config config, Hooks hooks, const FleetState& state,
+                       std::string self, std::uint64_t fence, TimePoint now)
+    : config(config),
+      hooks(std::move(hooks)),
+      state(state),
+      self(std::move(self)),
+      fence(fence),
+      took_over(now),
+      // Answers to orders of an earlier term of this daemon match no order.
+      next_number((fence << 32U) + 1),
+      health(HealthConfig(), [this](const PoolName& pool) {
+        return static_cast<std::size_t>(std::count_if(
+            this->state.Workers().begin(), this->state.Workers().end(),
+            [&](const auto& row) { return row.second.pool == pool.str(); }));
+      }) {
+  for (const auto& [id, worker] : state.Workers()) {
+    this->AddSession(worker, now);
+  }
+  for (const auto& [id, job] : state.Jobs()) {
+    for (std::uint32_t k = 0; !job.tasks.empty() && k < job.Occurrences();
+         ++k) {
+      for (std::uint32_t s = 0; s < job.request->steps.size(); ++s) {
+        for (std::uint32_t i = 0; i < job.request->steps[s]->tasks; ++i) {
+          const TaskId task{id, k, s, i};
+          for (const ActiveRun& active : job.At(task).active) {
+            const auto found = this->sessions.find(active.worker);
+            if (found == this->sessions.end() ||
+                found->second.born_ms != active.born_ms) {
+              continue;
+            }
+            // Until the worker has answered, it isn't known whether the
+            // earlier leader's order has reached it.
+            Run run = this->MakeRun(task, now);
+            run.stage = RunStage::kRunning;
+            run.confirmed = now;
+            Add(found->second.used, Charge(*run.step));
+            found->second.runs.emplace(RunKey{task, active.number},
+                                       std::move(run));
+          }
+        }
+      }
+    }
+  }
+  // Runs of workers that were forgotten before their ends were recorded.
+  std::vector<RunEnd> orphans;
+  for (const auto& [id, job] : state.Jobs()) {
+    for (std::uint32_t k = 0; !job.tasks.empty() && k < job.Occurrences();
+         ++k) {
+      for (std::uint32_t s = 0; s < job.request->steps.size(); ++s) {
+        for (std::uint32_t i = 0; i < job.request->steps[s]->tasks; ++i) {
+          for (const ActiveRun& active : job.At(TaskId{id, k, s, i}).active) {
+            const auto found = this->sessions.find(active.worker);
+            if (found == this->sessions.end() ||
+                found->second.born_ms != active.born_ms) {
+              RunEnd end;
+              end.job = id;
+              end.occurrence = k;
+              end.step = s;
+              end.index = i;
+              end.run = active.number;
+              end.outcome = static_cast<std::uint8_t>(RunOutcome::kLost);
+              orphans.push_back(std::move(end));
+            }
+          }
+        }
+      }
+    }
+  }
+  for (const RunEnd& end : orphans) {
+    Command command;
+    command.end = std::make_unique<RunEnd>(end);
+    this->hooks.propose(std::move(command), {});
+  }
+}
+
+Dispatcher::Session& Dispatcher::AddSession(const Worker& worker,
+                                            TimePoint now) {
+  Session session{.lease = WorkerLease(this->config.lease, now)};
+  session.address = worker.address;
+  session.born_ms = worker.born_ms;
+  session.draining = worker.draining;
+  session.next_hold = now;
+  session.last_announced = now;
+  return this->sessions.insert_or_assign(worker.id, std::move(session))
+      .first->second;
+}
+
+void Dispatcher::Announce(const Worker& worker, std::uint64_t sequence,
+                          TimePoint now, std::function<void()> acknowledge) {
+  if (this->state.FindPool(worker.pool) == nullptr) {
+    acknowledge();
+    return;
+  }
+  std::vector<std::string> replaced;
+  for (const auto& [id, known] : this->state.Workers()) {
+    const bool same_place =
+        id == worker.id || known.address == worker.address ||
+        (!worker.machine.empty() && known.machine == worker.machine);
+    if (!same_place || (id == worker.id && known.born_ms == worker.born_ms)) {
+      continue;
+    }
+    if (known.born_ms >= worker.born_ms) {
+      // Delayed on its way; another incarnation lives there by now.
+      acknowledge();
+      return;
+    }
+    replaced.push_back(id);
+  }
+  for (const std::string& id : replaced) {
+    this->RemoveWorker(id, "replaced by a later incarnation", now);
+  }
+  const auto known = this->state.Workers().find(worker.id);
+  if (known != this->state.Workers().end()) {
+    Session& session = this->sessions.at(worker.id);
+    const bool late = sequence <= session.sequence && session.sequence != 0;
+    session.sequence = std::max(session.sequence, sequence);
+    session.last_announced = now;
+    if (late || SameRecord(known->second, worker)) {
+      acknowledge();
+      return;
+    }
+    Worker next = worker;
+    // A worker that drains doesn't return within one life.
+    next.draining = worker.draining || known->second.draining;
+    session.draining = next.draining;
+    session.address = next.address;
+    this->dirty = true;
+    this->hooks.report("worker_changed", worker.id,
+                       next.draining ? "draining" : "changed");
+    Command command;
+    command.worker = std::make_unique<Worker>(std::move(next));
+    this->hooks.propose(
+        std::move(command),
+        [acknowledge = std::move(acknowledge)](TimePoint) { acknowledge(); });
+    return;
+  }
+  Session& session = this->AddSession(worker, now);
+  session.sequence = sequence;
+  this->hooks.report("worker_joined", worker.id, worker.pool);
+  Command command;
+  command.worker = std::make_unique<Worker>(worker);
+  this->hooks.propose(
+      std::move(command),
+      [acknowledge = std::move(acknowledge)](TimePoint) { acknowledge(); });
+}
+
+void Dispatcher::Leaves(const std::string& worker, TimePoint now) {
+  if (const auto found = this->sessions.find(worker);
+      found != this->sessions.end()) {
+    // The message may be a late one of an earlier incarnation, so the worker
+    // itself is asked before its runs count as ended.
+    found->second.leaving = true;
+    found->second.next_hold = now;
+  }
+}
+
+void Dispatcher::RemoveWorker(const std::string& id, const char* reason,
+                              TimePoint now) {
+  const auto found = this->sessions.find(id);
+  if (found == this->sessions.end()) {
+    return;
+  }
+  Session& session = found->second;
+  this->hooks.report("worker_gone", id, reason);
+  while (!session.runs.empty()) {
+    const RunKey key = session.runs.begin()->first;
+    this->EndRun(id, session, key, RunOutcome::kLost, "", {}, now);
+  }
+  Command command;
+  command.worker_gone = std::make_unique<WorkerGone>();
+  command.worker_gone->id = id;
+  command.worker_gone->born_ms = session.born_ms;
+  this->sessions.erase(found);
+  this->health.Forget(InstanceName(id));
+  this->hooks.propose(std::move(command), {});
+  this->dirty = true;
+}
+
+bool Dispatcher::Usable(const Session& session) const {
+  return session.heard && session.silent == 0 && !session.draining &&
+         !session.leaving && !session.reserved.has_value();
+}
+
+void Dispatcher::Send(const std::string& id, Session& session, OpenOrder open,
+                      WorkerOrder order) {
+  order.number = this->next_number++;
+  order.worker = id;
+  order.address = session.address;
+  order.fence = this->fence;
+  open.worker = id;
+  open.born_ms = session.born_ms;
+  this->orders.emplace(order.number, std::move(open));
+  this->hooks.send(std::move(order));
+}
+
+void Dispatcher::SendHold(const std::string& id, Session& session,
+                          TimePoint now) {
+  const bool watched = std::any_of(
+      session.runs.begin(), session.runs.end(),
+      [](const auto& row) { return row.second.step->filler; });
+  HoldOrder hold;
+  hold.deadline = session.lease.HoldDeadline(now);
+  hold.last_seen = session.last_seen;
+  const bool ask_at_once =
+      !session.heard || session.silent > 0 || session.leaving;
+  if (!ask_at_once) {
+    hold.wait = watched ? this->config.watch_wait : this->config.hold_wait;
+  }
+  WorkerOrder order;
+  order.timeout = hold.wait + this->config.answer_patience;
+  order.fresh_connection = session.silent > 0;
+  order.body = hold;
+  session.hold_open = true;
+  this->Send(id, session, OpenOrder{.sent = now}, std::move(order));
+}
+
+void Dispatcher::OnReply(const WorkerReply& reply, TimePoint now) {
+  const auto open = this->orders.find(reply.number);
+  if (open == this->orders.end()) {
+    return;
+  }
+  const OpenOrder order = std::move(open->second);
+  this->orders.erase(open);
+  const auto found = this->sessions.find(order.worker);
+  if (found == this->sessions.end() ||
+      found->second.born_ms != order.born_ms) {
+    return;
+  }
+  const std::string id = found->first;
+  Session& session = found->second;
+  if (reply.result == OrderResult::kOtherIncarnation ||
+      (reply.born_ms.has_value() && *reply.born_ms > session.born_ms)) {
+    this->RemoveWorker(id, "another incarnation answered", now);
+    return;
+  }
+  if (reply.clock.has_value()) {
+    session.lease.OnClock(*reply.clock, now);
+  }
+  if (order.run.has_value()) {
+    this->OnRunReply(id, session, order, reply, now);
+  } else {
+    this->OnHold(id, session, order, reply, now);
+  }
+}
+
+void Dispatcher::OnHold(const std::string& id, Session& session,
+                        const OpenOrder& order, const WorkerReply& reply,
+                        TimePoint now) {
+  session.hold_open = false;
+  if (reply.result != OrderResult::kOk) {
+    ++session.silent;
+    session.next_hold = now + this->config.retry_pause;
+    this->hooks.count("hold_unanswered");
+    if (session.leaving && reply.result == OrderResult::kRefused) {
+      this->RemoveWorker(id, "ended as announced", now);
+    }
+    return;
+  }
+  const bool first = !std::exchange(session.heard, true);
+  session.silent = 0;
+  session.leaving = false;
+  session.next_hold = now;
+  this->RecordEnds(id, session, reply, now);
+  this->CompareRunning(id, session, order, reply, now);
+  this->PaceFillers(id, session, now);
+  if (first) {
+    this->dirty = true;
+    // The first hold carried no deadline, because the clock was not known.
+    session.next_hold = now;
+  }
+}
+
+void Dispatcher::RecordEnds(const std::string& id, Session& session,
+                            const WorkerReply& reply, TimePoint now) {
+  std::uint64_t last = session.last_seen;
+  for (const EndedRun& ended : reply.ended) {
+    last = std::max(last, ended.number);
+  }
+  if (last == session.last_seen) {
+    return;
+  }
+  for (const EndedRun& ended : reply.ended) {
+    const RunKey key{ended.task, ended.run};
+    if (ended.number <= session.last_seen || !session.runs.contains(key)) {
+      continue;
+    }
+    const JobName job(ended.task.job);
+    const InstanceName instance(id);
+    if (ended.outcome == RunOutcome::kFailed) {
+      this->health.Failed(
+          job, instance, PoolName(this->state.Workers().at(id).pool), now);
+    } else if (ended.outcome == RunOutcome::kDone) {
+      this->health.Succeeded(job, instance, now);
+    }
+    this->EndRun(id, session, key, ended.outcome, ended.checkpoint, {}, now);
+  }
+  session.ends_pending = true;
+  const std::int64_t born_ms = session.born_ms;
+  this->hooks.propose(Command(), [this, id, born_ms, last](TimePoint at) {
+    if (const auto found = this->sessions.find(id);
+        found != this->sessions.end() && found->second.born_ms == born_ms) {
+      found->second.last_seen = std::max(found->second.last_seen, last);
+      found->second.ends_pending = false;
+      found->second.next_hold = at;
+    }
+  });
+}
+
+void Dispatcher::CompareRunning(const std::string& id, Session& session,
+                                const OpenOrder& order,
+                                const WorkerReply& reply, TimePoint now) {
+  std::set<RunKey> listed;
+  for (const RunningTask& task : reply.running) {
+    const RunKey key{task.task, task.run};
+    listed.insert(key);
+    const auto found = session.runs.find(key);
+    if (found == session.runs.end()) {
+      const bool ending = std::any_of(
+          reply.ended.begin(), reply.ended.end(), [&](const EndedRun& ended) {
+            return ended.task == key.first && ended.run == key.second;
+          });
+      if (!ending) {
+        // An order of an earlier leader that was carried out late, or a run
+        // whose job is gone.
+        this->hooks.report("stray_run_stopped", ToString(key.first), id);
+        WorkerOrder stop;
+        stop.body = StopOrder{key.first, key.second};
+        this->Send(id, session,
+                   OpenOrder{.run = key, .stage = RunStage::kStopping,
+                             .sent = now},
+                   std::move(stop));
+      }
+      continue;
+    }
+    Run& run = found->second;
+    run.at_work = !run.step->long_running || task.percent >= 100;
+    run.load = task.load;
+    if (run.stage == RunStage::kStarting) {
+      run.stage = RunStage::kRunning;
+      run.confirmed = now;
+    }
+  }
+  if (reply.ended.size() >= kEndsPerAnswer) {
+    return;
+  }
+  std::vector<RunKey> missing;
+  for (const auto& [key, run] : session.runs) {
+    const bool settled = run.confirmed.has_value() &&
+                         *run.confirmed <= order.sent &&
+                         run.stage != RunStage::kLogging &&
+                         run.stage != RunStage::kStarting;
+    if (settled && !listed.contains(key)) {
+      missing.push_back(key);
+    }
+  }
+  for (const RunKey& key : missing) {
+    const bool stopped =
+        session.runs.at(key).stage == RunStage::kStopping;
+    this->hooks.report("run_missing", ToString(key.first), id);
+    this->EndRun(id, session, key,
+                 stopped ? RunOutcome::kStopped : RunOutcome::kLost, "", {},
+                 now);
+  }
+}
+
+void Dispatcher::TickSession(const std::string& id, Session& session,
+                             TimePoint now) {
+  if (!session.hold_open && !session.ends_pending && now >= session.next_hold) {
+    this->SendHold(id, session, now);
+  }
+  if (session.silent > 0 && session.lease.Expired(now)) {
+    while (!session.runs.empty()) {
+      const RunKey key = session.runs.begin()->first;
+      this->hooks.report("run_lease_expired", ToString(key.first), id);
+      this->EndRun(id, session, key, RunOutcome::kLeaseExpired, "", {}, now);
+    }
+  }
+  for (auto& [key, run] : session.runs) {
+    if (run.order_open || now < run.next_attempt) {
+      continue;
+    }
+    if (run.stage == RunStage::kStarting) {
+      this->SendStart(id, key, now);
+    } else if (run.stage == RunStage::kStopping && !run.confirmed.has_value()) {
+      this->SendStop(id, session, key, run, now);
+    }
+  }
+}
+
+void Dispatcher::OnChange(const std::string& job, TimePoint now) {
+  this->dirty = true;
+  if (const Job* found = this->state.FindJob(job);
+      found != nullptr && found->Ended() && found->active_runs > 0) {
+    this->StopJob(job, now);
+  }
+}
+
+void Dispatcher::Tick(TimePoint now) {
+  if (!std::exchange(this->stopped_ended_jobs, true)) {
+    // An earlier leader may not have come to stop what runs of ended jobs.
+    std::vector<std::string> ended;
+    for (const auto& [id, job] : this->state.Jobs()) {
+      if (job.Ended() && job.active_runs > 0) {
+        ended.push_back(id);
+      }
+    }
+    for (const std::string& job : ended) {
+      this->StopJob(job, now);
+    }
+  }
+  std::vector<std::string> ids;
+  for (const auto& [id, session] : this->sessions) {
+    ids.push_back(id);
+  }
+  for (const std::string& id : ids) {
+    const auto found = this->sessions.find(id);
+    if (found == this->sessions.end()) {
+      continue;
+    }
+    Session& session = found->second;
+    this->TickSession(id, session, now);
+    if (session.silent > 0 && session.runs.empty() &&
+        now - session.last_announced > this->config.forget_silent) {
+      this->RemoveWorker(id, "silent, and its lease has expired", now);
+    }
+  }
+  this->AdvanceWaves(now);
+  if (this->dirty || now >= this->next_placement) {
+    this->dirty = false;
+    this->next_placement = now + this->config.placement_period;
+    this->PlaceTasks(now);
+  }
+}
+
+TimePoint Dispatcher::NextDue(TimePoint now) const {
+  if (this->dirty) {
+    return now;
+  }
+  TimePoint due = this->next_placement;
+  for (const auto& [id, session] : this->sessions) {
+    if (!session.hold_open && !session.ends_pending) {
+      due = std::min(due, session.next_hold);
+    }
+  }
+  return due;
+}
+
+}  // namespace mimosastage::jobs
--- /dev/null
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -0,0 +1,228 @@
+#ifndef MIMOSASTAGE_JOBS_DISPATCHER_H_
+#define MIMOSASTAGE_JOBS_DISPATCHER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "mimosastage/base/time.h"
+#include "mimosastage/fleet/worker_health.h"
+#include "mimosastage/jobs/fleet_state.h"
+#include "mimosastage/jobs/placement.h"
+#include "mimosastage/jobs/worker_lease.h"
+#include "mimosastage/jobs/worker_order.h"
+
+namespace mimosastage::jobs {
+
+/// The leader's side of jobs: places tasks on workers, holds their leases,
+/// records their ends, and begins the upkeep of instances. It lives for one
+/// term of leadership and does no I/O. Not thread-safe.
+class Dispatcher {
+ public:
+  struct Config {
+    WorkerLease::Config lease;
+    /// How long a worker may wait for an end before it answers a hold.
+    std::chrono::milliseconds hold_wait{1'000};
+    /// The same while tails are watched: fillers must slow down in seconds.
+    std::chrono::milliseconds watch_wait{400};
+    /// Beyond the wait; a round trip takes a few milliseconds.
+    std::chrono::milliseconds answer_patience{600};
+    std::chrono::milliseconds retry_pause{150};
+    /// Between two placements of tasks without another reason.
+    std::chrono::milliseconds placement_period{100};
+    /// Announcements come about every 1.5 s; a silent worker whose lease has
+    /// expired is forgotten after three.
+    std::chrono::milliseconds forget_silent{5'000};
+    /// A new leader gives no order for an instance until those of another
+    /// leader are this old.
+    std::chrono::milliseconds machine_lease{3'000};
+    std::chrono::milliseconds machine_retry{400};
+    /// Longest wait for short tasks to end before an upkeep stops them.
+    std::chrono::milliseconds upkeep_patience{2'500};
+  };
+
+  struct Hooks {
+    /// Adds a command to the log. The state given to the constructor shows it
+    /// at once; `committed` runs when it is durable.
+    std::function<void(Command command,
+                       std::function<void(TimePoint now)> committed)>
+        propose;
+    std::function<void(WorkerOrder order)> send;
+    std::function<void(MachineOrder order)> send_machine;
+    std::function<std::chrono::milliseconds()> wall_time;
+    /// A line for the log about a task or worker; `id` names it.
+    std::function<void(const char* event, const std::string& id,
+                       const std::string& detail)>
+        report;
+    std::function<void(const char* reason)> count;
+  };
+
+  /// `state` must outlive the dispatcher. `fence` rises with each term.
+  Dispatcher(Config config, Hooks hooks, const FleetState& state,
+             std::string self, std::uint64_t fence, TimePoint now);
+
+  /// A worker's announcement. `acknowledge` runs once it may be answered.
+  void Announce(const Worker& worker, std::uint64_t sequence, TimePoint now,
+                std::function<void()> acknowledge);
+  /// The worker said that it ends.
+  void Leaves(const std::string& worker, TimePoint now);
+  void OnReply(const WorkerReply& reply, TimePoint now);
+  void OnMachineReply(const MachineReply& reply, TimePoint now);
+  /// A job was submitted or cancelled, or the configuration has changed.
+  void OnChange(const std::string& job, TimePoint now);
+  void Tick(TimePoint now);
+  /// When Tick is needed next.
+  TimePoint NextDue(TimePoint now) const;
+
+ private:
+  using RunKey = std::pair<TaskId, std::uint32_t>;
+
+  enum class RunStage : std::uint8_t {
+    /// The start waits for the log.
+    kLogging,
+    /// The start is sent and not confirmed.
+    kStarting,
+    kRunning,
+    /// A stop is sent; the run's end isn't listed yet.
+    kStopping
+  };
+
+  struct Run {
+    RunStage stage = RunStage::kLogging;
+    const Step* step = nullptr;
+    std::shared_ptr<const JobRequest> request;
+    TimePoint since{};
+    /// Set once the worker has confirmed the start, or the stop.
+    std::optional<TimePoint> confirmed;
+    unsigned attempts = 0;
+    bool order_open = false;
+    TimePoint next_attempt{};
+    bool at_work = false;
+    std::int64_t load = 0;
+    std::uint32_t pace = 100;
+  };
+
+  struct Session {
+    WorkerLease lease;
+    std::string address;
+    std::int64_t born_ms = 0;
+    bool draining = false;
+    bool leaving = false;
+    /// Has answered a hold of this term.
+    bool heard = false;
+    unsigned silent = 0;
+    std::uint64_t last_seen = 0;
+    bool hold_open = false;
+    bool ends_pending = false;
+    TimePoint next_hold{};
+    TimePoint last_announced{};
+    std::uint64_t sequence = 0;
+    Amount used;
+    std::map<RunKey, Run> runs;
+    /// Kept free for the upkeep of its instance since this time.
+    std::optional<TimePoint> reserved;
+    TimePoint next_pace{};
+  };
+
+  struct OpenOrder {
+    std::string worker;
+    std::int64_t born_ms = 0;
+    std::optional<RunKey> run;
+    RunStage stage = RunStage::kStarting;
+    TimePoint sent{};
+  };
+
+  struct RankedDemand {
+    StepUrgency urgency;
+    StepDemand demand;
+  };
+
+  struct Upkeep {
+    bool order_open = false;
+    TimePoint next_attempt{};
+  };
+
+  // dispatcher.cc: sessions of workers.
+  Session& AddSession(const Worker& worker, TimePoint now);
+  void RemoveWorker(const std::string& id, const char* reason, TimePoint now);
+  void SendHold(const std::string& id, Session& session, TimePoint now);
+  void OnHold(const std::string& id, Session& session, const OpenOrder& order,
+              const WorkerReply& reply, TimePoint now);
+  void RecordEnds(const std::string& id, Session& session,
+                  const WorkerReply& reply, TimePoint now);
+  void CompareRunning(const std::string& id, Session& session,
+                      const OpenOrder& order, const WorkerReply& reply,
+                      TimePoint now);
+  void TickSession(const std::string& id, Session& session, TimePoint now);
+  bool Usable(const Session& session) const;
+  void Send(const std::string& id, Session& session, OpenOrder open,
+            WorkerOrder order);
+
+  // dispatcher_runs.cc: single runs.
+  void StartRun(const TaskId& task, std::uint32_t number,
+                const std::string& worker, TimePoint now);
+  void SendStart(const std::string& worker, const RunKey& key, TimePoint now);
+  void StopRun(Session& session, const RunKey& key, Run& run,
+               const char* reason, TimePoint now);
+  void SendStop(const std::string& worker, Session& session, const RunKey& key,
+                Run& run, TimePoint now);
+  void OnRunReply(const std::string& id, Session& session,
+                  const OpenOrder& order, const WorkerReply& reply,
+                  TimePoint now);
+  void EndRun(const std::string& worker, Session& session, const RunKey& key,
+              RunOutcome outcome, const std::string& checkpoint,
+              std::function<void(TimePoint)> committed, TimePoint now);
+  void AfterEnd(const RunKey& key, TimePoint now);
+  void StopJob(const std::string& job, TimePoint now);
+  Run MakeRun(const TaskId& task, TimePoint now) const;
+  void PaceFillers(const std::string& id, Session& session, TimePoint now);
+
+  // dispatcher_placement.cc
+  void PlaceTasks(TimePoint now);
+  void AddDemands(const Job& job, const Queue& queue, TimePoint now,
+                  std::vector<RankedDemand>& demands) const;
+  StepUrgency UrgencyOf(const Job& job, const Queue& queue,
+                        std::uint32_t occurrence, std::uint32_t step,
+                        std::chrono::milliseconds wall) const;
+  std::vector<WorkerRoom> Rooms(const std::string& pool, TimePoint now) const;
+  std::map<std::string, TeamRoom> TeamRooms() const;
+
+  // dispatcher_upkeep.cc: maintenance waves.
+  void AdvanceWaves(TimePoint now);
+  void AdvanceWave(const Wave& wave, TimePoint now);
+  const Worker* WorkerOn(const std::string& machine) const;
+  bool Vacate(const std::string& id, Session& session, TimePoint now);
+  bool MayStop(const TaskId& task) const;
+  void OrderUpkeep(const Wave& wave, const std::string& machine, TimePoint now);
+  void FinishUpkeep(std::uint64_t wave, const std::string& machine,
+                    TimePoint now);
+
+  Config config;
+  Hooks hooks;
+  const FleetState& state;
+  std::string self;
+  std::uint64_t fence;
+  TimePoint took_over;
+  std::uint64_t next_number;
+  WorkerHealth health;
+  std::map<std::string, Session> sessions;
+  std::unordered_map<std::uint64_t, OpenOrder> orders;
+  bool dirty = true;
+  bool stopped_ended_jobs = false;
+  TimePoint next_placement{};
+  std::map<std::pair<std::uint64_t, std::string>, Upkeep> upkeeps;
+  std::unordered_map<std::uint64_t, std::pair<std::uint64_t, std::string>>
+      machine_orders;
+  TimePoint next_wave_round{};
+};
+
+}  // namespace mimosastage::jobs
+
+#endif  // MIMOSASTAGE_JOBS_DISPATCHER_H_
--- /dev/null
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -0,0 +1,198 @@
+#include <algorithm>
+#include <utility>
+
+#include "mimosastage/jobs/dispatcher.h"
+
+namespace mimosastage::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Length of the longest chain of steps that begins with `step`, by estimate.
+milliseconds ChainFrom(const JobRequest& request, std::uint32_t step) {
+  milliseconds longest{0};
+  for (std::uint32_t next = step + 1; next < request.steps.size(); ++next) {
+    const auto& after = request.steps[next]->after;
+    if (std::find(after.begin(), after.end(), step) != after.end()) {
+      longest = std::max(longest, ChainFrom(request, next));
+    }
+  }
+  return longest + milliseconds(request.steps[step]->estimate_ms);
+}
+
+milliseconds LongestChain(const JobRequest& request) {
+  milliseconds longest{0};
+  for (std::uint32_t step = 0; step < request.steps.size(); ++step) {
+    longest = std::max(longest, ChainFrom(request, step));
+  }
+  return longest;
+}
+
+milliseconds DueOf(const JobRequest& request, std::uint32_t occurrence) {
+  if (request.occurrences == 0) {
+    return milliseconds(request.accepted_ms);
+  }
+  return milliseconds(request.first_due_ms + occurrence * request.interval_ms);
+}
+
+bool IsWaiting(const Task& task, const Step& step) {
+  return !task.done && task.active.empty() && step.tasks > 0;
+}
+
+}  // namespace
+
+StepUrgency Dispatcher::UrgencyOf(const Job& job, const Queue& queue,
+                                  std::uint32_t occurrence, std::uint32_t step,
+                                  milliseconds wall) const {
+  const JobRequest& request = *job.request;
+  StepUrgency urgency;
+  urgency.long_running = request.steps[step]->long_running;
+  urgency.priority = queue.priority;
+  const milliseconds chain = LongestChain(request);
+  urgency.objective = std::chrono::duration_cast<milliseconds>(
+                          queue.stretch * chain) +
+                      milliseconds(queue.target_ms);
+  urgency.slack = DueOf(request, occurrence) + urgency.objective - wall -
+                  ChainFrom(request, step);
+  return urgency;
+}
+
+void Dispatcher::AddDemands(const Job& job, const Queue& queue, TimePoint now,
+                            std::vector<RankedDemand>& demands) const {
+  const JobRequest& request = *job.request;
+  const milliseconds wall = this->hooks.wall_time();
+  for (std::uint32_t k = 0; k < job.Occurrences(); ++k) {
+    if (wall < DueOf(request, k)) {
+      continue;
+    }
+    for (std::uint32_t s = 0; s < request.steps.size(); ++s) {
+      if (job.OpenIn(k, s) == 0 || !job.StepReady(k, s)) {
+        continue;
+      }
+      const Step& step = *request.steps[s];
+      StepDemand demand;
+      demand.team = request.team;
+      demand.first = TaskId{request.id, k, s, 0};
+      demand.step = &step;
+      const std::size_t begin = job.StepBegin(k, s);
+      bool gang_ends = false;
+      for (std::uint32_t i = 0; i < step.tasks; ++i) {
+        const Task& task = job.tasks[begin + i];
+        for (const ActiveRun& active : task.active) {
+          ++demand.on_worker[active.worker];
+          gang_ends = true;
+        }
+        if (IsWaiting(task, step)) {
+          demand.waiting.push_back(i);
+        }
+      }
+      if (demand.waiting.empty() || (step.gang && gang_ends)) {
+        continue;
+      }
+      demands.push_back(
+          RankedDemand{this->UrgencyOf(job, queue, k, s, wall), demand});
+    }
+  }
+  static_cast<void>(now);
+}
+
+std::vector<WorkerRoom> Dispatcher::Rooms(const std::string& pool,
+                                          TimePoint now) const {
+  std::vector<WorkerRoom> rooms;
+  for (const auto& [id, worker] : this->state.Workers()) {
+    const auto found = this->sessions.find(id);
+    if (worker.pool != pool || found == this->sessions.end() ||
+        !this->Usable(found->second)) {
+      continue;
+    }
+    const auto verdict = this->health.Judge(InstanceName(id), now);
+    if (verdict == WorkerHealth::Verdict::kQuarantined) {
+      continue;
+    }
+    WorkerRoom room;
+    room.id = id;
+    room.labels = worker.labels;
+    room.free = *worker.capacity;
+    room.capacity_millicores = worker.capacity->millicores;
+    room.doubtful = verdict == WorkerHealth::Verdict::kProbe;
+    Subtract(room.free, found->second.used);
+    for (const auto& [key, run] : found->second.runs) {
+      room.fillers += run.step->filler ? 1 : 0;
+      room.serving += run.step->tail_target_ms > 0 && !run.step->filler ? 1 : 0;
+    }
+    rooms.push_back(std::move(room));
+  }
+  return rooms;
+}
+
+std::map<std::string, TeamRoom> Dispatcher::TeamRooms() const {
+  std::map<std::string, TeamRoom> teams;
+  for (const auto& team : this->state.Config().teams) {
+    if (team->upper_limit != nullptr) {
+      teams[team->name] = TeamRoom{*team->upper_limit, *team->upper_limit};
+    }
+  }
+  for (const auto& [id, session] : this->sessions) {
+    for (const auto& [key, run] : session.runs) {
+      if (const auto found = teams.find(run.request->team);
+          found != teams.end()) {
+        Subtract(found->second.free, *run.step->need);
+      }
+    }
+  }
+  return teams;
+}
+
+void Dispatcher::PlaceTasks(TimePoint now) {
+  std::map<std::string, std::vector<RankedDemand>> by_pool;
+  for (const auto& [accepted, id] : this->state.OpenJobs()) {
+    const Job& job = *this->state.FindJob(id);
+    const Queue* queue = this->state.FindQueue(job.request->queue);
+    if (queue != nullptr) {
+      this->AddDemands(job, *queue, now, by_pool[queue->pool]);
+    }
+  }
+  std::map<std::string, TeamRoom> teams = this->TeamRooms();
+  for (auto& [pool, ranked] : by_pool) {
+    std::vector<WorkerRoom> rooms = this->Rooms(pool, now);
+    if (rooms.empty() || ranked.empty()) {
+      continue;
+    }
+    std::stable_sort(ranked.begin(), ranked.end(),
+                     [](const RankedDemand& a, const RankedDemand& b) {
+                       return Before(a.urgency, b.urgency);
+                     });
+    std::vector<StepDemand> demands;
+    for (RankedDemand& row : ranked) {
+      demands.push_back(std::move(row.demand));
+    }
+    std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> gang_runs;
+    for (const Assignment& assignment : Place(demands, rooms, teams)) {
+      const TaskId& task = assignment.task;
+      const Job& job = *this->state.FindJob(task.job);
+      const Step& step = *job.request->steps[task.step];
+      std::uint32_t number = job.At(task).runs + 1;
+      if (step.gang) {
+        // All members of a gang carry the same number.
+        std::uint32_t& shared =
+            gang_runs[{task.job + "." + std::to_string(task.occurrence),
+                       task.step}];
+        if (shared == 0) {
+          const std::size_t begin = job.StepBegin(task.occurrence, task.step);
+          for (std::size_t i = 0; i < step.tasks; ++i) {
+            shared = std::max(shared, job.tasks[begin + i].runs + 1);
+          }
+        }
+        number = shared;
+      }
+      const std::string& worker = rooms[assignment.room].id;
+      if (this->health.Judge(InstanceName(worker), now) ==
+          WorkerHealth::Verdict::kProbe) {
+        this->health.ProbeStarted(InstanceName(worker), now);
+      }
+      this->StartRun(task, number, worker, now);
+    }
+  }
+}
+
+}  // namespace mimosastage::jobs
--- /dev/null
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -0,0 +1,315 @@
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "mimosastage/jobs/dispatcher.h"
+
+namespace mimosastage::jobs {
+namespace {
+
+/// Above this share of its target, a tail makes the fillers beside it slower;
+/// below the lower one they may speed up again. The gap avoids oscillation.
+constexpr double kSlowDownAbove = 0.8;
+constexpr double kSpeedUpBelow = 0.5;
+constexpr std::uint32_t kSpeedUpStep = 10;
+/// Differs from every pace that can be ordered.
+constexpr std::uint32_t kPaceUnknown = 101;
+/// Time for a new pace to show in the tails: it takes effect after 100 ms, and
+/// tails are those of the last half second.
+constexpr std::chrono::milliseconds kPaceSettles{700};
+
+}  // namespace
+
+Dispatcher::Run Dispatcher::MakeRun(const TaskId& task, TimePoint now) const {
+  Run run;
+  run.request = this->state.FindJob(task.job)->request;
+  run.step = run.request->steps[task.step].get();
+  run.since = now;
+  return run;
+}
+
+void Dispatcher::StartRun(const TaskId& task, std::uint32_t number,
+                          const std::string& worker, TimePoint now) {
+  Session& session = this->sessions.at(worker);
+  const RunKey key{task, number};
+  Run run = this->MakeRun(task, now);
+  Add(session.used, Charge(*run.step));
+  session.runs.emplace(key, std::move(run));
+  Command command;
+  command.start = std::make_unique<RunStart>();
+  command.start->job = task.job;
+  command.start->occurrence = task.occurrence;
+  command.start->step = task.step;
+  command.start->index = task.index;
+  command.start->run = number;
+  command.start->worker = worker;
+  command.start->born_ms = session.born_ms;
+  const std::int64_t born_ms = session.born_ms;
+  this->hooks.propose(
+      std::move(command), [this, worker, born_ms, key](TimePoint at) {
+        const auto found = this->sessions.find(worker);
+        if (found == this->sessions.end() || found->second.born_ms != born_ms) {
+          return;
+        }
+        const auto run = found->second.runs.find(key);
+        if (run == found->second.runs.end()) {
+          return;
+        }
+        const Job* job = this->state.FindJob(key.first.job);
+        const bool wanted = run->second.stage == RunStage::kLogging &&
+                            job != nullptr && !job->Ended() &&
+                            !found->second.draining;
+        if (!wanted) {
+          // Nothing was sent yet.
+          this->EndRun(worker, found->second, key, RunOutcome::kLost, "", {},
+                       at);
+          return;
+        }
+        run->second.stage = RunStage::kStarting;
+        this->SendStart(worker, key, at);
+      });
+}
+
+void Dispatcher::SendStart(const std::string& worker, const RunKey& key,
+                           TimePoint now) {
+  Session& session = this->sessions.at(worker);
+  Run& run = session.runs.at(key);
+  const auto deadline = session.lease.StartDeadline(now);
+  if (!deadline.has_value()) {
+    return;
+  }
+  const Job* job = this->state.FindJob(key.first.job);
+  StartOrder start;
+  start.task = key.first;
+  start.run = key.second;
+  start.specification = run.request->specification;
+  start.checkpoint = job->At(key.first).checkpoint;
+  start.deadline = *deadline;
+  WorkerOrder order;
+  order.body = std::move(start);
+  order.timeout = this->config.answer_patience;
+  order.fresh_connection = run.attempts > 0;
+  ++run.attempts;
+  run.order_open = true;
+  this->Send(worker, session,
+             OpenOrder{.run = key, .stage = RunStage::kStarting, .sent = now},
+             std::move(order));
+}
+
+void Dispatcher::StopRun(Session& session, const RunKey& key, Run& run,
+                         const char* reason, TimePoint now) {
+  if (run.stage == RunStage::kStopping) {
+    return;
+  }
+  this->hooks.report("run_stopped", ToString(key.first), reason);
+  if (run.stage == RunStage::kLogging) {
+    // The effect of the log entry sees the stage and sends no start.
+    run.stage = RunStage::kStopping;
+    run.confirmed.reset();
+    run.order_open = true;
+    return;
+  }
+  run.stage = RunStage::kStopping;
+  run.confirmed.reset();
+  run.attempts = 0;
+  for (const auto& [id, candidate] : this->sessions) {
+    if (&candidate == &session) {
+      this->SendStop(id, session, key, run, now);
+      return;
+    }
+  }
+}
+
+void Dispatcher::SendStop(const std::string& worker, Session& session,
+                          const RunKey& key, Run& run, TimePoint now) {
+  WorkerOrder order;
+  order.body = StopOrder{key.first, key.second};
+  order.timeout = this->config.answer_patience;
+  order.fresh_connection = run.attempts > 0;
+  ++run.attempts;
+  run.order_open = true;
+  this->Send(worker, session,
+             OpenOrder{.run = key, .stage = RunStage::kStopping, .sent = now},
+             std::move(order));
+}
+
+void Dispatcher::OnRunReply(const std::string& id, Session& session,
+                            const OpenOrder& order, const WorkerReply& reply,
+                            TimePoint now) {
+  const RunKey& key = *order.run;
+  const auto found = session.runs.find(key);
+  if (found == session.runs.end()) {
+    return;
+  }
+  Run& run = found->second;
+  if (order.stage == RunStage::kRunning) {
+    if (reply.result != OrderResult::kOk) {
+      // Whether the pace took effect isn't known; the next round sets it again.
+      run.pace = kPaceUnknown;
+    }
+    return;
+  }
+  if (run.stage != order.stage) {
+    // A stop was sent while the answer to the start was on its way.
+    return;
+  }
+  run.order_open = false;
+  if (reply.result == OrderResult::kOk) {
+    run.confirmed = now;
+    if (run.stage == RunStage::kStarting) {
+      run.stage = RunStage::kRunning;
+    } else {
+      // The end is listed within the time that a stop takes.
+      session.next_hold = now;
+    }
+    return;
+  }
+  run.next_attempt = now + this->config.retry_pause;
+  if (reply.result == OrderResult::kFenced) {
+    return;
+  }
+  if (run.stage == RunStage::kStopping) {
+    this->hooks.count("stop_unanswered");
+    return;
+  }
+  switch (reply.result) {
+    case OrderResult::kUnanswered:
+    case OrderResult::kNotSent:
+    case OrderResult::kRefused:
+      ++session.silent;
+      session.next_hold = now;
+      this->hooks.count("start_unanswered");
+      return;
+    case OrderResult::kUnhealthy:
+      this->health.Failed(JobName(key.first.job), InstanceName(id),
+                          PoolName(this->state.Workers().at(id).pool), now);
+      break;
+    default:
+      break;
+  }
+  this->hooks.count("start_refused");
+  if (run.attempts == 1) {
+    this->EndRun(id, session, key, RunOutcome::kLost, "", {}, now);
+  } else {
+    // An earlier copy of the order may have been carried out.
+    this->StopRun(session, key, run, "start refused after a repeat", now);
+  }
+}
+
+void Dispatcher::EndRun(const std::string& worker, Session& session,
+                        const RunKey& key, RunOutcome outcome,
+                        const std::string& checkpoint,
+                        std::function<void(TimePoint)> committed,
+                        TimePoint now) {
+  const auto found = session.runs.find(key);
+  const bool wide = found->second.step->gang ||
+                    found->second.step->speculative;
+  Subtract(session.used, Charge(*found->second.step));
+  session.runs.erase(found);
+  Command command;
+  command.end = std::make_unique<RunEnd>();
+  command.end->job = key.first.job;
+  command.end->occurrence = key.first.occurrence;
+  command.end->step = key.first.step;
+  command.end->index = key.first.index;
+  command.end->run = key.second;
+  command.end->outcome = static_cast<std::uint8_t>(outcome);
+  command.end->checkpoint = checkpoint;
+  if (outcome != RunOutcome::kDone && outcome != RunOutcome::kStopped) {
+    this->hooks.report("run_ended", ToString(key.first),
+                       worker + " outcome " +
+                           std::to_string(static_cast<int>(outcome)));
+  }
+  this->hooks.propose(std::move(command), std::move(committed));
+  this->dirty = true;
+  if (const Job* job = this->state.FindJob(key.first.job);
+      job != nullptr && job->active_runs > 0 && (wide || job->Ended())) {
+    this->AfterEnd(key, now);
+  }
+}
+
+void Dispatcher::AfterEnd(const RunKey& key, TimePoint now) {
+  const Job& job = *this->state.FindJob(key.first.job);
+  if (job.Ended()) {
+    this->StopJob(key.first.job, now);
+    return;
+  }
+  const Step& step = *job.request->steps[key.first.step];
+  std::vector<TaskId> stale;
+  if (step.gang) {
+    // The other members of the gang can't go on.
+    for (std::uint32_t i = 0; i < step.tasks; ++i) {
+      TaskId member = key.first;
+      member.index = i;
+      stale.push_back(member);
+    }
+  } else if (job.At(key.first).done) {
+    stale.push_back(key.first);
+  }
+  for (const TaskId& task : stale) {
+    const std::vector<ActiveRun> active = job.At(task).active;
+    for (const ActiveRun& other : active) {
+      if (const auto found = this->sessions.find(other.worker);
+          found != this->sessions.end()) {
+        if (const auto run = found->second.runs.find({task, other.number});
+            run != found->second.runs.end()) {
+          this->StopRun(found->second, run->first, run->second,
+                        step.gang ? "its gang has ended" : "another copy ended",
+                        now);
+        }
+      }
+    }
+  }
+}
+
+void Dispatcher::StopJob(const std::string& job, TimePoint now) {
+  for (auto& [id, session] : this->sessions) {
+    for (auto& [key, run] : session.runs) {
+      if (key.first.job == job) {
+        this->StopRun(session, key, run, "its job has ended", now);
+      }
+    }
+  }
+}
+
+void Dispatcher::PaceFillers(const std::string& id, Session& session,
+                             TimePoint now) {
+  if (now < session.next_pace) {
+    return;
+  }
+  double worst = 0;
+  for (const auto& [key, run] : session.runs) {
+    if (run.step->tail_target_ms > 0 && !run.step->filler && run.at_work) {
+      worst = std::max(worst, static_cast<double>(run.load) /
+                                  static_cast<double>(run.step->tail_target_ms));
+    }
+  }
+  for (auto& [key, run] : session.runs) {
+    if (!run.step->filler || run.stage != RunStage::kRunning) {
+      continue;
+    }
+    std::uint32_t pace = run.pace;
+    if (worst > 1.0) {
+      pace = 0;
+    } else if (worst > kSlowDownAbove) {
+      pace = pace / 2;
+    } else if (worst < kSpeedUpBelow && pace < 100) {
+      pace = std::min<std::uint32_t>(100, pace + kSpeedUpStep);
+    } else if (pace == kPaceUnknown) {
+      pace = 100;
+    }
+    if (pace == run.pace) {
+      continue;
+    }
+    run.pace = pace;
+    session.next_pace = now + kPaceSettles;
+    WorkerOrder order;
+    order.body = PaceOrder{key.first, key.second, pace};
+    order.timeout = this->config.answer_patience;
+    this->Send(id, session,
+               OpenOrder{.run = key, .stage = RunStage::kRunning, .sent = now},
+               std::move(order));
+  }
+}
+
+}  // namespace mimosastage::jobs
--- /dev/null
+++ b/src/mimosastage/jobs/dispatcher_upkeep.cc
@@ -0,0 +1,209 @@
+#include <algorithm>
+#include <utility>
+
+#include "mimosastage/jobs/dispatcher.h"
+
+namespace mimosastage::jobs {
+namespace {
+
+constexpr std::chrono::milliseconds kWaveRound{50};
+
+bool HasBegun(const Wave& wave, const std::string& machine) {
+  return std::find(wave.begun.begin(), wave.begun.end(), machine) !=
+         wave.begun.end();
+}
+
+}  // namespace
+
+const Worker* Dispatcher::WorkerOn(const std::string& machine) const {
+  for (const auto& [id, worker] : this->state.Workers()) {
+    if (worker.machine == machine) {
+      return &worker;
+    }
+  }
+  return nullptr;
+}
+
+bool Dispatcher::MayStop(const TaskId& task) const {
+  const Job* job = this->state.FindJob(task.job);
+  if (job == nullptr || job->Ended()) {
+    return true;
+  }
+  const Step& step = *job->request->steps[task.step];
+  if (!step.long_running) {
+    return true;
+  }
+  std::uint32_t away = 0;
+  for (std::uint32_t i = 0; i < step.tasks; ++i) {
+    if (i == task.index) {
+      continue;
+    }
+    TaskId other = task;
+    other.index = i;
+    bool at_work = false;
+    for (const ActiveRun& active : job->At(other).active) {
+      const auto session = this->sessions.find(active.worker);
+      if (session == this->sessions.end()) {
+        continue;
+      }
+      const auto run = session->second.runs.find({other, active.number});
+      at_work = at_work || (run != session->second.runs.end() &&
+                            run->second.stage == RunStage::kRunning &&
+                            run->second.at_work && session->second.silent == 0);
+    }
+    away += at_work ? 0 : 1;
+  }
+  return away < step.may_miss;
+}
+
+bool Dispatcher::Vacate(const std::string& id, Session& session,
+                        TimePoint now) {
+  if (!session.reserved.has_value()) {
+    session.reserved = now;
+    this->hooks.report("worker_reserved", id, "its instance is due for upkeep");
+  }
+  const bool patience_over =
+      now - *session.reserved > this->config.upkeep_patience;
+  bool empty = true;
+  for (auto& [key, run] : session.runs) {
+    empty = false;
+    const bool movable =
+        run.step->long_running || run.step->checkpoints || patience_over;
+    if (run.stage == RunStage::kRunning && movable &&
+        this->MayStop(key.first)) {
+      this->StopRun(session, key, run, "its instance is due for upkeep", now);
+    }
+  }
+  return empty;
+}
+
+void Dispatcher::AdvanceWaves(TimePoint now) {
+  if (now < this->next_wave_round ||
+      now - this->took_over < this->config.machine_lease) {
+    return;
+  }
+  this->next_wave_round = now + kWaveRound;
+  std::vector<std::uint64_t> open;
+  for (const auto& [number, wave] : this->state.Waves()) {
+    if (wave.begun.size() < wave.machines.size()) {
+      open.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : open) {
+    this->AdvanceWave(this->state.Waves().at(number), now);
+  }
+}
+
+void Dispatcher::AdvanceWave(const Wave& wave, TimePoint now) {
+  std::size_t down = 0;
+  std::size_t reserved = 0;
+  struct Candidate {
+    std::int64_t busy = 0;
+    std::string machine;
+    std::string worker;
+  };
+  std::vector<Candidate> candidates;
+  std::vector<Candidate> taken;
+  for (const std::string& machine : wave.machines) {
+    const Worker* worker = this->WorkerOn(machine);
+    const auto session = worker == nullptr ? this->sessions.end()
+                                           : this->sessions.find(worker->id);
+    const bool lives = session != this->sessions.end() &&
+                       session->second.heard && session->second.silent == 0;
+    const bool begun = HasBegun(wave, machine);
+    if (!lives) {
+      // Down for its upkeep, or by itself: both use up the limit.
+      ++down;
+      continue;
+    }
+    if (begun || session->second.draining || session->second.leaving) {
+      continue;
+    }
+    const Candidate row{session->second.used.millicores, machine, worker->id};
+    if (session->second.reserved.has_value()) {
+      ++reserved;
+      taken.push_back(row);
+    } else {
+      candidates.push_back(row);
+    }
+  }
+  std::sort(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& a, const Candidate& b) { return a.busy < b.busy; });
+  for (const Candidate& row : candidates) {
+    if (down + reserved >= wave.most_at_once) {
+      break;
+    }
+    ++reserved;
+    taken.push_back(row);
+  }
+  for (const Candidate& row : taken) {
+    const bool vacant =
+        this->Vacate(row.worker, this->sessions.at(row.worker), now);
+    if (vacant && down < wave.most_at_once) {
+      Upkeep& upkeep = this->upkeeps[{wave.number, row.machine}];
+      ++down;
+      if (!upkeep.order_open && now >= upkeep.next_attempt) {
+        this->OrderUpkeep(wave, row.machine, now);
+      }
+    }
+  }
+}
+
+void Dispatcher::OrderUpkeep(const Wave& wave, const std::string& machine,
+                             TimePoint now) {
+  Upkeep& upkeep = this->upkeeps[{wave.number, machine}];
+  upkeep.order_open = true;
+  upkeep.next_attempt = now + this->config.machine_retry;
+  MachineOrder order;
+  order.number = this->next_number++;
+  order.kind = MachineOrder::Kind::kUpkeep;
+  order.machine = machine;
+  order.wave = wave.number;
+  order.holder = this->self;
+  order.fence = this->fence;
+  this->machine_orders[order.number] = {wave.number, machine};
+  this->hooks.send_machine(std::move(order));
+}
+
+void Dispatcher::OnMachineReply(const MachineReply& reply, TimePoint now) {
+  const auto open = this->machine_orders.find(reply.number);
+  if (open == this->machine_orders.end()) {
+    return;
+  }
+  const auto [wave, machine] = open->second;
+  this->machine_orders.erase(open);
+  Upkeep& upkeep = this->upkeeps[{wave, machine}];
+  upkeep.order_open = false;
+  upkeep.next_attempt = now + this->config.machine_retry;
+  switch (reply.result) {
+    case MachineReply::Result::kOk:
+    case MachineReply::Result::kInvalid:
+      this->FinishUpkeep(wave, machine, now);
+      return;
+    case MachineReply::Result::kWrongWave:
+      this->hooks.report("upkeep_refused", machine, "not a machine of the wave");
+      this->FinishUpkeep(wave, machine, now);
+      return;
+    default:
+      this->hooks.count("upkeep_not_begun");
+      return;
+  }
+}
+
+void Dispatcher::FinishUpkeep(std::uint64_t wave, const std::string& machine,
+                              TimePoint now) {
+  this->hooks.report("upkeep_begun", machine, "wave " + std::to_string(wave));
+  this->upkeeps.erase({wave, machine});
+  if (const Worker* worker = this->WorkerOn(machine); worker != nullptr) {
+    const std::string id = worker->id;
+    this->RemoveWorker(id, "its instance is in upkeep", now);
+  }
+  Command command;
+  command.begun = std::make_unique<WaveMachine>();
+  command.begun->wave = wave;
+  command.begun->machine = machine;
+  this->hooks.propose(std::move(command), {});
+}
+
+}  // namespace mimosastage::jobs
--- /dev/null
+++ b/src/mimosastage/jobs/fleet_state.cc
@@ -0,0 +1,405 @@
+#include "mimosastage/jobs/fleet_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mimosastage::jobs {
+namespace {
+
+template <class Map>
+auto* Find(const Map& map, std::string_view name) {
+  const auto found = map.find(std::string(name));
+  return found == map.end() ? nullptr : found->second;
+}
+
+}  // namespace
+
+std::uint32_t Job::Occurrences() const {
+  return std::max<std::uint32_t>(1, this->request->occurrences);
+}
+
+std::size_t Job::TasksOfOccurrence() const {
+  std::size_t count = 0;
+  for (const auto& step : this->request->steps) {
+    count += step->tasks;
+  }
+  return count;
+}
+
+std::size_t Job::StepBegin(std::uint32_t occurrence, std::uint32_t step) const {
+  std::size_t begin = occurrence * this->TasksOfOccurrence();
+  for (std::uint32_t i = 0; i < step; ++i) {
+    begin += this->request->steps[i]->tasks;
+  }
+  return begin;
+}
+
+Task& Job::At(const TaskId& id) {
+  return this->tasks[this->StepBegin(id.occurrence, id.step) + id.index];
+}
+
+const Task& Job::At(const TaskId& id) const {
+  return this->tasks[this->StepBegin(id.occurrence, id.step) + id.index];
+}
+
+bool Job::Contains(const TaskId& id) const {
+  return !this->tasks.empty() && id.occurrence < this->Occurrences() &&
+         id.step < this->request->steps.size() &&
+         id.index < this->request->steps[id.step]->tasks;
+}
+
+std::uint32_t& Job::OpenIn(std::uint32_t occurrence, std::uint32_t step) {
+  return this->open[occurrence * this->request->steps.size() + step];
+}
+
+std::uint32_t Job::OpenIn(std::uint32_t occurrence, std::uint32_t step) const {
+  return this->open[occurrence * this->request->steps.size() + step];
+}
+
+bool Job::StepReady(std::uint32_t occurrence, std::uint32_t step) const {
+  const auto& after = this->request->steps[step]->after;
+  return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
+    return this->OpenIn(occurrence, earlier) == 0;
+  });
+}
+
+void FleetState::Apply(const Batch& batch) {
+  for (const auto& command : batch.commands) {
+    this->Apply(*command);
+  }
+}
+
+void FleetState::Apply(const Command& command) {
+  if (command.configuration != nullptr) {
+    this->Apply(*command.configuration);
+  } else if (command.job != nullptr) {
+    this->Accept(*command.job);
+  } else if (command.start != nullptr) {
+    this->Apply(*command.start);
+  } else if (command.end != nullptr) {
+    this->Apply(*command.end);
+  } else if (command.worker != nullptr) {
+    this->workers[command.worker->id] = *command.worker;
+  } else if (command.worker_gone != nullptr) {
+    const auto found = this->workers.find(command.worker_gone->id);
+    if (found != this->workers.end() &&
+        found->second.born_ms == command.worker_gone->born_ms) {
+      this->workers.erase(found);
+    }
+  } else if (command.wave != nullptr) {
+    this->waves.emplace(command.wave->number, *command.wave);
+  } else if (command.begun != nullptr) {
+    const auto found = this->waves.find(command.begun->wave);
+    if (found != this->waves.end()) {
+      found->second.begun.push_back(command.begun->machine);
+    }
+  } else if (!command.cancelled_job.empty()) {
+    this->Cancel(command.cancelled_job);
+  }
+}
+
+void FleetState::Apply(const Configuration& next) {
+  if (next.version > this->configuration->version) {
+    this->configuration = std::make_shared<Configuration>(next);
+    this->IndexConfiguration();
+  }
+}
+
+void FleetState::IndexConfiguration() {
+  this->queues.clear();
+  this->teams.clear();
+  this->keys.clear();
+  this->pools.clear();
+  for (const auto& queue : this->configuration->queues) {
+    this->queues[queue->name] = queue.get();
+  }
+  for (const auto& pool : this->configuration->pools) {
+    this->pools[pool->name] = pool.get();
+  }
+  for (const auto& team : this->configuration->teams) {
+    this->teams[team->name] = team.get();
+    for (const std::string& key : team->keys) {
+      this->keys[key] = team.get();
+    }
+  }
+}
+
+std::size_t FleetState::TaskCount(const JobRequest& request) {
+  std::size_t count = 0;
+  for (const auto& step : request.steps) {
+    count += step->tasks;
+  }
+  return count * std::max<std::uint32_t>(1, request.occurrences);
+}
+
+void FleetState::Prepare(Job& job) {
+  job.open.clear();
+  for (std::uint32_t k = 0; k < job.Occurrences(); ++k) {
+    for (const auto& step : job.request->steps) {
+      job.open.push_back(step->tasks);
+    }
+  }
+}
+
+void FleetState::Accept(const JobRequest& request) {
+  if (this->jobs.contains(request.id)) {
+    return;
+  }
+  Job job;
+  job.request = std::make_shared<JobRequest>(request);
+  job.tasks.resize(TaskCount(request));
+  Prepare(job);
+  this->latest_ms = std::max(this->latest_ms, request.accepted_ms);
+  this->open_jobs.emplace(request.accepted_ms, request.id);
+  this->jobs.emplace(request.id, std::move(job));
+  this->Forget(this->latest_ms);
+}
+
+void FleetState::Cancel(const std::string& id) {
+  if (const auto found = this->jobs.find(id);
+      found != this->jobs.end() && !found->second.Ended()) {
+    this->EndJob(found->second, JobPhase::kCancelled);
+  }
+}
+
+void FleetState::Apply(const RunStart& start) {
+  const auto found = this->jobs.find(start.job);
+  const TaskId id{start.job, start.occurrence, start.step, start.index};
+  if (found == this->jobs.end() || !found->second.Contains(id)) {
+    return;
+  }
+  Job& job = found->second;
+  Task& task = job.At(id);
+  task.runs = std::max(task.runs, start.run);
+  task.active.push_back(ActiveRun{start.run, start.worker, start.born_ms});
+  ++job.active_runs;
+  job.started = true;
+  if (job.phase == JobPhase::kQueued) {
+    job.phase = JobPhase::kRunning;
+  }
+}
+
+void FleetState::Apply(const RunEnd& end) {
+  const auto found = this->jobs.find(end.job);
+  const TaskId id{end.job, end.occurrence, end.step, end.index};
+  if (found == this->jobs.end() || !found->second.Contains(id)) {
+    return;
+  }
+  Job& job = found->second;
+  Task& task = job.At(id);
+  const auto run = std::find_if(
+      task.active.begin(), task.active.end(),
+      [&](const ActiveRun& active) { return active.number == end.run; });
+  if (run == task.active.end()) {
+    return;
+  }
+  task.active.erase(run);
+  --job.active_runs;
+  if (!end.checkpoint.empty()) {
+    task.checkpoint = end.checkpoint;
+  }
+  const Step& step = *job.request->steps[end.step];
+  const auto outcome = static_cast<RunOutcome>(end.outcome);
+  if (outcome == RunOutcome::kFailed) {
+    ++task.failures;
+  }
+  if (!job.Ended() && !step.long_running) {
+    const Queue* queue = this->FindQueue(job.request->queue);
+    const std::uint32_t most = queue == nullptr ? 1 : queue->max_attempts;
+    if (outcome == RunOutcome::kDone && !task.done) {
+      this->FinishTask(job, id);
+    } else if (!task.done && task.failures >= std::max(1U, most)) {
+      this->EndJob(job, JobPhase::kFailed);
+    }
+  }
+  this->ReleaseTasks(job);
+}
+
+void FleetState::FinishTask(Job& job, const TaskId& id) {
+  const Step& step = *job.request->steps[id.step];
+  std::uint32_t& open = job.OpenIn(id.occurrence, id.step);
+  if (step.gang) {
+    // One end stands for all members.
+    const std::size_t begin = job.StepBegin(id.occurrence, id.step);
+    for (std::size_t i = 0; i < step.tasks; ++i) {
+      job.tasks[begin + i].done = true;
+    }
+    open = 0;
+  } else {
+    job.At(id).done = true;
+    --open;
+  }
+  if (std::all_of(job.open.begin(), job.open.end(),
+                  [](std::uint32_t left) { return left == 0; })) {
+    this->EndJob(job, JobPhase::kCompleted);
+  }
+}
+
+void FleetState::EndJob(Job& job, JobPhase phase) {
+  job.phase = phase;
+  job.ended_ms = this->latest_ms;
+  this->open_jobs.erase({job.request->accepted_ms, job.request->id});
+  this->ended_jobs.emplace(job.ended_ms, job.request->id);
+  this->ReleaseTasks(job);
+}
+
+void FleetState::ReleaseTasks(Job& job) {
+  if (job.Ended() && job.active_runs == 0 && !job.tasks.empty()) {
+    std::vector<Task>().swap(job.tasks);
+    std::vector<std::uint32_t>().swap(job.open);
+    JobRequest small;
+    small.id = job.request->id;
+    small.queue = job.request->queue;
+    small.team = job.request->team;
+    small.accepted_ms = job.request->accepted_ms;
+    job.request = std::make_shared<JobRequest>(std::move(small));
+  }
+}
+
+void FleetState::Forget(std::int64_t now_ms) {
+  while (!this->ended_jobs.empty()) {
+    const auto& [ended_ms, id] = *this->ended_jobs.begin();
+    const auto found = this->jobs.find(id);
+    if (ended_ms + this->bounds.remember_ended_ms > now_ms ||
+        (found != this->jobs.end() && found->second.active_runs > 0)) {
+      return;
+    }
+    this->jobs.erase(id);
+    this->ended_jobs.erase(this->ended_jobs.begin());
+  }
+}
+
+const Queue* FleetState::FindQueue(std::string_view name) const {
+  return Find(this->queues, name);
+}
+
+const Team* FleetState::FindTeam(std::string_view name) const {
+  return Find(this->teams, name);
+}
+
+const Team* FleetState::TeamOfKey(std::string_view key) const {
+  return Find(this->keys, key);
+}
+
+const Pool* FleetState::FindPool(std::string_view name) const {
+  return Find(this->pools, name);
+}
+
+const Queue* FleetState::QueueFor(std::string_view host,
+                                  std::string_view path) const {
+  const Queue* best = nullptr;
+  for (const auto& queue : this->configuration->queues) {
+    if (queue->host == host && path.starts_with(queue->path_prefix) &&
+        (best == nullptr ||
+         queue->path_prefix.size() > best->path_prefix.size())) {
+      best = queue.get();
+    }
+  }
+  return best;
+}
+
+const Job* FleetState::FindJob(const std::string& id) const {
+  const auto found = this->jobs.find(id);
+  return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+std::string FleetState::Snapshot() const {
+  jobs_wire::SnapshotT snapshot;
+  snapshot.configuration =
+      std::make_unique<Configuration>(*this->configuration);
+  for (const auto& [id, job] : this->jobs) {
+    auto record = std::make_unique<jobs_wire::JobRecordT>();
+    record->job = std::make_unique<JobRequest>(*job.request);
+    record->phase = static_cast<std::uint8_t>(job.phase);
+    record->started = job.started;
+    record->ended_ms = job.ended_ms;
+    for (const Task& task : job.tasks) {
+      auto row = std::make_unique<jobs_wire::TaskT>();
+      row->done = task.done;
+      row->runs = task.runs;
+      row->failures = task.failures;
+      row->checkpoint = task.checkpoint;
+      for (const ActiveRun& active : task.active) {
+        auto run = std::make_unique<jobs_wire::ActiveRunT>();
+        run->run = active.number;
+        run->worker = active.worker;
+        run->born_ms = active.born_ms;
+        row->active.push_back(std::move(run));
+      }
+      record->tasks.push_back(std::move(row));
+    }
+    snapshot.jobs.push_back(std::move(record));
+  }
+  for (const auto& [id, worker] : this->workers) {
+    snapshot.workers.push_back(std::make_unique<Worker>(worker));
+  }
+  for (const auto& [number, wave] : this->waves) {
+    snapshot.waves.push_back(std::make_unique<Wave>(wave));
+  }
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(jobs_wire::Snapshot::Pack(builder, &snapshot));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+          builder.GetSize()};
+}
+
+bool FleetState::Restore(std::string_view bytes) {
+  *this = FleetState();
+  flatbuffers::Verifier verifier(
+      reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size(), 64,
+      100'000'000);
+  if (!verifier.VerifyBuffer<jobs_wire::Snapshot>(nullptr)) {
+    return false;
+  }
+  jobs_wire::SnapshotT snapshot;
+  flatbuffers::GetRoot<jobs_wire::Snapshot>(bytes.data())->UnPackTo(&snapshot);
+  if (snapshot.configuration != nullptr) {
+    this->configuration =
+        std::make_shared<Configuration>(*snapshot.configuration);
+    this->IndexConfiguration();
+  }
+  for (auto& record : snapshot.jobs) {
+    Job job;
+    job.request = std::make_shared<JobRequest>(*record->job);
+    job.phase = static_cast<JobPhase>(record->phase);
+    job.started = record->started;
+    job.ended_ms = record->ended_ms;
+    for (auto& row : record->tasks) {
+      Task task;
+      task.done = row->done;
+      task.runs = row->runs;
+      task.failures = row->failures;
+      task.checkpoint = row->checkpoint;
+      for (const auto& run : row->active) {
+        task.active.push_back(ActiveRun{run->run, run->worker, run->born_ms});
+      }
+      job.active_runs += task.active.size();
+      job.tasks.push_back(std::move(task));
+    }
+    if (!job.tasks.empty()) {
+      Prepare(job);
+      std::size_t next = 0;
+      for (std::size_t i = 0; i < job.open.size(); ++i) {
+        const std::uint32_t tasks = job.open[i];
+        for (std::uint32_t n = 0; n < tasks; ++n) {
+          job.open[i] -= job.tasks[next++].done ? 1 : 0;
+        }
+      }
+    }
+    this->latest_ms = std::max(
+        {this->latest_ms, job.request->accepted_ms, job.ended_ms});
+    const std::pair<std::int64_t, std::string> key{
+        job.Ended() ? job.ended_ms : job.request->accepted_ms,
+        job.request->id};
+    (job.Ended() ? this->ended_jobs : this->open_jobs).insert(key);
+    this->jobs.emplace(job.request->id, std::move(job));
+  }
+  for (auto& worker : snapshot.workers) {
+    this->workers.emplace(worker->id, *worker);
+  }
+  for (auto& wave : snapshot.waves) {
+    this->waves.emplace(wave->number, *wave);
+  }
+  return true;
+}
+
+}  // namespace mimosastage::jobs
--- /dev/null
+++ b/src/mimosastage/jobs/fleet_state.h
@@ -0,0 +1,135 @@
+#ifndef MIMOSASTAGE_JOBS_FLEET_STATE_H_
+#define MIMOSASTAGE_JOBS_FLEET_STATE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "mimosastage/jobs/records.h"
+
+namespace mimosastage::jobs {
+
+/// One start of a task that may still run on a worker.
+struct ActiveRun {
+  std::uint32_t number = 0;
+  std::string worker;
+  std::int64_t born_ms = 0;
+};
+
+struct Task {
+  bool done = false;
+  /// Number of the latest run; 0 before the first.
+  std::uint32_t runs = 0;
+  std::uint32_t failures = 0;
+  std::string checkpoint;
+  std::vector<ActiveRun> active;
+};
+
+/// A job and the progress of its tasks.
+struct Job {
+  std::shared_ptr<const JobRequest> request;
+  JobPhase phase = JobPhase::kQueued;
+  /// A task has been started.
+  bool started = false;
+  std::int64_t ended_ms = 0;
+  /// By occurrence, step and index. Kept after the end of the job while one of
+  /// its runs may still be active.
+  std::vector<Task> tasks;
+  /// Tasks that are not done, by occurrence and step.
+  std::vector<std::uint32_t> open;
+  std::size_t active_runs = 0;
+
+  std::uint32_t Occurrences() const;
+  std::size_t TasksOfOccurrence() const;
+  std::size_t StepBegin(std::uint32_t occurrence, std::uint32_t step) const;
+  Task& At(const TaskId& id);
+  const Task& At(const TaskId& id) const;
+  bool Contains(const TaskId& id) const;
+  std::uint32_t& OpenIn(std::uint32_t occurrence, std::uint32_t step);
+  std::uint32_t OpenIn(std::uint32_t occurrence, std::uint32_t step) const;
+  /// All steps in `after` are complete.
+  bool StepReady(std::uint32_t occurrence, std::uint32_t step) const;
+  bool Ended() const { return this->phase >= JobPhase::kCompleted; }
+};
+
+/// The replicated state of jobs, workers and waves. Apply is deterministic and
+/// reads no clock.
+class FleetState {
+ public:
+  /// How long an ended job is remembered, and how many tasks a job may have.
+  struct Limits {
+    std::int64_t remember_ended_ms = 130'000;
+    std::size_t tasks_per_job = 20'000;
+    std::size_t jobs = 100'000;
+  };
+
+  void Apply(const Command& command);
+  void Apply(const Batch& batch);
+
+  std::string Snapshot() const;
+  /// Replaces everything. False if `bytes` isn't a snapshot; the state is then
+  /// empty.
+  bool Restore(std::string_view bytes);
+
+  const Configuration& Config() const { return *this->configuration; }
+  const Queue* FindQueue(std::string_view name) const;
+  /// The queue whose host is `host` and whose prefix is the longest that `path`
+  /// begins with.
+  const Queue* QueueFor(std::string_view host, std::string_view path) const;
+  const Team* TeamOfKey(std::string_view key) const;
+  const Team* FindTeam(std::string_view name) const;
+  const Pool* FindPool(std::string_view name) const;
+
+  const std::unordered_map<std::string, Job>& Jobs() const {
+    return this->jobs;
+  }
+  const Job* FindJob(const std::string& id) const;
+  const std::map<std::string, Worker>& Workers() const { return this->workers; }
+  const std::map<std::uint64_t, Wave>& Waves() const { return this->waves; }
+  /// Jobs that have not ended, in the order of acceptance.
+  const std::set<std::pair<std::int64_t, std::string>>& OpenJobs() const {
+    return this->open_jobs;
+  }
+
+  static std::size_t TaskCount(const JobRequest& request);
+  const Limits& limits() const { return this->bounds; }
+
+ private:
+  void Apply(const Configuration& next);
+  void Accept(const JobRequest& request);
+  void Cancel(const std::string& id);
+  void Apply(const RunStart& start);
+  void Apply(const RunEnd& end);
+  void FinishTask(Job& job, const TaskId& id);
+  void EndJob(Job& job, JobPhase phase);
+  void ReleaseTasks(Job& job);
+  void Forget(std::int64_t now_ms);
+  void IndexConfiguration();
+  static void Prepare(Job& job);
+
+  Limits bounds;
+  std::shared_ptr<const Configuration> configuration =
+      std::make_shared<Configuration>();
+  std::unordered_map<std::string, const Queue*> queues;
+  std::unordered_map<std::string, const Team*> teams;
+  std::unordered_map<std::string, const Team*> keys;
+  std::unordered_map<std::string, const Pool*> pools;
+  std::unordered_map<std::string, Job> jobs;
+  std::set<std::pair<std::int64_t, std::string>> open_jobs;
+  /// Ended jobs by the time of their end.
+  std::set<std::pair<std::int64_t, std::string>> ended_jobs;
+  /// Latest time in a command.
+  std::int64_t latest_ms = 0;
+  std::map<std::string, Worker> workers;
+  std::map<std::uint64_t, Wave> waves;
+};
+
+}  // namespace mimosastage::jobs
+
+#endif  // MIMOSASTAGE_JOBS_FLEET_STATE_H_
--- /dev/null
+++ b/src/mimosastage/jobs/records.h
@@ -0,0 +1,119 @@
+#ifndef MIMOSASTAGE_JOBS_RECORDS_H_
+#define MIMOSASTAGE_JOBS_RECORDS_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "mimosastage/jobs/internal/wire.h"
+
+/// Records of jobs, workers and waves, as they are logged and sent between
+/// daemons. The schema, with units, is internal/records.fbs.
+namespace mimosastage::jobs {
+
+using Amount = jobs_wire::AmountT;
+using Step = jobs_wire::StepT;
+using JobRequest = jobs_wire::JobT;
+using Queue = jobs_wire::QueueT;
+using Pool = jobs_wire::PoolT;
+using Team = jobs_wire::TeamT;
+using Configuration = jobs_wire::ConfigurationT;
+using Worker = jobs_wire::WorkerT;
+using WorkerGone = jobs_wire::WorkerGoneT;
+using RunStart = jobs_wire::RunStartT;
+using RunEnd = jobs_wire::RunEndT;
+using Wave = jobs_wire::WaveT;
+using WaveMachine = jobs_wire::WaveMachineT;
+using Command = jobs_wire::CommandT;
+using Batch = jobs_wire::BatchT;
+using Call = jobs_wire::CallT;
+using Answer = jobs_wire::AnswerT;
+using Leadership = jobs_wire::LeadershipT;
+
+enum class JobPhase : std::uint8_t {
+  kQueued,
+  kRunning,
+  kCompleted,
+  kFailed,
+  kCancelled
+};
+
+/// Answer::phase of an answer that shows no job.
+inline constexpr std::uint8_t kNoPhase = 255;
+
+/// How a run ended.
+enum class RunOutcome : std::uint8_t {
+  kDone,
+  kFailed,
+  kStopped,
+  kLeaseExpired,
+  /// Another member of its gang ended.
+  kGangBroken,
+  /// The other members of its gang did not come in time.
+  kGangIncomplete,
+  /// The worker is gone, or never received the order.
+  kLost
+};
+
+enum class CallKind : std::uint8_t {
+  kSubmit,
+  kJobState,
+  kCancel,
+  kQueueLength,
+  kConfigure,
+  kReadConfiguration,
+  kAnnounceWorker,
+  kWorkerLeaves,
+  kStartWave,
+  kWaveState
+};
+
+enum class CallOutcome : std::uint8_t {
+  kOk,
+  kInvalid,
+  kUnauthorised,
+  /// No such queue.
+  kNoQueue,
+  /// No such job or wave.
+  kGone,
+  /// The version is held with other content.
+  kConflict,
+  /// Refused for load; nothing is stored.
+  kOverloaded,
+  /// Nothing was done; another daemon or a later try may serve.
+  kUnavailable,
+  /// Whether it was done isn't known.
+  kUnknown
+};
+
+/// Names one task of a job.
+struct TaskId {
+  std::string job;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+
+  // NOLINTNEXTLINE(modernize-use-nullptr)
+  auto operator<=>(const TaskId&) const = default;
+};
+
+/// "JOB.OCCURRENCE.STEP.INDEX".
+std::string ToString(const TaskId& task);
+/// Nothing if `text` isn't such a name.
+std::optional<TaskId> ParseTaskId(std::string_view text);
+
+std::string EncodeBatch(const Batch& batch);
+/// Nothing if `bytes` isn't a whole batch.
+std::optional<Batch> DecodeBatch(std::string_view bytes);
+
+std::string EncodeCall(const Call& call);
+std::string EncodeAnswer(const Answer& answer);
+std::string EncodeLeadership(const Leadership& leadership);
+/// Nothing if `bytes` isn't a whole message.
+std::optional<jobs_wire::MessageT> DecodeMessage(std::string_view bytes);
+
+}  // namespace mimosastage::jobs
+
+#endif  // MIMOSASTAGE_JOBS_RECORDS_H_
--- /dev/null
+++ b/src/mimosastage/jobs/worker_lease.cc
@@ -0,0 +1,60 @@
+#include "mimosastage/jobs/worker_lease.h"
+
+#include <algorithm>
+
+namespace mimosastage::jobs {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+void WorkerLease::OnClock(milliseconds clock, TimePoint now) {
+  if (this->clock.has_value() && clock < *this->clock) {
+    // Answers on different connections can overtake each other.
+    return;
+  }
+  if (!this->clock.has_value()) {
+    // Earlier leaders' deadlines lie at most one lease after the last order
+    // that they can have sent.
+    this->latest_deadline =
+        std::max(this->latest_deadline, clock + this->config.length);
+  }
+  this->clock = clock;
+  this->clock_at = now;
+}
+
+milliseconds WorkerLease::EstimatedClock(TimePoint now) const {
+  return *this->clock + duration_cast<milliseconds>(now - this->clock_at);
+}
+
+std::optional<milliseconds> WorkerLease::Extend(TimePoint now,
+                                                milliseconds length) {
+  if (!this->clock.has_value()) {
+    return std::nullopt;
+  }
+  const milliseconds deadline = this->EstimatedClock(now) + length;
+  this->latest_deadline = std::max(this->latest_deadline, deadline);
+  return deadline;
+}
+
+std::optional<milliseconds> WorkerLease::HoldDeadline(TimePoint now) {
+  return this->Extend(now, this->config.length);
+}
+
+std::optional<milliseconds> WorkerLease::StartDeadline(TimePoint now) {
+  return this->Extend(now, this->config.start_window);
+}
+
+bool WorkerLease::Expired(TimePoint now) const {
+  const auto at_least = [&](TimePoint since) {
+    return std::chrono::duration<double, std::milli>(now - since) *
+           this->config.slowest_rate;
+  };
+  if (!this->clock.has_value()) {
+    return at_least(this->unheard_since) >
+           this->config.length + this->config.slack;
+  }
+  return *this->clock + at_least(this->clock_at) >
+         this->latest_deadline + this->config.slack;
+}
+
+}  // namespace mimosastage::jobs
--- /dev/null
+++ b/src/mimosastage/node/job_daemon.cc
@@ -0,0 +1,525 @@
+#include "mimosastage/node/job_daemon.h"
+
+#include <openssl/rand.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cstdlib>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+#include "mimosastage/base/ring.h"
+#include "mimosastage/base/wake_signal.h"
+#include "mimosastage/storage/data_folder.h"
+#include "mimosastage/storage/storage_thread.h"
+#include "mimosastage/telemetry/log.h"
+#include "mimosastage/telemetry/metrics.h"
+
+namespace mimosastage {
+namespace {
+
+constexpr std::size_t kRingCapacity = 4'096;
+/// Events taken from one ring before the others get their turn.
+constexpr std::size_t kBatch = 256;
+/// The number of the listener is in the upper bits of a request's id.
+constexpr unsigned kListenerShift = 48;
+/// Marks the ids of calls to the platform that owns the instances.
+constexpr std::uint64_t kMachineBit = 1ULL << 63U;
+
+/// Decision lines that may be written in one second; more are counted.
+constexpr std::size_t kLinesPerSecond = 200;
+
+constexpr EventName kLinesDropped{"log_lines_dropped"};
+
+struct DaemonEvent {
+  DaemonId peer{};
+  /// Nothing if the state of the link changed.
+  std::optional<std::string> message;
+  bool up = false;
+};
+
+struct OutgoingMessage {
+  DaemonId to{};
+  std::string message;
+};
+
+struct HttpEvent {
+  /// Only the id is set for a lost connection.
+  HttpRequest request;
+  bool disconnected = false;
+};
+
+struct OutgoingAnswer {
+  std::uint64_t request = 0;
+  HttpAnswer answer;
+};
+
+std::uint64_t RandomNumber() {
+  std::uint64_t number = 0;
+  if (RAND_bytes(reinterpret_cast<unsigned char*>(&number), sizeof(number)) !=
+      1) {
+    std::abort();
+  }
+  return number;
+}
+
+/// One HTTP listener with its rings.
+struct Listener {
+  Listener(const std::function<void()>& wake_node)
+      : requests(kRingCapacity, wake_node),
+        answers(kRingCapacity, [this] { this->server->Wake(); }) {}
+
+  Ring<HttpEvent> requests;
+  Ring<OutgoingAnswer> answers;
+  std::unique_ptr<HttpServer> server;
+};
+
+/// Bounds the volume of decision lines.
+class LineBudget {
+ public:
+  bool Take(TimePoint now) {
+    if (now - this->began >= std::chrono::seconds(1)) {
+      if (this->dropped > 0) {
+        LogEvent(LogSeverity::kWarning, kLinesDropped,
+                 "log lines were left out to bound their volume")
+            .With("lines", this->dropped);
+      }
+      this->began = now;
+      this->taken = 0;
+      this->dropped = 0;
+    }
+    if (this->taken >= kLinesPerSecond) {
+      ++this->dropped;
+      return false;
+    }
+    ++this->taken;
+    return true;
+  }
+
+ private:
+  TimePoint began{};
+  std::size_t taken = 0;
+  std::size_t dropped = 0;
+};
+
+}  // namespace
+
+struct JobDaemon::Impl {
+  Impl(Settings given, JobProtocol protocol)
+      : settings(std::move(given)), protocol(std::move(protocol)) {}
+
+  std::string Start();
+  std::string OpenStorage(std::optional<DurableImage>& image);
+  void MakeListeners();
+  void MakeLinks();
+  void MakeExchanges();
+  void MakeNode();
+  void RunNode();
+  bool DrainRings(TimePoint now);
+  void OnRequest(std::uint64_t id, HttpRequest&& request, TimePoint now);
+  void OnExchange(ExchangeResult&& result, TimePoint now);
+  void SendExchange(ExchangeRequest&& request);
+  void AnswerHttp(std::uint64_t id, HttpAnswer&& answer);
+  void StopThreads();
+
+  Settings settings;
+  JobProtocol protocol;
+  Metrics metrics;
+  LineBudget lines;
+  WakeSignal wake;
+  std::function<void()> wake_node = [this] { this->wake.Notify(); };
+  std::vector<std::unique_ptr<Listener>> listeners;
+  Ring<DaemonEvent> from_daemons{kRingCapacity, this->wake_node};
+  Ring<ExchangeResult> from_exchanges{kRingCapacity, this->wake_node};
+  Ring<OutgoingMessage> to_daemons{kRingCapacity,
+                                   [this] { this->links->Wake(); }};
+  std::unique_ptr<DataFolder> folder;
+  std::unique_ptr<StorageThread> storage;
+  std::unique_ptr<Links> links;
+  std::unique_ptr<ExchangeClient> exchanges;
+  std::unique_ptr<JobNode> node;
+  std::thread node_thread;
+  std::uint64_t synced = 0;
+  std::atomic<bool> stop_requested{false};
+  std::atomic<bool> storage_failed{false};
+  std::atomic<int> exit_status{0};
+};
+
+std::string JobDaemon::Impl::Start() {
+  std::optional<DurableImage> image;
+  if (this->settings.node.is_voter) {
+    if (std::string problem = this->OpenStorage(image); !problem.empty()) {
+      return problem;
+    }
+  }
+  this->MakeListeners();
+  this->MakeLinks();
+  if (this->settings.node.is_voter) {
+    this->MakeExchanges();
+  }
+  this->MakeNode();
+  this->node->Start(std::move(image), LeaseClock::now());
+  if (auto port = this->links->Start(); !port.has_value()) {
+    return "can't listen for daemons on " + this->settings.link.address + ":" +
+           std::to_string(this->settings.link.port) + ": " +
+           port.error().message() + "; choose a free port in the settings";
+  }
+  for (std::size_t i = 0; i < this->listeners.size(); ++i) {
+    if (auto port = this->listeners[i]->server->Start(); !port.has_value()) {
+      const ListenAddress& at = this->settings.listeners[i];
+      return "can't listen on " + at.address + ":" + std::to_string(at.port) +
+             ": " + port.error().message() +
+             "; choose a free address in the settings";
+    }
+  }
+  this->node_thread = std::thread([this] { this->RunNode(); });
+  return {};
+}
+
+std::string JobDaemon::Impl::OpenStorage(std::optional<DurableImage>& image) {
+  const std::filesystem::path& path = this->settings.data_folder;
+  if (this->settings.first_start) {
+    // Refused if the folder has content: then it was formatted before.
+    const auto formatted = DataFolder::Format(path, this->settings.cluster,
+                                              this->settings.node.self);
+    if (!formatted.has_value()) {
+      LogEvent(LogSeverity::kInfo, events::kRecoveryStarted,
+               "the data folder was formatted before")
+          .With("reason", formatted.error());
+    }
+  }
+  this->folder = std::make_unique<DataFolder>(path, this->settings.cluster,
+                                              this->settings.node.self);
+  auto opened = this->folder->Open();
+  if (!opened.has_value()) {
+    return opened.error().message() + ": " + this->folder->ErrorDetail();
+  }
+  if (!this->folder->Report().empty()) {
+    LogEvent(LogSeverity::kWarning, events::kLogTruncated,
+             this->folder->Report());
+  }
+  image = std::move(*opened);
+  if (!image->intact) {
+    LogEvent(LogSeverity::kWarning, events::kRecoveryStarted,
+             "the data folder is empty or old; this voter recovers its state "
+             "from the others");
+  }
+  StorageThread::Hooks hooks;
+  hooks.on_synced = this->wake_node;
+  hooks.on_failed = [this](const std::string& detail) {
+    LogEvent(LogSeverity::kError, events::kStorageFailed, detail);
+    this->storage_failed.store(true);
+    this->wake.Notify();
+  };
+  this->storage =
+      std::make_unique<StorageThread>(*this->folder, std::move(hooks));
+  this->storage->Start();
+  return {};
+}
+
+void JobDaemon::Impl::MakeListeners() {
+  for (std::size_t i = 0; i < this->settings.listeners.size(); ++i) {
+    auto listener = std::make_unique<Listener>(this->wake_node);
+    HttpServer::Settings server;
+    server.address = this->settings.listeners[i].address;
+    server.port = this->settings.listeners[i].port;
+    server.max_connections = this->settings.max_connections;
+    // Announcements of workers may have 4 MiB.
+    server.max_body_bytes = 4U << 20U;
+    HttpServer::Hooks hooks;
+    Listener* const self = listener.get();
+    const std::uint64_t base = static_cast<std::uint64_t>(i) << kListenerShift;
+    hooks.on_request = [this, self, base](HttpRequest&& request) {
+      const std::uint64_t id = request.id;
+      request.id |= base;
+      if (!self->requests.Push(HttpEvent{std::move(request), false})) {
+        this->metrics.Add(metrics::kRefusals, "daemon_overloaded");
+        HttpAnswer answer;
+        answer.status = 503;
+        answer.headers.emplace_back("Retry-After", "1");
+        self->server->Answer(id, std::move(answer));
+      }
+    };
+    hooks.on_disconnect = [this, self, base](std::uint64_t id) {
+      HttpEvent event;
+      event.request.id = id | base;
+      event.disconnected = true;
+      if (!self->requests.Push(event)) {
+        this->metrics.Add(metrics::kDrops, "disconnect_ring_full");
+      }
+    };
+    hooks.on_wake = [self] {
+      self->answers.Drain(
+          [self](OutgoingAnswer&& out) {
+            self->server->Answer(out.request, std::move(out.answer));
+          },
+          kRingCapacity);
+    };
+    listener->server =
+        std::make_unique<HttpServer>(std::move(server), std::move(hooks));
+    this->listeners.push_back(std::move(listener));
+  }
+}
+
+void JobDaemon::Impl::MakeLinks() {
+  Links::Settings link_settings;
+  link_settings.cluster = this->settings.cluster;
+  link_settings.own = this->settings.link;
+  link_settings.peers = this->settings.peers;
+  link_settings.link_key = this->settings.link_key;
+  link_settings.seed = RandomNumber();
+  link_settings.accept_guests = this->settings.node.is_voter;
+  // A cut shows as silence only; the leader's notices come every 200 ms.
+  link_settings.silence_limit = std::chrono::milliseconds(1'200);
+  link_settings.heartbeat = std::chrono::milliseconds(400);
+  link_settings.reconnect_most = std::chrono::milliseconds(500);
+  Links::Hooks hooks;
+  hooks.on_message = [this](DaemonId from, std::string&& message) {
+    if (!this->from_daemons.Push(DaemonEvent{from, std::move(message), true})) {
+      this->metrics.Add(metrics::kDrops, "daemon_message_ring_full");
+    }
+  };
+  hooks.on_state = [this](DaemonId peer, bool up) {
+    LogEvent(LogSeverity::kInfo, up ? events::kLinkOpened : events::kLinkClosed,
+             up ? "link to another daemon is open"
+                : "link to another daemon is closed")
+        .With("peer", static_cast<unsigned>(peer));
+    if (!this->from_daemons.Push(DaemonEvent{peer, std::nullopt, up})) {
+      this->metrics.Add(metrics::kDrops, "link_state_ring_full");
+    }
+  };
+  hooks.on_drop = [this](std::string_view reason) {
+    this->metrics.Add(metrics::kDrops, reason);
+  };
+  hooks.on_bytes = [this](std::size_t sent, std::size_t received) {
+    this->metrics.Add(metrics::kLinkBytes, "sent", sent);
+    this->metrics.Add(metrics::kLinkBytes, "received", received);
+  };
+  hooks.on_wake = [this] {
+    this->to_daemons.Drain(
+        [this](OutgoingMessage&& out) {
+          this->links->Send(out.to, std::move(out.message));
+        },
+        kRingCapacity);
+  };
+  this->links =
+      std::make_unique<Links>(std::move(link_settings), std::move(hooks));
+}
+
+void JobDaemon::Impl::MakeExchanges() {
+  ExchangeClient::Settings client;
+  client.expect_request_id = false;
+  client.max_connections_per_server = this->settings.connections_per_worker;
+  client.connect_timeout = std::chrono::milliseconds(400);
+  client.unacknowledged_timeout = std::chrono::milliseconds(1'000);
+  ExchangeClient::Hooks hooks;
+  hooks.on_result = [this](ExchangeResult&& result) {
+    this->from_exchanges.PushOrWait(result);
+  };
+  this->exchanges =
+      std::make_unique<ExchangeClient>(std::move(client), std::move(hooks));
+  this->exchanges->Start();
+}
+
+void JobDaemon::Impl::MakeNode() {
+  JobNode::Config config = this->settings.node;
+  config.seed = RandomNumber();
+  JobNode::Hooks hooks;
+  hooks.send = [this](DaemonId to, std::string message) {
+    if (!this->to_daemons.Push(OutgoingMessage{to, std::move(message)})) {
+      this->metrics.Add(metrics::kDrops, "outgoing_message_ring_full");
+    }
+  };
+  hooks.persist = [this](DurableWrite write) {
+    this->storage->Write(std::move(write));
+  };
+  hooks.send_order = [this](const jobs::WorkerOrder& order) {
+    this->SendExchange(this->protocol.encode_order(order));
+  };
+  hooks.send_machine_order = [this](const jobs::MachineOrder& order) {
+    ExchangeRequest request = this->protocol.encode_machine_order(order);
+    request.id |= kMachineBit;
+    this->SendExchange(std::move(request));
+  };
+  hooks.answer = [this](std::uint64_t request, jobs::CallKind kind,
+                        const jobs::Answer& answer) {
+    this->AnswerHttp(request, this->protocol.encode_answer(kind, answer));
+  };
+  hooks.wall_time = [] {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+  };
+  hooks.report = [this](const char* event, const std::string& id,
+                        const std::string& detail) {
+    if (this->lines.Take(LeaseClock::now())) {
+      LogEvent(LogSeverity::kInfo, EventName{event}, detail).With("id", id);
+    }
+  };
+  hooks.count_refusal = [this](const char* reason) {
+    this->metrics.Add(metrics::kRefusals, reason);
+  };
+  hooks.count_retry = [this](const char* reason) {
+    this->metrics.Add(metrics::kRetries, reason);
+  };
+  hooks.count_drop = [this](const char* reason) {
+    this->metrics.Add(metrics::kDrops, reason);
+  };
+  this->node = std::make_unique<JobNode>(std::move(config), std::move(hooks));
+}
+
+void JobDaemon::Impl::SendExchange(ExchangeRequest&& request) {
+  const std::uint64_t id = request.id;
+  if (!this->exchanges->Submit(std::move(request))) {
+    this->metrics.Add(metrics::kDrops, "exchange_ring_full");
+    ExchangeResult result;
+    result.id = id;
+    result.end = AttemptEnd::kNotStarted;
+    this->from_exchanges.PushOrWait(result);
+  }
+}
+
+void JobDaemon::Impl::AnswerHttp(std::uint64_t id, HttpAnswer&& answer) {
+  Listener& listener = *this->listeners[id >> kListenerShift];
+  answer.close = answer.close || this->node->ShuttingDown();
+  this->metrics.Add(metrics::kRequests, std::to_string(answer.status));
+  listener.answers.PushOrWait(OutgoingAnswer{
+      id & ((1ULL << kListenerShift) - 1), std::move(answer)});
+}
+
+void JobDaemon::Impl::OnRequest(std::uint64_t id, HttpRequest&& request,
+                                TimePoint now) {
+  DecodedRequest decoded = 
+      this->protocol.decode_request(request, id >> kListenerShift);
+  if (auto* call = std::get_if<IncomingCall>(&decoded); call != nullptr) {
+    this->node->OnCall(id, std::move(call->call), call->patience, now);
+  } else if (auto* answer = std::get_if<HttpAnswer>(&decoded);
+             answer != nullptr) {
+    this->AnswerHttp(id, std::move(*answer));
+  } else if (std::holds_alternative<MetricsRequest>(decoded)) {
+    HttpAnswer text;
+    text.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+    text.body = this->metrics.PrometheusText();
+    this->AnswerHttp(id, std::move(text));
+  } else {
+    HttpAnswer readiness;
+    readiness.status = this->node->Ready(now) ? 200 : 503;
+    this->AnswerHttp(id, std::move(readiness));
+  }
+}
+
+void JobDaemon::Impl::OnExchange(ExchangeResult&& result, TimePoint now) {
+  if ((result.id & kMachineBit) != 0) {
+    result.id &= ~kMachineBit;
+    this->node->OnMachineReply(this->protocol.decode_machine_reply(result),
+                               now);
+  } else {
+    this->node->OnWorkerReply(this->protocol.decode_reply(result), now);
+  }
+}
+
+void JobDaemon::Impl::RunNode() {
+  while (true) {
+    const TimePoint now = LeaseClock::now();
+    const bool busy = this->DrainRings(now);
+    if (this->stop_requested.load() && !this->node->ShuttingDown()) {
+      LogEvent(LogSeverity::kInfo, events::kDaemonStopping,
+               "planned stop: unready now, finishing open calls");
+      this->node->BeginShutdown(now);
+    }
+    this->node->Advance(now);
+    if (this->storage_failed.load()) {
+      this->exit_status.store(1);
+      return;
+    }
+    if (this->node->Stopped(now)) {
+      return;
+    }
+    if (!busy) {
+      this->wake.Wait(std::max<Duration>(this->node->NextDue(now) - now,
+                                         Duration::zero()));
+    }
+  }
+}
+
+bool JobDaemon::Impl::DrainRings(TimePoint now) {
+  std::size_t taken = 0;
+  if (this->storage != nullptr) {
+    if (const std::uint64_t ticket = this->storage->Synced();
+        ticket != std::exchange(this->synced, ticket)) {
+      this->node->OnStorageSynced(ticket, now);
+      ++taken;
+    }
+  }
+  taken += this->from_daemons.Drain(
+      [&](DaemonEvent&& event) {
+        if (event.message.has_value()) {
+          this->node->OnMessage(event.peer, *event.message, now);
+        } else {
+          this->node->OnLinkState(event.peer, event.up, now);
+        }
+      },
+      kBatch);
+  taken += this->from_exchanges.Drain(
+      [&](ExchangeResult&& result) {
+        this->OnExchange(std::move(result), now);
+      },
+      kBatch);
+  for (const auto& listener : this->listeners) {
+    taken += listener->requests.Drain(
+        [&](HttpEvent&& event) {
+          const std::uint64_t id = event.request.id;
+          if (event.disconnected) {
+            this->node->OnDisconnect(id);
+          } else {
+            this->OnRequest(id, std::move(event.request), now);
+          }
+        },
+        kBatch);
+  }
+  return taken > 0;
+}
+
+void JobDaemon::Impl::StopThreads() {
+  // The servers write answers after they were handed over; closing the
+  // connections at once would cut the last ones.
+  constexpr std::chrono::milliseconds kFlushTime{100};
+  std::this_thread::sleep_for(kFlushTime);
+  if (this->exchanges != nullptr) {
+    this->exchanges->Stop();
+  }
+  for (const auto& listener : this->listeners) {
+    listener->server->Stop();
+  }
+  this->links->Stop();
+  if (this->storage != nullptr) {
+    this->storage->Stop();
+  }
+  LogEvent(LogSeverity::kInfo, events::kDaemonStopped, "daemon has stopped");
+}
+
+JobDaemon::JobDaemon(Settings settings, JobProtocol protocol)
+    : impl(std::make_unique<Impl>(std::move(settings), std::move(protocol))) {}
+
+JobDaemon::~JobDaemon() {
+  if (this->impl->node_thread.joinable()) {
+    this->RequestStop();
+    this->Wait();
+  }
+}
+
+std::string JobDaemon::Start() { return this->impl->Start(); }
+
+void JobDaemon::RequestStop() {
+  this->impl->stop_requested.store(true);
+  this->impl->wake.Notify();
+}
+
+int JobDaemon::Wait() {
+  this->impl->node_thread.join();
+  this->impl->StopThreads();
+  return this->impl->exit_status.load();
+}
+
+}  // namespace mimosastage
--- /dev/null
+++ b/src/mimosastage/node/job_daemon.h
@@ -0,0 +1,63 @@
+#ifndef MIMOSASTAGE_NODE_JOB_DAEMON_H_
+#define MIMOSASTAGE_NODE_JOB_DAEMON_H_
+
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "mimosastage/daemons/links.h"
+#include "mimosastage/node/job_node.h"
+#include "mimosastage/node/job_protocol.h"
+
+namespace mimosastage {
+
+struct ListenAddress {
+  std::string address;
+  std::uint16_t port = 0;
+};
+
+/// The threads of one daemon that serves jobs, around a JobNode: one for each
+/// HTTP listener, one for links to other daemons, one for orders to workers,
+/// one for the disk and one for the node.
+class JobDaemon {
+ public:
+  struct Settings {
+    JobNode::Config node;
+    std::string cluster;
+    std::string link_key;
+    LinkAddress link;
+    /// The voters, without this daemon.
+    std::vector<LinkAddress> peers;
+    std::vector<ListenAddress> listeners;
+    /// Set on a voter.
+    std::filesystem::path data_folder;
+    /// The whole cluster starts for the first time: an empty folder is new. At
+    /// any other start it means a lost disk.
+    bool first_start = false;
+    std::size_t max_connections = 3'000;
+    std::size_t connections_per_worker = 8;
+  };
+
+  JobDaemon(Settings settings, JobProtocol protocol);
+  ~JobDaemon();
+  JobDaemon(const JobDaemon&) = delete;
+  JobDaemon& operator=(const JobDaemon&) = delete;
+
+  /// Returns what failed and the remedy, or "".
+  std::string Start();
+  /// Begins a planned stop; from any thread.
+  void RequestStop();
+  /// Returns the exit status once the daemon has stopped.
+  int Wait();
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace mimosastage
+
+#endif  // MIMOSASTAGE_NODE_JOB_DAEMON_H_
--- /dev/null
+++ b/src/mimosastage/node/job_node.cc
@@ -0,0 +1,487 @@
+#include "mimosastage/node/job_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "mimosastage/daemons/message_codec.h"
+#include "mimosastage/replication/message_codec.h"
+
+namespace mimosastage {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// The replica's timeouts are checked this often.
+constexpr milliseconds kReplicaTick{20};
+/// Entries follow the leader's notices only.
+constexpr milliseconds kEntryTick{50};
+
+bool ChangesState(jobs::CallKind kind) {
+  switch (kind) {
+    case jobs::CallKind::kJobState:
+    case jobs::CallKind::kQueueLength:
+    case jobs::CallKind::kReadConfiguration:
+    case jobs::CallKind::kWaveState:
+      return false;
+    default:
+      return true;
+  }
+}
+
+jobs::Answer MakeAnswer(jobs::CallOutcome outcome, const char* reason) {
+  jobs::Answer answer;
+  answer.outcome = static_cast<std::uint8_t>(outcome);
+  answer.text = reason;
+  return answer;
+}
+
+}  // namespace
+
+JobNode::JobNode(Config config, Hooks hooks)
+    : config(std::move(config)), hooks(std::move(hooks)) {}
+
+JobNode::~JobNode() = default;
+
+void JobNode::Start(std::optional<DurableImage> image, TimePoint now) {
+  if (!this->config.is_voter || !image.has_value()) {
+    return;
+  }
+  ReplicaConfig replica_config;
+  replica_config.self = this->config.self;
+  replica_config.voters = this->config.voters;
+  replica_config.seed = this->config.seed;
+  replica_config.timing = this->config.timing;
+  replica_config.limits = this->config.limits;
+  Replica::Hooks replica_hooks;
+  replica_hooks.send = [this](DaemonId to, const ReplicationMessage& message) {
+    this->SendReplication(to, message);
+  };
+  replica_hooks.persist = [this](DurableWrite write) {
+    this->hooks.persist(std::move(write));
+  };
+  replica_hooks.apply = [this](LogIndex, const std::string& command) {
+    this->Apply(command);
+  };
+  replica_hooks.install_snapshot = [this](const std::string& snapshot) {
+    if (!this->committed.Restore(snapshot)) {
+      this->hooks.count_drop("malformed_snapshot");
+    }
+  };
+  replica_hooks.take_snapshot = [this] { return this->committed.Snapshot(); };
+  this->replica = std::make_unique<Replica>(std::move(replica_config),
+                                            std::move(replica_hooks));
+  this->replica->Start(*std::move(image), now);
+}
+
+void JobNode::SendReplication(DaemonId to, const ReplicationMessage& message) {
+  this->hooks.send(to, EncodeMessage(ReplicationBytes{Encode(message)}));
+}
+
+void JobNode::Apply(const std::string& command) {
+  if (const auto batch = jobs::DecodeBatch(command); batch.has_value()) {
+    this->committed.Apply(*batch);
+  } else {
+    this->hooks.count_drop("malformed_log_entry");
+  }
+}
+
+void JobNode::OnMessage(DaemonId from, const std::string& bytes,
+                        TimePoint now) {
+  const auto message = DecodeMessage(bytes);
+  if (!message.has_value()) {
+    this->hooks.count_drop("malformed_message");
+    return;
+  }
+  if (const auto* replication = std::get_if<ReplicationBytes>(&*message)) {
+    const auto decoded = Decode(replication->bytes);
+    if (this->replica != nullptr && decoded.has_value()) {
+      this->replica->Handle(from, *decoded, now);
+    }
+    return;
+  }
+  const auto* job_bytes = std::get_if<JobsBytes>(&*message);
+  if (job_bytes == nullptr) {
+    this->hooks.count_drop("unexpected_message");
+    return;
+  }
+  const auto decoded = jobs::DecodeMessage(job_bytes->bytes);
+  if (!decoded.has_value()) {
+    this->hooks.count_drop("malformed_job_message");
+    return;
+  }
+  if (const auto* call = decoded->body.AsCall(); call != nullptr) {
+    const std::uint64_t number = call->number;
+    this->ServeCall(*call, now, [this, from, number](jobs::Answer answer) {
+      answer.number = number;
+      this->hooks.send(from,
+                       EncodeMessage(JobsBytes{jobs::EncodeAnswer(answer)}));
+    });
+  } else if (const auto* answer = decoded->body.AsAnswer(); answer != nullptr) {
+    this->OnAnswer(answer->number, *answer, now);
+  } else if (const auto* notice = decoded->body.AsLeadership();
+             notice != nullptr) {
+    this->OnLeadership(from, *notice, now);
+  }
+}
+
+void JobNode::OnLinkState(DaemonId peer, bool up, TimePoint now) {
+  if (up) {
+    this->links.insert(peer);
+    this->next_notice = now;
+    return;
+  }
+  this->links.erase(peer);
+  if (this->leader.has_value() && this->leader->daemon == peer) {
+    this->leader.reset();
+  }
+  for (auto& [number, call] : this->calls) {
+    if (call.sent_to == peer) {
+      call.sent_to.reset();
+    }
+  }
+}
+
+void JobNode::OnLeadership(DaemonId from, const jobs::Leadership& notice,
+                           TimePoint now) {
+  const auto daemon = DaemonId{notice.leader};
+  if (daemon != from ||
+      (this->leader.has_value() && notice.view < this->leader->view)) {
+    return;
+  }
+  const bool changed =
+      !this->leader.has_value() || this->leader->daemon != daemon;
+  this->leader = KnownLeader{daemon, notice.view, notice.serving, now};
+  if (changed) {
+    this->hooks.report("leader_changed", std::to_string(notice.leader),
+                       "view " + std::to_string(notice.view));
+    this->SendCalls(now);
+  }
+}
+
+void JobNode::OnStorageSynced(std::uint64_t ticket, TimePoint now) {
+  if (this->replica != nullptr) {
+    this->replica->StorageSynced(ticket, now);
+  }
+}
+
+bool JobNode::HasAuthority(TimePoint now) const {
+  return this->term != nullptr && !this->term->failed &&
+         this->replica->View() == this->term->view &&
+         this->replica->HasAuthority(now);
+}
+
+std::optional<DaemonId> JobNode::Leader(TimePoint now) const {
+  if (this->term != nullptr) {
+    return this->config.self;
+  }
+  if (this->leader.has_value() &&
+      now - this->leader->heard < this->config.leader_silence &&
+      this->links.contains(this->leader->daemon)) {
+    return this->leader->daemon;
+  }
+  return std::nullopt;
+}
+
+bool JobNode::Ready(TimePoint now) const {
+  if (this->stopping_since.has_value()) {
+    return false;
+  }
+  if (this->term != nullptr) {
+    return this->HasAuthority(now);
+  }
+  return this->Leader(now).has_value() && this->leader->serving;
+}
+
+void JobNode::OnCall(std::uint64_t request, jobs::Call call,
+                     milliseconds patience, TimePoint now) {
+  const auto kind = static_cast<jobs::CallKind>(call.kind);
+  if (this->calls.size() >= this->config.max_open_calls) {
+    this->hooks.count_refusal("too_many_open_calls");
+    this->hooks.answer(request, kind,
+                       MakeAnswer(jobs::CallOutcome::kOverloaded,
+                                  "too_many_open_calls"));
+    return;
+  }
+  const std::uint64_t number = this->next_call++;
+  call.number = number;
+  this->call_of_request[request] = number;
+  OpenCall open;
+  open.request = request;
+  open.call = std::move(call);
+  open.deadline = now + patience;
+  this->calls.emplace(number, std::move(open));
+  this->SendCall(number, now);
+}
+
+void JobNode::OnDisconnect(std::uint64_t request) {
+  if (const auto found = this->call_of_request.find(request);
+      found != this->call_of_request.end()) {
+    this->calls.erase(found->second);
+    this->call_of_request.erase(found);
+  }
+}
+
+void JobNode::SendCall(std::uint64_t number, TimePoint now) {
+  OpenCall& open = this->calls.at(number);
+  const auto leader = this->Leader(now);
+  if (!leader.has_value() || now < open.next_send) {
+    return;
+  }
+  open.sent_to = leader;
+  open.maybe_done = open.maybe_done ||
+                    ChangesState(static_cast<jobs::CallKind>(open.call.kind));
+  if (*leader == this->config.self) {
+    const jobs::Call call = open.call;
+    this->ServeCall(call, now, [this, number, now](jobs::Answer answer) {
+      this->OnAnswer(number, std::move(answer), now);
+    });
+    return;
+  }
+  this->hooks.send(*leader,
+                   EncodeMessage(JobsBytes{jobs::EncodeCall(open.call)}));
+}
+
+void JobNode::ServeCall(const jobs::Call& call, TimePoint now,
+                        const jobs::CallHandler::Reply& reply) {
+  if (!this->HasAuthority(now)) {
+    reply(MakeAnswer(jobs::CallOutcome::kUnavailable, "not_the_leader"));
+    return;
+  }
+  this->term->handler->Handle(call, now, [this, reply](jobs::Answer answer) {
+    if (answer.text.empty()) {
+      answer.text = this->config.announce_address;
+    }
+    reply(std::move(answer));
+  });
+}
+
+void JobNode::OnAnswer(std::uint64_t number, jobs::Answer answer,
+                       TimePoint now) {
+  const auto found = this->calls.find(number);
+  if (found == this->calls.end()) {
+    return;
+  }
+  OpenCall& open = found->second;
+  const auto outcome = static_cast<jobs::CallOutcome>(answer.outcome);
+  if (outcome == jobs::CallOutcome::kUnavailable) {
+    // The daemon asked didn't take it; a leader may be there in time.
+    this->hooks.count_retry("leader_unavailable");
+    open.sent_to.reset();
+    open.next_send = std::max(open.next_send, now + this->config.call_retry);
+    return;
+  }
+  this->Finish(number, std::move(answer));
+}
+
+void JobNode::Finish(std::uint64_t number, jobs::Answer answer) {
+  const auto found = this->calls.find(number);
+  const std::uint64_t request = found->second.request;
+  const auto kind = static_cast<jobs::CallKind>(found->second.call.kind);
+  this->calls.erase(found);
+  this->call_of_request.erase(request);
+  this->hooks.answer(request, kind, std::move(answer));
+}
+
+void JobNode::SendCalls(TimePoint now) {
+  std::vector<std::uint64_t> numbers;
+  for (const auto& [number, open] : this->calls) {
+    numbers.push_back(number);
+  }
+  const auto leader = this->Leader(now);
+  for (const std::uint64_t number : numbers) {
+    const auto found = this->calls.find(number);
+    if (found == this->calls.end()) {
+      continue;
+    }
+    const OpenCall& open = found->second;
+    if (now >= open.deadline) {
+      if (open.maybe_done) {
+        this->Finish(number, MakeAnswer(jobs::CallOutcome::kUnknown,
+                                        "no_answer_from_leader"));
+      } else {
+        this->hooks.count_refusal("no_leader");
+        this->Finish(number,
+                     MakeAnswer(jobs::CallOutcome::kUnavailable, "no_leader"));
+      }
+    } else if (leader.has_value() && open.sent_to != leader) {
+      this->SendCall(number, now);
+    }
+  }
+}
+
+void JobNode::OnWorkerReply(const jobs::WorkerReply& reply, TimePoint now) {
+  if (this->term != nullptr) {
+    this->term->dispatcher->OnReply(reply, now);
+  }
+}
+
+void JobNode::OnMachineReply(const jobs::MachineReply& reply, TimePoint now) {
+  if (this->term != nullptr) {
+    this->term->dispatcher->OnMachineReply(reply, now);
+  }
+}
+
+void JobNode::Advance(TimePoint now) {
+  if (this->replica != nullptr) {
+    this->replica->Tick(now);
+    this->AdvanceTerm(now);
+  }
+  if (now >= this->next_call_check) {
+    this->next_call_check = now + kReplicaTick;
+    this->SendCalls(now);
+  }
+  if (this->term != nullptr) {
+    this->FlushBatch(now);
+    this->Announce(now);
+  }
+  if (this->stopping_since.has_value() && this->replica != nullptr &&
+      !std::exchange(this->resigned, true)) {
+    this->replica->Resign(now);
+  }
+}
+
+void JobNode::AdvanceTerm(TimePoint now) {
+  if (this->term != nullptr &&
+      (this->term->failed || !this->replica->IsLeader() ||
+       this->replica->View() != this->term->view)) {
+    this->EndTerm("another view");
+  }
+  if (this->term == nullptr) {
+    if (this->replica->HasAuthority(now) &&
+        !this->stopping_since.has_value()) {
+      this->BeginTerm(now);
+    }
+    return;
+  }
+  this->RunEffects(now);
+  if (this->HasAuthority(now)) {
+    this->term->dispatcher->Tick(now);
+  }
+}
+
+void JobNode::BeginTerm(TimePoint now) {
+  auto next = std::make_unique<Term>();
+  next->view = this->replica->View();
+  next->working.Restore(this->committed.Snapshot());
+  this->term = std::move(next);
+  const auto propose = [this](jobs::Command command,
+                              std::function<void(TimePoint)> committed) {
+    this->Propose(std::move(command), std::move(committed));
+  };
+  jobs::Dispatcher::Hooks hooks;
+  hooks.propose = propose;
+  hooks.send = this->hooks.send_order;
+  hooks.send_machine = this->hooks.send_machine_order;
+  hooks.wall_time = this->hooks.wall_time;
+  hooks.report = this->hooks.report;
+  hooks.count = this->hooks.count_retry;
+  // Views begin with 0, and a worker takes a missing token for 0.
+  this->term->dispatcher = std::make_unique<jobs::Dispatcher>(
+      this->config.dispatcher, std::move(hooks), this->term->working,
+      this->config.name, this->term->view + 1, now);
+  this->term->handler = std::make_unique<jobs::CallHandler>(
+      jobs::CallHandler::Hooks{propose, this->hooks.wall_time,
+                               this->hooks.report, this->hooks.count_refusal},
+      this->term->working, this->committed, *this->term->dispatcher);
+  this->hooks.report("term_began", this->config.name,
+                     "view " + std::to_string(this->term->view));
+  this->next_notice = now;
+  this->leader.reset();
+}
+
+void JobNode::EndTerm(const char* reason) {
+  this->hooks.report("term_ended", this->config.name, reason);
+  this->term.reset();
+  for (auto& [number, open] : this->calls) {
+    if (open.sent_to == this->config.self) {
+      open.sent_to.reset();
+    }
+  }
+}
+
+void JobNode::Propose(jobs::Command command,
+                      std::function<void(TimePoint)> committed) {
+  Term& current = *this->term;
+  current.working.Apply(command);
+  current.batch.commands.push_back(
+      std::make_unique<jobs::Command>(std::move(command)));
+  if (committed) {
+    current.batch_effects.push_back(std::move(committed));
+  }
+}
+
+void JobNode::FlushBatch(TimePoint now) {
+  Term& current = *this->term;
+  if (current.batch.commands.empty()) {
+    return;
+  }
+  const auto index =
+      this->replica->Propose(jobs::EncodeBatch(current.batch), now);
+  if (!index.has_value()) {
+    // The working state is ahead of the log; a new term begins from the log.
+    this->hooks.count_drop("proposal_refused_by_log");
+    current.failed = true;
+    return;
+  }
+  current.batch = jobs::Batch();
+  current.effects.emplace_back(
+      *index, std::exchange(current.batch_effects, {}));
+}
+
+void JobNode::RunEffects(TimePoint now) {
+  Term& current = *this->term;
+  while (!current.effects.empty() &&
+         current.effects.front().first <= this->replica->Commit()) {
+    const auto effects = std::move(current.effects.front().second);
+    current.effects.pop_front();
+    for (const auto& effect : effects) {
+      effect(now);
+    }
+  }
+}
+
+void JobNode::Announce(TimePoint now) {
+  const bool serving =
+      this->HasAuthority(now) && this->committed.Config().version > 0;
+  if (now < this->next_notice && serving == this->last_serving) {
+    return;
+  }
+  this->last_serving = serving;
+  this->next_notice = now + this->config.notice_interval;
+  jobs::Leadership notice;
+  notice.leader = static_cast<std::uint16_t>(this->config.self);
+  notice.view = this->term->view;
+  notice.serving = serving;
+  const std::string message =
+      EncodeMessage(JobsBytes{jobs::EncodeLeadership(notice)});
+  for (const DaemonId peer : this->links) {
+    this->hooks.send(peer, message);
+  }
+}
+
+TimePoint JobNode::NextDue(TimePoint now) const {
+  TimePoint due = now + (this->replica != nullptr ? kReplicaTick : kEntryTick);
+  if (this->term != nullptr && this->HasAuthority(now)) {
+    due = std::min(due, this->term->dispatcher->NextDue(now));
+  }
+  return due;
+}
+
+void JobNode::BeginShutdown(TimePoint now) {
+  if (!this->stopping_since.has_value()) {
+    this->stopping_since = now;
+  }
+}
+
+bool JobNode::Stopped(TimePoint now) const {
+  if (!this->stopping_since.has_value()) {
+    return false;
+  }
+  const Duration since = now - *this->stopping_since;
+  const milliseconds notice =
+      this->replica != nullptr ? milliseconds(500) : this->config.stop_notice;
+  return since > this->config.stop_deadline ||
+         (since > notice && this->calls.empty());
+}
+
+}  // namespace mimosastage
--- a/src/mimosastage/replication/internal/normal_operation.cc
+++ b/src/mimosastage/replication/internal/normal_operation.cc
@@ -6,6 +6,12 @@
 #include "mimosastage/replication/internal/replica_core.h"
 
 namespace mimosastage {
+namespace {
+
+/// Rounds whose time of sending a leader remembers: some seconds' worth.
+constexpr std::size_t kRememberedRounds = 256;
+
+}  // namespace
 
 void Replica::Core::On(DaemonId from, const Prepare& m, TimePoint now) {
   if (this->LeaderOf(m.view) != from) {
@@ -166,11 +172,43 @@
   }
   this->next_heartbeat = now + this->config.timing.heartbeat_interval;
   ++this->round;
+  this->rounds_sent.emplace_back(this->round, now);
+  if (this->rounds_sent.size() > kRememberedRounds) {
+    this->rounds_sent.pop_front();
+  }
   for (const auto& [voter, voter_progress] : this->progress) {
     this->Send(voter, this->MakePrepare(voter_progress));
   }
 }
 
+bool Replica::Core::HasAuthority(TimePoint now) const {
+  if (!this->leading || this->commit < this->view_start) {
+    return false;
+  }
+  std::vector<std::uint64_t> rounds;
+  for (const auto& [voter, voter_progress] : this->progress) {
+    rounds.push_back(voter_progress.acked_round);
+  }
+  if (rounds.size() < this->FaultsTolerated() || this->FaultsTolerated() == 0) {
+    return this->FaultsTolerated() == 0;
+  }
+  std::sort(rounds.begin(), rounds.end(), std::greater<>());
+  const std::uint64_t acked = rounds[this->FaultsTolerated() - 1];
+  // A tenth covers the drift between the clocks of two instances.
+  const Duration promised = this->config.timing.view_change_min / 2 * 9 / 10;
+  const auto later = std::upper_bound(
+      this->rounds_sent.begin(), this->rounds_sent.end(), acked,
+      [](std::uint64_t number, const auto& row) { return number < row.first; });
+  return later != this->rounds_sent.begin() &&
+         now < std::prev(later)->second + promised;
+}
+
+void Replica::Core::Resign(TimePoint now) {
+  if (this->leading) {
+    this->StepDown(now);
+  }
+}
+
 Prepare Replica::Core::MakePrepare(const VoterProgress& voter) const {
   Prepare message;
   message.view = this->view;
--- a/src/mimosastage/replication/internal/replica_core.h
+++ b/src/mimosastage/replication/internal/replica_core.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -32,6 +33,8 @@
   void StorageSynced(std::uint64_t ticket, TimePoint now);
 
   bool IsLeader() const { return this->leading; }
+  bool HasAuthority(TimePoint now) const;
+  void Resign(TimePoint now);
   std::optional<DaemonId> Leader() const;
   ViewNumber View() const { return this->view; }
   LogIndex Commit() const { return this->commit; }
@@ -203,6 +206,8 @@
   // Leader.
   std::map<DaemonId, VoterProgress> progress;
   std::uint64_t round = 0;
+  /// When the latest rounds were sent, oldest first.
+  std::deque<std::pair<std::uint64_t, TimePoint>> rounds_sent;
   /// Entries after this wait for the sync in progress, to be sent as one batch.
   LogIndex sendable = 0;
   TimePoint next_heartbeat;
--- a/src/mimosastage/replication/internal/view_change.cc
+++ b/src/mimosastage/replication/internal/view_change.cc
@@ -208,6 +208,7 @@
   this->verified = this->log.End();
   this->sendable = this->log.End();
   this->leading = true;
+  this->rounds_sent.clear();
   this->progress.clear();
   for (const DaemonId voter : this->config.voters) {
     if (voter != this->config.self) {
--- a/src/mimosastage/replication/replica.cc
+++ b/src/mimosastage/replication/replica.cc
@@ -30,6 +30,12 @@
   this->core->StorageSynced(ticket, now);
 }
 
+bool Replica::HasAuthority(TimePoint now) const {
+  return this->core->HasAuthority(now);
+}
+
+void Replica::Resign(TimePoint now) { this->core->Resign(now); }
+
 bool Replica::IsLeader() const { return this->core->IsLeader(); }
 
 std::optional<DaemonId> Replica::Leader() const { return this->core->Leader(); }
--- a/src/mimosastage/replication/replica.h
+++ b/src/mimosastage/replication/replica.h
@@ -73,6 +73,14 @@
 
   /// True on the leader of a normal view that still hears a quorum.
   bool IsLeader() const;
+  /// True while no other voter can have become leader and every entry of
+  /// earlier views is applied, so that reads of the applied state show all that
+  /// was ever committed. Rests on the rule that a voter which hears the leader
+  /// agrees to no view change for half of ReplicationTiming::view_change_min.
+  bool HasAuthority(TimePoint now) const;
+  /// Gives up leadership, for a planned stop: the others need not wait for the
+  /// whole timeout.
+  void Resign(TimePoint now);
   /// The leader as far as this voter knows; nothing between views.
   std::optional<DaemonId> Leader() const;
   ViewNumber View() const;
--- a/src/mimosastage/telemetry/log.cc
+++ b/src/mimosastage/telemetry/log.cc
@@ -181,9 +181,11 @@
 
 JsonLogging::~JsonLogging() { google::RemoveLogSink(this->sink.get()); }
 
-void JsonLogging::WriteToStderr(std::string_view line) {
+namespace {
+
+void WriteTo(int descriptor, std::string_view line) {
   while (!line.empty()) {
-    const ssize_t written = write(STDERR_FILENO, line.data(), line.size());
+    const ssize_t written = write(descriptor, line.data(), line.size());
     if (written < 0 && errno == EINTR) {
       continue;
     }
@@ -194,4 +196,14 @@
   }
 }
 
+}  // namespace
+
+void JsonLogging::WriteToStderr(std::string_view line) {
+  WriteTo(STDERR_FILENO, line);
+}
+
+void JsonLogging::WriteToStdout(std::string_view line) {
+  WriteTo(STDOUT_FILENO, line);
+}
+
 }  // namespace mimosastage
--- a/src/mimosastage/telemetry/log.h
+++ b/src/mimosastage/telemetry/log.h
@@ -133,6 +133,7 @@
   JsonLogging& operator=(const JsonLogging&) = delete;
 
   static void WriteToStderr(std::string_view line);
+  static void WriteToStdout(std::string_view line);
 
  private:
   std::unique_ptr<class JsonLogSink> sink;
