Move instances between pools with demand, and prefer idle ones for upkeep

Cause: in a turn of demand one pool lacks twice its size while 30 instances of the others idle; upkeep took busy instances. PoolBalancer moves empty instances to the pool whose tasks wait.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -46,7 +46,8 @@
         return static_cast<std::size_t>(std::count_if(
             this->state.Workers().begin(), this->state.Workers().end(),
             [&](const auto& row) { return row.second.pool == pool.str(); }));
-      }) {
+      }),
+      balancer(this->config.balancer) {
   for (const auto& [id, worker] : state.Workers()) {
     this->AddSession(worker, now);
   }
@@ -233,7 +234,11 @@
       session.runs.begin(), session.runs.end(),
       [](const auto& row) { return row.second.step->filler; });
   HoldOrder hold;
-  hold.deadline = session.lease.HoldDeadline(now);
+  if (session.silent == 0) {
+    // A hold to a silent worker carries no deadline: each one could be carried
+    // out, so the lease would never count as expired.
+    hold.deadline = session.lease.HoldDeadline(now);
+  }
   hold.last_seen = session.last_seen;
   const bool ask_at_once =
       !session.heard || session.silent > 0 || session.leaving;
@@ -414,7 +419,9 @@
       continue;
     }
     if (run.stage == RunStage::kStarting) {
-      this->SendStart(id, key, now);
+      if (session.silent == 0) {
+        this->SendStart(id, key, now);
+      }
     } else if (run.stage == RunStage::kStopping && !run.confirmed.has_value()) {
       this->SendStop(id, session, key, run, now);
     }
@@ -458,7 +465,11 @@
       this->RemoveWorker(id, "silent, and its lease has expired", now);
     }
   }
-  this->AdvanceWaves(now);
+  if (now - this->took_over >= this->config.machine_lease) {
+    this->ReadMachines(now);
+    this->AdvanceWaves(now);
+    this->BalancePools(now);
+  }
   if (this->dirty || now >= this->next_placement) {
     this->dirty = false;
     this->next_placement = now + this->config.placement_period;
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -16,6 +16,7 @@
 #include "mimosastage/fleet/worker_health.h"
 #include "mimosastage/jobs/fleet_state.h"
 #include "mimosastage/jobs/placement.h"
+#include "mimosastage/jobs/pool_balancer.h"
 #include "mimosastage/jobs/worker_lease.h"
 #include "mimosastage/jobs/worker_order.h"
 
@@ -44,6 +45,12 @@
     /// leader are this old.
     std::chrono::milliseconds machine_lease{3'000};
     std::chrono::milliseconds machine_retry{400};
+    /// How often the platform's list of instances is read.
+    std::chrono::milliseconds list_interval{500};
+    /// An upkeep takes 2 s; until then its instance counts as down even if the
+    /// list, which lags, says otherwise.
+    std::chrono::milliseconds upkeep_time{2'800};
+    PoolBalancer::Config balancer;
     /// Longest wait for short tasks to end before an upkeep stops them.
     std::chrono::milliseconds upkeep_patience{2'500};
   };
@@ -144,6 +151,13 @@
     StepDemand demand;
   };
 
+  /// What a call to the platform asked for; a list if all is empty.
+  struct OpenMachineOrder {
+    std::uint64_t wave = 0;
+    std::string machine;
+    std::string pool;
+  };
+
   struct Upkeep {
     bool order_open = false;
     TimePoint next_attempt{};
@@ -186,6 +200,7 @@
 
   // dispatcher_placement.cc
   void PlaceTasks(TimePoint now);
+  void ReportLoads(TimePoint now);
   void AddDemands(const Job& job, const Queue& queue, TimePoint now,
                   std::vector<RankedDemand>& demands) const;
   StepUrgency UrgencyOf(const Job& job, const Queue& queue,
@@ -197,6 +212,13 @@
   // dispatcher_upkeep.cc: maintenance waves.
   void AdvanceWaves(TimePoint now);
   void AdvanceWave(const Wave& wave, TimePoint now);
+  bool OffInStandby(const std::string& machine) const;
+  void ReadMachines(TimePoint now);
+  void OnMachineList(const MachineReply& reply, TimePoint now);
+  void BalancePools(TimePoint now);
+  void OrderMove(const InstanceMove& move, TimePoint now);
+  void OnMoveReply(const InstanceMove& move, const MachineReply& reply,
+                   TimePoint now);
   const Worker* WorkerOn(const std::string& machine) const;
   bool Vacate(const std::string& id, Session& session, TimePoint now);
   bool MayStop(const TaskId& task) const;
@@ -217,10 +239,21 @@
   bool dirty = true;
   bool stopped_ended_jobs = false;
   TimePoint next_placement{};
+  TimePoint next_load_report{};
+  /// Processors that waiting tasks of each pool need, at the last placement.
+  std::map<std::string, std::int64_t> waiting_millicores;
   std::map<std::pair<std::uint64_t, std::string>, Upkeep> upkeeps;
-  std::unordered_map<std::uint64_t, std::pair<std::uint64_t, std::string>>
-      machine_orders;
+  std::unordered_map<std::uint64_t, OpenMachineOrder> machine_orders;
   TimePoint next_wave_round{};
+  /// Begun in this term, by machine; see Config::upkeep_time.
+  std::map<std::string, TimePoint> upkeep_began;
+  PoolBalancer balancer;
+  TimePoint next_balance{};
+  /// The platform's list, as last read in full.
+  std::map<std::string, MachineRow> machines;
+  std::map<std::string, MachineRow> machines_being_read;
+  bool list_open = false;
+  TimePoint next_list{};
 };
 
 }  // namespace mimosastage::jobs
--- /dev/null
+++ b/src/mimosastage/jobs/dispatcher_machines.cc
@@ -0,0 +1,139 @@
+#include <algorithm>
+#include <utility>
+
+#include "mimosastage/jobs/dispatcher.h"
+
+namespace mimosastage::jobs {
+namespace {
+
+constexpr std::chrono::milliseconds kBalanceRound{100};
+
+}  // namespace
+
+void Dispatcher::ReadMachines(TimePoint now) {
+  if (this->list_open || now < this->next_list) {
+    return;
+  }
+  this->next_list = now + this->config.list_interval;
+  this->list_open = true;
+  this->machines_being_read.clear();
+  MachineOrder order;
+  order.number = this->next_number++;
+  this->machine_orders[order.number] = OpenMachineOrder{};
+  this->hooks.send_machine(std::move(order));
+}
+
+void Dispatcher::OnMachineList(const MachineReply& reply, TimePoint now) {
+  this->list_open = false;
+  if (reply.result != MachineReply::Result::kOk) {
+    this->hooks.count("instance_list_unread");
+    return;
+  }
+  for (const MachineRow& row : reply.machines) {
+    this->machines_being_read[row.machine] = row;
+  }
+  if (reply.next_page.empty()) {
+    this->machines = std::exchange(this->machines_being_read, {});
+    return;
+  }
+  this->list_open = true;
+  this->next_list = now + this->config.list_interval;
+  MachineOrder order;
+  order.number = this->next_number++;
+  order.page = reply.next_page;
+  this->machine_orders[order.number] = OpenMachineOrder{};
+  this->hooks.send_machine(std::move(order));
+}
+
+void Dispatcher::BalancePools(TimePoint now) {
+  if (now < this->next_balance || this->machines.empty()) {
+    return;
+  }
+  this->next_balance = now + kBalanceRound;
+  std::map<std::string, PoolNeed> needs;
+  for (const auto& pool : this->state.Config().pools) {
+    PoolNeed& need = needs[pool->name];
+    need.pool = pool->name;
+    need.standby = pool->standby;
+    if (const auto waiting = this->waiting_millicores.find(pool->name);
+        waiting != this->waiting_millicores.end()) {
+      need.waiting_millicores = waiting->second;
+    }
+  }
+  std::vector<PooledInstance> instances;
+  std::map<std::string, std::string> worker_of;
+  for (const auto& [id, worker] : this->state.Workers()) {
+    const Session& session = this->sessions.at(id);
+    if (const auto need = needs.find(worker.pool); need != needs.end()) {
+      need->second.used_millicores += session.used.millicores;
+    }
+    if (worker.machine.empty() || session.draining || session.leaving ||
+        session.silent > 0) {
+      continue;
+    }
+    instances.push_back(PooledInstance{
+        worker.machine, worker.pool, worker.capacity->millicores,
+        this->Usable(session) && session.runs.empty()});
+    worker_of[worker.machine] = id;
+  }
+  for (const auto& [machine, row] : this->machines) {
+    if (!worker_of.contains(machine) && this->OffInStandby(machine)) {
+      const auto began = this->upkeep_began.find(machine);
+      const bool ready = began == this->upkeep_began.end() ||
+                         now - began->second >= this->config.upkeep_time;
+      instances.push_back(PooledInstance{machine, row.pool, 0, ready});
+    }
+  }
+  std::vector<PoolNeed> list;
+  for (auto& [pool, need] : needs) {
+    list.push_back(std::move(need));
+  }
+  for (const InstanceMove& move : this->balancer.Plan(list, instances, now)) {
+    if (const auto found = worker_of.find(move.instance);
+        found != worker_of.end()) {
+      // Takes no more tasks while the order is on its way.
+      this->sessions.at(found->second).reserved = now;
+    }
+    this->OrderMove(move, now);
+  }
+}
+
+void Dispatcher::OrderMove(const InstanceMove& move, TimePoint now) {
+  this->hooks.report("instance_move_ordered", move.instance, move.to_pool);
+  MachineOrder order;
+  order.number = this->next_number++;
+  order.kind = MachineOrder::Kind::kMove;
+  order.machine = move.instance;
+  order.pool = move.to_pool;
+  order.holder = this->self;
+  order.fence = this->fence;
+  this->machine_orders[order.number] =
+      OpenMachineOrder{0, move.instance, move.to_pool};
+  this->hooks.send_machine(std::move(order));
+  static_cast<void>(now);
+}
+
+void Dispatcher::OnMoveReply(const InstanceMove& move,
+                             const MachineReply& reply, TimePoint now) {
+  const Worker* worker = this->WorkerOn(move.instance);
+  if (reply.result == MachineReply::Result::kOk) {
+    if (worker != nullptr && worker->pool != move.to_pool) {
+      const std::string id = worker->id;
+      this->RemoveWorker(id, "its instance moves to another pool", now);
+    }
+    this->machines.erase(move.instance);
+    return;
+  }
+  this->hooks.count("move_not_begun");
+  if (reply.result == MachineReply::Result::kUnanswered) {
+    // It may be carried out, so the worker stays without tasks until it is
+    // silent or the same order is answered.
+    this->OrderMove(move, now);
+    return;
+  }
+  if (worker != nullptr) {
+    this->sessions.at(worker->id).reserved.reset();
+  }
+}
+
+}  // namespace mimosastage::jobs
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -35,6 +35,8 @@
   return milliseconds(request.first_due_ms + occurrence * request.interval_ms);
 }
 
+constexpr std::chrono::milliseconds kLoadReportInterval{1'000};
+
 bool IsWaiting(const Task& task, const Step& step) {
   return !task.done && task.active.empty() && step.tasks > 0;
 }
@@ -143,6 +145,47 @@
   return teams;
 }
 
+void Dispatcher::ReportLoads(TimePoint now) {
+  if (now < this->next_load_report) {
+    return;
+  }
+  this->next_load_report = now + kLoadReportInterval;
+  struct Load {
+    int workers = 0;
+    int usable = 0;
+    std::int64_t capacity = 0;
+    std::int64_t used = 0;
+    std::int64_t long_running = 0;
+    std::int64_t waiting = 0;
+  };
+  std::map<std::string, Load> loads;
+  for (const auto& [id, worker] : this->state.Workers()) {
+    const Session& session = this->sessions.at(id);
+    Load& load = loads[worker.pool];
+    ++load.workers;
+    load.usable += this->Usable(session) ? 1 : 0;
+    load.capacity += worker.capacity->millicores;
+    load.used += session.used.millicores;
+    for (const auto& [key, run] : session.runs) {
+      load.long_running +=
+          run.step->long_running ? Charge(*run.step).millicores : 0;
+    }
+  }
+  for (const auto& [pool, waiting] : this->waiting_millicores) {
+    loads[pool].waiting = waiting;
+  }
+  for (const auto& [pool, load] : loads) {
+    this->hooks.report("pool_load", pool,
+                       "workers " + std::to_string(load.workers) + " usable " +
+                           std::to_string(load.usable) + " cores " +
+                           std::to_string(load.capacity / 1'000) + " used " +
+                           std::to_string(load.used / 1'000) +
+                           " long_running " +
+                           std::to_string(load.long_running / 1'000) +
+                           " waiting " + std::to_string(load.waiting / 1'000));
+  }
+}
+
 void Dispatcher::PlaceTasks(TimePoint now) {
   std::map<std::string, std::vector<RankedDemand>> by_pool;
   for (const auto& [accepted, id] : this->state.OpenJobs()) {
@@ -152,6 +195,14 @@
       this->AddDemands(job, *queue, now, by_pool[queue->pool]);
     }
   }
+  this->waiting_millicores.clear();
+  for (const auto& [pool, ranked] : by_pool) {
+    for (const RankedDemand& row : ranked) {
+      this->waiting_millicores[pool] +=
+          static_cast<std::int64_t>(row.demand.waiting.size()) *
+          Charge(*row.demand.step).millicores;
+    }
+  }
   std::map<std::string, TeamRoom> teams = this->TeamRooms();
   for (auto& [pool, ranked] : by_pool) {
     std::vector<WorkerRoom> rooms = this->Rooms(pool, now);
@@ -186,6 +237,7 @@
         number = shared;
       }
       const std::string& worker = rooms[assignment.room].id;
+      this->waiting_millicores[pool] -= Charge(step).millicores;
       if (this->health.Judge(InstanceName(worker), now) ==
           WorkerHealth::Verdict::kProbe) {
         this->health.ProbeStarted(InstanceName(worker), now);
@@ -193,6 +245,7 @@
       this->StartRun(task, number, worker, now);
     }
   }
+  this->ReportLoads(now);
 }
 
 }  // namespace mimosastage::jobs
--- a/src/mimosastage/jobs/dispatcher_upkeep.cc
+++ b/src/mimosastage/jobs/dispatcher_upkeep.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "mimosastage/jobs/dispatcher.h"
@@ -78,8 +79,7 @@
 }
 
 void Dispatcher::AdvanceWaves(TimePoint now) {
-  if (now < this->next_wave_round ||
-      now - this->took_over < this->config.machine_lease) {
+  if (now < this->next_wave_round) {
     return;
   }
   this->next_wave_round = now + kWaveRound;
@@ -94,12 +94,24 @@
   }
 }
 
+bool Dispatcher::OffInStandby(const std::string& machine) const {
+  const auto row = this->machines.find(machine);
+  if (row == this->machines.end() || row->second.state != MachineState::kUp) {
+    return false;
+  }
+  const Pool* pool = this->state.FindPool(row->second.pool);
+  return pool != nullptr && pool->standby;
+}
+
 void Dispatcher::AdvanceWave(const Wave& wave, TimePoint now) {
   std::size_t down = 0;
   std::size_t reserved = 0;
   struct Candidate {
+    /// Tasks of its pool wait for room.
+    bool needed = false;
     std::int64_t busy = 0;
     std::string machine;
+    /// Empty for an instance that is off.
     std::string worker;
   };
   std::vector<Candidate> candidates;
@@ -111,15 +123,29 @@
     const bool lives = session != this->sessions.end() &&
                        session->second.heard && session->second.silent == 0;
     const bool begun = HasBegun(wave, machine);
-    if (!lives) {
+    const auto began = this->upkeep_began.find(machine);
+    const bool in_upkeep = began != this->upkeep_began.end() &&
+                           now - began->second < this->config.upkeep_time;
+    const bool off = worker == nullptr && this->OffInStandby(machine);
+    if (in_upkeep || (!lives && !off)) {
       // Down for its upkeep, or by itself: both use up the limit.
       ++down;
       continue;
     }
-    if (begun || session->second.draining || session->second.leaving) {
+    if (begun) {
+      continue;
+    }
+    if (off) {
+      candidates.push_back(Candidate{false, -1, machine, ""});
+      continue;
+    }
+    if (session->second.draining || session->second.leaving) {
       continue;
     }
-    const Candidate row{session->second.used.millicores, machine, worker->id};
+    const auto waiting = this->waiting_millicores.find(worker->pool);
+    const Candidate row{
+        waiting != this->waiting_millicores.end() && waiting->second > 0,
+        session->second.used.millicores, machine, worker->id};
     if (session->second.reserved.has_value()) {
       ++reserved;
       taken.push_back(row);
@@ -127,9 +153,10 @@
       candidates.push_back(row);
     }
   }
-  std::sort(
-      candidates.begin(), candidates.end(),
-      [](const Candidate& a, const Candidate& b) { return a.busy < b.busy; });
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return std::tie(a.needed, a.busy) < std::tie(b.needed, b.busy);
+            });
   for (const Candidate& row : candidates) {
     if (down + reserved >= wave.most_at_once) {
       break;
@@ -139,6 +166,7 @@
   }
   for (const Candidate& row : taken) {
     const bool vacant =
+        row.worker.empty() ||
         this->Vacate(row.worker, this->sessions.at(row.worker), now);
     if (vacant && down < wave.most_at_once) {
       Upkeep& upkeep = this->upkeeps[{wave.number, row.machine}];
@@ -162,7 +190,8 @@
   order.wave = wave.number;
   order.holder = this->self;
   order.fence = this->fence;
-  this->machine_orders[order.number] = {wave.number, machine};
+  this->machine_orders[order.number] =
+      OpenMachineOrder{wave.number, machine, ""};
   this->hooks.send_machine(std::move(order));
 }
 
@@ -171,18 +200,28 @@
   if (open == this->machine_orders.end()) {
     return;
   }
-  const auto [wave, machine] = open->second;
+  const auto [wave, machine, pool] = open->second;
   this->machine_orders.erase(open);
+  if (machine.empty()) {
+    this->OnMachineList(reply, now);
+    return;
+  }
+  if (!pool.empty()) {
+    this->OnMoveReply(InstanceMove{machine, pool}, reply, now);
+    return;
+  }
   Upkeep& upkeep = this->upkeeps[{wave, machine}];
   upkeep.order_open = false;
   upkeep.next_attempt = now + this->config.machine_retry;
   switch (reply.result) {
     case MachineReply::Result::kOk:
-    case MachineReply::Result::kInvalid:
+      this->upkeep_began[machine] = now;
       this->FinishUpkeep(wave, machine, now);
       return;
+    case MachineReply::Result::kInvalid:
     case MachineReply::Result::kWrongWave:
-      this->hooks.report("upkeep_refused", machine, "not a machine of the wave");
+      this->hooks.report("upkeep_refused", machine,
+                         "no such machine, or not of the wave");
       this->FinishUpkeep(wave, machine, now);
       return;
     default:
--- a/src/mimosastage/jobs/placement.cc
+++ b/src/mimosastage/jobs/placement.cc
@@ -34,7 +34,10 @@
       step.filler ? -static_cast<std::int64_t>(room.serving)
                   : -static_cast<std::int64_t>(
                         step.tail_target_ms > 0 ? room.fillers : 0);
-  return std::make_tuple(!room.doubtful, near, apart, room.free.millicores);
+  // Long-running tasks fill few workers, so that the others can be moved.
+  const std::int64_t spread =
+      step.long_running ? -room.free.millicores : room.free.millicores;
+  return std::make_tuple(!room.doubtful, near, apart, spread);
 }
 
 /// Places the members of one step; nothing stays taken if `whole` and not all
--- /dev/null
+++ b/src/mimosastage/jobs/pool_balancer.cc
@@ -0,0 +1,126 @@
+#include "mimosastage/jobs/pool_balancer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mimosastage::jobs {
+
+std::map<std::string, PoolBalancer::PoolRow> PoolBalancer::Rows(
+    const std::vector<PoolNeed>& needs,
+    const std::vector<PooledInstance>& instances, TimePoint now) {
+  std::erase_if(this->arrivals,
+                [&](const auto& row) { return now >= row.second.until; });
+  std::map<std::string, PoolRow> rows;
+  std::map<std::string, TimePoint> idle;
+  std::int64_t largest = 1;
+  for (const PoolNeed& need : needs) {
+    rows[need.pool].standby = need.standby;
+  }
+  for (const PooledInstance& instance : instances) {
+    largest = std::max(largest, instance.millicores);
+    const auto found = rows.find(instance.pool);
+    if (found == rows.end() || this->arrivals.contains(instance.instance)) {
+      continue;
+    }
+    ++found->second.have;
+    if (instance.empty) {
+      const auto known = this->idle_since.find(instance.instance);
+      idle[instance.instance] =
+          known == this->idle_since.end() ? now : known->second;
+      found->second.empty.push_back(instance.instance);
+    }
+  }
+  this->idle_since = std::move(idle);
+  for (const auto& [instance, arrival] : this->arrivals) {
+    ++rows[arrival.pool].have;
+  }
+  for (const PoolNeed& need : needs) {
+    const double wanted =
+        static_cast<double>(need.used_millicores + need.waiting_millicores) *
+        (1 + this->config.headroom) / static_cast<double>(largest);
+    PoolRow& row = rows[need.pool];
+    row.wanted = row.standby
+                     ? 0
+                     : std::max(this->config.floor,
+                                static_cast<std::size_t>(std::ceil(wanted)));
+    // The longest idle ones go first.
+    std::sort(row.empty.begin(), row.empty.end(),
+              [this](const std::string& a, const std::string& b) {
+                return this->idle_since.at(a) > this->idle_since.at(b);
+              });
+  }
+  return rows;
+}
+
+std::string PoolBalancer::TakeDonor(std::map<std::string, PoolRow>& rows) {
+  PoolRow* donor = nullptr;
+  for (auto& [pool, row] : rows) {
+    // An idle instance of another pool is paid for already.
+    const bool better =
+        donor == nullptr || (donor->standby && !row.standby) ||
+        (donor->standby == row.standby &&
+         row.have - row.wanted > donor->have - donor->wanted);
+    if (!row.empty.empty() && row.have > row.wanted && better) {
+      donor = &row;
+    }
+  }
+  if (donor == nullptr) {
+    return "";
+  }
+  const std::string instance = donor->empty.back();
+  donor->empty.pop_back();
+  --donor->have;
+  return instance;
+}
+
+void PoolBalancer::Order(const std::string& instance, const std::string& pool,
+                         TimePoint now, std::vector<InstanceMove>& moves) {
+  this->arrivals[instance] = Arrival{pool, now + this->config.arrival};
+  moves.push_back(InstanceMove{instance, pool});
+}
+
+std::vector<InstanceMove> PoolBalancer::Plan(
+    const std::vector<PoolNeed>& needs,
+    const std::vector<PooledInstance>& instances, TimePoint now) {
+  std::map<std::string, PoolRow> rows = this->Rows(needs, instances, now);
+  std::vector<InstanceMove> moves;
+  while (moves.size() < this->config.moves_per_round) {
+    const auto neediest = std::max_element(
+        rows.begin(), rows.end(), [](const auto& a, const auto& b) {
+          const auto missing = [](const PoolRow& row) {
+            return static_cast<std::int64_t>(row.wanted) -
+                   static_cast<std::int64_t>(row.have);
+          };
+          return missing(a.second) < missing(b.second);
+        });
+    if (neediest == rows.end() ||
+        neediest->second.wanted <= neediest->second.have) {
+      break;
+    }
+    const std::string donor = TakeDonor(rows);
+    if (donor.empty()) {
+      break;
+    }
+    ++neediest->second.have;
+    this->Order(donor, neediest->first, now, moves);
+  }
+  const auto standby =
+      std::find_if(rows.begin(), rows.end(),
+                   [](const auto& row) { return row.second.standby; });
+  if (standby == rows.end()) {
+    return moves;
+  }
+  for (auto& [pool, row] : rows) {
+    while (!row.standby && row.have > row.wanted && !row.empty.empty() &&
+           moves.size() < this->config.moves_per_round &&
+           now - this->idle_since.at(row.empty.back()) >=
+               this->config.idle_before_standby) {
+      this->Order(row.empty.back(), standby->first, now, moves);
+      row.empty.pop_back();
+      --row.have;
+    }
+  }
+  return moves;
+}
+
+}  // namespace mimosastage::jobs
--- /dev/null
+++ b/src/mimosastage/jobs/pool_balancer.h
@@ -0,0 +1,91 @@
+#ifndef MIMOSASTAGE_JOBS_POOL_BALANCER_H_
+#define MIMOSASTAGE_JOBS_POOL_BALANCER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "mimosastage/base/time.h"
+
+namespace mimosastage::jobs {
+
+/// What a pool needs now.
+struct PoolNeed {
+  std::string pool;
+  /// Its instances are off and cost nothing; it lends to the others.
+  bool standby = false;
+  /// Processors in use, and those that tasks without room wait for.
+  std::int64_t used_millicores = 0;
+  std::int64_t waiting_millicores = 0;
+};
+
+/// An instance as the balancer sees it.
+struct PooledInstance {
+  std::string instance;
+  std::string pool;
+  std::int64_t millicores = 0;
+  /// Nothing runs there and it may be moved.
+  bool empty = false;
+};
+
+struct InstanceMove {
+  std::string instance;
+  std::string to_pool;
+};
+
+/// Moves empty instances to pools whose tasks wait, and idle ones to a standby
+/// pool. Demand of one queue rises to five times its mean for some seconds
+/// while the others rest, so that a fixed share of instances leaves one pool
+/// short and the others idle.
+class PoolBalancer {
+ public:
+  struct Config {
+    /// Instances that a pool keeps for the first seconds of a rise, and for
+    /// tasks that must run apart.
+    std::size_t floor = 6;
+    /// An instance is idle for so long before it goes to standby: a move out
+    /// and back costs as much as 2.7 s of an instance.
+    std::chrono::milliseconds idle_before_standby{1'500};
+    /// Counts a moved instance as arriving in its pool; moves take 1.5 s.
+    std::chrono::milliseconds arrival{2'500};
+    /// Room beyond the need, as a share.
+    double headroom = 0.15;
+    std::size_t moves_per_round = 16;
+  };
+
+  explicit PoolBalancer(Config config) : config(config) {}
+
+  /// One round. The caller orders the moves; one that fails shows again.
+  std::vector<InstanceMove> Plan(const std::vector<PoolNeed>& needs,
+                                 const std::vector<PooledInstance>& instances,
+                                 TimePoint now);
+
+ private:
+  struct Arrival {
+    std::string pool;
+    TimePoint until{};
+  };
+  struct PoolRow {
+    bool standby = false;
+    std::size_t have = 0;
+    std::size_t wanted = 0;
+    std::vector<std::string> empty;
+  };
+
+  std::map<std::string, PoolRow> Rows(
+      const std::vector<PoolNeed>& needs,
+      const std::vector<PooledInstance>& instances, TimePoint now);
+  static std::string TakeDonor(std::map<std::string, PoolRow>& rows);
+  void Order(const std::string& instance, const std::string& pool,
+             TimePoint now, std::vector<InstanceMove>& moves);
+
+  Config config;
+  std::map<std::string, TimePoint> idle_since;
+  std::map<std::string, Arrival> arrivals;
+};
+
+}  // namespace mimosastage::jobs
+
+#endif  // MIMOSASTAGE_JOBS_POOL_BALANCER_H_
