--- a/src/mimosastage/jobs/placement.cc
+++ b/src/mimosastage/jobs/placement.cc
@@ -23,8 +23,7 @@
          found->second < step.most_per_worker;
 }
 
-/// Larger is better. The near rack comes first; then the least loaded worker,
-/// so that a faulty one takes few tasks.
+/// Larger is better. The near rack comes first; then the fullest worker.
 auto Preference(const StepDemand& demand, const WorkerRoom& room,
                 const std::string& rack) {
   const Step& step = *demand.step;
@@ -34,10 +33,9 @@
       step.filler ? -static_cast<std::int64_t>(room.serving)
                   : -static_cast<std::int64_t>(
                         step.tail_target_ms > 0 ? room.fillers : 0);
-  // Long-running tasks fill few workers, so that the others can be moved.
-  const std::int64_t spread =
-      step.long_running ? -room.free.millicores : room.free.millicores;
-  return std::make_tuple(!room.doubtful, near, apart, spread);
+  // Tasks fill few workers, so that the others can be moved and wide steps find
+  // room.
+  return std::make_tuple(!room.doubtful, near, apart, -room.free.millicores);
 }
 
 /// Places the members of one step; nothing stays taken if `whole` and not all
