--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -47,6 +47,7 @@
             this->state.Workers().begin(), this->state.Workers().end(),
             [&](const auto& row) { return row.second.pool == pool.str(); }));
       }),
+      speed(this->config.speed),
       balancer(this->config.balancer) {
   for (const auto& [id, worker] : state.Workers()) {
     this->AddSession(worker, now);
@@ -207,6 +208,7 @@
   command.worker_gone->born_ms = session.born_ms;
   this->sessions.erase(found);
   this->health.Forget(InstanceName(id));
+  this->speed.Forget(id);
   this->hooks.propose(std::move(command), {});
   this->dirty = true;
 }
@@ -301,6 +303,7 @@
   session.next_hold = now;
   this->RecordEnds(id, session, reply, now);
   this->CompareRunning(id, session, order, reply, now);
+  this->JudgeSpeed(id, session, now);
   this->PaceFillers(id, session, now);
   if (first) {
     this->dirty = true;
@@ -374,6 +377,7 @@
     Run& run = found->second;
     run.at_work = !run.step->long_running || task.percent >= 100;
     run.load = task.load;
+    run.percent = task.percent;
     if (run.stage == RunStage::kStarting) {
       run.stage = RunStage::kRunning;
       run.confirmed = now;
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -19,6 +19,7 @@
 #include "mimosastage/jobs/pool_balancer.h"
 #include "mimosastage/jobs/worker_lease.h"
 #include "mimosastage/jobs/worker_order.h"
+#include "mimosastage/jobs/worker_speed.h"
 
 namespace mimosastage::jobs {
 
@@ -53,6 +54,10 @@
     PoolBalancer::Config balancer;
     /// Longest wait for short tasks to end before an upkeep stops them.
     std::chrono::milliseconds upkeep_patience{2'500};
+    WorkerSpeed::Config speed;
+    /// A run on a slow worker that has done less than this is started again
+    /// elsewhere, once for each task.
+    std::uint32_t restart_below_percent = 50;
   };
 
   struct Hooks {
@@ -112,6 +117,8 @@
     bool order_open = false;
     TimePoint next_attempt{};
     bool at_work = false;
+    /// Progress of the task, as the worker last told it.
+    std::uint32_t percent = 0;
     std::int64_t load = 0;
     std::uint32_t pace = 100;
   };
@@ -196,6 +203,7 @@
   void AfterEnd(const RunKey& key, TimePoint now);
   void StopJob(const std::string& job, TimePoint now);
   Run MakeRun(const TaskId& task, TimePoint now) const;
+  void JudgeSpeed(const std::string& id, Session& session, TimePoint now);
   void PaceFillers(const std::string& id, Session& session, TimePoint now);
 
   // dispatcher_placement.cc
@@ -234,6 +242,7 @@
   TimePoint took_over;
   std::uint64_t next_number;
   WorkerHealth health;
+  WorkerSpeed speed;
   std::map<std::string, Session> sessions;
   std::unordered_map<std::uint64_t, OpenOrder> orders;
   bool dirty = true;
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -116,7 +116,8 @@
     room.labels = worker.labels;
     room.free = *worker.capacity;
     room.capacity_millicores = worker.capacity->millicores;
-    room.doubtful = verdict == WorkerHealth::Verdict::kProbe;
+    room.doubtful = verdict == WorkerHealth::Verdict::kProbe ||
+                    this->speed.IsSlow(id, now);
     Subtract(room.free, found->second.used);
     for (const auto& [key, run] : found->second.runs) {
       room.fillers += run.step->filler ? 1 : 0;
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -272,6 +272,38 @@
   }
 }
 
+void Dispatcher::JudgeSpeed(const std::string& id, Session& session,
+                            TimePoint now) {
+  WorkerSpeed::Sample sample;
+  const auto judged = [&](const Run& run) {
+    return run.stage == RunStage::kRunning && !run.step->long_running &&
+           !run.step->filler && run.confirmed.has_value() &&
+           now - *run.confirmed >= this->speed.settings().least_elapsed;
+  };
+  for (const auto& [key, run] : session.runs) {
+    if (judged(run)) {
+      sample.Add(run.percent, std::chrono::milliseconds(run.step->estimate_ms),
+                 now - *run.confirmed);
+    }
+  }
+  const bool was_slow = this->speed.IsSlow(id, now);
+  this->speed.OnSample(id, this->state.Workers().at(id).pool, sample, now);
+  if (!this->speed.IsSlow(id, now)) {
+    return;
+  }
+  if (!was_slow) {
+    this->hooks.report("worker_slow", id,
+                       "its tasks progress far more slowly than others");
+  }
+  for (auto& [key, run] : session.runs) {
+    // The first run only, so that a task which is long in itself ends.
+    if (judged(run) && key.second == 1 &&
+        run.percent < this->config.restart_below_percent) {
+      this->StopRun(session, key, run, "its worker is slow", now);
+    }
+  }
+}
+
 void Dispatcher::PaceFillers(const std::string& id, Session& session,
                              TimePoint now) {
   if (now < session.next_pace) {
--- /dev/null
+++ b/tests/jobs/dispatcher_test.cc
@@ -0,0 +1,272 @@
+#include "mimosastage/jobs/dispatcher.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/jobs/support/fake_fleet_leader.h"
+
+namespace mimosastage::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+class DispatcherTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    this->fleet.AddPool("render");
+    this->fleet.AddTeam("crews", 4'000);
+  }
+
+  void Begin(int workers, std::int64_t millicores = 4'000) {
+    for (int i = 0; i < workers; ++i) {
+      this->fleet.AddWorker("worker-" + std::to_string(i), "render",
+                            millicores);
+    }
+    this->fleet.BeginTerm();
+    this->fleet.Advance(milliseconds(50));
+  }
+
+  static TaskId TaskOf(const std::string& job, std::uint32_t step = 0,
+                       std::uint32_t index = 0) {
+    return TaskId{job, 0, step, index};
+  }
+
+  void EndEverywhere(const TaskId& task, RunOutcome outcome) {
+    for (const std::string& worker : this->fleet.WorkersOf(task)) {
+      this->fleet.EndRun(worker, task, outcome);
+    }
+  }
+
+  FakeFleetLeader fleet;
+};
+
+TEST_F(DispatcherTest, Submit_RoomIsFree_TaskStartsOnOneWorker) {
+  this->Begin(2);
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(100));
+  EXPECT_EQ(this->fleet.WorkersOf(TaskOf("job")).size(), 1U);
+}
+
+// A start that isn't durable would be forgotten by the next leader, which would
+// start the task a second time.
+TEST_F(DispatcherTest, Submit_LogStalls_NoStartIsSent) {
+  this->Begin(1);
+  this->fleet.log_stalled = true;
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_TRUE(this->fleet.starts.empty());
+  this->fleet.log_stalled = false;
+  this->fleet.Advance(milliseconds(100));
+  EXPECT_EQ(this->fleet.starts.size(), 1U);
+}
+
+TEST_F(DispatcherTest, EndOfStep_LaterStepWaitsForIt_StartsAfterTheEnd) {
+  this->Begin(1);
+  Step second = MakeStep(1, 1'000);
+  second.after = {0};
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000), second});
+  this->fleet.Advance(milliseconds(100));
+  EXPECT_TRUE(this->fleet.WorkersOf(TaskOf("job", 1)).empty());
+  this->EndEverywhere(TaskOf("job", 0), RunOutcome::kDone);
+  this->fleet.Advance(milliseconds(100));
+  EXPECT_EQ(this->fleet.WorkersOf(TaskOf("job", 1)).size(), 1U);
+  this->EndEverywhere(TaskOf("job", 1), RunOutcome::kDone);
+  this->fleet.Advance(milliseconds(100));
+  EXPECT_EQ(this->fleet.JobOf("job").phase, JobPhase::kCompleted);
+}
+
+// A worker forgets the ends up to last_seen; one that isn't durable would be
+// lost with the leader.
+TEST_F(DispatcherTest, EndIsListed_LogStalls_WorkerKeepsTheEnd) {
+  this->Begin(1);
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(100));
+  this->fleet.log_stalled = true;
+  this->EndEverywhere(TaskOf("job"), RunOutcome::kDone);
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_EQ(this->fleet.workers.at("worker-0").ended.size(), 1U);
+  this->fleet.log_stalled = false;
+  this->fleet.Advance(milliseconds(100));
+  EXPECT_TRUE(this->fleet.workers.at("worker-0").ended.empty());
+}
+
+TEST_F(DispatcherTest, TaskFails_AttemptsAreUsedUp_JobFails) {
+  this->Begin(1);
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    this->fleet.Advance(milliseconds(200));
+    this->EndEverywhere(TaskOf("job"), RunOutcome::kFailed);
+  }
+  this->fleet.Advance(milliseconds(200));
+  EXPECT_EQ(this->fleet.JobOf("job").phase, JobPhase::kFailed);
+  EXPECT_EQ(this->fleet.Running(), 0U);
+  EXPECT_EQ(this->fleet.starts.size(), 2U);
+}
+
+TEST_F(DispatcherTest, Cancel_TaskRuns_IsStopped) {
+  this->Begin(1);
+  this->fleet.Submit("job", "render", {MakeStep(2, 1'000)});
+  this->fleet.Advance(milliseconds(100));
+  ASSERT_EQ(this->fleet.Running(), 2U);
+  this->fleet.Cancel("job");
+  this->fleet.Advance(milliseconds(100));
+  EXPECT_EQ(this->fleet.Running(), 0U);
+  EXPECT_EQ(this->fleet.JobOf("job").active_runs, 0U);
+}
+
+TEST_F(DispatcherTest, Cancel_StartWaitsForTheLog_IsNeverSent) {
+  this->Begin(1);
+  this->fleet.log_stalled = true;
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(50));
+  this->fleet.Cancel("job");
+  this->fleet.log_stalled = false;
+  this->fleet.Advance(milliseconds(200));
+  EXPECT_TRUE(this->fleet.starts.empty());
+  EXPECT_EQ(this->fleet.JobOf("job").active_runs, 0U);
+}
+
+// Found on cancha-bog, scale-1: every repeated hold carried a new deadline, so
+// the lease of a silent worker never counted as expired and its tasks never ran
+// again.
+TEST_F(DispatcherTest, WorkerFallsSilent_LeaseExpires_TaskRunsElsewhere) {
+  this->Begin(2);
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(100));
+  const std::string first = this->fleet.WorkersOf(TaskOf("job")).at(0);
+  this->fleet.workers.at(first).silent = true;
+  this->fleet.Advance(milliseconds(3'000));
+  EXPECT_EQ(this->fleet.starts.size(), 1U) << "the old run may still run";
+  this->fleet.Advance(milliseconds(4'000));
+  ASSERT_EQ(this->fleet.WorkersOf(TaskOf("job")).size(), 1U);
+  EXPECT_NE(this->fleet.WorkersOf(TaskOf("job")).at(0), first);
+}
+
+TEST_F(DispatcherTest, WorkerFallsSilent_AtEveryInstant_TaskRunsOnce) {
+  this->Begin(2);
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(100));
+  this->fleet.workers.at(this->fleet.WorkersOf(TaskOf("job")).at(0)).silent =
+      true;
+  for (int i = 0; i < 1'000; ++i) {
+    this->fleet.Advance(milliseconds(10));
+    ASSERT_LE(this->fleet.WorkersOf(TaskOf("job")).size(), 1U);
+  }
+}
+
+TEST_F(DispatcherTest, StartIsUnanswered_RepeatedWithTheSameRun_RunsOnce) {
+  this->Begin(1);
+  this->fleet.lose_start_answers = true;
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(50));
+  this->fleet.lose_start_answers = false;
+  this->fleet.Advance(milliseconds(1'000));
+  for (const StartOrder& start : this->fleet.starts) {
+    EXPECT_EQ(start.run, 1U);
+  }
+  EXPECT_EQ(this->fleet.WorkersOf(TaskOf("job")).size(), 1U);
+}
+
+TEST_F(DispatcherTest, NewTerm_TaskRuns_IsAdopted) {
+  this->Begin(2);
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(100));
+  this->fleet.BeginTerm();
+  this->fleet.Advance(milliseconds(2'000));
+  EXPECT_EQ(this->fleet.starts.size(), 1U);
+  EXPECT_EQ(this->fleet.WorkersOf(TaskOf("job")).size(), 1U);
+}
+
+TEST_F(DispatcherTest, NewTerm_LoggedStartWasNeverSent_TaskStartsAgain) {
+  this->Begin(1);
+  this->fleet.log_stalled = true;
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(50));
+  this->fleet.log_stalled = false;
+  this->fleet.BeginTerm();
+  this->fleet.Advance(milliseconds(500));
+  ASSERT_EQ(this->fleet.starts.size(), 1U);
+  EXPECT_EQ(this->fleet.starts.front().run, 2U);
+}
+
+TEST_F(DispatcherTest, NewTerm_CancelledJobStillRuns_IsStopped) {
+  this->Begin(1);
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(100));
+  Command command;
+  command.cancelled_job = "job";
+  this->fleet.state.Apply(command);
+  this->fleet.BeginTerm();
+  this->fleet.Advance(milliseconds(200));
+  EXPECT_EQ(this->fleet.Running(), 0U);
+}
+
+TEST_F(DispatcherTest, Announce_DelayedFromEarlierIncarnation_IsIgnored) {
+  this->Begin(1);
+  const Worker old = this->fleet.workers.at("worker-0").record;
+  Worker next = old;
+  next.id = "successor";
+  next.born_ms += 5'000;
+  this->fleet.workers["successor"].record = next;
+  this->fleet.dispatcher->Announce(next, 1, this->fleet.now, [] {});
+  EXPECT_FALSE(this->fleet.state.Workers().contains("worker-0"));
+  this->fleet.dispatcher->Announce(old, 99, this->fleet.now, [] {});
+  EXPECT_FALSE(this->fleet.state.Workers().contains("worker-0"));
+}
+
+TEST_F(DispatcherTest, Announce_Draining_AcknowledgedWhenDurable) {
+  this->Begin(1);
+  Worker next = this->fleet.workers.at("worker-0").record;
+  next.draining = true;
+  bool acknowledged = false;
+  this->fleet.log_stalled = true;
+  this->fleet.dispatcher->Announce(next, 2, this->fleet.now,
+                                   [&] { acknowledged = true; });
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(100));
+  EXPECT_FALSE(acknowledged);
+  this->fleet.log_stalled = false;
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_TRUE(acknowledged);
+  EXPECT_TRUE(this->fleet.starts.empty());
+}
+
+TEST_F(DispatcherTest, Submit_TeamAtItsLimit_FurtherTasksWait) {
+  this->Begin(2, 16'000);
+  this->fleet.Submit("job", "render", {MakeStep(8, 1'000)}, "crews");
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_EQ(this->fleet.Running(), 4U);
+}
+
+TEST_F(DispatcherTest, LongRunningTask_EndsDone_IsStartedAgain) {
+  this->Begin(1);
+  Step step = MakeStep(1, 1'000);
+  step.long_running = true;
+  this->fleet.Submit("job", "render", {step});
+  this->fleet.Advance(milliseconds(100));
+  this->EndEverywhere(TaskOf("job"), RunOutcome::kDone);
+  this->fleet.Advance(milliseconds(200));
+  EXPECT_EQ(this->fleet.WorkersOf(TaskOf("job")).size(), 1U);
+  EXPECT_EQ(this->fleet.JobOf("job").phase, JobPhase::kRunning);
+}
+
+TEST_F(DispatcherTest, Wave_LimitOfOne_BeginsOneUpkeepAtATime) {
+  this->Begin(3);
+  Command command;
+  command.wave = std::make_unique<Wave>();
+  command.wave->number = 1;
+  command.wave->most_at_once = 1;
+  command.wave->machines = {"machine-worker-0", "machine-worker-1",
+                            "machine-worker-2"};
+  this->fleet.state.Apply(command);
+  this->fleet.Advance(milliseconds(3'500));
+  std::set<std::string> ordered;
+  for (const MachineOrder& order : this->fleet.machine_orders) {
+    if (order.kind == MachineOrder::Kind::kUpkeep) {
+      ordered.insert(order.machine);
+    }
+  }
+  EXPECT_EQ(ordered.size(), 1U);
+}
+
+}  // namespace
+}  // namespace mimosastage::jobs
--- /dev/null
+++ b/tests/jobs/pool_balancer_test.cc
@@ -0,0 +1,96 @@
+#include "mimosastage/jobs/pool_balancer.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace mimosastage::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+class PoolBalancerTest : public ::testing::Test {
+ protected:
+  void AddPool(const std::string& pool, int instances, bool standby = false) {
+    this->needs.push_back(PoolNeed{pool, standby, 0, 0});
+    for (int i = 0; i < instances; ++i) {
+      this->instances.push_back(PooledInstance{
+          pool + "-" + std::to_string(i), pool, 16'000, true});
+    }
+  }
+
+  PoolNeed& Need(const std::string& pool) {
+    return *std::find_if(this->needs.begin(), this->needs.end(),
+                         [&](const PoolNeed& row) { return row.pool == pool; });
+  }
+
+  std::vector<InstanceMove> PlanAfter(milliseconds time) {
+    this->now += time;
+    return this->balancer.Plan(this->needs, this->instances, this->now);
+  }
+
+  static std::size_t MovesTo(const std::vector<InstanceMove>& moves,
+                             const std::string& pool) {
+    return static_cast<std::size_t>(
+        std::count_if(moves.begin(), moves.end(), [&](const auto& move) {
+          return move.to_pool == pool;
+        }));
+  }
+
+  std::vector<PoolNeed> needs;
+  std::vector<PooledInstance> instances;
+  PoolBalancer balancer{PoolBalancer::Config{}};
+  TimePoint now{std::chrono::hours(1)};
+};
+
+// The load of a day in turns: one queue asks five times its mean while the
+// others rest; without moves its tasks wait beyond their objective.
+TEST_F(PoolBalancerTest, Plan_OneQueueInItsTurn_TakesIdleInstancesOfTheOthers) {
+  this->AddPool("sheets", 9);
+  this->AddPool("folders", 12);
+  this->AddPool("spare", 8, true);
+  this->Need("sheets").used_millicores = 144'000;
+  this->Need("sheets").waiting_millicores = 100'000;
+  const auto moves = this->PlanAfter(milliseconds(0));
+  // 244 processors and the headroom need 18 instances of 16.
+  EXPECT_EQ(MovesTo(moves, "sheets"), 9U);
+}
+
+TEST_F(PoolBalancerTest, Plan_MovesOnTheirWay_AreNotOrderedAgain) {
+  this->AddPool("sheets", 9);
+  this->AddPool("spare", 8, true);
+  this->Need("sheets").used_millicores = 144'000;
+  this->Need("sheets").waiting_millicores = 16'000;
+  EXPECT_EQ(MovesTo(this->PlanAfter(milliseconds(0)), "sheets"), 3U);
+  EXPECT_TRUE(this->PlanAfter(milliseconds(100)).empty());
+}
+
+TEST_F(PoolBalancerTest, Plan_PoolRests_IdleInstancesGoToStandby) {
+  this->AddPool("sheets", 9);
+  this->AddPool("spare", 0, true);
+  EXPECT_TRUE(this->PlanAfter(milliseconds(0)).empty());
+  EXPECT_TRUE(this->PlanAfter(milliseconds(1'000)).empty());
+  EXPECT_EQ(MovesTo(this->PlanAfter(milliseconds(600)), "spare"), 3U);
+}
+
+TEST_F(PoolBalancerTest, Plan_InstancesAreBusy_NoneIsMoved) {
+  this->AddPool("sheets", 9);
+  this->AddPool("folders", 12);
+  for (PooledInstance& instance : this->instances) {
+    instance.empty = false;
+  }
+  this->Need("sheets").used_millicores = 144'000;
+  this->Need("sheets").waiting_millicores = 100'000;
+  EXPECT_TRUE(this->PlanAfter(milliseconds(0)).empty());
+}
+
+TEST_F(PoolBalancerTest, Plan_OtherPoolAtItsFloor_KeepsIt) {
+  this->AddPool("sheets", 9);
+  this->AddPool("folders", 6);
+  this->Need("sheets").used_millicores = 144'000;
+  this->Need("sheets").waiting_millicores = 100'000;
+  EXPECT_TRUE(this->PlanAfter(milliseconds(0)).empty());
+}
+
+}  // namespace
+}  // namespace mimosastage::jobs
--- /dev/null
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -0,0 +1,253 @@
+#include "tests/jobs/support/fake_fleet_leader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mimosastage::jobs {
+
+using std::chrono::milliseconds;
+
+Step MakeStep(std::uint32_t tasks, std::int64_t millicores) {
+  Step step;
+  step.tasks = tasks;
+  step.need = std::make_unique<Amount>();
+  step.need->millicores = millicores;
+  step.need->memory_mb = 100;
+  step.estimate_ms = 1'000;
+  return step;
+}
+
+FakeFleetLeader::FakeFleetLeader(Dispatcher::Config config) : config(config) {}
+
+void FakeFleetLeader::AddPool(const std::string& pool, bool standby) {
+  auto row = std::make_unique<Pool>();
+  row->name = pool;
+  row->standby = standby;
+  this->configuration.pools.push_back(std::move(row));
+  auto queue = std::make_unique<Queue>();
+  queue->name = "queue-" + pool;
+  queue->host = "host";
+  queue->path_prefix = "/" + pool + "/";
+  queue->pool = pool;
+  queue->max_attempts = 2;
+  queue->stretch = 2;
+  queue->timeout_ms = 3'000;
+  queue->target_ms = 600;
+  queue->open = true;
+  this->configuration.queues.push_back(std::move(queue));
+}
+
+void FakeFleetLeader::AddTeam(const std::string& team,
+                              std::int64_t most_millicores) {
+  auto row = std::make_unique<Team>();
+  row->name = team;
+  row->keys.push_back("key-" + team);
+  row->upper_limit = std::make_unique<Amount>();
+  row->upper_limit->millicores = most_millicores;
+  this->configuration.teams.push_back(std::move(row));
+}
+
+FakeWorker& FakeFleetLeader::AddWorker(const std::string& id,
+                                       const std::string& pool,
+                                       std::int64_t millicores) {
+  FakeWorker& worker = this->workers[id];
+  worker.record.id = id;
+  worker.record.born_ms = 1'000 + static_cast<std::int64_t>(
+                                      this->workers.size());
+  worker.record.machine = "machine-" + id;
+  worker.record.pool = pool;
+  worker.record.address = id + ":80";
+  worker.record.capacity = std::make_unique<Amount>();
+  worker.record.capacity->millicores = millicores;
+  worker.record.capacity->memory_mb = 65'536;
+  worker.record.labels = {"kind", "rack-1"};
+  if (this->dispatcher != nullptr) {
+    this->dispatcher->Announce(worker.record, 1, this->now, [] {});
+  } else {
+    Command command;
+    command.worker = std::make_unique<Worker>(worker.record);
+    this->state.Apply(command);
+  }
+  return worker;
+}
+
+void FakeFleetLeader::BeginTerm() {
+  if (this->configuration.version == 0) {
+    this->configuration.version = 1;
+    Command command;
+    command.configuration = std::make_unique<Configuration>(
+        this->configuration);
+    this->state.Apply(command);
+  }
+  this->effects.clear();
+  this->orders.clear();
+  Dispatcher::Hooks hooks;
+  hooks.propose = [this](const Command& command,
+                         std::function<void(TimePoint)> committed) {
+    this->state.Apply(command);
+    if (committed) {
+      this->effects.push_back(std::move(committed));
+    }
+  };
+  hooks.send = [this](WorkerOrder order) {
+    this->orders.push_back(std::move(order));
+  };
+  hooks.send_machine = [this](MachineOrder order) {
+    this->machine_orders.push_back(std::move(order));
+  };
+  hooks.wall_time = [this] { return this->wall; };
+  hooks.report = [](const char*, const std::string&, const std::string&) {};
+  hooks.count = [](const char*) {};
+  this->dispatcher = std::make_unique<Dispatcher>(
+      this->config, std::move(hooks), this->state, "leader", ++this->fence,
+      this->now);
+}
+
+void FakeFleetLeader::Submit(const std::string& id, const std::string& pool,
+                             std::vector<Step> steps,
+                             const std::string& team) {
+  Command command;
+  command.job = std::make_unique<JobRequest>();
+  command.job->id = id;
+  command.job->queue = "queue-" + pool;
+  command.job->team = team;
+  command.job->accepted_ms = this->wall.count();
+  for (Step& step : steps) {
+    command.job->steps.push_back(std::make_unique<Step>(std::move(step)));
+  }
+  this->state.Apply(command);
+  this->dispatcher->OnChange(id, this->now);
+}
+
+void FakeFleetLeader::Cancel(const std::string& id) {
+  Command command;
+  command.cancelled_job = id;
+  this->state.Apply(command);
+  this->dispatcher->OnChange(id, this->now);
+}
+
+void FakeFleetLeader::EndRun(const std::string& worker, const TaskId& task,
+                             RunOutcome outcome,
+                             const std::string& checkpoint) {
+  FakeWorker& fake = this->workers.at(worker);
+  for (const auto& [key, began] : fake.running) {
+    if (key.first == task) {
+      fake.ended.push_back(
+          EndedRun{++fake.ends, task, key.second, outcome, checkpoint});
+      fake.refused.insert(key);
+      fake.running.erase(key);
+      return;
+    }
+  }
+}
+
+std::vector<std::string> FakeFleetLeader::WorkersOf(const TaskId& task) const {
+  std::vector<std::string> found;
+  for (const auto& [id, worker] : this->workers) {
+    for (const auto& [key, began] : worker.running) {
+      if (key.first == task) {
+        found.push_back(id);
+      }
+    }
+  }
+  return found;
+}
+
+std::size_t FakeFleetLeader::Running() const {
+  std::size_t count = 0;
+  for (const auto& [id, worker] : this->workers) {
+    count += worker.running.size();
+  }
+  return count;
+}
+
+WorkerReply FakeFleetLeader::CarryOut(const WorkerOrder& order) {
+  WorkerReply reply;
+  reply.number = order.number;
+  FakeWorker& worker = this->workers.at(order.worker);
+  if (worker.silent) {
+    return reply;
+  }
+  const auto clock = std::chrono::duration_cast<milliseconds>(
+      this->now.time_since_epoch());
+  reply.clock = clock;
+  if (order.fence < worker.fence) {
+    reply.result = OrderResult::kFenced;
+    return reply;
+  }
+  worker.fence = order.fence;
+  reply.result = OrderResult::kOk;
+  if (const auto* start = std::get_if<StartOrder>(&order.body)) {
+    this->starts.push_back(*start);
+    const std::pair<TaskId, std::uint32_t> key{start->task, start->run};
+    worker.deadline = std::max<std::int64_t>(worker.deadline,
+                                             start->deadline.count());
+    if (start->deadline < clock) {
+      reply.result = OrderResult::kLate;
+    } else if (worker.refused.contains(key)) {
+      reply.result = OrderResult::kOldRun;
+    } else {
+      worker.running.emplace(key, clock.count());
+    }
+    if (this->lose_start_answers) {
+      reply = WorkerReply();
+      reply.number = order.number;
+    }
+  } else if (const auto* stop = std::get_if<StopOrder>(&order.body)) {
+    const std::pair<TaskId, std::uint32_t> key{stop->task, stop->run};
+    worker.refused.insert(key);
+    if (worker.running.erase(key) > 0) {
+      worker.ended.push_back(EndedRun{++worker.ends, stop->task, stop->run,
+                                      RunOutcome::kStopped, "saved"});
+    }
+  } else if (const auto* hold = std::get_if<HoldOrder>(&order.body)) {
+    if (hold->deadline.has_value()) {
+      worker.deadline = std::max(worker.deadline, hold->deadline->count());
+    }
+    std::erase_if(worker.ended, [&](const EndedRun& end) {
+      return end.number <= hold->last_seen;
+    });
+    reply.ended = worker.ended;
+    for (const auto& [key, began] : worker.running) {
+      reply.running.push_back(RunningTask{key.first, key.second, "", 100, 0});
+    }
+  }
+  return reply;
+}
+
+void FakeFleetLeader::Step10() {
+  this->now += milliseconds(10);
+  this->wall += milliseconds(10);
+  const auto clock = std::chrono::duration_cast<milliseconds>(
+                         this->now.time_since_epoch())
+                         .count();
+  for (auto& [id, worker] : this->workers) {
+    if (worker.deadline < clock) {
+      for (const auto& [key, began] : worker.running) {
+        worker.ended.push_back(EndedRun{++worker.ends, key.first, key.second,
+                                        RunOutcome::kLeaseExpired, ""});
+        worker.refused.insert(key);
+      }
+      worker.running.clear();
+    }
+  }
+  if (!this->log_stalled) {
+    const auto due = std::exchange(this->effects, {});
+    for (const auto& effect : due) {
+      effect(this->now);
+    }
+  }
+  const auto sent = std::exchange(this->orders, {});
+  for (const WorkerOrder& order : sent) {
+    this->dispatcher->OnReply(this->CarryOut(order), this->now);
+  }
+  this->dispatcher->Tick(this->now);
+}
+
+void FakeFleetLeader::Advance(milliseconds time) {
+  for (milliseconds passed{0}; passed < time; passed += milliseconds(10)) {
+    this->Step10();
+  }
+}
+
+}  // namespace mimosastage::jobs
--- /dev/null
+++ b/tests/platform/wire_test.cc
@@ -0,0 +1,257 @@
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "platform/platform_settings.h"
+#include "platform/wire_calls.h"
+#include "platform/wire_orders.h"
+
+namespace mimosastage::platform {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+class WireTest : public ::testing::Test {
+ protected:
+  static HttpRequest MakeRequest(const std::string& method,
+                                 const std::string& target,
+                                 const std::string& body = "") {
+    HttpRequest request;
+    request.method = method;
+    request.target = target;
+    request.body = body;
+    request.headers = {{"Host", "pule25.example:80"},
+                       {"Authorization", "Bearer secret"}};
+    return request;
+  }
+
+  static jobs::Call CallOf(const HttpRequest& request, ListenerDuty duty) {
+    DecodedRequest decoded = DecodeRequest(request, duty);
+    auto* call = std::get_if<IncomingCall>(&decoded);
+    return call == nullptr ? jobs::Call() : std::move(call->call);
+  }
+
+  static std::uint16_t RefusalOf(const HttpRequest& request,
+                                 ListenerDuty duty) {
+    const DecodedRequest decoded = DecodeRequest(request, duty);
+    const auto* answer = std::get_if<HttpAnswer>(&decoded);
+    return answer == nullptr ? 0 : answer->status;
+  }
+
+  static ExchangeResult MakeResult(std::uint16_t status,
+                                   const std::string& body) {
+    ExchangeResult result;
+    result.id = 7;
+    result.answer.status = status;
+    result.answer.body = body;
+    return result;
+  }
+
+  static json Heartbeat() {
+    return json{{"service", "huvo11a"},
+                {"address", "10.128.0.9:8080"},
+                {"zone", "bogota"},
+                {"state", "ready"},
+                {"born", 1'000},
+                {"machine", "m-1"},
+                {"sequence", 4},
+                {"labels", {"a", "r1-3"}},
+                {"capacity", {{"cpu", 16'000}, {"memory_request_mb", 512}}}};
+  }
+};
+
+TEST_F(WireTest, Decode_Job_FieldsHaveTheProductsNames) {
+  const jobs::Call call = CallOf(
+      MakeRequest("POST", "/puxa400/5c0e7a21d94b36f8",
+                  R"({"specification":"text","steps":[{"count":4,"cpu":500,
+                      "memory_request_mb":256,"estimated_ms":900},
+                      {"count":2,"cpu":9,"after":[0],"anti_affinity":1,
+                      "long_running":true,"may_miss":1}]})"),
+      ListenerDuty::kClients);
+  EXPECT_EQ(call.kind, static_cast<std::uint8_t>(jobs::CallKind::kSubmit));
+  EXPECT_EQ(call.host, "pule25.example");
+  EXPECT_EQ(call.key, "secret");
+  ASSERT_NE(call.job, nullptr);
+  ASSERT_EQ(call.job->steps.size(), 2U);
+  EXPECT_EQ(call.job->steps[0]->need->millicores, 500);
+  EXPECT_EQ(call.job->steps[1]->after, std::vector<std::uint32_t>{0});
+  EXPECT_EQ(call.job->steps[1]->most_per_worker, 1U);
+  EXPECT_TRUE(call.job->steps[1]->long_running);
+}
+
+TEST_F(WireTest, Decode_JobIsNoJson_GoesOnWithoutContent) {
+  EXPECT_EQ(CallOf(MakeRequest("POST", "/p/1", "{\"steps\":"),
+                   ListenerDuty::kClients)
+                .job,
+            nullptr);
+}
+
+// A client must not reach what is meant for the operator.
+TEST_F(WireTest, Decode_ConfigurationOnClientListener_IsNoConfiguration) {
+  const jobs::Call call = CallOf(MakeRequest("GET", "/-/configuration"),
+                                 ListenerDuty::kClients);
+  EXPECT_EQ(call.kind, static_cast<std::uint8_t>(jobs::CallKind::kJobState));
+}
+
+TEST_F(WireTest, Decode_ConfigurationIsCutShort_HasNoContent) {
+  const jobs::Call call =
+      CallOf(MakeRequest("PUT", "/-/configuration",
+                         R"({"version":7,"routes":[{"name":"r")"),
+             ListenerDuty::kControl);
+  EXPECT_EQ(call.kind, static_cast<std::uint8_t>(jobs::CallKind::kConfigure));
+  EXPECT_EQ(call.configuration, nullptr);
+}
+
+TEST_F(WireTest, Decode_Heartbeat_GivesWorker) {
+  const jobs::Call call =
+      CallOf(MakeRequest("PUT", "/-/instances/i-1", Heartbeat().dump()),
+             ListenerDuty::kControl);
+  ASSERT_NE(call.worker, nullptr);
+  EXPECT_EQ(call.worker->id, "i-1");
+  EXPECT_EQ(call.worker->machine, "m-1");
+  EXPECT_EQ(call.worker->capacity->millicores, 16'000);
+  EXPECT_EQ(call.sequence, 4U);
+}
+
+// Heartbeats of other writers must name no worker and cost nothing else.
+TEST_F(WireTest, Decode_HeartbeatWithWrongField_IsRefused) {
+  for (const char* field : {"state", "service", "address", "born",
+                            "capacity"}) {
+    json broken = Heartbeat();
+    broken[field] = json::array();
+    EXPECT_EQ(RefusalOf(MakeRequest("PUT", "/-/instances/i-1", broken.dump()),
+                        ListenerDuty::kControl),
+              400)
+        << field;
+  }
+  json unknown_state = Heartbeat();
+  unknown_state["state"] = "resting";
+  EXPECT_EQ(RefusalOf(MakeRequest("PUT", "/-/instances/i-1",
+                                  unknown_state.dump()),
+                      ListenerDuty::kControl),
+            400);
+  EXPECT_EQ(RefusalOf(MakeRequest("PUT", "/-/instances/i-1", "\xff\xfe{"),
+                      ListenerDuty::kControl),
+            400);
+}
+
+TEST_F(WireTest, Encode_Outcomes_GiveTheirStatus) {
+  const auto status = [](jobs::CallOutcome outcome) {
+    jobs::Answer answer;
+    answer.outcome = static_cast<std::uint8_t>(outcome);
+    return EncodeAnswer(jobs::CallKind::kSubmit, answer).status;
+  };
+  EXPECT_EQ(status(jobs::CallOutcome::kOk), 200);
+  EXPECT_EQ(status(jobs::CallOutcome::kInvalid), 400);
+  EXPECT_EQ(status(jobs::CallOutcome::kNoQueue), 404);
+  EXPECT_EQ(status(jobs::CallOutcome::kGone), 410);
+  EXPECT_EQ(status(jobs::CallOutcome::kUnavailable), 503);
+  // Whether it ran isn't known, so it must not look like a refusal.
+  EXPECT_EQ(status(jobs::CallOutcome::kUnknown), 504);
+}
+
+TEST_F(WireTest, Encode_Start_CarriesFenceAndDeadline) {
+  jobs::WorkerOrder order;
+  order.worker = "i-1";
+  order.address = "10.0.0.9:8080";
+  order.fence = 7;
+  order.body = jobs::StartOrder{jobs::TaskId{"job", 0, 1, 17}, 2, "text",
+                                "saved", milliseconds(486'000)};
+  const ExchangeRequest request = EncodeOrder(order);
+  EXPECT_EQ(request.target, "/-/run-start");
+  EXPECT_EQ(request.port, 8080);
+  EXPECT_EQ(json::parse(request.body),
+            (json{{"task", "job.0.1.17"},
+                  {"run", 2},
+                  {"specification", "text"},
+                  {"deadline_ms", 486'000},
+                  {"fencing_token", 7},
+                  {"last_checkpoint", "saved"}}));
+}
+
+TEST_F(WireTest, DecodeReply_Hold_ListsRunsAndEnds) {
+  const jobs::WorkerReply reply = DecodeReply(MakeResult(
+      200,
+      R"({"clock_ms":482113,"born":5,"running":[["job.0.1.17",2,"s",41,9],
+          ["torn"],17],"ended_runs":[[58,"job.0.1.9",1,"lapsed","x"]]})"));
+  EXPECT_EQ(reply.result, jobs::OrderResult::kOk);
+  EXPECT_EQ(reply.clock, milliseconds(482'113));
+  EXPECT_EQ(reply.born_ms, 5);
+  ASSERT_EQ(reply.running.size(), 1U);
+  EXPECT_EQ(reply.running[0].percent, 41U);
+  EXPECT_EQ(reply.running[0].load, 9);
+  ASSERT_EQ(reply.ended.size(), 1U);
+  EXPECT_EQ(reply.ended[0].outcome, jobs::RunOutcome::kLeaseExpired);
+}
+
+TEST_F(WireTest, DecodeReply_Refusals_AreTold) {
+  EXPECT_EQ(DecodeReply(MakeResult(409, R"({"reason":"fence"})")).result,
+            jobs::OrderResult::kFenced);
+  EXPECT_EQ(DecodeReply(MakeResult(409, R"({"reason":"old"})")).result,
+            jobs::OrderResult::kOldRun);
+  EXPECT_EQ(DecodeReply(MakeResult(421, "{}")).result,
+            jobs::OrderResult::kOtherIncarnation);
+  EXPECT_EQ(DecodeReply(MakeResult(200, "torn{")).result,
+            jobs::OrderResult::kUnanswered);
+}
+
+class PlatformSettingsTest : public ::testing::Test {
+ protected:
+  static std::optional<PlatformSettings> Read(const json& value,
+                                              std::string* problem) {
+    const std::string file = ::testing::TempDir() + "platform_settings.json";
+    std::ofstream(file) << value.dump();
+    return ReadPlatformSettings(file, problem);
+  }
+
+  static json Voter() {
+    return json{
+        {"node_name", "core-1"},
+        {"ip", "10.1.0.26"},
+        {"listen_addresses", {{"control_plane", "10.1.0.26:8345"}}},
+        {"internal_port_range", {7000, 7015}},
+        {"seed_nodes",
+         {"10.1.0.26:8345", "10.2.0.18:8345", "10.3.0.28:8345"}},
+        {"bootstrap", true},
+        {"data_directory", "/data/core"}};
+  }
+};
+
+TEST_F(PlatformSettingsTest, Setup_SeedsInOtherOrder_SameVoters) {
+  std::string problem;
+  json other = Voter();
+  other["seed_nodes"] = {"10.3.0.28:8345", "10.1.0.26:8345", "10.2.0.18:8345"};
+  const auto one = Read(Voter(), &problem);
+  const auto two = Read(other, &problem);
+  ASSERT_TRUE(one.has_value() && two.has_value());
+  EXPECT_EQ(MakeDaemonSetup(*one).settings.node.voters,
+            MakeDaemonSetup(*two).settings.node.voters);
+}
+
+TEST_F(PlatformSettingsTest, Setup_EntryWithoutDisk_HasNoVote) {
+  std::string problem;
+  json entry = Voter();
+  entry["data_directory"] = nullptr;
+  entry["ip"] = "10.1.0.23";
+  entry["listen_addresses"] = {{"frontend", "10.1.0.23:8340"},
+                               {"readiness", "10.1.0.23:8343"}};
+  const auto given = Read(entry, &problem);
+  ASSERT_TRUE(given.has_value());
+  const DaemonSetup setup = MakeDaemonSetup(*given);
+  EXPECT_FALSE(setup.settings.node.is_voter);
+  EXPECT_EQ(setup.settings.node.self, kGuest);
+  EXPECT_EQ(setup.settings.peers.size(), 3U);
+}
+
+TEST_F(PlatformSettingsTest, Read_BadSeed_NamesIt) {
+  std::string problem;
+  json broken = Voter();
+  broken["seed_nodes"] = {"nowhere"};
+  EXPECT_FALSE(Read(broken, &problem).has_value());
+  EXPECT_NE(problem.find("seed"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace mimosastage::platform
--- /dev/null
+++ b/tests/system/job_cluster_test.cc
@@ -0,0 +1,246 @@
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "tests/system/support/http.h"
+#include "tests/system/support/process.h"
+#include "tests/system/support/worker_stand_in.h"
+
+namespace mimosastage::testing {
+namespace {
+
+using nlohmann::json;
+
+/// Three voters, an entry and two workers as separate processes and threads on
+/// loopback, with the settings files that the users' platform writes.
+class JobClusterTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    const int pid = getpid();
+    this->network = "127." + std::to_string(64 + (pid >> 8) % 128) + "." +
+                    std::to_string(pid & 0xff) + ".";
+    this->folder = std::filesystem::temp_directory_path() /
+                   ("mimosastage-jobs-" + std::to_string(pid));
+    std::filesystem::remove_all(this->folder);
+    std::filesystem::create_directories(this->folder);
+    for (int i = 0; i < kDaemons; ++i) {
+      this->StartDaemon(i, true);
+    }
+    ASSERT_TRUE(Eventually([this] { return this->Configure(1) == 200; }));
+    for (int i = 0; i < 2; ++i) {
+      this->workers.push_back(
+          std::make_unique<WorkerStandIn>(WorkerStandIn::Settings{
+              "worker-" + std::to_string(i), this->Address(10 + i), "pool",
+              {this->Control(0), this->Control(1), this->Control(2)}}));
+    }
+    ASSERT_TRUE(Eventually([this] {
+      return Send({.url = "http://" + this->Address(3) + ":8343/-/readiness"})
+                 .status == 200;
+    }));
+  }
+
+  void TearDown() override {
+    this->workers.clear();
+    for (auto& daemon : this->daemons) {
+      daemon.reset();
+    }
+    std::filesystem::remove_all(this->folder);
+  }
+
+  std::string Address(int host) const {
+    return this->network + std::to_string(100 + host);
+  }
+  std::string Control(int daemon) const {
+    return this->Address(daemon) + ":8345";
+  }
+
+  void StartDaemon(int daemon, bool bootstrap) {
+    const bool voter = daemon < kVoters;
+    json settings{
+        {"node_name", "daemon-" + std::to_string(daemon)},
+        {"ip", this->Address(daemon)},
+        {"internal_port_range", {7000, 7015}},
+        {"seed_nodes",
+         {this->Control(0), this->Control(1), this->Control(2)}},
+        {"bootstrap", bootstrap}};
+    const std::string name = std::to_string(daemon);
+    if (voter) {
+      settings["listen_addresses"] = {{"control_plane", this->Control(daemon)}};
+      settings["data_directory"] = this->folder / ("data-" + name);
+    } else {
+      settings["listen_addresses"] = {
+          {"frontend", this->Address(daemon) + ":8340"},
+          {"readiness", this->Address(daemon) + ":8343"}};
+    }
+    const std::string file = this->folder / ("settings-" + name + ".json");
+    std::ofstream(file) << settings.dump();
+    this->daemons[static_cast<std::size_t>(daemon)] = std::make_unique<Process>(
+        std::vector<std::string>{
+            std::string(MIMOSASTAGE_BIN_DIR) + "/mimosastage_platform",
+            "--settings=" + file},
+        this->folder / ("log-" + name));
+  }
+
+  void KillDaemon(int daemon) {
+    auto& process = this->daemons[static_cast<std::size_t>(daemon)];
+    process->Signal(SIGKILL);
+    process->Wait();
+  }
+
+  int Configure(int version, const std::string& host = "host") {
+    const json body{
+        {"version", version},
+        {"routes",
+         {{{"name", "queue"},
+           {"host", host},
+           {"path_prefix", "/queue/"},
+           {"service", "pool"},
+           {"timeout_ms", 3'000},
+           {"max_attempts", 2},
+           {"stretch", 2.0},
+           {"public", true}}}},
+        {"services", {{{"name", "pool"}}}},
+        {"tenants", json::array()}};
+    for (int i = 0; i < kVoters; ++i) {
+      const int status = Send({.method = "PUT",
+                               .url = "http://" + this->Control(i) +
+                                      "/-/configuration",
+                               .body = body.dump(),
+                               .timeout = std::chrono::seconds(2)})
+                             .status;
+      if (status != 0 && status < 500) {
+        return status;
+      }
+    }
+    return 0;
+  }
+
+  Reply Ask(const std::string& method, const std::string& id,
+            const std::string& body = "") {
+    return Send({.method = method,
+                 .url = "http://" + this->Address(3) + ":8340/queue/" + id,
+                 .headers = {"Host: host"},
+                 .body = body});
+  }
+
+  bool Submit(const std::string& id) {
+    const json body{
+        {"specification", "text"},
+        {"steps",
+         {{{"count", 2}, {"cpu", 500}, {"estimated_ms", 300}},
+          {{"count", 1}, {"cpu", 500}, {"after", {0}}}}}};
+    return Eventually(
+        [&] { return this->Ask("POST", id, body.dump()).status == 200; });
+  }
+
+  bool Completes(const std::string& id) {
+    return Eventually([&] {
+      return this->Ask("GET", id).body.find("completed") != std::string::npos;
+    });
+  }
+
+  /// How often each task was done, over all workers.
+  std::map<std::string, int> Done() {
+    std::map<std::string, int> done;
+    for (const auto& worker : this->workers) {
+      for (const auto& [task, count] : worker->Done()) {
+        done[task] += count;
+      }
+    }
+    return done;
+  }
+
+  void ExpectEachDoneOnce(int tasks) {
+    const auto done = this->Done();
+    EXPECT_EQ(static_cast<int>(done.size()), tasks);
+    for (const auto& [task, count] : done) {
+      EXPECT_EQ(count, 1) << task;
+    }
+  }
+
+  static constexpr int kVoters = 3;
+  static constexpr int kDaemons = 4;
+  std::string network;
+  std::filesystem::path folder;
+  std::array<std::unique_ptr<Process>, kDaemons> daemons;
+  std::vector<std::unique_ptr<WorkerStandIn>> workers;
+};
+
+TEST_F(JobClusterTest, Submit_CalmCluster_EachTaskRunsOnce) {
+  ASSERT_TRUE(this->Submit("job1"));
+  EXPECT_TRUE(this->Completes("job1"));
+  this->ExpectEachDoneOnce(3);
+  EXPECT_EQ(this->Ask("GET", "other").status, 410);
+}
+
+TEST_F(JobClusterTest, Kill_EachVoterInTurn_AcceptedJobsCompleteOnce) {
+  for (int victim = 0; victim < kVoters; ++victim) {
+    const std::string id = "job" + std::to_string(victim);
+    ASSERT_TRUE(this->Submit(id));
+    this->KillDaemon(victim);
+    EXPECT_TRUE(this->Completes(id));
+    this->StartDaemon(victim, false);
+  }
+  this->ExpectEachDoneOnce(3 * kVoters);
+}
+
+TEST_F(JobClusterTest, Kill_AllVotersAtOnce_AcceptedJobIsKnown) {
+  ASSERT_TRUE(this->Submit("job1"));
+  for (int i = 0; i < kVoters; ++i) {
+    this->KillDaemon(i);
+  }
+  for (int i = 0; i < kVoters; ++i) {
+    this->StartDaemon(i, false);
+  }
+  EXPECT_TRUE(this->Completes("job1"));
+}
+
+TEST_F(JobClusterTest, DiskIsLost_VoterRecovers_ConfigurationIsKept) {
+  ASSERT_EQ(this->Configure(5), 200);
+  this->KillDaemon(0);
+  std::filesystem::remove_all(this->folder / "data-0");
+  this->StartDaemon(0, false);
+  // The voter with the new disk and one other are enough only once the first
+  // has recovered.
+  ASSERT_TRUE(Eventually([this] {
+    return Send({.url = "http://" + this->Control(0) + "/-/configuration",
+                 .timeout = std::chrono::seconds(2)})
+               .status == 200;
+  }));
+  SleepFor(std::chrono::milliseconds(1'500));
+  this->KillDaemon(1);
+  ASSERT_TRUE(Eventually([this] {
+    const Reply reply =
+        Send({.url = "http://" + this->Control(0) + "/-/configuration",
+              .timeout = std::chrono::seconds(2)});
+    return reply.status == 200 &&
+           reply.body.find("\"version\":5") != std::string::npos;
+  }));
+}
+
+TEST_F(JobClusterTest, Configure_SameVersionOtherContent_IsRefused) {
+  EXPECT_EQ(this->Configure(7), 200);
+  EXPECT_EQ(this->Configure(7), 200) << "a resent change is acknowledged";
+  EXPECT_EQ(this->Configure(7, "elsewhere"), 409);
+  EXPECT_EQ(this->Configure(6), 200) << "an overtaken change changes nothing";
+}
+
+TEST_F(JobClusterTest, Stop_EveryDaemonInTurn_EndsWithinTheGracePeriod) {
+  for (int i = 0; i < kDaemons; ++i) {
+    auto& process = this->daemons[static_cast<std::size_t>(i)];
+    process->Signal(SIGTERM);
+    EXPECT_TRUE(Eventually([&] { return !process->Running(); },
+                           std::chrono::seconds(6)));
+    EXPECT_EQ(process->Wait(), 0);
+    this->StartDaemon(i, false);
+  }
+}
+
+}  // namespace
+}  // namespace mimosastage::testing
