--- a/src/mimosastage/daemons/internal/link.cc
+++ b/src/mimosastage/daemons/internal/link.cc
@@ -159,9 +159,8 @@
   };
   const bool welcome_guest = this->IsGuest() && this->settings.accept_guests;
   if (this->peer.daemon != this->expected.value_or(this->peer.daemon) ||
-      (!welcome_guest &&
-       std::none_of(this->settings.peers.begin(), this->settings.peers.end(),
-                    is_peer))) {
+      (!welcome_guest && std::none_of(this->settings.peers.begin(),
+                                      this->settings.peers.end(), is_peer))) {
     this->hooks.on_drop("unknown_daemon");
     return false;
   }
--- a/src/mimosastage/daemons/internal/link.h
+++ b/src/mimosastage/daemons/internal/link.h
@@ -37,9 +37,7 @@
   void Close();
   void Send(std::string_view message);
   /// The peer as the owner knows it.
-  DaemonId Peer() const {
-    return this->guest_id.value_or(this->peer.daemon);
-  }
+  DaemonId Peer() const { return this->guest_id.value_or(this->peer.daemon); }
   bool IsGuest() const { return this->peer.daemon == kGuest; }
   void NameGuest(DaemonId id) { this->guest_id = id; }
 
--- a/src/mimosastage/daemons/links.cc
+++ b/src/mimosastage/daemons/links.cc
@@ -109,10 +109,9 @@
     constexpr auto kFirst = static_cast<std::uint16_t>(kFirstGuest);
     constexpr auto kLast = static_cast<std::uint16_t>(kGuest) - 1;
     do {
-      this->last_guest =
-          this->last_guest >= kLast
-              ? kFirst
-              : static_cast<std::uint16_t>(this->last_guest + 1);
+      this->last_guest = this->last_guest >= kLast
+                             ? kFirst
+                             : static_cast<std::uint16_t>(this->last_guest + 1);
     } while (this->proved.contains(DaemonId{this->last_guest}));
     return DaemonId{this->last_guest};
   }
--- a/src/mimosastage/jobs/call_handler.cc
+++ b/src/mimosastage/jobs/call_handler.cc
@@ -64,9 +64,8 @@
       }
       return;
     case CallKind::kAnnounceWorker:
-      this->dispatcher.Announce(
-          *call.worker, call.sequence, now,
-          [reply] { reply(AnswerOf(CallOutcome::kOk)); });
+      this->dispatcher.Announce(*call.worker, call.sequence, now,
+                                [reply] { reply(AnswerOf(CallOutcome::kOk)); });
       return;
     case CallKind::kWorkerLeaves:
       this->dispatcher.Leaves(call.path, now);
@@ -114,8 +113,8 @@
   }
 }
 
-void CallHandler::Submit(const Call& call, const Queue& queue,
-                         const Team* team, TimePoint now, const Reply& reply) {
+void CallHandler::Submit(const Call& call, const Queue& queue, const Team* team,
+                         TimePoint now, const Reply& reply) {
   const std::string id = JobIdIn(call, queue);
   if (!IsJobId(id) || call.job == nullptr) {
     this->Refuse(CallOutcome::kInvalid, "malformed_job", reply);
@@ -187,8 +186,7 @@
   answer.phase = kNoPhase;
   for (const auto& [accepted, id] : this->committed.OpenJobs()) {
     const Job& job = *this->committed.FindJob(id);
-    answer.waiting +=
-        job.request->queue == queue.name && !job.started ? 1 : 0;
+    answer.waiting += job.request->queue == queue.name && !job.started ? 1 : 0;
   }
   reply(std::move(answer));
 }
--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -42,11 +42,14 @@
       took_over(now),
       // Answers to orders of an earlier term of this daemon match no order.
       next_number((fence << 32U) + 1),
-      health(HealthConfig(), [this](const PoolName& pool) {
-        return static_cast<std::size_t>(std::count_if(
-            this->state.Workers().begin(), this->state.Workers().end(),
-            [&](const auto& row) { return row.second.pool == pool.str(); }));
-      }),
+      health(HealthConfig(),
+             [this](const PoolName& pool) {
+               return static_cast<std::size_t>(std::count_if(
+                   this->state.Workers().begin(), this->state.Workers().end(),
+                   [&](const auto& row) {
+                     return row.second.pool == pool.str();
+                   }));
+             }),
       speed(this->config.speed),
       balancer(this->config.balancer) {
   for (const auto& [id, worker] : state.Workers()) {
@@ -232,9 +235,9 @@
 
 void Dispatcher::SendHold(const std::string& id, Session& session,
                           TimePoint now) {
-  const bool watched = std::any_of(
-      session.runs.begin(), session.runs.end(),
-      [](const auto& row) { return row.second.step->filler; });
+  const bool watched =
+      std::any_of(session.runs.begin(), session.runs.end(),
+                  [](const auto& row) { return row.second.step->filler; });
   HoldOrder hold;
   if (session.silent == 0) {
     // A hold to a silent worker carries no deadline: each one could be carried
@@ -263,8 +266,7 @@
   const OpenOrder order = std::move(open->second);
   this->orders.erase(open);
   const auto found = this->sessions.find(order.worker);
-  if (found == this->sessions.end() ||
-      found->second.born_ms != order.born_ms) {
+  if (found == this->sessions.end() || found->second.born_ms != order.born_ms) {
     return;
   }
   const std::string id = found->first;
@@ -329,8 +331,8 @@
     const JobName job(ended.task.job);
     const InstanceName instance(id);
     if (ended.outcome == RunOutcome::kFailed) {
-      this->health.Failed(
-          job, instance, PoolName(this->state.Workers().at(id).pool), now);
+      this->health.Failed(job, instance,
+                          PoolName(this->state.Workers().at(id).pool), now);
     } else if (ended.outcome == RunOutcome::kDone) {
       this->health.Succeeded(job, instance, now);
     }
@@ -367,10 +369,10 @@
         this->hooks.report("stray_run_stopped", ToString(key.first), id);
         WorkerOrder stop;
         stop.body = StopOrder{key.first, key.second};
-        this->Send(id, session,
-                   OpenOrder{.run = key, .stage = RunStage::kStopping,
-                             .sent = now},
-                   std::move(stop));
+        this->Send(
+            id, session,
+            OpenOrder{.run = key, .stage = RunStage::kStopping, .sent = now},
+            std::move(stop));
       }
       continue;
     }
@@ -388,17 +390,15 @@
   }
   std::vector<RunKey> missing;
   for (const auto& [key, run] : session.runs) {
-    const bool settled = run.confirmed.has_value() &&
-                         *run.confirmed <= order.sent &&
-                         run.stage != RunStage::kLogging &&
-                         run.stage != RunStage::kStarting;
+    const bool settled =
+        run.confirmed.has_value() && *run.confirmed <= order.sent &&
+        run.stage != RunStage::kLogging && run.stage != RunStage::kStarting;
     if (settled && !listed.contains(key)) {
       missing.push_back(key);
     }
   }
   for (const RunKey& key : missing) {
-    const bool stopped =
-        session.runs.at(key).stage == RunStage::kStopping;
+    const bool stopped = session.runs.at(key).stage == RunStage::kStopping;
     this->hooks.report("run_missing", ToString(key.first), id);
     this->EndRun(id, session, key,
                  stopped ? RunOutcome::kStopped : RunOutcome::kLost, "", {},
@@ -469,7 +469,7 @@
       this->RemoveWorker(id, "silent, and its lease has expired", now);
     }
   }
-  if (now - this->took_over >= this->config.machine_lease) {
+  if (now - this->took_over >= this->config.takeover_pause) {
     this->ReadMachines(now);
     this->AdvanceWaves(now);
     this->BalancePools(now);
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -42,9 +42,10 @@
     /// Announcements come about every 1.5 s; a silent worker whose lease has
     /// expired is forgotten after three.
     std::chrono::milliseconds forget_silent{5'000};
-    /// A new leader gives no order for an instance until those of another
-    /// leader are this old.
-    std::chrono::milliseconds machine_lease{3'000};
+    /// Before a new leader's first order for an instance. Orders that an
+    /// earlier leader has queued are dropped within this time; a longer pause
+    /// leaves a pool short when a turn of demand begins during a takeover.
+    std::chrono::milliseconds takeover_pause{300};
     std::chrono::milliseconds machine_retry{400};
     /// How often the platform's list of instances is read.
     std::chrono::milliseconds list_interval{500};
--- a/src/mimosastage/jobs/dispatcher_machines.cc
+++ b/src/mimosastage/jobs/dispatcher_machines.cc
@@ -71,9 +71,9 @@
         session.silent > 0) {
       continue;
     }
-    instances.push_back(PooledInstance{
-        worker.machine, worker.pool, worker.capacity->millicores,
-        this->Usable(session) && session.runs.empty()});
+    instances.push_back(
+        PooledInstance{worker.machine, worker.pool, worker.capacity->millicores,
+                       this->Usable(session) && session.runs.empty()});
     worker_of[worker.machine] = id;
   }
   for (const auto& [machine, row] : this->machines) {
@@ -85,6 +85,7 @@
     }
   }
   std::vector<PoolNeed> list;
+  list.reserve(needs.size());
   for (auto& [pool, need] : needs) {
     list.push_back(std::move(need));
   }
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -51,9 +51,9 @@
   urgency.long_running = request.steps[step]->long_running;
   urgency.priority = queue.priority;
   const milliseconds chain = LongestChain(request);
-  urgency.objective = std::chrono::duration_cast<milliseconds>(
-                          queue.stretch * chain) +
-                      milliseconds(queue.target_ms);
+  urgency.objective =
+      std::chrono::duration_cast<milliseconds>(queue.stretch * chain) +
+      milliseconds(queue.target_ms);
   urgency.slack = DueOf(request, occurrence) + urgency.objective - wall -
                   ChainFrom(request, step);
   return urgency;
@@ -116,8 +116,8 @@
     room.labels = worker.labels;
     room.free = *worker.capacity;
     room.capacity_millicores = worker.capacity->millicores;
-    room.doubtful = verdict == WorkerHealth::Verdict::kProbe ||
-                    this->speed.IsSlow(id, now);
+    room.doubtful =
+        verdict == WorkerHealth::Verdict::kProbe || this->speed.IsSlow(id, now);
     Subtract(room.free, found->second.used);
     for (const auto& [key, run] : found->second.runs) {
       room.fillers += run.step->filler ? 1 : 0;
@@ -226,9 +226,8 @@
       std::uint32_t number = job.At(task).runs + 1;
       if (step.gang) {
         // All members of a gang carry the same number.
-        std::uint32_t& shared =
-            gang_runs[{task.job + "." + std::to_string(task.occurrence),
-                       task.step}];
+        std::uint32_t& shared = gang_runs[{
+            task.job + "." + std::to_string(task.occurrence), task.step}];
         if (shared == 0) {
           const std::size_t begin = job.StepBegin(task.occurrence, task.step);
           for (std::size_t i = 0; i < step.tasks; ++i) {
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -45,29 +45,28 @@
   command.start->worker = worker;
   command.start->born_ms = session.born_ms;
   const std::int64_t born_ms = session.born_ms;
-  this->hooks.propose(
-      std::move(command), [this, worker, born_ms, key](TimePoint at) {
-        const auto found = this->sessions.find(worker);
-        if (found == this->sessions.end() || found->second.born_ms != born_ms) {
-          return;
-        }
-        const auto run = found->second.runs.find(key);
-        if (run == found->second.runs.end()) {
-          return;
-        }
-        const Job* job = this->state.FindJob(key.first.job);
-        const bool wanted = run->second.stage == RunStage::kLogging &&
-                            job != nullptr && !job->Ended() &&
-                            !found->second.draining;
-        if (!wanted) {
-          // Nothing was sent yet.
-          this->EndRun(worker, found->second, key, RunOutcome::kLost, "", {},
-                       at);
-          return;
-        }
-        run->second.stage = RunStage::kStarting;
-        this->SendStart(worker, key, at);
-      });
+  this->hooks.propose(std::move(command), [this, worker, born_ms,
+                                           key](TimePoint at) {
+    const auto found = this->sessions.find(worker);
+    if (found == this->sessions.end() || found->second.born_ms != born_ms) {
+      return;
+    }
+    const auto run = found->second.runs.find(key);
+    if (run == found->second.runs.end()) {
+      return;
+    }
+    const Job* job = this->state.FindJob(key.first.job);
+    const bool wanted = run->second.stage == RunStage::kLogging &&
+                        job != nullptr && !job->Ended() &&
+                        !found->second.draining;
+    if (!wanted) {
+      // Nothing was sent yet.
+      this->EndRun(worker, found->second, key, RunOutcome::kLost, "", {}, at);
+      return;
+    }
+    run->second.stage = RunStage::kStarting;
+    this->SendStart(worker, key, at);
+  });
 }
 
 void Dispatcher::SendStart(const std::string& worker, const RunKey& key,
@@ -202,8 +201,7 @@
                         std::function<void(TimePoint)> committed,
                         TimePoint now) {
   const auto found = session.runs.find(key);
-  const bool wide = found->second.step->gang ||
-                    found->second.step->speculative;
+  const bool wide = found->second.step->gang || found->second.step->speculative;
   Subtract(session.used, Charge(*found->second.step));
   session.runs.erase(found);
   Command command;
@@ -216,9 +214,9 @@
   command.end->outcome = static_cast<std::uint8_t>(outcome);
   command.end->checkpoint = checkpoint;
   if (outcome != RunOutcome::kDone && outcome != RunOutcome::kStopped) {
-    this->hooks.report("run_ended", ToString(key.first),
-                       worker + " outcome " +
-                           std::to_string(static_cast<int>(outcome)));
+    this->hooks.report(
+        "run_ended", ToString(key.first),
+        worker + " outcome " + std::to_string(static_cast<int>(outcome)));
   }
   this->hooks.propose(std::move(command), std::move(committed));
   this->dirty = true;
@@ -312,8 +310,9 @@
   double worst = 0;
   for (const auto& [key, run] : session.runs) {
     if (run.step->tail_target_ms > 0 && !run.step->filler && run.at_work) {
-      worst = std::max(worst, static_cast<double>(run.load) /
-                                  static_cast<double>(run.step->tail_target_ms));
+      worst =
+          std::max(worst, static_cast<double>(run.load) /
+                              static_cast<double>(run.step->tail_target_ms));
     }
   }
   for (auto& [key, run] : session.runs) {
--- a/src/mimosastage/jobs/fleet_state.cc
+++ b/src/mimosastage/jobs/fleet_state.cc
@@ -385,11 +385,10 @@
         }
       }
     }
-    this->latest_ms = std::max(
-        {this->latest_ms, job.request->accepted_ms, job.ended_ms});
+    this->latest_ms =
+        std::max({this->latest_ms, job.request->accepted_ms, job.ended_ms});
     const std::pair<std::int64_t, std::string> key{
-        job.Ended() ? job.ended_ms : job.request->accepted_ms,
-        job.request->id};
+        job.Ended() ? job.ended_ms : job.request->accepted_ms, job.request->id};
     (job.Ended() ? this->ended_jobs : this->open_jobs).insert(key);
     this->jobs.emplace(job.request->id, std::move(job));
   }
--- a/src/mimosastage/jobs/placement.cc
+++ b/src/mimosastage/jobs/placement.cc
@@ -27,8 +27,9 @@
 auto Preference(const StepDemand& demand, const WorkerRoom& room,
                 const std::string& rack) {
   const Step& step = *demand.step;
-  const bool near = (!step.data_rack.empty() && room.Rack() == step.data_rack) ||
-                    (step.same_rack && !rack.empty() && room.Rack() == rack);
+  const bool near =
+      (!step.data_rack.empty() && room.Rack() == step.data_rack) ||
+      (step.same_rack && !rack.empty() && room.Rack() == rack);
   const std::int64_t apart =
       step.filler ? -static_cast<std::int64_t>(room.serving)
                   : -static_cast<std::int64_t>(
--- a/src/mimosastage/jobs/pool_balancer.cc
+++ b/src/mimosastage/jobs/pool_balancer.cc
@@ -56,10 +56,9 @@
   PoolRow* donor = nullptr;
   for (auto& [pool, row] : rows) {
     // An idle instance of another pool is paid for already.
-    const bool better =
-        donor == nullptr || (donor->standby && !row.standby) ||
-        (donor->standby == row.standby &&
-         row.have - row.wanted > donor->have - donor->wanted);
+    const bool better = donor == nullptr || (donor->standby && !row.standby) ||
+                        (donor->standby == row.standby &&
+                         row.have - row.wanted > donor->have - donor->wanted);
     if (!row.empty.empty() && row.have > row.wanted && better) {
       donor = &row;
     }
@@ -67,7 +66,7 @@
   if (donor == nullptr) {
     return "";
   }
-  const std::string instance = donor->empty.back();
+  std::string instance = donor->empty.back();
   donor->empty.pop_back();
   --donor->have;
   return instance;
--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -28,10 +28,15 @@
 /// Marks the ids of calls to the platform that owns the instances.
 constexpr std::uint64_t kMachineBit = 1ULL << 63U;
 
+/// An order that could not be sent for so long is dropped: a daemon that was
+/// frozen meanwhile may not be the leader any more.
+constexpr std::chrono::milliseconds kOrderFreshness{250};
+
 /// Decision lines that may be written in one second; more are counted.
 constexpr std::size_t kLinesPerSecond = 200;
 
 constexpr EventName kLinesDropped{"log_lines_dropped"};
+constexpr EventName kDataFolderKept{"data_folder_kept"};
 
 struct DaemonEvent {
   DaemonId peer{};
@@ -67,7 +72,7 @@
 
 /// One HTTP listener with its rings.
 struct Listener {
-  Listener(const std::function<void()>& wake_node)
+  explicit Listener(const std::function<void()>& wake_node)
       : requests(kRingCapacity, wake_node),
         answers(kRingCapacity, [this] { this->server->Wake(); }) {}
 
@@ -185,7 +190,7 @@
     const auto formatted = DataFolder::Format(path, this->settings.cluster,
                                               this->settings.node.self);
     if (!formatted.has_value()) {
-      LogEvent(LogSeverity::kInfo, events::kRecoveryStarted,
+      LogEvent(LogSeverity::kInfo, kDataFolderKept,
                "the data folder was formatted before")
           .With("reason", formatted.error());
     }
@@ -209,7 +214,8 @@
   StorageThread::Hooks hooks;
   hooks.on_synced = this->wake_node;
   hooks.on_failed = [this](const std::string& detail) {
-    LogEvent(LogSeverity::kError, events::kStorageFailed, detail);
+    LogEvent(LogSeverity::kError, events::kStorageFailed, detail)
+        .With("folder", this->settings.data_folder.string());
     this->storage_failed.store(true);
     this->wake.Notify();
   };
@@ -371,6 +377,7 @@
 
 void JobDaemon::Impl::SendExchange(ExchangeRequest&& request) {
   const std::uint64_t id = request.id;
+  request.start_before = LeaseClock::now() + kOrderFreshness;
   if (!this->exchanges->Submit(std::move(request))) {
     this->metrics.Add(metrics::kDrops, "exchange_ring_full");
     ExchangeResult result;
@@ -384,13 +391,13 @@
   Listener& listener = *this->listeners[id >> kListenerShift];
   answer.close = answer.close || this->node->ShuttingDown();
   this->metrics.Add(metrics::kRequests, std::to_string(answer.status));
-  listener.answers.PushOrWait(OutgoingAnswer{
-      id & ((1ULL << kListenerShift) - 1), std::move(answer)});
+  listener.answers.PushOrWait(
+      OutgoingAnswer{id & ((1ULL << kListenerShift) - 1), std::move(answer)});
 }
 
 void JobDaemon::Impl::OnRequest(std::uint64_t id, HttpRequest&& request,
                                 TimePoint now) {
-  DecodedRequest decoded = 
+  DecodedRequest decoded =
       this->protocol.decode_request(request, id >> kListenerShift);
   if (auto* call = std::get_if<IncomingCall>(&decoded); call != nullptr) {
     this->node->OnCall(id, std::move(call->call), call->patience, now);
@@ -425,7 +432,8 @@
     const bool busy = this->DrainRings(now);
     if (this->stop_requested.load() && !this->node->ShuttingDown()) {
       LogEvent(LogSeverity::kInfo, events::kDaemonStopping,
-               "planned stop: unready now, finishing open calls");
+               "planned stop: unready now, finishing open calls")
+          .With("deadline_ms", this->settings.node.stop_deadline);
       this->node->BeginShutdown(now);
     }
     this->node->Advance(now);
@@ -437,8 +445,8 @@
       return;
     }
     if (!busy) {
-      this->wake.Wait(std::max<Duration>(this->node->NextDue(now) - now,
-                                         Duration::zero()));
+      this->wake.Wait(
+          std::max<Duration>(this->node->NextDue(now) - now, Duration::zero()));
     }
   }
 }
--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -197,9 +197,9 @@
   const auto kind = static_cast<jobs::CallKind>(call.kind);
   if (this->calls.size() >= this->config.max_open_calls) {
     this->hooks.count_refusal("too_many_open_calls");
-    this->hooks.answer(request, kind,
-                       MakeAnswer(jobs::CallOutcome::kOverloaded,
-                                  "too_many_open_calls"));
+    this->hooks.answer(
+        request, kind,
+        MakeAnswer(jobs::CallOutcome::kOverloaded, "too_many_open_calls"));
     return;
   }
   const std::uint64_t number = this->next_call++;
@@ -347,8 +347,7 @@
     this->EndTerm("another view");
   }
   if (this->term == nullptr) {
-    if (this->replica->HasAuthority(now) &&
-        !this->stopping_since.has_value()) {
+    if (this->replica->HasAuthority(now) && !this->stopping_since.has_value()) {
       this->BeginTerm(now);
     }
     return;
@@ -424,8 +423,8 @@
     return;
   }
   current.batch = jobs::Batch();
-  current.effects.emplace_back(
-      *index, std::exchange(current.batch_effects, {}));
+  current.effects.emplace_back(*index,
+                               std::exchange(current.batch_effects, {}));
 }
 
 void JobNode::RunEffects(TimePoint now) {
--- a/src/mimosastage/node/job_protocol.h
+++ b/src/mimosastage/node/job_protocol.h
@@ -27,14 +27,15 @@
 
 /// What an HTTP request asks for; an HttpAnswer is the refusal of a malformed
 /// one.
-using DecodedRequest = std::variant<IncomingCall, ReadinessRequest,
-                                    MetricsRequest, HttpAnswer>;
+using DecodedRequest =
+    std::variant<IncomingCall, ReadinessRequest, MetricsRequest, HttpAnswer>;
 
 /// How a deployment names things on the wire. The hooks translate and hold no
 /// state; they run on the node's thread.
 struct JobProtocol {
   /// `listener` is the position in JobDaemon::Settings::listeners.
-  std::function<DecodedRequest(const HttpRequest& request, std::size_t listener)>
+  std::function<DecodedRequest(const HttpRequest& request,
+                               std::size_t listener)>
       decode_request;
   std::function<HttpAnswer(jobs::CallKind kind, const jobs::Answer& answer)>
       encode_answer;
--- a/tests/jobs/pool_balancer_test.cc
+++ b/tests/jobs/pool_balancer_test.cc
@@ -14,8 +14,8 @@
   void AddPool(const std::string& pool, int instances, bool standby = false) {
     this->needs.push_back(PoolNeed{pool, standby, 0, 0});
     for (int i = 0; i < instances; ++i) {
-      this->instances.push_back(PooledInstance{
-          pool + "-" + std::to_string(i), pool, 16'000, true});
+      this->instances.push_back(
+          PooledInstance{pool + "-" + std::to_string(i), pool, 16'000, true});
     }
   }
 
@@ -32,9 +32,8 @@
   static std::size_t MovesTo(const std::vector<InstanceMove>& moves,
                              const std::string& pool) {
     return static_cast<std::size_t>(
-        std::count_if(moves.begin(), moves.end(), [&](const auto& move) {
-          return move.to_pool == pool;
-        }));
+        std::count_if(moves.begin(), moves.end(),
+                      [&](const auto& move) { return move.to_pool == pool; }));
   }
 
   std::vector<PoolNeed> needs;
--- a/tests/jobs/support/fake_fleet_leader.cc
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -52,8 +52,8 @@
                                        std::int64_t millicores) {
   FakeWorker& worker = this->workers[id];
   worker.record.id = id;
-  worker.record.born_ms = 1'000 + static_cast<std::int64_t>(
-                                      this->workers.size());
+  worker.record.born_ms =
+      1'000 + static_cast<std::int64_t>(this->workers.size());
   worker.record.machine = "machine-" + id;
   worker.record.pool = pool;
   worker.record.address = id + ":80";
@@ -75,8 +75,8 @@
   if (this->configuration.version == 0) {
     this->configuration.version = 1;
     Command command;
-    command.configuration = std::make_unique<Configuration>(
-        this->configuration);
+    command.configuration =
+        std::make_unique<Configuration>(this->configuration);
     this->state.Apply(command);
   }
   this->effects.clear();
@@ -98,14 +98,13 @@
   hooks.wall_time = [this] { return this->wall; };
   hooks.report = [](const char*, const std::string&, const std::string&) {};
   hooks.count = [](const char*) {};
-  this->dispatcher = std::make_unique<Dispatcher>(
-      this->config, std::move(hooks), this->state, "leader", ++this->fence,
-      this->now);
+  this->dispatcher =
+      std::make_unique<Dispatcher>(this->config, std::move(hooks), this->state,
+                                   "leader", ++this->fence, this->now);
 }
 
 void FakeFleetLeader::Submit(const std::string& id, const std::string& pool,
-                             std::vector<Step> steps,
-                             const std::string& team) {
+                             std::vector<Step> steps, const std::string& team) {
   Command command;
   command.job = std::make_unique<JobRequest>();
   command.job->id = id;
@@ -168,8 +167,8 @@
   if (worker.silent) {
     return reply;
   }
-  const auto clock = std::chrono::duration_cast<milliseconds>(
-      this->now.time_since_epoch());
+  const auto clock =
+      std::chrono::duration_cast<milliseconds>(this->now.time_since_epoch());
   reply.clock = clock;
   if (order.fence < worker.fence) {
     reply.result = OrderResult::kFenced;
@@ -180,8 +179,8 @@
   if (const auto* start = std::get_if<StartOrder>(&order.body)) {
     this->starts.push_back(*start);
     const std::pair<TaskId, std::uint32_t> key{start->task, start->run};
-    worker.deadline = std::max<std::int64_t>(worker.deadline,
-                                             start->deadline.count());
+    worker.deadline =
+        std::max<std::int64_t>(worker.deadline, start->deadline.count());
     if (start->deadline < clock) {
       reply.result = OrderResult::kLate;
     } else if (worker.refused.contains(key)) {
@@ -218,9 +217,9 @@
 void FakeFleetLeader::Step10() {
   this->now += milliseconds(10);
   this->wall += milliseconds(10);
-  const auto clock = std::chrono::duration_cast<milliseconds>(
-                         this->now.time_since_epoch())
-                         .count();
+  const auto clock =
+      std::chrono::duration_cast<milliseconds>(this->now.time_since_epoch())
+          .count();
   for (auto& [id, worker] : this->workers) {
     if (worker.deadline < clock) {
       for (const auto& [key, began] : worker.running) {
--- a/tests/jobs/support/fake_fleet_leader.h
+++ b/tests/jobs/support/fake_fleet_leader.h
@@ -49,8 +49,8 @@
   void Cancel(const std::string& id);
   void Advance(std::chrono::milliseconds time);
   /// Ends a run at its worker.
-  void EndRun(const std::string& worker, const TaskId& task,
-              RunOutcome outcome, const std::string& checkpoint = "");
+  void EndRun(const std::string& worker, const TaskId& task, RunOutcome outcome,
+              const std::string& checkpoint = "");
 
   const Job& JobOf(const std::string& id) { return *this->state.FindJob(id); }
   /// Workers that run the task now.
--- a/tests/platform/wire_test.cc
+++ b/tests/platform/wire_test.cc
@@ -82,16 +82,16 @@
 }
 
 TEST_F(WireTest, Decode_JobIsNoJson_GoesOnWithoutContent) {
-  EXPECT_EQ(CallOf(MakeRequest("POST", "/p/1", "{\"steps\":"),
-                   ListenerDuty::kClients)
-                .job,
-            nullptr);
+  EXPECT_EQ(
+      CallOf(MakeRequest("POST", "/p/1", "{\"steps\":"), ListenerDuty::kClients)
+          .job,
+      nullptr);
 }
 
 // A client must not reach what is meant for the operator.
 TEST_F(WireTest, Decode_ConfigurationOnClientListener_IsNoConfiguration) {
-  const jobs::Call call = CallOf(MakeRequest("GET", "/-/configuration"),
-                                 ListenerDuty::kClients);
+  const jobs::Call call =
+      CallOf(MakeRequest("GET", "/-/configuration"), ListenerDuty::kClients);
   EXPECT_EQ(call.kind, static_cast<std::uint8_t>(jobs::CallKind::kJobState));
 }
 
@@ -117,8 +117,8 @@
 
 // Heartbeats of other writers must name no worker and cost nothing else.
 TEST_F(WireTest, Decode_HeartbeatWithWrongField_IsRefused) {
-  for (const char* field : {"state", "service", "address", "born",
-                            "capacity"}) {
+  for (const char* field :
+       {"state", "service", "address", "born", "capacity"}) {
     json broken = Heartbeat();
     broken[field] = json::array();
     EXPECT_EQ(RefusalOf(MakeRequest("PUT", "/-/instances/i-1", broken.dump()),
@@ -128,10 +128,10 @@
   }
   json unknown_state = Heartbeat();
   unknown_state["state"] = "resting";
-  EXPECT_EQ(RefusalOf(MakeRequest("PUT", "/-/instances/i-1",
-                                  unknown_state.dump()),
-                      ListenerDuty::kControl),
-            400);
+  EXPECT_EQ(
+      RefusalOf(MakeRequest("PUT", "/-/instances/i-1", unknown_state.dump()),
+                ListenerDuty::kControl),
+      400);
   EXPECT_EQ(RefusalOf(MakeRequest("PUT", "/-/instances/i-1", "\xff\xfe{"),
                       ListenerDuty::kControl),
             400);
@@ -162,13 +162,12 @@
   const ExchangeRequest request = EncodeOrder(order);
   EXPECT_EQ(request.target, "/-/run-start");
   EXPECT_EQ(request.port, 8080);
-  EXPECT_EQ(json::parse(request.body),
-            (json{{"task", "job.0.1.17"},
-                  {"run", 2},
-                  {"specification", "text"},
-                  {"deadline_ms", 486'000},
-                  {"fencing_token", 7},
-                  {"last_checkpoint", "saved"}}));
+  EXPECT_EQ(json::parse(request.body), (json{{"task", "job.0.1.17"},
+                                             {"run", 2},
+                                             {"specification", "text"},
+                                             {"deadline_ms", 486'000},
+                                             {"fencing_token", 7},
+                                             {"last_checkpoint", "saved"}}));
 }
 
 TEST_F(WireTest, DecodeReply_Hold_ListsRunsAndEnds) {
@@ -212,8 +211,7 @@
         {"ip", "10.1.0.26"},
         {"listen_addresses", {{"control_plane", "10.1.0.26:8345"}}},
         {"internal_port_range", {7000, 7015}},
-        {"seed_nodes",
-         {"10.1.0.26:8345", "10.2.0.18:8345", "10.3.0.28:8345"}},
+        {"seed_nodes", {"10.1.0.26:8345", "10.2.0.18:8345", "10.3.0.28:8345"}},
         {"bootstrap", true},
         {"data_directory", "/data/core"}};
   }
--- a/tests/system/job_cluster_test.cc
+++ b/tests/system/job_cluster_test.cc
@@ -36,7 +36,9 @@
     for (int i = 0; i < 2; ++i) {
       this->workers.push_back(
           std::make_unique<WorkerStandIn>(WorkerStandIn::Settings{
-              "worker-" + std::to_string(i), this->Address(10 + i), "pool",
+              "worker-" + std::to_string(i),
+              this->Address(10 + i),
+              "pool",
               {this->Control(0), this->Control(1), this->Control(2)}}));
     }
     ASSERT_TRUE(Eventually([this] {
@@ -66,8 +68,7 @@
         {"node_name", "daemon-" + std::to_string(daemon)},
         {"ip", this->Address(daemon)},
         {"internal_port_range", {7000, 7015}},
-        {"seed_nodes",
-         {this->Control(0), this->Control(1), this->Control(2)}},
+        {"seed_nodes", {this->Control(0), this->Control(1), this->Control(2)}},
         {"bootstrap", bootstrap}};
     const std::string name = std::to_string(daemon);
     if (voter) {
@@ -94,26 +95,25 @@
   }
 
   int Configure(int version, const std::string& host = "host") {
-    const json body{
-        {"version", version},
-        {"routes",
-         {{{"name", "queue"},
-           {"host", host},
-           {"path_prefix", "/queue/"},
-           {"service", "pool"},
-           {"timeout_ms", 3'000},
-           {"max_attempts", 2},
-           {"stretch", 2.0},
-           {"public", true}}}},
-        {"services", {{{"name", "pool"}}}},
-        {"tenants", json::array()}};
+    const json body{{"version", version},
+                    {"routes",
+                     {{{"name", "queue"},
+                       {"host", host},
+                       {"path_prefix", "/queue/"},
+                       {"service", "pool"},
+                       {"timeout_ms", 3'000},
+                       {"max_attempts", 2},
+                       {"stretch", 2.0},
+                       {"public", true}}}},
+                    {"services", {{{"name", "pool"}}}},
+                    {"tenants", json::array()}};
     for (int i = 0; i < kVoters; ++i) {
-      const int status = Send({.method = "PUT",
-                               .url = "http://" + this->Control(i) +
-                                      "/-/configuration",
-                               .body = body.dump(),
-                               .timeout = std::chrono::seconds(2)})
-                             .status;
+      const int status =
+          Send({.method = "PUT",
+                .url = "http://" + this->Control(i) + "/-/configuration",
+                .body = body.dump(),
+                .timeout = std::chrono::seconds(2)})
+              .status;
       if (status != 0 && status < 500) {
         return status;
       }
@@ -130,11 +130,10 @@
   }
 
   bool Submit(const std::string& id) {
-    const json body{
-        {"specification", "text"},
-        {"steps",
-         {{{"count", 2}, {"cpu", 500}, {"estimated_ms", 300}},
-          {{"count", 1}, {"cpu", 500}, {"after", {0}}}}}};
+    const json body{{"specification", "text"},
+                    {"steps",
+                     {{{"count", 2}, {"cpu", 500}, {"estimated_ms", 300}},
+                      {{"count", 1}, {"cpu", 500}, {"after", {0}}}}}};
     return Eventually(
         [&] { return this->Ask("POST", id, body.dump()).status == 200; });
   }
--- a/tests/system/support/worker_stand_in.cc
+++ b/tests/system/support/worker_stand_in.cc
@@ -121,10 +121,10 @@
     } else {
       this->fence = token;
       if (body.contains("deadline_ms")) {
-        this->lease_end = std::max(
-            this->lease_end,
-            std::min(body.at("deadline_ms").get<std::int64_t>(),
-                     this->Clock() + kMaxHoldMs));
+        this->lease_end =
+            std::max(this->lease_end,
+                     std::min(body.at("deadline_ms").get<std::int64_t>(),
+                              this->Clock() + kMaxHoldMs));
       }
       if (request.target == "/-/run-start") {
         reply = this->Start(body, answer.status);
@@ -153,8 +153,7 @@
   while (!this->stopping.load()) {
     const json body{
         {"service", this->settings.pool},
-        {"address",
-         this->settings.address + ":" + std::to_string(this->port)},
+        {"address", this->settings.address + ":" + std::to_string(this->port)},
         {"zone", "zone-1"},
         {"state", "ready"},
         {"born", this->born_ms},
--- a/tests/system/support/worker_stand_in.h
+++ b/tests/system/support/worker_stand_in.h
@@ -16,8 +16,8 @@
 namespace mimosastage::testing {
 
 /// A worker as the users' platform has them: announces itself, runs tasks for a
-/// fixed time under a lease, refuses lower fencing tokens, lists ends until they
-/// are acknowledged.
+/// fixed time under a lease, refuses lower fencing tokens, lists ends until
+/// they are acknowledged.
 class WorkerStandIn {
  public:
   struct Settings {
