Ask the advisory service before steps of queues that need it; tune the balancer

Cause: a start on such a queue without a ticket is refused, so its jobs never ran; pools kept 6 instances and gave idle ones back after 1.5 s.

--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -69,6 +69,7 @@
         propose;
     std::function<void(WorkerOrder order)> send;
     std::function<void(MachineOrder order)> send_machine;
+    std::function<void(AdviceOrder order)> ask_advice;
     std::function<std::chrono::milliseconds()> wall_time;
     /// A line for the log about a task or worker; `id` names it.
     std::function<void(const char* event, const std::string& id,
@@ -88,6 +89,7 @@
   void Leaves(const std::string& worker, TimePoint now);
   void OnReply(const WorkerReply& reply, TimePoint now);
   void OnMachineReply(const MachineReply& reply, TimePoint now);
+  void OnAdvice(const AdviceReply& reply, TimePoint now);
   /// A job was submitted or cancelled, or the configuration has changed.
   void OnChange(const std::string& job, TimePoint now);
   void Tick(TimePoint now);
@@ -157,6 +159,8 @@
   struct RankedDemand {
     StepUrgency urgency;
     StepDemand demand;
+    /// Needs the advisory service.
+    bool advised = false;
   };
 
   /// What a call to the platform asked for; a list if all is empty.
@@ -166,6 +170,16 @@
     std::string pool;
   };
 
+  /// What the advisory service said of one step.
+  struct Advice {
+    std::map<std::string, std::string> approved;
+    TimePoint valid_until{};
+    bool open = false;
+    TimePoint next_attempt{};
+    /// Workers to leave out at the next attempt, so that each is named in turn.
+    std::size_t offset = 0;
+  };
+
   struct Upkeep {
     bool order_open = false;
     TimePoint next_attempt{};
@@ -218,6 +232,15 @@
   std::vector<WorkerRoom> Rooms(const std::string& pool, TimePoint now) const;
   std::map<std::string, TeamRoom> TeamRooms() const;
 
+  // dispatcher_advice.cc
+  static std::string StepName(const TaskId& task);
+  /// Drops the demands of `queue` that lack advice, after asking for it.
+  void ApplyAdvice(std::vector<RankedDemand>& ranked,
+                   const std::vector<WorkerRoom>& rooms, TimePoint now);
+  void AskAdvice(const std::string& step, Advice& advice,
+                 const std::vector<WorkerRoom>& rooms, TimePoint now);
+  void ForgetAdvice(TimePoint now);
+
   // dispatcher_upkeep.cc: maintenance waves.
   void AdvanceWaves(TimePoint now);
   void AdvanceWave(const Wave& wave, TimePoint now);
@@ -257,6 +280,9 @@
   TimePoint next_wave_round{};
   /// Begun in this term, by machine; see Config::upkeep_time.
   std::map<std::string, TimePoint> upkeep_began;
+  std::map<std::string, Advice> advice;
+  std::unordered_map<std::uint64_t, std::string> advice_orders;
+  TimePoint next_advice_cleanup{};
   PoolBalancer balancer;
   TimePoint next_balance{};
   /// The platform's list, as last read in full.
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -91,8 +91,8 @@
       if (demand.waiting.empty() || (step.gang && gang_ends)) {
         continue;
       }
-      demands.push_back(
-          RankedDemand{this->UrgencyOf(job, queue, k, s, wall), demand});
+      demands.push_back(RankedDemand{this->UrgencyOf(job, queue, k, s, wall),
+                                     demand, queue.advised});
     }
   }
   static_cast<void>(now);
@@ -214,6 +214,7 @@
                      [](const RankedDemand& a, const RankedDemand& b) {
                        return Before(a.urgency, b.urgency);
                      });
+    this->ApplyAdvice(ranked, rooms, now);
     std::vector<StepDemand> demands;
     for (RankedDemand& row : ranked) {
       demands.push_back(std::move(row.demand));
@@ -246,6 +247,7 @@
     }
   }
   this->ReportLoads(now);
+  this->ForgetAdvice(now);
 }
 
 }  // namespace mimosastage::jobs
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -84,6 +84,13 @@
   start.specification = run.request->specification;
   start.checkpoint = job->At(key.first).checkpoint;
   start.deadline = *deadline;
+  if (const auto advice = this->advice.find(StepName(key.first));
+      advice != this->advice.end()) {
+    if (const auto ticket = advice->second.approved.find(worker);
+        ticket != advice->second.approved.end()) {
+      start.ticket = ticket->second;
+    }
+  }
   WorkerOrder order;
   order.body = std::move(start);
   order.timeout = this->config.answer_patience;
@@ -179,6 +186,10 @@
       session.next_hold = now;
       this->hooks.count("start_unanswered");
       return;
+    case OrderResult::kNoTicket:
+      // Asks again before the next start of the step.
+      this->advice.erase(StepName(key.first));
+      break;
     case OrderResult::kUnhealthy:
       this->health.Failed(JobName(key.first.job), InstanceName(id),
                           PoolName(this->state.Workers().at(id).pool), now);
--- a/src/mimosastage/jobs/placement.cc
+++ b/src/mimosastage/jobs/placement.cc
@@ -18,6 +18,9 @@
   if (!Fits(step, room.free) || !HasLabel(room, step.required_label)) {
     return false;
   }
+  if (demand.approved != nullptr && !demand.approved->contains(room.id)) {
+    return false;
+  }
   const auto found = on_worker.find(room.id);
   return step.most_per_worker == 0 || found == on_worker.end() ||
          found->second < step.most_per_worker;
--- a/src/mimosastage/jobs/placement.h
+++ b/src/mimosastage/jobs/placement.h
@@ -44,6 +44,8 @@
   std::vector<std::uint32_t> waiting;
   /// Tasks of the step on each worker, for the limit per worker.
   std::map<std::string, std::size_t> on_worker;
+  /// Tickets by worker, if only these may run the step.
+  const std::map<std::string, std::string>* approved = nullptr;
 };
 
 struct Assignment {
--- a/src/mimosastage/jobs/pool_balancer.h
+++ b/src/mimosastage/jobs/pool_balancer.h
@@ -44,14 +44,14 @@
   struct Config {
     /// Instances that a pool keeps for the first seconds of a rise, and for
     /// tasks that must run apart.
-    std::size_t floor = 6;
+    std::size_t floor = 5;
     /// An instance is idle for so long before it goes to standby: a move out
     /// and back costs as much as 2.7 s of an instance.
-    std::chrono::milliseconds idle_before_standby{1'500};
+    std::chrono::milliseconds idle_before_standby{1'000};
     /// Counts a moved instance as arriving in its pool; moves take 1.5 s.
     std::chrono::milliseconds arrival{2'500};
     /// Room beyond the need, as a share.
-    double headroom = 0.15;
+    double headroom = 0.25;
     std::size_t moves_per_round = 16;
   };
 
--- a/src/mimosastage/jobs/worker_order.h
+++ b/src/mimosastage/jobs/worker_order.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -20,6 +21,8 @@
   std::string specification;
   std::string checkpoint;
   std::chrono::milliseconds deadline{0};
+  /// Of the advisory service, for queues that need one; else empty.
+  std::string ticket;
 };
 
 /// Stops a run; one that hasn't arrived yet is refused when it does.
@@ -153,6 +156,23 @@
   std::string next_page;
 };
 
+/// Asks the advisory service which workers may run a step.
+struct AdviceOrder {
+  std::uint64_t number = 0;
+  /// "JOB.OCCURRENCE.STEP".
+  std::string step;
+  std::vector<std::string> workers;
+};
+
+struct AdviceReply {
+  std::uint64_t number = 0;
+  /// False without a whole answer, or if the service has too many calls.
+  bool answered = false;
+  /// Tickets by worker.
+  std::map<std::string, std::string> approved;
+  std::chrono::milliseconds validity{0};
+};
+
 }  // namespace mimosastage::jobs
 
 #endif  // MIMOSASTAGE_JOBS_WORKER_ORDER_H_
--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -27,6 +27,8 @@
 constexpr unsigned kListenerShift = 48;
 /// Marks the ids of calls to the platform that owns the instances.
 constexpr std::uint64_t kMachineBit = 1ULL << 63U;
+/// Marks the ids of calls to the advisory service.
+constexpr std::uint64_t kAdviceBit = 1ULL << 62U;
 
 /// An order that could not be sent for so long is dropped: a daemon that was
 /// frozen meanwhile may not be the leader any more.
@@ -349,6 +351,11 @@
     request.id |= kMachineBit;
     this->SendExchange(std::move(request));
   };
+  hooks.ask_advice = [this](const jobs::AdviceOrder& order) {
+    ExchangeRequest request = this->protocol.encode_advice(order);
+    request.id |= kAdviceBit;
+    this->SendExchange(std::move(request));
+  };
   hooks.answer = [this](std::uint64_t request, jobs::CallKind kind,
                         const jobs::Answer& answer) {
     this->AnswerHttp(request, this->protocol.encode_answer(kind, answer));
@@ -421,6 +428,9 @@
     result.id &= ~kMachineBit;
     this->node->OnMachineReply(this->protocol.decode_machine_reply(result),
                                now);
+  } else if ((result.id & kAdviceBit) != 0) {
+    result.id &= ~kAdviceBit;
+    this->node->OnAdvice(this->protocol.decode_advice(result), now);
   } else {
     this->node->OnWorkerReply(this->protocol.decode_reply(result), now);
   }
--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -321,6 +321,12 @@
   }
 }
 
+void JobNode::OnAdvice(const jobs::AdviceReply& reply, TimePoint now) {
+  if (this->term != nullptr) {
+    this->term->dispatcher->OnAdvice(reply, now);
+  }
+}
+
 void JobNode::Advance(TimePoint now) {
   if (this->replica != nullptr) {
     this->replica->Tick(now);
@@ -371,6 +377,7 @@
   hooks.propose = propose;
   hooks.send = this->hooks.send_order;
   hooks.send_machine = this->hooks.send_machine_order;
+  hooks.ask_advice = this->hooks.ask_advice;
   hooks.wall_time = this->hooks.wall_time;
   hooks.report = this->hooks.report;
   hooks.count = this->hooks.count_retry;
--- a/src/mimosastage/node/job_node.h
+++ b/src/mimosastage/node/job_node.h
@@ -58,6 +58,7 @@
     std::function<void(DurableWrite write)> persist;
     std::function<void(jobs::WorkerOrder order)> send_order;
     std::function<void(jobs::MachineOrder order)> send_machine_order;
+    std::function<void(jobs::AdviceOrder order)> ask_advice;
     /// Answers the call that came as `request`.
     std::function<void(std::uint64_t request, jobs::CallKind kind,
                        jobs::Answer answer)>
@@ -90,6 +91,7 @@
   void OnDisconnect(std::uint64_t request);
   void OnWorkerReply(const jobs::WorkerReply& reply, TimePoint now);
   void OnMachineReply(const jobs::MachineReply& reply, TimePoint now);
+  void OnAdvice(const jobs::AdviceReply& reply, TimePoint now);
   void Advance(TimePoint now);
   /// When Advance is needed next without an event.
   TimePoint NextDue(TimePoint now) const;
--- a/src/mimosastage/node/job_protocol.h
+++ b/src/mimosastage/node/job_protocol.h
@@ -45,6 +45,8 @@
       encode_machine_order;
   std::function<jobs::MachineReply(const ExchangeResult& result)>
       decode_machine_reply;
+  std::function<ExchangeRequest(const jobs::AdviceOrder& order)> encode_advice;
+  std::function<jobs::AdviceReply(const ExchangeResult& result)> decode_advice;
 };
 
 }  // namespace mimosastage
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -249,6 +249,30 @@
   EXPECT_EQ(this->fleet.JobOf("job").phase, JobPhase::kRunning);
 }
 
+// A start without a ticket is refused, so a job of such a queue would never
+// run.
+TEST_F(DispatcherTest, AdvisedQueue_ServiceApprovesOneWorker_StartsThere) {
+  this->fleet.AddPool("advised", false, true);
+  this->fleet.AddWorker("worker-a", "advised", 4'000);
+  this->fleet.AddWorker("worker-b", "advised", 4'000);
+  this->Begin(0);
+  this->fleet.Submit("job", "advised", {MakeStep(2, 1'000)});
+  this->fleet.Advance(milliseconds(200));
+  EXPECT_TRUE(this->fleet.starts.empty());
+  ASSERT_EQ(this->fleet.advice_orders.size(), 1U);
+  const AdviceOrder& order = this->fleet.advice_orders.front();
+  EXPECT_EQ(order.step, "job.0.0");
+  EXPECT_EQ(order.workers.size(), 2U);
+  this->fleet.dispatcher->OnAdvice(
+      AdviceReply{
+          order.number, true, {{"worker-b", "ticket"}}, milliseconds(3'000)},
+      this->fleet.now);
+  this->fleet.Advance(milliseconds(200));
+  ASSERT_EQ(this->fleet.starts.size(), 2U);
+  EXPECT_EQ(this->fleet.starts.front().ticket, "ticket");
+  EXPECT_EQ(this->fleet.workers.at("worker-b").running.size(), 2U);
+}
+
 TEST_F(DispatcherTest, Wave_LimitOfOne_BeginsOneUpkeepAtATime) {
   this->Begin(3);
   Command command;
--- a/tests/jobs/support/fake_fleet_leader.cc
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -19,7 +19,8 @@
 
 FakeFleetLeader::FakeFleetLeader(Dispatcher::Config config) : config(config) {}
 
-void FakeFleetLeader::AddPool(const std::string& pool, bool standby) {
+void FakeFleetLeader::AddPool(const std::string& pool, bool standby,
+                              bool advised) {
   auto row = std::make_unique<Pool>();
   row->name = pool;
   row->standby = standby;
@@ -34,6 +35,7 @@
   queue->timeout_ms = 3'000;
   queue->target_ms = 600;
   queue->open = true;
+  queue->advised = advised;
   this->configuration.queues.push_back(std::move(queue));
 }
 
@@ -95,6 +97,9 @@
   hooks.send_machine = [this](MachineOrder order) {
     this->machine_orders.push_back(std::move(order));
   };
+  hooks.ask_advice = [this](AdviceOrder order) {
+    this->advice_orders.push_back(std::move(order));
+  };
   hooks.wall_time = [this] { return this->wall; };
   hooks.report = [](const char*, const std::string&, const std::string&) {};
   hooks.count = [](const char*) {};
--- a/tests/jobs/support/fake_fleet_leader.h
+++ b/tests/jobs/support/fake_fleet_leader.h
@@ -38,7 +38,8 @@
   explicit FakeFleetLeader(Dispatcher::Config config = {});
 
   /// Adds a pool and its queue "queue-POOL"; must precede Begin.
-  void AddPool(const std::string& pool, bool standby = false);
+  void AddPool(const std::string& pool, bool standby = false,
+               bool advised = false);
   void AddTeam(const std::string& team, std::int64_t most_millicores);
   FakeWorker& AddWorker(const std::string& id, const std::string& pool,
                         std::int64_t millicores);
@@ -67,6 +68,7 @@
   bool lose_start_answers = false;
   std::vector<MachineOrder> machine_orders;
   std::vector<StartOrder> starts;
+  std::vector<AdviceOrder> advice_orders;
   std::uint64_t fence = 0;
   TimePoint now{std::chrono::hours(1)};
   std::chrono::milliseconds wall{1'000'000};
