--- a/tests/daemons/links_test.cc
+++ b/tests/daemons/links_test.cc
@@ -252,6 +252,9 @@
   ASSERT_TRUE(one.links.Start().has_value());
   ASSERT_TRUE(two.links.Start().has_value());
   ASSERT_TRUE(voter.WaitFor([&] { return voter.ups == 2; }));
+  // A message that is sent before its sender's end is proved is dropped.
+  ASSERT_TRUE(one.WaitFor([&] { return one.up; }));
+  ASSERT_TRUE(two.WaitFor([&] { return two.up; }));
   one.SendLater(DaemonId{0}, "one");
   two.SendLater(DaemonId{0}, "two");
   EXPECT_TRUE(voter.WaitFor([&] { return voter.received.size() == 2; }));
