--- a/src/mimosastage/daemons/internal/link.cc
+++ b/src/mimosastage/daemons/internal/link.cc
@@ -157,10 +157,11 @@
   const auto is_peer = [this](const LinkAddress& known) {
     return known.daemon == this->peer.daemon;
   };
-  const bool welcome_guest = this->IsGuest() && this->settings.accept_guests;
+  const bool welcome = this->IsGuest() ? this->settings.accept_guests
+                                       : this->settings.accept_unlisted;
   if (this->peer.daemon != this->expected.value_or(this->peer.daemon) ||
-      (!welcome_guest && std::none_of(this->settings.peers.begin(),
-                                      this->settings.peers.end(), is_peer))) {
+      (!welcome && std::none_of(this->settings.peers.begin(),
+                                this->settings.peers.end(), is_peer))) {
     this->hooks.on_drop("unknown_daemon");
     return false;
   }
--- a/src/mimosastage/daemons/links.cc
+++ b/src/mimosastage/daemons/links.cc
@@ -129,17 +129,42 @@
     }
   }
 
-  const LinkAddress& AddressOf(DaemonId daemon) const {
-    for (const LinkAddress& peer : this->settings.peers) {
+  /// The peer, if this daemon is to connect to it.
+  const LinkAddress* ToDial(DaemonId daemon) const {
+    const Settings& given = this->settings;
+    if (daemon == given.own.daemon ||
+        (daemon >= given.own.daemon && !given.dial_all)) {
+      return nullptr;
+    }
+    for (const LinkAddress& peer : given.peers) {
       if (peer.daemon == daemon) {
-        return peer;
+        return &peer;
+      }
+    }
+    return nullptr;
+  }
+
+  void DialPeers() {
+    for (const LinkAddress& peer : this->settings.peers) {
+      if (this->ToDial(peer.daemon) != nullptr &&
+          this->dialling.insert(peer.daemon).second) {
+        this->Dial(peer.daemon);
       }
     }
-    return this->settings.own;
   }
 
   void Dial(DaemonId daemon) {
-    const LinkAddress& address = this->AddressOf(daemon);
+    const LinkAddress* const peer = this->ToDial(daemon);
+    if (peer == nullptr) {
+      this->dialling.erase(daemon);
+      return;
+    }
+    if (this->proved.contains(daemon)) {
+      // The peer has connected by itself.
+      this->DialLater(daemon);
+      return;
+    }
+    const LinkAddress address = *peer;
     asio::error_code error;
     const auto ip = asio::ip::make_address(address.address, error);
     if (error) {
@@ -211,6 +236,8 @@
   std::set<std::shared_ptr<Link>> unproved;
   std::map<DaemonId, std::shared_ptr<Link>> proved;
   std::map<DaemonId, std::chrono::milliseconds> backoff;
+  /// Peers that are connected to, or will be after a pause.
+  std::set<DaemonId> dialling;
 };
 
 Links::Links(Settings settings, Hooks hooks)
@@ -224,11 +251,7 @@
     return std::error_code(error);
   }
   self.Accept();
-  for (const LinkAddress& peer : self.settings.peers) {
-    if (peer.daemon < self.settings.own.daemon) {
-      self.Dial(peer.daemon);
-    }
-  }
+  self.DialPeers();
   const std::uint16_t port = self.acceptor.local_endpoint().port();
   self.thread = std::thread([&self] { self.io.run(); });
   return port;
@@ -254,6 +277,13 @@
   });
 }
 
+void Links::SetPeers(std::vector<LinkAddress> peers, bool dial_all) {
+  Impl& self = *this->impl;
+  self.settings.peers = std::move(peers);
+  self.settings.dial_all = dial_all;
+  self.DialPeers();
+}
+
 void Links::Send(DaemonId to, std::string&& message) {
   Impl& self = *this->impl;
   if (auto found = self.proved.find(to); found != self.proved.end()) {
--- a/src/mimosastage/daemons/links.h
+++ b/src/mimosastage/daemons/links.h
@@ -10,19 +10,12 @@
 #include <string_view>
 #include <vector>
 
+#include "mimosastage/base/link_address.h"
 #include "mimosastage/base/names.h"
 #include "mimosastage/base/result.h"
 
 namespace mimosastage {
 
-/// Where a daemon listens for links.
-struct LinkAddress {
-  DaemonId daemon{};
-  /// An IP number.
-  std::string address;
-  std::uint16_t port = 0;
-};
-
 /// Introduces a daemon that the others don't list: it follows the leader and
 /// has no vote. Each of its connections is given an id of its own, from
 /// kFirstGuest on.
@@ -32,7 +25,8 @@
 /// Authenticated TCP connections to all other daemons, on one thread. Messages
 /// may be lost when a connection breaks or a queue is full, and are never
 /// changed, repeated or reordered within one connection. Of each pair the
-/// daemon with the higher id connects.
+/// daemon with the higher id connects; one that the other doesn't list connects
+/// too (Settings::dial_all).
 class Links {
  public:
   struct Settings {
@@ -51,6 +45,11 @@
     std::uint64_t seed = 0;
     /// Accepts connections of guests.
     bool accept_guests = false;
+    /// Accepts daemons that prove the link key and aren't among the peers.
+    bool accept_unlisted = false;
+    /// Connects to all peers, also to those that would connect by themselves
+    /// if they knew this daemon.
+    bool dial_all = false;
   };
 
   /// All hooks run on the links' thread.
@@ -77,6 +76,10 @@
   /// Asks the links' thread to run on_wake soon; from any thread.
   void Wake();
 
+  /// Replaces the peers, and connects to new ones. Links to former peers stay
+  /// until they break. Only from within a hook.
+  void SetPeers(std::vector<LinkAddress> peers, bool dial_all);
+
   /// Sends a message of at most kMaxMessage bytes. Only from within a hook.
   void Send(DaemonId to, std::string&& message);
 
--- a/src/mimosastage/jobs/internal/records_generated.h
+++ b/src/mimosastage/jobs/internal/records_generated.h
@@ -104,10 +104,18 @@
 struct AnswerBuilder;
 struct AnswerT;
 
+struct GroupMember;
+struct GroupMemberBuilder;
+struct GroupMemberT;
+
 struct Leadership;
 struct LeadershipBuilder;
 struct LeadershipT;
 
+struct Candidacy;
+struct CandidacyBuilder;
+struct CandidacyT;
+
 struct Message;
 struct MessageBuilder;
 struct MessageT;
@@ -117,33 +125,36 @@
   Call = 1,
   Answer = 2,
   Leadership = 3,
+  Candidacy = 4,
   MIN = NONE,
-  MAX = Leadership
+  MAX = Candidacy
 };
 
-inline const Body (&EnumValuesBody())[4] {
+inline const Body (&EnumValuesBody())[5] {
   static const Body values[] = {
     Body::NONE,
     Body::Call,
     Body::Answer,
-    Body::Leadership
+    Body::Leadership,
+    Body::Candidacy
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[5] = {
+  static const char * const names[6] = {
     "NONE",
     "Call",
     "Answer",
     "Leadership",
+    "Candidacy",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Leadership)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Candidacy)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -164,6 +175,10 @@
   static const Body enum_value = Body::Leadership;
 };
 
+template<> struct BodyTraits<mimosastage::jobs_wire::Candidacy> {
+  static const Body enum_value = Body::Candidacy;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -180,6 +195,10 @@
   static const Body enum_value = Body::Leadership;
 };
 
+template<> struct BodyUnionTraits<mimosastage::jobs_wire::CandidacyT> {
+  static const Body enum_value = Body::Candidacy;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -234,6 +253,14 @@
     return type == Body::Leadership ?
       reinterpret_cast<const mimosastage::jobs_wire::LeadershipT *>(value) : nullptr;
   }
+  mimosastage::jobs_wire::CandidacyT *AsCandidacy() {
+    return type == Body::Candidacy ?
+      reinterpret_cast<mimosastage::jobs_wire::CandidacyT *>(value) : nullptr;
+  }
+  const mimosastage::jobs_wire::CandidacyT *AsCandidacy() const {
+    return type == Body::Candidacy ?
+      reinterpret_cast<const mimosastage::jobs_wire::CandidacyT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -3284,11 +3311,111 @@
 
 flatbuffers::Offset<Answer> CreateAnswer(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct GroupMemberT : public flatbuffers::NativeTable {
+  typedef GroupMember TableType;
+  uint16_t daemon = 0;
+  std::string address{};
+  uint16_t port = 0;
+};
+
+struct GroupMember FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef GroupMemberT NativeTableType;
+  typedef GroupMemberBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DAEMON = 4,
+    VT_ADDRESS = 6,
+    VT_PORT = 8
+  };
+  uint16_t daemon() const {
+    return GetField<uint16_t>(VT_DAEMON, 0);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint16_t port() const {
+    return GetField<uint16_t>(VT_PORT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint16_t>(verifier, VT_DAEMON, 2) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           verifier.EndTable();
+  }
+  GroupMemberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(GroupMemberT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<GroupMember> Pack(flatbuffers::FlatBufferBuilder &_fbb, const GroupMemberT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct GroupMemberBuilder {
+  typedef GroupMember Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_daemon(uint16_t daemon) {
+    fbb_.AddElement<uint16_t>(GroupMember::VT_DAEMON, daemon, 0);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(GroupMember::VT_ADDRESS, address);
+  }
+  void add_port(uint16_t port) {
+    fbb_.AddElement<uint16_t>(GroupMember::VT_PORT, port, 0);
+  }
+  explicit GroupMemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<GroupMember> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<GroupMember>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<GroupMember> CreateGroupMember(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint16_t daemon = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint16_t port = 0) {
+  GroupMemberBuilder builder_(_fbb);
+  builder_.add_address(address);
+  builder_.add_port(port);
+  builder_.add_daemon(daemon);
+  return builder_.Finish();
+}
+
+struct GroupMember::Traits {
+  using type = GroupMember;
+  static auto constexpr Create = CreateGroupMember;
+};
+
+inline flatbuffers::Offset<GroupMember> CreateGroupMemberDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint16_t daemon = 0,
+    const char *address = nullptr,
+    uint16_t port = 0) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return mimosastage::jobs_wire::CreateGroupMember(
+      _fbb,
+      daemon,
+      address__,
+      port);
+}
+
+flatbuffers::Offset<GroupMember> CreateGroupMember(flatbuffers::FlatBufferBuilder &_fbb, const GroupMemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct LeadershipT : public flatbuffers::NativeTable {
   typedef Leadership TableType;
   uint16_t leader = 0;
   uint64_t view = 0;
   bool serving = false;
+  uint64_t members_version = 0;
+  std::vector<std::unique_ptr<mimosastage::jobs_wire::GroupMemberT>> members{};
+  LeadershipT() = default;
+  LeadershipT(const LeadershipT &o);
+  LeadershipT(LeadershipT&&) FLATBUFFERS_NOEXCEPT = default;
+  LeadershipT &operator=(LeadershipT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct Leadership FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3298,7 +3425,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_LEADER = 4,
     VT_VIEW = 6,
-    VT_SERVING = 8
+    VT_SERVING = 8,
+    VT_MEMBERS_VERSION = 10,
+    VT_MEMBERS = 12
   };
   uint16_t leader() const {
     return GetField<uint16_t>(VT_LEADER, 0);
@@ -3309,11 +3438,21 @@
   bool serving() const {
     return GetField<uint8_t>(VT_SERVING, 0) != 0;
   }
+  uint64_t members_version() const {
+    return GetField<uint64_t>(VT_MEMBERS_VERSION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>> *members() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>> *>(VT_MEMBERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_LEADER, 2) &&
            VerifyField<uint64_t>(verifier, VT_VIEW, 8) &&
            VerifyField<uint8_t>(verifier, VT_SERVING, 1) &&
+           VerifyField<uint64_t>(verifier, VT_MEMBERS_VERSION, 8) &&
+           VerifyOffset(verifier, VT_MEMBERS) &&
+           verifier.VerifyVector(members()) &&
+           verifier.VerifyVectorOfTables(members()) &&
            verifier.EndTable();
   }
   LeadershipT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3334,6 +3473,12 @@
   void add_serving(bool serving) {
     fbb_.AddElement<uint8_t>(Leadership::VT_SERVING, static_cast<uint8_t>(serving), 0);
   }
+  void add_members_version(uint64_t members_version) {
+    fbb_.AddElement<uint64_t>(Leadership::VT_MEMBERS_VERSION, members_version, 0);
+  }
+  void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>>> members) {
+    fbb_.AddOffset(Leadership::VT_MEMBERS, members);
+  }
   explicit LeadershipBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3349,9 +3494,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint16_t leader = 0,
     uint64_t view = 0,
-    bool serving = false) {
+    bool serving = false,
+    uint64_t members_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>>> members = 0) {
   LeadershipBuilder builder_(_fbb);
+  builder_.add_members_version(members_version);
   builder_.add_view(view);
+  builder_.add_members(members);
   builder_.add_leader(leader);
   builder_.add_serving(serving);
   return builder_.Finish();
@@ -3362,8 +3511,88 @@
   static auto constexpr Create = CreateLeadership;
 };
 
+inline flatbuffers::Offset<Leadership> CreateLeadershipDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint16_t leader = 0,
+    uint64_t view = 0,
+    bool serving = false,
+    uint64_t members_version = 0,
+    const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>> *members = nullptr) {
+  auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>>(*members) : 0;
+  return mimosastage::jobs_wire::CreateLeadership(
+      _fbb,
+      leader,
+      view,
+      serving,
+      members_version,
+      members__);
+}
+
 flatbuffers::Offset<Leadership> CreateLeadership(flatbuffers::FlatBufferBuilder &_fbb, const LeadershipT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct CandidacyT : public flatbuffers::NativeTable {
+  typedef Candidacy TableType;
+  std::unique_ptr<mimosastage::jobs_wire::GroupMemberT> member{};
+  CandidacyT() = default;
+  CandidacyT(const CandidacyT &o);
+  CandidacyT(CandidacyT&&) FLATBUFFERS_NOEXCEPT = default;
+  CandidacyT &operator=(CandidacyT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct Candidacy FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CandidacyT NativeTableType;
+  typedef CandidacyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_MEMBER = 4
+  };
+  const mimosastage::jobs_wire::GroupMember *member() const {
+    return GetPointer<const mimosastage::jobs_wire::GroupMember *>(VT_MEMBER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_MEMBER) &&
+           verifier.VerifyTable(member()) &&
+           verifier.EndTable();
+  }
+  CandidacyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CandidacyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Candidacy> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CandidacyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CandidacyBuilder {
+  typedef Candidacy Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_member(flatbuffers::Offset<mimosastage::jobs_wire::GroupMember> member) {
+    fbb_.AddOffset(Candidacy::VT_MEMBER, member);
+  }
+  explicit CandidacyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Candidacy> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Candidacy>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Candidacy> CreateCandidacy(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<mimosastage::jobs_wire::GroupMember> member = 0) {
+  CandidacyBuilder builder_(_fbb);
+  builder_.add_member(member);
+  return builder_.Finish();
+}
+
+struct Candidacy::Traits {
+  using type = Candidacy;
+  static auto constexpr Create = CreateCandidacy;
+};
+
+flatbuffers::Offset<Candidacy> CreateCandidacy(flatbuffers::FlatBufferBuilder &_fbb, const CandidacyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct MessageT : public flatbuffers::NativeTable {
   typedef Message TableType;
   mimosastage::jobs_wire::BodyUnion body{};
@@ -3393,6 +3622,9 @@
   const mimosastage::jobs_wire::Leadership *body_as_Leadership() const {
     return body_type() == mimosastage::jobs_wire::Body::Leadership ? static_cast<const mimosastage::jobs_wire::Leadership *>(body()) : nullptr;
   }
+  const mimosastage::jobs_wire::Candidacy *body_as_Candidacy() const {
+    return body_type() == mimosastage::jobs_wire::Body::Candidacy ? static_cast<const mimosastage::jobs_wire::Candidacy *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3417,6 +3649,10 @@
   return body_as_Leadership();
 }
 
+template<> inline const mimosastage::jobs_wire::Candidacy *Message::body_as<mimosastage::jobs_wire::Candidacy>() const {
+  return body_as_Candidacy();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4603,6 +4839,56 @@
       _text);
 }
 
+inline GroupMemberT *GroupMember::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<GroupMemberT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void GroupMember::UnPackTo(GroupMemberT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = daemon(); _o->daemon = _e; }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = port(); _o->port = _e; }
+}
+
+inline flatbuffers::Offset<GroupMember> GroupMember::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GroupMemberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateGroupMember(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<GroupMember> CreateGroupMember(flatbuffers::FlatBufferBuilder &_fbb, const GroupMemberT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GroupMemberT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _daemon = _o->daemon;
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _port = _o->port;
+  return mimosastage::jobs_wire::CreateGroupMember(
+      _fbb,
+      _daemon,
+      _address,
+      _port);
+}
+
+inline LeadershipT::LeadershipT(const LeadershipT &o)
+      : leader(o.leader),
+        view(o.view),
+        serving(o.serving),
+        members_version(o.members_version) {
+  members.reserve(o.members.size());
+  for (const auto &members_ : o.members) { members.emplace_back((members_) ? new mimosastage::jobs_wire::GroupMemberT(*members_) : nullptr); }
+}
+
+inline LeadershipT &LeadershipT::operator=(LeadershipT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(leader, o.leader);
+  std::swap(view, o.view);
+  std::swap(serving, o.serving);
+  std::swap(members_version, o.members_version);
+  std::swap(members, o.members);
+  return *this;
+}
+
 inline LeadershipT *Leadership::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<LeadershipT>();
   UnPackTo(_o.get(), _resolver);
@@ -4615,6 +4901,8 @@
   { auto _e = leader(); _o->leader = _e; }
   { auto _e = view(); _o->view = _e; }
   { auto _e = serving(); _o->serving = _e; }
+  { auto _e = members_version(); _o->members_version = _e; }
+  { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<mimosastage::jobs_wire::GroupMemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<Leadership> Leadership::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeadershipT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4628,11 +4916,50 @@
   auto _leader = _o->leader;
   auto _view = _o->view;
   auto _serving = _o->serving;
+  auto _members_version = _o->members_version;
+  auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateGroupMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
   return mimosastage::jobs_wire::CreateLeadership(
       _fbb,
       _leader,
       _view,
-      _serving);
+      _serving,
+      _members_version,
+      _members);
+}
+
+inline CandidacyT::CandidacyT(const CandidacyT &o)
+      : member((o.member) ? new mimosastage::jobs_wire::GroupMemberT(*o.member) : nullptr) {
+}
+
+inline CandidacyT &CandidacyT::operator=(CandidacyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(member, o.member);
+  return *this;
+}
+
+inline CandidacyT *Candidacy::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CandidacyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Candidacy::UnPackTo(CandidacyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = member(); if (_e) _o->member = std::unique_ptr<mimosastage::jobs_wire::GroupMemberT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<Candidacy> Candidacy::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CandidacyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCandidacy(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Candidacy> CreateCandidacy(flatbuffers::FlatBufferBuilder &_fbb, const CandidacyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CandidacyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _member = _o->member ? CreateGroupMember(_fbb, _o->member.get(), _rehasher) : 0;
+  return mimosastage::jobs_wire::CreateCandidacy(
+      _fbb,
+      _member);
 }
 
 inline MessageT *Message::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4681,6 +5008,10 @@
       auto ptr = reinterpret_cast<const mimosastage::jobs_wire::Leadership *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::Candidacy: {
+      auto ptr = reinterpret_cast<const mimosastage::jobs_wire::Candidacy *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4712,6 +5043,10 @@
       auto ptr = reinterpret_cast<const mimosastage::jobs_wire::Leadership *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::Candidacy: {
+      auto ptr = reinterpret_cast<const mimosastage::jobs_wire::Candidacy *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4731,6 +5066,10 @@
       auto ptr = reinterpret_cast<const mimosastage::jobs_wire::LeadershipT *>(value);
       return CreateLeadership(_fbb, ptr, _rehasher).Union();
     }
+    case Body::Candidacy: {
+      auto ptr = reinterpret_cast<const mimosastage::jobs_wire::CandidacyT *>(value);
+      return CreateCandidacy(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4749,6 +5088,10 @@
       value = new mimosastage::jobs_wire::LeadershipT(*reinterpret_cast<mimosastage::jobs_wire::LeadershipT *>(u.value));
       break;
     }
+    case Body::Candidacy: {
+      value = new mimosastage::jobs_wire::CandidacyT(*reinterpret_cast<mimosastage::jobs_wire::CandidacyT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4771,6 +5114,11 @@
       delete ptr;
       break;
     }
+    case Body::Candidacy: {
+      auto ptr = reinterpret_cast<mimosastage::jobs_wire::CandidacyT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/mimosastage/jobs/records.cc
+++ b/src/mimosastage/jobs/records.cc
@@ -88,6 +88,10 @@
   return EncodeMessage(jobs_wire::Body::Leadership, leadership);
 }
 
+std::string EncodeCandidacy(const Candidacy& candidacy) {
+  return EncodeMessage(jobs_wire::Body::Candidacy, candidacy);
+}
+
 std::optional<jobs_wire::MessageT> DecodeMessage(std::string_view bytes) {
   auto verifier = VerifierFor(bytes);
   if (!verifier.VerifyBuffer<jobs_wire::Message>(nullptr)) {
--- a/src/mimosastage/jobs/records.h
+++ b/src/mimosastage/jobs/records.h
@@ -32,6 +32,8 @@
 using Call = jobs_wire::CallT;
 using Answer = jobs_wire::AnswerT;
 using Leadership = jobs_wire::LeadershipT;
+using Candidacy = jobs_wire::CandidacyT;
+using GroupMember = jobs_wire::GroupMemberT;
 
 enum class JobPhase : std::uint8_t {
   kQueued,
@@ -112,6 +114,7 @@
 std::string EncodeCall(const Call& call);
 std::string EncodeAnswer(const Answer& answer);
 std::string EncodeLeadership(const Leadership& leadership);
+std::string EncodeCandidacy(const Candidacy& candidacy);
 /// Nothing if `bytes` isn't a whole message.
 std::optional<jobs_wire::MessageT> DecodeMessage(std::string_view bytes);
 
--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -9,6 +9,7 @@
 #include <thread>
 #include <unordered_map>
 #include <utility>
+#include <variant>
 
 #include "mimosastage/base/ring.h"
 #include "mimosastage/base/wake_signal.h"
@@ -52,6 +53,14 @@
   std::string message;
 };
 
+/// Whom the links connect to from now on.
+struct PeerChange {
+  std::vector<LinkAddress> peers;
+  bool dial_all = false;
+};
+
+using LinkOrder = std::variant<OutgoingMessage, PeerChange>;
+
 struct HttpEvent {
   /// Only the id is set for a lost connection.
   HttpRequest request;
@@ -140,8 +149,7 @@
   std::vector<std::unique_ptr<Listener>> listeners;
   Ring<DaemonEvent> from_daemons{kRingCapacity, this->wake_node};
   Ring<ExchangeResult> from_exchanges{kRingCapacity, this->wake_node};
-  Ring<OutgoingMessage> to_daemons{kRingCapacity,
-                                   [this] { this->links->Wake(); }};
+  Ring<LinkOrder> to_daemons{kRingCapacity, [this] { this->links->Wake(); }};
   std::unique_ptr<DataFolder> folder;
   std::unique_ptr<StorageThread> storage;
   std::unique_ptr<Links> links;
@@ -149,6 +157,8 @@
   std::unique_ptr<JobNode> node;
   std::thread node_thread;
   std::uint64_t synced = 0;
+  /// A voter whose disk is empty or old may be unknown to the others.
+  bool lacks_disk = false;
   std::atomic<bool> stop_requested{false};
   std::atomic<bool> storage_failed{false};
   std::atomic<int> exit_status{0};
@@ -187,7 +197,9 @@
 
 std::string JobDaemon::Impl::OpenStorage(std::optional<DurableImage>& image) {
   const std::filesystem::path& path = this->settings.data_folder;
-  if (this->settings.first_start) {
+  const JobNode::Config& node_config = this->settings.node;
+  if (this->settings.first_start &&
+      node_config.founders.Contains(node_config.self)) {
     // Refused if the folder has content: then it was formatted before.
     const auto formatted = DataFolder::Format(path, this->settings.cluster,
                                               this->settings.node.self);
@@ -208,7 +220,8 @@
              this->folder->Report());
   }
   image = std::move(*opened);
-  if (!image->intact) {
+  this->lacks_disk = !image->intact;
+  if (this->lacks_disk) {
     LogEvent(LogSeverity::kWarning, events::kRecoveryStarted,
              "the data folder is empty or old; this voter recovers its state "
              "from the others");
@@ -279,6 +292,8 @@
   link_settings.link_key = this->settings.link_key;
   link_settings.seed = RandomNumber();
   link_settings.accept_guests = this->settings.node.is_voter;
+  link_settings.accept_unlisted = this->settings.node.is_voter;
+  link_settings.dial_all = this->lacks_disk;
   // A cut shows as silence only; the leader's notices come every 200 ms.
   link_settings.silence_limit = std::chrono::milliseconds(1'200);
   link_settings.heartbeat = std::chrono::milliseconds(400);
@@ -307,8 +322,14 @@
   };
   hooks.on_wake = [this] {
     this->to_daemons.Drain(
-        [this](OutgoingMessage&& out) {
-          this->links->Send(out.to, std::move(out.message));
+        [this](LinkOrder&& order) {
+          if (auto* out = std::get_if<OutgoingMessage>(&order);
+              out != nullptr) {
+            this->links->Send(out->to, std::move(out->message));
+          } else if (auto* change = std::get_if<PeerChange>(&order);
+                     change != nullptr) {
+            this->links->SetPeers(std::move(change->peers), change->dial_all);
+          }
         },
         kRingCapacity);
   };
@@ -343,6 +364,22 @@
   hooks.persist = [this](DurableWrite write) {
     this->storage->Write(std::move(write));
   };
+  hooks.on_members = [this](const Membership& members, bool member) {
+    PeerChange change;
+    change.dial_all = !member;
+    change.peers = this->settings.peers;
+    for (const Member& other : members.slots) {
+      const bool listed = std::any_of(
+          change.peers.begin(), change.peers.end(),
+          [&](const LinkAddress& peer) { return peer.daemon == other.daemon; });
+      if (other.daemon != kNoVoter && !listed &&
+          other.daemon != this->settings.node.self) {
+        change.peers.push_back(
+            LinkAddress{other.daemon, other.address, other.port});
+      }
+    }
+    this->to_daemons.PushOrWait(LinkOrder(std::move(change)));
+  };
   hooks.send_order = [this](const jobs::WorkerOrder& order) {
     this->SendExchange(this->protocol.encode_order(order));
   };
--- a/src/mimosastage/node/job_daemon.h
+++ b/src/mimosastage/node/job_daemon.h
@@ -29,13 +29,14 @@
     std::string cluster;
     std::string link_key;
     LinkAddress link;
-    /// The voters, without this daemon.
+    /// Daemons to connect to at the start, without this one. Voters that the
+    /// leader names are added.
     std::vector<LinkAddress> peers;
     std::vector<ListenAddress> listeners;
     /// Set on a voter.
     std::filesystem::path data_folder;
-    /// The whole cluster starts for the first time: an empty folder is new. At
-    /// any other start it means a lost disk.
+    /// The whole cluster starts for the first time: the empty folder of a
+    /// founder is new. At any other start it means a lost disk.
     bool first_start = false;
     std::size_t max_connections = 3'000;
     std::size_t connections_per_worker = 8;
--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -15,6 +15,8 @@
 constexpr milliseconds kReplicaTick{20};
 /// Entries follow the leader's notices only.
 constexpr milliseconds kEntryTick{50};
+/// How often the leader looks whether a voter must be replaced.
+constexpr milliseconds kMembershipCheck{100};
 
 bool ChangesState(jobs::CallKind kind) {
   switch (kind) {
@@ -28,6 +30,18 @@
   }
 }
 
+std::unique_ptr<jobs::GroupMember> Pack(const Member& member) {
+  auto row = std::make_unique<jobs::GroupMember>();
+  row->daemon = static_cast<std::uint16_t>(member.daemon);
+  row->address = member.address;
+  row->port = member.port;
+  return row;
+}
+
+Member Unpack(const jobs::GroupMember& row) {
+  return Member{DaemonId{row.daemon}, row.address, row.port};
+}
+
 jobs::Answer MakeAnswer(jobs::CallOutcome outcome, const char* reason) {
   jobs::Answer answer;
   answer.outcome = static_cast<std::uint8_t>(outcome);
@@ -38,7 +52,9 @@
 }  // namespace
 
 JobNode::JobNode(Config config, Hooks hooks)
-    : config(std::move(config)), hooks(std::move(hooks)) {}
+    : config(std::move(config)),
+      hooks(std::move(hooks)),
+      planner(this->config.membership) {}
 
 JobNode::~JobNode() = default;
 
@@ -46,9 +62,20 @@
   if (!this->config.is_voter || !image.has_value()) {
     return;
   }
+  if (image->intact) {
+    this->StartReplica(*std::move(image), this->config.founders, now);
+  } else {
+    this->hooks.report("voter_waits_for_members", this->config.name,
+                       "its disk is empty or old");
+    this->idle_image = std::move(image);
+  }
+}
+
+void JobNode::StartReplica(DurableImage image, const Membership& founders,
+                           TimePoint now) {
   ReplicaConfig replica_config;
   replica_config.self = this->config.self;
-  replica_config.voters = this->config.voters;
+  replica_config.voters = founders.Voters();
   replica_config.seed = this->config.seed;
   replica_config.timing = this->config.timing;
   replica_config.limits = this->config.limits;
@@ -70,7 +97,8 @@
   replica_hooks.take_snapshot = [this] { return this->committed.Snapshot(); };
   this->replica = std::make_unique<Replica>(std::move(replica_config),
                                             std::move(replica_hooks));
-  this->replica->Start(*std::move(image), now);
+  this->replica->Start(std::move(image), now);
+  this->replica->Learn(founders, now);
 }
 
 void JobNode::SendReplication(DaemonId to, const ReplicationMessage& message) {
@@ -121,6 +149,10 @@
   } else if (const auto* notice = decoded->body.AsLeadership();
              notice != nullptr) {
     this->OnLeadership(from, *notice, now);
+  } else if (const auto* candidacy = decoded->body.AsCandidacy();
+             candidacy != nullptr && candidacy->member != nullptr &&
+             this->term != nullptr) {
+    this->planner.OnCandidate(Unpack(*candidacy->member), now);
   }
 }
 
@@ -156,6 +188,68 @@
                        "view " + std::to_string(notice.view));
     this->SendCalls(now);
   }
+  Membership told;
+  told.version = notice.members_version;
+  for (const auto& row : notice.members) {
+    told.slots.push_back(Unpack(*row));
+  }
+  if (told.version > this->members.version) {
+    this->TakeMembers(told);
+    if (this->replica != nullptr) {
+      this->replica->Learn(this->members, now);
+    }
+  }
+  if (!this->config.is_voter || this->members.version == 0) {
+    return;
+  }
+  if (!this->members.Contains(this->config.self)) {
+    jobs::Candidacy candidacy;
+    candidacy.member = Pack(this->config.own);
+    this->hooks.send(
+        from, EncodeMessage(JobsBytes{jobs::EncodeCandidacy(candidacy)}));
+  } else if (this->idle_image.has_value()) {
+    DurableImage image = *std::exchange(this->idle_image, std::nullopt);
+    this->StartReplica(std::move(image), this->members, now);
+  }
+}
+
+void JobNode::TakeMembers(const Membership& committed) {
+  this->members = committed;
+  std::string list;
+  for (const Member& member : committed.slots) {
+    list += list.empty() ? "" : " ";
+    list += member.daemon == kNoVoter ? "vacant" : member.address;
+  }
+  this->hooks.report(
+      "members_changed", this->config.name,
+      "version " + std::to_string(committed.version) + ": " + list);
+  this->hooks.on_members(committed, committed.Contains(this->config.self));
+}
+
+void JobNode::PlanMembership(TimePoint now) {
+  if (now < this->next_membership_check) {
+    return;
+  }
+  this->next_membership_check = now + kMembershipCheck;
+  const Membership& current = this->replica->Members();
+  std::optional<Membership> next;
+  if (current.version == 0) {
+    // Puts the founders into the log, so that later starts need no settings.
+    next = this->config.founders;
+    next->version = 1;
+  } else {
+    next = this->planner.Plan(
+        current, this->config.self,
+        [&](DaemonId voter) { return this->replica->SilenceOf(voter, now); },
+        now);
+  }
+  if (!next.has_value()) {
+    return;
+  }
+  if (this->replica->ProposeMembership(*next, now).has_value()) {
+    this->hooks.report("members_proposed", this->config.name,
+                       "version " + std::to_string(next->version));
+  }
 }
 
 void JobNode::OnStorageSynced(std::uint64_t ticket, TimePoint now) {
@@ -331,6 +425,11 @@
   if (this->replica != nullptr) {
     this->replica->Tick(now);
     this->AdvanceTerm(now);
+    if (const Membership& known = this->replica->CommittedMembers();
+        known.version > this->members.version) {
+      this->TakeMembers(known);
+      this->next_notice = now;
+    }
   }
   if (now >= this->next_call_check) {
     this->next_call_check = now + kReplicaTick;
@@ -361,6 +460,7 @@
   this->RunEffects(now);
   if (this->HasAuthority(now)) {
     this->term->dispatcher->Tick(now);
+    this->PlanMembership(now);
   }
 }
 
@@ -458,6 +558,10 @@
   notice.leader = static_cast<std::uint16_t>(this->config.self);
   notice.view = this->term->view;
   notice.serving = serving;
+  notice.members_version = this->members.version;
+  for (const Member& member : this->members.slots) {
+    notice.members.push_back(Pack(member));
+  }
   const std::string message =
       EncodeMessage(JobsBytes{jobs::EncodeLeadership(notice)});
   for (const DaemonId peer : this->links) {
--- a/src/mimosastage/node/job_node.h
+++ b/src/mimosastage/node/job_node.h
@@ -18,6 +18,7 @@
 #include "mimosastage/jobs/call_handler.h"
 #include "mimosastage/jobs/dispatcher.h"
 #include "mimosastage/jobs/fleet_state.h"
+#include "mimosastage/replication/membership_planner.h"
 #include "mimosastage/replication/replica.h"
 
 namespace mimosastage {
@@ -32,13 +33,19 @@
     /// Name in logs and in orders for instances.
     std::string name;
     DaemonId self{};
-    std::vector<DaemonId> voters;
+    /// Where this daemon listens for links.
+    Member own;
+    /// The voters when the cluster starts for the first time. What a voter has
+    /// on its disk, or hears from the leader, goes before it.
+    Membership founders;
+    /// Has a disk and votes, or asks to.
     bool is_voter = false;
     /// Where workers and operators reach this daemon, "IP:PORT".
     std::string announce_address;
     std::uint64_t seed = 0;
     ReplicationTiming timing;
     ReplicationLimits limits;
+    MembershipPlanner::Config membership;
     jobs::Dispatcher::Config dispatcher;
     /// The leader makes itself known this often, and counts as lost after
     /// `leader_silence`.
@@ -59,6 +66,8 @@
     std::function<void(jobs::WorkerOrder order)> send_order;
     std::function<void(jobs::MachineOrder order)> send_machine_order;
     std::function<void(jobs::AdviceOrder order)> ask_advice;
+    /// The voters are others than before; `member` if this daemon is one.
+    std::function<void(const Membership& members, bool member)> on_members;
     /// Answers the call that came as `request`.
     std::function<void(std::uint64_t request, jobs::CallKind kind,
                        jobs::Answer answer)>
@@ -78,7 +87,8 @@
   JobNode(const JobNode&) = delete;
   JobNode& operator=(const JobNode&) = delete;
 
-  /// `image` is set on a voter.
+  /// `image` is set on a voter. A voter without its disk waits for the leader
+  /// to tell who votes, because the settings may name former voters.
   void Start(std::optional<DurableImage> image, TimePoint now);
   void OnMessage(DaemonId from, const std::string& bytes, TimePoint now);
   void OnLinkState(DaemonId peer, bool up, TimePoint now);
@@ -136,6 +146,8 @@
     TimePoint heard{};
   };
 
+  void StartReplica(DurableImage image, const Membership& founders,
+                    TimePoint now);
   void SendReplication(DaemonId to, const ReplicationMessage& message);
   void Apply(const std::string& command);
   void AdvanceTerm(TimePoint now);
@@ -145,6 +157,9 @@
   void FlushBatch(TimePoint now);
   void RunEffects(TimePoint now);
   void Announce(TimePoint now);
+  /// The leader fills vacant slots and replaces voters that are gone.
+  void PlanMembership(TimePoint now);
+  void TakeMembers(const Membership& committed);
   void OnLeadership(DaemonId from, const jobs::Leadership& notice,
                     TimePoint now);
   void ServeCall(const jobs::Call& call, TimePoint now,
@@ -159,6 +174,12 @@
   Config config;
   Hooks hooks;
   std::unique_ptr<Replica> replica;
+  /// Waits for the membership.
+  std::optional<DurableImage> idle_image;
+  /// The newest committed one that this daemon knows.
+  Membership members;
+  MembershipPlanner planner;
+  TimePoint next_membership_check{};
   jobs::FleetState committed;
   std::unique_ptr<Term> term;
   std::set<DaemonId> links;
--- a/src/mimosastage/replication/follower.cc
+++ b/src/mimosastage/replication/follower.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "mimosastage/replication/internal/snapshot_transfer.h"
+#include "mimosastage/replication/membership.h"
 
 namespace mimosastage {
 
@@ -19,7 +20,9 @@
     for (const LogEntry& entry : m.entries) {
       if (entry.index == this->applied + 1) {
         this->applied = entry.index;
-        this->hooks.apply(entry.index, entry.command);
+        if (!DecodeMembership(entry.command).has_value()) {
+          this->hooks.apply(entry.index, entry.command);
+        }
         this->progressed = now;
         progress = true;
       }
@@ -36,7 +39,8 @@
     this->progressed = now;
     if (complete.has_value()) {
       this->applied = complete->index;
-      this->hooks.install_snapshot(complete->bytes);
+      this->hooks.install_snapshot(
+          std::string(UnwrapSnapshot(complete->bytes).state));
     }
     this->RequestMissing(this->collector.BatchDone(), now);
   }
--- a/src/mimosastage/replication/internal/follower_stream.cc
+++ b/src/mimosastage/replication/internal/follower_stream.cc
@@ -67,7 +67,12 @@
   // This voter's own vote counts for every round.
   std::vector<std::uint64_t> rounds{this->round};
   for (const auto& [voter, voter_progress] : this->progress) {
-    rounds.push_back(voter_progress.acked_round);
+    if (this->Counts(voter)) {
+      rounds.push_back(voter_progress.acked_round);
+    }
+  }
+  if (rounds.size() <= this->FaultsTolerated()) {
+    return;
   }
   std::sort(rounds.begin(), rounds.end(), std::greater<>());
   const std::uint64_t acknowledged = rounds[this->FaultsTolerated()];
--- a/src/mimosastage/replication/internal/normal_operation.cc
+++ b/src/mimosastage/replication/internal/normal_operation.cc
@@ -187,7 +187,9 @@
   }
   std::vector<std::uint64_t> rounds;
   for (const auto& [voter, voter_progress] : this->progress) {
-    rounds.push_back(voter_progress.acked_round);
+    if (this->Counts(voter)) {
+      rounds.push_back(voter_progress.acked_round);
+    }
   }
   if (rounds.size() < this->FaultsTolerated() || this->FaultsTolerated() == 0) {
     return this->FaultsTolerated() == 0;
@@ -223,7 +225,12 @@
 void Replica::Core::AdvanceCommit(TimePoint now) {
   std::vector<LogIndex> synced{this->SyncedInView()};
   for (const auto& [voter, voter_progress] : this->progress) {
-    synced.push_back(voter_progress.match);
+    if (this->Counts(voter)) {
+      synced.push_back(voter_progress.match);
+    }
+  }
+  if (synced.size() <= this->FaultsTolerated()) {
+    return;
   }
   std::sort(synced.begin(), synced.end(), std::greater<>());
   const LogIndex candidate = synced[this->FaultsTolerated()];
@@ -242,7 +249,8 @@
 void Replica::Core::CheckQuorum(TimePoint now) {
   std::size_t heard = 0;
   for (const auto& [voter, voter_progress] : this->progress) {
-    if (now - voter_progress.last_heard < this->leader_timeout) {
+    if (this->Counts(voter) &&
+        now - voter_progress.last_heard < this->leader_timeout) {
       ++heard;
     }
   }
--- a/src/mimosastage/replication/internal/recovery.cc
+++ b/src/mimosastage/replication/internal/recovery.cc
@@ -31,8 +31,8 @@
 
 void Replica::Core::AskAllToConfirm() {
   this->nonce = this->random();
-  for (const DaemonId voter : this->config.voters) {
-    if (voter != this->config.self) {
+  for (const DaemonId voter : this->voters) {
+    if (voter != this->config.self && voter != kNoVoter) {
       this->unconfirmed.insert(voter);
     }
   }
@@ -69,7 +69,7 @@
   this->next_recovery = now + (recovering ? interval : 10 * interval);
   const Recovery message{this->nonce, this->incarnation, this->disk_intact,
                          this->starts};
-  for (const DaemonId voter : this->config.voters) {
+  for (const DaemonId voter : this->voters) {
     const bool ask =
         this->unconfirmed.contains(voter) || (recovering && !this->disk_intact);
     if (ask && voter != this->config.self) {
@@ -156,9 +156,13 @@
 }
 
 void Replica::Core::CheckConfirmation(TimePoint now) {
-  const std::size_t others = this->config.voters.size() - 1;
+  const auto confirmed = std::count_if(
+      this->voters.begin(), this->voters.end(), [this](DaemonId voter) {
+        return voter != this->config.self && voter != kNoVoter &&
+               !this->unconfirmed.contains(voter);
+      });
   if (this->disk_intact &&
-      others - this->unconfirmed.size() >= this->FaultsTolerated()) {
+      static_cast<std::size_t>(confirmed) >= this->FaultsTolerated()) {
     this->FinishConfirmation(now);
   }
 }
--- a/src/mimosastage/replication/internal/replica_core.cc
+++ b/src/mimosastage/replication/internal/replica_core.cc
@@ -26,6 +26,7 @@
 void Replica::Core::Start(DurableImage image, TimePoint now) {
   this->random.seed(this->config.seed ^ image.incarnation);
   this->durable.Load(image);
+  this->LoadMembership(image);
   this->log.Reset(image.snapshot_index, image.snapshot_view);
   for (LogEntry& entry : image.entries) {
     this->log.Append(std::move(entry));
@@ -44,7 +45,8 @@
   this->known_incarnations = {image.incarnations.begin(),
                               image.incarnations.end()};
   if (image.snapshot.has_value()) {
-    this->hooks.install_snapshot(*image.snapshot);
+    this->hooks.install_snapshot(
+        std::string(UnwrapSnapshot(*image.snapshot).state));
     this->snapshots.Add(
         {image.snapshot_index, image.snapshot_view, std::move(*image.snapshot)},
         now);
@@ -131,7 +133,8 @@
   }
   const bool in_view = this->status == ReplicaStatus::kNormal ||
                        this->status == ReplicaStatus::kCatchingUp;
-  if (!in_view || this->suspecting || leader == this->config.self) {
+  if (!in_view || this->suspecting || leader == this->config.self ||
+      leader == kNoVoter) {
     return std::nullopt;
   }
   return leader;
@@ -147,24 +150,27 @@
 }
 
 std::size_t Replica::Core::FaultsTolerated() const {
-  return (this->config.voters.size() - 1) / 2;
+  return (this->voters.size() - 1) / 2;
 }
 
 DaemonId Replica::Core::LeaderOf(ViewNumber view) const {
-  return this->config.voters[view % this->config.voters.size()];
+  return this->voters[view % this->voters.size()];
 }
 
 bool Replica::Core::IsVoter(DaemonId daemon) const {
-  const auto& voters = this->config.voters;
-  return std::find(voters.begin(), voters.end(), daemon) != voters.end();
+  return daemon != kNoVoter &&
+         std::find(this->voters.begin(), this->voters.end(), daemon) !=
+             this->voters.end();
 }
 
 void Replica::Core::Send(DaemonId to, ReplicationMessage message) {
-  this->hooks.send(to, std::move(message));
+  if (to != kNoVoter) {
+    this->hooks.send(to, std::move(message));
+  }
 }
 
 void Replica::Core::SendToVoters(const ReplicationMessage& message) {
-  for (const DaemonId voter : this->config.voters) {
+  for (const DaemonId voter : this->voters) {
     if (voter != this->config.self) {
       this->Send(voter, message);
     }
@@ -202,6 +208,7 @@
     if (this->log.ViewAt(entry.index) != entry.view) {
       this->TruncateFrom(entry.index);
       this->log.Append(entry);
+      this->NoteEntry(entry);
     }
     this->verified = entry.index;
   }
@@ -212,6 +219,8 @@
   if (index <= this->log.End()) {
     this->log.TruncateFrom(index);
     this->durable.TruncateFrom(index);
+    this->memberships.TruncateFrom(index);
+    this->UseMembership();
   }
 }
 
@@ -219,7 +228,10 @@
   const LogIndex end = std::min(index, this->verified);
   while (this->commit < end) {
     ++this->commit;
-    this->hooks.apply(this->commit, this->log.At(this->commit).command);
+    const std::string& command = this->log.At(this->commit).command;
+    if (!DecodeMembership(command).has_value()) {
+      this->hooks.apply(this->commit, command);
+    }
   }
   this->MaybeTakeSnapshot(now);
 }
@@ -235,6 +247,10 @@
   }
   const ViewNumber entry_view = *this->log.ViewAt(this->commit);
   std::string bytes = this->hooks.take_snapshot();
+  if (const Membership& members = this->CommittedMembers();
+      members.version > 0) {
+    bytes = WrapSnapshot(members, bytes);
+  }
   this->durable.SetSnapshot(bytes, this->commit, entry_view);
   this->snapshots.Add({this->commit, entry_view, std::move(bytes)}, now);
   // Entries behind the snapshot are kept until the next one, so that a daemon
@@ -277,11 +293,14 @@
 }
 
 void Replica::Core::Install(internal::Snapshot snapshot, TimePoint now) {
-  this->hooks.install_snapshot(snapshot.bytes);
+  const bool known = this->log.ViewAt(snapshot.index) == snapshot.view;
+  this->hooks.install_snapshot(
+      known ? std::string(UnwrapSnapshot(snapshot.bytes).state)
+            : this->TakeMembership(snapshot.bytes, snapshot.index));
   const LogIndex agreed = this->commit;
   this->commit = snapshot.index;
   this->snapshot_index = snapshot.index;
-  if (this->log.ViewAt(snapshot.index) == snapshot.view) {
+  if (known) {
     this->log.DropThrough(snapshot.index);
     this->verified = std::max(this->verified, snapshot.index);
   } else {
--- a/src/mimosastage/replication/internal/replica_core.h
+++ b/src/mimosastage/replication/internal/replica_core.h
@@ -1,6 +1,7 @@
 #ifndef MIMOSASTAGE_REPLICATION_INTERNAL_REPLICA_CORE_H_
 #define MIMOSASTAGE_REPLICATION_INTERNAL_REPLICA_CORE_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -13,6 +14,7 @@
 #include <vector>
 
 #include "mimosastage/replication/internal/durable_queue.h"
+#include "mimosastage/replication/internal/membership_log.h"
 #include "mimosastage/replication/internal/replicated_log.h"
 #include "mimosastage/replication/internal/snapshot_transfer.h"
 #include "mimosastage/replication/replica.h"
@@ -20,8 +22,8 @@
 namespace mimosastage {
 
 /// The state of one voter. The parts of the protocol are in replica_core.cc
-/// (dispatch, log), normal_operation.cc, view_change.cc, recovery.cc and
-/// follower_stream.cc.
+/// (dispatch, log), normal_operation.cc, view_change.cc, recovery.cc,
+/// reconfiguration.cc and follower_stream.cc.
 class Replica::Core {
  public:
   Core(ReplicaConfig config, Hooks hooks);
@@ -30,6 +32,8 @@
   void Handle(DaemonId from, const ReplicationMessage& message, TimePoint now);
   void Tick(TimePoint now);
   Result<LogIndex> Propose(std::string command, TimePoint now);
+  Result<LogIndex> ProposeMembership(Membership next, TimePoint now);
+  void Learn(Membership committed, TimePoint now);
   void StorageSynced(std::uint64_t ticket, TimePoint now);
 
   bool IsLeader() const { return this->leading; }
@@ -40,6 +44,11 @@
   LogIndex Commit() const { return this->commit; }
   LogIndex LogEnd() const { return this->log.End(); }
   ReplicaStatus Status() const;
+  const Membership& Members() const { return this->memberships.InForce(); }
+  const Membership& CommittedMembers() const {
+    return this->memberships.Committed(this->commit);
+  }
+  Duration SilenceOf(DaemonId voter, TimePoint now) const;
 
  private:
   /// What the leader knows of another voter.
@@ -168,6 +177,24 @@
       const std::vector<std::pair<DaemonId, Incarnation>>& incarnations);
   std::vector<std::pair<DaemonId, Incarnation>> KnownIncarnations() const;
 
+  // reconfiguration.cc
+  void LoadMembership(const DurableImage& image);
+  /// Takes the membership of a snapshot, or that of the settings if it has
+  /// none, and returns the state in it.
+  std::string TakeMembership(const std::string& snapshot, LogIndex index);
+  void NoteEntry(const LogEntry& entry);
+  void UseMembership();
+  /// Copies and answers of a voter that this leader adds don't count until the
+  /// entry that adds it is committed: a voter of the quorum before could lack
+  /// the entry, and would then ignore the new one. What a view began with
+  /// counts, because the leader that added the voter may be gone.
+  bool Counts(DaemonId voter) const {
+    return this->memberships.Committed(std::max(this->commit, this->view_start))
+        .Contains(voter);
+  }
+  /// The first view after `after` that has a leader.
+  ViewNumber NextView(ViewNumber after) const;
+
   // follower_stream.cc
   void On(DaemonId from, const LeaseRequest& m, TimePoint now);
   void TrackFollower(DaemonId from, const LeaseRequest& m, TimePoint now);
@@ -181,6 +208,9 @@
   Hooks hooks;
   std::mt19937_64 random;
 
+  internal::MembershipLog memberships;
+  /// The occupants of the slots, kNoVoter in a vacant one.
+  std::vector<DaemonId> voters;
   internal::ReplicatedLog log;
   internal::DurableQueue durable;
   internal::SnapshotSource snapshots;
--- a/src/mimosastage/replication/internal/view_change.cc
+++ b/src/mimosastage/replication/internal/view_change.cc
@@ -22,6 +22,9 @@
 }
 
 void Replica::Core::CheckLeader(TimePoint now) {
+  if (!this->IsVoter(this->config.self)) {
+    return;
+  }
   if (!this->suspecting) {
     if (this->SilenceOfLeader(now) >= this->leader_timeout) {
       this->Suspect(now);
@@ -36,7 +39,7 @@
 
 void Replica::Core::Suspect(TimePoint now) {
   this->suspecting = true;
-  this->target_view = this->view + 1;
+  this->target_view = this->NextView(this->view);
   this->votes.clear();
   this->next_repeat = now + this->config.timing.heartbeat_interval;
   this->SendToVoters(StartViewChange{this->target_view});
@@ -210,8 +213,8 @@
   this->leading = true;
   this->rounds_sent.clear();
   this->progress.clear();
-  for (const DaemonId voter : this->config.voters) {
-    if (voter != this->config.self) {
+  for (const DaemonId voter : this->voters) {
+    if (voter != this->config.self && voter != kNoVoter) {
       this->progress[voter] =
           VoterProgress{this->log.End() + 1, 0, 0, now, now};
     }
--- /dev/null
+++ b/src/mimosastage/replication/membership.cc
@@ -0,0 +1,144 @@
+#include "mimosastage/replication/membership.h"
+
+#include <algorithm>
+#include <cstddef>
+
+#include "mimosastage/replication/internal/wire.h"
+
+namespace mimosastage {
+namespace {
+
+/// Begin an entry or a snapshot with a membership. No command or state begins
+/// so: read as the root offset of a FlatBuffer, it lies beyond any buffer.
+constexpr std::string_view kEntryMark{"\xff\xffMEMB", 6};
+constexpr std::string_view kSnapshotMark{"\xff\xffSNAP", 6};
+constexpr std::size_t kSizeBytes = 4;
+
+std::string Pack(const Membership& membership) {
+  flatbuffers::FlatBufferBuilder builder;
+  std::vector<flatbuffers::Offset<wire::Member>> slots;
+  slots.reserve(membership.slots.size());
+  for (const Member& member : membership.slots) {
+    slots.push_back(
+        wire::CreateMember(builder, static_cast<std::uint16_t>(member.daemon),
+                           builder.CreateString(member.address), member.port));
+  }
+  builder.Finish(wire::CreateMembership(builder, membership.version,
+                                        builder.CreateVector(slots)));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+          builder.GetSize()};
+}
+
+/// The mark, the size of the packed membership, and it.
+std::string PackAfter(std::string_view mark, const Membership& membership) {
+  const std::string packed = Pack(membership);
+  std::string bytes(mark);
+  for (std::size_t i = 0; i < kSizeBytes; ++i) {
+    bytes.push_back(static_cast<char>((packed.size() >> (8 * i)) & 0xffU));
+  }
+  return bytes + packed;
+}
+
+/// Nothing if `bytes` don't begin with the mark and a whole membership.
+std::optional<std::string_view> PackedAfter(std::string_view mark,
+                                            std::string_view bytes) {
+  const std::size_t header = mark.size() + kSizeBytes;
+  if (!bytes.starts_with(mark) || bytes.size() < header) {
+    return std::nullopt;
+  }
+  std::size_t size = 0;
+  for (std::size_t i = 0; i < kSizeBytes; ++i) {
+    const auto byte = static_cast<unsigned char>(bytes[mark.size() + i]);
+    size |= static_cast<std::size_t>(byte) << (8 * i);
+  }
+  if (size > bytes.size() - header) {
+    return std::nullopt;
+  }
+  return bytes.substr(header, size);
+}
+
+std::optional<Membership> Unpack(std::string_view bytes) {
+  // The bytes follow a mark, so they may not be aligned.
+  const std::vector<std::uint8_t> aligned(bytes.begin(), bytes.end());
+  flatbuffers::Verifier verifier(aligned.data(), aligned.size());
+  if (!verifier.VerifyBuffer<wire::Membership>(nullptr)) {
+    return std::nullopt;
+  }
+  const auto* table = flatbuffers::GetRoot<wire::Membership>(aligned.data());
+  Membership membership;
+  membership.version = table->version();
+  if (table->slots() == nullptr) {
+    return membership;
+  }
+  for (const wire::Member* row : *table->slots()) {
+    membership.slots.push_back(Member{
+        DaemonId{row->daemon()},
+        row->address() == nullptr ? std::string() : row->address()->str(),
+        row->port()});
+  }
+  return membership;
+}
+
+}  // namespace
+
+bool Membership::Contains(DaemonId daemon) const {
+  return daemon != kNoVoter &&
+         std::any_of(
+             this->slots.begin(), this->slots.end(),
+             [&](const Member& member) { return member.daemon == daemon; });
+}
+
+std::vector<DaemonId> Membership::Voters() const {
+  std::vector<DaemonId> voters;
+  voters.reserve(this->slots.size());
+  for (const Member& member : this->slots) {
+    voters.push_back(member.daemon);
+  }
+  return voters;
+}
+
+bool IsOneStep(const Membership& current, const Membership& next) {
+  if (next.version != current.version + 1 ||
+      next.slots.size() != current.slots.size()) {
+    return false;
+  }
+  std::size_t changed = 0;
+  for (std::size_t i = 0; i < current.slots.size(); ++i) {
+    const DaemonId before = current.slots[i].daemon;
+    const DaemonId after = next.slots[i].daemon;
+    if (before == after) {
+      continue;
+    }
+    ++changed;
+    const bool fills = before == kNoVoter && !current.Contains(after);
+    if (!fills && after != kNoVoter) {
+      return false;
+    }
+  }
+  return changed <= 1;
+}
+
+std::string EncodeMembership(const Membership& membership) {
+  return PackAfter(kEntryMark, membership);
+}
+
+std::optional<Membership> DecodeMembership(std::string_view command) {
+  const auto packed = PackedAfter(kEntryMark, command);
+  return packed.has_value() ? Unpack(*packed) : std::nullopt;
+}
+
+std::string WrapSnapshot(const Membership& membership, std::string_view state) {
+  return PackAfter(kSnapshotMark, membership) + std::string(state);
+}
+
+UnwrappedSnapshot UnwrapSnapshot(std::string_view snapshot) {
+  const auto packed = PackedAfter(kSnapshotMark, snapshot);
+  if (!packed.has_value()) {
+    return UnwrappedSnapshot{std::nullopt, snapshot};
+  }
+  return UnwrappedSnapshot{
+      Unpack(*packed),
+      snapshot.substr(kSnapshotMark.size() + kSizeBytes + packed->size())};
+}
+
+}  // namespace mimosastage
--- a/src/mimosastage/replication/replica.cc
+++ b/src/mimosastage/replication/replica.cc
@@ -26,6 +26,24 @@
   return this->core->Propose(std::move(command), now);
 }
 
+Result<LogIndex> Replica::ProposeMembership(Membership next, TimePoint now) {
+  return this->core->ProposeMembership(std::move(next), now);
+}
+
+void Replica::Learn(Membership committed, TimePoint now) {
+  this->core->Learn(std::move(committed), now);
+}
+
+const Membership& Replica::Members() const { return this->core->Members(); }
+
+const Membership& Replica::CommittedMembers() const {
+  return this->core->CommittedMembers();
+}
+
+Duration Replica::SilenceOf(DaemonId voter, TimePoint now) const {
+  return this->core->SilenceOf(voter, now);
+}
+
 void Replica::StorageSynced(std::uint64_t ticket, TimePoint now) {
   this->core->StorageSynced(ticket, now);
 }
--- a/src/mimosastage/replication/replica.h
+++ b/src/mimosastage/replication/replica.h
@@ -11,6 +11,7 @@
 #include "mimosastage/base/result.h"
 #include "mimosastage/base/time.h"
 #include "mimosastage/replication/durable_state.h"
+#include "mimosastage/replication/membership.h"
 #include "mimosastage/replication/messages.h"
 #include "mimosastage/replication/replication_config.h"
 
@@ -68,6 +69,15 @@
   /// changes. Errors: kNotLeader, kTooManyPending, kCommandTooLong.
   Result<LogIndex> Propose(std::string command, TimePoint now);
 
+  /// Fills or vacates one slot. Errors: kNotLeader; kTooManyPending while the
+  /// change before, or what the view began with, isn't committed;
+  /// kInvalidMembership if `next` isn't one step from Members(), or lacks this
+  /// voter or a quorum.
+  Result<LogIndex> ProposeMembership(Membership next, TimePoint now);
+  /// A membership that the leader has shown as committed. A voter that was cut
+  /// off meanwhile would otherwise not listen to a voter that it doesn't know.
+  void Learn(Membership committed, TimePoint now);
+
   /// Everything up to the DurableWrite with this ticket is synced.
   void StorageSynced(std::uint64_t ticket, TimePoint now);
 
@@ -89,6 +99,11 @@
   /// Last index in the log, committed or not.
   LogIndex LogEnd() const;
   ReplicaStatus Status() const;
+  /// The membership in force; its entry may not be committed.
+  const Membership& Members() const;
+  const Membership& CommittedMembers() const;
+  /// On the leader: since when it hasn't heard the voter.
+  Duration SilenceOf(DaemonId voter, TimePoint now) const;
 
  private:
   class Core;
--- a/src/mimosastage/replication/replication_error.cc
+++ b/src/mimosastage/replication/replication_error.cc
@@ -22,6 +22,9 @@
       case ReplicationError::kMalformedMessage:
         return "the replication message is malformed; check that all daemons "
                "run the same release";
+      case ReplicationError::kInvalidMembership:
+        return "the membership doesn't follow the one in force; fill or vacate "
+               "one slot, keep the leader and a quorum";
     }
     return "unknown replication error " + std::to_string(value);
   }
--- a/src/mimosastage/replication/replication_error.h
+++ b/src/mimosastage/replication/replication_error.h
@@ -9,7 +9,8 @@
   kNotLeader = 1,
   kTooManyPending,
   kCommandTooLong,
-  kMalformedMessage
+  kMalformedMessage,
+  kInvalidMembership
 };
 
 const std::error_category& ReplicationCategory() noexcept;
--- a/src/mimosastage/replication/replication_generated.h
+++ b/src/mimosastage/replication/replication_generated.h
@@ -22,6 +22,12 @@
 struct Incarnation;
 struct IncarnationBuilder;
 
+struct Member;
+struct MemberBuilder;
+
+struct Membership;
+struct MembershipBuilder;
+
 struct Prepare;
 struct PrepareBuilder;
 
@@ -316,6 +322,145 @@
   return builder_.Finish();
 }
 
+struct Member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MemberBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DAEMON = 4,
+    VT_ADDRESS = 6,
+    VT_PORT = 8
+  };
+  uint16_t daemon() const {
+    return GetField<uint16_t>(VT_DAEMON, 0);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint16_t port() const {
+    return GetField<uint16_t>(VT_PORT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint16_t>(verifier, VT_DAEMON, 2) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           verifier.EndTable();
+  }
+};
+
+struct MemberBuilder {
+  typedef Member Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_daemon(uint16_t daemon) {
+    fbb_.AddElement<uint16_t>(Member::VT_DAEMON, daemon, 0);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(Member::VT_ADDRESS, address);
+  }
+  void add_port(uint16_t port) {
+    fbb_.AddElement<uint16_t>(Member::VT_PORT, port, 0);
+  }
+  explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Member> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Member>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Member> CreateMember(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint16_t daemon = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint16_t port = 0) {
+  MemberBuilder builder_(_fbb);
+  builder_.add_address(address);
+  builder_.add_port(port);
+  builder_.add_daemon(daemon);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Member> CreateMemberDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint16_t daemon = 0,
+    const char *address = nullptr,
+    uint16_t port = 0) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return mimosastage::wire::CreateMember(
+      _fbb,
+      daemon,
+      address__,
+      port);
+}
+
+struct Membership FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MembershipBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_SLOTS = 6
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<mimosastage::wire::Member>> *slots() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosastage::wire::Member>> *>(VT_SLOTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_SLOTS) &&
+           verifier.VerifyVector(slots()) &&
+           verifier.VerifyVectorOfTables(slots()) &&
+           verifier.EndTable();
+  }
+};
+
+struct MembershipBuilder {
+  typedef Membership Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(Membership::VT_VERSION, version, 0);
+  }
+  void add_slots(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::wire::Member>>> slots) {
+    fbb_.AddOffset(Membership::VT_SLOTS, slots);
+  }
+  explicit MembershipBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Membership> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Membership>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Membership> CreateMembership(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::wire::Member>>> slots = 0) {
+  MembershipBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_slots(slots);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Membership> CreateMembershipDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    const std::vector<flatbuffers::Offset<mimosastage::wire::Member>> *slots = nullptr) {
+  auto slots__ = slots ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::wire::Member>>(*slots) : 0;
+  return mimosastage::wire::CreateMembership(
+      _fbb,
+      version,
+      slots__);
+}
+
 struct Prepare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PrepareBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/tests/platform/wire_test.cc
+++ b/tests/platform/wire_test.cc
@@ -224,8 +224,8 @@
   const auto one = Read(Voter(), &problem);
   const auto two = Read(other, &problem);
   ASSERT_TRUE(one.has_value() && two.has_value());
-  EXPECT_EQ(MakeDaemonSetup(*one).settings.node.voters,
-            MakeDaemonSetup(*two).settings.node.voters);
+  EXPECT_EQ(MakeDaemonSetup(*one).settings.node.founders,
+            MakeDaemonSetup(*two).settings.node.founders);
 }
 
 TEST_F(PlatformSettingsTest, Setup_EntryWithoutDisk_HasNoVote) {
--- /dev/null
+++ b/tests/replication/membership_test.cc
@@ -0,0 +1,148 @@
+#include "mimosastage/replication/membership.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <map>
+
+#include "mimosastage/replication/internal/membership_log.h"
+#include "mimosastage/replication/membership_planner.h"
+
+namespace mimosastage {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Member At(std::uint16_t daemon) {
+  return Member{DaemonId{daemon}, "10.0.0." + std::to_string(daemon), 7000};
+}
+
+class MembershipTest : public ::testing::Test {
+ protected:
+  Membership group{3, {At(1), At(2), At(3)}};
+
+  Membership With(std::size_t slot, const Member& member) const {
+    Membership next = this->group;
+    ++next.version;
+    next.slots[slot] = member;
+    return next;
+  }
+};
+
+// A slot that changes hands in one step would allow two disjoint quorums.
+TEST_F(MembershipTest, Step_SlotChangesHands_IsRefused) {
+  EXPECT_TRUE(IsOneStep(this->group, this->With(2, VacantSlot())));
+  EXPECT_FALSE(IsOneStep(this->group, this->With(2, At(4))));
+  const Membership vacant = this->With(2, VacantSlot());
+  Membership filled = vacant;
+  ++filled.version;
+  filled.slots[2] = At(4);
+  EXPECT_TRUE(IsOneStep(vacant, filled));
+  filled.slots[2] = At(1);
+  EXPECT_FALSE(IsOneStep(vacant, filled)) << "no daemon has two slots";
+}
+
+TEST_F(MembershipTest, Step_TwoSlotsOrAnotherSize_IsRefused) {
+  Membership next = this->With(0, VacantSlot());
+  next.slots[1] = VacantSlot();
+  EXPECT_FALSE(IsOneStep(this->group, next));
+  next = this->With(0, VacantSlot());
+  next.slots.push_back(At(4));
+  EXPECT_FALSE(IsOneStep(this->group, next));
+  next = this->With(0, VacantSlot());
+  ++next.version;
+  EXPECT_FALSE(IsOneStep(this->group, next));
+}
+
+TEST_F(MembershipTest, Codec_EntryAndSnapshot_RoundTrip) {
+  const Membership vacant = this->With(1, VacantSlot());
+  EXPECT_EQ(DecodeMembership(EncodeMembership(vacant)), vacant);
+  const std::string snapshot = WrapSnapshot(vacant, "state");
+  const auto unwrapped = UnwrapSnapshot(snapshot);
+  EXPECT_EQ(unwrapped.membership, vacant);
+  EXPECT_EQ(unwrapped.state, "state");
+}
+
+// Data folders of earlier releases hold snapshots and commands without one.
+TEST_F(MembershipTest, Codec_PlainBytes_AreNoMembership) {
+  EXPECT_FALSE(DecodeMembership("command").has_value());
+  const auto unwrapped = UnwrapSnapshot("state");
+  EXPECT_FALSE(unwrapped.membership.has_value());
+  EXPECT_EQ(unwrapped.state, "state");
+  const std::string whole = EncodeMembership(this->group);
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    EXPECT_FALSE(DecodeMembership(whole.substr(0, size)).has_value());
+  }
+}
+
+// An entry that a later view removes must not stay in force.
+TEST_F(MembershipTest, Log_EntryIsTruncated_EarlierOneIsInForce) {
+  internal::MembershipLog log;
+  log.Reset(0, this->group);
+  log.Append(5, this->With(2, VacantSlot()));
+  EXPECT_EQ(log.InForce().version, 4U);
+  EXPECT_EQ(log.Committed(4).version, 3U);
+  EXPECT_EQ(log.Committed(5).version, 4U);
+  log.TruncateFrom(5);
+  EXPECT_EQ(log.InForce(), this->group);
+}
+
+TEST_F(MembershipTest, Log_CommittedOneIsLearned_GoesBeforeAnUncommittedOne) {
+  internal::MembershipLog log;
+  log.Reset(0, this->group);
+  log.Append(5, this->With(2, VacantSlot()));
+  const Membership other = this->With(0, VacantSlot());
+  log.Learn(other);
+  EXPECT_EQ(log.InForce(), other);
+}
+
+class MembershipPlannerTest : public MembershipTest {
+ protected:
+  std::optional<Membership> Plan() {
+    return this->planner.Plan(
+        this->group, DaemonId{1},
+        [this](DaemonId voter) { return this->silence[voter]; }, this->now);
+  }
+
+  MembershipPlanner planner{MembershipPlanner::Config{}};
+  std::map<DaemonId, Duration> silence;
+  TimePoint now{seconds(100)};
+};
+
+TEST_F(MembershipPlannerTest, Plan_NobodyWaits_SilentVoterKeepsItsSlot) {
+  this->silence[DaemonId{2}] = seconds(60);
+  EXPECT_FALSE(this->Plan().has_value());
+}
+
+TEST_F(MembershipPlannerTest, Plan_VoterIsGone_SlotIsVacatedThenFilled) {
+  this->planner.OnCandidate(At(4), this->now);
+  this->silence[DaemonId{2}] = milliseconds(2'400);
+  EXPECT_FALSE(this->Plan().has_value()) << "it may only restart";
+  this->silence[DaemonId{2}] = milliseconds(2'600);
+  const auto vacated = this->Plan();
+  ASSERT_TRUE(vacated.has_value());
+  EXPECT_EQ(vacated->slots[1], VacantSlot());
+  EXPECT_TRUE(IsOneStep(this->group, *vacated));
+  this->group = *vacated;
+  const auto filled = this->Plan();
+  ASSERT_TRUE(filled.has_value());
+  EXPECT_EQ(filled->slots[1], At(4));
+}
+
+// A slot must not be vacated for a daemon that is gone again.
+TEST_F(MembershipPlannerTest, Plan_CandidateFellSilent_NothingChanges) {
+  this->planner.OnCandidate(At(4), this->now);
+  this->silence[DaemonId{3}] = seconds(60);
+  this->now += milliseconds(1'100);
+  EXPECT_FALSE(this->Plan().has_value());
+}
+
+TEST_F(MembershipPlannerTest, Plan_CandidateIsMember_NothingChanges) {
+  this->planner.OnCandidate(At(3), this->now);
+  this->silence[DaemonId{2}] = seconds(60);
+  EXPECT_FALSE(this->Plan().has_value());
+}
+
+}  // namespace
+}  // namespace mimosastage
--- a/tests/replication/support/replication_group.cc
+++ b/tests/replication/support/replication_group.cc
@@ -17,6 +17,7 @@
 
 constexpr Duration kTick = milliseconds(20);
 constexpr Duration kLease = seconds(2);
+constexpr Duration kCatchUp = seconds(4);
 
 /// A command is its number and some bytes that depend on it.
 std::string MakeCommand(std::uint32_t number) {
@@ -31,6 +32,17 @@
   return number;
 }
 
+/// The latest membership on a disk, if any.
+std::optional<Membership> MembersIn(const DurableImage& image) {
+  auto members = UnwrapSnapshot(image.snapshot.value_or("")).membership;
+  for (const LogEntry& entry : image.entries) {
+    if (auto next = DecodeMembership(entry.command); next.has_value()) {
+      members = std::move(next);
+    }
+  }
+  return members;
+}
+
 }  // namespace
 
 void ApplyToImage(DurableImage& image, DaemonId self, const DurableWrite& write,
@@ -77,14 +89,20 @@
 }
 
 ReplicationGroup::ReplicationGroup(std::size_t voters, std::size_t followers,
-                                   std::uint64_t seed)
-    : voter_count(voters),
+                                   std::uint64_t seed, std::size_t spares)
+    : founders(voters),
+      voter_count(voters + spares),
+      changes_members(spares > 0),
       random(seed),
-      daemons(voters + followers),
-      blocked(voters + followers, std::vector<bool>(voters + followers)) {
+      daemons(this->voter_count + followers),
+      blocked(this->daemons.size(), std::vector<bool>(this->daemons.size())) {
+  for (std::size_t i = 0; i < voters; ++i) {
+    this->newest.slots.push_back(
+        Member{DaemonId{static_cast<std::uint16_t>(i)}, "10.0.0.1", 7000});
+  }
   for (std::size_t i = 0; i < this->daemons.size(); ++i) {
     this->daemons[i].clock_offset = seconds(1000) + this->Random(seconds(500));
-    this->daemons[i].disk.synced.intact = true;
+    this->daemons[i].disk.synced.intact = i < voters;
     this->Restart(i);
     this->ScheduleTick(i);
   }
@@ -111,7 +129,8 @@
   std::optional<std::size_t> best;
   for (std::size_t i = 0; i < this->voter_count; ++i) {
     const Daemon& d = this->daemons[i];
-    const bool leads = d.running && !d.frozen && d.replica->IsLeader();
+    const bool leads =
+        d.running && !d.frozen && d.replica != nullptr && d.replica->IsLeader();
     if (leads && (!best.has_value() ||
                   d.replica->View() > this->daemons[*best].replica->View())) {
       best = i;
@@ -130,7 +149,11 @@
     if (d.replica != nullptr) {
       text << " view " << d.replica->View() << " status "
            << static_cast<int>(d.replica->Status()) << " leader "
-           << d.replica->IsLeader() << " log end " << d.replica->LogEnd();
+           << d.replica->IsLeader() << " log end " << d.replica->LogEnd()
+           << " members " << d.replica->Members().version << ":";
+      for (const DaemonId voter : d.replica->Members().Voters()) {
+        text << " " << static_cast<int>(static_cast<std::int16_t>(voter));
+      }
     }
   }
   return text.str();
@@ -159,7 +182,7 @@
 
 bool ReplicationGroup::Propose(std::size_t daemon) {
   Daemon& d = this->daemons[daemon];
-  if (!d.running || d.frozen) {
+  if (!d.running || d.frozen || d.replica == nullptr) {
     return false;
   }
   const std::uint32_t number = this->next_command++;
@@ -189,10 +212,12 @@
 
 void ReplicationGroup::Restart(std::size_t daemon) {
   Daemon& d = this->daemons[daemon];
-  if (d.running) {
+  if (d.running || d.removed) {
     return;
   }
   d.running = true;
+  d.back_at = this->time;
+  d.members = Membership();
   d.lease = std::make_unique<ServingLease>(SessionId{this->random()});
   if (daemon < this->voter_count) {
     this->StartVoter(daemon);
@@ -208,6 +233,7 @@
 void ReplicationGroup::Thaw(std::size_t daemon) {
   Daemon& d = this->daemons[daemon];
   d.frozen = false;
+  d.back_at = this->time;
   const auto waiting = std::exchange(d.waiting, {});
   for (const auto& [from, message] : waiting) {
     this->Process(daemon, from, message);
@@ -219,6 +245,10 @@
 }
 
 void ReplicationGroup::Partition(std::size_t a, std::size_t b, bool blocked) {
+  if (this->blocked[a][b] && !blocked) {
+    this->daemons[a].back_at = this->time;
+    this->daemons[b].back_at = this->time;
+  }
   this->blocked[a][b] = blocked;
   this->blocked[b][a] = blocked;
 }
@@ -230,6 +260,114 @@
   }
 }
 
+bool ReplicationGroup::IsMember(std::size_t daemon) const {
+  return this->newest.Contains(DaemonId{static_cast<std::uint16_t>(daemon)});
+}
+
+bool ReplicationGroup::Remove(std::size_t voter) {
+  std::size_t spares = 0;
+  std::size_t waiting = 0;
+  for (std::size_t i = 0; i < this->voter_count; ++i) {
+    spares += this->IsMember(i) || this->daemons[i].removed ? 0 : 1;
+    waiting += this->IsMember(i) && this->daemons[i].removed ? 1 : 0;
+  }
+  if (spares <= waiting || !this->LoseDisk(voter)) {
+    return false;
+  }
+  this->daemons[voter].removed = true;
+  return true;
+}
+
+void ReplicationGroup::LeadMembership(std::size_t leader) {
+  Daemon& d = this->daemons[leader];
+  const TimePoint now = this->Now(leader);
+  if (!d.replica->HasAuthority(now)) {
+    return;
+  }
+  const DaemonId self{static_cast<std::uint16_t>(leader)};
+  if (const Membership& known = d.replica->CommittedMembers();
+      known.version > this->newest.version) {
+    this->newest = known;
+  }
+  this->ClearReplaced();
+  std::optional<Membership> next;
+  if (d.replica->Members().version == 0) {
+    next = d.replica->Members();
+    next->version = 1;
+  } else {
+    next = d.planner.Plan(
+        d.replica->Members(), self,
+        [&](DaemonId voter) { return d.replica->SilenceOf(voter, now); }, now);
+  }
+  if (next.has_value()) {
+    d.replica->ProposeMembership(*next, now);
+  }
+  if (this->time < d.next_notice) {
+    return;
+  }
+  d.next_notice = this->time + milliseconds(200);
+  const Membership committed = d.replica->CommittedMembers();
+  for (std::size_t i = 0; i < this->voter_count; ++i) {
+    if (i == leader || this->Chance(this->faults.loss)) {
+      continue;
+    }
+    this->At(this->time + this->Random(this->faults.max_delay),
+             [this, leader, i, committed] {
+               if (this->daemons[i].running && !this->daemons[i].frozen &&
+                   !this->blocked[leader][i]) {
+                 this->OnNotice(leader, i, committed);
+               }
+             });
+  }
+}
+
+void ReplicationGroup::OnNotice(std::size_t leader, std::size_t daemon,
+                                const Membership& members) {
+  Daemon& d = this->daemons[daemon];
+  if (members.version > d.members.version) {
+    d.members = members;
+    if (d.replica != nullptr) {
+      d.replica->Learn(members, this->Now(daemon));
+    }
+  }
+  if (d.members.version == 0) {
+    return;
+  }
+  const DaemonId self{static_cast<std::uint16_t>(daemon)};
+  if (d.members.Contains(self)) {
+    if (d.replica == nullptr) {
+      d.unsound = true;
+      this->StartReplica(daemon, d.members.Voters());
+      d.replica->Learn(d.members, this->Now(daemon));
+    }
+    return;
+  }
+  Daemon& to = this->daemons[leader];
+  if (to.running && !to.frozen) {
+    to.planner.OnCandidate(Member{self, "10.0.0.1", 7000}, this->Now(leader));
+  }
+}
+
+void ReplicationGroup::ClearReplaced() {
+  for (std::size_t i = 0; i < this->voter_count; ++i) {
+    const bool waits =
+        !this->newest.Contains(DaemonId{static_cast<std::uint16_t>(i)}) ||
+        this->daemons[i].unsound;
+    if (waits && this->IsMember(i)) {
+      return;
+    }
+  }
+  for (const Member& member : this->newest.slots) {
+    if (member.daemon == kNoVoter) {
+      return;
+    }
+  }
+  for (std::size_t i = 0; i < this->voter_count; ++i) {
+    Daemon& d = this->daemons[i];
+    d.unsound = d.unsound && this->IsMember(i);
+  }
+}
+
 bool ReplicationGroup::LoseDisk(std::size_t voter) {
   if (!this->UnsoundAllowed(voter)) {
     return false;
@@ -317,8 +455,13 @@
   }
   if (d.replica != nullptr) {
     d.replica->Tick(this->Now(daemon));
-  } else {
+    if (this->changes_members) {
+      this->LeadMembership(daemon);
+    }
+  } else if (d.follower != nullptr) {
     d.follower->Tick(this->Now(daemon));
+  } else {
+    return;
   }
   this->CheckAuthority(daemon);
   this->RenewLease(daemon);
@@ -411,7 +554,7 @@
   }
   if (d.replica != nullptr) {
     d.replica->Handle(from, message, now);
-  } else {
+  } else if (d.follower != nullptr) {
     d.follower->Handle(from, message, now);
   }
   this->CheckLease(to);
@@ -456,6 +599,18 @@
 }
 
 void ReplicationGroup::StartVoter(std::size_t voter) {
+  // A voter without its disk waits for the leader to tell who votes.
+  if (!this->changes_members || this->daemons[voter].disk.synced.intact) {
+    std::vector<DaemonId> voters;
+    for (std::size_t i = 0; i < this->founders; ++i) {
+      voters.push_back(DaemonId{static_cast<std::uint16_t>(i)});
+    }
+    this->StartReplica(voter, voters);
+  }
+}
+
+void ReplicationGroup::StartReplica(std::size_t voter,
+                                    const std::vector<DaemonId>& voters) {
   Daemon& d = this->daemons[voter];
   const DaemonId self{static_cast<std::uint16_t>(voter)};
   DurableImage& image = d.disk.synced;
@@ -464,9 +619,9 @@
   ReplicaConfig config;
   config.self = self;
   config.seed = this->random();
-  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
-    auto& list = i < this->voter_count ? config.voters : config.followers;
-    list.push_back(DaemonId{static_cast<std::uint16_t>(i)});
+  config.voters = voters;
+  for (std::size_t i = this->voter_count; i < this->daemons.size(); ++i) {
+    config.followers.push_back(DaemonId{static_cast<std::uint16_t>(i)});
   }
   config.timing.incarnation_renewal = seconds(2);
   // Small limits, so that short runs reach snapshots and partial answers.
@@ -517,6 +672,18 @@
 void ReplicationGroup::Apply(std::size_t daemon, LogIndex index,
                              const std::string& command) {
   Daemon& d = this->daemons[daemon];
+  // A membership takes an index and isn't applied.
+  while (this->changes_members && d.state.size() + 1 < index) {
+    d.state.push_back(0);
+    if (d.state.size() > this->commands.size()) {
+      this->commands.push_back(0);
+      this->accepted_at.push_back(Duration::max());
+    }
+    if (this->commands[d.state.size() - 1] != 0) {
+      this->Fail("daemon " + std::to_string(daemon) + " skipped index " +
+                 std::to_string(d.state.size()));
+    }
+  }
   if (index != d.state.size() + 1) {
     this->Fail("daemon " + std::to_string(daemon) + " applied index " +
                std::to_string(index) + " after " +
@@ -567,7 +734,8 @@
 }
 
 bool ReplicationGroup::HasAuthority(std::size_t voter) const {
-  return this->daemons[voter].replica->HasAuthority(this->Now(voter));
+  return this->daemons[voter].replica != nullptr &&
+         this->daemons[voter].replica->HasAuthority(this->Now(voter));
 }
 
 void ReplicationGroup::Resign(std::size_t voter) {
@@ -599,22 +767,45 @@
   }
 }
 
+bool ReplicationGroup::Lost(std::size_t voter) const {
+  const Daemon& d = this->daemons[voter];
+  const auto& row = this->blocked[voter];
+  return d.unsound || !d.disk.synced.intact || !d.running || d.frozen ||
+         std::find(row.begin(), row.end(), true) != row.end() ||
+         this->time - d.back_at < kCatchUp;
+}
+
 bool ReplicationGroup::UnsoundAllowed(std::size_t voter) const {
-  std::size_t unsound = 0;
-  for (std::size_t i = 0; i < this->voter_count; ++i) {
-    if (i == voter || this->daemons[i].unsound) {
-      ++unsound;
+  if (!this->changes_members) {
+    std::size_t unsound = 0;
+    for (std::size_t i = 0; i < this->voter_count; ++i) {
+      unsound += i == voter || this->daemons[i].unsound ? 1 : 0;
     }
-  }
-  return unsound <= (this->voter_count - 1) / 2;
+    return unsound <= this->Faults();
+  }
+  // Whatever membership a voter believes in must bear the loss: a slot that is
+  // vacant, or whose new occupant isn't refilled yet, is lost too.
+  const auto bears = [&](const Membership& members) {
+    std::size_t lost = 0;
+    for (const Member& member : members.slots) {
+      const auto i = static_cast<std::size_t>(member.daemon);
+      lost += member.daemon == kNoVoter || i == voter || this->Lost(i) ? 1 : 0;
+    }
+    return lost <= this->Faults();
+  };
+  return this->IsMember(voter) && bears(this->newest) &&
+         std::all_of(
+             this->daemons.begin(), this->daemons.end(), [&](const Daemon& d) {
+               return d.replica == nullptr || bears(d.replica->Members());
+             });
 }
 
 bool ReplicationGroup::StartsKnown() const {
   // An unsound voter asks f others whether they know a later start of it; so
   // at most f - 1 of them may lack it.
-  const std::size_t faults = (this->voter_count - 1) / 2;
+  const std::size_t faults = this->Faults();
   for (std::size_t i = 0; i < this->voter_count; ++i) {
-    if (!this->daemons[i].unsound) {
+    if (!this->daemons[i].unsound || !this->IsMember(i)) {
       continue;
     }
     std::size_t lacking = 0;
@@ -625,7 +816,7 @@
             return static_cast<std::size_t>(item.first) == i &&
                    item.second == this->daemons[i].latest;
           });
-      lacking += j != i && !knows ? 1 : 0;
+      lacking += j != i && this->IsMember(j) && !knows ? 1 : 0;
     }
     if (lacking > faults - 1) {
       return false;
--- a/tests/replication/support/replication_group.h
+++ b/tests/replication/support/replication_group.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "mimosastage/replication/follower.h"
+#include "mimosastage/replication/membership_planner.h"
 #include "mimosastage/replication/replica.h"
 #include "mimosastage/replication/serving_lease.h"
 
@@ -42,17 +43,28 @@
 
 /// Voters and followers of one group in this process, on a virtual clock. All
 /// it does follows from the seed. Compares every applied command with one list
-/// of accepted commands, and remembers the first violation.
+/// of accepted commands, and remembers the first violation. With spares, voters
+/// can be removed for good, and the leader's planner lets a spare, which starts
+/// with an empty disk, take the place.
 class ReplicationGroup {
  public:
   ReplicationGroup(std::size_t voters, std::size_t followers,
-                   std::uint64_t seed);
+                   std::uint64_t seed, std::size_t spares = 0);
 
   TestFaults faults;
   /// Passes each message through the codec.
   bool encode = false;
 
+  /// Founders and spares.
   std::size_t Voters() const { return this->voter_count; }
+  bool IsMember(std::size_t daemon) const;
+  bool Removed(std::size_t daemon) const {
+    return this->daemons[daemon].removed;
+  }
+  /// Crashes a member that never comes back, if a spare is left and no more
+  /// than f members are then lost: one counts as lost while its disk is
+  /// unsound, and until kCatchUp after it is back; false otherwise.
+  bool Remove(std::size_t voter);
   std::size_t Size() const { return this->daemons.size(); }
   bool Running(std::size_t daemon) const;
   Replica* VoterAt(std::size_t daemon);
@@ -104,6 +116,13 @@
     Incarnation latest = 0;
     /// Lost or old, and not recovered yet.
     bool unsound = false;
+    bool removed = false;
+    /// The newest committed membership that it was told of.
+    Membership members;
+    MembershipPlanner planner{MembershipPlanner::Config{}};
+    Duration next_notice{};
+    /// When it last came back from a crash, a freeze or a partition.
+    Duration back_at{};
     std::uint64_t run = 0;
     bool running = false;
     bool frozen = false;
@@ -127,6 +146,14 @@
   void ScheduleTick(std::size_t daemon);
   void Tick(std::size_t daemon);
   void RenewLease(std::size_t daemon);
+  /// The leader tells the others who votes, and plans the next membership.
+  void LeadMembership(std::size_t leader);
+  void OnNotice(std::size_t leader, std::size_t daemon,
+                const Membership& members);
+  void ClearReplaced();
+  bool Lost(std::size_t voter) const;
+  void StartReplica(std::size_t voter, const std::vector<DaemonId>& voters);
+  std::size_t Faults() const { return (this->founders - 1) / 2; }
   void SendMessage(std::size_t from, DaemonId to, ReplicationMessage message);
   void Deliver(std::size_t from, std::size_t to, std::uint64_t run,
                const ReplicationMessage& message);
@@ -147,7 +174,10 @@
   bool UnsoundAllowed(std::size_t voter) const;
   bool StartsKnown() const;
 
+  std::size_t founders;
   std::size_t voter_count;
+  bool changes_members;
+  Membership newest;
   std::mt19937_64 random;
   std::vector<Daemon> daemons;
   std::vector<std::vector<bool>> blocked;
--- a/tests/system/job_cluster_test.cc
+++ b/tests/system/job_cluster_test.cc
@@ -62,14 +62,18 @@
     return this->Address(daemon) + ":8345";
   }
 
-  void StartDaemon(int daemon, bool bootstrap) {
-    const bool voter = daemon < kVoters;
-    json settings{
-        {"node_name", "daemon-" + std::to_string(daemon)},
-        {"ip", this->Address(daemon)},
-        {"internal_port_range", {7000, 7015}},
-        {"seed_nodes", {this->Control(0), this->Control(1), this->Control(2)}},
-        {"bootstrap", bootstrap}};
+  void StartDaemon(int daemon, bool bootstrap,
+                   std::vector<int> seeds = {0, 1, 2}) {
+    const bool voter = daemon < kVoters || daemon == kReplacement;
+    json seed_addresses = json::array();
+    for (const int seed : seeds) {
+      seed_addresses.push_back(this->Control(seed));
+    }
+    json settings{{"node_name", "daemon-" + std::to_string(daemon)},
+                  {"ip", this->Address(daemon)},
+                  {"internal_port_range", {7000, 7015}},
+                  {"seed_nodes", seed_addresses},
+                  {"bootstrap", bootstrap}};
     const std::string name = std::to_string(daemon);
     if (voter) {
       settings["listen_addresses"] = {{"control_plane", this->Control(daemon)}};
@@ -121,6 +125,26 @@
     return 0;
   }
 
+  /// The version in force as the daemon shows it, or "".
+  std::string ConfigurationAt(int daemon) {
+    const Reply reply =
+        Send({.url = "http://" + this->Control(daemon) + "/-/configuration",
+              .timeout = std::chrono::seconds(3)});
+    const std::size_t at = reply.body.find("\"version\"");
+    return reply.status == 200 && at != std::string::npos
+               ? reply.body.substr(at, reply.body.find_first_of(",}", at) - at)
+               : std::string();
+  }
+
+  bool WaitForLog(int daemon, const std::string& text) {
+    return Eventually([&] {
+      std::ifstream log(this->folder / ("log-" + std::to_string(daemon)));
+      const std::string whole((std::istreambuf_iterator<char>(log)),
+                              std::istreambuf_iterator<char>());
+      return whole.find(text) != std::string::npos;
+    });
+  }
+
   Reply Ask(const std::string& method, const std::string& id,
             const std::string& body = "") {
     return Send({.method = method,
@@ -165,9 +189,11 @@
 
   static constexpr int kVoters = 3;
   static constexpr int kDaemons = 4;
+  /// A voter with an empty disk at another address; a test starts it.
+  static constexpr int kReplacement = 4;
   std::string network;
   std::filesystem::path folder;
-  std::array<std::unique_ptr<Process>, kDaemons> daemons;
+  std::array<std::unique_ptr<Process>, kDaemons + 1> daemons;
   std::vector<std::unique_ptr<WorkerStandIn>> workers;
 };
 
@@ -223,6 +249,42 @@
   }));
 }
 
+// Without a change of members the loss of a second disk loses the state.
+TEST_F(JobClusterTest, Replace_VoterAtAnotherAddress_SecondLossLosesNothing) {
+  ASSERT_EQ(this->Configure(5), 200);
+  this->KillDaemon(0);
+  this->StartDaemon(kReplacement, false, {kReplacement, 1, 2});
+  ASSERT_TRUE(this->WaitForLog(kReplacement, "version 3: "));
+  ASSERT_TRUE(Eventually(
+      [&] { return this->ConfigurationAt(kReplacement) == "\"version\":5"; }));
+  SleepFor(std::chrono::seconds(1));
+  this->KillDaemon(1);
+  std::filesystem::remove_all(this->folder / "data-1");
+  ASSERT_TRUE(this->Submit("job1")) << "the replacement votes";
+  this->StartDaemon(1, false, {kReplacement, 2, 0});
+  EXPECT_TRUE(this->Completes("job1"));
+  this->KillDaemon(2);
+  EXPECT_TRUE(Eventually([&] {
+    return this->ConfigurationAt(1) == "\"version\":5" ||
+           this->ConfigurationAt(kReplacement) == "\"version\":5";
+  }));
+}
+
+// Seeds that name a part of the voters must not make a smaller group.
+TEST_F(JobClusterTest, Restart_OtherSeeds_VotersStayTheSame) {
+  ASSERT_EQ(this->Configure(5), 200);
+  this->KillDaemon(0);
+  this->StartDaemon(0, false, {0});
+  this->KillDaemon(1);
+  this->KillDaemon(2);
+  SleepFor(std::chrono::seconds(2));
+  EXPECT_NE(this->ConfigurationAt(0), "\"version\":5")
+      << "one of three voters isn't a quorum";
+  this->StartDaemon(1, false, {0});
+  EXPECT_TRUE(
+      Eventually([&] { return this->ConfigurationAt(0) == "\"version\":5"; }));
+}
+
 TEST_F(JobClusterTest, Configure_SameVersionOtherContent_IsRefused) {
   EXPECT_EQ(this->Configure(7), 200);
   EXPECT_EQ(this->Configure(7), 200) << "a resent change is acknowledged";
