Answer open calls before a planned stop ends

Cause: a call without a leader keeps its own patience of 2 s, while the process ends 4.5 s after SIGTERM; a call that came 3 s into the stop lost its connection without an answer.

Change: in a stop, every call is answered half a second before the end. The new test of JobNode failed first.

--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -302,7 +302,7 @@
   OpenCall open;
   open.request = request;
   open.call = std::move(call);
-  open.deadline = now + patience;
+  open.deadline = this->AnswerBy(now + patience);
   this->calls.emplace(number, std::move(open));
   this->SendCall(number, now);
 }
@@ -578,9 +578,21 @@
 }
 
 void JobNode::BeginShutdown(TimePoint now) {
+  if (this->stopping_since.has_value()) {
+    return;
+  }
+  this->stopping_since = now;
+  for (auto& [number, open] : this->calls) {
+    open.deadline = this->AnswerBy(open.deadline);
+  }
+}
+
+TimePoint JobNode::AnswerBy(TimePoint deadline) const {
   if (!this->stopping_since.has_value()) {
-    this->stopping_since = now;
+    return deadline;
   }
+  return std::min(deadline, *this->stopping_since + this->config.stop_deadline -
+                                this->config.stop_answer_margin);
 }
 
 bool JobNode::Stopped(TimePoint now) const {
--- a/src/mimosastage/node/job_node.h
+++ b/src/mimosastage/node/job_node.h
@@ -58,6 +58,9 @@
     /// longer than `stop_deadline` for open calls.
     std::chrono::milliseconds stop_notice{2'500};
     std::chrono::milliseconds stop_deadline{4'500};
+    /// Open calls are answered so long before the deadline, whatever the
+    /// answer; the connections end with the process.
+    std::chrono::milliseconds stop_answer_margin{500};
   };
 
   struct Hooks {
@@ -165,6 +168,8 @@
   void ServeCall(const jobs::Call& call, TimePoint now,
                  const jobs::CallHandler::Reply& reply);
   void SendCall(std::uint64_t number, TimePoint now);
+  /// In a planned stop, no later than the stop allows.
+  TimePoint AnswerBy(TimePoint deadline) const;
   void SendCalls(TimePoint now);
   void OnAnswer(std::uint64_t number, jobs::Answer answer, TimePoint now);
   void Finish(std::uint64_t number, jobs::Answer answer);
--- /dev/null
+++ b/tests/node/job_node_test.cc
@@ -0,0 +1,84 @@
+#include "mimosastage/node/job_node.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <map>
+
+namespace mimosastage {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// An entry, or a voter whose disk is empty, without any other daemon.
+class JobNodeTest : public ::testing::Test {
+ protected:
+  JobNodeTest() {
+    this->config.name = "entry-1";
+    this->config.self = DaemonId{1};
+    this->config.own = Member{DaemonId{1}, "10.0.0.1", 7000};
+    this->hooks.send = [this](DaemonId to, const std::string&) {
+      ++this->sent[to];
+    };
+    this->hooks.persist = [](const DurableWrite&) {};
+    this->hooks.on_members = [](const Membership&, bool) {};
+    this->hooks.answer = [this](std::uint64_t request, jobs::CallKind,
+                                const jobs::Answer& answer) {
+      this->answers[request] = static_cast<jobs::CallOutcome>(answer.outcome);
+    };
+    this->hooks.wall_time = [] { return milliseconds(1'700'000'000'000); };
+    this->hooks.report = [](const char*, const std::string&,
+                            const std::string&) {};
+    this->hooks.count_refusal = [](const char*) {};
+    this->hooks.count_retry = [](const char*) {};
+    this->hooks.count_drop = [](const char*) {};
+  }
+
+  void Start() {
+    this->node = std::make_unique<JobNode>(this->config, this->hooks);
+    this->node->Start(std::nullopt, this->now);
+  }
+
+  /// Advances until the node has stopped, and returns how long it took.
+  Duration RunUntilStopped() {
+    const TimePoint began = this->now;
+    while (!this->node->Stopped(this->now) && this->now - began < seconds(20)) {
+      this->now += milliseconds(20);
+      this->node->Advance(this->now);
+    }
+    return this->now - began;
+  }
+
+  jobs::Call Submit() const {
+    jobs::Call call;
+    call.kind = static_cast<std::uint8_t>(jobs::CallKind::kSubmit);
+    return call;
+  }
+
+  JobNode::Config config;
+  JobNode::Hooks hooks;
+  std::unique_ptr<JobNode> node;
+  std::map<std::uint64_t, jobs::CallOutcome> answers;
+  std::map<DaemonId, int> sent;
+  TimePoint now{seconds(1'000)};
+};
+
+// A call that arrives late in a planned stop, while no leader is known, was cut
+// off without an answer when the stop ended.
+TEST_F(JobNodeTest, Stop_CallsWithoutLeader_AreAnsweredBeforeTheEnd) {
+  this->Start();
+  this->node->OnCall(1, this->Submit(), seconds(8), this->now);
+  this->node->BeginShutdown(this->now);
+  this->now += seconds(3);
+  this->node->OnCall(2, this->Submit(), seconds(8), this->now);
+  this->node->Advance(this->now);
+  EXPECT_TRUE(this->answers.empty()) << "a leader may still be found";
+  this->RunUntilStopped();
+  ASSERT_EQ(this->answers.size(), 2U);
+  EXPECT_EQ(this->answers.at(1), jobs::CallOutcome::kUnavailable);
+  EXPECT_EQ(this->answers.at(2), jobs::CallOutcome::kUnavailable);
+}
+
+}  // namespace
+}  // namespace mimosastage
