Keep a voter running while its disk refuses writes

After a failed write it isn't known what the disk holds, so the voter must read it again; the process need not end for that.

Change: the daemon stops voting, passes calls on, and opens the folder again every 0.5 s. A folder that is damaged or of another cluster still ends the process with the remedy. Two tests with real processes: writes refused by a file size limit, and a folder that can't be made.

--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -40,6 +40,13 @@
 
 constexpr EventName kLinesDropped{"log_lines_dropped"};
 constexpr EventName kDataFolderKept{"data_folder_kept"};
+constexpr EventName kStorageRetried{"storage_retried"};
+constexpr EventName kStorageOpened{"storage_opened"};
+
+/// Between two attempts to open a data folder whose disk failed; a full disk
+/// lasts seconds. Longer than the 300 ms for which a voter that hears a leader
+/// promises to agree to no other.
+constexpr std::chrono::milliseconds kStorageRetry{500};
 
 struct DaemonEvent {
   DaemonId peer{};
@@ -127,7 +134,13 @@
       : settings(std::move(given)), protocol(std::move(protocol)) {}
 
   std::string Start();
+  /// Returns what failed and the remedy, or "". A disk that can't be read or
+  /// written is opened again later, and `image` stays empty.
   std::string OpenStorage(std::optional<DurableImage>& image);
+  /// Stops voting until the data folder can be opened again: what a failed
+  /// write has left on the disk isn't known.
+  void LoseStorage(TimePoint now);
+  void RetryStorage(TimePoint now);
   void MakeListeners();
   void MakeLinks();
   void MakeExchanges();
@@ -159,6 +172,8 @@
   std::uint64_t synced = 0;
   /// A voter whose disk is empty or old may be unknown to the others.
   bool lacks_disk = false;
+  /// Set while the data folder can't be used.
+  std::optional<TimePoint> retry_storage_at;
   std::atomic<bool> stop_requested{false};
   std::atomic<bool> storage_failed{false};
   std::atomic<int> exit_status{0};
@@ -213,7 +228,16 @@
                                               this->settings.node.self);
   auto opened = this->folder->Open();
   if (!opened.has_value()) {
-    return opened.error().message() + ": " + this->folder->ErrorDetail();
+    const std::string problem =
+        opened.error().message() + ": " + this->folder->ErrorDetail();
+    if (opened.error() != StorageError::kInputOutput) {
+      return problem;
+    }
+    LogEvent(LogSeverity::kError, kStorageRetried, problem)
+        .With("folder", path.string());
+    this->lacks_disk = true;
+    this->retry_storage_at = LeaseClock::now() + kStorageRetry;
+    return {};
   }
   if (!this->folder->Report().empty()) {
     LogEvent(LogSeverity::kWarning, events::kLogTruncated,
@@ -240,6 +264,28 @@
   return {};
 }
 
+void JobDaemon::Impl::LoseStorage(TimePoint now) {
+  this->node->StopVoting("the disk failed");
+  this->storage->Stop();
+  this->storage.reset();
+  this->synced = 0;
+  this->retry_storage_at = now + kStorageRetry;
+}
+
+void JobDaemon::Impl::RetryStorage(TimePoint now) {
+  this->retry_storage_at.reset();
+  std::optional<DurableImage> image;
+  if (const std::string problem = this->OpenStorage(image); !problem.empty()) {
+    LogEvent(LogSeverity::kError, events::kStorageFailed, problem)
+        .With("folder", this->settings.data_folder.string());
+    this->exit_status.store(1);
+  } else if (image.has_value()) {
+    LogEvent(LogSeverity::kInfo, kStorageOpened,
+             "the data folder is open again");
+    this->node->Start(std::move(image), now);
+  }
+}
+
 void JobDaemon::Impl::MakeListeners() {
   for (std::size_t i = 0; i < this->settings.listeners.size(); ++i) {
     auto listener = std::make_unique<Listener>(this->wake_node);
@@ -484,8 +530,13 @@
       this->node->BeginShutdown(now);
     }
     this->node->Advance(now);
-    if (this->storage_failed.load()) {
-      this->exit_status.store(1);
+    if (this->storage_failed.exchange(false)) {
+      this->LoseStorage(now);
+    }
+    if (this->retry_storage_at.has_value() && now >= *this->retry_storage_at) {
+      this->RetryStorage(now);
+    }
+    if (this->exit_status.load() != 0) {
       return;
     }
     if (this->node->Stopped(now)) {
--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -71,8 +71,19 @@
   }
 }
 
+void JobNode::StopVoting(const char* reason) {
+  this->hooks.report("voting_stopped", this->config.name, reason);
+  if (this->term != nullptr) {
+    this->EndTerm(reason);
+  }
+  this->replica.reset();
+  this->idle_image.reset();
+}
+
 void JobNode::StartReplica(DurableImage image, const Membership& founders,
                            TimePoint now) {
+  // The replica applies all that is in the image again.
+  this->committed = jobs::FleetState();
   ReplicaConfig replica_config;
   replica_config.self = this->config.self;
   replica_config.voters = founders.Voters();
--- a/src/mimosastage/node/job_node.h
+++ b/src/mimosastage/node/job_node.h
@@ -91,8 +91,11 @@
   JobNode& operator=(const JobNode&) = delete;
 
   /// `image` is set on a voter. A voter without its disk waits for the leader
-  /// to tell who votes, because the settings may name former voters.
+  /// to tell who votes, because the settings may name former voters. May be
+  /// called again after StopVoting.
   void Start(std::optional<DurableImage> image, TimePoint now);
+  /// Gives up the vote, and the term of a leader, until the next Start.
+  void StopVoting(const char* reason);
   void OnMessage(DaemonId from, const std::string& bytes, TimePoint now);
   void OnLinkState(DaemonId peer, bool up, TimePoint now);
   void OnStorageSynced(std::uint64_t ticket, TimePoint now);
--- a/tests/system/job_cluster_test.cc
+++ b/tests/system/job_cluster_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <array>
@@ -270,6 +271,44 @@
   }));
 }
 
+// A voter whose disk refused a write ended its process, and again at each start
+// until the disk took writes.
+TEST_F(JobClusterTest, DiskRefusesWrites_VoterKeepsRunning_VotesAgainLater) {
+  ASSERT_EQ(this->Configure(5), 200);
+  for (const int voter : {0, 1, 2}) {
+    SCOPED_TRACE(voter);
+    const pid_t pid = this->daemons[static_cast<std::size_t>(voter)]->Pid();
+    rlimit none{0, RLIM_INFINITY};
+    rlimit before{};
+    ASSERT_EQ(prlimit(pid, RLIMIT_FSIZE, &none, &before), 0);
+    ASSERT_TRUE(this->Submit("job" + std::to_string(voter)));
+    EXPECT_TRUE(this->Completes("job" + std::to_string(voter)));
+    ASSERT_EQ(prlimit(pid, RLIMIT_FSIZE, &before, nullptr), 0);
+    ASSERT_TRUE(this->WaitForLog(voter, "storage_opened"));
+    EXPECT_TRUE(this->daemons[static_cast<std::size_t>(voter)]->Running());
+  }
+  this->ExpectEachDoneOnce(3 * kVoters);
+}
+
+TEST_F(JobClusterTest, Start_DataFolderCantBeMade_VotesOnceItCan) {
+  ASSERT_EQ(this->Configure(5), 200);
+  this->KillDaemon(0);
+  const auto folder = this->folder / "data-0";
+  std::filesystem::remove_all(folder);
+  std::ofstream(folder) << "in the way";
+  this->StartDaemon(0, false);
+  ASSERT_TRUE(this->WaitForLog(0, "storage_retried"));
+  ASSERT_TRUE(Eventually([&] {
+    return this->ConfigurationAt(0) == "\"version\":5";
+  })) << "it passes calls on without a vote";
+  std::filesystem::remove(folder);
+  ASSERT_TRUE(this->WaitForLog(0, "storage_opened"));
+  SleepFor(std::chrono::milliseconds(1'500));
+  this->KillDaemon(1);
+  EXPECT_TRUE(
+      Eventually([&] { return this->ConfigurationAt(0) == "\"version\":5"; }));
+}
+
 // Seeds that name a part of the voters must not make a smaller group.
 TEST_F(JobClusterTest, Restart_OtherSeeds_VotersStayTheSame) {
   ASSERT_EQ(this->Configure(5), 200);
