Count ordered upkeeps first, so that a wave's limit holds

Cause: the instances to order were chosen anew in each round by an unstable sort, and those with an open or unanswered order were no part of the count unless they were chosen again. The order of ties is stable up to 16 rows, so waves of today's sites don't show it.

Change: an instance whose order is open or unanswered counts as down before any other is chosen.

--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -185,8 +185,13 @@
     std::size_t offset = 0;
   };
 
+  /// An upkeep that was ordered and isn't known to have begun.
   struct Upkeep {
     bool order_open = false;
+    /// An earlier order had no answer and may be carried out yet.
+    bool unanswered = false;
+    /// An order is open or unanswered, so that the instance counts as down.
+    bool maybe_begun = false;
     TimePoint next_attempt{};
   };
 
--- a/src/mimosastage/jobs/dispatcher_upkeep.cc
+++ b/src/mimosastage/jobs/dispatcher_upkeep.cc
@@ -135,6 +135,15 @@
     if (begun) {
       continue;
     }
+    if (const auto ordered = this->upkeeps.find({wave.number, machine});
+        ordered != this->upkeeps.end() && ordered->second.maybe_begun) {
+      ++down;
+      if (!ordered->second.order_open && now >= ordered->second.next_attempt &&
+          this->MayOrder(machine, now)) {
+        this->OrderUpkeep(wave, machine, now);
+      }
+      continue;
+    }
     if (off) {
       candidates.push_back(Candidate{false, -1, machine, ""});
       continue;
@@ -183,6 +192,7 @@
                              TimePoint now) {
   Upkeep& upkeep = this->upkeeps[{wave.number, machine}];
   upkeep.order_open = true;
+  upkeep.maybe_begun = true;
   upkeep.next_attempt = now + this->config.machine_retry;
   MachineOrder order;
   order.number = this->next_number++;
@@ -223,8 +233,13 @@
                          "no such machine, or not of the wave");
       this->FinishUpkeep(wave, machine, now);
       return;
+    case MachineReply::Result::kUnanswered:
+      this->hooks.count("upkeep_unanswered");
+      upkeep.unanswered = true;
+      return;
     default:
       this->hooks.count("upkeep_not_begun");
+      upkeep.maybe_begun = upkeep.unanswered;
       return;
   }
 }
