Count a worker's lease from the time when its answer was read

Cause: the daemon's loop handled all events with the time at its start. Short of processor time, or frozen between two events, it took a worker's clock for later than it was; the lease counted as expired too early, and tasks that had ended were started again.

Change: an answer carries the time when it was read, and each event is handled with the time of its handling.

--- a/src/mimosastage/backend_servers/exchange_client.h
+++ b/src/mimosastage/backend_servers/exchange_client.h
@@ -48,6 +48,8 @@
   bool reused_connection = false;
   /// From the moment the client took the request.
   Duration elapsed{};
+  /// On LeaseClock.
+  TimePoint ended_at{};
   /// libcurl's message; empty for a whole answer.
   std::string detail;
 };
--- a/src/mimosastage/backend_servers/internal/exchange.cc
+++ b/src/mimosastage/backend_servers/internal/exchange.cc
@@ -336,6 +336,7 @@
   result.end = end;
   result.reused_connection = this->reused;
   result.elapsed = now - this->taken_at;
+  result.ended_at = now;
   if (end == AttemptEnd::kWholeAnswer || end == AttemptEnd::kServerSaidNotRun) {
     result.answer = std::move(this->answer);
   }
--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -277,7 +277,7 @@
     return;
   }
   if (reply.clock.has_value()) {
-    session.lease.OnClock(*reply.clock, now);
+    session.lease.OnClock(*reply.clock, reply.read_at);
   }
   if (order.run.has_value()) {
     this->OnRunReply(id, session, order, reply, now);
--- a/src/mimosastage/jobs/worker_lease.cc
+++ b/src/mimosastage/jobs/worker_lease.cc
@@ -7,7 +7,7 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-void WorkerLease::OnClock(milliseconds clock, TimePoint now) {
+void WorkerLease::OnClock(milliseconds clock, TimePoint read_at) {
   if (this->clock.has_value() && clock < *this->clock) {
     // Answers on different connections can overtake each other.
     return;
@@ -19,7 +19,7 @@
         std::max(this->latest_deadline, clock + this->config.length);
   }
   this->clock = clock;
-  this->clock_at = now;
+  this->clock_at = read_at;
 }
 
 milliseconds WorkerLease::EstimatedClock(TimePoint now) const {
--- a/src/mimosastage/jobs/worker_lease.h
+++ b/src/mimosastage/jobs/worker_lease.h
@@ -30,9 +30,8 @@
   WorkerLease(Config config, TimePoint now)
       : config(config), unheard_since(now) {}
 
-  /// The answer to a call that was sent at `sent` and read at `now` showed
-  /// `clock`.
-  void OnClock(std::chrono::milliseconds clock, TimePoint now);
+  /// An answer that was read at `read_at` showed `clock`.
+  void OnClock(std::chrono::milliseconds clock, TimePoint read_at);
 
   /// The deadline for an order sent at `now`, or nothing before the first
   /// clock. Remembers it as the latest that the worker may hold.
--- a/src/mimosastage/jobs/worker_order.h
+++ b/src/mimosastage/jobs/worker_order.h
@@ -106,6 +106,9 @@
   std::uint64_t number = 0;
   OrderResult result = OrderResult::kUnanswered;
   std::optional<std::chrono::milliseconds> clock;
+  /// When the answer was read; `clock` is no later than the worker's clock
+  /// then. The leader may handle the answer much later.
+  TimePoint read_at{};
   /// Unix milliseconds of the incarnation's start, where the answer says it.
   std::optional<std::int64_t> born_ms;
   std::vector<RunningTask> running;
--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -146,7 +146,7 @@
   void MakeExchanges();
   void MakeNode();
   void RunNode();
-  bool DrainRings(TimePoint now);
+  bool DrainRings();
   void OnRequest(std::uint64_t id, HttpRequest&& request, TimePoint now);
   void OnExchange(ExchangeResult&& result, TimePoint now);
   void SendExchange(ExchangeRequest&& request);
@@ -521,8 +521,8 @@
 
 void JobDaemon::Impl::RunNode() {
   while (true) {
+    const bool busy = this->DrainRings();
     const TimePoint now = LeaseClock::now();
-    const bool busy = this->DrainRings(now);
     if (this->stop_requested.load() && !this->node->ShuttingDown()) {
       LogEvent(LogSeverity::kInfo, events::kDaemonStopping,
                "planned stop: unready now, finishing open calls")
@@ -549,27 +549,29 @@
   }
 }
 
-bool JobDaemon::Impl::DrainRings(TimePoint now) {
+bool JobDaemon::Impl::DrainRings() {
+  // Each event is handled with the time of its handling: the daemon can be
+  // frozen between two events, and its authority may have ended meanwhile.
   std::size_t taken = 0;
   if (this->storage != nullptr) {
     if (const std::uint64_t ticket = this->storage->Synced();
         ticket != std::exchange(this->synced, ticket)) {
-      this->node->OnStorageSynced(ticket, now);
+      this->node->OnStorageSynced(ticket, LeaseClock::now());
       ++taken;
     }
   }
   taken += this->from_daemons.Drain(
       [&](DaemonEvent&& event) {
         if (event.message.has_value()) {
-          this->node->OnMessage(event.peer, *event.message, now);
+          this->node->OnMessage(event.peer, *event.message, LeaseClock::now());
         } else {
-          this->node->OnLinkState(event.peer, event.up, now);
+          this->node->OnLinkState(event.peer, event.up, LeaseClock::now());
         }
       },
       kBatch);
   taken += this->from_exchanges.Drain(
       [&](ExchangeResult&& result) {
-        this->OnExchange(std::move(result), now);
+        this->OnExchange(std::move(result), LeaseClock::now());
       },
       kBatch);
   for (const auto& listener : this->listeners) {
@@ -579,7 +581,7 @@
           if (event.disconnected) {
             this->node->OnDisconnect(id);
           } else {
-            this->OnRequest(id, std::move(event.request), now);
+            this->OnRequest(id, std::move(event.request), LeaseClock::now());
           }
         },
         kBatch);
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -157,6 +159,32 @@
   }
 }
 
+// A leader that lacked processor time took the worker's clock for later than it
+// was, counted its lease as expired too early, and started its task twice.
+TEST_F(DispatcherTest, AnswerIsHandledWithAnOldTime_WorkerIsSilent_RunsOnce) {
+  this->fleet.holds_wait = true;
+  this->Begin(2);
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(2'500));
+  const auto workers = this->fleet.WorkersOf(TaskOf("job"));
+  ASSERT_EQ(workers.size(), 1U);
+  // The answer to the start of a second task, while a hold waits.
+  this->fleet.leader_lag = milliseconds(900);
+  this->fleet.Submit("other", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(40));
+  this->fleet.leader_lag = milliseconds(0);
+  ASSERT_EQ(this->fleet.WorkersOf(TaskOf("other")), workers);
+  this->fleet.workers.at(workers.front()).silent = true;
+  bool moved = false;
+  for (int i = 0; i < 800; ++i) {
+    this->fleet.Advance(milliseconds(10));
+    const auto now_on = this->fleet.WorkersOf(TaskOf("job"));
+    ASSERT_LE(now_on.size(), 1U) << i;
+    moved = moved || (!now_on.empty() && now_on != workers);
+  }
+  EXPECT_TRUE(moved);
+}
+
 TEST_F(DispatcherTest, StartIsUnanswered_RepeatedWithTheSameRun_RunsOnce) {
   this->Begin(1);
   this->fleet.lose_start_answers = true;
@@ -303,6 +331,61 @@
   EXPECT_EQ(this->fleet.workers.at("worker-b").running.size(), 2U);
 }
 
+// While orders were open, other instances with as little work took their place
+// in the count, and more than the limit went down.
+TEST_F(DispatcherTest, Wave_OrdersAreOpen_LimitHolds) {
+  constexpr int kInstances = 60;
+  constexpr std::size_t kLimit = 20;
+  this->fleet.AddPool("spare", true);
+  this->fleet.BeginTerm();
+  Command command;
+  command.wave = std::make_unique<Wave>();
+  command.wave->number = 1;
+  command.wave->most_at_once = kLimit;
+  MachineReply list;
+  list.result = MachineReply::Result::kOk;
+  for (int i = 0; i < kInstances; ++i) {
+    const std::string machine = "machine-" + std::to_string(i);
+    command.wave->machines.push_back(machine);
+    list.machines.push_back(
+        MachineRow{machine, "spare", MachineState::kUp, ""});
+  }
+  this->fleet.state.Apply(command);
+  std::deque<MachineOrder> open;
+  std::map<std::string, TimePoint> begun;
+  std::set<std::string> down;
+  for (int i = 0; i < 400; ++i) {
+    this->fleet.Advance(milliseconds(10));
+    for (const MachineOrder& order : this->fleet.machine_orders) {
+      if (order.kind == MachineOrder::Kind::kList) {
+        list.number = order.number;
+        this->fleet.dispatcher->OnMachineReply(list, this->fleet.now);
+      } else if (order.kind == MachineOrder::Kind::kUpkeep) {
+        open.push_back(order);
+        down.insert(order.machine);
+      }
+    }
+    this->fleet.machine_orders.clear();
+    ASSERT_LE(down.size(), kLimit) << i;
+    // Answers come one by one; some are lost, and the order is repeated.
+    if (!open.empty() && i % 3 == 0) {
+      MachineReply reply;
+      reply.number = open.front().number;
+      reply.result = i % 4 == 0 ? MachineReply::Result::kUnanswered
+                                : MachineReply::Result::kOk;
+      begun.emplace(open.front().machine, this->fleet.now);
+      open.pop_front();
+      this->fleet.dispatcher->OnMachineReply(reply, this->fleet.now);
+    }
+    for (const auto& [machine, since] : begun) {
+      if (this->fleet.now - since > this->fleet.config.upkeep_time) {
+        down.erase(machine);
+      }
+    }
+  }
+  EXPECT_GT(begun.size(), kLimit) << "the wave goes on";
+}
+
 TEST_F(DispatcherTest, Wave_LimitOfOne_BeginsOneUpkeepAtATime) {
   this->Begin(3);
   Command command;
--- a/tests/jobs/support/fake_fleet_leader.cc
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -175,6 +175,7 @@
   const auto clock =
       std::chrono::duration_cast<milliseconds>(this->now.time_since_epoch());
   reply.clock = clock;
+  reply.read_at = this->now;
   if (order.fence < worker.fence) {
     reply.result = OrderResult::kFenced;
     return reply;
@@ -205,7 +206,7 @@
                                       RunOutcome::kStopped, "saved"});
     }
   } else if (const auto* hold = std::get_if<HoldOrder>(&order.body)) {
-    if (hold->deadline.has_value()) {
+    if (hold->deadline.has_value() && !this->holds_wait) {
       worker.deadline = std::max(worker.deadline, hold->deadline->count());
     }
     std::erase_if(worker.ended, [&](const EndedRun& end) {
@@ -241,9 +242,30 @@
       effect(this->now);
     }
   }
-  const auto sent = std::exchange(this->orders, {});
+  auto sent = std::exchange(this->orders, {});
+  if (this->holds_wait) {
+    for (WorkerOrder& order : std::exchange(sent, {})) {
+      const auto* hold = std::get_if<HoldOrder>(&order.body);
+      if (hold == nullptr || hold->wait.count() == 0) {
+        sent.push_back(std::move(order));
+        continue;
+      }
+      FakeWorker& worker = this->workers.at(order.worker);
+      if (!worker.silent && hold->deadline.has_value()) {
+        worker.deadline = std::max(worker.deadline, hold->deadline->count());
+      }
+      this->waiting_holds.emplace_back(this->now + hold->wait,
+                                       std::move(order));
+    }
+    while (!this->waiting_holds.empty() &&
+           this->waiting_holds.front().first <= this->now) {
+      sent.push_back(std::move(this->waiting_holds.front().second));
+      this->waiting_holds.pop_front();
+    }
+  }
   for (const WorkerOrder& order : sent) {
-    this->dispatcher->OnReply(this->CarryOut(order), this->now);
+    this->dispatcher->OnReply(this->CarryOut(order),
+                              this->now - this->leader_lag);
   }
   this->dispatcher->Tick(this->now);
 }
--- a/tests/jobs/support/fake_fleet_leader.h
+++ b/tests/jobs/support/fake_fleet_leader.h
@@ -66,6 +66,11 @@
   bool log_stalled = false;
   /// While true, answers to starts are lost; the orders are carried out.
   bool lose_start_answers = false;
+  /// Holds are answered after the wait that they ask for.
+  bool holds_wait = false;
+  /// The leader handles answers with a time that is so old, as after a freeze
+  /// or without processor time.
+  std::chrono::milliseconds leader_lag{0};
   std::vector<MachineOrder> machine_orders;
   std::vector<StartOrder> starts;
   std::vector<AdviceOrder> advice_orders;
@@ -80,6 +85,8 @@
   Configuration configuration;
   std::deque<std::function<void(TimePoint)>> effects;
   std::deque<WorkerOrder> orders;
+  /// Holds that wait, with the time of their answer.
+  std::deque<std::pair<TimePoint, WorkerOrder>> waiting_holds;
 };
 
 /// A step of `tasks` tasks that need `millicores` each.
