Release a closed socket before its number is used again

Cause: while a handler of a socket ran, libcurl could close it and open another with the same number; the entry of the first was still registered, so watching the second threw 'assign: File exists' and ended the voter. Ruled out: objects of mixed builds (a clean build without the compiler cache crashed alike).

Change: the descriptor is released when libcurl stops watching it, not when the last handler has returned.

--- a/src/mimosastage/backend_servers/exchange_client.cc
+++ b/src/mimosastage/backend_servers/exchange_client.cc
@@ -119,10 +119,16 @@
   struct Watched {
     Watched(asio::io_context& io, curl_socket_t socket)
         : descriptor(io, socket) {}
-    ~Watched() { this->descriptor.release(); }
+    ~Watched() { this->Release(); }
     Watched(const Watched&) = delete;
     Watched& operator=(const Watched&) = delete;
 
+    void Release() {
+      if (this->descriptor.is_open()) {
+        this->descriptor.release();
+      }
+    }
+
     asio::posix::stream_descriptor descriptor;
     bool wants_read = false;
     bool wants_write = false;
@@ -143,7 +149,13 @@
 
   void Watch(curl_socket_t socket, int what) {
     if (what == CURL_POLL_REMOVE) {
-      this->watched.erase(socket);
+      // A handler may hold the entry, and the next socket may have the same
+      // number before the handler returns.
+      if (const auto found = this->watched.find(socket);
+          found != this->watched.end()) {
+        found->second->Release();
+        this->watched.erase(found);
+      }
       return;
     }
     std::shared_ptr<Watched>& entry = this->watched[socket];
--- a/tests/backend_servers/exchange_client_test.cc
+++ b/tests/backend_servers/exchange_client_test.cc
@@ -82,6 +82,29 @@
   std::uint64_t last_id = 0;
 };
 
+// A new connection had the descriptor of one that had been closed in the same
+// turn of the client's loop, and watching it ended the process.
+TEST_F(ExchangeClientTest,
+       Submit_ConnectionsCloseWhileOthersOpen_AllAreServed) {
+  constexpr std::size_t kExchanges = 3'000;
+  constexpr std::size_t kAtOnce = 16;
+  this->settings.max_idle_connections = 1;
+  this->server.SetFaults({{"close_idle", true}});
+  this->StartClient();
+  std::vector<std::uint64_t> ids;
+  for (std::size_t i = 0; i < kExchanges; ++i) {
+    ExchangeRequest request = this->MakeRequest(i % 2 == 0);
+    ids.push_back(request.id);
+    ASSERT_TRUE(this->client->Submit(std::move(request)));
+    if (i >= kAtOnce) {
+      this->Wait(ids[i - kAtOnce]);
+    }
+  }
+  for (const std::uint64_t id : ids) {
+    EXPECT_EQ(this->Wait(id).end, AttemptEnd::kWholeAnswer);
+  }
+}
+
 // Guards against a fault of the server that the entry takes for another one:
 // a wrong kind would allow a retry of work that may have run.
 TEST_F(ExchangeClientTest, Submit_FaultOnFreshConnection_ReportsItsKind) {
