Size pools by memory, and by long-running tasks that must run apart

Change: the need of a pool is the largest of processors, memory and the workers that such a job needs; an instance that is reserved for its upkeep or a move no longer counts as present.

--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -304,6 +304,7 @@
   TimePoint next_load_report{};
   /// Processors that waiting tasks of each pool need, at the last placement.
   std::map<std::string, std::int64_t> waiting_millicores;
+  std::map<std::string, std::int64_t> waiting_memory_mb;
   std::map<std::pair<std::uint64_t, std::string>, Upkeep> upkeeps;
   std::unordered_map<std::uint64_t, OpenMachineOrder> machine_orders;
   TimePoint next_wave_round{};
--- a/src/mimosastage/jobs/dispatcher_machines.cc
+++ b/src/mimosastage/jobs/dispatcher_machines.cc
@@ -83,6 +83,25 @@
         waiting != this->waiting_millicores.end()) {
       need.waiting_millicores = waiting->second;
     }
+    if (const auto waiting = this->waiting_memory_mb.find(pool->name);
+        waiting != this->waiting_memory_mb.end()) {
+      need.waiting_memory_mb = waiting->second;
+    }
+  }
+  for (const auto& [accepted, id] : this->state.OpenJobs()) {
+    const JobRequest& request = *this->state.FindJob(id)->request;
+    const Queue* queue = this->state.FindQueue(request.queue);
+    const auto need = queue == nullptr ? needs.end() : needs.find(queue->pool);
+    if (need == needs.end()) {
+      continue;
+    }
+    for (const auto& step : request.steps) {
+      if (step->long_running && step->most_per_worker > 0) {
+        need->second.apart = std::max<std::size_t>(
+            need->second.apart,
+            (step->tasks + step->most_per_worker - 1) / step->most_per_worker);
+      }
+    }
   }
   std::vector<PooledInstance> instances;
   std::map<std::string, std::string> worker_of;
@@ -90,15 +109,18 @@
     const Session& session = this->sessions.at(id);
     if (const auto need = needs.find(worker.pool); need != needs.end()) {
       need->second.used_millicores += session.used.millicores;
+      need->second.used_memory_mb += session.used.memory_mb;
     }
     if (worker.machine.empty() || session.draining || session.leaving ||
-        session.silent > 0) {
+        session.silent > 0 || session.reserved.has_value()) {
+      // Gone soon, or down for its upkeep.
       continue;
     }
     instances.push_back(
         PooledInstance{worker.machine, worker.pool, worker.capacity->millicores,
                        this->Usable(session) && session.runs.empty() &&
-                           this->MayOrder(worker.machine, now)});
+                           this->MayOrder(worker.machine, now),
+                       worker.capacity->memory_mb});
     worker_of[worker.machine] = id;
   }
   for (const auto& [machine, row] : this->machines) {
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -215,11 +215,15 @@
     }
   }
   this->waiting_millicores.clear();
+  this->waiting_memory_mb.clear();
   for (const auto& [pool, ranked] : by_pool) {
     for (const RankedDemand& row : ranked) {
       this->waiting_millicores[pool] +=
           static_cast<std::int64_t>(row.demand.waiting.size()) *
           Charge(*row.demand.step).millicores;
+      this->waiting_memory_mb[pool] +=
+          static_cast<std::int64_t>(row.demand.waiting.size()) *
+          Charge(*row.demand.step).memory_mb;
     }
   }
   std::erase_if(by_pool, [](const auto& row) { return row.second.empty(); });
@@ -261,6 +265,7 @@
       }
       const std::string& worker = rooms[assignment.room].id;
       this->waiting_millicores[pool] -= Charge(step).millicores;
+      this->waiting_memory_mb[pool] -= Charge(step).memory_mb;
       if (this->health.Judge(InstanceName(worker), now) ==
           WorkerHealth::Verdict::kProbe) {
         this->health.ProbeStarted(InstanceName(worker), now);
--- a/src/mimosastage/jobs/pool_balancer.cc
+++ b/src/mimosastage/jobs/pool_balancer.cc
@@ -12,12 +12,13 @@
                 [&](const auto& row) { return now >= row.second.until; });
   std::map<std::string, PoolRow> rows;
   std::map<std::string, TimePoint> idle;
-  std::int64_t largest = 1;
+  Unit unit;
   for (const PoolNeed& need : needs) {
     rows[need.pool].standby = need.standby;
   }
   for (const PooledInstance& instance : instances) {
-    largest = std::max(largest, instance.millicores);
+    unit.millicores = std::max(unit.millicores, instance.millicores);
+    unit.memory_mb = std::max(unit.memory_mb, instance.memory_mb);
     const auto found = rows.find(instance.pool);
     if (found == rows.end() || this->arrivals.contains(instance.instance)) {
       continue;
@@ -35,14 +36,8 @@
     ++rows[arrival.pool].have;
   }
   for (const PoolNeed& need : needs) {
-    const double wanted =
-        static_cast<double>(need.used_millicores + need.waiting_millicores) *
-        (1 + this->config.headroom) / static_cast<double>(largest);
     PoolRow& row = rows[need.pool];
-    row.wanted = row.standby
-                     ? 0
-                     : std::max(this->config.floor,
-                                static_cast<std::size_t>(std::ceil(wanted)));
+    row.wanted = row.standby ? 0 : this->Wanted(need, unit);
     // The longest idle ones go first.
     std::sort(row.empty.begin(), row.empty.end(),
               [this](const std::string& a, const std::string& b) {
@@ -52,6 +47,22 @@
   return rows;
 }
 
+std::size_t PoolBalancer::Wanted(const PoolNeed& need, const Unit& unit) const {
+  const auto instances = [this](std::int64_t amount, std::int64_t of_one) {
+    return static_cast<std::size_t>(
+        std::ceil(static_cast<double>(amount) * (1 + this->config.headroom) /
+                  static_cast<double>(of_one)));
+  };
+  std::size_t wanted = instances(need.used_millicores + need.waiting_millicores,
+                                 unit.millicores);
+  if (unit.memory_mb > 1) {
+    wanted =
+        std::max(wanted, instances(need.used_memory_mb + need.waiting_memory_mb,
+                                   unit.memory_mb));
+  }
+  return std::max({this->config.floor, need.apart, wanted});
+}
+
 std::string PoolBalancer::TakeDonor(std::map<std::string, PoolRow>& rows) {
   PoolRow* donor = nullptr;
   for (auto& [pool, row] : rows) {
--- a/src/mimosastage/jobs/pool_balancer.h
+++ b/src/mimosastage/jobs/pool_balancer.h
@@ -19,6 +19,11 @@
   /// Processors in use, and those that tasks without room wait for.
   std::int64_t used_millicores = 0;
   std::int64_t waiting_millicores = 0;
+  /// The same for memory; tasks of some queues fill it before the processors.
+  std::int64_t used_memory_mb = 0;
+  std::int64_t waiting_memory_mb = 0;
+  /// Instances that long-running tasks which must run apart need.
+  std::size_t apart = 0;
 };
 
 /// An instance as the balancer sees it.
@@ -28,6 +33,7 @@
   std::int64_t millicores = 0;
   /// Nothing runs there and it may be moved.
   bool empty = false;
+  std::int64_t memory_mb = 0;
 };
 
 struct InstanceMove {
@@ -67,6 +73,11 @@
     std::string pool;
     TimePoint until{};
   };
+  /// The largest instance, as a unit of need.
+  struct Unit {
+    std::int64_t millicores = 1;
+    std::int64_t memory_mb = 1;
+  };
   struct PoolRow {
     bool standby = false;
     std::size_t have = 0;
@@ -77,6 +88,7 @@
   std::map<std::string, PoolRow> Rows(
       const std::vector<PoolNeed>& needs,
       const std::vector<PooledInstance>& instances, TimePoint now);
+  std::size_t Wanted(const PoolNeed& need, const Unit& unit) const;
   static std::string TakeDonor(std::map<std::string, PoolRow>& rows);
   void Order(const std::string& instance, const std::string& pool,
              TimePoint now, std::vector<InstanceMove>& moves);
--- a/tests/jobs/pool_balancer_test.cc
+++ b/tests/jobs/pool_balancer_test.cc
@@ -87,6 +87,31 @@
   EXPECT_TRUE(this->PlanAfter(milliseconds(0)).empty());
 }
 
+// Sheets of one queue fill the memory of an instance before its processors;
+// counted by processors alone, a turn was served with half the instances.
+TEST_F(PoolBalancerTest, Plan_MemoryBinds_CountsByMemory) {
+  this->AddPool("sheets", 6);
+  this->AddPool("spare", 12, true);
+  for (PooledInstance& instance : this->instances) {
+    instance.memory_mb = 64'000;
+  }
+  this->Need("sheets").used_millicores = 48'000;
+  this->Need("sheets").used_memory_mb = 6 * 64'000;
+  this->Need("sheets").waiting_memory_mb = 4 * 64'000;
+  // Ten instances' worth and the headroom.
+  EXPECT_EQ(MovesTo(this->PlanAfter(milliseconds(0)), "sheets"), 6U);
+}
+
+// A long-running job of eight tasks, one for each worker, had three tasks that
+// never ran while its pool kept only the floor.
+TEST_F(PoolBalancerTest, Plan_TasksMustRunApart_PoolHasAnInstanceForEach) {
+  this->AddPool("sheets", 6);
+  this->AddPool("spare", 12, true);
+  this->Need("sheets").used_millicores = 9'000;
+  this->Need("sheets").apart = 8;
+  EXPECT_EQ(MovesTo(this->PlanAfter(milliseconds(0)), "sheets"), 2U);
+}
+
 TEST_F(PoolBalancerTest, Plan_OtherPoolAtItsFloor_KeepsIt) {
   this->AddPool("sheets", 9);
   this->AddPool("folders", 6);
