Call a worker with tasks of one job slow only if they stand still

Change: the comparison needs tasks of two jobs, or tasks without any progress for a second. The new test failed first by its interface only: the class knew nothing of jobs.

--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -292,7 +292,8 @@
   };
   for (const auto& [key, run] : session.runs) {
     if (judged(run)) {
-      sample.Add(run.percent, std::chrono::milliseconds(run.step->estimate_ms),
+      sample.Add(key.first.job, run.percent,
+                 std::chrono::milliseconds(run.step->estimate_ms),
                  now - *run.confirmed);
     }
   }
--- a/src/mimosastage/jobs/worker_speed.cc
+++ b/src/mimosastage/jobs/worker_speed.cc
@@ -5,9 +5,10 @@
 
 namespace mimosastage::jobs {
 
-void WorkerSpeed::Sample::Add(std::uint32_t percent,
+void WorkerSpeed::Sample::Add(const std::string& job, std::uint32_t percent,
                               std::chrono::milliseconds estimate,
                               Duration running) {
+  this->jobs.insert(job);
   this->done += std::chrono::duration<double>(estimate) * percent / 100.0;
   this->elapsed += running;
 }
@@ -22,7 +23,11 @@
   row.speed = sample.done / sample.elapsed;
   row.at = now;
   const double median = this->MedianOf(pool, now);
-  if (median > 0 && row.speed < median * this->config.slow_share) {
+  const bool comparable =
+      sample.jobs.size() > 1 ||
+      (sample.done.count() == 0 && sample.elapsed >= this->config.standstill);
+  if (comparable && median > 0 &&
+      row.speed < median * this->config.slow_share) {
     row.slow_until = now + this->config.remember;
   }
 }
--- a/src/mimosastage/jobs/worker_speed.h
+++ b/src/mimosastage/jobs/worker_speed.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 #include "mimosastage/base/time.h"
@@ -12,12 +13,16 @@
 
 /// Notices workers on which tasks stand still or progress far more slowly than
 /// on the others of their pool. Estimates of tasks are rough, so a worker is
-/// compared with the median of its pool and not with the estimates alone.
+/// compared with the median of its pool and not with the estimates alone. All
+/// tasks of one job can be far longer than estimated, so a worker that has
+/// tasks of one job only is slow only if these stand still.
 class WorkerSpeed {
  public:
   struct Config {
     /// Runs shorter than this show too little progress to judge.
     std::chrono::milliseconds least_elapsed{500};
+    /// Tasks that show no progress for so long stand still.
+    std::chrono::milliseconds standstill{1'000};
     /// Below this share of the pool's median a worker is slow.
     double slow_share = 0.4;
     /// A verdict holds for so long after the last sign. Faults last some
@@ -34,9 +39,10 @@
   struct Sample {
     std::chrono::duration<double> done{};
     std::chrono::duration<double> elapsed{};
+    std::set<std::string> jobs;
 
-    void Add(std::uint32_t percent, std::chrono::milliseconds estimate,
-             Duration running);
+    void Add(const std::string& job, std::uint32_t percent,
+             std::chrono::milliseconds estimate, Duration running);
   };
   void OnSample(const std::string& worker, const std::string& pool,
                 const Sample& sample, TimePoint now);
--- a/tests/jobs/worker_speed_test.cc
+++ b/tests/jobs/worker_speed_test.cc
@@ -9,9 +9,12 @@
 
 class WorkerSpeedTest : public ::testing::Test {
  protected:
-  void Report(const std::string& worker, std::uint32_t percent) {
+  void Report(const std::string& worker, std::uint32_t percent, int jobs = 2) {
     WorkerSpeed::Sample sample;
-    sample.Add(percent, milliseconds(1'000), milliseconds(1'000));
+    for (int i = 0; i < jobs; ++i) {
+      sample.Add("job-" + std::to_string(i), percent, milliseconds(1'000),
+                 milliseconds(1'000));
+    }
     this->speed.OnSample(worker, "pool", sample, this->now);
   }
 
@@ -37,6 +40,20 @@
   EXPECT_FALSE(this->speed.IsSlow("four", this->now));
 }
 
+// A job whose tasks are far longer than estimated made a sound worker look slow
+// when it ran nothing else, and its tasks were stopped and started again.
+TEST_F(WorkerSpeedTest, OnSample_TasksOfOneJobProgressSlowly_IsNotSlow) {
+  for (const char* worker : {"one", "two", "three"}) {
+    this->Report(worker, 80);
+  }
+  this->Report("sound", 10, 1);
+  EXPECT_FALSE(this->speed.IsSlow("sound", this->now));
+  this->Report("slow", 10, 2);
+  EXPECT_TRUE(this->speed.IsSlow("slow", this->now));
+  this->Report("stuck", 0, 1);
+  EXPECT_TRUE(this->speed.IsSlow("stuck", this->now));
+}
+
 TEST_F(WorkerSpeedTest, OnSample_FewWorkersToCompare_NoneIsSlow) {
   this->Report("one", 80);
   this->Report("stuck", 0);
