--- a/src/mimosastage/jobs/dispatcher_machines.cc
+++ b/src/mimosastage/jobs/dispatcher_machines.cc
@@ -112,8 +112,9 @@
       need->second.used_memory_mb += session.used.memory_mb;
     }
     if (worker.machine.empty() || session.draining || session.leaving ||
-        session.silent > 0 || session.reserved.has_value()) {
-      // Gone soon, or down for its upkeep.
+        session.silent > 0) {
+      // One that is reserved for its upkeep stays: it is back in 2 s, and a
+      // move to replace it takes as long.
       continue;
     }
     instances.push_back(
