--- a/src/mimosastage/replication/membership.cc
+++ b/src/mimosastage/replication/membership.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <utility>
 
 #include "mimosastage/replication/internal/wire.h"
 
@@ -97,6 +98,19 @@
   return voters;
 }
 
+Membership FoundingMembership(std::vector<Member> founders,
+                              std::size_t losses) {
+  Membership membership;
+  membership.slots = std::move(founders);
+  std::sort(
+      membership.slots.begin(), membership.slots.end(),
+      [](const Member& a, const Member& b) { return a.daemon < b.daemon; });
+  const std::size_t slots =
+      std::max(membership.slots.size() | 1U, 2 * losses + 1);
+  membership.slots.resize(slots, VacantSlot());
+  return membership;
+}
+
 bool IsOneStep(const Membership& current, const Membership& next) {
   if (next.version != current.version + 1 ||
       next.slots.size() != current.slots.size()) {
--- a/src/mimosastage/replication/membership.h
+++ b/src/mimosastage/replication/membership.h
@@ -1,6 +1,7 @@
 #ifndef MIMOSASTAGE_REPLICATION_MEMBERSHIP_H_
 #define MIMOSASTAGE_REPLICATION_MEMBERSHIP_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -32,6 +33,11 @@
   bool operator==(const Membership&) const = default;
 };
 
+/// The membership of a first start: 2f + 1 slots to bear f losses, at least one
+/// for each founder and an odd number, in the order of the ids, so that all
+/// daemons agree on it. Vacant slots are filled later.
+Membership FoundingMembership(std::vector<Member> founders, std::size_t losses);
+
 /// True if `next` can follow `current`: its version is the next one, and one
 /// slot at most was filled or vacated.
 bool IsOneStep(const Membership& current, const Membership& next);
--- a/tests/replication/membership_test.cc
+++ b/tests/replication/membership_test.cc
@@ -30,6 +30,18 @@
   }
 };
 
+// Seeds in another order, or fewer than the group needs, must give all daemons
+// the same slots and the same quorum.
+TEST_F(MembershipTest, Founding_FewerFoundersThanSlots_OthersAreVacant) {
+  const Membership five = FoundingMembership({At(3), At(1), At(2)}, 2);
+  ASSERT_EQ(five.slots.size(), 5U);
+  EXPECT_EQ(five, FoundingMembership({At(2), At(3), At(1)}, 2));
+  EXPECT_EQ(five.slots[0], At(1));
+  EXPECT_EQ(five.slots[4], VacantSlot());
+  EXPECT_FALSE(five.Contains(kNoVoter));
+  EXPECT_EQ(FoundingMembership({At(1), At(2)}, 0).slots.size(), 3U);
+}
+
 // A slot that changes hands in one step would allow two disjoint quorums.
 TEST_F(MembershipTest, Step_SlotChangesHands_IsRefused) {
   EXPECT_TRUE(IsOneStep(this->group, this->With(2, VacantSlot())));
