--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -228,7 +228,7 @@
                                               this->settings.node.self);
   auto opened = this->folder->Open();
   if (!opened.has_value()) {
-    const std::string problem =
+    std::string problem =
         opened.error().message() + ": " + this->folder->ErrorDetail();
     if (opened.error() != StorageError::kInputOutput) {
       return problem;
@@ -281,7 +281,8 @@
     this->exit_status.store(1);
   } else if (image.has_value()) {
     LogEvent(LogSeverity::kInfo, kStorageOpened,
-             "the data folder is open again");
+             "the data folder is open again")
+        .With("folder", this->settings.data_folder.string());
     this->node->Start(std::move(image), now);
   }
 }
--- a/tests/jobs/pool_balancer_test.cc
+++ b/tests/jobs/pool_balancer_test.cc
@@ -96,8 +96,8 @@
     instance.memory_mb = 64'000;
   }
   this->Need("sheets").used_millicores = 48'000;
-  this->Need("sheets").used_memory_mb = 6 * 64'000;
-  this->Need("sheets").waiting_memory_mb = 4 * 64'000;
+  this->Need("sheets").used_memory_mb = 384'000;
+  this->Need("sheets").waiting_memory_mb = 256'000;
   // Ten instances' worth and the headroom.
   EXPECT_EQ(MovesTo(this->PlanAfter(milliseconds(0)), "sheets"), 6U);
 }
--- a/tests/system/job_cluster_test.cc
+++ b/tests/system/job_cluster_test.cc
@@ -64,7 +64,7 @@
   }
 
   void StartDaemon(int daemon, bool bootstrap,
-                   std::vector<int> seeds = {0, 1, 2}) {
+                   const std::vector<int>& seeds = {0, 1, 2}) {
     const bool voter = daemon < kVoters || daemon == kReplacement;
     json seed_addresses = json::array();
     for (const int seed : seeds) {
