--- a/src/mimosastage/jobs/dispatcher_machines.cc
+++ b/src/mimosastage/jobs/dispatcher_machines.cc
@@ -111,10 +111,10 @@
       need->second.used_millicores += session.used.millicores;
       need->second.used_memory_mb += session.used.memory_mb;
     }
+    // An instance that is reserved for its upkeep counts as present: it is back
+    // in 2 s, and a move to replace it takes about as long.
     if (worker.machine.empty() || session.draining || session.leaving ||
         session.silent > 0) {
-      // One that is reserved for its upkeep stays: it is back in 2 s, and a
-      // move to replace it takes as long.
       continue;
     }
     instances.push_back(
