Remove what the dispatcher wrote twice or never read

The constructor walked all tasks twice, the log entry of an end and the request for a page of the list were each built in two or three places, a stop searched all sessions for the id that its callers know; a parameter, two fields and an argument were never used.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -55,6 +55,8 @@
   for (const auto& [id, worker] : state.Workers()) {
     this->AddSession(worker, now);
   }
+  // Runs of workers that were forgotten before their ends were recorded.
+  std::vector<RunKey> orphans;
   for (const auto& [id, job] : state.Jobs()) {
     for (std::uint32_t k = 0; !job.tasks.empty() && k < job.Occurrences();
          ++k) {
@@ -62,56 +64,36 @@
         for (std::uint32_t i = 0; i < job.request->steps[s]->tasks; ++i) {
           const TaskId task{id, k, s, i};
           for (const ActiveRun& active : job.At(task).active) {
-            const auto found = this->sessions.find(active.worker);
-            if (found == this->sessions.end() ||
-                found->second.born_ms != active.born_ms) {
-              continue;
+            if (!this->AdoptRun(task, active, now)) {
+              orphans.emplace_back(task, active.number);
             }
-            // Until the worker has answered, it isn't known whether the
-            // earlier leader's order has reached it.
-            Run run = this->MakeRun(task, now);
-            run.stage = RunStage::kRunning;
-            run.confirmed = now;
-            Add(found->second.used, Charge(*run.step));
-            found->second.runs.emplace(RunKey{task, active.number},
-                                       std::move(run));
           }
         }
       }
     }
   }
-  // Runs of workers that were forgotten before their ends were recorded.
-  std::vector<RunEnd> orphans;
-  for (const auto& [id, job] : state.Jobs()) {
-    for (std::uint32_t k = 0; !job.tasks.empty() && k < job.Occurrences();
-         ++k) {
-      for (std::uint32_t s = 0; s < job.request->steps.size(); ++s) {
-        for (std::uint32_t i = 0; i < job.request->steps[s]->tasks; ++i) {
-          for (const ActiveRun& active : job.At(TaskId{id, k, s, i}).active) {
-            const auto found = this->sessions.find(active.worker);
-            if (found == this->sessions.end() ||
-                found->second.born_ms != active.born_ms) {
-              RunEnd end;
-              end.job = id;
-              end.occurrence = k;
-              end.step = s;
-              end.index = i;
-              end.run = active.number;
-              end.outcome = static_cast<std::uint8_t>(RunOutcome::kLost);
-              orphans.push_back(std::move(end));
-            }
-          }
-        }
-      }
-    }
-  }
-  for (const RunEnd& end : orphans) {
-    Command command;
-    command.end = std::make_unique<RunEnd>(end);
-    this->hooks.propose(std::move(command), {});
+  for (const RunKey& key : orphans) {
+    this->hooks.propose(MakeEnd(key, RunOutcome::kLost, ""), {});
   }
 }
 
+bool Dispatcher::AdoptRun(const TaskId& task, const ActiveRun& active,
+                          TimePoint now) {
+  const auto found = this->sessions.find(active.worker);
+  if (found == this->sessions.end() ||
+      found->second.born_ms != active.born_ms) {
+    return false;
+  }
+  // Until the worker has answered, it isn't known whether the earlier leader's
+  // order has reached it.
+  Run run = this->MakeRun(task);
+  run.stage = RunStage::kRunning;
+  run.confirmed = now;
+  Add(found->second.used, Charge(*run.step));
+  found->second.runs.emplace(RunKey{task, active.number}, std::move(run));
+  return true;
+}
+
 Dispatcher::Session& Dispatcher::AddSession(const Worker& worker,
                                             TimePoint now) {
   Session session{.lease = WorkerLease(this->config.lease, now)};
@@ -203,7 +185,7 @@
   this->hooks.report("worker_gone", id, reason);
   while (!session.runs.empty()) {
     const RunKey key = session.runs.begin()->first;
-    this->EndRun(id, session, key, RunOutcome::kLost, "", {}, now);
+    this->EndRun(id, session, key, RunOutcome::kLost, "", now);
   }
   Command command;
   command.worker_gone = std::make_unique<WorkerGone>();
@@ -339,7 +321,7 @@
     } else if (ended.outcome == RunOutcome::kDone) {
       this->health.Succeeded(job, instance, now);
     }
-    this->EndRun(id, session, key, ended.outcome, ended.checkpoint, {}, now);
+    this->EndRun(id, session, key, ended.outcome, ended.checkpoint, now);
   }
   session.ends_pending = true;
   const std::int64_t born_ms = session.born_ms;
@@ -362,18 +344,11 @@
     return;
   }
   this->hooks.report("late_end_recorded", ToString(ended.task), id);
-  Command command;
-  command.end = std::make_unique<RunEnd>();
-  command.end->job = ended.task.job;
-  command.end->occurrence = ended.task.occurrence;
-  command.end->step = ended.task.step;
-  command.end->index = ended.task.index;
-  command.end->run = ended.run;
-  command.end->outcome = static_cast<std::uint8_t>(ended.outcome);
-  this->hooks.propose(std::move(command), {});
+  const RunKey key{ended.task, ended.run};
+  this->hooks.propose(MakeEnd(key, ended.outcome, ended.checkpoint), {});
   this->dirty = true;
   if (job->active_runs > 0) {
-    this->AfterEnd({ended.task, ended.run}, now);
+    this->AfterEnd(key, now);
   }
 }
 
@@ -428,8 +403,7 @@
     const bool stopped = session.runs.at(key).stage == RunStage::kStopping;
     this->hooks.report("run_missing", ToString(key.first), id);
     this->EndRun(id, session, key,
-                 stopped ? RunOutcome::kStopped : RunOutcome::kLost, "", {},
-                 now);
+                 stopped ? RunOutcome::kStopped : RunOutcome::kLost, "", now);
   }
 }
 
@@ -442,7 +416,7 @@
     while (!session.runs.empty()) {
       const RunKey key = session.runs.begin()->first;
       this->hooks.report("run_lease_expired", ToString(key.first), id);
-      this->EndRun(id, session, key, RunOutcome::kLeaseExpired, "", {}, now);
+      this->EndRun(id, session, key, RunOutcome::kLeaseExpired, "", now);
     }
   }
   for (auto& [key, run] : session.runs) {
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -122,7 +122,6 @@
     RunStage stage = RunStage::kLogging;
     const Step* step = nullptr;
     std::shared_ptr<const JobRequest> request;
-    TimePoint since{};
     /// Set once the worker has confirmed the start, or the stop.
     std::optional<TimePoint> confirmed;
     unsigned attempts = 0;
@@ -200,6 +199,8 @@
   };
 
   // dispatcher.cc: sessions of workers.
+  /// Takes over a run of an earlier term; false if its worker is gone.
+  bool AdoptRun(const TaskId& task, const ActiveRun& active, TimePoint now);
   Session& AddSession(const Worker& worker, TimePoint now);
   void RemoveWorker(const std::string& id, const char* reason, TimePoint now);
   void SendHold(const std::string& id, Session& session, TimePoint now);
@@ -223,21 +224,23 @@
 
   // dispatcher_runs.cc: single runs.
   void StartRun(const TaskId& task, std::uint32_t number,
-                const std::string& worker, TimePoint now);
+                const std::string& worker);
   void SendStart(const std::string& worker, const RunKey& key, TimePoint now);
-  void StopRun(Session& session, const RunKey& key, Run& run,
-               const char* reason, TimePoint now);
+  void StopRun(const std::string& worker, Session& session, const RunKey& key,
+               Run& run, const char* reason, TimePoint now);
   void SendStop(const std::string& worker, Session& session, const RunKey& key,
                 Run& run, TimePoint now);
   void OnRunReply(const std::string& id, Session& session,
                   const OpenOrder& order, const WorkerReply& reply,
                   TimePoint now);
   void EndRun(const std::string& worker, Session& session, const RunKey& key,
-              RunOutcome outcome, const std::string& checkpoint,
-              std::function<void(TimePoint)> committed, TimePoint now);
+              RunOutcome outcome, const std::string& checkpoint, TimePoint now);
   void AfterEnd(const RunKey& key, TimePoint now);
   void StopJob(const std::string& job, TimePoint now);
-  Run MakeRun(const TaskId& task, TimePoint now) const;
+  Run MakeRun(const TaskId& task) const;
+  /// The log entry of the end of a run.
+  static Command MakeEnd(const RunKey& key, RunOutcome outcome,
+                         const std::string& checkpoint);
   void JudgeSpeed(const std::string& id, Session& session, TimePoint now);
   void PaceFillers(const std::string& id, Session& session, TimePoint now);
 
@@ -271,6 +274,8 @@
   /// Logs the order, then sends it.
   void SendMachineOrder(MachineOrder order);
   void ReadMachines(TimePoint now);
+  /// Asks for one page of the list, "" for the first.
+  void RequestList(const std::string& page, TimePoint now);
   void OnMachineList(const MachineReply& reply, TimePoint now);
   void BalancePools(TimePoint now);
   void OrderMove(const InstanceMove& move);
--- a/src/mimosastage/jobs/dispatcher_machines.cc
+++ b/src/mimosastage/jobs/dispatcher_machines.cc
@@ -38,11 +38,16 @@
   if (this->list_open || now < this->next_list) {
     return;
   }
+  this->machines_being_read.clear();
+  this->RequestList("", now);
+}
+
+void Dispatcher::RequestList(const std::string& page, TimePoint now) {
   this->next_list = now + this->config.list_interval;
   this->list_open = true;
-  this->machines_being_read.clear();
   MachineOrder order;
   order.number = this->next_number++;
+  order.page = page;
   this->machine_orders[order.number] = OpenMachineOrder{};
   this->hooks.send_machine(std::move(order));
 }
@@ -60,13 +65,7 @@
     this->machines = std::exchange(this->machines_being_read, {});
     return;
   }
-  this->list_open = true;
-  this->next_list = now + this->config.list_interval;
-  MachineOrder order;
-  order.number = this->next_number++;
-  order.page = reply.next_page;
-  this->machine_orders[order.number] = OpenMachineOrder{};
-  this->hooks.send_machine(std::move(order));
+  this->RequestList(reply.next_page, now);
 }
 
 void Dispatcher::BalancePools(TimePoint now) {
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -111,7 +111,6 @@
   room.id = worker.id;
   room.labels = worker.labels;
   room.free = *worker.capacity;
-  room.capacity_millicores = worker.capacity->millicores;
   room.doubtful = verdict == WorkerHealth::Verdict::kProbe ||
                   this->speed.IsSlow(worker.id, now);
   Subtract(room.free, session.used);
@@ -270,7 +269,7 @@
           WorkerHealth::Verdict::kProbe) {
         this->health.ProbeStarted(InstanceName(worker), now);
       }
-      this->StartRun(task, number, worker, now);
+      this->StartRun(task, number, worker);
     }
   }
   this->ReportLoads(now);
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -20,19 +20,18 @@
 
 }  // namespace
 
-Dispatcher::Run Dispatcher::MakeRun(const TaskId& task, TimePoint now) const {
+Dispatcher::Run Dispatcher::MakeRun(const TaskId& task) const {
   Run run;
   run.request = this->state.FindJob(task.job)->request;
   run.step = run.request->steps[task.step].get();
-  run.since = now;
   return run;
 }
 
 void Dispatcher::StartRun(const TaskId& task, std::uint32_t number,
-                          const std::string& worker, TimePoint now) {
+                          const std::string& worker) {
   Session& session = this->sessions.at(worker);
   const RunKey key{task, number};
-  Run run = this->MakeRun(task, now);
+  Run run = this->MakeRun(task);
   Add(session.used, Charge(*run.step));
   session.runs.emplace(key, std::move(run));
   Command command;
@@ -45,28 +44,28 @@
   command.start->worker = worker;
   command.start->born_ms = session.born_ms;
   const std::int64_t born_ms = session.born_ms;
-  this->hooks.propose(std::move(command), [this, worker, born_ms,
-                                           key](TimePoint at) {
-    const auto found = this->sessions.find(worker);
-    if (found == this->sessions.end() || found->second.born_ms != born_ms) {
-      return;
-    }
-    const auto run = found->second.runs.find(key);
-    if (run == found->second.runs.end()) {
-      return;
-    }
-    const Job* job = this->state.FindJob(key.first.job);
-    const bool wanted = run->second.stage == RunStage::kLogging &&
-                        job != nullptr && !job->Ended() &&
-                        !found->second.draining;
-    if (!wanted) {
-      // Nothing was sent yet.
-      this->EndRun(worker, found->second, key, RunOutcome::kLost, "", {}, at);
-      return;
-    }
-    run->second.stage = RunStage::kStarting;
-    this->SendStart(worker, key, at);
-  });
+  this->hooks.propose(
+      std::move(command), [this, worker, born_ms, key](TimePoint at) {
+        const auto found = this->sessions.find(worker);
+        if (found == this->sessions.end() || found->second.born_ms != born_ms) {
+          return;
+        }
+        const auto run = found->second.runs.find(key);
+        if (run == found->second.runs.end()) {
+          return;
+        }
+        const Job* job = this->state.FindJob(key.first.job);
+        const bool wanted = run->second.stage == RunStage::kLogging &&
+                            job != nullptr && !job->Ended() &&
+                            !found->second.draining;
+        if (!wanted) {
+          // Nothing was sent yet.
+          this->EndRun(worker, found->second, key, RunOutcome::kLost, "", at);
+          return;
+        }
+        run->second.stage = RunStage::kStarting;
+        this->SendStart(worker, key, at);
+      });
 }
 
 void Dispatcher::SendStart(const std::string& worker, const RunKey& key,
@@ -102,8 +101,9 @@
              std::move(order));
 }
 
-void Dispatcher::StopRun(Session& session, const RunKey& key, Run& run,
-                         const char* reason, TimePoint now) {
+void Dispatcher::StopRun(const std::string& worker, Session& session,
+                         const RunKey& key, Run& run, const char* reason,
+                         TimePoint now) {
   if (run.stage == RunStage::kStopping) {
     return;
   }
@@ -118,12 +118,7 @@
   run.stage = RunStage::kStopping;
   run.confirmed.reset();
   run.attempts = 0;
-  for (const auto& [id, candidate] : this->sessions) {
-    if (&candidate == &session) {
-      this->SendStop(id, session, key, run, now);
-      return;
-    }
-  }
+  this->SendStop(worker, session, key, run, now);
 }
 
 void Dispatcher::SendStop(const std::string& worker, Session& session,
@@ -200,22 +195,15 @@
   }
   this->hooks.count("start_refused");
   if (run.attempts == 1) {
-    this->EndRun(id, session, key, RunOutcome::kLost, "", {}, now);
+    this->EndRun(id, session, key, RunOutcome::kLost, "", now);
   } else {
     // An earlier copy of the order may have been carried out.
-    this->StopRun(session, key, run, "start refused after a repeat", now);
+    this->StopRun(id, session, key, run, "start refused after a repeat", now);
   }
 }
 
-void Dispatcher::EndRun(const std::string& worker, Session& session,
-                        const RunKey& key, RunOutcome outcome,
-                        const std::string& checkpoint,
-                        std::function<void(TimePoint)> committed,
-                        TimePoint now) {
-  const auto found = session.runs.find(key);
-  const bool wide = found->second.step->gang || found->second.step->speculative;
-  Subtract(session.used, Charge(*found->second.step));
-  session.runs.erase(found);
+Command Dispatcher::MakeEnd(const RunKey& key, RunOutcome outcome,
+                            const std::string& checkpoint) {
   Command command;
   command.end = std::make_unique<RunEnd>();
   command.end->job = key.first.job;
@@ -225,12 +213,22 @@
   command.end->run = key.second;
   command.end->outcome = static_cast<std::uint8_t>(outcome);
   command.end->checkpoint = checkpoint;
+  return command;
+}
+
+void Dispatcher::EndRun(const std::string& worker, Session& session,
+                        const RunKey& key, RunOutcome outcome,
+                        const std::string& checkpoint, TimePoint now) {
+  const auto found = session.runs.find(key);
+  const bool wide = found->second.step->gang || found->second.step->speculative;
+  Subtract(session.used, Charge(*found->second.step));
+  session.runs.erase(found);
   if (outcome != RunOutcome::kDone && outcome != RunOutcome::kStopped) {
     this->hooks.report(
         "run_ended", ToString(key.first),
         worker + " outcome " + std::to_string(static_cast<int>(outcome)));
   }
-  this->hooks.propose(std::move(command), std::move(committed));
+  this->hooks.propose(MakeEnd(key, outcome, checkpoint), {});
   this->dirty = true;
   if (const Job* job = this->state.FindJob(key.first.job);
       job != nullptr && job->active_runs > 0 && (wide || job->Ended())) {
@@ -263,7 +261,7 @@
           found != this->sessions.end()) {
         if (const auto run = found->second.runs.find({task, other.number});
             run != found->second.runs.end()) {
-          this->StopRun(found->second, run->first, run->second,
+          this->StopRun(found->first, found->second, run->first, run->second,
                         step.gang ? "its gang has ended" : "another copy ended",
                         now);
         }
@@ -276,7 +274,7 @@
   for (auto& [id, session] : this->sessions) {
     for (auto& [key, run] : session.runs) {
       if (key.first.job == job) {
-        this->StopRun(session, key, run, "its job has ended", now);
+        this->StopRun(id, session, key, run, "its job has ended", now);
       }
     }
   }
@@ -310,7 +308,7 @@
     // The first run only, so that a task which is long in itself ends.
     if (judged(run) && key.second == 1 &&
         run.percent < this->config.restart_below_percent) {
-      this->StopRun(session, key, run, "its worker is slow", now);
+      this->StopRun(id, session, key, run, "its worker is slow", now);
     }
   }
 }
--- a/src/mimosastage/jobs/dispatcher_upkeep.cc
+++ b/src/mimosastage/jobs/dispatcher_upkeep.cc
@@ -70,7 +70,8 @@
         run.step->long_running || run.step->checkpoints || patience_over;
     if (run.stage == RunStage::kRunning && movable &&
         this->MayStop(key.first)) {
-      this->StopRun(session, key, run, "its instance is due for upkeep", now);
+      this->StopRun(id, session, key, run, "its instance is due for upkeep",
+                    now);
     }
   }
   return empty;
--- a/src/mimosastage/jobs/placement.h
+++ b/src/mimosastage/jobs/placement.h
@@ -25,7 +25,6 @@
   std::string id;
   std::vector<std::string> labels;
   Amount free;
-  std::int64_t capacity_millicores = 0;
   /// Tasks that disturb those that serve.
   std::size_t fillers = 0;
   std::size_t serving = 0;
--- a/tests/jobs/placement_test.cc
+++ b/tests/jobs/placement_test.cc
@@ -18,7 +18,6 @@
     room.labels = {"kind", rack};
     room.free.millicores = millicores;
     room.free.memory_mb = 10'000;
-    room.capacity_millicores = millicores;
     this->rooms.push_back(std::move(room));
   }
 
