Connect a restarted voter to the voters in its log

Cause: a voter told its links of the others only once it knew that their membership is committed, which it learns from them. Restarted with seeds that name no other voter, two voters of which the one that dials had nobody to dial never met.

Change: the membership in the log is told to the links at the start.

--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -110,6 +110,11 @@
                                             std::move(replica_hooks));
   this->replica->Start(std::move(image), now);
   this->replica->Learn(founders, now);
+  // The seeds may name none of the others, and what is committed is known from
+  // them only.
+  if (const Membership& logged = this->replica->Members(); logged.version > 0) {
+    this->hooks.on_members(logged, logged.Contains(this->config.self));
+  }
 }
 
 void JobNode::SendReplication(DaemonId to, const ReplicationMessage& message) {
--- a/tests/node/job_node_test.cc
+++ b/tests/node/job_node_test.cc
@@ -22,7 +22,9 @@
       ++this->sent[to];
     };
     this->hooks.persist = [](const DurableWrite&) {};
-    this->hooks.on_members = [](const Membership&, bool) {};
+    this->hooks.on_members = [this](const Membership& members, bool) {
+      this->told_members = members;
+    };
     this->hooks.answer = [this](std::uint64_t request, jobs::CallKind,
                                 const jobs::Answer& answer) {
       this->answers[request] = static_cast<jobs::CallOutcome>(answer.outcome);
@@ -61,6 +63,8 @@
   std::unique_ptr<JobNode> node;
   std::map<std::uint64_t, jobs::CallOutcome> answers;
   std::map<DaemonId, int> sent;
+  /// The voters that the links were told of last.
+  Membership told_members;
   TimePoint now{seconds(1'000)};
 };
 
@@ -80,5 +84,24 @@
   EXPECT_EQ(this->answers.at(2), jobs::CallOutcome::kUnavailable);
 }
 
+// With seeds that name no other voter, a restarted voter had nobody to connect
+// to until it knew what is committed, which it learns from the others only.
+TEST_F(JobNodeTest, Restart_SeedsNameNobodyElse_LinksAreToldOfTheLoggedVoters) {
+  const Membership logged{1,
+                          {Member{DaemonId{1}, "10.0.0.1", 7000},
+                           Member{DaemonId{2}, "10.0.0.2", 7000},
+                           Member{DaemonId{3}, "10.0.0.3", 7000}}};
+  this->config.is_voter = true;
+  this->config.founders =
+      FoundingMembership({Member{DaemonId{1}, "10.0.0.1", 7000}}, 1);
+  DurableImage image;
+  image.intact = true;
+  image.incarnation = AddStart(image.starts, 7);
+  image.entries.push_back(LogEntry{1, 0, EncodeMembership(logged)});
+  this->node = std::make_unique<JobNode>(this->config, this->hooks);
+  this->node->Start(std::move(image), this->now);
+  EXPECT_EQ(this->told_members, logged);
+}
+
 }  // namespace
 }  // namespace mimosastage
