Log why a worker counts as silent, and the load of the node thread

The incident's logs could not tell whether workers were silent, orders were never sent, or decisions took the time. New lines worker_silent, worker_answers_again and node_load, retry reasons by kind of order and result, a histogram of the wait of answers, and a log limit per event, so that one kind of line no longer suppresses the others.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -278,9 +278,8 @@
                         TimePoint now) {
   session.hold_open = false;
   if (reply.result != OrderResult::kOk) {
-    ++session.unanswered_orders;
+    this->CountUnanswered(id, session, "hold", reply.result, now - order.sent);
     this->ScheduleHold(session, now + this->config.retry_delay);
-    this->hooks.count_retry("hold_unanswered");
     if (session.leaving && reply.result == OrderResult::kRefused) {
       this->RemoveWorker(
           id, "it announced its exit and no longer accepts connections", now);
@@ -288,6 +287,11 @@
     return;
   }
   const bool first = !std::exchange(session.has_answered, true);
+  if (session.unanswered_orders > 0) {
+    this->hooks.report(
+        "worker_answers_again", id,
+        std::to_string(session.unanswered_orders) + " orders were unanswered");
+  }
   session.unanswered_orders = 0;
   session.leaving = false;
   // The first hold had no deadline because the worker's clock was unknown, so
@@ -302,6 +306,21 @@
   }
 }
 
+void Dispatcher::CountUnanswered(const std::string& id, Session& session,
+                                 const char* kind, OrderResult result,
+                                 Duration since_sent) {
+  const std::string reason = std::string(kind) + "_" + NameOf(result);
+  if (session.unanswered_orders++ == 0) {
+    this->hooks.report(
+        "worker_silent", id,
+        reason + " " +
+            std::to_string(
+                std::chrono::floor<milliseconds>(since_sent).count()) +
+            " ms after the order");
+  }
+  this->hooks.count_retry(reason.c_str());
+}
+
 void Dispatcher::RecordEnds(const std::string& id, Session& session,
                             const WorkerReply& reply, TimePoint now) {
   std::uint64_t last = session.last_durable_end;
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -223,6 +223,11 @@
   void SendHold(const std::string& id, Session& session, TimePoint now);
   void OnHold(const std::string& id, Session& session, const OpenOrder& order,
               const WorkerReply& reply, TimePoint now);
+  /// Counts an order that got no valid answer; the first one makes the worker
+  /// silent. `kind` is the kind of order.
+  void CountUnanswered(const std::string& id, Session& session,
+                       const char* kind, OrderResult result,
+                       Duration since_sent);
   void RecordEnds(const std::string& id, Session& session,
                   const WorkerReply& reply, TimePoint now);
   /// Records the end of a run that this leader has given up.
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -182,9 +182,9 @@
     case OrderResult::kUnanswered:
     case OrderResult::kNotSent:
     case OrderResult::kRefused:
-      ++session.unanswered_orders;
+      this->CountUnanswered(id, session, "start", reply.result,
+                            now - order.sent);
       this->ScheduleHold(session, now);
-      this->hooks.count_retry("start_unanswered");
       return;
     case OrderResult::kNoTicket:
       // Requests new advice before the next start of the step.
--- a/src/mimosastage/jobs/worker_order.h
+++ b/src/mimosastage/jobs/worker_order.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "mimosastage/base/time.h"
 #include "mimosastage/jobs/records.h"
 
 namespace mimosastage::jobs {
@@ -104,6 +105,9 @@
   kUnanswered
 };
 
+/// Name of the result in logs and metrics.
+const char* NameOf(OrderResult result);
+
 struct WorkerReply {
   std::uint64_t number = 0;
   OrderResult result = OrderResult::kUnanswered;
--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdlib>
+#include <map>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -35,10 +36,16 @@
 /// that was frozen in between may no longer be the leader.
 constexpr std::chrono::milliseconds kOrderSendTimeout{250};
 
-/// Limit on the log lines of JobNode; lines above it are only counted.
+/// Limits on the log lines of JobNode; lines above them are only counted.
 constexpr std::size_t kMaxLogLinesPerSecond = 200;
+/// Limit per event, so that one kind of line doesn't suppress all others.
+constexpr std::size_t kMaxLogLinesPerEventAndSecond = 40;
+
+/// Interval of the log line on the node thread's load.
+constexpr std::chrono::seconds kLoadReportInterval{1};
 
 constexpr EventName kLogLinesDropped{"log_lines_dropped"};
+constexpr EventName kNodeLoad{"node_load"};
 constexpr EventName kDataFolderKept{"data_folder_kept"};
 constexpr EventName kStorageRetried{"storage_retried"};
 constexpr EventName kStorageOpened{"storage_opened"};
@@ -99,32 +106,59 @@
   std::unique_ptr<HttpServer> server;
 };
 
-/// Limits the log lines of JobNode to kMaxLogLinesPerSecond.
+/// Limits the log lines of JobNode.
 class LogRateLimiter {
  public:
-  bool Allow(TimePoint now) {
+  bool Allow(const char* event, TimePoint now) {
     if (now - this->window_start >= std::chrono::seconds(1)) {
-      if (this->dropped > 0) {
-        LogEvent(LogSeverity::kWarning, kLogLinesDropped,
-                 "log lines were dropped by the rate limit")
-            .With("lines", this->dropped);
-      }
+      this->ReportDropped();
       this->window_start = now;
       this->written = 0;
-      this->dropped = 0;
+      this->written_of_event.clear();
     }
-    if (this->written >= kMaxLogLinesPerSecond) {
-      ++this->dropped;
+    std::size_t& of_event = this->written_of_event[event];
+    if (this->written >= kMaxLogLinesPerSecond ||
+        of_event >= kMaxLogLinesPerEventAndSecond) {
+      ++this->dropped[event];
       return false;
     }
     ++this->written;
+    ++of_event;
     return true;
   }
 
  private:
+  void ReportDropped() {
+    for (const auto& [event, lines] : this->dropped) {
+      LogEvent(LogSeverity::kWarning, kLogLinesDropped,
+               "log lines were dropped by the rate limit")
+          .With("of_event", event)
+          .With("lines", lines);
+    }
+    this->dropped.clear();
+  }
+
   TimePoint window_start{};
   std::size_t written = 0;
-  std::size_t dropped = 0;
+  std::map<std::string, std::size_t, std::less<>> written_of_event;
+  std::map<std::string, std::size_t, std::less<>> dropped;
+};
+
+/// What the node thread did since `start`.
+struct NodeLoad {
+  TimePoint start{};
+  Duration handling_events{};
+  Duration advancing{};
+  Duration longest_turn{};
+  /// From when an answer was read to when the node handled it.
+  Duration longest_answer_wait{};
+  std::uint64_t turns = 0;
+  std::uint64_t exchanges = 0;
+  std::uint64_t instance_requests = 0;
+  std::uint64_t answers = 0;
+  /// Exchanges that ended before anything was sent.
+  std::uint64_t not_started = 0;
+  std::uint64_t new_connections = 0;
 };
 
 }  // namespace
@@ -151,6 +185,8 @@
   void OnRequest(std::uint64_t id, HttpRequest&& request, TimePoint now);
   void OnExchange(ExchangeResult&& result, TimePoint now);
   void SendExchange(ExchangeRequest&& request);
+  /// Logs the node thread's load once per interval, unless it was idle.
+  void ReportLoad(TimePoint now);
   void AnswerHttp(std::uint64_t id, HttpAnswer&& answer);
   void StopThreads();
 
@@ -158,6 +194,7 @@
   JobProtocol protocol;
   Metrics metrics;
   LogRateLimiter log_limiter;
+  NodeLoad load;
   WakeSignal wake;
   std::function<void()> wake_node = [this] { this->wake.Notify(); };
   std::vector<std::unique_ptr<Listener>> listeners;
@@ -436,6 +473,7 @@
   hooks.send_instance_request = [this](const jobs::InstanceRequest& request) {
     ExchangeRequest exchange = this->protocol.encode_instance_request(request);
     exchange.id |= kInstanceRequestBit;
+    ++this->load.instance_requests;
     this->SendExchange(std::move(exchange));
   };
   hooks.ask_advice = [this](const jobs::AdviceRequest& request) {
@@ -453,7 +491,7 @@
   };
   hooks.report = [this](const char* event, const std::string& id,
                         const std::string& detail) {
-    if (this->log_limiter.Allow(LeaseClock::now())) {
+    if (this->log_limiter.Allow(event, LeaseClock::now())) {
       LogEvent(LogSeverity::kInfo, EventName{event}, detail).With("id", id);
     }
   };
@@ -472,6 +510,7 @@
 void JobDaemon::Impl::SendExchange(ExchangeRequest&& request) {
   const std::uint64_t id = request.id;
   request.start_before = LeaseClock::now() + kOrderSendTimeout;
+  ++this->load.exchanges;
   if (!this->exchanges->Submit(std::move(request))) {
     this->metrics.Add(metrics::kDrops, "exchange_ring_full");
     ExchangeResult result;
@@ -511,6 +550,15 @@
 }
 
 void JobDaemon::Impl::OnExchange(ExchangeResult&& result, TimePoint now) {
+  ++this->load.answers;
+  this->load.not_started += result.end == AttemptEnd::kNotStarted ? 1 : 0;
+  this->load.new_connections += result.reused_connection ? 0 : 1;
+  if (result.ended_at != TimePoint{}) {
+    const Duration wait = now - result.ended_at;
+    this->load.longest_answer_wait =
+        std::max(this->load.longest_answer_wait, wait);
+    this->metrics.Observe(metrics::kAnswerWait, wait);
+  }
   if ((result.id & kInstanceRequestBit) != 0) {
     result.id &= ~kInstanceRequestBit;
     this->node->OnInstanceReply(this->protocol.decode_instance_reply(result),
@@ -525,6 +573,7 @@
 
 void JobDaemon::Impl::RunNode() {
   while (true) {
+    const TimePoint turn_start = LeaseClock::now();
     const bool busy = this->DrainRings();
     const TimePoint now = LeaseClock::now();
     if (this->stop_requested.load() && !this->node->ShuttingDown()) {
@@ -534,6 +583,13 @@
       this->node->BeginShutdown(now);
     }
     this->node->Advance(now);
+    const TimePoint turn_end = LeaseClock::now();
+    ++this->load.turns;
+    this->load.handling_events += now - turn_start;
+    this->load.advancing += turn_end - now;
+    this->load.longest_turn =
+        std::max(this->load.longest_turn, turn_end - turn_start);
+    this->ReportLoad(turn_end);
     if (this->storage_failed.exchange(false)) {
       this->HandleStorageFailure(now);
     }
@@ -554,6 +610,27 @@
   }
 }
 
+void JobDaemon::Impl::ReportLoad(TimePoint now) {
+  if (now - this->load.start < kLoadReportInterval) {
+    return;
+  }
+  if (this->load.exchanges > 0) {
+    LogEvent(LogSeverity::kInfo, kNodeLoad, "load of the node thread")
+        .With("window_ms", now - this->load.start)
+        .With("handling_events_ms", this->load.handling_events)
+        .With("advancing_ms", this->load.advancing)
+        .With("longest_turn_ms", this->load.longest_turn)
+        .With("longest_answer_wait_ms", this->load.longest_answer_wait)
+        .With("turns", this->load.turns)
+        .With("exchanges", this->load.exchanges)
+        .With("instance_requests", this->load.instance_requests)
+        .With("answers", this->load.answers)
+        .With("not_started", this->load.not_started)
+        .With("new_connections", this->load.new_connections);
+  }
+  this->load = NodeLoad{.start = now};
+}
+
 bool JobDaemon::Impl::DrainRings() {
   // Reads the clock for each event: the daemon can be frozen between two
   // events, and its authority as leader may end in that time.
--- a/src/mimosastage/telemetry/metrics.h
+++ b/src/mimosastage/telemetry/metrics.h
@@ -74,6 +74,9 @@
 inline constexpr HistogramName kServiceTime{
     "mimosastage_service_seconds", "route",
     "From the first attempt to the end of the answer."};
+inline constexpr HistogramName kAnswerWait{
+    "mimosastage_answer_wait_seconds", "",
+    "From when an answer was read to when the node thread handled it."};
 
 }  // namespace metrics
 
