Add failing tests for a leader that can't send its orders in time

OrderResult::kNotStarted is split off kNotSent and handled as before, so that the tests can tell a delay of the leader from a failed connection.

--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -181,6 +181,7 @@
   switch (reply.result) {
     case OrderResult::kUnanswered:
     case OrderResult::kNotSent:
+    case OrderResult::kNotStarted:
     case OrderResult::kRefused:
       this->CountUnanswered(id, session, "start", reply.result,
                             now - order.sent);
--- a/src/mimosastage/jobs/worker_order.cc
+++ b/src/mimosastage/jobs/worker_order.cc
@@ -26,6 +26,8 @@
       return "refused";
     case OrderResult::kNotSent:
       return "not_sent";
+    case OrderResult::kNotStarted:
+      return "not_started";
     case OrderResult::kUnanswered:
       return "unanswered";
   }
--- a/src/mimosastage/jobs/worker_order.h
+++ b/src/mimosastage/jobs/worker_order.h
@@ -99,8 +99,11 @@
   kOtherIncarnation,
   /// The connection was refused because no process listens there.
   kRefused,
-  /// The order was not sent.
+  /// The connection failed before the order was sent.
   kNotSent,
+  /// This daemon didn't begin to send the order in time. Says nothing about the
+  /// worker.
+  kNotStarted,
   /// No complete answer was received; the order may still be executed.
   kUnanswered
 };
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -7,6 +7,8 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "tests/jobs/support/fake_fleet_leader.h"
 
@@ -427,5 +429,142 @@
   EXPECT_EQ(ordered.size(), 1U);
 }
 
+class OverloadedDispatcherTest : public DispatcherTest {
+ protected:
+  static constexpr int kWorkers = 40;
+  static constexpr milliseconds kRunTime{640};
+
+  void SetUp() override {
+    DispatcherTest::SetUp();
+    this->fleet.delay_hold_answers = true;
+    this->StartTermWithWorkers(kWorkers, 32'000);
+    Step lasting = MakeStep(24, 4'000);
+    lasting.long_running = true;
+    lasting.most_per_worker = 1;
+    this->fleet.Submit("lasting", "render", {lasting});
+    this->fleet.Advance(milliseconds(500));
+    ASSERT_EQ(this->fleet.RunningTasks(), 24U);
+  }
+
+  /// Submits a job of 8 tasks every 50 ms and ends each run after `kRunTime`.
+  /// Together they fill 0.64 of the workers, and need 160 starts a second.
+  void AdvanceWithLoad(milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += milliseconds(10)) {
+      if (passed.count() % 50 == 0) {
+        this->fleet.Submit("short-" + std::to_string(this->submitted++),
+                           "render", {MakeStep(8, 4'000)});
+      }
+      this->EndShortRuns();
+      this->fleet.Advance(milliseconds(10));
+      this->CountLapses();
+    }
+  }
+
+  void EndShortRuns() {
+    const auto clock = std::chrono::duration_cast<milliseconds>(
+        this->fleet.now.time_since_epoch());
+    std::vector<std::pair<std::string, TaskId>> due;
+    for (const auto& [id, worker] : this->fleet.workers) {
+      for (const auto& [key, began] : worker.running) {
+        if (key.first.job != "lasting" &&
+            clock.count() - began >= kRunTime.count()) {
+          due.emplace_back(id, key.first);
+        }
+      }
+    }
+    for (const auto& [id, task] : due) {
+      this->fleet.EndRun(id, task, RunOutcome::kDone);
+    }
+  }
+
+  void CountLapses() {
+    for (const auto& [id, worker] : this->fleet.workers) {
+      for (const EndedRun& ended : worker.ended) {
+        if (ended.outcome == RunOutcome::kLeaseExpired) {
+          this->lapsed.insert(ToString(ended.task));
+        }
+      }
+    }
+  }
+
+  int CompletedJobs() {
+    int completed = 0;
+    for (int i = 0; i < this->submitted; ++i) {
+      completed += this->fleet.JobOf("short-" + std::to_string(i)).phase ==
+                           JobPhase::kCompleted
+                       ? 1
+                       : 0;
+    }
+    return completed;
+  }
+
+  int submitted = 0;
+  std::set<std::string> lapsed;
+};
+
+TEST_F(OverloadedDispatcherTest, LeaderSendsAllOrders_JobsComplete) {
+  this->AdvanceWithLoad(milliseconds(20'000));
+  EXPECT_TRUE(this->lapsed.empty());
+  EXPECT_GE(this->CompletedJobs(), this->submitted - 2 * 20);
+}
+
+// Guards against a leader that takes its own delay for the silence of workers:
+// their leases were no longer renewed, and long-running tasks lapsed for good.
+TEST_F(OverloadedDispatcherTest, LeaderSendsOrdersTooSlowly_NoLeaseLapses) {
+  this->fleet.orders_per_tick = 2;
+  this->AdvanceWithLoad(milliseconds(30'000));
+  EXPECT_TRUE(this->lapsed.empty())
+      << this->lapsed.size() << " tasks, first " << *this->lapsed.begin();
+  for (std::uint32_t task = 0; task < 24; ++task) {
+    EXPECT_EQ(this->fleet.WorkersOf(TaskOf("lasting", 0, task)).size(), 1U);
+  }
+}
+
+// Guards against a leader whose first seconds of overload last for good: orders
+// that were repeated on top of the delayed ones used up what it can send.
+TEST_F(OverloadedDispatcherTest, LeaderWasTooSlowFor10s_JobsCompleteAgain) {
+  this->fleet.orders_per_tick = 2;
+  this->AdvanceWithLoad(milliseconds(10'000));
+  this->fleet.orders_per_tick = 8;
+  this->AdvanceWithLoad(milliseconds(10'000));
+  EXPECT_TRUE(this->lapsed.empty());
+  EXPECT_GE(this->CompletedJobs(), this->submitted - 2 * 20);
+}
+
+// Guards against a move that is requested again without a pause: the requests
+// and their log entries used up the leader's processor time.
+TEST_F(DispatcherTest, MoveIsUnanswered_RepeatedAtTheRetryDelay) {
+  this->fleet.AddPool("spare", true);
+  this->StartTermWithWorkers(12);
+  std::map<std::string, int> requests;
+  for (int i = 0; i < 300; ++i) {
+    this->fleet.Advance(milliseconds(10));
+    // Answers within the same tick, as for a request that wasn't sent.
+    for (int round = 0; round < 20; ++round) {
+      for (const InstanceRequest& request :
+           std::exchange(this->fleet.instance_requests, {})) {
+        InstanceReply reply;
+        reply.number = request.number;
+        if (request.kind == InstanceRequest::Kind::kList) {
+          reply.result = InstanceReply::Result::kOk;
+          for (const auto& [id, worker] : this->fleet.workers) {
+            reply.instances.push_back(InstanceListEntry{
+                worker.record.machine, "render", InstanceStatus::kUp, id});
+          }
+        } else {
+          ++requests[request.instance];
+        }
+        this->fleet.dispatcher->OnInstanceReply(reply, this->fleet.now);
+      }
+      this->fleet.Commit();
+    }
+  }
+  ASSERT_FALSE(requests.empty());
+  for (const auto& [instance, count] : requests) {
+    EXPECT_LE(count, 3'000 / this->fleet.config.instance_retry_delay.count())
+        << instance;
+  }
+}
+
 }  // namespace
 }  // namespace mimosastage::jobs
--- a/tests/jobs/support/fake_fleet_leader.cc
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -92,7 +92,7 @@
     }
   };
   hooks.send = [this](WorkerOrder order) {
-    this->orders.push_back(std::move(order));
+    this->orders.emplace_back(this->now, std::move(order));
   };
   hooks.send_instance_request = [this](InstanceRequest request) {
     this->instance_requests.push_back(std::move(request));
@@ -221,6 +221,34 @@
   return reply;
 }
 
+std::deque<WorkerOrder> FakeFleetLeader::TakeSentOrders() {
+  auto waiting = std::exchange(this->orders, {});
+  std::deque<WorkerOrder> sent;
+  for (auto& [given, order] : waiting) {
+    if (this->now - given > this->max_send_wait) {
+      WorkerReply reply;
+      reply.number = order.number;
+      reply.result = OrderResult::kNotStarted;
+      this->dispatcher->OnReply(reply, this->now);
+    } else if (sent.size() < this->orders_per_tick) {
+      sent.push_back(std::move(order));
+    } else {
+      this->orders.emplace_back(given, std::move(order));
+    }
+  }
+  return sent;
+}
+
+void FakeFleetLeader::Commit() {
+  if (this->log_stalled) {
+    return;
+  }
+  const auto due = std::exchange(this->commit_callbacks, {});
+  for (const auto& effect : due) {
+    effect(this->now);
+  }
+}
+
 void FakeFleetLeader::AdvanceOneTick() {
   this->now += milliseconds(10);
   this->wall += milliseconds(10);
@@ -238,13 +266,8 @@
       worker.running.clear();
     }
   }
-  if (!this->log_stalled) {
-    const auto due = std::exchange(this->commit_callbacks, {});
-    for (const auto& effect : due) {
-      effect(this->now);
-    }
-  }
-  auto sent = std::exchange(this->orders, {});
+  this->Commit();
+  std::deque<WorkerOrder> sent = this->TakeSentOrders();
   if (this->delay_hold_answers) {
     for (WorkerOrder& order : std::exchange(sent, {})) {
       const auto* hold = std::get_if<HoldOrder>(&order.body);
--- a/tests/jobs/support/fake_fleet_leader.h
+++ b/tests/jobs/support/fake_fleet_leader.h
@@ -5,10 +5,12 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "mimosastage/jobs/dispatcher.h"
@@ -50,6 +52,8 @@
               std::vector<Step> steps, const std::string& team = "");
   void Cancel(const std::string& id);
   void Advance(std::chrono::milliseconds time);
+  /// Makes the proposed commands durable, unless the log is stalled.
+  void Commit();
   /// Ends the task's run on the worker.
   void EndRun(const std::string& worker, const TaskId& task, RunOutcome outcome,
               const std::string& checkpoint = "");
@@ -71,6 +75,10 @@
   /// While true, a worker delays its answer to a hold by the requested wait, or
   /// until a run ends.
   bool delay_hold_answers = false;
+  /// How many orders the leader's process can send in 10 ms. Orders that wait
+  /// for longer than `max_send_wait` are never started.
+  std::size_t orders_per_tick = std::numeric_limits<std::size_t>::max();
+  std::chrono::milliseconds max_send_wait{250};
   /// How far the time that the leader passes along with answers is behind, as
   /// after a freeze or CPU starvation.
   std::chrono::milliseconds leader_lag{0};
@@ -83,11 +91,15 @@
 
  private:
   WorkerReply Execute(const WorkerOrder& order);
+  /// Takes the orders that the leader's process can send in this tick, and
+  /// answers those that have waited for too long.
+  std::deque<WorkerOrder> TakeSentOrders();
   void AdvanceOneTick();
 
   Configuration configuration;
   std::deque<std::function<void(TimePoint)>> commit_callbacks;
-  std::deque<WorkerOrder> orders;
+  /// Orders that wait to be sent, with the time at which they were given.
+  std::deque<std::pair<TimePoint, WorkerOrder>> orders;
   /// Delayed holds with the time of their answer.
   std::deque<std::pair<TimePoint, WorkerOrder>> waiting_holds;
 };
