Repeat an unanswered move of an instance after the retry delay

Callers saw nearly no job complete while the leader used all its processor time. One part of it: a move whose request had no answer was ordered again at once.

An unanswered move now waits for instance_retry_delay, as upkeeps do.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -489,6 +489,7 @@
   if (now - this->term_start >= this->config.takeover_delay) {
     this->ReadInstances(now);
     this->AdvanceWaves(now);
+    this->RepeatMoves(now);
     this->BalancePools(now);
   }
   const bool paused =
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -194,6 +194,11 @@
     std::string pool;
   };
 
+  struct UnansweredMove {
+    InstanceMove move;
+    TimePoint next_attempt{};
+  };
+
   /// The advisory service's answer for one step.
   struct Advice {
     std::map<std::string, std::string> approved;
@@ -314,6 +319,8 @@
   void OnInstanceList(const InstanceReply& reply, TimePoint now);
   void BalancePools(TimePoint now);
   void OrderMove(const InstanceMove& move);
+  /// Orders the unanswered moves again whose retry delay has passed.
+  void RepeatMoves(TimePoint now);
   void OnMoveReply(const InstanceMove& move, const InstanceReply& reply,
                    TimePoint now);
   const Worker* WorkerOnInstance(const std::string& instance) const;
@@ -360,6 +367,7 @@
   TimePoint next_advice_cleanup{};
   PoolBalancer balancer;
   TimePoint next_balance{};
+  std::map<std::string, UnansweredMove> unanswered_moves;
   /// The platform's instance list, as last read completely.
   std::map<std::string, InstanceListEntry> listed_instances;
   std::map<std::string, InstanceListEntry> partial_instance_list;
--- a/src/mimosastage/jobs/dispatcher_instances.cc
+++ b/src/mimosastage/jobs/dispatcher_instances.cc
@@ -162,6 +162,20 @@
   this->SendInstanceRequest(std::move(request));
 }
 
+void Dispatcher::RepeatMoves(TimePoint now) {
+  std::vector<InstanceMove> due;
+  std::erase_if(this->unanswered_moves, [&](const auto& row) {
+    if (now < row.second.next_attempt) {
+      return false;
+    }
+    due.push_back(row.second.move);
+    return true;
+  });
+  for (const InstanceMove& move : due) {
+    this->OrderMove(move);
+  }
+}
+
 void Dispatcher::OnMoveReply(const InstanceMove& move,
                              const InstanceReply& reply, TimePoint now) {
   const Worker* worker = this->WorkerOnInstance(move.instance);
@@ -177,7 +191,8 @@
   if (reply.result == InstanceReply::Result::kUnanswered) {
     // The move may still be executed, so the worker gets no tasks until it
     // falls silent or the repeated request is answered.
-    this->OrderMove(move);
+    this->unanswered_moves[move.instance] =
+        UnansweredMove{move, now + this->config.instance_retry_delay};
     return;
   }
   if (worker != nullptr) {
