Don't count orders that were never started as silence of the worker

Callers saw long-running tasks stop for good on sound workers. An order that waited over 250 ms for the exchange thread was never started, but counted as unanswered: the worker then got no tasks, its holds no longer renewed its lease, and repeated orders opened new connections.

Such an order is now given again and says nothing about the worker.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -277,6 +277,11 @@
                         const OpenOrder& order, const WorkerReply& reply,
                         TimePoint now) {
   session.hold_open = false;
+  if (reply.result == OrderResult::kNotStarted) {
+    this->hooks.count_retry("hold_not_started");
+    this->ScheduleHold(session, now);
+    return;
+  }
   if (reply.result != OrderResult::kOk) {
     this->CountUnanswered(id, session, "hold", reply.result, now - order.sent);
     this->ScheduleHold(session, now + this->config.retry_delay);
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -158,6 +158,16 @@
     return;
   }
   run.order_open = false;
+  if (reply.result == OrderResult::kNotStarted) {
+    // The worker hasn't seen this copy of the order.
+    --run.attempts;
+    run.next_attempt = now;
+    this->next_session_scan = std::min(this->next_session_scan, now);
+    this->hooks.count_retry(order.stage == RunStage::kStarting
+                                ? "start_not_started"
+                                : "stop_not_started");
+    return;
+  }
   if (reply.result == OrderResult::kOk) {
     run.confirmed = now;
     if (run.stage == RunStage::kStarting) {
@@ -181,7 +191,6 @@
   switch (reply.result) {
     case OrderResult::kUnanswered:
     case OrderResult::kNotSent:
-    case OrderResult::kNotStarted:
     case OrderResult::kRefused:
       this->CountUnanswered(id, session, "start", reply.result,
                             now - order.sent);
