Bound the start orders that are open at once

StartWindow bounds the open starts by the time that orders wait before they are sent (additive increase, multiplicative decrease), each pool gets an equal part of it, and a placement waits until the window has room.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -53,6 +53,7 @@
                    }));
              }),
       speed(this->config.speed),
+      start_window(this->config.start_window),
       balancer(this->config.balancer) {
   for (const auto& [id, worker] : state.Workers()) {
     this->AddSession(worker, now);
@@ -263,6 +264,10 @@
     this->RemoveWorker(id, "another incarnation answered", now);
     return;
   }
+  this->start_window.OnWait(
+      (reply.result == OrderResult::kNotStarted ? now : reply.started_at) -
+          order.sent,
+      now);
   if (reply.clock.has_value()) {
     session.lease.OnClock(*reply.clock, reply.read_at);
   }
@@ -417,6 +422,7 @@
     if (run.stage == RunStage::kStarting) {
       run.stage = RunStage::kRunning;
       run.confirmed = now;
+      this->LeaveStartWindow(run);
     }
   }
   if (reply.ended.size() >= kEndsPerAnswer) {
@@ -498,7 +504,8 @@
     this->BalancePools(now);
   }
   const bool paused =
-      now - this->last_placement < this->config.min_placement_interval;
+      now - this->last_placement < this->config.min_placement_interval ||
+      this->start_window.IsNearlyFull();
   if ((this->placement_needed && !paused) || now >= this->next_placement) {
     this->placement_needed = false;
     this->last_placement = now;
@@ -544,7 +551,7 @@
 
 TimePoint Dispatcher::NextDue(TimePoint now) const {
   TimePoint due = this->next_placement;
-  if (this->placement_needed) {
+  if (this->placement_needed && !this->start_window.IsNearlyFull()) {
     due = std::min(due,
                    this->last_placement + this->config.min_placement_interval);
   }
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -17,6 +17,7 @@
 #include "mimosastage/jobs/fleet_state.h"
 #include "mimosastage/jobs/placement.h"
 #include "mimosastage/jobs/pool_balancer.h"
+#include "mimosastage/jobs/start_window.h"
 #include "mimosastage/jobs/worker_lease.h"
 #include "mimosastage/jobs/worker_order.h"
 #include "mimosastage/jobs/worker_speed.h"
@@ -67,6 +68,7 @@
     /// the platform's list, which lags, shows it as up. An upkeep takes 2 s.
     std::chrono::milliseconds upkeep_duration{2'800};
     PoolBalancer::Config balancer;
+    StartWindow::Config start_window;
     /// How long an upkeep waits for short tasks to end before it stops them.
     std::chrono::milliseconds upkeep_drain_timeout{2'500};
     WorkerSpeed::Config speed;
@@ -133,6 +135,8 @@
     std::optional<TimePoint> confirmed;
     unsigned attempts = 0;
     bool order_open = false;
+    /// The run takes part of the start window: its start isn't confirmed.
+    bool in_start_window = false;
     TimePoint next_attempt{};
     /// The task serves its purpose. A long-running task is ready once it
     /// reports 100 percent.
@@ -263,6 +267,8 @@
                   TimePoint now);
   void EndRun(const std::string& worker, Session& session, const RunKey& key,
               RunOutcome outcome, const std::string& checkpoint, TimePoint now);
+  /// Gives the run's part of the start window back.
+  void LeaveStartWindow(Run& run);
   /// Stops the runs that an end makes pointless: all runs of an ended job, the
   /// rest of a gang, or other copies of a completed task.
   void StopObsoleteRuns(const RunKey& key, TimePoint now);
@@ -365,6 +371,7 @@
   std::map<std::string, Advice> advice;
   std::unordered_map<std::uint64_t, std::string> advice_requests;
   TimePoint next_advice_cleanup{};
+  StartWindow start_window;
   PoolBalancer balancer;
   TimePoint next_balance{};
   std::map<std::string, UnansweredMove> unanswered_moves;
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -234,7 +234,16 @@
   if (!by_pool.empty()) {
     teams = this->TeamQuotas();
   }
+  std::size_t pools_left = by_pool.size();
   for (auto& [pool, ranked] : by_pool) {
+    // Each pool gets an equal part of the start window, so that a long queue
+    // for one pool doesn't keep the tasks of the others from starting.
+    const std::size_t room = this->start_window.Room();
+    const std::size_t limit = (room + pools_left - 1) / pools_left;
+    --pools_left;
+    if (limit == 0) {
+      continue;
+    }
     std::vector<CandidateWorker> candidates = this->CandidateWorkers(pool, now);
     if (candidates.empty()) {
       continue;
@@ -249,7 +258,8 @@
       demands.push_back(std::move(ranked_demand.demand));
     }
     std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> gang_runs;
-    for (const Assignment& assignment : Place(demands, candidates, teams)) {
+    for (const Assignment& assignment :
+         Place(demands, candidates, teams, limit)) {
       const TaskId& task = assignment.task;
       const Job& job = *this->state.FindJob(task.job);
       const Step& step = *job.request->steps[task.step];
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -34,6 +34,8 @@
   const RunKey key{task, number};
   Run run = this->MakeRun(task);
   Add(session.used, Charge(*run.step));
+  run.in_start_window = true;
+  this->start_window.OnOpened();
   session.runs.emplace(key, std::move(run));
   Command command;
   command.start = std::make_unique<RunStart>();
@@ -109,6 +111,7 @@
     return;
   }
   this->hooks.report("run_stopped", ToString(key.first), reason);
+  this->LeaveStartWindow(run);
   if (run.stage == RunStage::kLogging) {
     // Once the start is durable, StartRun's callback sees this stage and ends
     // the run without sending a start order.
@@ -172,6 +175,7 @@
     run.confirmed = now;
     if (run.stage == RunStage::kStarting) {
       run.stage = RunStage::kRunning;
+      this->LeaveStartWindow(run);
     } else {
       // Sends a hold now, as its answer lists the end of the run once the
       // worker has stopped it.
@@ -194,6 +198,8 @@
     case OrderResult::kRefused:
       this->CountUnanswered(id, session, "start", reply.result,
                             now - order.sent);
+      // A silent worker must not keep the window from others.
+      this->LeaveStartWindow(run);
       this->ScheduleHold(session, now);
       return;
     case OrderResult::kNoTicket:
@@ -238,6 +244,7 @@
                         const RunKey& key, RunOutcome outcome,
                         const std::string& checkpoint, TimePoint now) {
   const auto found = session.runs.find(key);
+  this->LeaveStartWindow(found->second);
   const bool has_siblings =
       found->second.step->gang || found->second.step->speculative;
   Subtract(session.used, Charge(*found->second.step));
@@ -256,6 +263,12 @@
   }
 }
 
+void Dispatcher::LeaveStartWindow(Run& run) {
+  if (std::exchange(run.in_start_window, false)) {
+    this->start_window.OnClosed();
+  }
+}
+
 void Dispatcher::StopObsoleteRuns(const RunKey& key, TimePoint now) {
   const Job& job = *this->state.FindJob(key.first.job);
   if (job.Ended()) {
--- a/src/mimosastage/jobs/placement.cc
+++ b/src/mimosastage/jobs/placement.cc
@@ -58,9 +58,13 @@
         team(team),
         on_worker(demand.on_worker) {}
 
-  std::vector<Assignment> Run() {
+  /// Places at most `limit` tasks. A gang is placed as a whole, so it may
+  /// exceed the limit.
+  std::vector<Assignment> Run(std::size_t limit) {
     for (const std::uint32_t index : this->demand.waiting) {
-      if (!this->PlaceOne(index)) {
+      const bool reached =
+          !this->demand.step->gang && this->placed.size() >= limit;
+      if (reached || !this->PlaceOne(index)) {
         break;
       }
     }
@@ -176,13 +180,17 @@
 
 std::vector<Assignment> Place(const std::vector<StepDemand>& demands,
                               std::vector<CandidateWorker>& candidates,
-                              std::map<std::string, TeamQuota>& teams) {
+                              std::map<std::string, TeamQuota>& teams,
+                              std::size_t limit) {
   std::vector<Assignment> all;
   for (const StepDemand& demand : demands) {
+    if (all.size() >= limit) {
+      break;
+    }
     const auto team = teams.find(demand.team);
     StepPlacer placer(demand, candidates,
                       team == teams.end() ? nullptr : &team->second);
-    for (Assignment& assignment : placer.Run()) {
+    for (Assignment& assignment : placer.Run(limit - all.size())) {
       all.push_back(std::move(assignment));
     }
   }
--- a/src/mimosastage/jobs/placement.h
+++ b/src/mimosastage/jobs/placement.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -65,9 +66,11 @@
 /// Assigns waiting tasks to workers, in the order of `demands`, and deducts
 /// their resources from `candidates` and `teams`. A gang is placed as a whole
 /// or not at all.
-std::vector<Assignment> Place(const std::vector<StepDemand>& demands,
-                              std::vector<CandidateWorker>& candidates,
-                              std::map<std::string, TeamQuota>& teams);
+std::vector<Assignment> Place(
+    const std::vector<StepDemand>& demands,
+    std::vector<CandidateWorker>& candidates,
+    std::map<std::string, TeamQuota>& teams,
+    std::size_t limit = std::numeric_limits<std::size_t>::max());
 
 /// Determines the order in which steps are placed.
 struct StepUrgency {
--- a/src/mimosastage/jobs/worker_order.h
+++ b/src/mimosastage/jobs/worker_order.h
@@ -118,6 +118,8 @@
   /// When the answer was read from the connection; the worker's clock was at
   /// `clock` or later by then. The leader may process the answer much later.
   TimePoint read_at{};
+  /// When the daemon began to send the order.
+  TimePoint started_at{};
   /// Start of the incarnation in Unix milliseconds, if the answer contains it.
   std::optional<std::int64_t> born_ms;
   std::vector<RunningTask> running;
--- a/tests/jobs/support/fake_fleet_leader.cc
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -168,6 +168,7 @@
 WorkerReply FakeFleetLeader::Execute(const WorkerOrder& order) {
   WorkerReply reply;
   reply.number = order.number;
+  reply.started_at = this->now;
   FakeWorker& worker = this->workers.at(order.worker);
   if (worker.silent) {
     return reply;
