Keep as many idle connections as the descriptor limit allows

A leader of 350 workers has about 830 connections, but the exchange client kept 512. libcurl then searched its whole connection cache after each transfer, closed the connection that had been idle for longest and soon opened it again. The bound now follows the process's limit on file descriptors: 1,948 for a voter with 4,096. max_connections_per_server and max_idle_time still bound the number of connections.

The new test Submit_ManyServers_ConnectionsAreReused fails with a bound of 512 (512 of 1,400 connections reused).

--- a/src/mimosastage/backend_servers/exchange_client.cc
+++ b/src/mimosastage/backend_servers/exchange_client.cc
@@ -1,6 +1,7 @@
 #include "mimosastage/backend_servers/exchange_client.h"
 
 #include <curl/curl.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <asio.hpp>
@@ -38,6 +39,13 @@
 /// event itself.
 constexpr milliseconds kStallCheckPeriod{100};
 
+/// File descriptors for everything but connections over HTTP: the data folder,
+/// links to the other daemons, listeners and event loops.
+constexpr std::size_t kReservedDescriptors = 200;
+/// Bounds the limit of a process that may open any number of descriptors.
+constexpr std::size_t kMaxIdleConnections = 32'768;
+constexpr std::size_t kMinIdleConnections = 16;
+
 /// Initialises libcurl once per process, as it requires before any other call.
 void InitialiseLibcurl() {
   static const CURLcode kDone = curl_global_init(CURL_GLOBAL_NOTHING);
@@ -46,6 +54,17 @@
 
 }  // namespace
 
+std::size_t IdleConnectionLimit() {
+  rlimit descriptors{};
+  if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0 ||
+      descriptors.rlim_cur <= kReservedDescriptors) {
+    return kMinIdleConnections;
+  }
+  return std::clamp<std::size_t>(
+      (descriptors.rlim_cur - kReservedDescriptors) / 2, kMinIdleConnections,
+      kMaxIdleConnections);
+}
+
 struct ExchangeClient::Impl {
   Impl(Settings given_settings, Hooks given_hooks)
       : settings(std::move(given_settings)),
--- a/src/mimosastage/backend_servers/exchange_client.h
+++ b/src/mimosastage/backend_servers/exchange_client.h
@@ -56,6 +56,11 @@
   std::string detail;
 };
 
+/// Number of connections to backend servers that the process can keep open:
+/// half of its limit on file descriptors, less 200 for files, links and
+/// listeners. The other half is left to accepted connections.
+std::size_t IdleConnectionLimit();
+
 /// Runs HTTP/1.1 exchanges with backend servers on its own thread. Each
 /// accepted request is sent at most once and gives exactly one result.
 class ExchangeClient {
@@ -72,8 +77,13 @@
     /// (TCP_USER_TIMEOUT).
     std::chrono::milliseconds unacknowledged_timeout{3'000};
     std::size_t max_answer_bytes = 16U << 20U;
-    /// Maximum number of idle connections to all servers together.
-    std::size_t max_idle_connections = 512;
+    /// If more connections than this are open, those in use included, each
+    /// exchange that ends closes the connection that has been idle for longest.
+    /// Must be above the number of connections that the servers need: finding
+    /// that connection takes time proportional to this number, and the closed
+    /// one is soon opened again. max_connections_per_server and max_idle_time
+    /// bound the number of connections too.
+    std::size_t max_idle_connections = IdleConnectionLimit();
     /// Maximum number of connections to one server, idle ones included.
     std::size_t max_connections_per_server = 64;
     /// A connection that has been idle for longer isn't reused.
--- a/tests/backend_servers/exchange_client_test.cc
+++ b/tests/backend_servers/exchange_client_test.cc
@@ -1,6 +1,7 @@
 #include "mimosastage/backend_servers/exchange_client.h"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 #include <condition_variable>
 #include <cstdlib>
@@ -106,6 +107,57 @@
   }
 }
 
+/// Sets the limit on file descriptors of a voter while it exists.
+class VoterDescriptorLimit {
+ public:
+  VoterDescriptorLimit() {
+    getrlimit(RLIMIT_NOFILE, &this->previous);
+    const rlimit voter{4'096, this->previous.rlim_max};
+    EXPECT_EQ(setrlimit(RLIMIT_NOFILE, &voter), 0);
+  }
+  ~VoterDescriptorLimit() { setrlimit(RLIMIT_NOFILE, &this->previous); }
+  VoterDescriptorLimit(const VoterDescriptorLimit&) = delete;
+  VoterDescriptorLimit& operator=(const VoterDescriptorLimit&) = delete;
+
+ private:
+  rlimit previous{};
+};
+
+// Guards against a bound on idle connections below what a large fleet needs.
+// Each exchange then closed a connection that another one soon needed again.
+TEST_F(ExchangeClientTest, Submit_ManyServers_ConnectionsAreReused) {
+  constexpr std::uint64_t kServers = 700;
+  constexpr int kConnectionsPerServer = 2;
+  const FakeBackendServerProcess any_address({"--address=0.0.0.0"});
+  const VoterDescriptorLimit limit;
+  this->settings = {};
+  this->settings.request_id_prefix = "test";
+  this->StartClient();
+  // All exchanges of a round are in progress together, because the server holds
+  // back its answers.
+  for (int round = 0; round < 3; ++round) {
+    any_address.SetFaults({{"stall", true}});
+    const std::uint64_t first = this->last_id + 1;
+    for (std::uint64_t i = 0; i < kServers * kConnectionsPerServer; ++i) {
+      const std::uint64_t server = i % kServers;
+      ExchangeRequest request = this->MakeRequest(true);
+      request.address = "127.1." + std::to_string(server / 250) + "." +
+                        std::to_string(server % 250 + 1);
+      request.port = any_address.Port();
+      request.timeout = kResultTimeout;
+      ASSERT_TRUE(this->client->Submit(std::move(request)));
+    }
+    any_address.SetFaults({{"stall", false}});
+    std::size_t reused = 0;
+    for (std::uint64_t id = first; id <= this->last_id; ++id) {
+      const ExchangeResult result = this->Wait(id);
+      EXPECT_EQ(result.end, AttemptEnd::kWholeAnswer) << result.detail;
+      reused += result.reused_connection ? 1 : 0;
+    }
+    EXPECT_EQ(reused, round == 0 ? 0 : kServers * kConnectionsPerServer);
+  }
+}
+
 // Guards against a server fault that is reported as a different kind, which
 // would allow a retry of a request that may have run.
 TEST_F(ExchangeClientTest, Submit_FaultOnFreshConnection_ReportsItsKind) {
