Record an upkeep as begun only if the platform has accepted it

An operator saw a wave as completed although one of its instances was never taken down. When the platform refused an upkeep because of the instance (400) or the wave (409 `wave`), the dispatcher logged `upkeep_refused`, then `upkeep_begun`, removed the instance's worker with its runs, and recorded the upkeep as begun.

Cause: OnInstanceReply called CloseUpkeepOrder for refusals, too.

Now a refused upkeep stays open: the worker takes tasks again, the instance doesn't count towards the wave's limit, the other instances of the wave go first, and the request is repeated after 2 s, with the delay doubled up to 60 s, because each repetition drains the worker and takes one of the platform's limited calls. An earlier unanswered request for the same instance and wave was refused for the same reason, so the instance isn't counted as down for it.

--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -61,6 +61,12 @@
     /// daemons, whose clocks may be stepped by some seconds.
     std::chrono::milliseconds clock_tolerance{3'000};
     std::chrono::milliseconds instance_retry_delay{400};
+    /// Delay after the first refusal of an upkeep because of its instance or
+    /// wave. Doubles with each further one up to the maximum, because each
+    /// repetition drains the worker and takes one of the platform's limited
+    /// calls.
+    std::chrono::milliseconds refused_upkeep_delay{2'000};
+    std::chrono::milliseconds max_refused_upkeep_delay{60'000};
     /// Interval at which the platform's list of instances is read.
     std::chrono::milliseconds list_interval{500};
     /// How long an instance counts as down after its upkeep has begun, even if
@@ -212,6 +218,8 @@
     bool unanswered = false;
     /// A request is open or unanswered, so the instance counts as down.
     bool maybe_begun = false;
+    /// How often the platform has refused it because of its instance or wave.
+    unsigned refusals = 0;
     TimePoint next_attempt{};
   };
 
@@ -319,8 +327,12 @@
   bool MayStop(const TaskId& task) const;
   void OrderUpkeep(const Wave& wave, const std::string& instance,
                    TimePoint now);
-  void CloseUpkeepOrder(std::uint64_t wave, const std::string& instance,
-                        TimePoint now);
+  void RecordUpkeepBegun(std::uint64_t wave, const std::string& instance,
+                         TimePoint now);
+  /// Postpones an upkeep that the platform refused because of its instance or
+  /// wave; the instance takes tasks until the next attempt.
+  void PostponeRefusedUpkeep(Upkeep& upkeep, const std::string& instance,
+                             TimePoint now);
 
   Config config;
   Hooks hooks;
--- a/src/mimosastage/jobs/dispatcher_upkeep.cc
+++ b/src/mimosastage/jobs/dispatcher_upkeep.cc
@@ -108,6 +108,9 @@
   std::size_t down = 0;
   std::size_t reserved = 0;
   struct Candidate {
+    /// The platform has refused the instance's upkeep before. Such instances
+    /// come last, so that they don't hold up the others.
+    bool refused = false;
     /// Tasks of its pool are waiting for resources.
     bool pool_has_backlog = false;
     std::int64_t used_millicores = 0;
@@ -147,8 +150,9 @@
     if (begun) {
       continue;
     }
-    if (const auto ordered = this->upkeeps.find({wave.number, instance});
-        ordered != this->upkeeps.end() && ordered->second.maybe_begun) {
+    const auto ordered = this->upkeeps.find({wave.number, instance});
+    const bool known = ordered != this->upkeeps.end();
+    if (known && ordered->second.maybe_begun) {
       ++down;
       if (!ordered->second.order_open && now >= ordered->second.next_attempt &&
           this->MayOrder(instance, now)) {
@@ -156,8 +160,12 @@
       }
       continue;
     }
+    const bool refused = known && ordered->second.refusals > 0;
+    if (refused && now < ordered->second.next_attempt) {
+      continue;
+    }
     if (off) {
-      candidates.push_back(Candidate{false, -1, instance, ""});
+      candidates.push_back(Candidate{refused, false, -1, instance, ""});
       continue;
     }
     if (session->second.draining || session->second.leaving) {
@@ -165,6 +173,7 @@
     }
     const auto waiting = this->waiting_millicores.find(worker->pool);
     const Candidate candidate{
+        refused,
         waiting != this->waiting_millicores.end() && waiting->second > 0,
         session->second.used.millicores, instance, worker->id};
     if (session->second.reserved.has_value()) {
@@ -176,8 +185,9 @@
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& a, const Candidate& b) {
-              return std::tie(a.pool_has_backlog, a.used_millicores) <
-                     std::tie(b.pool_has_backlog, b.used_millicores);
+              return std::tie(a.refused, a.pool_has_backlog,
+                              a.used_millicores) <
+                     std::tie(b.refused, b.pool_has_backlog, b.used_millicores);
             });
   for (const Candidate& candidate : candidates) {
     if (down + reserved >= wave.most_at_once) {
@@ -239,13 +249,16 @@
   switch (reply.result) {
     case InstanceReply::Result::kOk:
       this->upkeep_began[instance] = now;
-      this->CloseUpkeepOrder(wave, instance, now);
+      this->RecordUpkeepBegun(wave, instance, now);
       return;
     case InstanceReply::Result::kInvalid:
+      this->hooks.report("upkeep_refused", instance, "no such instance");
+      this->PostponeRefusedUpkeep(upkeep, instance, now);
+      return;
     case InstanceReply::Result::kWrongWave:
       this->hooks.report("upkeep_refused", instance,
-                         "no such instance, or not part of the wave");
-      this->CloseUpkeepOrder(wave, instance, now);
+                         "not part of wave " + std::to_string(wave));
+      this->PostponeRefusedUpkeep(upkeep, instance, now);
       return;
     case InstanceReply::Result::kUnanswered:
       this->hooks.count_retry("upkeep_unanswered");
@@ -258,8 +271,32 @@
   }
 }
 
-void Dispatcher::CloseUpkeepOrder(std::uint64_t wave,
-                                  const std::string& instance, TimePoint now) {
+void Dispatcher::PostponeRefusedUpkeep(Upkeep& upkeep,
+                                       const std::string& instance,
+                                       TimePoint now) {
+  ++upkeep.refusals;
+  const unsigned doublings = std::min(upkeep.refusals - 1, 16U);
+  upkeep.next_attempt =
+      now + std::min(this->config.refused_upkeep_delay * (1U << doublings),
+                     this->config.max_refused_upkeep_delay);
+  // An earlier request that wasn't answered names the same instance and wave,
+  // so the platform refuses it as well.
+  upkeep.unanswered = false;
+  upkeep.maybe_begun = false;
+  const bool moves = std::any_of(
+      this->instance_requests.begin(), this->instance_requests.end(),
+      [&](const auto& open) {
+        return open.second.instance == instance && !open.second.pool.empty();
+      });
+  if (const Worker* worker = this->WorkerOnInstance(instance);
+      worker != nullptr && !moves) {
+    this->sessions.at(worker->id).reserved.reset();
+    this->placement_needed = true;
+  }
+}
+
+void Dispatcher::RecordUpkeepBegun(std::uint64_t wave,
+                                   const std::string& instance, TimePoint now) {
   this->hooks.report("upkeep_begun", instance, "wave " + std::to_string(wave));
   this->upkeeps.erase({wave, instance});
   if (const Worker* worker = this->WorkerOnInstance(instance);
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -7,6 +7,8 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "tests/jobs/support/fake_fleet_leader.h"
 
@@ -408,6 +410,66 @@
       << "the wave must continue after its first instances";
 }
 
+// Guards against an upkeep that the platform has refused and that is recorded
+// as begun: the wave was shown as completed although the instance was never
+// taken down, and the instance's worker was removed with all its runs.
+TEST_F(DispatcherTest, Wave_PlatformRefusesAnUpkeep_IsNotRecordedAsBegun) {
+  for (const auto refusal :
+       {InstanceReply::Result::kInvalid, InstanceReply::Result::kWrongWave}) {
+    FakeFleetLeader fleet;
+    fleet.AddPool("render");
+    fleet.AddWorker("worker-0", "render", 4'000);
+    fleet.AddWorker("worker-1", "render", 4'000);
+    fleet.BeginTerm();
+    Command command;
+    command.wave = std::make_unique<Wave>();
+    command.wave->number = 1;
+    command.wave->most_at_once = 1;
+    command.wave->machines = {"machine-worker-0", "machine-worker-1"};
+    fleet.state.Apply(command);
+    bool refuses = true;
+    std::map<std::string, int> orders;
+    const auto advance = [&](milliseconds time) {
+      for (milliseconds passed{0}; passed < time; passed += milliseconds(10)) {
+        fleet.Advance(milliseconds(10));
+        for (const InstanceRequest& request :
+             std::exchange(fleet.instance_requests, {})) {
+          if (request.kind != InstanceRequest::Kind::kUpkeep) {
+            continue;
+          }
+          ++orders[request.instance];
+          InstanceReply reply;
+          reply.number = request.number;
+          reply.result = refuses && request.instance == "machine-worker-0"
+                             ? refusal
+                             : InstanceReply::Result::kOk;
+          fleet.dispatcher->OnInstanceReply(reply, fleet.now);
+        }
+      }
+    };
+    advance(milliseconds(2'000));
+    // The refused instance serves on and doesn't count towards the limit.
+    EXPECT_EQ(fleet.state.Waves().at(1).begun,
+              std::vector<std::string>{"machine-worker-1"});
+    EXPECT_TRUE(fleet.state.Workers().contains("worker-0"));
+    fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+    advance(milliseconds(200));
+    EXPECT_EQ(fleet.WorkersOf(TaskOf("job")),
+              std::vector<std::string>{"worker-0"});
+    fleet.EndRun("worker-0", TaskOf("job"), RunOutcome::kDone);
+    FakeWorker& restarted = fleet.workers.at("worker-1");
+    restarted.record.born_ms += 10'000;
+    fleet.dispatcher->Announce(restarted.record, 1, fleet.now, [] {});
+    advance(milliseconds(60'000));
+    // Calls to the platform are limited, and each repetition drains the worker.
+    EXPECT_GE(orders["machine-worker-0"], 3);
+    EXPECT_LE(orders["machine-worker-0"], 8);
+    refuses = false;
+    advance(milliseconds(61'000));
+    EXPECT_EQ(fleet.state.Waves().at(1).begun.size(), 2U);
+  }
+}
+
 TEST_F(DispatcherTest, Wave_LimitOfOne_BeginsOneUpkeepAtATime) {
   this->StartTermWithWorkers(3);
   Command command;
