Refuse jobs that can't start in time while the leader is overloaded

While starts are blocked by the start window, a job whose expected wait (backlog by the rate of starts) exceeds the slack of its objective is refused with 429 leader_overloaded, and Retry-After tells when it could start in time. Long- running and scheduled jobs and repeated submissions are accepted.

JobsAreRefused_MoreCompleteInTimeThanNaively compares with accepting all.

--- a/src/mimosastage/jobs/call_handler.cc
+++ b/src/mimosastage/jobs/call_handler.cc
@@ -134,6 +134,18 @@
       this->Refuse(CallOutcome::kOverloaded, "too_many_jobs", reply);
       return;
     }
+    if (const auto delay =
+            this->dispatcher.OverloadDelay(*call.job, queue, now);
+        delay.has_value()) {
+      this->hooks.count_refusal("leader_overloaded");
+      this->hooks.report("job_refused", id,
+                         "leader_overloaded, retry after " +
+                             std::to_string(delay->count()) + " ms");
+      Answer refusal = AnswerOf(CallOutcome::kOverloaded, "leader_overloaded");
+      refusal.retry_after_ms = static_cast<std::uint64_t>(delay->count());
+      reply(std::move(refusal));
+      return;
+    }
   }
   Command command;
   if (!known) {
@@ -142,6 +154,7 @@
     command.job->queue = queue.name;
     command.job->team = team == nullptr ? "" : team->name;
     command.job->accepted_ms = this->hooks.wall_time().count();
+    this->dispatcher.OnAccepted(*command.job);
     this->hooks.report("job_accepted", id, queue.name);
   }
   // A repeated submission waits as well, because the log entry of the first one
--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -503,6 +503,10 @@
     this->RepeatMoves(now);
     this->BalancePools(now);
   }
+  if (this->placement_needed && this->start_window.IsNearlyFull()) {
+    this->admission.OnStartsBlocked(now);
+  }
+  this->CountBacklog(now);
   const bool paused =
       now - this->last_placement < this->config.min_placement_interval ||
       this->start_window.IsNearlyFull();
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -14,6 +14,7 @@
 
 #include "mimosastage/base/time.h"
 #include "mimosastage/fleet/worker_health.h"
+#include "mimosastage/jobs/admission_control.h"
 #include "mimosastage/jobs/fleet_state.h"
 #include "mimosastage/jobs/placement.h"
 #include "mimosastage/jobs/pool_balancer.h"
@@ -116,6 +117,13 @@
   /// Must be called after `job` was submitted or cancelled, or with "" after
   /// the configuration has changed.
   void OnChange(const std::string& job, TimePoint now);
+  /// Returns nullopt if the job can be accepted. Otherwise the leader is
+  /// overloaded, and the result is the time after which the job could start
+  /// early enough to meet its objective.
+  std::optional<std::chrono::milliseconds> OverloadDelay(
+      const JobRequest& request, const Queue& queue, TimePoint now) const;
+  /// Must be called when a job has been accepted.
+  void OnAccepted(const JobRequest& request);
   void Tick(TimePoint now);
   /// Returns when Tick must run next.
   TimePoint NextDue(TimePoint now) const;
@@ -295,6 +303,7 @@
   // dispatcher_placement.cc
   void PlaceTasks(TimePoint now);
   void ReportLoads(TimePoint now);
+  void CountBacklog(TimePoint now);
   void AddDemands(const Job& job, const Queue& queue,
                   std::vector<RankedDemand>& demands) const;
   StepUrgency UrgencyOf(const Job& job, const Queue& queue,
@@ -384,6 +393,8 @@
   std::unordered_map<std::uint64_t, std::string> advice_requests;
   TimePoint next_advice_cleanup{};
   StartWindow start_window;
+  AdmissionControl admission;
+  TimePoint next_backlog_count{};
   PoolBalancer balancer;
   TimePoint next_balance{};
   std::map<std::string, UnansweredMove> unanswered_moves;
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -37,6 +37,21 @@
 }
 
 constexpr std::chrono::milliseconds kLoadReportInterval{1'000};
+constexpr std::chrono::milliseconds kBacklogCountInterval{100};
+
+milliseconds ObjectiveOf(const JobRequest& request, const Queue& queue) {
+  return std::chrono::duration_cast<milliseconds>(queue.stretch *
+                                                  LongestChain(request)) +
+         milliseconds(queue.target_ms);
+}
+
+std::size_t TasksOf(const JobRequest& request) {
+  std::size_t tasks = 0;
+  for (const auto& step : request.steps) {
+    tasks += step->tasks;
+  }
+  return tasks;
+}
 
 bool IsWaiting(const Task& task, const Step& step) {
   return !task.done && task.active.empty() && step.tasks > 0;
@@ -51,10 +66,7 @@
   StepUrgency urgency;
   urgency.long_running = request.steps[step]->long_running;
   urgency.priority = queue.priority;
-  const milliseconds chain = LongestChain(request);
-  urgency.objective =
-      std::chrono::duration_cast<milliseconds>(queue.stretch * chain) +
-      milliseconds(queue.target_ms);
+  urgency.objective = ObjectiveOf(request, queue);
   urgency.slack = DueOf(request, occurrence) + urgency.objective - wall -
                   ChainFrom(request, step);
   return urgency;
@@ -167,6 +179,49 @@
   return teams;
 }
 
+void Dispatcher::CountBacklog(TimePoint now) {
+  if (now < this->next_backlog_count) {
+    return;
+  }
+  this->next_backlog_count = now + kBacklogCountInterval;
+  std::size_t tasks = 0;
+  for (const auto& [accepted, id] : this->state.OpenJobs()) {
+    const Job& job = *this->state.FindJob(id);
+    // Scheduled jobs aren't due yet, or were accepted long before.
+    if (job.tasks.empty() || job.request->occurrences > 0) {
+      continue;
+    }
+    std::size_t open = 0;
+    for (std::uint32_t step = 0; step < job.request->steps.size(); ++step) {
+      open += job.OpenTasks(0, step);
+    }
+    tasks += open - std::min<std::size_t>(open, job.active_runs);
+  }
+  this->admission.SetBacklog(tasks);
+}
+
+std::optional<milliseconds> Dispatcher::OverloadDelay(const JobRequest& request,
+                                                      const Queue& queue,
+                                                      TimePoint now) const {
+  const bool lasts =
+      std::any_of(request.steps.begin(), request.steps.end(),
+                  [](const auto& step) { return step->long_running; });
+  if (lasts || request.occurrences > 0) {
+    return std::nullopt;
+  }
+  const auto wait = this->admission.ExpectedWait(now);
+  const milliseconds slack =
+      ObjectiveOf(request, queue) - LongestChain(request);
+  if (!wait.has_value() || *wait <= slack) {
+    return std::nullopt;
+  }
+  return *wait - slack;
+}
+
+void Dispatcher::OnAccepted(const JobRequest& request) {
+  this->admission.OnAccepted(TasksOf(request));
+}
+
 void Dispatcher::ReportLoads(TimePoint now) {
   if (now < this->next_load_report) {
     return;
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -36,6 +36,7 @@
   Add(session.used, Charge(*run.step));
   run.in_start_window = true;
   this->start_window.OnOpened();
+  this->admission.OnStart(this->last_placement);
   session.runs.emplace(key, std::move(run));
   Command command;
   command.start = std::make_unique<RunStart>();
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -511,15 +511,41 @@
   void AdvanceWithLoad(milliseconds time) {
     for (milliseconds passed{0}; passed < time; passed += milliseconds(10)) {
       if (passed.count() % 50 == 0) {
-        this->fleet.Submit("short-" + std::to_string(this->submitted++),
-                           "render", {MakeStep(8, 4'000)});
+        this->SubmitShortJob();
       }
       this->EndShortRuns();
       this->fleet.Advance(milliseconds(10));
+      this->CountJobsInTime();
       this->CountLapses();
     }
   }
 
+  void SubmitShortJob() {
+    JobRequest request;
+    request.steps.push_back(std::make_unique<Step>(MakeStep(8, 4'000)));
+    const Queue& queue = *this->fleet.state.FindQueue("queue-render");
+    if (this->refuses_overload &&
+        this->fleet.dispatcher->OverloadDelay(request, queue, this->fleet.now)
+            .has_value()) {
+      ++this->refused;
+      return;
+    }
+    const std::string id = "short-" + std::to_string(this->submitted++);
+    this->fleet.Submit(id, "render", {MakeStep(8, 4'000)});
+    this->fleet.dispatcher->OnAccepted(request);
+    this->open_since[id] = this->fleet.now;
+  }
+
+  void CountJobsInTime() {
+    std::erase_if(this->open_since, [&](const auto& row) {
+      if (this->fleet.JobOf(row.first).phase != JobPhase::kCompleted) {
+        return false;
+      }
+      this->in_time += this->fleet.now - row.second <= kObjective ? 1 : 0;
+      return true;
+    });
+  }
+
   void EndShortRuns() {
     const auto clock = std::chrono::duration_cast<milliseconds>(
         this->fleet.now.time_since_epoch());
@@ -558,7 +584,14 @@
     return completed;
   }
 
+  /// Of the queue: twice the estimate of 1 s, and 600 ms.
+  static constexpr milliseconds kObjective{2'600};
+
+  bool refuses_overload = false;
   int submitted = 0;
+  int refused = 0;
+  int in_time = 0;
+  std::map<std::string, TimePoint> open_since;
   std::set<std::string> lapsed;
 };
 
@@ -591,6 +624,27 @@
   EXPECT_GE(this->CompletedJobs(), this->submitted - 2 * 20);
 }
 
+// Guards against a queue that grows without bound while the leader starts tasks
+// too slowly: every job then waits longer than its objective. The naive version
+// accepts every job.
+TEST_F(OverloadedDispatcherTest, JobsAreRefused_MoreCompleteInTimeThanNaively) {
+  this->fleet.orders_per_tick = 2;
+  this->AdvanceWithLoad(milliseconds(20'000));
+  const int naive = this->in_time;
+  this->fleet.orders_per_tick = 100;
+  this->AdvanceWithLoad(milliseconds(5'000));
+  this->in_time = 0;
+  this->submitted = 1'000;
+  this->open_since.clear();
+  this->refuses_overload = true;
+  this->fleet.orders_per_tick = 2;
+  this->AdvanceWithLoad(milliseconds(20'000));
+  EXPECT_GT(this->refused, 0);
+  EXPECT_GT(this->in_time, 2 * naive);
+  EXPECT_GE(this->in_time, (this->submitted - 1'000) * 8 / 10)
+      << "accepted jobs meet their objective";
+}
+
 // Guards against a move that is requested again without a pause: the requests
 // and their log entries used up the leader's processor time.
 TEST_F(DispatcherTest, MoveIsUnanswered_RepeatedAtTheRetryDelay) {
