--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -306,7 +306,9 @@
   session.leaving = false;
   // The first hold had no deadline because the worker's clock was unknown, so
   // the next one is sent immediately.
-  this->ScheduleHold(session, now);
+  this->ScheduleHold(
+      session,
+      first ? now : std::max(now, order.sent + this->config.min_hold_interval));
   this->RecordEnds(id, session, reply, now);
   this->ReconcileRuns(id, session, order, reply, now);
   this->CheckSpeed(id, session, now);
@@ -367,7 +369,7 @@
       found->second.last_durable_end =
           std::max(found->second.last_durable_end, last);
       found->second.ends_pending = false;
-      this->ScheduleHold(found->second, at);
+      this->ScheduleHold(found->second, std::max(at, found->second.next_hold));
     }
   });
 }
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -38,6 +38,9 @@
     /// The same for a worker that runs fillers, which must be throttled within
     /// seconds.
     std::chrono::milliseconds hold_wait_with_fillers{400};
+    /// Shortest interval between two holds of a worker. The runs that end
+    /// within it are listed by one answer.
+    std::chrono::milliseconds min_hold_interval{60};
     /// Timeout of an order, in addition to the delay of a hold. A round trip
     /// takes a few milliseconds.
     std::chrono::milliseconds reply_timeout{600};
