--- a/src/mimosastage/fleet/worker_health.h
+++ b/src/mimosastage/fleet/worker_health.h
@@ -53,6 +53,7 @@
   bool Quarantined(const InstanceName& worker) const {
     return this->quarantine.contains(worker);
   }
+  bool AnyQuarantined() const { return !this->quarantine.empty(); }
   /// Records that a job was placed on a worker whose eligibility was kProbe.
   void ProbeStarted(const InstanceName& worker, TimePoint now);
 
--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -53,6 +53,7 @@
                    }));
              }),
       speed(this->config.speed),
+      waiting_steps(state),
       balancer(this->config.balancer) {
   for (const auto& [id, worker] : state.Workers()) {
     this->AddSession(worker, now);
@@ -91,7 +92,7 @@
   Run run = this->MakeRun(task);
   run.stage = RunStage::kRunning;
   run.confirmed = now;
-  Add(found->second.used, Charge(*run.step));
+  this->AddToSums(found->second, run);
   found->second.runs.emplace(RunKey{task, active.number}, std::move(run));
   return true;
 }
@@ -104,6 +105,7 @@
   session.draining = worker.draining;
   this->ScheduleHold(session, now);
   session.last_announced = now;
+  this->indexed_workers_version = 0;
   return this->sessions.insert_or_assign(worker.id, std::move(session))
       .first->second;
 }
@@ -196,6 +198,7 @@
   command.worker_gone->id = id;
   command.worker_gone->born_ms = session.born_ms;
   this->sessions.erase(found);
+  this->indexed_workers_version = 0;
   this->health.Forget(InstanceName(id));
   this->speed.Forget(id);
   this->hooks.propose(std::move(command), {});
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -17,6 +17,7 @@
 #include "mimosastage/jobs/fleet_state.h"
 #include "mimosastage/jobs/placement.h"
 #include "mimosastage/jobs/pool_balancer.h"
+#include "mimosastage/jobs/waiting_steps.h"
 #include "mimosastage/jobs/worker_lease.h"
 #include "mimosastage/jobs/worker_order.h"
 #include "mimosastage/jobs/worker_speed.h"
@@ -113,6 +114,9 @@
   TimePoint NextDue(TimePoint now) const;
 
  private:
+  /// Compares the placements with naive ones in a test.
+  friend class DispatcherPeer;
+
   using RunKey = std::pair<TaskId, std::uint32_t>;
 
   enum class RunStage : std::uint8_t {
@@ -163,8 +167,11 @@
     TimePoint next_hold{};
     TimePoint last_announced{};
     std::uint64_t sequence = 0;
-    Amount used;
     std::map<RunKey, Run> runs;
+    /// Sums over `runs`; see AddToSums.
+    Amount used;
+    std::size_t fillers = 0;
+    std::size_t serving = 0;
     /// Since when the worker gets no tasks because its instance is due for
     /// upkeep or a move.
     std::optional<TimePoint> reserved;
@@ -179,11 +186,17 @@
     TimePoint sent{};
   };
 
-  struct RankedDemand {
-    StepUrgency urgency;
-    StepDemand demand;
-    /// The step needs approval by the advisory service.
-    bool advised = false;
+  /// The workers of a pool in the order of their ids.
+  struct PoolWorkers {
+    struct Member {
+      const Worker* worker = nullptr;
+      const Session* session = nullptr;
+    };
+    std::vector<Member> members;
+    /// The members that can take tasks, as of the last placement, and the
+    /// record that each candidate's id and labels were copied from.
+    std::vector<CandidateWorker> candidates;
+    std::vector<const Worker*> sources;
   };
 
   /// The content of an open request to the platform; a list request if all
@@ -271,22 +284,25 @@
   // dispatcher_placement.cc
   void PlaceTasks(TimePoint now);
   void ReportLoads(TimePoint now);
-  void AddDemands(const Job& job, const Queue& queue,
-                  std::vector<RankedDemand>& demands) const;
-  StepUrgency UrgencyOf(const Job& job, const Queue& queue,
-                        std::uint32_t occurrence, std::uint32_t step,
-                        std::chrono::milliseconds wall) const;
-  std::vector<CandidateWorker> CandidateWorkers(const std::string& pool,
-                                                TimePoint now) const;
-  std::optional<CandidateWorker> MakeCandidate(const Worker& worker,
-                                               const Session& session,
-                                               TimePoint now) const;
+  /// Places waiting tasks of one pool.
+  void PlaceTasksOf(const std::string& pool, PoolWorkers& workers,
+                    std::map<std::string, TeamQuota>& teams, TimePoint now);
+  void StartAssigned(const std::string& pool, const PoolWorkers& workers,
+                     const std::vector<Assignment>& assignments, TimePoint now);
+  /// Brings `pool_workers` up to date with the sessions and their workers.
+  void IndexWorkers();
+  void UpdateCandidates(PoolWorkers& workers, TimePoint now) const;
+  /// Resources that each limited team may still use.
   std::map<std::string, TeamQuota> TeamQuotas() const;
+  /// Must be called when a run is added to a session or removed from it.
+  void AddToSums(Session& session, const Run& run);
+  void SubtractFromSums(Session& session, const Run& run);
 
   // dispatcher_advice.cc
   static std::string StepName(const TaskId& task);
-  /// Removes the demands that need advice and have none, and requests it.
-  void ApplyAdvice(std::vector<RankedDemand>& ranked,
+  /// Sets the approved workers of the pool's steps that need advice, and
+  /// requests advice for those that have none.
+  void ApplyAdvice(const std::string& pool,
                    const std::vector<CandidateWorker>& candidates,
                    TimePoint now);
   void AskAdvice(const std::string& step, Advice& advice,
@@ -332,6 +348,13 @@
   WorkerHealth health;
   WorkerSpeed speed;
   std::map<std::string, Session> sessions;
+  std::map<std::string, PoolWorkers> pool_workers;
+  /// FleetState::WorkersVersion that `pool_workers` reflects; 0 once a session
+  /// was added or removed.
+  std::uint64_t indexed_workers_version = 0;
+  /// Resources that the runs of each team need; see AddToSums.
+  std::unordered_map<std::string, Amount> used_by_team;
+  WaitingSteps waiting_steps;
   std::unordered_map<std::uint64_t, OpenOrder> orders;
   bool placement_needed = true;
   bool stopped_ended_jobs = false;
--- a/src/mimosastage/jobs/dispatcher_advice.cc
+++ b/src/mimosastage/jobs/dispatcher_advice.cc
@@ -27,23 +27,20 @@
          std::to_string(task.step);
 }
 
-void Dispatcher::ApplyAdvice(std::vector<RankedDemand>& ranked,
+void Dispatcher::ApplyAdvice(const std::string& pool,
                              const std::vector<CandidateWorker>& candidates,
                              TimePoint now) {
-  std::erase_if(ranked, [&](RankedDemand& ranked_demand) {
-    if (!ranked_demand.advised) {
-      return false;
-    }
-    const std::string step = StepName(ranked_demand.demand.first);
+  this->waiting_steps.VisitAdvised(pool, [&](WaitingStep& waiting) {
+    const std::string step = StepName(waiting.demand.first);
     Advice& known = this->advice[step];
     if (now + kTicketMargin < known.valid_until && !known.approved.empty()) {
-      ranked_demand.demand.approved = &known.approved;
-      return false;
+      waiting.demand.approved = &known.approved;
+      return;
     }
+    waiting.demand.approved = nullptr;
     if (now >= known.next_attempt) {
       this->AskAdvice(step, known, candidates, now);
     }
-    return true;
   });
 }
 
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -6,163 +6,87 @@
 namespace mimosastage::jobs {
 namespace {
 
-using std::chrono::milliseconds;
-
-/// Estimated duration of the longest chain of dependent steps that starts with
-/// `step`.
-milliseconds ChainFrom(const JobRequest& request, std::uint32_t step) {
-  milliseconds longest{0};
-  for (std::uint32_t next = step + 1; next < request.steps.size(); ++next) {
-    const auto& after = request.steps[next]->after;
-    if (std::find(after.begin(), after.end(), step) != after.end()) {
-      longest = std::max(longest, ChainFrom(request, next));
-    }
-  }
-  return longest + milliseconds(request.steps[step]->estimate_ms);
-}
-
-milliseconds LongestChain(const JobRequest& request) {
-  milliseconds longest{0};
-  for (std::uint32_t step = 0; step < request.steps.size(); ++step) {
-    longest = std::max(longest, ChainFrom(request, step));
-  }
-  return longest;
-}
-
-milliseconds DueOf(const JobRequest& request, std::uint32_t occurrence) {
-  if (request.occurrences == 0) {
-    return milliseconds(request.accepted_ms);
-  }
-  return milliseconds(request.first_due_ms + occurrence * request.interval_ms);
-}
-
 constexpr std::chrono::milliseconds kLoadReportInterval{1'000};
 
-bool IsWaiting(const Task& task, const Step& step) {
-  return !task.done && task.active.empty() && step.tasks > 0;
-}
-
 }  // namespace
 
-StepUrgency Dispatcher::UrgencyOf(const Job& job, const Queue& queue,
-                                  std::uint32_t occurrence, std::uint32_t step,
-                                  milliseconds wall) const {
-  const JobRequest& request = *job.request;
-  StepUrgency urgency;
-  urgency.long_running = request.steps[step]->long_running;
-  urgency.priority = queue.priority;
-  const milliseconds chain = LongestChain(request);
-  urgency.objective =
-      std::chrono::duration_cast<milliseconds>(queue.stretch * chain) +
-      milliseconds(queue.target_ms);
-  urgency.slack = DueOf(request, occurrence) + urgency.objective - wall -
-                  ChainFrom(request, step);
-  return urgency;
+void Dispatcher::AddToSums(Session& session, const Run& run) {
+  const Step& step = *run.step;
+  Add(session.used, Charge(step));
+  session.fillers += step.filler ? 1 : 0;
+  session.serving += step.tail_target_ms > 0 && !step.filler ? 1 : 0;
+  Add(this->used_by_team[run.request->team], *step.need);
 }
 
-void Dispatcher::AddDemands(const Job& job, const Queue& queue,
-                            std::vector<RankedDemand>& demands) const {
-  const JobRequest& request = *job.request;
-  const milliseconds wall = this->hooks.wall_time();
-  for (std::uint32_t k = 0; k < job.Occurrences(); ++k) {
-    if (wall < DueOf(request, k)) {
-      continue;
-    }
-    for (std::uint32_t s = 0; s < request.steps.size(); ++s) {
-      if (job.OpenTasks(k, s) == 0 || !job.StepReady(k, s)) {
-        continue;
-      }
-      const Step& step = *request.steps[s];
-      StepDemand demand;
-      const std::size_t begin = job.StepBegin(k, s);
-      bool has_active_runs = false;
-      for (std::uint32_t i = 0; i < step.tasks; ++i) {
-        const Task& task = job.tasks[begin + i];
-        has_active_runs = has_active_runs || !task.active.empty();
-        if (IsWaiting(task, step)) {
-          demand.waiting.push_back(i);
-        }
-      }
-      // A gang is placed again only once none of its runs is active.
-      if (demand.waiting.empty() || (step.gang && has_active_runs)) {
-        continue;
-      }
-      demand.team = request.team;
-      demand.first = TaskId{request.id, k, s, 0};
-      demand.step = &step;
-      for (std::uint32_t i = 0; step.most_per_worker > 0 && i < step.tasks;
-           ++i) {
-        for (const ActiveRun& active : job.tasks[begin + i].active) {
-          ++demand.on_worker[active.worker];
-        }
-      }
-      demands.push_back(RankedDemand{this->UrgencyOf(job, queue, k, s, wall),
-                                     std::move(demand), queue.advised});
-    }
-  }
+void Dispatcher::SubtractFromSums(Session& session, const Run& run) {
+  const Step& step = *run.step;
+  Subtract(session.used, Charge(step));
+  session.fillers -= step.filler ? 1 : 0;
+  session.serving -= step.tail_target_ms > 0 && !step.filler ? 1 : 0;
+  Subtract(this->used_by_team[run.request->team], *step.need);
 }
 
-std::optional<CandidateWorker> Dispatcher::MakeCandidate(const Worker& worker,
-                                                         const Session& session,
-                                                         TimePoint now) const {
-  const auto eligibility =
-      this->health.EligibilityOf(InstanceName(worker.id), now);
-  if (eligibility == WorkerHealth::Eligibility::kQuarantined) {
-    return std::nullopt;
+void Dispatcher::IndexWorkers() {
+  if (this->indexed_workers_version == this->state.WorkersVersion()) {
+    return;
   }
-  CandidateWorker candidate;
-  candidate.id = worker.id;
-  candidate.labels = worker.labels;
-  candidate.free = *worker.capacity;
-  candidate.suspect = eligibility == WorkerHealth::Eligibility::kProbe ||
-                      this->speed.IsSlow(worker.id, now);
-  Subtract(candidate.free, session.used);
-  for (const auto& [key, run] : session.runs) {
-    candidate.fillers += run.step->filler ? 1 : 0;
-    candidate.serving +=
-        run.step->tail_target_ms > 0 && !run.step->filler ? 1 : 0;
+  this->indexed_workers_version = this->state.WorkersVersion();
+  this->pool_workers.clear();
+  for (const auto& [id, worker] : this->state.Workers()) {
+    if (const auto session = this->sessions.find(id);
+        session != this->sessions.end()) {
+      this->pool_workers[worker.pool].members.push_back(
+          PoolWorkers::Member{&worker, &session->second});
+    }
   }
-  return candidate;
 }
 
-std::vector<CandidateWorker> Dispatcher::CandidateWorkers(
-    const std::string& pool, TimePoint now) const {
-  std::vector<CandidateWorker> candidates;
-  // Sessions and workers are both ordered by id, and each session has a worker.
-  auto session = this->sessions.begin();
-  for (const auto& [id, worker] : this->state.Workers()) {
-    if (worker.pool != pool) {
+void Dispatcher::UpdateCandidates(PoolWorkers& workers, TimePoint now) const {
+  std::size_t count = 0;
+  for (const auto& [worker, session] : workers.members) {
+    if (!this->AcceptsTasks(*session)) {
       continue;
     }
-    while (session != this->sessions.end() && session->first < id) {
-      ++session;
-    }
-    if (session == this->sessions.end() || session->first != id ||
-        !this->AcceptsTasks(session->second)) {
+    const auto eligibility =
+        this->health.AnyQuarantined()
+            ? this->health.EligibilityOf(InstanceName(worker->id), now)
+            : WorkerHealth::Eligibility::kHealthy;
+    if (eligibility == WorkerHealth::Eligibility::kQuarantined) {
       continue;
     }
-    if (auto candidate = this->MakeCandidate(worker, session->second, now);
-        candidate.has_value()) {
-      candidates.push_back(*std::move(candidate));
+    if (count == workers.candidates.size()) {
+      workers.candidates.emplace_back();
+      workers.sources.push_back(nullptr);
     }
-  }
-  return candidates;
+    CandidateWorker& candidate = workers.candidates[count];
+    if (std::exchange(workers.sources[count], worker) != worker) {
+      candidate.id = worker->id;
+      candidate.labels = worker->labels;
+    }
+    ++count;
+    candidate.free = *worker->capacity;
+    Subtract(candidate.free, session->used);
+    candidate.fillers = session->fillers;
+    candidate.serving = session->serving;
+    candidate.suspect = eligibility == WorkerHealth::Eligibility::kProbe ||
+                        this->speed.IsSlow(worker->id, now);
+  }
+  workers.candidates.resize(count);
+  workers.sources.resize(count);
 }
 
 std::map<std::string, TeamQuota> Dispatcher::TeamQuotas() const {
   std::map<std::string, TeamQuota> teams;
   for (const auto& team : this->state.Config().teams) {
-    if (team->upper_limit != nullptr) {
-      teams[team->name] = TeamQuota{*team->upper_limit, *team->upper_limit};
+    if (team->upper_limit == nullptr) {
+      continue;
     }
-  }
-  for (const auto& [id, session] : this->sessions) {
-    for (const auto& [key, run] : session.runs) {
-      if (const auto found = teams.find(run.request->team);
-          found != teams.end()) {
-        Subtract(found->second.free, *run.step->need);
-      }
+    TeamQuota quota{*team->upper_limit, *team->upper_limit};
+    if (const auto used = this->used_by_team.find(team->name);
+        used != this->used_by_team.end()) {
+      Subtract(quota.free, used->second);
     }
+    teams[team->name] = quota;
   }
   return teams;
 }
@@ -209,75 +133,85 @@
 }
 
 void Dispatcher::PlaceTasks(TimePoint now) {
-  std::map<std::string, std::vector<RankedDemand>> by_pool;
-  for (const auto& [accepted, id] : this->state.OpenJobs()) {
-    const Job& job = *this->state.FindJob(id);
-    const Queue* queue = this->state.FindQueue(job.request->queue);
-    if (queue != nullptr) {
-      this->AddDemands(job, *queue, by_pool[queue->pool]);
-    }
-  }
+  this->waiting_steps.Refresh(this->hooks.wall_time());
+  this->IndexWorkers();
   this->waiting_millicores.clear();
   this->waiting_memory_mb.clear();
-  for (const auto& [pool, ranked] : by_pool) {
-    for (const RankedDemand& ranked_demand : ranked) {
-      this->waiting_millicores[pool] +=
-          static_cast<std::int64_t>(ranked_demand.demand.waiting.size()) *
-          Charge(*ranked_demand.demand.step).millicores;
-      this->waiting_memory_mb[pool] +=
-          static_cast<std::int64_t>(ranked_demand.demand.waiting.size()) *
-          Charge(*ranked_demand.demand.step).memory_mb;
-    }
+  const auto sums_by_pool = this->waiting_steps.SumsByPool();
+  for (const auto& [pool, sums] : sums_by_pool) {
+    this->waiting_millicores[pool] = sums.millicores;
+    this->waiting_memory_mb[pool] = sums.memory_mb;
   }
-  std::erase_if(by_pool, [](const auto& row) { return row.second.empty(); });
   std::map<std::string, TeamQuota> teams;
-  if (!by_pool.empty()) {
+  if (!sums_by_pool.empty()) {
     teams = this->TeamQuotas();
   }
-  for (auto& [pool, ranked] : by_pool) {
-    std::vector<CandidateWorker> candidates = this->CandidateWorkers(pool, now);
-    if (candidates.empty()) {
-      continue;
+  for (const auto& [pool, sums] : sums_by_pool) {
+    if (const auto workers = this->pool_workers.find(pool);
+        workers != this->pool_workers.end()) {
+      this->PlaceTasksOf(pool, workers->second, teams, now);
     }
-    std::stable_sort(ranked.begin(), ranked.end(),
-                     [](const RankedDemand& a, const RankedDemand& b) {
-                       return PlacedBefore(a.urgency, b.urgency);
-                     });
-    this->ApplyAdvice(ranked, candidates, now);
-    std::vector<StepDemand> demands;
-    for (RankedDemand& ranked_demand : ranked) {
-      demands.push_back(std::move(ranked_demand.demand));
+  }
+  this->ReportLoads(now);
+  this->ForgetAdvice(now);
+}
+
+void Dispatcher::PlaceTasksOf(const std::string& pool, PoolWorkers& workers,
+                              std::map<std::string, TeamQuota>& teams,
+                              TimePoint now) {
+  this->UpdateCandidates(workers, now);
+  if (workers.candidates.empty()) {
+    return;
+  }
+  this->ApplyAdvice(pool, workers.candidates, now);
+  std::vector<Assignment> assignments;
+  this->waiting_steps.Visit(pool, [&](const WaitingStep& waiting) {
+    if (waiting.advised && waiting.demand.approved == nullptr) {
+      return WaitingSteps::Next::kContinue;
     }
-    std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> gang_runs;
-    for (const Assignment& assignment : Place(demands, candidates, teams)) {
-      const TaskId& task = assignment.task;
-      const Job& job = *this->state.FindJob(task.job);
-      const Step& step = *job.request->steps[task.step];
-      std::uint32_t number = job.At(task).runs + 1;
-      if (step.gang) {
-        // All members of a gang have the same run number.
-        std::uint32_t& shared = gang_runs[{
-            task.job + "." + std::to_string(task.occurrence), task.step}];
-        if (shared == 0) {
-          const std::size_t begin = job.StepBegin(task.occurrence, task.step);
-          for (std::size_t i = 0; i < step.tasks; ++i) {
-            shared = std::max(shared, job.tasks[begin + i].runs + 1);
-          }
+    const auto team = teams.find(waiting.demand.team);
+    const StepPlacement placement =
+        PlaceStep(waiting.demand, workers.candidates,
+                  team == teams.end() ? nullptr : &team->second, assignments);
+    return placement == StepPlacement::kNoRoom
+               ? WaitingSteps::Next::kLeaveOutAlike
+               : WaitingSteps::Next::kContinue;
+  });
+  this->StartAssigned(pool, workers, assignments, now);
+}
+
+void Dispatcher::StartAssigned(const std::string& pool,
+                               const PoolWorkers& workers,
+                               const std::vector<Assignment>& assignments,
+                               TimePoint now) {
+  std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> gang_runs;
+  for (const Assignment& assignment : assignments) {
+    const TaskId& task = assignment.task;
+    const Job& job = *this->state.FindJob(task.job);
+    const Step& step = *job.request->steps[task.step];
+    std::uint32_t number = job.At(task).runs + 1;
+    if (step.gang) {
+      // All members of a gang have the same run number.
+      std::uint32_t& shared = gang_runs[{
+          task.job + "." + std::to_string(task.occurrence), task.step}];
+      if (shared == 0) {
+        const std::size_t begin = job.StepBegin(task.occurrence, task.step);
+        for (std::size_t i = 0; i < step.tasks; ++i) {
+          shared = std::max(shared, job.tasks[begin + i].runs + 1);
         }
-        number = shared;
-      }
-      const std::string& worker = candidates[assignment.candidate].id;
-      this->waiting_millicores[pool] -= Charge(step).millicores;
-      this->waiting_memory_mb[pool] -= Charge(step).memory_mb;
-      if (this->health.EligibilityOf(InstanceName(worker), now) ==
-          WorkerHealth::Eligibility::kProbe) {
-        this->health.ProbeStarted(InstanceName(worker), now);
       }
-      this->StartRun(task, number, worker);
+      number = shared;
     }
+    const std::string& worker = workers.candidates[assignment.candidate].id;
+    this->waiting_millicores[pool] -= Charge(step).millicores;
+    this->waiting_memory_mb[pool] -= Charge(step).memory_mb;
+    if (this->health.AnyQuarantined() &&
+        this->health.EligibilityOf(InstanceName(worker), now) ==
+            WorkerHealth::Eligibility::kProbe) {
+      this->health.ProbeStarted(InstanceName(worker), now);
+    }
+    this->StartRun(task, number, worker);
   }
-  this->ReportLoads(now);
-  this->ForgetAdvice(now);
 }
 
 }  // namespace mimosastage::jobs
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -33,7 +33,7 @@
   Session& session = this->sessions.at(worker);
   const RunKey key{task, number};
   Run run = this->MakeRun(task);
-  Add(session.used, Charge(*run.step));
+  this->AddToSums(session, run);
   session.runs.emplace(key, std::move(run));
   Command command;
   command.start = std::make_unique<RunStart>();
@@ -230,7 +230,7 @@
   const auto found = session.runs.find(key);
   const bool has_siblings =
       found->second.step->gang || found->second.step->speculative;
-  Subtract(session.used, Charge(*found->second.step));
+  this->SubtractFromSums(session, found->second);
   session.runs.erase(found);
   if (outcome != RunOutcome::kDone && outcome != RunOutcome::kStopped) {
     this->hooks.report(
--- a/src/mimosastage/jobs/fleet_state.cc
+++ b/src/mimosastage/jobs/fleet_state.cc
@@ -83,11 +83,13 @@
     this->Apply(*command.end);
   } else if (command.worker != nullptr) {
     this->workers[command.worker->id] = *command.worker;
+    ++this->workers_version;
   } else if (command.worker_gone != nullptr) {
     const auto found = this->workers.find(command.worker_gone->id);
     if (found != this->workers.end() &&
         found->second.born_ms == command.worker_gone->born_ms) {
       this->workers.erase(found);
+      ++this->workers_version;
     }
   } else if (command.wave != nullptr) {
     this->waves.emplace(command.wave->number, *command.wave);
@@ -107,6 +109,7 @@
   if (next.version > this->configuration->version) {
     this->configuration = std::make_shared<Configuration>(next);
     this->IndexConfiguration();
+    this->job_changes.AddAll();
   }
 }
 
@@ -157,6 +160,7 @@
   this->latest_ms = std::max(this->latest_ms, request.accepted_ms);
   this->open_jobs.emplace(request.accepted_ms, request.id);
   this->jobs.emplace(request.id, std::move(job));
+  this->job_changes.Add(JobChange{request.id, std::nullopt});
   this->EraseExpiredJobs(this->latest_ms);
 }
 
@@ -178,6 +182,7 @@
   task.runs = std::max(task.runs, start.run);
   task.active.push_back(ActiveRun{start.run, start.worker, start.born_ms});
   ++job.active_runs;
+  this->AddChange(id);
   job.started = true;
   if (job.phase == JobPhase::kQueued) {
     job.phase = JobPhase::kRunning;
@@ -192,6 +197,7 @@
   }
   Job& job = found->second;
   Task& task = job.At(id);
+  this->AddChange(id);
   const auto run = std::find_if(
       task.active.begin(), task.active.end(),
       [&](const ActiveRun& active) { return active.number == end.run; });
@@ -226,6 +232,11 @@
   this->ReleaseTasks(job);
 }
 
+void FleetState::AddChange(const TaskId& task) {
+  this->job_changes.Add(
+      JobChange{task.job, JobChange::StepNumber{task.occurrence, task.step}});
+}
+
 void FleetState::FinishTask(Job& job, const TaskId& id) {
   const Step& step = *job.request->steps[id.step];
   std::uint32_t& open = job.OpenTasks(id.occurrence, id.step);
@@ -251,6 +262,7 @@
   job.ended_ms = this->latest_ms;
   this->open_jobs.erase({job.request->accepted_ms, job.request->id});
   this->ended_jobs.emplace(job.ended_ms, job.request->id);
+  this->job_changes.Add(JobChange{job.request->id, std::nullopt});
   this->ReleaseTasks(job);
 }
 
@@ -360,7 +372,12 @@
 }
 
 bool FleetState::Restore(std::string_view bytes) {
+  JobChanges changes = std::move(this->job_changes);
+  const std::uint64_t version = this->workers_version;
   *this = FleetState();
+  this->job_changes = std::move(changes);
+  this->job_changes.AddAll();
+  this->workers_version = version + 1;
   flatbuffers::Verifier verifier(
       reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size(), 64,
       100'000'000);
--- a/src/mimosastage/jobs/fleet_state.h
+++ b/src/mimosastage/jobs/fleet_state.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "mimosastage/jobs/job_changes.h"
 #include "mimosastage/jobs/records.h"
 
 namespace mimosastage::jobs {
@@ -102,6 +103,12 @@
     return this->open_jobs;
   }
 
+  /// Changes of the jobs' tasks and phases; a change of the configuration
+  /// counts as one of all jobs.
+  const JobChanges& Changes() const { return this->job_changes; }
+  /// Increases whenever a worker is added, changed or removed.
+  std::uint64_t WorkersVersion() const { return this->workers_version; }
+
   static std::size_t TaskCount(const JobRequest& request);
   const Limits& limits() const { return this->bounds; }
 
@@ -111,6 +118,7 @@
   void Cancel(const std::string& id);
   void Apply(const RunStart& start);
   void Apply(const RunEnd& end);
+  void AddChange(const TaskId& task);
   void FinishTask(Job& job, const TaskId& id);
   void EndJob(Job& job, JobPhase phase);
   void ReleaseTasks(Job& job);
@@ -131,7 +139,9 @@
   std::set<std::pair<std::int64_t, std::string>> ended_jobs;
   /// Latest time in any command; the state's only clock.
   std::int64_t latest_ms = 0;
+  JobChanges job_changes;
   std::map<std::string, Worker> workers;
+  std::uint64_t workers_version = 1;
   std::map<std::uint64_t, Wave> waves;
   std::map<std::string, std::int64_t> ordered_at;
 };
--- a/src/mimosastage/jobs/placement.cc
+++ b/src/mimosastage/jobs/placement.cc
@@ -7,25 +7,27 @@
 namespace mimosastage::jobs {
 namespace {
 
+const std::string kNoRack;
+
 bool HasLabel(const CandidateWorker& candidate, const std::string& label) {
   return label.empty() ||
          std::find(candidate.labels.begin(), candidate.labels.end(), label) !=
              candidate.labels.end();
 }
 
-bool CanTake(const StepDemand& demand, const CandidateWorker& candidate,
-             const std::map<std::string, std::size_t>& on_worker) {
-  const Step& step = *demand.step;
-  if (!Fits(step, candidate.free) ||
-      !HasLabel(candidate, step.required_label)) {
-    return false;
-  }
+/// False if the worker isn't approved for the step or runs as many of its tasks
+/// as it may.
+bool Admits(const StepDemand& demand, const CandidateWorker& candidate,
+            const std::map<std::string, std::size_t>& on_worker) {
   if (demand.approved != nullptr && !demand.approved->contains(candidate.id)) {
     return false;
   }
+  if (demand.step->most_per_worker == 0) {
+    return true;
+  }
   const auto found = on_worker.find(candidate.id);
-  return step.most_per_worker == 0 || found == on_worker.end() ||
-         found->second < step.most_per_worker;
+  return found == on_worker.end() ||
+         found->second < demand.step->most_per_worker;
 }
 
 /// Sort key of a candidate; larger is better. Healthy workers come first, then
@@ -52,65 +54,93 @@
 class StepPlacer {
  public:
   StepPlacer(const StepDemand& demand, std::vector<CandidateWorker>& candidates,
-             TeamQuota* team)
+             TeamQuota* team, std::vector<Assignment>& assignments)
       : demand(demand),
         candidates(candidates),
         team(team),
-        on_worker(demand.on_worker) {}
+        assignments(assignments),
+        first(assignments.size()) {
+    if (demand.step->most_per_worker > 0) {
+      this->on_worker = demand.on_worker;
+    }
+  }
 
-  std::vector<Assignment> Run() {
+  StepPlacement Run() {
     for (const std::uint32_t index : this->demand.waiting) {
       if (!this->PlaceOne(index)) {
         break;
       }
     }
-    if (this->demand.step->gang &&
-        this->placed.size() < this->demand.waiting.size()) {
+    const std::size_t placed = this->assignments.size() - this->first;
+    if (this->demand.step->gang && placed < this->demand.waiting.size()) {
       this->Undo();
+      // The resources that made the gang fail are free again.
+      return this->no_room && placed == 0 ? StepPlacement::kNoRoom
+                                          : StepPlacement::kTried;
     }
-    return std::move(this->placed);
+    return this->no_room ? StepPlacement::kNoRoom : StepPlacement::kTried;
   }
 
  private:
+  /// Returns the best candidate for a task, or null.
+  CandidateWorker* FindBest() {
+    const Step& step = *this->demand.step;
+    CandidateWorker* best = nullptr;
+    decltype(Preference(this->demand, *best, *this->rack)) most;
+    this->no_room = true;
+    for (CandidateWorker& candidate : this->candidates) {
+      if (!Fits(step, candidate.free) ||
+          !HasLabel(candidate, step.required_label)) {
+        continue;
+      }
+      this->no_room = false;
+      if (!Admits(this->demand, candidate, this->on_worker)) {
+        continue;
+      }
+      const auto preference = Preference(this->demand, candidate, *this->rack);
+      if (best == nullptr || most < preference) {
+        best = &candidate;
+        most = preference;
+      }
+    }
+    return best;
+  }
+
   bool PlaceOne(std::uint32_t index) {
     const Step& step = *this->demand.step;
-    const Amount need = Charge(step);
     if (this->team != nullptr && !this->team->Admits(*step.need)) {
+      this->no_room = true;
       return false;
     }
-    std::size_t best = this->candidates.size();
-    for (std::size_t i = 0; i < this->candidates.size(); ++i) {
-      if (CanTake(this->demand, this->candidates[i], this->on_worker) &&
-          (best == this->candidates.size() ||
-           Preference(this->demand, this->candidates[best], this->rack) <
-               Preference(this->demand, this->candidates[i], this->rack))) {
-        best = i;
-      }
-    }
-    if (best == this->candidates.size()) {
+    CandidateWorker* const candidate = this->FindBest();
+    if (candidate == nullptr) {
       return false;
     }
-    CandidateWorker& candidate = this->candidates[best];
-    Subtract(candidate.free, need);
-    candidate.fillers += step.filler ? 1 : 0;
-    candidate.serving += step.tail_target_ms > 0 && !step.filler ? 1 : 0;
+    Subtract(candidate->free, Charge(step));
+    candidate->fillers += step.filler ? 1 : 0;
+    candidate->serving += step.tail_target_ms > 0 && !step.filler ? 1 : 0;
     if (this->team != nullptr) {
       Subtract(this->team->free, *step.need);
     }
-    ++this->on_worker[candidate.id];
-    if (this->rack.empty()) {
-      this->rack = candidate.Rack();
+    if (step.most_per_worker > 0) {
+      ++this->on_worker[candidate->id];
+    }
+    if (this->rack->empty()) {
+      this->rack = &candidate->Rack();
     }
     TaskId task = this->demand.first;
     task.index = index;
-    this->placed.push_back(Assignment{std::move(task), best});
+    this->assignments.push_back(Assignment{
+        std::move(task),
+        static_cast<std::size_t>(candidate - this->candidates.data())});
     return true;
   }
 
   void Undo() {
     const Step& step = *this->demand.step;
-    for (const Assignment& assignment : this->placed) {
-      CandidateWorker& candidate = this->candidates[assignment.candidate];
+    for (std::size_t i = this->first; i < this->assignments.size(); ++i) {
+      CandidateWorker& candidate =
+          this->candidates[this->assignments[i].candidate];
       Add(candidate.free, Charge(step));
       candidate.fillers -= step.filler ? 1 : 0;
       candidate.serving -= step.tail_target_ms > 0 && !step.filler ? 1 : 0;
@@ -118,15 +148,18 @@
         Add(this->team->free, *step.need);
       }
     }
-    this->placed.clear();
+    this->assignments.resize(this->first);
   }
 
   const StepDemand& demand;
   std::vector<CandidateWorker>& candidates;
   TeamQuota* team;
+  std::vector<Assignment>& assignments;
+  /// Number of assignments that were made for earlier steps.
+  std::size_t first;
   std::map<std::string, std::size_t> on_worker;
-  std::string rack;
-  std::vector<Assignment> placed;
+  const std::string* rack = &kNoRack;
+  bool no_room = false;
 };
 
 }  // namespace
@@ -158,8 +191,8 @@
   from.accelerators -= amount.accelerators;
 }
 
-std::string CandidateWorker::Rack() const {
-  return this->labels.size() > 1 ? this->labels[1] : "";
+const std::string& CandidateWorker::Rack() const {
+  return this->labels.size() > 1 ? this->labels[1] : kNoRack;
 }
 
 bool TeamQuota::Admits(const Amount& need) const {
@@ -174,17 +207,20 @@
                 need.accelerators);
 }
 
+StepPlacement PlaceStep(const StepDemand& demand,
+                        std::vector<CandidateWorker>& candidates,
+                        TeamQuota* team, std::vector<Assignment>& assignments) {
+  return StepPlacer(demand, candidates, team, assignments).Run();
+}
+
 std::vector<Assignment> Place(const std::vector<StepDemand>& demands,
                               std::vector<CandidateWorker>& candidates,
                               std::map<std::string, TeamQuota>& teams) {
   std::vector<Assignment> all;
   for (const StepDemand& demand : demands) {
     const auto team = teams.find(demand.team);
-    StepPlacer placer(demand, candidates,
-                      team == teams.end() ? nullptr : &team->second);
-    for (Assignment& assignment : placer.Run()) {
-      all.push_back(std::move(assignment));
-    }
+    PlaceStep(demand, candidates, team == teams.end() ? nullptr : &team->second,
+              all);
   }
   return all;
 }
--- a/src/mimosastage/jobs/placement.h
+++ b/src/mimosastage/jobs/placement.h
@@ -33,7 +33,7 @@
   bool suspect = false;
 
   /// Returns the label that names the rack, or "".
-  std::string Rack() const;
+  const std::string& Rack() const;
 };
 
 /// The tasks of one step that wait for a worker.
@@ -62,6 +62,20 @@
   bool Admits(const Amount& need) const;
 };
 
+enum class StepPlacement : std::uint8_t {
+  kTried,
+  /// No candidate has room for a task with these needs and this label, or the
+  /// team's quota doesn't admit one. This holds until resources are released.
+  kNoRoom
+};
+
+/// Assigns waiting tasks of one step to workers, appends the assignments to
+/// `assignments` and deducts their resources from `candidates` and `team`,
+/// which is null for a team without a limit.
+StepPlacement PlaceStep(const StepDemand& demand,
+                        std::vector<CandidateWorker>& candidates,
+                        TeamQuota* team, std::vector<Assignment>& assignments);
+
 /// Assigns waiting tasks to workers, in the order of `demands`, and deducts
 /// their resources from `candidates` and `teams`. A gang is placed as a whole
 /// or not at all.
--- /dev/null
+++ b/src/mimosastage/jobs/waiting_steps.cc
@@ -0,0 +1,371 @@
+#include "mimosastage/jobs/waiting_steps.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace mimosastage::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// For each step, the estimated duration of the longest chain of dependent
+/// steps that starts with it.
+std::vector<milliseconds> ChainsOf(const JobRequest& request) {
+  std::vector<milliseconds> chains(request.steps.size());
+  for (std::size_t step = request.steps.size(); step-- > 0;) {
+    milliseconds longest{0};
+    for (std::size_t next = step + 1; next < request.steps.size(); ++next) {
+      const auto& after = request.steps[next]->after;
+      if (std::find(after.begin(), after.end(), step) != after.end()) {
+        longest = std::max(longest, chains[next]);
+      }
+    }
+    chains[step] = longest + milliseconds(request.steps[step]->estimate_ms);
+  }
+  return chains;
+}
+
+milliseconds DueOf(const JobRequest& request, std::uint32_t occurrence) {
+  if (request.occurrences == 0) {
+    return milliseconds(request.accepted_ms);
+  }
+  return milliseconds(request.first_due_ms + occurrence * request.interval_ms);
+}
+
+auto OrderOfJobs(const WaitingStep& step) {
+  return std::tie(step.request->accepted_ms, step.request->id,
+                  step.demand.first.occurrence, step.demand.first.step);
+}
+
+}  // namespace
+
+StepUrgency WaitingStep::UrgencyAt(milliseconds wall) const {
+  StepUrgency urgency;
+  urgency.long_running = this->demand.step->long_running;
+  urgency.priority = this->priority;
+  urgency.objective = this->objective;
+  urgency.slack = this->latest_start - wall;
+  return urgency;
+}
+
+bool WaitingSteps::ByLatestStart::operator()(const WaitingStep* a,
+                                             const WaitingStep* b) const {
+  if (a->latest_start != b->latest_start) {
+    return a->latest_start < b->latest_start;
+  }
+  return OrderOfJobs(*a) < OrderOfJobs(*b);
+}
+
+void WaitingSteps::Refresh(milliseconds wall) {
+  const bool clock_was_set_back = wall < this->wall;
+  this->wall = wall;
+  if (clock_was_set_back) {
+    // Occurrences that were due may not be due any more.
+    this->Rebuild();
+  }
+  this->ReadChanges();
+  while (!this->not_due.empty() &&
+         std::get<milliseconds>(*this->not_due.begin()) <= wall) {
+    const auto [due, id, occurrence] = *this->not_due.begin();
+    this->not_due.erase(this->not_due.begin());
+    this->RefreshOccurrence(*this->state.FindJob(id), this->jobs.at(id),
+                            occurrence);
+  }
+}
+
+void WaitingSteps::Rebuild() {
+  this->jobs.clear();
+  this->pools.clear();
+  this->not_due.clear();
+  for (const auto& [accepted, id] : this->state.OpenJobs()) {
+    this->RefreshJob(id);
+  }
+}
+
+void WaitingSteps::ReadChanges() {
+  std::vector<const JobChange*> changes;
+  if (!this->state.Changes().ReadSince(
+          this->changes_read,
+          [&](const JobChange& change) { changes.push_back(&change); })) {
+    this->Rebuild();
+    return;
+  }
+  // Many runs of a step start or end between two placements; its tasks are
+  // visited once for all of them.
+  const auto key = [](const JobChange* change) {
+    const auto number = change->step.value_or(JobChange::StepNumber{});
+    return std::make_tuple(std::cref(change->job), change->step.has_value(),
+                           number.occurrence, number.step);
+  };
+  std::sort(
+      changes.begin(), changes.end(),
+      [&](const JobChange* a, const JobChange* b) { return key(a) < key(b); });
+  changes.erase(std::unique(changes.begin(), changes.end(),
+                            [&](const JobChange* a, const JobChange* b) {
+                              return key(a) == key(b);
+                            }),
+                changes.end());
+  for (const JobChange* change : changes) {
+    if (!change->step.has_value()) {
+      this->RefreshJob(change->job);
+      continue;
+    }
+    const auto open = this->jobs.find(change->job);
+    if (open == this->jobs.end()) {
+      continue;
+    }
+    const Job& job = *this->state.FindJob(change->job);
+    const auto [occurrence, step] = *change->step;
+    this->RefreshStep(job, open->second, occurrence, step);
+    if (job.OpenTasks(occurrence, step) > 0) {
+      continue;
+    }
+    const auto& steps = job.request->steps;
+    for (std::uint32_t next = 0; next < steps.size(); ++next) {
+      const auto& after = steps[next]->after;
+      if (std::find(after.begin(), after.end(), step) != after.end()) {
+        this->RefreshStep(job, open->second, occurrence, next);
+      }
+    }
+  }
+}
+
+void WaitingSteps::RefreshJob(const std::string& id) {
+  const Job* job = this->state.FindJob(id);
+  if (const auto open = this->jobs.find(id);
+      open != this->jobs.end() && (job == nullptr || job->Ended() ||
+                                   job->request != open->second.request)) {
+    this->RemoveJob(id);
+  }
+  const Queue* queue = job == nullptr || job->Ended()
+                           ? nullptr
+                           : this->state.FindQueue(job->request->queue);
+  if (queue == nullptr) {
+    return;
+  }
+  const auto known = this->jobs.find(id);
+  OpenJob& open =
+      known == this->jobs.end() ? this->AddJob(*job, *queue) : known->second;
+  for (std::uint32_t k = 0; k < job->Occurrences(); ++k) {
+    const milliseconds due = DueOf(*job->request, k);
+    if (this->wall < due) {
+      this->not_due.emplace(due, id, k);
+    } else {
+      this->RefreshOccurrence(*job, open, k);
+    }
+  }
+}
+
+void WaitingSteps::RefreshOccurrence(const Job& job, OpenJob& open,
+                                     std::uint32_t occurrence) {
+  for (std::uint32_t s = 0; s < open.request->steps.size(); ++s) {
+    this->RefreshStep(job, open, occurrence, s);
+  }
+}
+
+WaitingSteps::OpenJob& WaitingSteps::AddJob(const Job& job,
+                                            const Queue& queue) {
+  const JobRequest& request = *job.request;
+  OpenJob& open = this->jobs[request.id];
+  open.request = job.request;
+  open.pool = &this->pools[queue.pool];
+  open.priority = queue.priority;
+  open.advised = queue.advised;
+  open.chains = ChainsOf(request);
+  const milliseconds longest =
+      open.chains.empty()
+          ? milliseconds(0)
+          : *std::max_element(open.chains.begin(), open.chains.end());
+  open.objective =
+      std::chrono::duration_cast<milliseconds>(queue.stretch * longest) +
+      milliseconds(queue.target_ms);
+  return open;
+}
+
+void WaitingSteps::RemoveJob(const std::string& id) {
+  const auto found = this->jobs.find(id);
+  OpenJob& open = found->second;
+  for (const auto& [number, step] : open.waiting) {
+    AddToSums(*open.pool, step->demand, -1);
+    const auto group = open.pool->groups.find(KeyOf(*step));
+    group->second.erase(step.get());
+    if (group->second.empty()) {
+      open.pool->groups.erase(group);
+    }
+  }
+  const std::uint32_t occurrences =
+      std::max<std::uint32_t>(1, open.request->occurrences);
+  for (std::uint32_t k = 0; !this->not_due.empty() && k < occurrences; ++k) {
+    this->not_due.erase({DueOf(*open.request, k), id, k});
+  }
+  this->jobs.erase(found);
+}
+
+StepDemand WaitingSteps::MakeDemand(const Job& job, std::uint32_t occurrence,
+                                    std::uint32_t step) {
+  StepDemand demand;
+  const JobRequest& request = *job.request;
+  const Step& record = *request.steps[step];
+  demand.team = request.team;
+  demand.first = TaskId{request.id, occurrence, step, 0};
+  demand.step = &record;
+  if (job.OpenTasks(occurrence, step) == 0 ||
+      !job.StepReady(occurrence, step)) {
+    return demand;
+  }
+  const std::size_t begin = job.StepBegin(occurrence, step);
+  bool has_active_runs = false;
+  for (std::uint32_t i = 0; i < record.tasks; ++i) {
+    const Task& task = job.tasks[begin + i];
+    has_active_runs = has_active_runs || !task.active.empty();
+    if (!task.done && task.active.empty()) {
+      demand.waiting.push_back(i);
+    }
+    if (record.most_per_worker > 0) {
+      for (const ActiveRun& active : task.active) {
+        ++demand.on_worker[active.worker];
+      }
+    }
+  }
+  // A gang is placed again only once none of its runs is active.
+  if (record.gang && has_active_runs) {
+    demand.waiting.clear();
+  }
+  return demand;
+}
+
+void WaitingSteps::RefreshStep(const Job& job, OpenJob& open,
+                               std::uint32_t occurrence, std::uint32_t step) {
+  const milliseconds due = DueOf(*open.request, occurrence);
+  if (this->wall < due) {
+    return;
+  }
+  StepDemand demand = MakeDemand(job, occurrence, step);
+  auto known = open.waiting.find({occurrence, step});
+  if (known == open.waiting.end() && demand.waiting.empty()) {
+    return;
+  }
+  if (known != open.waiting.end()) {
+    AddToSums(*open.pool, known->second->demand, -1);
+    if (demand.waiting.empty()) {
+      const auto group = open.pool->groups.find(KeyOf(*known->second));
+      group->second.erase(known->second.get());
+      if (group->second.empty()) {
+        open.pool->groups.erase(group);
+      }
+      open.waiting.erase(known);
+      return;
+    }
+  } else {
+    known = open.waiting
+                .emplace(std::pair(occurrence, step),
+                         std::make_unique<WaitingStep>())
+                .first;
+  }
+  WaitingStep& row = *known->second;
+  const bool is_new = row.request == nullptr;
+  row.demand = std::move(demand);
+  AddToSums(*open.pool, row.demand, 1);
+  if (is_new) {
+    row.request = open.request;
+    row.priority = open.priority;
+    row.advised = open.advised;
+    row.objective = open.objective;
+    row.latest_start = due + open.objective - open.chains[step];
+    open.pool->groups[KeyOf(row)].insert(&row);
+  }
+}
+
+void WaitingSteps::AddToSums(PoolSteps& pool, const StepDemand& demand,
+                             std::int64_t sign) {
+  const Amount charge = Charge(*demand.step);
+  const std::int64_t count =
+      sign * static_cast<std::int64_t>(demand.waiting.size());
+  pool.sums.millicores += count * charge.millicores;
+  pool.sums.memory_mb += count * charge.memory_mb;
+}
+
+WaitingSteps::GroupKey WaitingSteps::KeyOf(const WaitingStep& step) {
+  const Step& record = *step.demand.step;
+  return {record.need->millicores,
+          record.need->memory_mb,
+          record.need->accelerators,
+          record.filler,
+          record.required_label,
+          step.demand.team,
+          record.long_running,
+          step.priority,
+          step.advised};
+}
+
+std::map<std::string, WaitingSteps::Sums> WaitingSteps::SumsByPool() const {
+  std::map<std::string, Sums> sums;
+  for (const auto& [name, pool] : this->pools) {
+    if (!pool.groups.empty()) {
+      sums.emplace(name, pool.sums);
+    }
+  }
+  return sums;
+}
+
+bool WaitingSteps::IsBefore(const Cursor& a, const Cursor& b) const {
+  const StepUrgency urgency = (*a.next)->UrgencyAt(this->wall);
+  const StepUrgency other = (*b.next)->UrgencyAt(this->wall);
+  if (PlacedBefore(urgency, other)) {
+    return true;
+  }
+  return !PlacedBefore(other, urgency) &&
+         OrderOfJobs(**a.next) < OrderOfJobs(**b.next);
+}
+
+void WaitingSteps::Visit(const std::string& pool, bool advised_only,
+                         const std::function<Next(WaitingStep&)>& visit) {
+  const auto found = this->pools.find(pool);
+  if (found == this->pools.end()) {
+    return;
+  }
+  std::vector<Cursor> cursors;
+  cursors.reserve(found->second.groups.size());
+  for (const auto& [key, group] : found->second.groups) {
+    if (advised_only && !(*group.begin())->advised) {
+      continue;
+    }
+    const auto first_in_time = group.lower_bound(this->wall);
+    cursors.push_back(Cursor{
+        &group, first_in_time == group.end() ? group.begin() : first_in_time,
+        group.size()});
+  }
+  const auto after = [this](const Cursor& a, const Cursor& b) {
+    return this->IsBefore(b, a);
+  };
+  std::make_heap(cursors.begin(), cursors.end(), after);
+  while (!cursors.empty()) {
+    std::pop_heap(cursors.begin(), cursors.end(), after);
+    Cursor& cursor = cursors.back();
+    const Next next = visit(**cursor.next);
+    --cursor.left;
+    if (next == Next::kLeaveOutAlike || cursor.left == 0) {
+      cursors.pop_back();
+      continue;
+    }
+    if (++cursor.next == cursor.group->end()) {
+      cursor.next = cursor.group->begin();
+    }
+    std::push_heap(cursors.begin(), cursors.end(), after);
+  }
+}
+
+void WaitingSteps::Visit(const std::string& pool,
+                         const std::function<Next(WaitingStep&)>& visit) {
+  this->Visit(pool, false, visit);
+}
+
+void WaitingSteps::VisitAdvised(
+    const std::string& pool, const std::function<void(WaitingStep&)>& visit) {
+  this->Visit(pool, true, [&](WaitingStep& step) {
+    visit(step);
+    return Next::kContinue;
+  });
+}
+
+}  // namespace mimosastage::jobs
--- /dev/null
+++ b/src/mimosastage/jobs/waiting_steps.h
@@ -0,0 +1,148 @@
+#ifndef MIMOSASTAGE_JOBS_WAITING_STEPS_H_
+#define MIMOSASTAGE_JOBS_WAITING_STEPS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "mimosastage/jobs/fleet_state.h"
+#include "mimosastage/jobs/placement.h"
+
+namespace mimosastage::jobs {
+
+/// A step of one occurrence of a job that is due and ready, and has tasks that
+/// wait for a worker.
+struct WaitingStep {
+  StepDemand demand;
+  /// Owns `demand.step`.
+  std::shared_ptr<const JobRequest> request;
+  std::int32_t priority = 0;
+  /// The step needs approval by the advisory service.
+  bool advised = false;
+  /// Wall time at which the step must start for its job to meet the objective.
+  std::chrono::milliseconds latest_start{0};
+  std::chrono::milliseconds objective{0};
+
+  StepUrgency UrgencyAt(std::chrono::milliseconds wall) const;
+};
+
+/// The waiting steps of all open jobs by pool, and the resources that they
+/// need. Kept between placements and updated for the jobs that have changed, so
+/// that the cost of a placement doesn't grow with the number of open jobs.
+class WaitingSteps {
+ public:
+  enum class Next : std::uint8_t {
+    kContinue,
+    /// Leaves out the remaining steps that have the same needs, required label,
+    /// team and priority as the visited one.
+    kLeaveOutAlike
+  };
+
+  struct Sums {
+    std::int64_t millicores = 0;
+    std::int64_t memory_mb = 0;
+  };
+
+  /// `state` must outlive the object.
+  explicit WaitingSteps(const FleetState& state) : state(state) {}
+
+  /// Updates everything to the present state. References to steps become
+  /// invalid.
+  void Refresh(std::chrono::milliseconds wall);
+
+  /// Returns the pools with waiting tasks, and what these tasks need.
+  std::map<std::string, Sums> SumsByPool() const;
+  /// Passes the steps of the pool to `visit`, the most urgent one first.
+  void Visit(const std::string& pool,
+             const std::function<Next(WaitingStep&)>& visit);
+  /// The same for the steps that need approval by the advisory service only.
+  void VisitAdvised(const std::string& pool,
+                    const std::function<void(WaitingStep&)>& visit);
+
+ private:
+  struct ByLatestStart {
+    using is_transparent = void;
+    bool operator()(const WaitingStep* a, const WaitingStep* b) const;
+    bool operator()(const WaitingStep* step,
+                    std::chrono::milliseconds latest_start) const {
+      return step->latest_start < latest_start;
+    }
+  };
+
+  /// Millicores, memory, accelerators, filler, required label, team,
+  /// long-running, priority and advised.
+  using GroupKey =
+      std::tuple<std::int64_t, std::int64_t, std::int64_t, bool, std::string,
+                 std::string, bool, std::int32_t, bool>;
+  /// Steps of which none can be placed if one can't for lack of resources.
+  using Group = std::set<WaitingStep*, ByLatestStart>;
+
+  struct PoolSteps {
+    std::map<GroupKey, Group> groups;
+    Sums sums;
+  };
+
+  /// A position in a group. The order of a group is that of the steps that
+  /// aren't late, followed by that of the late ones.
+  struct Cursor {
+    const Group* group = nullptr;
+    Group::const_iterator next;
+    std::size_t left = 0;
+  };
+
+  struct OpenJob {
+    std::shared_ptr<const JobRequest> request;
+    PoolSteps* pool = nullptr;
+    std::int32_t priority = 0;
+    bool advised = false;
+    std::chrono::milliseconds objective{0};
+    /// For each step, the estimated duration of the longest chain of dependent
+    /// steps that starts with it.
+    std::vector<std::chrono::milliseconds> chains;
+    /// By occurrence and step.
+    std::map<std::pair<std::uint32_t, std::uint32_t>,
+             std::unique_ptr<WaitingStep>>
+        waiting;
+  };
+
+  void Rebuild();
+  void ReadChanges();
+  void RefreshJob(const std::string& id);
+  void RefreshOccurrence(const Job& job, OpenJob& open,
+                         std::uint32_t occurrence);
+  void RefreshStep(const Job& job, OpenJob& open, std::uint32_t occurrence,
+                   std::uint32_t step);
+  OpenJob& AddJob(const Job& job, const Queue& queue);
+  void RemoveJob(const std::string& id);
+  static StepDemand MakeDemand(const Job& job, std::uint32_t occurrence,
+                               std::uint32_t step);
+  static void AddToSums(PoolSteps& pool, const StepDemand& demand,
+                        std::int64_t sign);
+  static GroupKey KeyOf(const WaitingStep& step);
+  void Visit(const std::string& pool, bool advised_only,
+             const std::function<Next(WaitingStep&)>& visit);
+  /// True if the cursor's step is placed before that of the other one.
+  bool IsBefore(const Cursor& a, const Cursor& b) const;
+
+  const FleetState& state;
+  std::uint64_t changes_read = 0;
+  std::chrono::milliseconds wall{0};
+  std::unordered_map<std::string, OpenJob> jobs;
+  std::map<std::string, PoolSteps> pools;
+  /// Occurrences that aren't due yet: due time, job and occurrence.
+  std::set<std::tuple<std::chrono::milliseconds, std::string, std::uint32_t>>
+      not_due;
+};
+
+}  // namespace mimosastage::jobs
+
+#endif  // MIMOSASTAGE_JOBS_WAITING_STEPS_H_
--- /dev/null
+++ b/tests/jobs/support/dispatcher_peer.cc
@@ -0,0 +1,388 @@
+#include "tests/jobs/support/dispatcher_peer.h"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+
+namespace mimosastage::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// The limits of calls to the advisory service.
+constexpr std::size_t kMaxOpenCalls = 8;
+constexpr std::size_t kWorkersPerCall = 30;
+constexpr milliseconds kTicketMargin{300};
+constexpr milliseconds kAdviceTimeout{6'000};
+
+/// Estimated duration of the longest chain of dependent steps that starts with
+/// `step`.
+milliseconds ChainFrom(const JobRequest& request, std::uint32_t step) {
+  milliseconds longest{0};
+  for (std::uint32_t next = step + 1; next < request.steps.size(); ++next) {
+    const auto& after = request.steps[next]->after;
+    if (std::find(after.begin(), after.end(), step) != after.end()) {
+      longest = std::max(longest, ChainFrom(request, next));
+    }
+  }
+  return longest + milliseconds(request.steps[step]->estimate_ms);
+}
+
+milliseconds LongestChain(const JobRequest& request) {
+  milliseconds longest{0};
+  for (std::uint32_t step = 0; step < request.steps.size(); ++step) {
+    longest = std::max(longest, ChainFrom(request, step));
+  }
+  return longest;
+}
+
+milliseconds DueOf(const JobRequest& request, std::uint32_t occurrence) {
+  if (request.occurrences == 0) {
+    return milliseconds(request.accepted_ms);
+  }
+  return milliseconds(request.first_due_ms + occurrence * request.interval_ms);
+}
+
+bool IsWaiting(const Task& task, const Step& step) {
+  return !task.done && task.active.empty() && step.tasks > 0;
+}
+
+bool HasLabel(const CandidateWorker& candidate, const std::string& label) {
+  return label.empty() ||
+         std::find(candidate.labels.begin(), candidate.labels.end(), label) !=
+             candidate.labels.end();
+}
+
+bool CanTake(const StepDemand& demand, const CandidateWorker& candidate,
+             const std::map<std::string, std::size_t>& on_worker) {
+  const Step& step = *demand.step;
+  if (!Fits(step, candidate.free) ||
+      !HasLabel(candidate, step.required_label)) {
+    return false;
+  }
+  if (demand.approved != nullptr && !demand.approved->contains(candidate.id)) {
+    return false;
+  }
+  const auto found = on_worker.find(candidate.id);
+  return step.most_per_worker == 0 || found == on_worker.end() ||
+         found->second < step.most_per_worker;
+}
+
+/// Sort key of a candidate; larger is better. Healthy workers come first, then
+/// those in the preferred rack, then those with the least interference between
+/// fillers and serving tasks, then the fullest ones.
+auto Preference(const StepDemand& demand, const CandidateWorker& candidate,
+                const std::string& rack) {
+  const Step& step = *demand.step;
+  const bool near =
+      (!step.data_rack.empty() && candidate.Rack() == step.data_rack) ||
+      (step.same_rack && !rack.empty() && candidate.Rack() == rack);
+  const std::int64_t interference =
+      step.filler ? -static_cast<std::int64_t>(candidate.serving)
+                  : -static_cast<std::int64_t>(
+                        step.tail_target_ms > 0 ? candidate.fillers : 0);
+  // Packing tasks onto few workers keeps the others free to be moved to another
+  // pool or to take large tasks.
+  return std::make_tuple(!candidate.suspect, near, interference,
+                         -candidate.free.millicores);
+}
+
+/// Places the waiting tasks of one step. If the step is a gang and not all of
+/// its tasks fit, all reservations are undone.
+class NaiveStepPlacer {
+ public:
+  NaiveStepPlacer(const StepDemand& demand,
+                  std::vector<CandidateWorker>& candidates, TeamQuota* team)
+      : demand(demand),
+        candidates(candidates),
+        team(team),
+        on_worker(demand.on_worker) {}
+
+  std::vector<Assignment> Run() {
+    for (const std::uint32_t index : this->demand.waiting) {
+      if (!this->PlaceOne(index)) {
+        break;
+      }
+    }
+    if (this->demand.step->gang &&
+        this->placed.size() < this->demand.waiting.size()) {
+      this->Undo();
+    }
+    return std::move(this->placed);
+  }
+
+ private:
+  bool PlaceOne(std::uint32_t index) {
+    const Step& step = *this->demand.step;
+    const Amount need = Charge(step);
+    if (this->team != nullptr && !this->team->Admits(*step.need)) {
+      return false;
+    }
+    std::size_t best = this->candidates.size();
+    for (std::size_t i = 0; i < this->candidates.size(); ++i) {
+      if (CanTake(this->demand, this->candidates[i], this->on_worker) &&
+          (best == this->candidates.size() ||
+           Preference(this->demand, this->candidates[best], this->rack) <
+               Preference(this->demand, this->candidates[i], this->rack))) {
+        best = i;
+      }
+    }
+    if (best == this->candidates.size()) {
+      return false;
+    }
+    CandidateWorker& candidate = this->candidates[best];
+    Subtract(candidate.free, need);
+    candidate.fillers += step.filler ? 1 : 0;
+    candidate.serving += step.tail_target_ms > 0 && !step.filler ? 1 : 0;
+    if (this->team != nullptr) {
+      Subtract(this->team->free, *step.need);
+    }
+    ++this->on_worker[candidate.id];
+    if (this->rack.empty()) {
+      this->rack = candidate.Rack();
+    }
+    TaskId task = this->demand.first;
+    task.index = index;
+    this->placed.push_back(Assignment{std::move(task), best});
+    return true;
+  }
+
+  void Undo() {
+    const Step& step = *this->demand.step;
+    for (const Assignment& assignment : this->placed) {
+      CandidateWorker& candidate = this->candidates[assignment.candidate];
+      Add(candidate.free, Charge(step));
+      candidate.fillers -= step.filler ? 1 : 0;
+      candidate.serving -= step.tail_target_ms > 0 && !step.filler ? 1 : 0;
+      if (this->team != nullptr) {
+        Add(this->team->free, *step.need);
+      }
+    }
+    this->placed.clear();
+  }
+
+  const StepDemand& demand;
+  std::vector<CandidateWorker>& candidates;
+  TeamQuota* team;
+  std::map<std::string, std::size_t> on_worker;
+  std::string rack;
+  std::vector<Assignment> placed;
+};
+
+}  // namespace
+
+StepUrgency DispatcherPeer::UrgencyOf(const Job& job, const Queue& queue,
+                                      std::uint32_t occurrence,
+                                      std::uint32_t step, milliseconds wall) {
+  const JobRequest& request = *job.request;
+  StepUrgency urgency;
+  urgency.long_running = request.steps[step]->long_running;
+  urgency.priority = queue.priority;
+  const milliseconds chain = LongestChain(request);
+  urgency.objective =
+      std::chrono::duration_cast<milliseconds>(queue.stretch * chain) +
+      milliseconds(queue.target_ms);
+  urgency.slack = DueOf(request, occurrence) + urgency.objective - wall -
+                  ChainFrom(request, step);
+  return urgency;
+}
+
+void DispatcherPeer::AddDemands(const Job& job, const Queue& queue,
+                                std::vector<RankedDemand>& demands) const {
+  const JobRequest& request = *job.request;
+  const milliseconds wall = this->dispatcher.hooks.wall_time();
+  for (std::uint32_t k = 0; k < job.Occurrences(); ++k) {
+    if (wall < DueOf(request, k)) {
+      continue;
+    }
+    for (std::uint32_t s = 0; s < request.steps.size(); ++s) {
+      if (job.OpenTasks(k, s) == 0 || !job.StepReady(k, s)) {
+        continue;
+      }
+      const Step& step = *request.steps[s];
+      StepDemand demand;
+      const std::size_t begin = job.StepBegin(k, s);
+      bool has_active_runs = false;
+      for (std::uint32_t i = 0; i < step.tasks; ++i) {
+        const Task& task = job.tasks[begin + i];
+        has_active_runs = has_active_runs || !task.active.empty();
+        if (IsWaiting(task, step)) {
+          demand.waiting.push_back(i);
+        }
+      }
+      // A gang is placed again only once none of its runs is active.
+      if (demand.waiting.empty() || (step.gang && has_active_runs)) {
+        continue;
+      }
+      demand.team = request.team;
+      demand.first = TaskId{request.id, k, s, 0};
+      demand.step = &step;
+      for (std::uint32_t i = 0; step.most_per_worker > 0 && i < step.tasks;
+           ++i) {
+        for (const ActiveRun& active : job.tasks[begin + i].active) {
+          ++demand.on_worker[active.worker];
+        }
+      }
+      demands.push_back(RankedDemand{UrgencyOf(job, queue, k, s, wall),
+                                     std::move(demand), queue.advised});
+    }
+  }
+}
+
+std::vector<CandidateWorker> DispatcherPeer::CandidateWorkers(
+    const std::string& pool, TimePoint now) const {
+  std::vector<CandidateWorker> candidates;
+  for (const auto& [id, worker] : this->dispatcher.state.Workers()) {
+    const auto session = this->dispatcher.sessions.find(id);
+    if (worker.pool != pool || session == this->dispatcher.sessions.end() ||
+        !this->dispatcher.AcceptsTasks(session->second)) {
+      continue;
+    }
+    const auto eligibility =
+        this->dispatcher.health.EligibilityOf(InstanceName(id), now);
+    if (eligibility == WorkerHealth::Eligibility::kQuarantined) {
+      continue;
+    }
+    CandidateWorker candidate;
+    candidate.id = id;
+    candidate.labels = worker.labels;
+    candidate.free = *worker.capacity;
+    candidate.suspect = eligibility == WorkerHealth::Eligibility::kProbe ||
+                        this->dispatcher.speed.IsSlow(id, now);
+    for (const auto& [key, run] : session->second.runs) {
+      Subtract(candidate.free, Charge(*run.step));
+      candidate.fillers += run.step->filler ? 1 : 0;
+      candidate.serving +=
+          run.step->tail_target_ms > 0 && !run.step->filler ? 1 : 0;
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+std::map<std::string, TeamQuota> DispatcherPeer::TeamQuotas() const {
+  std::map<std::string, TeamQuota> teams;
+  for (const auto& team : this->dispatcher.state.Config().teams) {
+    if (team->upper_limit != nullptr) {
+      teams[team->name] = TeamQuota{*team->upper_limit, *team->upper_limit};
+    }
+  }
+  for (const auto& [id, session] : this->dispatcher.sessions) {
+    for (const auto& [key, run] : session.runs) {
+      if (const auto found = teams.find(run.request->team);
+          found != teams.end()) {
+        Subtract(found->second.free, *run.step->need);
+      }
+    }
+  }
+  return teams;
+}
+
+void DispatcherPeer::ApplyAdvice(
+    std::vector<RankedDemand>& ranked,
+    const std::vector<CandidateWorker>& candidates,
+    std::map<std::string, Dispatcher::Advice>& advice, Placement& placement,
+    TimePoint now) const {
+  std::erase_if(ranked, [&](RankedDemand& ranked_demand) {
+    if (!ranked_demand.advised) {
+      return false;
+    }
+    const std::string step = Dispatcher::StepName(ranked_demand.demand.first);
+    Dispatcher::Advice& known = advice[step];
+    if (now + kTicketMargin < known.valid_until && !known.approved.empty()) {
+      ranked_demand.demand.approved = &known.approved;
+      return false;
+    }
+    const std::size_t open_calls =
+        this->dispatcher.advice_requests.size() + placement.advice_calls.size();
+    if (now >= known.next_attempt && open_calls < kMaxOpenCalls) {
+      std::vector<std::string> workers;
+      const std::size_t count = std::min(kWorkersPerCall, candidates.size());
+      for (std::size_t i = 0; i < count; ++i) {
+        workers.push_back(
+            candidates[(known.offset + i) % candidates.size()].id);
+      }
+      known.next_attempt = now + kAdviceTimeout;
+      placement.advice_calls.emplace_back(step, std::move(workers));
+    }
+    return true;
+  });
+}
+
+std::uint32_t DispatcherPeer::RunNumber(const TaskId& task) const {
+  const Job& job = *this->dispatcher.state.FindJob(task.job);
+  const Step& step = *job.request->steps[task.step];
+  std::uint32_t number = job.At(task).runs + 1;
+  for (std::uint32_t i = 0; step.gang && i < step.tasks; ++i) {
+    number = std::max(
+        number,
+        job.At(TaskId{task.job, task.occurrence, task.step, i}).runs + 1);
+  }
+  return number;
+}
+
+DispatcherPeer::Placement DispatcherPeer::PlanNaively(TimePoint now) const {
+  Placement placement;
+  std::map<std::string, std::vector<RankedDemand>> by_pool;
+  for (const auto& [accepted, id] : this->dispatcher.state.OpenJobs()) {
+    const Job& job = *this->dispatcher.state.FindJob(id);
+    const Queue* queue = this->dispatcher.state.FindQueue(job.request->queue);
+    if (queue != nullptr) {
+      this->AddDemands(job, *queue, by_pool[queue->pool]);
+    }
+  }
+  std::erase_if(by_pool, [](const auto& row) { return row.second.empty(); });
+  std::map<std::string, TeamQuota> teams = this->TeamQuotas();
+  std::map<std::string, Dispatcher::Advice> advice = this->dispatcher.advice;
+  for (auto& [pool, ranked] : by_pool) {
+    auto& [millicores, memory_mb] = placement.waiting[pool];
+    for (const RankedDemand& row : ranked) {
+      const auto count = static_cast<std::int64_t>(row.demand.waiting.size());
+      millicores += count * Charge(*row.demand.step).millicores;
+      memory_mb += count * Charge(*row.demand.step).memory_mb;
+    }
+    std::vector<CandidateWorker> candidates = this->CandidateWorkers(pool, now);
+    if (candidates.empty()) {
+      continue;
+    }
+    std::stable_sort(ranked.begin(), ranked.end(),
+                     [](const RankedDemand& a, const RankedDemand& b) {
+                       return PlacedBefore(a.urgency, b.urgency);
+                     });
+    this->ApplyAdvice(ranked, candidates, advice, placement, now);
+    for (const RankedDemand& row : ranked) {
+      const auto team = teams.find(row.demand.team);
+      NaiveStepPlacer placer(row.demand, candidates,
+                             team == teams.end() ? nullptr : &team->second);
+      for (const Assignment& assignment : placer.Run()) {
+        placement.starts.push_back(Start{assignment.task,
+                                         this->RunNumber(assignment.task),
+                                         candidates[assignment.candidate].id});
+        millicores -= Charge(*row.demand.step).millicores;
+        memory_mb -= Charge(*row.demand.step).memory_mb;
+      }
+    }
+  }
+  return placement;
+}
+
+std::map<std::string, std::pair<std::int64_t, std::int64_t>>
+DispatcherPeer::Waiting() const {
+  std::map<std::string, std::pair<std::int64_t, std::int64_t>> waiting;
+  for (const auto& [pool, millicores] : this->dispatcher.waiting_millicores) {
+    waiting[pool] = {millicores, this->dispatcher.waiting_memory_mb.at(pool)};
+  }
+  return waiting;
+}
+
+void DispatcherPeer::AddSpeedSample(const std::string& worker,
+                                    const std::string& pool,
+                                    std::uint32_t percent, TimePoint now) {
+  WorkerSpeed::Sample sample;
+  for (const char* job : {"job-a", "job-b"}) {
+    sample.Add(job, percent, milliseconds(1'000), milliseconds(1'000));
+  }
+  this->dispatcher.speed.OnSample(worker, pool, sample, now);
+}
+
+}  // namespace mimosastage::jobs
--- /dev/null
+++ b/tests/jobs/support/dispatcher_peer.h
@@ -0,0 +1,73 @@
+#ifndef MIMOSASTAGE_TESTS_JOBS_SUPPORT_DISPATCHER_PEER_H_
+#define MIMOSASTAGE_TESTS_JOBS_SUPPORT_DISPATCHER_PEER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "mimosastage/jobs/dispatcher.h"
+
+namespace mimosastage::jobs {
+
+/// Gives tests access to the placements of a Dispatcher, and computes from its
+/// state what a placement must do: naively, by visiting all jobs, workers and
+/// runs.
+class DispatcherPeer {
+ public:
+  struct Start {
+    TaskId task;
+    std::uint32_t run = 0;
+    std::string worker;
+
+    bool operator==(const Start&) const = default;
+  };
+
+  /// What a placement does.
+  struct Placement {
+    std::vector<Start> starts;
+    /// The step and the workers of each call to the advisory service.
+    std::vector<std::pair<std::string, std::vector<std::string>>> advice_calls;
+    /// Millicores and memory that each pool's tasks wait for afterwards.
+    std::map<std::string, std::pair<std::int64_t, std::int64_t>> waiting;
+
+    bool operator==(const Placement&) const = default;
+  };
+
+  explicit DispatcherPeer(Dispatcher& dispatcher) : dispatcher(dispatcher) {}
+
+  Placement PlanNaively(TimePoint now) const;
+  void PlaceTasks(TimePoint now) { this->dispatcher.PlaceTasks(now); }
+  std::map<std::string, std::pair<std::int64_t, std::int64_t>> Waiting() const;
+  /// Reports the progress of the worker's runs relative to their estimates.
+  void AddSpeedSample(const std::string& worker, const std::string& pool,
+                      std::uint32_t percent, TimePoint now);
+
+ private:
+  struct RankedDemand {
+    StepUrgency urgency;
+    StepDemand demand;
+    bool advised = false;
+  };
+
+  void AddDemands(const Job& job, const Queue& queue,
+                  std::vector<RankedDemand>& demands) const;
+  static StepUrgency UrgencyOf(const Job& job, const Queue& queue,
+                               std::uint32_t occurrence, std::uint32_t step,
+                               std::chrono::milliseconds wall);
+  std::vector<CandidateWorker> CandidateWorkers(const std::string& pool,
+                                                TimePoint now) const;
+  std::map<std::string, TeamQuota> TeamQuotas() const;
+  void ApplyAdvice(std::vector<RankedDemand>& ranked,
+                   const std::vector<CandidateWorker>& candidates,
+                   std::map<std::string, Dispatcher::Advice>& advice,
+                   Placement& placement, TimePoint now) const;
+  std::uint32_t RunNumber(const TaskId& task) const;
+
+  Dispatcher& dispatcher;
+};
+
+}  // namespace mimosastage::jobs
+
+#endif  // MIMOSASTAGE_TESTS_JOBS_SUPPORT_DISPATCHER_PEER_H_
--- a/tests/jobs/support/fake_fleet_leader.cc
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -87,6 +87,9 @@
   hooks.propose = [this](const Command& command,
                          std::function<void(TimePoint)> committed) {
     this->state.Apply(command);
+    if (command.start != nullptr) {
+      this->proposed_starts.push_back(*command.start);
+    }
     if (committed) {
       this->commit_callbacks.push_back(std::move(committed));
     }
--- a/tests/jobs/support/fake_fleet_leader.h
+++ b/tests/jobs/support/fake_fleet_leader.h
@@ -76,6 +76,8 @@
   std::chrono::milliseconds leader_lag{0};
   std::vector<InstanceRequest> instance_requests;
   std::vector<StartOrder> starts;
+  /// Runs whose start was proposed to the log.
+  std::vector<RunStart> proposed_starts;
   std::vector<AdviceRequest> advice_requests;
   std::uint64_t fence = 0;
   TimePoint now{std::chrono::hours(1)};
