--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -33,7 +33,7 @@
   Session& session = this->sessions.at(worker);
   const RunKey key{task, number};
   Run run = this->MakeRun(task);
-  Add(session.used, Charge(*run.step));
+  this->AddToSums(session, run);
   run.in_start_window = true;
   this->start_window.OnOpened();
   this->admission.OnStart(this->last_placement);
@@ -248,7 +248,7 @@
   this->LeaveStartWindow(found->second);
   const bool has_siblings =
       found->second.step->gang || found->second.step->speculative;
-  Subtract(session.used, Charge(*found->second.step));
+  this->SubtractFromSums(session, found->second);
   session.runs.erase(found);
   if (outcome != RunOutcome::kDone && outcome != RunOutcome::kStopped) {
     this->hooks.report(
