--- a/tests/jobs/placement_differential_test.cc
+++ b/tests/jobs/placement_differential_test.cc
@@ -270,6 +270,12 @@
       worker.record.draining = false;
       worker.record.capacity->millicores = 1'000 * (2 + this->Pick(15));
     }
+    if (this->OneIn(10)) {
+      // The same incarnation announces other properties.
+      worker.record.labels[1] = this->PickRack();
+      worker.record.pool =
+          this->OneIn(4) ? this->PickPool() : worker.record.pool;
+    }
     for (const auto& [name, other] : this->fleet.workers) {
       if (!other.silent && this->OneIn(20)) {
         this->Announce(other);
