Tell entries who votes, also when the leader isn't among their seeds

Five voters with three seeds: after the restart a voter led that is no seed. The entries' logs show links to the three seeds and no leader_changed; only the leader's messages named the voters, and the leader had no link to any entry.

Each voter now sends the committed membership to a daemon that isn't a voter when its link opens and when the membership changes. The entry then connects to all voters and hears the leader. A membership from a follower says nothing about leadership, and a voter takes it from the leader only, as before.

JobNodeTest.EntryRestarts_SeedIsNotTheLeader_LearnsTheOtherVoters fails without the change.

--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -177,6 +177,7 @@
   if (up) {
     this->links.insert(peer);
     this->next_leadership_notice = now;
+    this->SendMembers(peer);
     return;
   }
   this->links.erase(peer);
@@ -193,6 +194,10 @@
 void JobNode::OnLeadership(DaemonId from, const jobs::Leadership& notice,
                            TimePoint now) {
   const auto daemon = DaemonId{notice.leader};
+  if (daemon == kNoVoter && !this->config.is_voter) {
+    this->LearnMembers(notice, now);
+    return;
+  }
   if (daemon != from ||
       (this->leader.has_value() && notice.view < this->leader->view)) {
     return;
@@ -205,17 +210,7 @@
                        "view " + std::to_string(notice.view));
     this->SendCalls(now);
   }
-  Membership announced;
-  announced.version = notice.members_version;
-  for (const auto& row : notice.members) {
-    announced.slots.push_back(ToMember(*row));
-  }
-  if (announced.version > this->members.version) {
-    this->AdoptMembership(announced);
-    if (this->replica != nullptr) {
-      this->replica->LearnMembership(this->members, now);
-    }
-  }
+  this->LearnMembers(notice, now);
   if (!this->config.is_voter || this->members.version == 0) {
     return;
   }
@@ -230,6 +225,36 @@
   }
 }
 
+void JobNode::LearnMembers(const jobs::Leadership& notice, TimePoint now) {
+  Membership announced;
+  announced.version = notice.members_version;
+  for (const auto& row : notice.members) {
+    announced.slots.push_back(ToMember(*row));
+  }
+  if (announced.version <= this->members.version) {
+    return;
+  }
+  this->AdoptMembership(announced);
+  if (this->replica != nullptr) {
+    this->replica->LearnMembership(this->members, now);
+  }
+}
+
+void JobNode::SendMembers(DaemonId to) {
+  if (!this->config.is_voter || this->members.version == 0 ||
+      this->members.Contains(to)) {
+    return;
+  }
+  jobs::Leadership notice;
+  notice.leader = static_cast<std::uint16_t>(kNoVoter);
+  notice.members_version = this->members.version;
+  for (const Member& member : this->members.slots) {
+    notice.members.push_back(ToGroupMember(member));
+  }
+  this->hooks.send(to,
+                   EncodeMessage(JobsBytes{jobs::EncodeLeadership(notice)}));
+}
+
 void JobNode::AdoptMembership(const Membership& committed) {
   this->members = committed;
   std::string list;
@@ -241,6 +266,9 @@
       "members_changed", this->config.name,
       "version " + std::to_string(committed.version) + ": " + list);
   this->hooks.on_members(committed, committed.Contains(this->config.self));
+  for (const DaemonId peer : this->links) {
+    this->SendMembers(peer);
+  }
 }
 
 void JobNode::PlanMembership(TimePoint now) {
--- a/tests/node/job_node_test.cc
+++ b/tests/node/job_node_test.cc
@@ -4,6 +4,9 @@
 
 #include <chrono>
 #include <map>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace mimosastage {
 namespace {
@@ -103,5 +106,46 @@
   EXPECT_EQ(this->reported_members, logged);
 }
 
+// Guards against a restarted entry that serves nobody: its seeds name voters of
+// which none leads, and only the leader told the entries who votes.
+TEST_F(JobNodeTest, EntryRestarts_SeedIsNotTheLeader_LearnsTheOtherVoters) {
+  const Membership logged{1,
+                          {Member{DaemonId{1}, "10.0.0.1", 7000},
+                           Member{DaemonId{2}, "10.0.0.2", 7000},
+                           Member{DaemonId{3}, "10.0.0.3", 7000}}};
+  constexpr DaemonId kEntry{0x8000};
+  std::vector<std::string> to_entry;
+  this->config.is_voter = true;
+  this->hooks.send = [&](DaemonId to, const std::string& message) {
+    if (to == kEntry) {
+      to_entry.push_back(message);
+    }
+  };
+  DurableImage image;
+  image.intact = true;
+  image.incarnation = AddStart(image.starts, 7);
+  image.snapshot = WrapSnapshot(logged, jobs::FleetState().Snapshot());
+  image.snapshot_index = 1;
+  JobNode::Hooks voter_hooks = this->hooks;
+  voter_hooks.on_members = [](const Membership&, bool) {};
+  JobNode voter(this->config, std::move(voter_hooks));
+  voter.Start(std::move(image), this->now);
+  this->config.is_voter = false;
+  this->config.self = kEntry;
+  this->Start();
+  this->node->OnLinkState(DaemonId{1}, true, this->now);
+  voter.OnLinkState(kEntry, true, this->now);
+  for (int i = 0; i < 50; ++i) {
+    this->now += milliseconds(20);
+    voter.Advance(this->now);
+    for (const std::string& message : std::exchange(to_entry, {})) {
+      this->node->OnMessage(DaemonId{1}, message, this->now);
+    }
+    this->node->Advance(this->now);
+  }
+  EXPECT_EQ(this->reported_members, logged);
+  EXPECT_FALSE(this->node->Ready(this->now)) << "a follower isn't a leader";
+}
+
 }  // namespace
 }  // namespace mimosastage
