--- a/src/mimosastage/admission/allowance_lender.cc
+++ b/src/mimosastage/admission/allowance_lender.cc
@@ -316,8 +316,18 @@
   if (!plan.moves.empty() || !plan.slots.empty()) {
     AllowanceMoves& moves = plan.round.moves.emplace();
     moves.backend_server_slots.assign(plan.slots.begin(), plan.slots.end());
+    // The ledger applies the moves in this order and refuses a lend above the
+    // resource's size, so that units must be returned before they are lent.
     for (const auto& [key, move] : plan.moves) {
-      moves.moves.push_back(move);
+      if (move.returned_total > 0) {
+        moves.moves.push_back(
+            {move.resource, move.session, 0, move.returned_total});
+      }
+    }
+    for (const auto& [key, move] : plan.moves) {
+      if (move.lend > 0) {
+        moves.moves.push_back({move.resource, move.session, move.lend, 0});
+      }
     }
     this->moves_in_progress = true;
   }
@@ -517,6 +527,7 @@
   const Session previous_holder = team.rotation_holder;
   this->SetTeamTargets(plan, name, limit, allocations);
   this->BalanceTeam(plan, resource, limit, allocations);
+  this->CheckExhausted(plan, name, team);
   for (const PoolName& pool : team.pools) {
     this->SchedulePool(pool, previous_holder != team.rotation_holder);
   }
@@ -526,7 +537,7 @@
                                      double limit,
                                      std::vector<Allocation>& allocations) {
   TeamState& team = this->teams.at(name);
-  if (team.limit > this->settings.max_rotated_limit) {
+  if (limit > this->settings.max_rotated_limit) {
     SetSharedTargets(limit, allocations);
   } else if (this->SetRotatedTargets(plan, team, limit, allocations)) {
     this->ScheduleTeam(name, true);
@@ -630,6 +641,25 @@
   return static_cast<std::uint32_t>(std::max(0.0, missing + held - size));
 }
 
+std::uint32_t AllowanceLender::UnitsToRecallForDemand(
+    double size, const std::vector<Allocation>& allocations) const {
+  double missing = 0;
+  double held = 0;
+  for (const Allocation& allocation : allocations) {
+    held += allocation.held;
+    missing += allocation.HasUnmetDemand()
+                   ? this->RoundWithHysteresis(
+                         std::min(allocation.target, allocation.demand) -
+                         allocation.held)
+                   : 0;
+  }
+  return static_cast<std::uint32_t>(std::max(0.0, missing + held - size));
+}
+
+std::uint32_t AllowanceLender::Allocation::Idle() const {
+  return static_cast<std::uint32_t>(std::max(0.0, this->held - this->demand));
+}
+
 void AllowanceLender::BalanceTeam(Plan& plan, const Resource& resource,
                                   double limit,
                                   std::vector<Allocation>& allocations) {
@@ -658,8 +688,15 @@
   for (auto item = order.rbegin(); item != order.rend(); ++item) {
     recall(**item, this->RoundWithHysteresis((*item)->held - (*item)->target));
   }
+  // With fewer units than entries, each surplus can be less than the
+  // hysteresis while requests wait for a unit.
+  wanted = this->UnitsToRecallForDemand(limit, allocations);
+  for (auto item = order.rbegin(); item != order.rend(); ++item) {
+    recall(**item, (*item)->Idle());
+  }
   // Above a lowered limit, units are recalled even if an entry's surplus is
   // less than the hysteresis.
+  wanted = this->UnitsToRecall(limit, allocations);
   for (auto item = order.rbegin(); item != order.rend(); ++item) {
     wanted = std::min(wanted, this->UnitsToRecall(limit, allocations));
     recall(**item, TotalHeld(allocations) > limit ? 1 : 0);
@@ -712,6 +749,85 @@
   capacity = std::max(0.0, capacity);
   this->SetPoolTargets(plan, name, pool, capacity, allocations);
   this->BalancePool(plan, slots, capacity, allocations);
+  this->CheckExhausted(plan, name, pool, slots);
+}
+
+bool AllowanceLender::IsGone(const Entry& entry, TimePoint now) const {
+  if (entry.reachable) {
+    return false;
+  }
+  return now - entry.seen_at > this->settings.lease ||
+         std::any_of(this->entries.begin(), this->entries.end(),
+                     [&](const auto& item) {
+                       return item.first.daemon == entry.session.daemon &&
+                              item.second.reachable;
+                     });
+}
+
+AllowanceLender::LapsedUnits AllowanceLender::CountLapsedUnits(
+    const Plan& plan, const Resource& resource) const {
+  LapsedUnits units;
+  for (const auto& [session, totals] : plan.ledger.TotalsOf(resource)) {
+    const auto entry = this->entries.find(session);
+    if (entry == this->entries.end() || entry->second.reachable) {
+      continue;
+    }
+    const std::uint64_t held = totals.lent_total - totals.returned_total;
+    units.unreachable += held;
+    units.gone += this->IsGone(entry->second, plan.now) ? held : 0;
+  }
+  return units;
+}
+
+void AllowanceLender::CheckExhausted(Plan& plan, const TeamName& name,
+                                     const TeamState& team) {
+  const LapsedUnits units = this->CountLapsedUnits(plan, LimitOf(name));
+  if (team.limit == 0 || units.unreachable < team.limit) {
+    return;
+  }
+  for (const auto& [session, entry] : this->entries) {
+    const auto use = entry.uses.find(LimitOf(name));
+    if (!entry.MayBorrow() || use == entry.uses.end() ||
+        use->second.waiting == 0) {
+      continue;
+    }
+    // Repeated, because a notice may be lost and a session becomes gone without
+    // an event.
+    this->ScheduleTeam(name, true);
+    if (units.gone >= team.limit) {
+      plan.Notice(session).exhausted_teams.push_back(name);
+    }
+  }
+}
+
+void AllowanceLender::CheckExhausted(Plan& plan, const PoolName& name,
+                                     const PoolState& pool,
+                                     const std::vector<SlotView>& slots) {
+  LapsedUnits units;
+  std::uint64_t size = 0;
+  for (const SlotView& view : slots) {
+    const LapsedUnits on_server = this->CountLapsedUnits(plan, view.resource);
+    units.unreachable += on_server.unreachable;
+    units.gone += on_server.gone;
+    size += view.server->announced.slots;
+  }
+  if (size == 0 || units.unreachable < size) {
+    return;
+  }
+  std::set<Session> waiting;
+  for (const auto& [team_name, team] : pool.teams) {
+    for (const auto& [session, demand] : team.demand) {
+      if (demand.waiting > 0) {
+        waiting.insert(session);
+      }
+    }
+  }
+  for (const Session session : waiting) {
+    this->SchedulePool(name, true);
+    if (units.gone >= size) {
+      plan.Notice(session).exhausted_pools.push_back(name);
+    }
+  }
 }
 
 std::vector<AllowanceLender::SlotView> AllowanceLender::CollectSlots(
@@ -750,10 +866,19 @@
     allocation->held += LendSlots(plan, slots, *allocation, units);
   }
   std::uint32_t wanted = this->UnitsToRecall(capacity, allocations);
+  const auto recall = [&](Allocation& allocation, std::uint32_t units) {
+    const std::uint32_t recalled =
+        this->RecallSlots(plan, slots, allocation, std::min(wanted, units));
+    wanted -= recalled;
+    allocation.held -= recalled;
+  };
+  for (auto item = order.rbegin(); item != order.rend(); ++item) {
+    recall(**item, this->RoundWithHysteresis((*item)->held - (*item)->target));
+  }
+  // As in BalanceTeam.
+  wanted = this->UnitsToRecallForDemand(capacity, allocations);
   for (auto item = order.rbegin(); item != order.rend(); ++item) {
-    const std::uint32_t surplus =
-        this->RoundWithHysteresis((*item)->held - (*item)->target);
-    wanted -= this->RecallSlots(plan, slots, **item, std::min(wanted, surplus));
+    recall(**item, (*item)->Idle());
   }
 }
 
--- a/src/mimosastage/admission/allowance_lender.h
+++ b/src/mimosastage/admission/allowance_lender.h
@@ -51,7 +51,8 @@
     /// How long an entry may serve after its last renewal.
     Duration lease = std::chrono::seconds(2);
     /// Team limits up to this size go to one waiting entry after another
-    /// instead of being divided between them.
+    /// instead of being divided between them. Counts without the units of
+    /// lapsed sessions.
     std::uint32_t max_rotated_limit = 8;
     /// How long an entry keeps a rotated limit while other entries wait.
     Duration rotation_time = std::chrono::seconds(1);
@@ -177,6 +178,8 @@
     double demand = 0;
 
     bool HasUnmetDemand() const { return this->demand > this->held; }
+    /// Whole units that the entry holds above its demand.
+    std::uint32_t Idle() const;
   };
   /// A server's slots during the planning of its pool.
   struct SlotView {
@@ -198,6 +201,22 @@
 
   void SyncSessions(Plan& plan);
   void MarkLapsed(Entry& entry, TimePoint at);
+  /// True if the session can't return its units: it wasn't seen for a lease,
+  /// or another session of its daemon was seen.
+  bool IsGone(const Entry& entry, TimePoint now) const;
+  /// Units of one resource that unreachable sessions hold, and gone ones of
+  /// them.
+  struct LapsedUnits {
+    std::uint64_t unreachable = 0;
+    std::uint64_t gone = 0;
+  };
+  LapsedUnits CountLapsedUnits(const Plan& plan,
+                               const Resource& resource) const;
+  /// Tells the entries with waiting requests if gone sessions hold all units of
+  /// the team's limit or of the pool's slots.
+  void CheckExhausted(Plan& plan, const TeamName& name, const TeamState& team);
+  void CheckExhausted(Plan& plan, const PoolName& name, const PoolState& pool,
+                      const std::vector<SlotView>& slots);
   void EndLapsed(Plan& plan);
   void RequestFullReports(Plan& plan);
   void RepeatRecalls(Plan& plan);
@@ -216,6 +235,10 @@
       std::vector<Allocation>& allocations);
   std::uint32_t UnitsToRecall(double size,
                               const std::vector<Allocation>& allocations) const;
+  /// Like UnitsToRecall, but for units that requests wait for, without spare
+  /// ones.
+  std::uint32_t UnitsToRecallForDemand(
+      double size, const std::vector<Allocation>& allocations) const;
   static double TotalHeld(const std::vector<Allocation>& allocations);
   void BalanceTeam(Plan& plan, const Resource& resource, double limit,
                    std::vector<Allocation>& allocations);
--- a/tests/admission/allowance_lender_test.cc
+++ b/tests/admission/allowance_lender_test.cc
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace mimosastage {
 namespace {
@@ -37,14 +39,16 @@
   void Report(Session session, std::uint32_t waiting) {
     this->lender.SessionSeen(session, this->now);
     DemandReport report{session, ++this->numbers[session], 0, true, {}, {}};
+    bool reports_limit = false;
     for (const AllowanceHolding& holding : this->ledger.HoldingsOf(session)) {
       const bool limit = holding.resource.kind == ResourceKind::kTeamLimit;
+      reports_limit = reports_limit || limit;
       const std::uint64_t recalled = std::min(
           this->recalls[{session, holding.resource}], holding.lent_total);
       report.resources.push_back(
           {holding.resource, 0, 0, limit ? waiting : 0, recalled});
     }
-    if (report.resources.empty()) {
+    if (!reports_limit) {
       report.resources.push_back({this->limit, 0, 0, waiting, 0});
     }
     report.teams.push_back({this->pool, this->team.name, waiting, 0});
@@ -81,6 +85,38 @@
     return moving;
   }
 
+  /// Starts further sessions and returns `count` sessions, with those of the
+  /// fixture.
+  std::vector<Session> StartEntries(std::uint16_t count) {
+    std::vector<Session> sessions = {this->a, this->b};
+    while (sessions.size() < count) {
+      sessions.push_back(
+          {DaemonId{static_cast<std::uint16_t>(sessions.size() + 1)},
+           SessionId{1}});
+      this->ledger.StartSession(sessions.back());
+    }
+    return sessions;
+  }
+
+  /// Lets one entry after another wait alone, in varying order. Each must get a
+  /// slot and a unit of the limit within a second.
+  void ExpectEachIsServedAlone(const std::vector<Session>& sessions) {
+    for (std::size_t i = 0; i < 3 * sessions.size(); ++i) {
+      const Session waiting = sessions[i * 5 % sessions.size()];
+      const auto served = [&] {
+        return this->Slots("x", waiting) + this->Slots("y", waiting) > 0 &&
+               this->ledger.Held(this->limit, waiting) > 0;
+      };
+      for (int round = 0; round < 10 && !served(); ++round) {
+        for (const Session session : sessions) {
+          this->Report(session, session == waiting ? 1 : 0);
+        }
+        this->Round();
+      }
+      EXPECT_TRUE(served()) << "step " << i;
+    }
+  }
+
   std::uint32_t Slots(const char* server, Session session) {
     return this->ledger.Held({ResourceKind::kBackendServerSlots, server},
                              session);
@@ -160,5 +196,120 @@
   EXPECT_EQ(this->ledger.Size({ResourceKind::kBackendServerSlots, "y"}), 0U);
 }
 
+// Guards against a request that waits until its deadline although other entries
+// hold idle units: with fewer units than entries, each holder's surplus is less
+// than the hysteresis. Seen after restarts, while the sessions before them
+// still held most of the slots.
+TEST_F(AllowanceLenderTest, OneEntryWaits_OthersHoldIdleSlots_GetsASlot) {
+  const std::vector<Session> sessions = this->StartEntries(3);
+  this->lender.SetServer(
+      {BackendServerName("x"), this->pool, AvailabilityZone("x"), 2, true});
+  this->lender.RemoveServer(BackendServerName("y"));
+  this->ExpectEachIsServedAlone(sessions);
+}
+
+// The same for the units of a limit that is divided between the entries.
+TEST_F(AllowanceLenderTest, OneEntryWaits_OthersHoldIdleUnits_GetsAUnit) {
+  this->team.upper_limit = 9;
+  this->lender.SetTeams({this->team});
+  this->ExpectEachIsServedAlone(this->StartEntries(24));
+}
+
+// Guards against a lend that the ledger refuses because the return that frees
+// the units comes later in the same command. The waiting entry then got nothing
+// until the next planning, up to a second later.
+TEST_F(AllowanceLenderTest, UnitsReturnedAndLentInOneRound_AreLent) {
+  this->RunRounds(10, 0, 20);
+  ASSERT_EQ(this->ledger.Held(this->limit, this->b), 16U);
+  this->RunRounds(1, 20, 0);
+  ASSERT_EQ(this->ledger.Held(this->limit, this->a), 0U);
+  this->RunRounds(1, 20, 0);
+  EXPECT_EQ(this->ledger.Held(this->limit, this->a), 16U);
+}
+
+// Guards against an entry that gets nothing of a limit of which a lapsed
+// session still holds most, while other entries wait, too.
+TEST_F(AllowanceLenderTest, LapsedSessionHoldsMost_AllWait_EachGetsUnits) {
+  const Session lapsed{DaemonId{2}, SessionId{1}};
+  this->ledger.StartSession(lapsed);
+  this->ledger.Apply(AllowanceMoves{{}, {{this->limit, lapsed, 14, 0}}});
+  const std::vector<Session> sessions = this->StartEntries(3);
+  std::set<Session> served;
+  for (int round = 0; round < 60; ++round) {
+    for (const Session session : sessions) {
+      this->Report(session, 20);
+      if (this->ledger.Held(this->limit, session) > 0) {
+        served.insert(session);
+      }
+    }
+    this->Round();
+  }
+  EXPECT_EQ(served.size(), 3U);
+  EXPECT_LE(this->ledger.Lent(this->limit), 16U);
+}
+
+// Guards against requests that wait until their deadline for units that can't
+// become free before, and against a refusal while an entry that holds units may
+// still return them.
+TEST_F(AllowanceLenderTest, GoneSessionHoldsAll_AllWait_EntriesAreTold) {
+  const Session gone{DaemonId{2}, SessionId{1}};
+  this->ledger.StartSession(gone);
+  this->ledger.Apply(
+      AllowanceMoves{{{"x", 8}, {"y", 8}},
+                     {{this->limit, gone, 16, 0},
+                      {{ResourceKind::kBackendServerSlots, "x"}, gone, 8, 0},
+                      {{ResourceKind::kBackendServerSlots, "y"}, gone, 8, 0}}});
+  const auto told = [&](bool team) {
+    this->Report(this->a, 1);
+    this->Report(this->b, 0);
+    for (const LenderNotice& notice : this->Round().notices) {
+      EXPECT_TRUE(
+          notice.session == this->a ||
+          (notice.exhausted_teams.empty() && notice.exhausted_pools.empty()));
+      if (notice.session == this->a &&
+          (team ? !notice.exhausted_teams.empty()
+                : !notice.exhausted_pools.empty())) {
+        return true;
+      }
+    }
+    return false;
+  };
+  // For the length of a lease the session may still be alive.
+  const TimePoint began = this->now;
+  while (this->now - began < seconds(2)) {
+    EXPECT_FALSE(told(true) || told(false));
+  }
+  // Repeated without a further report of the waiting request.
+  bool team = false;
+  bool slots = false;
+  for (int round = 0; round < 3; ++round) {
+    this->lender.SessionSeen(this->a, this->now);
+    for (const LenderNotice& notice : this->Round().notices) {
+      team = team || !notice.exhausted_teams.empty();
+      slots = slots || !notice.exhausted_pools.empty();
+    }
+  }
+  EXPECT_TRUE(team);
+  EXPECT_TRUE(slots);
+  // One unit that may come back is reason to wait.
+  this->ledger.Apply(AllowanceMoves{{}, {{this->limit, gone, 0, 1}}});
+  EXPECT_FALSE(told(true));
+}
+
+// A daemon has one session at a time, so that a new one ends the wait at once.
+TEST_F(AllowanceLenderTest, DaemonHasRestarted_OldSessionHeldAll_EntryIsTold) {
+  const Session gone{DaemonId{0}, SessionId{7}};
+  this->ledger.StartSession(gone);
+  this->ledger.Apply(AllowanceMoves{{}, {{this->limit, gone, 16, 0}}});
+  bool told = false;
+  for (int round = 0; round < 3; ++round) {
+    this->Report(this->a, 1);
+    for (const LenderNotice& notice : this->Round().notices) {
+      told = told || !notice.exhausted_teams.empty();
+    }
+  }
+  EXPECT_TRUE(told);
+}
+
 }  // namespace
 }  // namespace mimosastage
