Find the workers that an announcement concerns by index

Announce compared each announcement with all known workers; with 350 workers that announce themselves every 1.5 s these are 82,000 comparisons of strings a second. The known workers are now indexed by address and by instance; the index is rebuilt after a worker was added, changed or removed. The random fleet of PlacementDifferentialTest compares the result with a search of all workers.

The dispatcher bench lets its workers announce themselves.

--- a/bench/dispatcher_bench.cc
+++ b/bench/dispatcher_bench.cc
@@ -52,6 +52,18 @@
   return steps;
 }
 
+/// Lets the workers announce themselves, each one every 1.5 s.
+void AnnounceDueWorkers(FakeFleetLeader& fleet, int step) {
+  int number = 0;
+  for (const auto& [id, worker] : fleet.workers) {
+    if (number++ % 150 == step % 150) {
+      fleet.dispatcher->Announce(worker.record,
+                                 static_cast<std::uint64_t>(step) + 2,
+                                 fleet.now, [] {});
+    }
+  }
+}
+
 /// Ends all runs that have reached the duration of a task.
 void EndDueRuns(FakeFleetLeader& fleet, milliseconds task_length) {
   const auto now =
@@ -105,6 +117,7 @@
       submit();
     }
     fleet.Advance(milliseconds(10));
+    AnnounceDueWorkers(fleet, step);
     // The daemon's event loop runs about 1,000 iterations per second.
     for (int iteration = 1; iteration < 10; ++iteration) {
       fleet.dispatcher->Tick(fleet.now);
--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -117,21 +117,17 @@
     return;
   }
   std::vector<std::string> replaced;
-  for (const auto& [id, known] : this->state.Workers()) {
-    const bool same_worker_or_instance =
-        id == worker.id || known.address == worker.address ||
-        (!worker.machine.empty() && known.machine == worker.machine);
-    if (!same_worker_or_instance ||
-        (id == worker.id && known.born_ms == worker.born_ms)) {
+  for (const Worker* known : this->WorkersLike(worker)) {
+    if (known->id == worker.id && known->born_ms == worker.born_ms) {
       continue;
     }
-    if (known.born_ms >= worker.born_ms) {
+    if (known->born_ms >= worker.born_ms) {
       // A delayed announcement; a later incarnation has taken the worker's
       // place.
       acknowledge();
       return;
     }
-    replaced.push_back(id);
+    replaced.push_back(known->id);
   }
   for (const std::string& id : replaced) {
     this->RemoveWorker(id, "replaced by a later incarnation", now);
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -232,6 +233,9 @@
   /// Takes over a run of an earlier term. Returns false if its worker is gone.
   bool AdoptRun(const TaskId& task, const ActiveRun& active, TimePoint now);
   Session& AddSession(const Worker& worker, TimePoint now);
+  /// Returns the known workers that have the id, the address or the instance of
+  /// `worker`, in the order of their ids.
+  std::vector<const Worker*> WorkersLike(const Worker& worker);
   void RemoveWorker(const std::string& id, const char* reason, TimePoint now);
   void SendHold(const std::string& id, Session& session, TimePoint now);
   void OnHold(const std::string& id, Session& session, const OpenOrder& order,
@@ -352,6 +356,11 @@
   /// FleetState::WorkersVersion that `pool_workers` reflects; 0 once a session
   /// was added or removed.
   std::uint64_t indexed_workers_version = 0;
+  /// The known workers by address and by instance, as of
+  /// FleetState::WorkersVersion `addressed_workers_version`.
+  std::unordered_multimap<std::string_view, const Worker*> workers_by_address;
+  std::unordered_multimap<std::string_view, const Worker*> workers_by_instance;
+  std::uint64_t addressed_workers_version = 0;
   /// Resources that the runs of each team need; see AddToSums.
   std::unordered_map<std::string, Amount> used_by_team;
   WaitingSteps waiting_steps;
--- a/tests/jobs/placement_differential_test.cc
+++ b/tests/jobs/placement_differential_test.cc
@@ -139,6 +139,15 @@
                             this->PickRack()};
     worker.record.capacity->memory_mb = 2'000 + this->Pick(4'000);
     worker.record.capacity->accelerators = this->Pick(3);
+    if (number > 0 && this->OneIn(4)) {
+      // The worker takes the place of another one.
+      const Worker& other =
+          this->fleet.workers.at("worker-" + std::to_string(this->Pick(number)))
+              .record;
+      worker.record.machine = other.machine;
+      worker.record.address =
+          this->OneIn(2) ? other.address : worker.record.address;
+    }
     if (this->fleet.dispatcher == nullptr) {
       Command command;
       command.worker = std::make_unique<Worker>(worker.record);
@@ -149,6 +158,9 @@
   }
 
   void Announce(const FakeWorker& worker) {
+    DispatcherPeer peer(*this->fleet.dispatcher);
+    ASSERT_EQ(peer.WorkersLike(worker.record),
+              peer.FindWorkersNaively(worker.record));
     this->fleet.dispatcher->Announce(worker.record, ++this->sequence,
                                      this->fleet.now, [] {});
   }
--- a/tests/jobs/support/dispatcher_peer.cc
+++ b/tests/jobs/support/dispatcher_peer.cc
@@ -375,6 +375,18 @@
   return waiting;
 }
 
+std::vector<const Worker*> DispatcherPeer::FindWorkersNaively(
+    const Worker& worker) const {
+  std::vector<const Worker*> found;
+  for (const auto& [id, known] : this->dispatcher.state.Workers()) {
+    if (id == worker.id || known.address == worker.address ||
+        (!worker.machine.empty() && known.machine == worker.machine)) {
+      found.push_back(&known);
+    }
+  }
+  return found;
+}
+
 void DispatcherPeer::AddSpeedSample(const std::string& worker,
                                     const std::string& pool,
                                     std::uint32_t percent, TimePoint now) {
--- a/tests/jobs/support/dispatcher_peer.h
+++ b/tests/jobs/support/dispatcher_peer.h
@@ -40,6 +40,12 @@
   Placement PlanNaively(TimePoint now) const;
   void PlaceTasks(TimePoint now) { this->dispatcher.PlaceTasks(now); }
   std::map<std::string, std::pair<std::int64_t, std::int64_t>> Waiting() const;
+  /// The workers that an announcement is compared with, and the same found by
+  /// visiting all workers.
+  std::vector<const Worker*> WorkersLike(const Worker& worker) {
+    return this->dispatcher.WorkersLike(worker);
+  }
+  std::vector<const Worker*> FindWorkersNaively(const Worker& worker) const;
   /// Reports the progress of the worker's runs relative to their estimates.
   void AddSpeedSample(const std::string& worker, const std::string& pool,
                       std::uint32_t percent, TimePoint now);
