Refresh waiting steps in place

A refresh built the names of a step anew and sorted all changes. It now keeps the row of a step that still waits, and leaves out repeated changes before the sort.

--- a/src/mimosastage/jobs/waiting_steps.cc
+++ b/src/mimosastage/jobs/waiting_steps.cc
@@ -83,13 +83,6 @@
 }
 
 void WaitingSteps::ReadChanges() {
-  std::vector<const JobChange*> changes;
-  if (!this->state.Changes().ReadSince(
-          this->changes_read,
-          [&](const JobChange& change) { changes.push_back(&change); })) {
-    this->Rebuild();
-    return;
-  }
   // Many runs of a step start or end between two placements; its tasks are
   // visited once for all of them.
   const auto key = [](const JobChange* change) {
@@ -97,6 +90,17 @@
     return std::make_tuple(std::cref(change->job), change->step.has_value(),
                            number.occurrence, number.step);
   };
+  std::vector<const JobChange*> changes;
+  const auto read = [&](const JobChange& change) {
+    // The starts of a step's tasks follow one another.
+    if (changes.empty() || key(changes.back()) != key(&change)) {
+      changes.push_back(&change);
+    }
+  };
+  if (!this->state.Changes().ReadSince(this->changes_read, read)) {
+    this->Rebuild();
+    return;
+  }
   std::sort(
       changes.begin(), changes.end(),
       [&](const JobChange* a, const JobChange* b) { return key(a) < key(b); });
@@ -201,37 +205,39 @@
   this->jobs.erase(found);
 }
 
-StepDemand WaitingSteps::MakeDemand(const Job& job, std::uint32_t occurrence,
-                                    std::uint32_t step) {
-  StepDemand demand;
-  const JobRequest& request = *job.request;
-  const Step& record = *request.steps[step];
-  demand.team = request.team;
-  demand.first = TaskId{request.id, occurrence, step, 0};
-  demand.step = &record;
+void WaitingSteps::FindWaiting(const Job& job, std::uint32_t occurrence,
+                               std::uint32_t step,
+                               std::vector<std::uint32_t>& waiting) {
+  waiting.clear();
   if (job.OpenTasks(occurrence, step) == 0 ||
       !job.StepReady(occurrence, step)) {
-    return demand;
+    return;
   }
+  const Step& record = *job.request->steps[step];
   const std::size_t begin = job.StepBegin(occurrence, step);
-  bool has_active_runs = false;
   for (std::uint32_t i = 0; i < record.tasks; ++i) {
     const Task& task = job.tasks[begin + i];
-    has_active_runs = has_active_runs || !task.active.empty();
-    if (!task.done && task.active.empty()) {
-      demand.waiting.push_back(i);
+    if (record.gang && !task.active.empty()) {
+      // A gang is placed again only once none of its runs is active.
+      waiting.clear();
+      return;
     }
-    if (record.most_per_worker > 0) {
-      for (const ActiveRun& active : task.active) {
-        ++demand.on_worker[active.worker];
-      }
+    if (!task.done && task.active.empty()) {
+      waiting.push_back(i);
     }
   }
-  // A gang is placed again only once none of its runs is active.
-  if (record.gang && has_active_runs) {
-    demand.waiting.clear();
+}
+
+std::map<std::string, std::size_t> WaitingSteps::CountOnWorkers(
+    const Job& job, std::uint32_t occurrence, std::uint32_t step) {
+  std::map<std::string, std::size_t> on_worker;
+  const std::size_t begin = job.StepBegin(occurrence, step);
+  for (std::uint32_t i = 0; i < job.request->steps[step]->tasks; ++i) {
+    for (const ActiveRun& active : job.tasks[begin + i].active) {
+      ++on_worker[active.worker];
+    }
   }
-  return demand;
+  return on_worker;
 }
 
 void WaitingSteps::RefreshStep(const Job& job, OpenJob& open,
@@ -240,14 +246,14 @@
   if (this->wall < due) {
     return;
   }
-  StepDemand demand = MakeDemand(job, occurrence, step);
+  FindWaiting(job, occurrence, step, this->found_waiting);
   auto known = open.waiting.find({occurrence, step});
-  if (known == open.waiting.end() && demand.waiting.empty()) {
+  if (known == open.waiting.end() && this->found_waiting.empty()) {
     return;
   }
   if (known != open.waiting.end()) {
     AddToSums(*open.pool, known->second->demand, -1);
-    if (demand.waiting.empty()) {
+    if (this->found_waiting.empty()) {
       const auto group = open.pool->groups.find(KeyOf(*known->second));
       group->second.erase(known->second.get());
       if (group->second.empty()) {
@@ -261,12 +267,10 @@
                 .emplace(std::pair(occurrence, step),
                          std::make_unique<WaitingStep>())
                 .first;
-  }
-  WaitingStep& row = *known->second;
-  const bool is_new = row.request == nullptr;
-  row.demand = std::move(demand);
-  AddToSums(*open.pool, row.demand, 1);
-  if (is_new) {
+    WaitingStep& row = *known->second;
+    row.demand.team = open.request->team;
+    row.demand.first = TaskId{open.request->id, occurrence, step, 0};
+    row.demand.step = open.request->steps[step].get();
     row.request = open.request;
     row.priority = open.priority;
     row.advised = open.advised;
@@ -274,6 +278,12 @@
     row.latest_start = due + open.objective - open.chains[step];
     open.pool->groups[KeyOf(row)].insert(&row);
   }
+  StepDemand& demand = known->second->demand;
+  demand.waiting.assign(this->found_waiting.begin(), this->found_waiting.end());
+  if (demand.step->most_per_worker > 0) {
+    demand.on_worker = CountOnWorkers(job, occurrence, step);
+  }
+  AddToSums(*open.pool, demand, 1);
 }
 
 void WaitingSteps::AddToSums(PoolSteps& pool, const StepDemand& demand,
--- a/src/mimosastage/jobs/waiting_steps.h
+++ b/src/mimosastage/jobs/waiting_steps.h
@@ -123,8 +123,13 @@
                    std::uint32_t step);
   OpenJob& AddJob(const Job& job, const Queue& queue);
   void RemoveJob(const std::string& id);
-  static StepDemand MakeDemand(const Job& job, std::uint32_t occurrence,
-                               std::uint32_t step);
+  /// Sets `waiting` to the waiting tasks of the step.
+  static void FindWaiting(const Job& job, std::uint32_t occurrence,
+                          std::uint32_t step,
+                          std::vector<std::uint32_t>& waiting);
+  /// Counts the step's runs on each worker.
+  static std::map<std::string, std::size_t> CountOnWorkers(
+      const Job& job, std::uint32_t occurrence, std::uint32_t step);
   static void AddToSums(PoolSteps& pool, const StepDemand& demand,
                         std::int64_t sign);
   static GroupKey KeyOf(const WaitingStep& step);
@@ -138,6 +143,8 @@
   std::chrono::milliseconds wall{0};
   std::unordered_map<std::string, OpenJob> jobs;
   std::map<std::string, PoolSteps> pools;
+  /// Kept to reuse its memory.
+  std::vector<std::uint32_t> found_waiting;
   /// Occurrences that aren't due yet: due time, job and occurrence.
   std::set<std::tuple<std::chrono::milliseconds, std::string, std::uint32_t>>
       not_due;
