Place the tasks of a step on one worker without a new search

PlaceStep searched all candidates for each task. The worker of the previous task of the step stays the best one while it has room, as the fullest worker is preferred, so the search is repeated only once it has none. PlacementDifferentialTest compares the assignments.

--- a/src/mimosastage/jobs/placement.cc
+++ b/src/mimosastage/jobs/placement.cc
@@ -112,7 +112,15 @@
       this->no_room = true;
       return false;
     }
-    CandidateWorker* const candidate = this->FindBest();
+    // The worker of the previous task stays the best one while it has room: its
+    // rack is the preferred one, and it only becomes fuller.
+    const bool is_still_best =
+        this->latest != nullptr && step.need->millicores >= 0 &&
+        Fits(step, this->latest->free) &&
+        Admits(this->demand, *this->latest, this->on_worker);
+    CandidateWorker* const candidate =
+        is_still_best ? this->latest : this->FindBest();
+    this->latest = candidate;
     if (candidate == nullptr) {
       return false;
     }
@@ -159,6 +167,8 @@
   std::size_t first;
   std::map<std::string, std::size_t> on_worker;
   const std::string* rack = &kNoRack;
+  /// The worker of the latest placed task.
+  CandidateWorker* latest = nullptr;
   bool no_room = false;
 };
 
