Keep the need of anti-affine tasks between rounds of the pool balancer

BalancePools visited all open jobs ten times a second to find how many instances their anti-affine long-running tasks need. WaitingSteps now counts the open jobs of each pool by that number. PlacementDifferentialTest compares it with a visit of all jobs.

--- a/src/mimosastage/jobs/dispatcher_instances.cc
+++ b/src/mimosastage/jobs/dispatcher_instances.cc
@@ -73,11 +73,14 @@
     return;
   }
   this->next_balance = now + kBalanceInterval;
+  this->waiting_steps.Refresh(this->hooks.wall_time());
   std::map<std::string, PoolDemand> demands;
   for (const auto& pool : this->state.Config().pools) {
     PoolDemand& demand = demands[pool->name];
     demand.pool = pool->name;
     demand.standby = pool->standby;
+    demand.instances_for_anti_affine_tasks =
+        this->waiting_steps.InstancesForAntiAffineTasks(pool->name);
     if (const auto waiting = this->waiting_millicores.find(pool->name);
         waiting != this->waiting_millicores.end()) {
       demand.waiting_millicores = waiting->second;
@@ -87,22 +90,6 @@
       demand.waiting_memory_mb = waiting->second;
     }
   }
-  for (const auto& [accepted, id] : this->state.OpenJobs()) {
-    const JobRequest& request = *this->state.FindJob(id)->request;
-    const Queue* queue = this->state.FindQueue(request.queue);
-    const auto demand =
-        queue == nullptr ? demands.end() : demands.find(queue->pool);
-    if (demand == demands.end()) {
-      continue;
-    }
-    for (const auto& step : request.steps) {
-      if (step->long_running && step->most_per_worker > 0) {
-        demand->second.instances_for_anti_affine_tasks = std::max<std::size_t>(
-            demand->second.instances_for_anti_affine_tasks,
-            (step->tasks + step->most_per_worker - 1) / step->most_per_worker);
-      }
-    }
-  }
   std::vector<PooledInstance> instances;
   std::map<std::string, std::string> worker_of;
   for (const auto& [id, worker] : this->state.Workers()) {
--- a/src/mimosastage/jobs/waiting_steps.cc
+++ b/src/mimosastage/jobs/waiting_steps.cc
@@ -32,6 +32,18 @@
   return milliseconds(request.first_due_ms + occurrence * request.interval_ms);
 }
 
+std::size_t AntiAffineInstances(const JobRequest& request) {
+  std::size_t most = 0;
+  for (const auto& step : request.steps) {
+    if (step->long_running && step->most_per_worker > 0) {
+      most = std::max<std::size_t>(
+          most,
+          (step->tasks + step->most_per_worker - 1) / step->most_per_worker);
+    }
+  }
+  return most;
+}
+
 auto OrderOfJobs(const WaitingStep& step) {
   return std::tie(step.request->accepted_ms, step.request->id,
                   step.demand.first.occurrence, step.demand.first.step);
@@ -183,6 +195,10 @@
   open.objective =
       std::chrono::duration_cast<milliseconds>(queue.stretch * longest) +
       milliseconds(queue.target_ms);
+  open.anti_affine_instances = AntiAffineInstances(request);
+  if (open.anti_affine_instances > 0) {
+    ++open.pool->anti_affine_jobs[open.anti_affine_instances];
+  }
   return open;
 }
 
@@ -202,6 +218,13 @@
   for (std::uint32_t k = 0; !this->not_due.empty() && k < occurrences; ++k) {
     this->not_due.erase({DueOf(*open.request, k), id, k});
   }
+  if (open.anti_affine_instances > 0) {
+    const auto count =
+        open.pool->anti_affine_jobs.find(open.anti_affine_instances);
+    if (--count->second == 0) {
+      open.pool->anti_affine_jobs.erase(count);
+    }
+  }
   this->jobs.erase(found);
 }
 
@@ -318,6 +341,14 @@
   return sums;
 }
 
+std::size_t WaitingSteps::InstancesForAntiAffineTasks(
+    const std::string& pool) const {
+  const auto found = this->pools.find(pool);
+  return found == this->pools.end() || found->second.anti_affine_jobs.empty()
+             ? 0
+             : found->second.anti_affine_jobs.rbegin()->first;
+}
+
 bool WaitingSteps::IsBefore(const Cursor& a, const Cursor& b) const {
   const StepUrgency urgency = (*a.next)->UrgencyAt(this->wall);
   const StepUrgency other = (*b.next)->UrgencyAt(this->wall);
--- a/src/mimosastage/jobs/waiting_steps.h
+++ b/src/mimosastage/jobs/waiting_steps.h
@@ -61,6 +61,9 @@
 
   /// Returns the pools with waiting tasks, and what these tasks need.
   std::map<std::string, Sums> SumsByPool() const;
+  /// Returns how many instances the pool needs because long-running tasks of an
+  /// open job limit how many of them run on one worker.
+  std::size_t InstancesForAntiAffineTasks(const std::string& pool) const;
   /// Passes the steps of the pool to `visit`, the most urgent one first.
   void Visit(const std::string& pool,
              const std::function<Next(WaitingStep&)>& visit);
@@ -89,6 +92,8 @@
   struct PoolSteps {
     std::map<GroupKey, Group> groups;
     Sums sums;
+    /// Number of open jobs by OpenJob::anti_affine_instances, without 0.
+    std::map<std::size_t, std::size_t> anti_affine_jobs;
   };
 
   /// A position in a group. The order of a group is that of the steps that
@@ -105,6 +110,8 @@
     std::int32_t priority = 0;
     bool advised = false;
     std::chrono::milliseconds objective{0};
+    /// Instances that the job needs for its long-running tasks.
+    std::size_t anti_affine_instances = 0;
     /// For each step, the estimated duration of the longest chain of dependent
     /// steps that starts with it.
     std::vector<std::chrono::milliseconds> chains;
--- a/tests/jobs/placement_differential_test.cc
+++ b/tests/jobs/placement_differential_test.cc
@@ -72,6 +72,7 @@
     }
     ASSERT_EQ(actual.advice_calls, expected.advice_calls);
     ASSERT_EQ(actual.waiting, expected.waiting);
+    ASSERT_EQ(peer.AntiAffine(), expected.anti_affine);
     this->starts += actual.starts.size();
     this->calls += actual.advice_calls.size();
     this->rounds_with_backlog +=
--- a/tests/jobs/support/dispatcher_peer.cc
+++ b/tests/jobs/support/dispatcher_peer.cc
@@ -324,11 +324,22 @@
 DispatcherPeer::Placement DispatcherPeer::PlanNaively(TimePoint now) const {
   Placement placement;
   std::map<std::string, std::vector<RankedDemand>> by_pool;
+  for (const auto& pool : this->dispatcher.state.Config().pools) {
+    placement.anti_affine[pool->name] = 0;
+  }
   for (const auto& [accepted, id] : this->dispatcher.state.OpenJobs()) {
     const Job& job = *this->dispatcher.state.FindJob(id);
     const Queue* queue = this->dispatcher.state.FindQueue(job.request->queue);
     if (queue != nullptr) {
       this->AddDemands(job, *queue, by_pool[queue->pool]);
+      for (const auto& step : job.request->steps) {
+        std::size_t& instances = placement.anti_affine[queue->pool];
+        if (step->long_running && step->most_per_worker > 0) {
+          instances = std::max<std::size_t>(
+              instances, (step->tasks + step->most_per_worker - 1) /
+                             step->most_per_worker);
+        }
+      }
     }
   }
   std::erase_if(by_pool, [](const auto& row) { return row.second.empty(); });
@@ -375,6 +386,15 @@
   return waiting;
 }
 
+std::map<std::string, std::size_t> DispatcherPeer::AntiAffine() const {
+  std::map<std::string, std::size_t> instances;
+  for (const auto& pool : this->dispatcher.state.Config().pools) {
+    instances[pool->name] =
+        this->dispatcher.waiting_steps.InstancesForAntiAffineTasks(pool->name);
+  }
+  return instances;
+}
+
 std::vector<const Worker*> DispatcherPeer::FindWorkersNaively(
     const Worker& worker) const {
   std::vector<const Worker*> found;
--- a/tests/jobs/support/dispatcher_peer.h
+++ b/tests/jobs/support/dispatcher_peer.h
@@ -32,6 +32,10 @@
     /// Millicores and memory that each pool's tasks wait for afterwards.
     std::map<std::string, std::pair<std::int64_t, std::int64_t>> waiting;
 
+    /// Instances that the tasks of each pool need that limit how many of them
+    /// run on one worker.
+    std::map<std::string, std::size_t> anti_affine;
+
     bool operator==(const Placement&) const = default;
   };
 
@@ -40,6 +44,7 @@
   Placement PlanNaively(TimePoint now) const;
   void PlaceTasks(TimePoint now) { this->dispatcher.PlaceTasks(now); }
   std::map<std::string, std::pair<std::int64_t, std::int64_t>> Waiting() const;
+  std::map<std::string, std::size_t> AntiAffine() const;
   /// The workers that an announcement is compared with, and the same found by
   /// visiting all workers.
   std::vector<const Worker*> WorkersLike(const Worker& worker) {
