--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -45,7 +45,7 @@
     /// Longest interval between two placements.
     std::chrono::milliseconds max_placement_interval{100};
     /// Shortest interval between two placements. Runs tend to end in groups,
-    /// and a placement visits all jobs.
+    /// and a placement visits all workers.
     std::chrono::milliseconds min_placement_interval{5};
     /// Shortest interval between two scans of all sessions.
     std::chrono::milliseconds min_session_scan_interval{10};
