--- a/src/mimosastage/jobs/waiting_steps.h
+++ b/src/mimosastage/jobs/waiting_steps.h
@@ -69,6 +69,9 @@
 
   /// Returns the pools with waiting tasks, and what these tasks need.
   std::map<std::string, Sums> SumsByPool() const;
+  /// Returns how many instances the pool needs because long-running tasks of an
+  /// open job limit how many of them run on one worker.
+  std::size_t InstancesForAntiAffineTasks(const std::string& pool) const;
   /// Passes the steps of the pool to `visit`, the most urgent one first.
   void Visit(const std::string& pool,
              const std::function<Next(WaitingStep&)>& visit);
@@ -97,6 +100,8 @@
   struct PoolSteps {
     std::map<GroupKey, Group> groups;
     Sums sums;
+    /// Number of open jobs by OpenJob::anti_affine_instances, without 0.
+    std::map<std::size_t, std::size_t> anti_affine_jobs;
   };
 
   /// A position in a group. The order of a group is that of the steps that
@@ -113,6 +118,8 @@
     std::int32_t priority = 0;
     bool advised = false;
     std::chrono::milliseconds objective{0};
+    /// Instances that the job needs for its long-running tasks.
+    std::size_t anti_affine_instances = 0;
     /// For each step, the estimated duration of the longest chain of dependent
     /// steps that starts with it.
     std::vector<std::chrono::milliseconds> chains;
@@ -131,8 +138,13 @@
                    std::uint32_t step);
   OpenJob& AddJob(const Job& job, const Queue& queue);
   void RemoveJob(const std::string& id);
-  static StepDemand MakeDemand(const Job& job, std::uint32_t occurrence,
-                               std::uint32_t step);
+  /// Sets `waiting` to the waiting tasks of the step.
+  static void FindWaiting(const Job& job, std::uint32_t occurrence,
+                          std::uint32_t step,
+                          std::vector<std::uint32_t>& waiting);
+  /// Counts the step's runs on each worker.
+  static std::map<std::string, std::size_t> CountOnWorkers(
+      const Job& job, std::uint32_t occurrence, std::uint32_t step);
   static void AddToSums(PoolSteps& pool, const StepDemand& demand,
                         std::int64_t sign);
   static GroupKey KeyOf(const WaitingStep& step);
@@ -146,6 +158,8 @@
   std::chrono::milliseconds wall{0};
   std::unordered_map<std::string, OpenJob> jobs;
   std::map<std::string, PoolSteps> pools;
+  /// Kept to reuse its memory.
+  std::vector<std::uint32_t> found_waiting;
   /// Occurrences that aren't due yet: due time, job and occurrence.
   std::set<std::tuple<std::chrono::milliseconds, std::string, std::uint32_t>>
       not_due;
--- a/tests/jobs/placement_differential_test.cc
+++ b/tests/jobs/placement_differential_test.cc
@@ -72,6 +72,7 @@
     }
     ASSERT_EQ(actual.advice_calls, expected.advice_calls);
     ASSERT_EQ(actual.waiting, expected.waiting);
+    ASSERT_EQ(peer.AntiAffine(), expected.anti_affine);
     this->starts += actual.starts.size();
     this->calls += actual.advice_calls.size();
     this->rounds_with_backlog +=
@@ -139,6 +140,15 @@
                             this->PickRack()};
     worker.record.capacity->memory_mb = 2'000 + this->Pick(4'000);
     worker.record.capacity->accelerators = this->Pick(3);
+    if (number > 0 && this->OneIn(4)) {
+      // The worker takes the place of another one.
+      const Worker& other =
+          this->fleet.workers.at("worker-" + std::to_string(this->Pick(number)))
+              .record;
+      worker.record.machine = other.machine;
+      worker.record.address =
+          this->OneIn(2) ? other.address : worker.record.address;
+    }
     if (this->fleet.dispatcher == nullptr) {
       Command command;
       command.worker = std::make_unique<Worker>(worker.record);
@@ -149,6 +159,9 @@
   }
 
   void Announce(const FakeWorker& worker) {
+    DispatcherPeer peer(*this->fleet.dispatcher);
+    ASSERT_EQ(peer.WorkersLike(worker.record),
+              peer.FindWorkersNaively(worker.record));
     this->fleet.dispatcher->Announce(worker.record, ++this->sequence,
                                      this->fleet.now, [] {});
   }
