Return units before lending them within one command

Cause: a round of the lender puts the returned units and their next loans into one command, sorted by resource and session. The ledger applies them one by one and refuses a loan above the resource's size, so that a loan to a session with a lower id than that of a returning one was refused, and the return of a session that returned and borrowed with it. The lender wasn't told, and lent the units at its next planning, up to a second later.

Now a command lists all returns before all loans. UnitsReturnedAndLentInOneRound_AreLent fails without the change.

--- a/src/mimosastage/admission/allowance_lender.cc
+++ b/src/mimosastage/admission/allowance_lender.cc
@@ -316,8 +316,18 @@
   if (!plan.moves.empty() || !plan.slots.empty()) {
     AllowanceMoves& moves = plan.round.moves.emplace();
     moves.backend_server_slots.assign(plan.slots.begin(), plan.slots.end());
+    // The ledger applies the moves in this order and refuses a lend above the
+    // resource's size, so that units must be returned before they are lent.
     for (const auto& [key, move] : plan.moves) {
-      moves.moves.push_back(move);
+      if (move.returned_total > 0) {
+        moves.moves.push_back(
+            {move.resource, move.session, 0, move.returned_total});
+      }
+    }
+    for (const auto& [key, move] : plan.moves) {
+      if (move.lend > 0) {
+        moves.moves.push_back({move.resource, move.session, move.lend, 0});
+      }
     }
     this->moves_in_progress = true;
   }
--- a/tests/admission/allowance_lender_test.cc
+++ b/tests/admission/allowance_lender_test.cc
@@ -160,5 +160,17 @@
   EXPECT_EQ(this->ledger.Size({ResourceKind::kBackendServerSlots, "y"}), 0U);
 }
 
+// Guards against a lend that the ledger refuses because the return that frees
+// the units comes later in the same command. The waiting entry then got nothing
+// until the next planning, up to a second later.
+TEST_F(AllowanceLenderTest, UnitsReturnedAndLentInOneRound_AreLent) {
+  this->RunRounds(10, 0, 20);
+  ASSERT_EQ(this->ledger.Held(this->limit, this->b), 16U);
+  this->RunRounds(1, 20, 0);
+  ASSERT_EQ(this->ledger.Held(this->limit, this->a), 0U);
+  this->RunRounds(1, 20, 0);
+  EXPECT_EQ(this->ledger.Held(this->limit, this->a), 16U);
+}
+
 }  // namespace
 }  // namespace mimosastage
