Lend idle units to an entry whose requests wait

After restarts of the leader a request at one entry waited until its deadline of 10 s and got 504 `deadline_passed`, `not_run`, while other entries held idle slots.

Cause: the lender. The sessions of killed daemons hold their units until their lease and the longest deadline have passed, so that few slots are left. The lender spreads units without demand over all entries, and recalls an entry's surplus only in whole units after the hysteresis of 0.75. With 2 slots and 3 entries, one of which waits, the targets are 1.33, 0.33 and 0.33: the two idle entries hold 1 each, a surplus of 0.67, so that none was recalled until the old sessions ended. The same holds for a team's limit that is divided, for example 9 units and 24 entries, without any failure.

The allowance of the entry, the directory and the tracker did as designed.

Now units above an entry's own demand are recalled as far as requests elsewhere wait for them. Spare units alone still follow the hysteresis, so that units don't oscillate under steady demand.

OneEntryWaits_OthersHoldIdleSlots_GetsASlot and OneEntryWaits_OthersHoldIdleUnits_GetsAUnit fail without the change. The fixture's reports now always name the team's limit, as those of an AllowanceHolder do; without it a session that held only slots reported no demand for the limit.

--- a/src/mimosastage/admission/allowance_lender.cc
+++ b/src/mimosastage/admission/allowance_lender.cc
@@ -640,6 +640,25 @@
   return static_cast<std::uint32_t>(std::max(0.0, missing + held - size));
 }
 
+std::uint32_t AllowanceLender::UnitsToRecallForDemand(
+    double size, const std::vector<Allocation>& allocations) const {
+  double missing = 0;
+  double held = 0;
+  for (const Allocation& allocation : allocations) {
+    held += allocation.held;
+    missing += allocation.HasUnmetDemand()
+                   ? this->RoundWithHysteresis(
+                         std::min(allocation.target, allocation.demand) -
+                         allocation.held)
+                   : 0;
+  }
+  return static_cast<std::uint32_t>(std::max(0.0, missing + held - size));
+}
+
+std::uint32_t AllowanceLender::Allocation::Idle() const {
+  return static_cast<std::uint32_t>(std::max(0.0, this->held - this->demand));
+}
+
 void AllowanceLender::BalanceTeam(Plan& plan, const Resource& resource,
                                   double limit,
                                   std::vector<Allocation>& allocations) {
@@ -668,8 +687,15 @@
   for (auto item = order.rbegin(); item != order.rend(); ++item) {
     recall(**item, this->RoundWithHysteresis((*item)->held - (*item)->target));
   }
+  // With fewer units than entries, each surplus can be less than the
+  // hysteresis while requests wait for a unit.
+  wanted = this->UnitsToRecallForDemand(limit, allocations);
+  for (auto item = order.rbegin(); item != order.rend(); ++item) {
+    recall(**item, (*item)->Idle());
+  }
   // Above a lowered limit, units are recalled even if an entry's surplus is
   // less than the hysteresis.
+  wanted = this->UnitsToRecall(limit, allocations);
   for (auto item = order.rbegin(); item != order.rend(); ++item) {
     wanted = std::min(wanted, this->UnitsToRecall(limit, allocations));
     recall(**item, TotalHeld(allocations) > limit ? 1 : 0);
@@ -760,10 +786,19 @@
     allocation->held += LendSlots(plan, slots, *allocation, units);
   }
   std::uint32_t wanted = this->UnitsToRecall(capacity, allocations);
+  const auto recall = [&](Allocation& allocation, std::uint32_t units) {
+    const std::uint32_t recalled =
+        this->RecallSlots(plan, slots, allocation, std::min(wanted, units));
+    wanted -= recalled;
+    allocation.held -= recalled;
+  };
+  for (auto item = order.rbegin(); item != order.rend(); ++item) {
+    recall(**item, this->RoundWithHysteresis((*item)->held - (*item)->target));
+  }
+  // As in BalanceTeam.
+  wanted = this->UnitsToRecallForDemand(capacity, allocations);
   for (auto item = order.rbegin(); item != order.rend(); ++item) {
-    const std::uint32_t surplus =
-        this->RoundWithHysteresis((*item)->held - (*item)->target);
-    wanted -= this->RecallSlots(plan, slots, **item, std::min(wanted, surplus));
+    recall(**item, (*item)->Idle());
   }
 }
 
--- a/src/mimosastage/admission/allowance_lender.h
+++ b/src/mimosastage/admission/allowance_lender.h
@@ -177,6 +177,8 @@
     double demand = 0;
 
     bool HasUnmetDemand() const { return this->demand > this->held; }
+    /// Whole units that the entry holds above its demand.
+    std::uint32_t Idle() const;
   };
   /// A server's slots during the planning of its pool.
   struct SlotView {
@@ -216,6 +218,10 @@
       std::vector<Allocation>& allocations);
   std::uint32_t UnitsToRecall(double size,
                               const std::vector<Allocation>& allocations) const;
+  /// Like UnitsToRecall, but for units that requests wait for, without spare
+  /// ones.
+  std::uint32_t UnitsToRecallForDemand(
+      double size, const std::vector<Allocation>& allocations) const;
   static double TotalHeld(const std::vector<Allocation>& allocations);
   void BalanceTeam(Plan& plan, const Resource& resource, double limit,
                    std::vector<Allocation>& allocations);
--- a/tests/admission/allowance_lender_test.cc
+++ b/tests/admission/allowance_lender_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace mimosastage {
 namespace {
@@ -37,14 +38,16 @@
   void Report(Session session, std::uint32_t waiting) {
     this->lender.SessionSeen(session, this->now);
     DemandReport report{session, ++this->numbers[session], 0, true, {}, {}};
+    bool reports_limit = false;
     for (const AllowanceHolding& holding : this->ledger.HoldingsOf(session)) {
       const bool limit = holding.resource.kind == ResourceKind::kTeamLimit;
+      reports_limit = reports_limit || limit;
       const std::uint64_t recalled = std::min(
           this->recalls[{session, holding.resource}], holding.lent_total);
       report.resources.push_back(
           {holding.resource, 0, 0, limit ? waiting : 0, recalled});
     }
-    if (report.resources.empty()) {
+    if (!reports_limit) {
       report.resources.push_back({this->limit, 0, 0, waiting, 0});
     }
     report.teams.push_back({this->pool, this->team.name, waiting, 0});
@@ -81,6 +84,38 @@
     return moving;
   }
 
+  /// Starts further sessions and returns `count` sessions, with those of the
+  /// fixture.
+  std::vector<Session> StartEntries(std::uint16_t count) {
+    std::vector<Session> sessions = {this->a, this->b};
+    while (sessions.size() < count) {
+      sessions.push_back(
+          {DaemonId{static_cast<std::uint16_t>(sessions.size() + 1)},
+           SessionId{1}});
+      this->ledger.StartSession(sessions.back());
+    }
+    return sessions;
+  }
+
+  /// Lets one entry after another wait alone, in varying order. Each must get a
+  /// slot and a unit of the limit within a second.
+  void ExpectEachIsServedAlone(const std::vector<Session>& sessions) {
+    for (std::size_t i = 0; i < 3 * sessions.size(); ++i) {
+      const Session waiting = sessions[i * 5 % sessions.size()];
+      const auto served = [&] {
+        return this->Slots("x", waiting) + this->Slots("y", waiting) > 0 &&
+               this->ledger.Held(this->limit, waiting) > 0;
+      };
+      for (int round = 0; round < 10 && !served(); ++round) {
+        for (const Session session : sessions) {
+          this->Report(session, session == waiting ? 1 : 0);
+        }
+        this->Round();
+      }
+      EXPECT_TRUE(served()) << "step " << i;
+    }
+  }
+
   std::uint32_t Slots(const char* server, Session session) {
     return this->ledger.Held({ResourceKind::kBackendServerSlots, server},
                              session);
@@ -160,6 +195,25 @@
   EXPECT_EQ(this->ledger.Size({ResourceKind::kBackendServerSlots, "y"}), 0U);
 }
 
+// Guards against a request that waits until its deadline although other entries
+// hold idle units: with fewer units than entries, each holder's surplus is less
+// than the hysteresis. Seen after restarts, while the sessions before them
+// still held most of the slots.
+TEST_F(AllowanceLenderTest, OneEntryWaits_OthersHoldIdleSlots_GetsASlot) {
+  const std::vector<Session> sessions = this->StartEntries(3);
+  this->lender.SetServer(
+      {BackendServerName("x"), this->pool, AvailabilityZone("x"), 2, true});
+  this->lender.RemoveServer(BackendServerName("y"));
+  this->ExpectEachIsServedAlone(sessions);
+}
+
+// The same for the units of a limit that is divided between the entries.
+TEST_F(AllowanceLenderTest, OneEntryWaits_OthersHoldIdleUnits_GetsAUnit) {
+  this->team.upper_limit = 9;
+  this->lender.SetTeams({this->team});
+  this->ExpectEachIsServedAlone(this->StartEntries(24));
+}
+
 // Guards against a lend that the ledger refuses because the return that frees
 // the units comes later in the same command. The waiting entry then got nothing
 // until the next planning, up to a second later.
