Rotate a team's limit while lapsed sessions hold most of it

After restarts, an entry could get no unit of a team's limit until the old sessions ended, while the other entries had steady demand.

Cause: limits of up to 8 units go to one waiting entry after another, larger ones are divided. Which of the two applied was decided by the size in the table. With 14 of 16 units held by a lapsed session, the 2 units left were divided between 3 entries, 0.67 each, which is below the hysteresis: two entries kept one unit each and the third got none.

Now the size without the units of lapsed sessions decides. LapsedSessionHoldsMost_AllWait_EachGetsUnits fails without the change (2 of 3 entries are served).

--- a/src/mimosastage/admission/allowance_lender.cc
+++ b/src/mimosastage/admission/allowance_lender.cc
@@ -536,7 +536,7 @@
                                      double limit,
                                      std::vector<Allocation>& allocations) {
   TeamState& team = this->teams.at(name);
-  if (team.limit > this->settings.max_rotated_limit) {
+  if (limit > this->settings.max_rotated_limit) {
     SetSharedTargets(limit, allocations);
   } else if (this->SetRotatedTargets(plan, team, limit, allocations)) {
     this->ScheduleTeam(name, true);
--- a/src/mimosastage/admission/allowance_lender.h
+++ b/src/mimosastage/admission/allowance_lender.h
@@ -51,7 +51,8 @@
     /// How long an entry may serve after its last renewal.
     Duration lease = std::chrono::seconds(2);
     /// Team limits up to this size go to one waiting entry after another
-    /// instead of being divided between them.
+    /// instead of being divided between them. Counts without the units of
+    /// lapsed sessions.
     std::uint32_t max_rotated_limit = 8;
     /// How long an entry keeps a rotated limit while other entries wait.
     Duration rotation_time = std::chrono::seconds(1);
--- a/tests/admission/allowance_lender_test.cc
+++ b/tests/admission/allowance_lender_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -226,5 +227,26 @@
   EXPECT_EQ(this->ledger.Held(this->limit, this->a), 16U);
 }
 
+// Guards against an entry that gets nothing of a limit of which a lapsed
+// session still holds most, while other entries wait, too.
+TEST_F(AllowanceLenderTest, LapsedSessionHoldsMost_AllWait_EachGetsUnits) {
+  const Session lapsed{DaemonId{2}, SessionId{1}};
+  this->ledger.StartSession(lapsed);
+  this->ledger.Apply(AllowanceMoves{{}, {{this->limit, lapsed, 14, 0}}});
+  const std::vector<Session> sessions = this->StartEntries(3);
+  std::set<Session> served;
+  for (int round = 0; round < 60; ++round) {
+    for (const Session session : sessions) {
+      this->Report(session, 20);
+      if (this->ledger.Held(this->limit, session) > 0) {
+        served.insert(session);
+      }
+    }
+    this->Round();
+  }
+  EXPECT_EQ(served.size(), 3U);
+  EXPECT_LE(this->ledger.Lent(this->limit), 16U);
+}
+
 }  // namespace
 }  // namespace mimosastage
