Give idempotency keys one bound, and remove what is never used

- IntentTable allowed idempotency keys of 255 bytes, callers may send 128. kMaxIdempotencyKeyLength in state/commands.h is the only bound now, 128 as documented for callers; no longer key can have been stored.
- The reason given for kMaxFlatTables didn't add up: the holdings that it named need less than the default of 1,000,000 tables.
With the state's own bounds there can be 2,277,377 tables; the constant stays.
- `rejects_overload` was parsed and read nowhere.
It isn't read any more: placement keeps within the capacity of each worker, whether or not the worker would reject the excess.
The configuration is still returned as it was sent.
The field of the log is deprecated and keeps its place, so that logs on disk stay readable.
- Never used: MembersIn, RequestService::Hooks::team_share, Cluster::HasDaemon, Address and Folder, FakePlatformWorker's StaleTokenRefusals, FakeFleetLeader::Log.

callers_test, routing_test, state_test, replication_test, jobs_test and platform_test pass, and the Failover, LeaderRestart, Serving and JobCluster tests of system_test.

--- a/src/mimosastage/callers/caller_request.cc
+++ b/src/mimosastage/callers/caller_request.cc
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <utility>
 
+#include "mimosastage/state/commands.h"
+
 namespace mimosastage {
 namespace {
 
@@ -110,8 +112,9 @@
   if (parsed.idempotency_key.size() > kMaxIdempotencyKeyLength ||
       !IsVisibleAscii(parsed.idempotency_key)) {
     return MakeRefusal(400, "bad_idempotency_key",
-                       "Idempotency-Key must be at most 128 printable "
-                       "characters without spaces");
+                       "Idempotency-Key must be at most " +
+                           std::to_string(kMaxIdempotencyKeyLength) +
+                           " printable characters without spaces");
   }
   if (const auto text = FindHeader(request.headers, "Mimosastage-Deadline-Ms");
       !text.empty()) {
--- a/src/mimosastage/callers/caller_request.h
+++ b/src/mimosastage/callers/caller_request.h
@@ -38,8 +38,6 @@
   std::string idempotency_key;
 };
 
-inline constexpr std::size_t kMaxIdempotencyKeyLength = 128;
-
 /// Parses a caller's request; returns a refusal if it is malformed or its path
 /// is unknown.
 std::variant<CallerRequest, CancelRequest, CallerRefusal> ParseCallerRequest(
--- a/src/mimosastage/jobs/internal/records_generated.h
+++ b/src/mimosastage/jobs/internal/records_generated.h
@@ -1025,7 +1025,6 @@
 struct PoolT : public flatbuffers::NativeTable {
   typedef Pool TableType;
   std::string name{};
-  bool rejects_overload = false;
   bool standby = false;
 };
 
@@ -1035,15 +1034,11 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NAME = 4,
-    VT_REJECTS_OVERLOAD = 6,
     VT_STANDBY = 8
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
   }
-  bool rejects_overload() const {
-    return GetField<uint8_t>(VT_REJECTS_OVERLOAD, 0) != 0;
-  }
   bool standby() const {
     return GetField<uint8_t>(VT_STANDBY, 0) != 0;
   }
@@ -1051,7 +1046,6 @@
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
            verifier.VerifyString(name()) &&
-           VerifyField<uint8_t>(verifier, VT_REJECTS_OVERLOAD, 1) &&
            VerifyField<uint8_t>(verifier, VT_STANDBY, 1) &&
            verifier.EndTable();
   }
@@ -1067,9 +1061,6 @@
   void add_name(flatbuffers::Offset<flatbuffers::String> name) {
     fbb_.AddOffset(Pool::VT_NAME, name);
   }
-  void add_rejects_overload(bool rejects_overload) {
-    fbb_.AddElement<uint8_t>(Pool::VT_REJECTS_OVERLOAD, static_cast<uint8_t>(rejects_overload), 0);
-  }
   void add_standby(bool standby) {
     fbb_.AddElement<uint8_t>(Pool::VT_STANDBY, static_cast<uint8_t>(standby), 0);
   }
@@ -1087,12 +1078,10 @@
 inline flatbuffers::Offset<Pool> CreatePool(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> name = 0,
-    bool rejects_overload = false,
     bool standby = false) {
   PoolBuilder builder_(_fbb);
   builder_.add_name(name);
   builder_.add_standby(standby);
-  builder_.add_rejects_overload(rejects_overload);
   return builder_.Finish();
 }
 
@@ -1104,13 +1093,11 @@
 inline flatbuffers::Offset<Pool> CreatePoolDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *name = nullptr,
-    bool rejects_overload = false,
     bool standby = false) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   return mimosastage::jobs_wire::CreatePool(
       _fbb,
       name__,
-      rejects_overload,
       standby);
 }
 
@@ -3978,7 +3965,6 @@
   (void)_o;
   (void)_resolver;
   { auto _e = name(); if (_e) _o->name = _e->str(); }
-  { auto _e = rejects_overload(); _o->rejects_overload = _e; }
   { auto _e = standby(); _o->standby = _e; }
 }
 
@@ -3991,12 +3977,10 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PoolT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
-  auto _rejects_overload = _o->rejects_overload;
   auto _standby = _o->standby;
   return mimosastage::jobs_wire::CreatePool(
       _fbb,
       _name,
-      _rejects_overload,
       _standby);
 }
 
--- a/src/mimosastage/node/request_service.h
+++ b/src/mimosastage/node/request_service.h
@@ -50,7 +50,6 @@
     // Lookups in the state that this daemon has applied.
     std::function<std::optional<Route>(const RouteName&)> find_route;
     std::function<std::optional<KeyOwner>(const std::string& key)> find_key;
-    std::function<std::uint32_t(const TeamName&)> team_share;
     /// End of the serving lease; in the past without one.
     std::function<TimePoint(TimePoint now)> serving_until;
     /// The session in which intents begin.
--- a/src/mimosastage/routing/intent_table.h
+++ b/src/mimosastage/routing/intent_table.h
@@ -65,9 +65,6 @@
  public:
   static constexpr std::size_t kMaxIntents = 65'536;
   static constexpr std::size_t kMaxStoredBytes = 16U << 20U;
-  /// Maximum length of an Idempotency-Key in bytes. Entries refuse longer ones;
-  /// without this limit the keys alone could take 1 GiB.
-  static constexpr std::size_t kMaxIdempotencyKey = 255;
   /// Maximum length of a stored content type in bytes; a longer one isn't kept.
   static constexpr std::size_t kMaxContentType = 255;
 
--- a/src/mimosastage/routing/request_tracker.cc
+++ b/src/mimosastage/routing/request_tracker.cc
@@ -116,7 +116,7 @@
   if (!this->arrival.repeatable && !has_key) {
     this->RefuseAndAbandon(400, RefusalReason::kIntentKeyMissing, actions);
   } else if (has_key &&
-             intent->idempotency_key.size() > IntentTable::kMaxIdempotencyKey) {
+             intent->idempotency_key.size() > kMaxIdempotencyKeyLength) {
     this->RefuseAndAbandon(400, RefusalReason::kIntentKeyTooLong, actions);
   } else if (now >= this->arrival.deadline) {
     this->RefuseAndAbandon(504, RefusalReason::kDeadlinePassed, actions);
--- a/src/mimosastage/state/commands.h
+++ b/src/mimosastage/state/commands.h
@@ -101,6 +101,10 @@
   std::vector<AllowanceMove> moves;
 };
 
+/// Maximum length of an Idempotency-Key in bytes. Without a limit the keys of
+/// 65,536 intents could take 1 GiB, with this one they take at most 8 MiB.
+inline constexpr std::size_t kMaxIdempotencyKeyLength = 128;
+
 /// Identifies a request that must not be repeated.
 struct IntentKey {
   TeamName team;
--- a/src/mimosastage/state/internal/snapshot_codec.cc
+++ b/src/mimosastage/state/internal/snapshot_codec.cc
@@ -12,9 +12,11 @@
 
 constexpr const char* kFileIdentifier = "MSS1";
 
-// Limit of the FlatBuffers verifier. It allows 65,536 intents with an answer
-// each plus holdings of 1,900 backend servers and 310 teams in 256 sessions;
-// the default of 1,000,000 is too low for these.
+// Limit of the FlatBuffers verifier on the number of tables. The state's bounds
+// allow one table for each holding of 256 sessions in 4,096 backend servers and
+// 4,096 teams (2,097,152), two for each of 65,536 intents (131,072) and of
+// 16,384 rows (32,768), and one for each of 4,096 changes, 8,192 keys and 4,096
+// instances: 2,277,377 with the root. The default is 1,000,000.
 constexpr flatbuffers::uoffset_t kMaxFlatTables = 4'000'000;
 
 std::unique_ptr<flat::ChangeOutcomeT> Flat(
--- a/tests/jobs/support/fake_fleet_leader.h
+++ b/tests/jobs/support/fake_fleet_leader.h
@@ -33,8 +33,6 @@
 /// can be stalled. Time advances in steps of 10 ms.
 class FakeFleetLeader {
  public:
-  using Log = std::vector<std::string>;
-
   explicit FakeFleetLeader(Dispatcher::Config config = {});
 
   /// Adds a pool and its queue "queue-POOL". Must precede BeginTerm.
--- a/tests/replication/support/replication_group.cc
+++ b/tests/replication/support/replication_group.cc
@@ -32,17 +32,6 @@
   return number;
 }
 
-/// The latest membership on a disk; std::nullopt if there is none.
-std::optional<Membership> MembersIn(const DurableImage& image) {
-  auto members = UnwrapSnapshot(image.snapshot.value_or("")).membership;
-  for (const LogEntry& entry : image.entries) {
-    if (auto next = DecodeMembership(entry.command); next.has_value()) {
-      members = std::move(next);
-    }
-  }
-  return members;
-}
-
 }  // namespace
 
 void ApplyToImage(DurableImage& image, DaemonId self, const DurableWrite& write,
--- a/tests/routing/request_tracker_test.cc
+++ b/tests/routing/request_tracker_test.cc
@@ -336,7 +336,7 @@
 // its intent, and against one whose deadline has passed.
 TEST_F(RequestTrackerTest, Start_InvalidArrival_RefusesNotRun) {
   const TimePoint later(seconds(9));
-  const std::string long_key(IntentTable::kMaxIdempotencyKey + 1, 'k');
+  const std::string long_key(kMaxIdempotencyKeyLength + 1, 'k');
   const std::vector<std::pair<RequestArrival, RefusalReason>> cases = {
       {{PoolName("p"), false, later, {}, 0}, RefusalReason::kIntentKeyMissing},
       {{PoolName("p"), false, later, IntentKey{TeamName("t"), long_key}, 0},
--- a/tests/system/support/cluster.h
+++ b/tests/system/support/cluster.h
@@ -23,13 +23,10 @@
   void StartDaemon(int index);
   void StartAllDaemons();
   Process& Daemon(int index) { return *this->daemons[index]; }
-  bool HasDaemon(int index) const { return this->daemons[index] != nullptr; }
   /// Sends SIGKILL and waits until the process has ended.
   void KillDaemon(int index);
   std::filesystem::path DataDir(int index) const;
   void FormatDataDir(int index);
-  /// The loopback IP address that all processes of the cluster listen on.
-  std::string Address() const { return this->address; }
 
   /// Starts a backend server that announces itself to all daemons; returns its
   /// index.
@@ -72,7 +69,6 @@
   /// key of team "a".
   std::string ApplyDefaultTables(int upper_limit = 64);
 
-  std::filesystem::path Folder() const { return this->folder; }
   /// Path of the daemon's settings file.
   std::string SettingsPath(int index) const;
 
@@ -81,6 +77,7 @@
   std::string DaemonName(int index) const;
   int PortOf(int kind, int index) const;
 
+  /// The loopback IP address that all processes of the cluster listen on.
   std::string address;
   std::filesystem::path folder;
   int voters;
--- a/tests/system/support/fake_platform_worker.cc
+++ b/tests/system/support/fake_platform_worker.cc
@@ -118,7 +118,6 @@
     const json body = json::parse(request.body, nullptr, false);
     const std::uint64_t token = body.value("fencing_token", std::uint64_t{0});
     if (token < this->highest_token) {
-      ++this->stale_token_refusals;
       answer.status = 409;
       reply = {{"reason", "fence"}};
     } else {
--- a/tests/system/support/fake_platform_worker.h
+++ b/tests/system/support/fake_platform_worker.h
@@ -37,8 +37,6 @@
 
   /// How many runs of each task have completed.
   std::map<std::string, int> CompletionCounts();
-  /// Orders rejected because their fencing token was lower than an earlier one.
-  int StaleTokenRefusals() const { return this->stale_token_refusals.load(); }
 
  private:
   struct Run {
@@ -68,7 +66,6 @@
   std::uint64_t end_sequence = 0;
   std::int64_t lease_end_ms = 0;
   std::uint64_t highest_token = 0;
-  std::atomic<int> stale_token_refusals{0};
   std::atomic<bool> stopping{false};
   std::thread announcer;
 };
