Count a vacant slot as waiting for a spare in the schedules of replacements

With other sizes of messages, MembershipSchedulesTest.Group_VotersAreReplaced failed at seed 371, and at 3935 and 7693 of 16,000 further ones: "no progress in 60 s". In all three the final membership has a removed voter and nobody is left to replace it: four daemons had been removed, with three spares. ReplicationGroup::Remove promises that a spare is left, but counted only members that had been removed. A slot that the leader had vacated, and that the last spare was about to fill, wasn't counted, so one removal too many was allowed.

With the vacant slots counted, the three seeds pass. The default 2,000 schedules still replace at least one voter each on average, which the test checks.

--- a/tests/replication/support/replication_group.cc
+++ b/tests/replication/support/replication_group.cc
@@ -267,7 +267,10 @@
 
 bool ReplicationGroup::Remove(std::size_t voter) {
   std::size_t spares = 0;
-  std::size_t waiting = 0;
+  // A vacant slot waits for a spare, too.
+  auto waiting = static_cast<std::size_t>(
+      std::count(this->newest_membership.slots.begin(),
+                 this->newest_membership.slots.end(), VacantSlot()));
   for (std::size_t i = 0; i < this->voter_count; ++i) {
     spares += this->IsMember(i) || this->daemons[i].removed ? 0 : 1;
     waiting += this->IsMember(i) && this->daemons[i].removed ? 1 : 0;
