--- a/src/mimosastage/base/names.h
+++ b/src/mimosastage/base/names.h
@@ -41,8 +41,9 @@
 /// A client of a team, identified by its key.
 using ClientName = Name<struct ClientTag>;
 
-/// Index into the list of daemons in the settings.
-enum class DaemonId : std::uint16_t {};
+/// Tells the daemons of a cluster apart: the position in the list of daemons in
+/// the settings, or the daemon's address and port; see base/daemon_id.h.
+enum class DaemonId : std::uint64_t {};
 
 /// Random number chosen at each start of a daemon, to tell its restarts apart.
 enum class SessionId : std::uint64_t {};
--- a/src/mimosastage/daemons/hello_generated.h
+++ b/src/mimosastage/daemons/hello_generated.h
@@ -25,7 +25,8 @@
     VT_VERSION = 4,
     VT_CLUSTER = 6,
     VT_DAEMON = 8,
-    VT_NONCE = 10
+    VT_NONCE = 10,
+    VT_ADDRESS_ID = 12
   };
   uint16_t version() const {
     return GetField<uint16_t>(VT_VERSION, 0);
@@ -39,6 +40,9 @@
   const flatbuffers::Vector<uint8_t> *nonce() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_NONCE);
   }
+  uint64_t address_id() const {
+    return GetField<uint64_t>(VT_ADDRESS_ID, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_VERSION, 2) &&
@@ -47,6 +51,7 @@
            VerifyField<uint16_t>(verifier, VT_DAEMON, 2) &&
            VerifyOffset(verifier, VT_NONCE) &&
            verifier.VerifyVector(nonce()) &&
+           VerifyField<uint64_t>(verifier, VT_ADDRESS_ID, 8) &&
            verifier.EndTable();
   }
 };
@@ -67,6 +72,9 @@
   void add_nonce(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> nonce) {
     fbb_.AddOffset(Hello::VT_NONCE, nonce);
   }
+  void add_address_id(uint64_t address_id) {
+    fbb_.AddElement<uint64_t>(Hello::VT_ADDRESS_ID, address_id, 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -83,8 +91,10 @@
     uint16_t version = 0,
     flatbuffers::Offset<flatbuffers::String> cluster = 0,
     uint16_t daemon = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> nonce = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> nonce = 0,
+    uint64_t address_id = 0) {
   HelloBuilder builder_(_fbb);
+  builder_.add_address_id(address_id);
   builder_.add_nonce(nonce);
   builder_.add_cluster(cluster);
   builder_.add_daemon(daemon);
@@ -97,7 +107,8 @@
     uint16_t version = 0,
     const char *cluster = nullptr,
     uint16_t daemon = 0,
-    const std::vector<uint8_t> *nonce = nullptr) {
+    const std::vector<uint8_t> *nonce = nullptr,
+    uint64_t address_id = 0) {
   auto cluster__ = cluster ? _fbb.CreateString(cluster) : 0;
   auto nonce__ = nonce ? _fbb.CreateVector<uint8_t>(*nonce) : 0;
   return mimosastage::link_wire::CreateHello(
@@ -105,7 +116,8 @@
       version,
       cluster__,
       daemon,
-      nonce__);
+      nonce__,
+      address_id);
 }
 
 inline const mimosastage::link_wire::Hello *GetHello(const void *buf) {
--- a/src/mimosastage/daemons/internal/link.cc
+++ b/src/mimosastage/daemons/internal/link.cc
@@ -3,12 +3,17 @@
 #include <algorithm>
 #include <utility>
 
+#include "mimosastage/base/daemon_id.h"
 #include "mimosastage/daemons/hello_generated.h"
 
 namespace mimosastage::internal {
 namespace {
 
-constexpr std::uint16_t kProtocolVersion = 1;
+/// Version of the hello of a daemon whose id fits into 16 bits. Earlier
+/// releases know only this version.
+constexpr std::uint16_t kShortIdVersion = 1;
+/// Version of the hello of a daemon with a longer id.
+constexpr std::uint16_t kLongIdVersion = 2;
 constexpr std::size_t kHeaderSize = 4;
 /// Bounds the memory that an unauthenticated peer can occupy per connection.
 constexpr std::size_t kMaxHelloBytes = 512;
@@ -82,9 +87,11 @@
   const auto nonce = builder.CreateVector(
       reinterpret_cast<const std::uint8_t*>(this->self.nonce.data()),
       this->self.nonce.size());
+  const DaemonIdFields id = ToDaemonIdFields(this->self.daemon);
   builder.Finish(link_wire::CreateHello(
-      builder, kProtocolVersion, builder.CreateString(this->settings.cluster),
-      static_cast<std::uint16_t>(this->self.daemon), nonce));
+      builder, id.address_id == 0 ? kShortIdVersion : kLongIdVersion,
+      builder.CreateString(this->settings.cluster), id.number, nonce,
+      id.address_id));
   const std::string_view payload(
       reinterpret_cast<const char*>(builder.GetBufferPointer()),
       builder.GetSize());
@@ -148,13 +155,15 @@
     return false;
   }
   const link_wire::Hello* hello = link_wire::GetHello(this->body.data());
-  if (hello->version() != kProtocolVersion || hello->cluster() == nullptr ||
+  const std::uint16_t version =
+      hello->address_id() == 0 ? kShortIdVersion : kLongIdVersion;
+  if (hello->version() != version || hello->cluster() == nullptr ||
       hello->cluster()->string_view() != this->settings.cluster ||
       hello->nonce() == nullptr || hello->nonce()->size() != kNonceSize) {
     this->hooks.on_drop("foreign_hello");
     return false;
   }
-  this->peer.daemon = DaemonId{hello->daemon()};
+  this->peer.daemon = FromDaemonIdFields(hello->daemon(), hello->address_id());
   std::copy(hello->nonce()->begin(), hello->nonce()->end(),
             this->peer.nonce.begin());
   const auto is_peer = [this](const LinkAddress& known) {
--- a/src/mimosastage/daemons/links.cc
+++ b/src/mimosastage/daemons/links.cc
@@ -136,8 +136,11 @@
   /// Returns the peer, or null if this daemon must not connect to it.
   const LinkAddress* FindPeerToDial(DaemonId daemon) const {
     const Settings& link_settings = this->settings;
-    if (daemon == link_settings.own.daemon ||
-        (daemon >= link_settings.own.daemon && !link_settings.dial_all)) {
+    const DaemonId own = link_settings.own.daemon;
+    // No daemon lists an anonymous one, so it connects to all its peers.
+    const bool dials =
+        daemon < own || own == kAnonymousDaemon || link_settings.dial_all;
+    if (daemon == own || !dials) {
       return nullptr;
     }
     for (const LinkAddress& peer : link_settings.peers) {
--- a/src/mimosastage/daemons/links.h
+++ b/src/mimosastage/daemons/links.h
@@ -26,9 +26,9 @@
 /// Authenticated TCP connections to all other daemons, on one thread. Messages
 /// may be lost when a connection breaks or a queue is full, but are never
 /// modified, duplicated or reordered within one connection. Of each pair of
-/// daemons the one with the higher id connects; with Settings::dial_all a
-/// daemon connects to all its peers, because peers that don't list it never
-/// connect to it.
+/// daemons the one with the higher id connects. An anonymous daemon, and one
+/// with Settings::dial_all, connects to all its peers, because peers that don't
+/// list it never connect to it.
 class Links {
  public:
   struct Settings {
--- a/src/mimosastage/jobs/internal/records_generated.h
+++ b/src/mimosastage/jobs/internal/records_generated.h
@@ -3316,6 +3316,7 @@
   uint16_t daemon = 0;
   std::string address{};
   uint16_t port = 0;
+  uint64_t address_id = 0;
 };
 
 struct GroupMember FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3325,7 +3326,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_DAEMON = 4,
     VT_ADDRESS = 6,
-    VT_PORT = 8
+    VT_PORT = 8,
+    VT_ADDRESS_ID = 10
   };
   uint16_t daemon() const {
     return GetField<uint16_t>(VT_DAEMON, 0);
@@ -3336,12 +3338,16 @@
   uint16_t port() const {
     return GetField<uint16_t>(VT_PORT, 0);
   }
+  uint64_t address_id() const {
+    return GetField<uint64_t>(VT_ADDRESS_ID, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_DAEMON, 2) &&
            VerifyOffset(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
            VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           VerifyField<uint64_t>(verifier, VT_ADDRESS_ID, 8) &&
            verifier.EndTable();
   }
   GroupMemberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3362,6 +3368,9 @@
   void add_port(uint16_t port) {
     fbb_.AddElement<uint16_t>(GroupMember::VT_PORT, port, 0);
   }
+  void add_address_id(uint64_t address_id) {
+    fbb_.AddElement<uint64_t>(GroupMember::VT_ADDRESS_ID, address_id, 0);
+  }
   explicit GroupMemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3377,8 +3386,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint16_t daemon = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
-    uint16_t port = 0) {
+    uint16_t port = 0,
+    uint64_t address_id = 0) {
   GroupMemberBuilder builder_(_fbb);
+  builder_.add_address_id(address_id);
   builder_.add_address(address);
   builder_.add_port(port);
   builder_.add_daemon(daemon);
@@ -3394,13 +3405,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint16_t daemon = 0,
     const char *address = nullptr,
-    uint16_t port = 0) {
+    uint16_t port = 0,
+    uint64_t address_id = 0) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   return mimosastage::jobs_wire::CreateGroupMember(
       _fbb,
       daemon,
       address__,
-      port);
+      port,
+      address_id);
 }
 
 flatbuffers::Offset<GroupMember> CreateGroupMember(flatbuffers::FlatBufferBuilder &_fbb, const GroupMemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3412,6 +3425,7 @@
   bool serving = false;
   uint64_t members_version = 0;
   std::vector<std::unique_ptr<mimosastage::jobs_wire::GroupMemberT>> members{};
+  uint64_t leader_address_id = 0;
   LeadershipT() = default;
   LeadershipT(const LeadershipT &o);
   LeadershipT(LeadershipT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3427,7 +3441,8 @@
     VT_VIEW = 6,
     VT_SERVING = 8,
     VT_MEMBERS_VERSION = 10,
-    VT_MEMBERS = 12
+    VT_MEMBERS = 12,
+    VT_LEADER_ADDRESS_ID = 14
   };
   uint16_t leader() const {
     return GetField<uint16_t>(VT_LEADER, 0);
@@ -3444,6 +3459,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>> *>(VT_MEMBERS);
   }
+  uint64_t leader_address_id() const {
+    return GetField<uint64_t>(VT_LEADER_ADDRESS_ID, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_LEADER, 2) &&
@@ -3453,6 +3471,7 @@
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfTables(members()) &&
+           VerifyField<uint64_t>(verifier, VT_LEADER_ADDRESS_ID, 8) &&
            verifier.EndTable();
   }
   LeadershipT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3479,6 +3498,9 @@
   void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>>> members) {
     fbb_.AddOffset(Leadership::VT_MEMBERS, members);
   }
+  void add_leader_address_id(uint64_t leader_address_id) {
+    fbb_.AddElement<uint64_t>(Leadership::VT_LEADER_ADDRESS_ID, leader_address_id, 0);
+  }
   explicit LeadershipBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3496,8 +3518,10 @@
     uint64_t view = 0,
     bool serving = false,
     uint64_t members_version = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>>> members = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>>> members = 0,
+    uint64_t leader_address_id = 0) {
   LeadershipBuilder builder_(_fbb);
+  builder_.add_leader_address_id(leader_address_id);
   builder_.add_members_version(members_version);
   builder_.add_view(view);
   builder_.add_members(members);
@@ -3517,7 +3541,8 @@
     uint64_t view = 0,
     bool serving = false,
     uint64_t members_version = 0,
-    const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>> *members = nullptr) {
+    const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>> *members = nullptr,
+    uint64_t leader_address_id = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>>(*members) : 0;
   return mimosastage::jobs_wire::CreateLeadership(
       _fbb,
@@ -3525,7 +3550,8 @@
       view,
       serving,
       members_version,
-      members__);
+      members__,
+      leader_address_id);
 }
 
 flatbuffers::Offset<Leadership> CreateLeadership(flatbuffers::FlatBufferBuilder &_fbb, const LeadershipT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4851,6 +4877,7 @@
   { auto _e = daemon(); _o->daemon = _e; }
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = port(); _o->port = _e; }
+  { auto _e = address_id(); _o->address_id = _e; }
 }
 
 inline flatbuffers::Offset<GroupMember> GroupMember::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GroupMemberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4864,18 +4891,21 @@
   auto _daemon = _o->daemon;
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
   auto _port = _o->port;
+  auto _address_id = _o->address_id;
   return mimosastage::jobs_wire::CreateGroupMember(
       _fbb,
       _daemon,
       _address,
-      _port);
+      _port,
+      _address_id);
 }
 
 inline LeadershipT::LeadershipT(const LeadershipT &o)
       : leader(o.leader),
         view(o.view),
         serving(o.serving),
-        members_version(o.members_version) {
+        members_version(o.members_version),
+        leader_address_id(o.leader_address_id) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new mimosastage::jobs_wire::GroupMemberT(*members_) : nullptr); }
 }
@@ -4886,6 +4916,7 @@
   std::swap(serving, o.serving);
   std::swap(members_version, o.members_version);
   std::swap(members, o.members);
+  std::swap(leader_address_id, o.leader_address_id);
   return *this;
 }
 
@@ -4903,6 +4934,7 @@
   { auto _e = serving(); _o->serving = _e; }
   { auto _e = members_version(); _o->members_version = _e; }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<mimosastage::jobs_wire::GroupMemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = leader_address_id(); _o->leader_address_id = _e; }
 }
 
 inline flatbuffers::Offset<Leadership> Leadership::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeadershipT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4918,13 +4950,15 @@
   auto _serving = _o->serving;
   auto _members_version = _o->members_version;
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateGroupMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _leader_address_id = _o->leader_address_id;
   return mimosastage::jobs_wire::CreateLeadership(
       _fbb,
       _leader,
       _view,
       _serving,
       _members_version,
-      _members);
+      _members,
+      _leader_address_id);
 }
 
 inline CandidacyT::CandidacyT(const CandidacyT &o)
--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <variant>
 
+#include "mimosastage/base/daemon_id.h"
 #include "mimosastage/base/ring.h"
 #include "mimosastage/base/wake_signal.h"
 #include "mimosastage/storage/data_folder.h"
@@ -358,7 +359,7 @@
     LogEvent(LogSeverity::kInfo, up ? events::kLinkOpened : events::kLinkClosed,
              up ? "link to another daemon is open"
                 : "link to another daemon is closed")
-        .With("peer", static_cast<unsigned>(peer));
+        .With("peer", DaemonIdText(peer));
     if (!this->from_daemons.Push(DaemonEvent{peer, std::nullopt, up})) {
       this->metrics.Add(metrics::kDrops, "link_state_ring_full");
     }
--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "mimosastage/base/daemon_id.h"
 #include "mimosastage/daemons/message_codec.h"
 #include "mimosastage/replication/message_codec.h"
 
@@ -32,14 +33,17 @@
 
 std::unique_ptr<jobs::GroupMember> ToGroupMember(const Member& member) {
   auto row = std::make_unique<jobs::GroupMember>();
-  row->daemon = static_cast<std::uint16_t>(member.daemon);
+  const DaemonIdFields id = ToDaemonIdFields(member.daemon);
+  row->daemon = id.number;
+  row->address_id = id.address_id;
   row->address = member.address;
   row->port = member.port;
   return row;
 }
 
 Member ToMember(const jobs::GroupMember& row) {
-  return Member{DaemonId{row.daemon}, row.address, row.port};
+  return Member{FromDaemonIdFields(row.daemon, row.address_id), row.address,
+                row.port};
 }
 
 jobs::Answer MakeAnswer(jobs::CallOutcome outcome, const char* reason) {
@@ -192,7 +196,8 @@
 
 void JobNode::OnLeadership(DaemonId from, const jobs::Leadership& notice,
                            TimePoint now) {
-  const auto daemon = DaemonId{notice.leader};
+  const DaemonId daemon =
+      FromDaemonIdFields(notice.leader, notice.leader_address_id);
   if (daemon != from ||
       (this->leader.has_value() && notice.view < this->leader->view)) {
     return;
@@ -201,7 +206,7 @@
       !this->leader.has_value() || this->leader->daemon != daemon;
   this->leader = KnownLeader{daemon, notice.view, notice.serving, now};
   if (changed) {
-    this->hooks.report("leader_changed", std::to_string(notice.leader),
+    this->hooks.report("leader_changed", DaemonIdText(daemon),
                        "view " + std::to_string(notice.view));
     this->SendCalls(now);
   }
@@ -577,7 +582,9 @@
   this->last_serving = serving;
   this->next_leadership_notice = now + this->config.leadership_interval;
   jobs::Leadership notice;
-  notice.leader = static_cast<std::uint16_t>(this->config.self);
+  const DaemonIdFields id = ToDaemonIdFields(this->config.self);
+  notice.leader = id.number;
+  notice.leader_address_id = id.address_id;
   notice.view = this->term->view;
   notice.serving = serving;
   notice.members_version = this->members.version;
--- a/src/mimosastage/replication/internal/reconfiguration.cc
+++ b/src/mimosastage/replication/internal/reconfiguration.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "mimosastage/base/daemon_id.h"
 #include "mimosastage/replication/internal/replica_core.h"
 #include "mimosastage/replication/replication_error.h"
 
@@ -13,6 +14,27 @@
   }
 }
 
+void Replica::Core::ReplaceLegacyIds(DurableImage& image) const {
+  std::map<DaemonId, std::vector<DaemonId>> voters_by_legacy_id;
+  for (const DaemonId voter : this->voters) {
+    if (const auto legacy = LegacyDaemonId(voter); legacy.has_value()) {
+      voters_by_legacy_id[*legacy].push_back(voter);
+    }
+  }
+  const std::map<DaemonId, Incarnation> recorded(image.incarnations.begin(),
+                                                 image.incarnations.end());
+  image.incarnations.clear();
+  for (const auto& [daemon, incarnation] : recorded) {
+    const auto found = voters_by_legacy_id.find(daemon);
+    if (found == voters_by_legacy_id.end()) {
+      image.incarnations.emplace_back(daemon, incarnation);
+    } else if (found->second.size() == 1 &&
+               !recorded.contains(found->second.front())) {
+      image.incarnations.emplace_back(found->second.front(), incarnation);
+    }
+  }
+}
+
 std::string Replica::Core::RestoreMembership(const std::string& snapshot,
                                              LogIndex index) {
   UnwrappedSnapshot unwrapped = UnwrapSnapshot(snapshot);
--- a/src/mimosastage/replication/internal/replica_core.cc
+++ b/src/mimosastage/replication/internal/replica_core.cc
@@ -25,8 +25,9 @@
 
 void Replica::Core::Start(DurableImage image, TimePoint now) {
   this->random.seed(this->config.seed ^ image.incarnation);
-  this->durable.Load(image);
   this->LoadMembership(image);
+  this->ReplaceLegacyIds(image);
+  this->durable.Load(image);
   this->log.Reset(image.snapshot_index, image.snapshot_view);
   for (LogEntry& entry : image.entries) {
     this->log.Append(std::move(entry));
--- a/src/mimosastage/replication/internal/replica_core.h
+++ b/src/mimosastage/replication/internal/replica_core.h
@@ -182,6 +182,10 @@
 
   // reconfiguration.cc
   void LoadMembership(const DurableImage& image);
+  /// Moves incarnations that an earlier release recorded under legacy ids to
+  /// the voters at the same addresses. Drops those whose legacy id two voters
+  /// share, because they can't be told apart.
+  void ReplaceLegacyIds(DurableImage& image) const;
   /// Restores the membership from a snapshot, or from the settings if it has
   /// none, and returns the state machine's part of the snapshot.
   std::string RestoreMembership(const std::string& snapshot, LogIndex index);
--- a/src/mimosastage/replication/membership.cc
+++ b/src/mimosastage/replication/membership.cc
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <utility>
 
+#include "mimosastage/base/daemon_id.h"
 #include "mimosastage/replication/internal/wire.h"
 
 namespace mimosastage {
@@ -21,9 +22,10 @@
   std::vector<flatbuffers::Offset<wire::Member>> slots;
   slots.reserve(membership.slots.size());
   for (const Member& member : membership.slots) {
-    slots.push_back(
-        wire::CreateMember(builder, static_cast<std::uint16_t>(member.daemon),
-                           builder.CreateString(member.address), member.port));
+    const DaemonIdFields id = ToDaemonIdFields(member.daemon);
+    slots.push_back(wire::CreateMember(builder, id.number,
+                                       builder.CreateString(member.address),
+                                       member.port, id.address_id));
   }
   builder.Finish(wire::CreateMembership(builder, membership.version,
                                         builder.CreateVector(slots)));
@@ -62,6 +64,19 @@
   return bytes.substr(header, size);
 }
 
+/// Reads a member. Replaces a legacy id by the id of the member's address, so
+/// that two daemons whose legacy ids are equal are told apart.
+Member ToMember(const wire::Member& row) {
+  Member member{FromDaemonIdFields(row.daemon(), row.address_id()),
+                row.address() == nullptr ? std::string() : row.address()->str(),
+                row.port()};
+  if (const auto current = DaemonIdFromAddress(member.address, member.port);
+      current.has_value() && LegacyDaemonId(*current) == member.daemon) {
+    member.daemon = *current;
+  }
+  return member;
+}
+
 std::optional<Membership> Unpack(std::string_view bytes) {
   // The bytes follow the magic bytes and may therefore be unaligned.
   const std::vector<std::uint8_t> aligned(bytes.begin(), bytes.end());
@@ -76,10 +91,7 @@
     return membership;
   }
   for (const wire::Member* row : *table->slots()) {
-    membership.slots.push_back(Member{
-        DaemonId{row->daemon()},
-        row->address() == nullptr ? std::string() : row->address()->str(),
-        row->port()});
+    membership.slots.push_back(ToMember(*row));
   }
   return membership;
 }
--- a/src/mimosastage/replication/message_codec.cc
+++ b/src/mimosastage/replication/message_codec.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "mimosastage/base/daemon_id.h"
 #include "mimosastage/replication/internal/wire.h"
 #include "mimosastage/replication/replication_error.h"
 
@@ -41,8 +42,9 @@
   std::vector<Offset<wire::Incarnation>> packed;
   packed.reserve(incarnations.size());
   for (const auto& [daemon, incarnation] : incarnations) {
-    packed.push_back(wire::CreateIncarnation(
-        builder, static_cast<std::uint16_t>(daemon), incarnation));
+    const DaemonIdFields id = ToDaemonIdFields(daemon);
+    packed.push_back(wire::CreateIncarnation(builder, id.number, incarnation,
+                                             id.address_id));
   }
   return builder.CreateVector(packed);
 }
@@ -134,7 +136,9 @@
   Incarnations incarnations;
   incarnations.reserve(packed.size());
   for (const wire::Incarnation* item : packed) {
-    incarnations.emplace_back(DaemonId{item->daemon()}, item->incarnation());
+    incarnations.emplace_back(
+        FromDaemonIdFields(item->daemon(), item->address_id()),
+        item->incarnation());
   }
   return incarnations;
 }
--- a/src/mimosastage/replication/replication_generated.h
+++ b/src/mimosastage/replication/replication_generated.h
@@ -275,7 +275,8 @@
   typedef IncarnationBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_DAEMON = 4,
-    VT_INCARNATION = 6
+    VT_INCARNATION = 6,
+    VT_ADDRESS_ID = 8
   };
   uint16_t daemon() const {
     return GetField<uint16_t>(VT_DAEMON, 0);
@@ -283,10 +284,14 @@
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
   }
+  uint64_t address_id() const {
+    return GetField<uint64_t>(VT_ADDRESS_ID, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_DAEMON, 2) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ADDRESS_ID, 8) &&
            verifier.EndTable();
   }
 };
@@ -301,6 +306,9 @@
   void add_incarnation(uint64_t incarnation) {
     fbb_.AddElement<uint64_t>(Incarnation::VT_INCARNATION, incarnation, 0);
   }
+  void add_address_id(uint64_t address_id) {
+    fbb_.AddElement<uint64_t>(Incarnation::VT_ADDRESS_ID, address_id, 0);
+  }
   explicit IncarnationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -315,8 +323,10 @@
 inline flatbuffers::Offset<Incarnation> CreateIncarnation(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint16_t daemon = 0,
-    uint64_t incarnation = 0) {
+    uint64_t incarnation = 0,
+    uint64_t address_id = 0) {
   IncarnationBuilder builder_(_fbb);
+  builder_.add_address_id(address_id);
   builder_.add_incarnation(incarnation);
   builder_.add_daemon(daemon);
   return builder_.Finish();
@@ -327,7 +337,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_DAEMON = 4,
     VT_ADDRESS = 6,
-    VT_PORT = 8
+    VT_PORT = 8,
+    VT_ADDRESS_ID = 10
   };
   uint16_t daemon() const {
     return GetField<uint16_t>(VT_DAEMON, 0);
@@ -338,12 +349,16 @@
   uint16_t port() const {
     return GetField<uint16_t>(VT_PORT, 0);
   }
+  uint64_t address_id() const {
+    return GetField<uint64_t>(VT_ADDRESS_ID, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_DAEMON, 2) &&
            VerifyOffset(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
            VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           VerifyField<uint64_t>(verifier, VT_ADDRESS_ID, 8) &&
            verifier.EndTable();
   }
 };
@@ -361,6 +376,9 @@
   void add_port(uint16_t port) {
     fbb_.AddElement<uint16_t>(Member::VT_PORT, port, 0);
   }
+  void add_address_id(uint64_t address_id) {
+    fbb_.AddElement<uint64_t>(Member::VT_ADDRESS_ID, address_id, 0);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -376,8 +394,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint16_t daemon = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
-    uint16_t port = 0) {
+    uint16_t port = 0,
+    uint64_t address_id = 0) {
   MemberBuilder builder_(_fbb);
+  builder_.add_address_id(address_id);
   builder_.add_address(address);
   builder_.add_port(port);
   builder_.add_daemon(daemon);
@@ -388,13 +408,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint16_t daemon = 0,
     const char *address = nullptr,
-    uint16_t port = 0) {
+    uint16_t port = 0,
+    uint64_t address_id = 0) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   return mimosastage::wire::CreateMember(
       _fbb,
       daemon,
       address__,
-      port);
+      port,
+      address_id);
 }
 
 struct Membership FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/mimosastage/storage/data_folder.cc
+++ b/src/mimosastage/storage/data_folder.cc
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <utility>
 
+#include "mimosastage/base/daemon_id.h"
 #include "mimosastage/storage/internal/file.h"
 #include "mimosastage/storage/internal/frame.h"
 #include "mimosastage/storage/internal/identity.h"
@@ -172,16 +173,21 @@
 
 internal::Identity DataFolder::Files::ReadOrCreateIdentity() {
   if (auto identity = internal::ReadIdentity(this->folder)) {
-    if (identity->cluster_id != this->cluster_id ||
-        identity->voter != this->voter) {
+    const bool own = identity->voter == this->voter ||
+                     identity->voter == LegacyDaemonId(this->voter);
+    if (identity->cluster_id != this->cluster_id || !own) {
       throw StorageFailure{
           StorageError::kForeignFolder,
           this->folder.string() + ": belongs to voter " +
-              std::to_string(static_cast<unsigned>(identity->voter)) +
-              " of cluster '" + identity->cluster_id +
+              DaemonIdText(identity->voter) + " of cluster '" +
+              identity->cluster_id +
               "'; correct the setting, or move the folder's files away so that "
               "the voter recovers from the other voters"};
     }
+    // A folder of an earlier release keeps its identity, because the checksums
+    // of all its files depend on it.
+    this->checksum_seed = internal::Checksum(
+        this->cluster_id, static_cast<std::uint64_t>(identity->voter));
     return *identity;
   }
   this->RemoveTemporaryFiles();
--- a/src/mimosastage/storage/internal/identity.cc
+++ b/src/mimosastage/storage/internal/identity.cc
@@ -1,5 +1,6 @@
 #include "mimosastage/storage/internal/identity.h"
 
+#include "mimosastage/base/daemon_id.h"
 #include "mimosastage/storage/internal/bytes.h"
 #include "mimosastage/storage/internal/file.h"
 #include "mimosastage/storage/internal/frame.h"
@@ -8,13 +9,22 @@
 namespace {
 
 constexpr std::uint32_t kMagic = 0x4953534DU;  // "MSSI"
-constexpr std::uint16_t kVersion = 1;
+/// The voter's id has 16 bits in the first version and 64 in the second, which
+/// is written only if the id needs it. Earlier releases read the first one.
+constexpr std::uint16_t kShortIdVersion = 1;
+constexpr std::uint16_t kLongIdVersion = 2;
 
 std::string EncodeIdentity(const Identity& identity) {
   std::string bytes;
   PutNumber(bytes, kMagic);
-  PutNumber(bytes, kVersion);
-  PutNumber(bytes, static_cast<std::uint16_t>(identity.voter));
+  if (const DaemonIdFields id = ToDaemonIdFields(identity.voter);
+      id.address_id == 0) {
+    PutNumber(bytes, kShortIdVersion);
+    PutNumber(bytes, id.number);
+  } else {
+    PutNumber(bytes, kLongIdVersion);
+    PutNumber(bytes, id.address_id);
+  }
   PutNumber(bytes, static_cast<std::uint8_t>(identity.formatted ? 1 : 0));
   PutNumber(bytes, identity.incarnation);
   PutNumber(bytes, static_cast<std::uint32_t>(identity.cluster_id.size()));
@@ -36,11 +46,20 @@
   ByteReader reader(bytes.substr(0, size));
   const auto magic = reader.Take<std::uint32_t>();
   const auto version = reader.Take<std::uint16_t>();
-  const auto voter = reader.Take<std::uint16_t>();
+  if (magic != kMagic ||
+      (version != kShortIdVersion && version != kLongIdVersion)) {
+    return std::nullopt;
+  }
+  std::optional<std::uint64_t> voter;
+  if (version == kShortIdVersion) {
+    voter = reader.Take<std::uint16_t>();
+  } else {
+    voter = reader.Take<std::uint64_t>();
+  }
   const auto formatted = reader.Take<std::uint8_t>();
   const auto incarnation = reader.Take<std::uint64_t>();
   const auto length = reader.Take<std::uint32_t>();
-  if (magic != kMagic || version != kVersion || !length.has_value()) {
+  if (!length.has_value()) {
     return std::nullopt;
   }
   auto cluster_id = reader.TakeString(*length);
--- a/src/mimosastage/storage/internal/identity.h
+++ b/src/mimosastage/storage/internal/identity.h
@@ -16,6 +16,7 @@
 /// The voter that a data folder belongs to.
 struct Identity {
   std::string cluster_id;
+  /// A legacy id in a folder that an earlier release wrote.
   DaemonId voter{};
   /// True if Format wrote the identity, at first install. False if the folder
   /// was empty when the voter started; its data is then lost.
--- a/src/mimosastage/storage/internal/log_records.cc
+++ b/src/mimosastage/storage/internal/log_records.cc
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <utility>
 
+#include "mimosastage/base/daemon_id.h"
 #include "mimosastage/storage/internal/bytes.h"
 
 namespace mimosastage::internal {
@@ -17,7 +18,9 @@
   kKnownIncarnation,
   kSnapshot,
   kTruncate,
-  kEntry
+  kEntry,
+  /// As kKnownIncarnation, for ids that don't fit into 16 bits.
+  kKnownIncarnationOfAddress
 };
 
 void PutKind(std::string& bytes, RecordKind kind) {
@@ -71,6 +74,7 @@
 bool LogContent::ApplyRecord(ByteReader& reader) {
   std::uint8_t intact = 0;
   std::uint16_t voter = 0;
+  std::uint64_t address_id = 0;
   LogIndex index = 0;
   ViewNumber entry_view = 0;
   switch (static_cast<RecordKind>(*reader.Take<std::uint8_t>())) {
@@ -89,6 +93,9 @@
     case RecordKind::kKnownIncarnation:
       return TakeInto(reader, voter) &&
              TakeInto(reader, this->state.incarnations[DaemonId{voter}]);
+    case RecordKind::kKnownIncarnationOfAddress:
+      return TakeInto(reader, address_id) &&
+             TakeInto(reader, this->state.incarnations[DaemonId{address_id}]);
     case RecordKind::kSnapshot:
       if (!TakeInto(reader, index) || !TakeInto(reader, entry_view)) {
         return false;
@@ -186,8 +193,13 @@
 
 void LogRecordWriter::KnownIncarnation(DaemonId voter,
                                        Incarnation incarnation) {
-  PutKind(this->bytes, RecordKind::kKnownIncarnation);
-  PutNumber(this->bytes, static_cast<std::uint16_t>(voter));
+  if (const DaemonIdFields id = ToDaemonIdFields(voter); id.address_id == 0) {
+    PutKind(this->bytes, RecordKind::kKnownIncarnation);
+    PutNumber(this->bytes, id.number);
+  } else {
+    PutKind(this->bytes, RecordKind::kKnownIncarnationOfAddress);
+    PutNumber(this->bytes, id.address_id);
+  }
   PutNumber(this->bytes, incarnation);
 }
 
--- a/tests/daemons/links_test.cc
+++ b/tests/daemons/links_test.cc
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <vector>
 
+#include "mimosastage/base/daemon_id.h"
 #include "mimosastage/daemons/frame_authenticator.h"
 #include "mimosastage/daemons/message_codec.h"
 
@@ -267,6 +268,25 @@
   EXPECT_TRUE(voter.WaitFor([&] { return voter.received.size() == 2; }));
 }
 
+// Guards against an entry that leaves the connection to a voter whose id is
+// higher than that of all anonymous daemons.
+TEST_F(LinksTest, Links_AnonymousDaemonAndAddressId_ComesUp) {
+  const DaemonId voter_id = *DaemonIdFromAddress("127.0.0.1", 7000);
+  Links::Settings voter_settings = SettingsFor(0, 1, 0);
+  voter_settings.own.daemon = voter_id;
+  voter_settings.accept_anonymous = true;
+  TestPeer voter(voter_settings);
+  const auto port = voter.links.Start();
+  ASSERT_TRUE(port.has_value());
+  Links::Settings entry_settings = SettingsFor(0, 0, *port);
+  entry_settings.own.daemon = kAnonymousDaemon;
+  entry_settings.peers[0].daemon = voter_id;
+  TestPeer entry(entry_settings);
+  ASSERT_TRUE(entry.links.Start().has_value());
+  EXPECT_TRUE(entry.WaitFor([&] { return entry.up; }));
+  EXPECT_TRUE(voter.WaitFor([&] { return voter.up; }));
+}
+
 TEST_F(LinksTest, Links_AnonymousDaemonsNotAccepted_NeverComesUp) {
   TestPeer voter(SettingsFor(0, 1, 0));
   const auto port = voter.links.Start();
--- a/tests/platform/wire_test.cc
+++ b/tests/platform/wire_test.cc
@@ -2,6 +2,7 @@
 
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "platform/platform_settings.h"
 #include "platform/wire_calls.h"
@@ -231,6 +232,40 @@
             MakeDaemonSetup(*two).settings.node.founding_membership);
 }
 
+// Guards against voters that take each other's links and votes: the ids of each
+// of these pairs of addresses were equal.
+TEST_F(PlatformSettingsTest, Setup_AddressesThatSharedAnId_AreThreeVoters) {
+  const std::pair<std::string, std::string> pairs[] = {
+      {"10.1.0.19", "10.3.0.39"},
+      {"10.1.0.45", "10.3.0.65"},
+      {"10.1.0.47", "10.3.0.67"}};
+  for (const auto& [first, second] : pairs) {
+    json voter = Voter();
+    voter["ip"] = first;
+    voter["seed_nodes"] = {first + ":8345", "10.2.0.18:8345", second + ":8345"};
+    std::string problem;
+    const auto platform_settings = Read(voter, &problem);
+    ASSERT_TRUE(platform_settings.has_value()) << problem;
+    const DaemonSetup setup = MakeDaemonSetup(*platform_settings);
+    EXPECT_EQ(setup.settings.peers.size(), 2U);
+    std::set<DaemonId> voters;
+    for (const Member& member : setup.settings.node.founding_membership.slots) {
+      voters.insert(member.daemon);
+    }
+    EXPECT_EQ(voters.size(), 3U) << first << " and " << second;
+  }
+}
+
+// Guards against a daemon that can't be told from others with its kind of
+// address.
+TEST_F(PlatformSettingsTest, Read_IpIsNoIpv4Address_ProblemNamesIt) {
+  std::string problem;
+  json voter = Voter();
+  voter["ip"] = "fd00::1";
+  EXPECT_FALSE(Read(voter, &problem).has_value());
+  EXPECT_NE(problem.find("fd00::1"), std::string::npos);
+}
+
 TEST_F(PlatformSettingsTest, Setup_EntryWithoutDataDirectory_IsNoVoter) {
   std::string problem;
   json entry = Voter();
--- a/tests/replication/membership_schedules_test.cc
+++ b/tests/replication/membership_schedules_test.cc
@@ -129,7 +129,7 @@
     }
     for (const Member& member : replica.CommittedMembers().slots) {
       if (member.daemon == kNoVoter ||
-          this->group.Applied(static_cast<std::size_t>(member.daemon)) <
+          this->group.Applied(this->group.IndexOf(member.daemon)) <
               this->final_index) {
         return false;
       }
--- a/tests/replication/support/replication_group.cc
+++ b/tests/replication/support/replication_group.cc
@@ -6,6 +6,7 @@
 #include <tuple>
 #include <variant>
 
+#include "mimosastage/base/daemon_id.h"
 #include "mimosastage/replication/message_codec.h"
 
 namespace mimosastage {
@@ -43,6 +44,24 @@
   return members;
 }
 
+/// Ids of daemons at different addresses whose legacy ids are equal, in
+/// ascending order.
+const std::vector<DaemonId>& AddressesWithOneLegacyId() {
+  static const std::vector<DaemonId> ids = [] {
+    constexpr std::size_t kCount = 16;
+    const std::uint64_t first =
+        static_cast<std::uint64_t>(*DaemonIdFromAddress("10.1.0.19", 7000));
+    std::vector<DaemonId> found;
+    for (std::uint64_t id = first; found.size() < kCount; id += 0x1'0000) {
+      if (LegacyDaemonId(DaemonId{id}) == LegacyDaemonId(DaemonId{first})) {
+        found.push_back(DaemonId{id});
+      }
+    }
+    return found;
+  }();
+  return ids;
+}
+
 }  // namespace
 
 void ApplyToImage(DurableImage& image, DaemonId self, const DurableWrite& write,
@@ -96,9 +115,9 @@
       random(seed),
       daemons(this->voter_count + followers),
       blocked(this->daemons.size(), std::vector<bool>(this->daemons.size())) {
+  this->SetIds(seed);
   for (std::size_t i = 0; i < voters; ++i) {
-    this->newest_membership.slots.push_back(
-        Member{DaemonId{static_cast<std::uint16_t>(i)}, "10.0.0.1", 7000});
+    this->newest_membership.slots.push_back(this->MemberAt(i));
   }
   for (std::size_t i = 0; i < this->daemons.size(); ++i) {
     this->daemons[i].clock_offset = seconds(1000) + this->Random(seconds(500));
@@ -108,6 +127,23 @@
   }
 }
 
+void ReplicationGroup::SetIds(std::uint64_t seed) {
+  const bool by_address = seed / 2 % 2 == 1;
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    this->ids.push_back(by_address ? AddressesWithOneLegacyId().at(i)
+                                   : DaemonId{i});
+  }
+}
+
+std::size_t ReplicationGroup::IndexOf(DaemonId daemon) const {
+  const auto found = std::find(this->ids.begin(), this->ids.end(), daemon);
+  return static_cast<std::size_t>(found - this->ids.begin());
+}
+
+Member ReplicationGroup::MemberAt(std::size_t daemon) const {
+  return Member{this->IdOf(daemon), "10.0.0.1", 7000};
+}
+
 bool ReplicationGroup::Running(std::size_t daemon) const {
   return this->daemons[daemon].running;
 }
@@ -152,7 +188,9 @@
            << d.replica->IsLeader() << " log end " << d.replica->LogEnd()
            << " members " << d.replica->Members().version << ":";
       for (const DaemonId voter : d.replica->Members().Voters()) {
-        text << " " << static_cast<int>(static_cast<std::int16_t>(voter));
+        text << " "
+             << (voter == kNoVoter ? "vacant"
+                                   : std::to_string(this->IndexOf(voter)));
       }
     }
   }
@@ -204,8 +242,7 @@
   // A write in progress may be lost, complete, or end after its snapshot.
   if (auto write = std::exchange(d.disk.unsynced, std::nullopt); write) {
     if (const auto part = this->random() % 3; part > 0) {
-      ApplyToImage(d.disk.synced, DaemonId{static_cast<std::uint16_t>(daemon)},
-                   *write, part == 1);
+      ApplyToImage(d.disk.synced, this->IdOf(daemon), *write, part == 1);
     }
   }
 }
@@ -261,8 +298,7 @@
 }
 
 bool ReplicationGroup::IsMember(std::size_t daemon) const {
-  return this->newest_membership.Contains(
-      DaemonId{static_cast<std::uint16_t>(daemon)});
+  return this->newest_membership.Contains(this->IdOf(daemon));
 }
 
 bool ReplicationGroup::Remove(std::size_t voter) {
@@ -288,7 +324,7 @@
   if (!d.replica->HasAuthority(now)) {
     return;
   }
-  const DaemonId self{static_cast<std::uint16_t>(leader)};
+  const DaemonId self = this->IdOf(leader);
   if (const Membership& known = d.replica->CommittedMembers();
       known.version > this->newest_membership.version) {
     this->newest_membership = known;
@@ -338,7 +374,7 @@
   if (d.members.version == 0) {
     return;
   }
-  const DaemonId self{static_cast<std::uint16_t>(daemon)};
+  const DaemonId self = this->IdOf(daemon);
   if (d.members.Contains(self)) {
     if (d.replica == nullptr) {
       d.disk_invalid = true;
@@ -349,14 +385,13 @@
   }
   Daemon& to = this->daemons[leader];
   if (to.running && !to.frozen) {
-    to.planner.OnCandidate(Member{self, "10.0.0.1", 7000}, this->Now(leader));
+    to.planner.OnCandidate(this->MemberAt(daemon), this->Now(leader));
   }
 }
 
 void ReplicationGroup::ClearReplacedVoters() {
   for (std::size_t i = 0; i < this->voter_count; ++i) {
-    const bool waits = !this->newest_membership.Contains(
-                           DaemonId{static_cast<std::uint16_t>(i)}) ||
+    const bool waits = !this->newest_membership.Contains(this->IdOf(i)) ||
                        this->daemons[i].disk_invalid;
     if (waits && this->IsMember(i)) {
       return;
@@ -515,7 +550,7 @@
 
 void ReplicationGroup::SendMessage(std::size_t from, DaemonId to,
                                    ReplicationMessage message) {
-  const std::size_t target = static_cast<std::size_t>(to);
+  const std::size_t target = this->IndexOf(to);
   if (this->encode) {
     message = *Decode(Encode(message));
   }
@@ -545,7 +580,7 @@
   if (!d.running || lost || this->blocked[from][to]) {
     return;
   }
-  const DaemonId sender{static_cast<std::uint16_t>(from)};
+  const DaemonId sender = this->IdOf(from);
   if (d.frozen) {
     d.waiting.emplace_back(sender, message);
     return;
@@ -594,7 +629,7 @@
     });
     return;
   }
-  const DaemonId self{static_cast<std::uint16_t>(voter)};
+  const DaemonId self = this->IdOf(voter);
   const DurableWrite write = *std::exchange(d.disk.unsynced, std::nullopt);
   ApplyToImage(d.disk.synced, self, write);
   if (!d.disk.synced.starts.empty()) {
@@ -613,7 +648,7 @@
   if (!this->changes_members || this->daemons[voter].disk.synced.intact) {
     std::vector<DaemonId> voters;
     for (std::size_t i = 0; i < this->founders; ++i) {
-      voters.push_back(DaemonId{static_cast<std::uint16_t>(i)});
+      voters.push_back(this->IdOf(i));
     }
     this->StartReplica(voter, voters);
   }
@@ -622,7 +657,7 @@
 void ReplicationGroup::StartReplica(std::size_t voter,
                                     const std::vector<DaemonId>& voters) {
   Daemon& d = this->daemons[voter];
-  const DaemonId self{static_cast<std::uint16_t>(voter)};
+  const DaemonId self = this->IdOf(voter);
   DurableImage& image = d.disk.synced;
   image.incarnation = AddStart(image.starts, this->random());
   d.latest_incarnation = std::max(d.latest_incarnation, image.incarnation);
@@ -631,7 +666,7 @@
   config.seed = this->random();
   config.voters = voters;
   for (std::size_t i = this->voter_count; i < this->daemons.size(); ++i) {
-    config.followers.push_back(DaemonId{static_cast<std::uint16_t>(i)});
+    config.followers.push_back(this->IdOf(i));
   }
   config.timing.incarnation_renewal = seconds(2);
   // Small limits, so that short runs include snapshots and partial responses.
@@ -663,7 +698,7 @@
 void ReplicationGroup::StartFollower(std::size_t daemon) {
   FollowerConfig config;
   for (std::size_t i = 0; i < this->voter_count; ++i) {
-    config.voters.push_back(DaemonId{static_cast<std::uint16_t>(i)});
+    config.voters.push_back(this->IdOf(i));
   }
   Follower::Hooks hooks;
   hooks.send = [this, daemon](DaemonId to, ReplicationMessage message) {
@@ -798,10 +833,10 @@
   const auto tolerates_loss = [&](const Membership& members) {
     std::size_t lost = 0;
     for (const Member& member : members.slots) {
-      const auto i = static_cast<std::size_t>(member.daemon);
-      lost += member.daemon == kNoVoter || i == voter || this->CountsAsLost(i)
-                  ? 1
-                  : 0;
+      const bool counts = member.daemon == kNoVoter ||
+                          member.daemon == this->IdOf(voter) ||
+                          this->CountsAsLost(this->IndexOf(member.daemon));
+      lost += counts ? 1 : 0;
     }
     return lost <= this->Faults();
   };
@@ -826,7 +861,7 @@
       const auto& known = this->daemons[j].disk.synced.incarnations;
       const bool knows =
           std::any_of(known.begin(), known.end(), [&](const auto& item) {
-            return static_cast<std::size_t>(item.first) == i &&
+            return item.first == this->IdOf(i) &&
                    item.second == this->daemons[i].latest_incarnation;
           });
       lacking += j != i && this->IsMember(j) && !knows ? 1 : 0;
--- a/tests/replication/support/replication_group.h
+++ b/tests/replication/support/replication_group.h
@@ -45,7 +45,9 @@
 /// Deterministic for a given seed. Compares every applied command with one list
 /// of accepted commands and records the first violation. With spares, voters
 /// can be removed permanently, and the leader's planner replaces them by
-/// spares, which start with an empty disk.
+/// spares, which start with an empty disk. The daemons' ids are positions in a
+/// list, or, with two of every four seeds, made of addresses whose legacy ids
+/// are equal.
 class ReplicationGroup {
  public:
   ReplicationGroup(std::size_t voters, std::size_t followers,
@@ -66,6 +68,8 @@
   /// while it is stopped, frozen or partitioned or its disk is invalid, and
   /// until kCatchUpTime after it resumed.
   bool Remove(std::size_t voter);
+  /// The position of the daemon with this id; Size() if there is none.
+  std::size_t IndexOf(DaemonId daemon) const;
   std::size_t Size() const { return this->daemons.size(); }
   bool Running(std::size_t daemon) const;
   Replica* VoterAt(std::size_t daemon);
@@ -108,6 +112,10 @@
   void Heal();
 
  private:
+  void SetIds(std::uint64_t seed);
+  DaemonId IdOf(std::size_t daemon) const { return this->ids[daemon]; }
+  Member MemberAt(std::size_t daemon) const;
+
   struct Daemon {
     std::unique_ptr<Replica> replica;
     std::unique_ptr<Follower> follower;
@@ -184,6 +192,7 @@
   Membership newest_membership;
   std::mt19937_64 random;
   std::vector<Daemon> daemons;
+  std::vector<DaemonId> ids;
   std::vector<std::vector<bool>> blocked;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
   std::uint64_t next_order = 0;
--- a/tests/system/job_cluster_test.cc
+++ b/tests/system/job_cluster_test.cc
@@ -6,9 +6,11 @@
 #include <array>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 
+#include "mimosastage/base/daemon_id.h"
 #include "tests/system/support/fake_platform_worker.h"
 #include "tests/system/support/http.h"
 #include "tests/system/support/process.h"
@@ -59,7 +61,10 @@
   }
 
   std::string Address(int host) const {
-    return this->network + std::to_string(100 + host);
+    const auto chosen = this->addresses.find(host);
+    return chosen != this->addresses.end()
+               ? chosen->second
+               : this->network + std::to_string(100 + host);
   }
   std::string ControlAddress(int daemon) const {
     return this->Address(daemon) + ":8345";
@@ -200,11 +205,68 @@
   /// start it.
   static constexpr int kReplacement = 4;
   std::string network;
+  /// Addresses of hosts that aren't in `network`.
+  std::map<int, std::string> addresses;
   std::filesystem::path folder;
   std::array<std::unique_ptr<Process>, kDaemons + 1> daemons;
   std::vector<std::unique_ptr<FakePlatformWorker>> workers;
 };
 
+/// All daemons are at addresses whose legacy ids, hashes of 15 bits, are equal.
+class EqualLegacyIdsTest : public JobClusterTest {
+ protected:
+  void SetUp() override {
+    const auto legacy_id = [](const std::string& ip) {
+      return LegacyDaemonId(*DaemonIdFromAddress(ip, 7000));
+    };
+    // Test programs that run at the same time have different first addresses.
+    const int pid = getpid();
+    this->addresses[0] = "127." + std::to_string(192 + pid % 60) + "." +
+                         std::to_string((pid >> 8) & 0xff) + "." +
+                         std::to_string(1 + (pid & 0x7f));
+    const auto wanted = legacy_id(this->addresses[0]);
+    for (int i = 0; i < 60 << 16 && this->addresses.size() < kAllDaemons; ++i) {
+      const std::string ip = "127." + std::to_string(192 + i % 60) + "." +
+                             std::to_string((i / 60) & 0xff) + "." +
+                             std::to_string((i / 60) >> 8);
+      if (legacy_id(ip) == wanted && ip != this->addresses[0]) {
+        const int daemon = static_cast<int>(this->addresses.size());
+        this->addresses[daemon] = ip;
+      }
+    }
+    ASSERT_EQ(this->addresses.size(), kAllDaemons);
+    JobClusterTest::SetUp();
+  }
+
+  static constexpr std::size_t kAllDaemons = kReplacement + 1;
+};
+
+// Guards against voters that take each other's links and votes because their
+// addresses give one id: no configuration came into force, and no job was
+// accepted.
+TEST_F(EqualLegacyIdsTest, Submit_VotersAndEntry_JobsComplete) {
+  for (int victim = 0; victim < kVoters; ++victim) {
+    const std::string id = "job" + std::to_string(victim);
+    ASSERT_TRUE(this->Submit(id));
+    this->KillDaemon(victim);
+    EXPECT_TRUE(this->Completes(id));
+    this->StartDaemon(victim, false);
+  }
+  this->ExpectEachDoneOnce(3 * kVoters);
+}
+
+// Guards against a replacement that never becomes a member because its address
+// and that of a voter give one id.
+TEST_F(EqualLegacyIdsTest, Replace_VoterAtAnotherAddress_BecomesMember) {
+  ASSERT_EQ(this->Configure(5), 200);
+  this->KillDaemon(0);
+  this->StartDaemon(kReplacement, false, {kReplacement, 1, 2});
+  ASSERT_TRUE(this->WaitForLog(kReplacement, "version 3: "));
+  EXPECT_TRUE(Eventually([&] {
+    return this->ConfigurationVersionAt(kReplacement) == "\"version\":5";
+  }));
+}
+
 TEST_F(JobClusterTest, Submit_AllDaemonsRunning_EachTaskRunsOnce) {
   ASSERT_TRUE(this->Submit("job1"));
   EXPECT_TRUE(this->Completes("job1"));
