Refuse a list of voters in which two slots have one daemon

A membership with one daemon in two slots came into force, and the daemon's vote then counted as two, in quorums that don't overlap with others.

A founder that the settings list twice has one slot.

Seen to fail with a HasDistinctVoters that is always true: MembershipTest.Successor_TwoSlotsHaveOneDaemon_IsRefused and Codec_TwoSlotsHaveOneDaemon_IsNoMembership.

--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -215,7 +215,9 @@
   for (const auto& row : notice.members) {
     announced.slots.push_back(ToMember(*row));
   }
-  if (announced.version > this->members.version) {
+  if (!announced.HasDistinctVoters()) {
+    this->hooks.count_drop("members_with_equal_ids");
+  } else if (announced.version > this->members.version) {
     this->AdoptMembership(announced);
     if (this->replica != nullptr) {
       this->replica->LearnMembership(this->members, now);
--- a/src/mimosastage/replication/membership.cc
+++ b/src/mimosastage/replication/membership.cc
@@ -93,6 +93,9 @@
   for (const wire::Member* row : *table->slots()) {
     membership.slots.push_back(ToMember(*row));
   }
+  if (!membership.HasDistinctVoters()) {
+    return std::nullopt;
+  }
   return membership;
 }
 
@@ -114,6 +117,13 @@
   return voters;
 }
 
+bool Membership::HasDistinctVoters() const {
+  std::vector<DaemonId> voters = this->Voters();
+  std::erase(voters, kNoVoter);
+  std::sort(voters.begin(), voters.end());
+  return std::adjacent_find(voters.begin(), voters.end()) == voters.end();
+}
+
 Membership FoundingMembership(std::vector<Member> founders,
                               std::size_t losses) {
   Membership membership;
@@ -121,6 +131,9 @@
   std::sort(
       membership.slots.begin(), membership.slots.end(),
       [](const Member& a, const Member& b) { return a.daemon < b.daemon; });
+  membership.slots.erase(
+      std::unique(membership.slots.begin(), membership.slots.end()),
+      membership.slots.end());
   const std::size_t slots =
       std::max(membership.slots.size() | 1U, 2 * losses + 1);
   membership.slots.resize(slots, VacantSlot());
@@ -129,7 +142,7 @@
 
 bool IsValidSuccessor(const Membership& current, const Membership& next) {
   if (next.version != current.version + 1 ||
-      next.slots.size() != current.slots.size()) {
+      next.slots.size() != current.slots.size() || !next.HasDistinctVoters()) {
     return false;
   }
   std::size_t changed = 0;
--- a/src/mimosastage/replication/membership.h
+++ b/src/mimosastage/replication/membership.h
@@ -30,29 +30,34 @@
   bool Contains(DaemonId daemon) const;
   /// The occupants in slot order, kNoVoter for a vacant slot.
   std::vector<DaemonId> Voters() const;
+  /// False if two slots have the same daemon. Votes of one daemon would then
+  /// count as those of two.
+  bool HasDistinctVoters() const;
   bool operator==(const Membership&) const = default;
 };
 
 /// The membership of a first start. It has 2f + 1 slots to tolerate f losses,
 /// or more if needed to give each founder a slot, and always an odd number. The
 /// founders are sorted by id, so that all daemons compute the same membership.
-/// Vacant slots are filled later.
+/// A founder that is listed twice has one slot. Vacant slots are filled later.
 Membership FoundingMembership(std::vector<Member> founders, std::size_t losses);
 
 /// True if `next` is a valid successor of `current`: its version is the next
-/// one, and at most one slot was filled or vacated.
+/// one, its voters are distinct, and at most one slot was filled or vacated.
 bool IsValidSuccessor(const Membership& current, const Membership& next);
 
 /// Encodes a membership as the command of a log entry. The membership takes
 /// effect with that entry.
 std::string EncodeMembership(const Membership& membership);
-/// std::nullopt if `command` isn't an encoded membership.
+/// std::nullopt if `command` isn't an encoded membership, or if two of its
+/// slots have the same daemon.
 std::optional<Membership> DecodeMembership(std::string_view command);
 
 /// Combines a snapshot of the state machine with the membership at its index.
 std::string WrapSnapshot(const Membership& membership, std::string_view state);
 struct UnwrappedSnapshot {
-  /// std::nullopt for a snapshot of a group whose membership never changed.
+  /// std::nullopt for a snapshot of a group whose membership never changed, and
+  /// for a membership in which two slots have the same daemon.
   std::optional<Membership> membership;
   std::string_view state;
 };
--- a/tests/replication/membership_test.cc
+++ b/tests/replication/membership_test.cc
@@ -70,6 +70,35 @@
   EXPECT_FALSE(IsValidSuccessor(this->group, next));
 }
 
+// Guards against a daemon whose vote counts as two, in a quorum that doesn't
+// overlap with others.
+TEST_F(MembershipTest, Successor_TwoSlotsHaveOneDaemon_IsRefused) {
+  Membership equal{0, {At(1), At(2), At(2)}};
+  Membership first = equal;
+  first.version = 1;
+  EXPECT_FALSE(equal.HasDistinctVoters());
+  EXPECT_FALSE(IsValidSuccessor(equal, first))
+      << "the founders must not come into the log";
+  equal.slots[1].address = "10.0.0.9";
+  EXPECT_FALSE(equal.HasDistinctVoters()) << "the address doesn't matter";
+  EXPECT_TRUE(
+      (Membership{1, {VacantSlot(), At(2), VacantSlot()}}).HasDistinctVoters());
+}
+
+TEST_F(MembershipTest, Founding_FounderIsListedTwice_HasOneSlot) {
+  const Membership founding =
+      FoundingMembership({At(2), At(1), At(2), At(3)}, 1);
+  EXPECT_EQ(founding, FoundingMembership({At(1), At(2), At(3)}, 1));
+}
+
+TEST_F(MembershipTest, Codec_TwoSlotsHaveOneDaemon_IsNoMembership) {
+  const Membership equal{4, {At(1), At(2), At(2)}};
+  EXPECT_FALSE(DecodeMembership(EncodeMembership(equal)).has_value());
+  const std::string snapshot = WrapSnapshot(equal, "state");
+  EXPECT_FALSE(UnwrapSnapshot(snapshot).membership.has_value());
+  EXPECT_EQ(UnwrapSnapshot(snapshot).state, "state");
+}
+
 TEST_F(MembershipTest, Codec_EntryAndSnapshot_RoundTrip) {
   const Membership vacant = this->With(1, VacantSlot());
   EXPECT_EQ(DecodeMembership(EncodeMembership(vacant)), vacant);
