Refuse a second daemon whose id is in use, and say so

When two daemons had one id, each new link replaced the other's, 1,850 times in 45 s, and the log had only lines of severity info. The second one can be a clone of a disk or copied settings at another address.

The hello now has a number that the process drew at its start. While a link to a peer is open, a link of another process with the same id is refused. The refused process gets no frame but the hello, so it doesn't count itself as connected, and its delay between attempts grows. daemon_id_in_use counts each refusal. If the first process is still heard more than a heartbeat interval later, an error line names both addresses and the remedy, at most once a minute for each id. A restarted daemon whose former link nobody closed is therefore not reported, but waits until that link is silent for the limit, where before it replaced it at once.

A link that opens and closes more than four times in 10 s is reported once with the number of further changes (link_unstable). Both programs use the same LinkLog.

Seen to fail with links that are never refused: LinksTest.Links_SecondProcessWithOneId_IsRefusedAndReportedOnce and FailoverTest.VoterIsCloned_CloneIsRefused_GroupServes, which runs real processes.

--- a/src/mimosastage/daemons/hello_generated.h
+++ b/src/mimosastage/daemons/hello_generated.h
@@ -26,7 +26,8 @@
     VT_CLUSTER = 6,
     VT_DAEMON = 8,
     VT_NONCE = 10,
-    VT_ADDRESS_ID = 12
+    VT_ADDRESS_ID = 12,
+    VT_SESSION = 14
   };
   uint16_t version() const {
     return GetField<uint16_t>(VT_VERSION, 0);
@@ -43,6 +44,9 @@
   uint64_t address_id() const {
     return GetField<uint64_t>(VT_ADDRESS_ID, 0);
   }
+  uint64_t session() const {
+    return GetField<uint64_t>(VT_SESSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_VERSION, 2) &&
@@ -52,6 +56,7 @@
            VerifyOffset(verifier, VT_NONCE) &&
            verifier.VerifyVector(nonce()) &&
            VerifyField<uint64_t>(verifier, VT_ADDRESS_ID, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SESSION, 8) &&
            verifier.EndTable();
   }
 };
@@ -75,6 +80,9 @@
   void add_address_id(uint64_t address_id) {
     fbb_.AddElement<uint64_t>(Hello::VT_ADDRESS_ID, address_id, 0);
   }
+  void add_session(uint64_t session) {
+    fbb_.AddElement<uint64_t>(Hello::VT_SESSION, session, 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -92,8 +100,10 @@
     flatbuffers::Offset<flatbuffers::String> cluster = 0,
     uint16_t daemon = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> nonce = 0,
-    uint64_t address_id = 0) {
+    uint64_t address_id = 0,
+    uint64_t session = 0) {
   HelloBuilder builder_(_fbb);
+  builder_.add_session(session);
   builder_.add_address_id(address_id);
   builder_.add_nonce(nonce);
   builder_.add_cluster(cluster);
@@ -108,7 +118,8 @@
     const char *cluster = nullptr,
     uint16_t daemon = 0,
     const std::vector<uint8_t> *nonce = nullptr,
-    uint64_t address_id = 0) {
+    uint64_t address_id = 0,
+    uint64_t session = 0) {
   auto cluster__ = cluster ? _fbb.CreateString(cluster) : 0;
   auto nonce__ = nonce ? _fbb.CreateVector<uint8_t>(*nonce) : 0;
   return mimosastage::link_wire::CreateHello(
@@ -117,7 +128,8 @@
       cluster__,
       daemon,
       nonce__,
-      address_id);
+      address_id,
+      session);
 }
 
 inline const mimosastage::link_wire::Hello *GetHello(const void *buf) {
--- a/src/mimosastage/daemons/internal/link.cc
+++ b/src/mimosastage/daemons/internal/link.cc
@@ -38,14 +38,25 @@
   return size;
 }
 
+std::string AddressOf(const asio::ip::tcp::socket& socket) {
+  asio::error_code error;
+  const auto endpoint = socket.remote_endpoint(error);
+  return error ? "unknown"
+               : endpoint.address().to_string() + ":" +
+                     std::to_string(endpoint.port());
+}
+
 }  // namespace
 
 Link::Link(asio::ip::tcp::socket socket, const Links::Settings& settings,
-           std::optional<DaemonId> expected_peer, Hooks hooks)
+           std::uint64_t session, std::optional<DaemonId> expected_peer,
+           Hooks hooks)
     : socket(std::move(socket)),
       settings(settings),
+      session(session),
       expected_peer(expected_peer),
       hooks(std::move(hooks)),
+      remote_address(AddressOf(this->socket)),
       heartbeat_timer(this->socket.get_executor()),
       last_received(std::chrono::steady_clock::now()),
       self{settings.own.daemon, GenerateLinkNonce()} {}
@@ -91,7 +102,7 @@
   builder.Finish(link_wire::CreateHello(
       builder, id.address_id == 0 ? kShortIdVersion : kLongIdVersion,
       builder.CreateString(this->settings.cluster), id.number, nonce,
-      id.address_id));
+      id.address_id, this->session));
   const std::string_view payload(
       reinterpret_cast<const char*>(builder.GetBufferPointer()),
       builder.GetSize());
@@ -179,10 +190,15 @@
     this->hooks.on_drop("unknown_daemon");
     return false;
   }
-  this->send_authenticator.emplace(this->settings.link_key, this->self,
-                                   this->peer);
   this->receive_authenticator.emplace(this->settings.link_key, this->peer,
                                       this->self);
+  this->peer_session = hello->session();
+  this->refused = !this->hooks.may_come_up(*this);
+  if (this->refused) {
+    return true;
+  }
+  this->send_authenticator.emplace(this->settings.link_key, this->self,
+                                   this->peer);
   // An empty message is a heartbeat. The first one proves to the peer that this
   // end knows the link key.
   this->Enqueue(BuildFrame({}, this->send_authenticator->NextTag({})));
@@ -201,9 +217,16 @@
     this->hooks.on_drop("bad_frame_tag");
     return false;
   }
+  if (this->refused) {
+    this->hooks.on_refused(*this);
+    return false;
+  }
   this->last_received = std::chrono::steady_clock::now();
   if (!std::exchange(this->up, true)) {
     this->hooks.on_up(this->shared_from_this());
+    if (this->closed) {
+      return false;
+    }
   }
   if (size > 0) {
     this->body.resize(size);
--- a/src/mimosastage/daemons/internal/link.h
+++ b/src/mimosastage/daemons/internal/link.h
@@ -21,6 +21,11 @@
 class Link : public std::enable_shared_from_this<Link> {
  public:
   struct Hooks {
+    /// Called with the peer's hello. If false, the link doesn't come up.
+    std::function<bool(const Link&)> may_come_up;
+    /// The peer of a link that may not come up has proved its knowledge of the
+    /// link key. The link closes then.
+    std::function<void(const Link&)> on_refused;
     /// The peer has proved its knowledge of the link key.
     std::function<void(const std::shared_ptr<Link>&)> on_up;
     std::function<void(DaemonId from, std::string&& message)> on_message;
@@ -29,10 +34,12 @@
     std::function<void(std::size_t sent, std::size_t received)> on_bytes;
   };
 
-  /// `expected_peer` is the peer that was dialled. An accepted connection has
-  /// none and learns its peer from the hello.
+  /// `session` identifies this process. `expected_peer` is the peer that was
+  /// dialled. An accepted connection has none and learns its peer from the
+  /// hello.
   Link(asio::ip::tcp::socket socket, const Links::Settings& settings,
-       std::optional<DaemonId> expected_peer, Hooks hooks);
+       std::uint64_t session, std::optional<DaemonId> expected_peer,
+       Hooks hooks);
 
   void Start();
   void Close();
@@ -43,6 +50,14 @@
   }
   bool IsAnonymous() const { return this->peer.daemon == kAnonymousDaemon; }
   void AssignId(DaemonId id) { this->assigned_id = id; }
+  /// Identifies the peer's process; 0 if its release doesn't send it.
+  std::uint64_t PeerSession() const { return this->peer_session; }
+  /// IP:PORT of the other end of the connection.
+  const std::string& RemoteAddress() const { return this->remote_address; }
+  /// When the last authenticated frame was received.
+  std::chrono::steady_clock::time_point LastReceived() const {
+    return this->last_received;
+  }
 
  private:
   void SendHello();
@@ -58,13 +73,19 @@
 
   asio::ip::tcp::socket socket;
   const Links::Settings& settings;
+  std::uint64_t session;
   std::optional<DaemonId> expected_peer;
   Hooks hooks;
+  std::string remote_address;
   asio::steady_timer heartbeat_timer;
   std::chrono::steady_clock::time_point last_received;
   LinkEndpoint self;
   LinkEndpoint peer;
   std::optional<DaemonId> assigned_id;
+  std::uint64_t peer_session = 0;
+  /// The link may not come up. It sends nothing, so that the peer doesn't count
+  /// it as up, and closes once the peer is authenticated.
+  bool refused = false;
   std::optional<FrameAuthenticator> send_authenticator;
   std::optional<FrameAuthenticator> receive_authenticator;
   bool up = false;
--- a/src/mimosastage/daemons/links.cc
+++ b/src/mimosastage/daemons/links.cc
@@ -2,6 +2,7 @@
 
 #include <asio.hpp>
 #include <atomic>
+#include <cstring>
 #include <map>
 #include <random>
 #include <set>
@@ -20,6 +21,16 @@
 /// are closed at once.
 constexpr std::size_t kMaxUnauthenticatedLinks = 64;
 constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
+/// Ids for which conflicts are reported at the same time. Refused links of
+/// further ids are only counted.
+constexpr std::size_t kMaxConflicts = 64;
+
+std::uint64_t DrawSession() {
+  const LinkNonce nonce = GenerateLinkNonce();
+  std::uint64_t session = 0;
+  std::memcpy(&session, nonce.data(), sizeof(session));
+  return session | 1U;
+}
 
 }  // namespace
 
@@ -77,6 +88,10 @@
 
   void StartLink(tcp::socket socket, std::optional<DaemonId> expected) {
     Link::Hooks link_hooks;
+    link_hooks.may_come_up = [this](const Link& link) {
+      return !this->IsIdInUse(link);
+    };
+    link_hooks.on_refused = [this](const Link& link) { this->OnRefused(link); };
     link_hooks.on_up = [this](const std::shared_ptr<Link>& link) {
       this->OnUp(link);
     };
@@ -86,8 +101,9 @@
     link_hooks.on_closed = [this, expected](const std::shared_ptr<Link>& link) {
       this->OnClosed(link, expected);
     };
-    auto link = std::make_shared<Link>(std::move(socket), this->settings,
-                                       expected, std::move(link_hooks));
+    auto link =
+        std::make_shared<Link>(std::move(socket), this->settings, this->session,
+                               expected, std::move(link_hooks));
     this->unauthenticated_links.insert(link);
     link->Start();
   }
@@ -96,6 +112,11 @@
     this->unauthenticated_links.erase(link);
     if (link->IsAnonymous()) {
       link->AssignId(this->NextAnonymousId());
+    } else if (this->IsIdInUse(*link)) {
+      // Another process with this id came up after this link's hello.
+      this->OnRefused(*link);
+      link->Close();
+      return;
     }
     this->backoff.erase(link->Peer());
     auto& current = this->authenticated_links[link->Peer()];
@@ -107,6 +128,68 @@
     }
   }
 
+  /// True if another process has the id of the link's peer: this one, or one
+  /// with an open link.
+  bool IsIdInUse(const Link& link) const {
+    if (link.IsAnonymous()) {
+      return false;
+    }
+    if (link.Peer() == this->settings.own.daemon) {
+      return true;
+    }
+    const auto current = this->authenticated_links.find(link.Peer());
+    return current != this->authenticated_links.end() &&
+           current->second->PeerSession() != link.PeerSession();
+  }
+
+  void OnRefused(const Link& link) {
+    this->hooks.on_drop("daemon_id_in_use");
+    const DaemonId daemon = link.Peer();
+    if (!this->hooks.on_id_conflict ||
+        (this->conflicts.size() >= kMaxConflicts &&
+         !this->conflicts.contains(daemon))) {
+      return;
+    }
+    Conflict& conflict = this->conflicts[daemon];
+    ++conflict.refusals;
+    conflict.second = link.RemoteAddress();
+    if (!conflict.check_pending) {
+      conflict.check_pending = true;
+      this->CheckConflictLater(daemon);
+    }
+  }
+
+  /// Reports the conflict if the first daemon is still heard some time after
+  /// the second one was refused. A daemon that was restarted isn't, although
+  /// its former link may still be open. An idle daemon sends a frame at least
+  /// every second heartbeat interval.
+  void CheckConflictLater(DaemonId daemon) {
+    const auto refused_at = std::chrono::steady_clock::now();
+    auto timer = std::make_shared<asio::steady_timer>(this->io);
+    timer->expires_after(3 * this->settings.heartbeat);
+    timer->async_wait([this, timer, daemon, refused_at](asio::error_code) {
+      this->conflicts[daemon].check_pending = false;
+      const auto first = this->authenticated_links.find(daemon);
+      if (first != this->authenticated_links.end() &&
+          first->second->LastReceived() >
+              refused_at + this->settings.heartbeat) {
+        this->ReportConflict(daemon, first->second->RemoteAddress());
+      }
+    });
+  }
+
+  void ReportConflict(DaemonId daemon, std::string first) {
+    Conflict& conflict = this->conflicts[daemon];
+    const auto now = std::chrono::steady_clock::now();
+    if (conflict.reported.has_value() &&
+        now - *conflict.reported < Links::kConflictReportInterval) {
+      return;
+    }
+    conflict.reported = now;
+    this->hooks.on_id_conflict({daemon, std::move(first), conflict.second,
+                                std::exchange(conflict.refusals, 0)});
+  }
+
   DaemonId NextAnonymousId() {
     constexpr auto kFirst = static_cast<std::uint16_t>(kFirstAnonymousId);
     constexpr auto kLast = static_cast<std::uint16_t>(kAnonymousDaemon) - 1;
@@ -231,6 +314,8 @@
 
   Settings settings;
   Hooks hooks;
+  /// Identifies this process in its hellos.
+  const std::uint64_t session = DrawSession();
   asio::io_context io{1};
   tcp::acceptor acceptor;
   asio::steady_timer accept_retry_timer;
@@ -241,6 +326,15 @@
   bool stopping = false;
   std::uint16_t last_anonymous_id =
       static_cast<std::uint16_t>(kFirstAnonymousId);
+  struct Conflict {
+    /// Links refused since the last report.
+    std::size_t refusals = 0;
+    /// IP:PORT of the daemon that was refused last.
+    std::string second;
+    bool check_pending = false;
+    std::optional<std::chrono::steady_clock::time_point> reported;
+  };
+  std::map<DaemonId, Conflict> conflicts;
   std::set<std::shared_ptr<Link>> unauthenticated_links;
   std::map<DaemonId, std::shared_ptr<Link>> authenticated_links;
   std::map<DaemonId, std::chrono::milliseconds> backoff;
--- a/src/mimosastage/daemons/links.h
+++ b/src/mimosastage/daemons/links.h
@@ -23,12 +23,27 @@
 inline constexpr DaemonId kAnonymousDaemon{0xffff};
 inline constexpr DaemonId kFirstAnonymousId{0x8000};
 
+/// Two processes connected with the same id.
+struct DaemonIdConflict {
+  DaemonId daemon{};
+  /// IP:PORT of the daemon that keeps its link.
+  std::string first;
+  /// IP:PORT of the daemon whose links are refused.
+  std::string second;
+  /// Links refused since the last report.
+  std::size_t refusals = 0;
+};
+
 /// Authenticated TCP connections to all other daemons, on one thread. Messages
 /// may be lost when a connection breaks or a queue is full, but are never
 /// modified, duplicated or reordered within one connection. Of each pair of
 /// daemons the one with the higher id connects. An anonymous daemon, and one
 /// with Settings::dial_all, connects to all its peers, because peers that don't
 /// list it never connect to it.
+///
+/// A daemon whose id another process uses is refused, and its connections are
+/// closed before it counts as connected. Its id is free again once the link of
+/// the other process is closed.
 class Links {
  public:
   struct Settings {
@@ -67,6 +82,10 @@
     std::function<void(std::size_t sent, std::size_t received)> on_bytes;
     /// Called after Wake.
     std::function<void()> on_wake;
+    /// A process was refused because another one that is alive has its id. Not
+    /// called for a restarted daemon whose former link isn't closed yet. Called
+    /// at most once in kConflictReportInterval for each id. Optional.
+    std::function<void(const DaemonIdConflict& conflict)> on_id_conflict;
   };
 
   Links(Settings settings, Hooks hooks);
@@ -91,6 +110,7 @@
   void Send(DaemonId to, std::string&& message);
 
   static constexpr std::size_t kMaxMessageBytes = 1U << 20U;
+  static constexpr std::chrono::seconds kConflictReportInterval{60};
 
  private:
   struct Impl;
--- a/src/mimosastage/node/daemon.cc
+++ b/src/mimosastage/node/daemon.cc
@@ -15,6 +15,7 @@
 #include "mimosastage/base/wake_signal.h"
 #include "mimosastage/daemons/links.h"
 #include "mimosastage/http/http_server.h"
+#include "mimosastage/node/link_log.h"
 #include "mimosastage/node/node.h"
 #include "mimosastage/storage/data_folder.h"
 #include "mimosastage/storage/storage_thread.h"
@@ -112,6 +113,10 @@
   std::unique_ptr<StorageThread> storage;
   std::unique_ptr<HttpServer> callers;
   std::unique_ptr<HttpServer> operators;
+  /// Used on the links' thread.
+  LinkLog link_log{[this](DaemonId peer) {
+    return this->settings.daemons[static_cast<std::size_t>(peer)].name;
+  }};
   std::unique_ptr<Links> links;
   std::unique_ptr<ExchangeClient> exchanges;
   std::unique_ptr<Node> node;
@@ -250,11 +255,7 @@
     }
   };
   link_hooks.on_state = [this](DaemonId peer, bool up) {
-    LogEvent(LogSeverity::kInfo, up ? events::kLinkOpened : events::kLinkClosed,
-             up ? "link to another daemon is open"
-                : "link to another daemon is closed")
-        .With("peer",
-              this->settings.daemons[static_cast<std::size_t>(peer)].name);
+    this->link_log.OnState(peer, up, LeaseClock::now());
     if (!this->from_daemons.Push(DaemonEvent{peer, std::nullopt, up})) {
       this->metrics.Add(metrics::kDrops, "link_state_ring_full");
     }
@@ -266,7 +267,11 @@
     this->metrics.Add(metrics::kLinkBytes, "sent", sent);
     this->metrics.Add(metrics::kLinkBytes, "received", received);
   };
+  link_hooks.on_id_conflict = [this](const DaemonIdConflict& conflict) {
+    this->link_log.OnIdConflict(conflict);
+  };
   link_hooks.on_wake = [this] {
+    this->link_log.WriteSummaries(LeaseClock::now());
     this->to_daemons.Drain(
         [this](OutgoingMessage&& out) {
           this->links->Send(out.to, std::move(out.message));
--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -14,6 +14,7 @@
 #include "mimosastage/base/daemon_id.h"
 #include "mimosastage/base/ring.h"
 #include "mimosastage/base/wake_signal.h"
+#include "mimosastage/node/link_log.h"
 #include "mimosastage/storage/data_folder.h"
 #include "mimosastage/storage/storage_thread.h"
 #include "mimosastage/telemetry/log.h"
@@ -167,6 +168,8 @@
   Ring<LinkOrder> to_daemons{kRingCapacity, [this] { this->links->Wake(); }};
   std::unique_ptr<DataFolder> folder;
   std::unique_ptr<StorageThread> storage;
+  /// Used on the links' thread.
+  LinkLog link_log{DaemonIdText};
   std::unique_ptr<Links> links;
   std::unique_ptr<ExchangeClient> exchanges;
   std::unique_ptr<JobNode> node;
@@ -356,10 +359,7 @@
     }
   };
   hooks.on_state = [this](DaemonId peer, bool up) {
-    LogEvent(LogSeverity::kInfo, up ? events::kLinkOpened : events::kLinkClosed,
-             up ? "link to another daemon is open"
-                : "link to another daemon is closed")
-        .With("peer", DaemonIdText(peer));
+    this->link_log.OnState(peer, up, LeaseClock::now());
     if (!this->from_daemons.Push(DaemonEvent{peer, std::nullopt, up})) {
       this->metrics.Add(metrics::kDrops, "link_state_ring_full");
     }
@@ -371,7 +371,11 @@
     this->metrics.Add(metrics::kLinkBytes, "sent", sent);
     this->metrics.Add(metrics::kLinkBytes, "received", received);
   };
+  hooks.on_id_conflict = [this](const DaemonIdConflict& conflict) {
+    this->link_log.OnIdConflict(conflict);
+  };
   hooks.on_wake = [this] {
+    this->link_log.WriteSummaries(LeaseClock::now());
     this->to_daemons.Drain(
         [this](LinkOrder&& order) {
           if (auto* out = std::get_if<OutgoingMessage>(&order);
--- a/src/mimosastage/telemetry/log.h
+++ b/src/mimosastage/telemetry/log.h
@@ -41,6 +41,8 @@
 inline constexpr EventName kLinkOpened{"link_opened"};
 inline constexpr EventName kLinkClosed{"link_closed"};
 inline constexpr EventName kLinkRefused{"link_refused"};
+inline constexpr EventName kLinkUnstable{"link_unstable"};
+inline constexpr EventName kDaemonIdInUse{"daemon_id_in_use"};
 inline constexpr EventName kTableChanged{"table_changed"};
 inline constexpr EventName kKeyGranted{"key_granted"};
 inline constexpr EventName kKeyRevoked{"key_revoked"};
--- a/tests/daemons/links_test.cc
+++ b/tests/daemons/links_test.cc
@@ -10,6 +10,7 @@
 
 #include "mimosastage/base/daemon_id.h"
 #include "mimosastage/daemons/frame_authenticator.h"
+#include "mimosastage/daemons/link_change_limiter.h"
 #include "mimosastage/daemons/message_codec.h"
 
 namespace mimosastage {
@@ -64,8 +65,12 @@
                  ++this->drop_counts[std::string(reason)];
                  this->changed.notify_all();
                },
-               [](std::size_t, std::size_t) {},
-               [this] { this->SendPending(); }}) {}
+               [](std::size_t, std::size_t) {}, [this] { this->SendPending(); },
+               [this](const DaemonIdConflict& conflict) {
+                 const std::lock_guard lock(this->mutex);
+                 this->conflicts.push_back(conflict);
+                 this->changed.notify_all();
+               }}) {}
 
   template <class Condition>
   bool WaitFor(Condition condition) {
@@ -86,6 +91,7 @@
   std::vector<std::string> received;
   std::vector<std::pair<DaemonId, std::string>> pending;
   std::map<std::string, int> drop_counts;
+  std::vector<DaemonIdConflict> conflicts;
   bool up = false;
   int up_count = 0;
   Links links;
@@ -300,6 +306,88 @@
   EXPECT_EQ(voter.up_count, 0);
 }
 
+// Guards against a second daemon with copied settings that takes the links of
+// the first one, over and over.
+TEST_F(LinksTest, Links_SecondProcessWithOneId_IsRefusedAndReportedOnce) {
+  TestPeer low(SettingsFor(0, 1, 0));
+  const auto port = low.links.Start();
+  ASSERT_TRUE(port.has_value());
+  TestPeer first(SettingsFor(1, 0, *port));
+  ASSERT_TRUE(first.links.Start().has_value());
+  ASSERT_TRUE(low.WaitFor([&] { return low.up; }));
+  ASSERT_TRUE(first.WaitFor([&] { return first.up; }));
+  TestPeer second(SettingsFor(1, 0, *port));
+  ASSERT_TRUE(second.links.Start().has_value());
+  ASSERT_TRUE(low.WaitFor([&] { return !low.conflicts.empty(); }));
+  ASSERT_TRUE(
+      low.WaitFor([&] { return low.drop_counts["daemon_id_in_use"] > 3; }));
+  first.QueueMessage(DaemonId{0}, "first");
+  ASSERT_TRUE(low.WaitFor([&] { return low.received.size() == 1; }));
+  {
+    const std::lock_guard lock(low.mutex);
+    EXPECT_EQ(low.up_count, 1) << "the first link must not be replaced";
+    ASSERT_EQ(low.conflicts.size(), 1U);
+    EXPECT_EQ(low.conflicts[0].daemon, DaemonId{1});
+    EXPECT_TRUE(low.conflicts[0].first.starts_with("127.0.0.1:"));
+    EXPECT_TRUE(low.conflicts[0].second.starts_with("127.0.0.1:"));
+    EXPECT_NE(low.conflicts[0].first, low.conflicts[0].second);
+    EXPECT_GT(low.conflicts[0].refusals, 0U);
+  }
+  {
+    const std::lock_guard lock(second.mutex);
+    EXPECT_EQ(second.up_count, 0);
+  }
+  first.links.Stop();
+  ASSERT_TRUE(second.WaitFor([&] { return second.up; }))
+      << "the id is free again";
+}
+
+// Guards against an error line about a daemon that was only restarted, and
+// against a restarted daemon that stays refused because nothing closed its
+// former connection.
+TEST_F(LinksTest, Links_RestartAfterSilentLink_ComesUpWithoutReport) {
+  TestPeer low(SettingsFor(0, 1, 0));
+  const auto port = low.links.Start();
+  ASSERT_TRUE(port.has_value());
+  BlackholeProxy proxy(*port);
+  {
+    TestPeer before(SettingsFor(1, 0, proxy.Port()));
+    ASSERT_TRUE(before.links.Start().has_value());
+    ASSERT_TRUE(low.WaitFor([&] { return low.up; }));
+    proxy.BlackholeOpenConnections();
+  }
+  TestPeer after(SettingsFor(1, 0, *port));
+  ASSERT_TRUE(after.links.Start().has_value());
+  ASSERT_TRUE(after.WaitFor([&] { return after.up; }));
+  ASSERT_TRUE(low.WaitFor([&] { return low.up_count == 2; }));
+  const std::lock_guard lock(low.mutex);
+  EXPECT_TRUE(low.conflicts.empty());
+}
+
+class LinkChangeLimiterTest : public ::testing::Test {};
+
+// Guards against one log line for each change of a link that flaps.
+TEST_F(LinkChangeLimiterTest, Allow_LinkFlaps_RestIsOneSummary) {
+  LinkChangeLimiter limiter;
+  TimePoint now{seconds(100)};
+  int allowed = 0;
+  for (int i = 0; i < 99; ++i) {
+    allowed += limiter.Allow(DaemonId{1}, i % 2 == 0, now) ? 1 : 0;
+    now += milliseconds(50);
+  }
+  EXPECT_EQ(allowed, 4);
+  EXPECT_TRUE(limiter.Allow(DaemonId{2}, true, now)) << "another link";
+  EXPECT_TRUE(limiter.TakeSummaries(now).empty());
+  now += seconds(10);
+  const auto summaries = limiter.TakeSummaries(now);
+  ASSERT_EQ(summaries.size(), 1U);
+  EXPECT_EQ(summaries[0].peer, DaemonId{1});
+  EXPECT_EQ(summaries[0].changes, 95U);
+  EXPECT_TRUE(summaries[0].up);
+  EXPECT_TRUE(limiter.Allow(DaemonId{1}, false, now));
+  EXPECT_TRUE(limiter.TakeSummaries(now + seconds(11)).empty());
+}
+
 class MessageCodecTest : public ::testing::Test {};
 
 // Guards against a decoder that reads beyond its input or decodes a truncated
--- a/tests/system/failover_test.cc
+++ b/tests/system/failover_test.cc
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -166,6 +167,45 @@
   EXPECT_TRUE(this->HasTeam(0, "kept"));
 }
 
+// Guards against a clone of a voter's disk and settings, at another address,
+// that takes the voter's links and votes.
+TEST_F(FailoverTest, VoterIsCloned_CloneIsRefused_GroupServes) {
+  const auto copy = this->cluster.Folder() / "data-copy";
+  this->cluster.KillDaemon(2);
+  std::filesystem::copy(this->cluster.DataDir(2), copy);
+  this->cluster.StartDaemon(2);
+  ASSERT_TRUE(this->cluster.WaitReady());
+  std::ifstream original(this->cluster.SettingsPath(2));
+  json settings = json::parse(original);
+  settings["daemons"][2]["link"] = this->cluster.Address() + ":7900";
+  settings["callers_listen"] = this->cluster.Address() + ":7901";
+  settings["operators_listen"] = this->cluster.Address() + ":7902";
+  settings["data_dir"] = copy.string();
+  const auto file = this->cluster.Folder() / "copy.json";
+  std::ofstream(file) << settings.dump();
+  Process clone({std::string(MIMOSASTAGE_BIN_DIR) + "/mimosastaged",
+                 "--settings=" + file.string()},
+                this->cluster.Folder() / "copy.log");
+  const auto conflict_line = [&] {
+    std::ifstream log(this->cluster.Folder() / "entry-1.log");
+    for (std::string line; std::getline(log, line);) {
+      if (line.find("daemon_id_in_use") != std::string::npos) {
+        return line;
+      }
+    }
+    return std::string();
+  };
+  ASSERT_TRUE(Eventually([&] { return !conflict_line().empty(); }));
+  EXPECT_NE(conflict_line().find("error"), std::string::npos);
+  EXPECT_NE(conflict_line().find("first"), std::string::npos);
+  EXPECT_NE(conflict_line().find("second"), std::string::npos);
+  ASSERT_TRUE(this->cluster.Apply(
+      "teams", R"([{"name": "later", "share": 1, "upper_limit": 4}])"));
+  EXPECT_TRUE(Eventually([&] { return this->HasTeam(2, "later"); }));
+  EXPECT_EQ(this->RequestWith(2, this->key).status, 200);
+  EXPECT_TRUE(clone.Running());
+}
+
 // Guards against accepting two concurrent changes on the same base version, so
 // that both operators believe their change is in force.
 TEST_F(FailoverTest, TwoOperators_SameBaseVersion_OneWinsOtherGets409) {
