--- a/src/mimosastage/daemons/internal/link.cc
+++ b/src/mimosastage/daemons/internal/link.cc
@@ -3,12 +3,17 @@
 #include <algorithm>
 #include <utility>
 
+#include "mimosastage/base/daemon_id.h"
 #include "mimosastage/daemons/hello_generated.h"
 
 namespace mimosastage::internal {
 namespace {
 
-constexpr std::uint16_t kProtocolVersion = 1;
+/// Version of the hello of a daemon whose id fits into 16 bits. Earlier
+/// releases know only this version.
+constexpr std::uint16_t kShortIdVersion = 1;
+/// Version of the hello of a daemon with a longer id.
+constexpr std::uint16_t kLongIdVersion = 2;
 constexpr std::size_t kHeaderSize = 4;
 /// Bounds the memory that an unauthenticated peer can occupy per connection.
 constexpr std::size_t kMaxHelloBytes = 512;
@@ -33,14 +38,25 @@
   return size;
 }
 
+std::string AddressOf(const asio::ip::tcp::socket& socket) {
+  asio::error_code error;
+  const auto endpoint = socket.remote_endpoint(error);
+  return error ? "unknown"
+               : endpoint.address().to_string() + ":" +
+                     std::to_string(endpoint.port());
+}
+
 }  // namespace
 
 Link::Link(asio::ip::tcp::socket socket, const Links::Settings& settings,
-           std::optional<DaemonId> expected_peer, Hooks hooks)
+           std::uint64_t session, std::optional<DaemonId> expected_peer,
+           Hooks hooks)
     : socket(std::move(socket)),
       settings(settings),
+      session(session),
       expected_peer(expected_peer),
       hooks(std::move(hooks)),
+      remote_address(AddressOf(this->socket)),
       heartbeat_timer(this->socket.get_executor()),
       last_received(std::chrono::steady_clock::now()),
       self{settings.own.daemon, GenerateLinkNonce()} {}
@@ -82,9 +98,11 @@
   const auto nonce = builder.CreateVector(
       reinterpret_cast<const std::uint8_t*>(this->self.nonce.data()),
       this->self.nonce.size());
+  const DaemonIdFields id = ToDaemonIdFields(this->self.daemon);
   builder.Finish(link_wire::CreateHello(
-      builder, kProtocolVersion, builder.CreateString(this->settings.cluster),
-      static_cast<std::uint16_t>(this->self.daemon), nonce));
+      builder, id.address_id == 0 ? kShortIdVersion : kLongIdVersion,
+      builder.CreateString(this->settings.cluster), id.number, nonce,
+      id.address_id, this->session));
   const std::string_view payload(
       reinterpret_cast<const char*>(builder.GetBufferPointer()),
       builder.GetSize());
@@ -148,13 +166,15 @@
     return false;
   }
   const link_wire::Hello* hello = link_wire::GetHello(this->body.data());
-  if (hello->version() != kProtocolVersion || hello->cluster() == nullptr ||
+  const std::uint16_t version =
+      hello->address_id() == 0 ? kShortIdVersion : kLongIdVersion;
+  if (hello->version() != version || hello->cluster() == nullptr ||
       hello->cluster()->string_view() != this->settings.cluster ||
       hello->nonce() == nullptr || hello->nonce()->size() != kNonceSize) {
     this->hooks.on_drop("foreign_hello");
     return false;
   }
-  this->peer.daemon = DaemonId{hello->daemon()};
+  this->peer.daemon = FromDaemonIdFields(hello->daemon(), hello->address_id());
   std::copy(hello->nonce()->begin(), hello->nonce()->end(),
             this->peer.nonce.begin());
   const auto is_peer = [this](const LinkAddress& known) {
@@ -170,10 +190,15 @@
     this->hooks.on_drop("unknown_daemon");
     return false;
   }
-  this->send_authenticator.emplace(this->settings.link_key, this->self,
-                                   this->peer);
   this->receive_authenticator.emplace(this->settings.link_key, this->peer,
                                       this->self);
+  this->peer_session = hello->session();
+  this->refused = !this->hooks.may_come_up(*this);
+  if (this->refused) {
+    return true;
+  }
+  this->send_authenticator.emplace(this->settings.link_key, this->self,
+                                   this->peer);
   // An empty message is a heartbeat. The first one proves to the peer that this
   // end knows the link key.
   this->Enqueue(BuildFrame({}, this->send_authenticator->NextTag({})));
@@ -192,9 +217,16 @@
     this->hooks.on_drop("bad_frame_tag");
     return false;
   }
+  if (this->refused) {
+    this->hooks.on_refused(*this);
+    return false;
+  }
   this->last_received = std::chrono::steady_clock::now();
   if (!std::exchange(this->up, true)) {
     this->hooks.on_up(this->shared_from_this());
+    if (this->closed) {
+      return false;
+    }
   }
   if (size > 0) {
     this->body.resize(size);
--- a/src/mimosastage/replication/membership.cc
+++ b/src/mimosastage/replication/membership.cc
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <utility>
 
+#include "mimosastage/base/daemon_id.h"
 #include "mimosastage/replication/internal/wire.h"
 
 namespace mimosastage {
@@ -21,9 +22,10 @@
   std::vector<flatbuffers::Offset<wire::Member>> slots;
   slots.reserve(membership.slots.size());
   for (const Member& member : membership.slots) {
-    slots.push_back(
-        wire::CreateMember(builder, static_cast<std::uint16_t>(member.daemon),
-                           builder.CreateString(member.address), member.port));
+    const DaemonIdFields id = ToDaemonIdFields(member.daemon);
+    slots.push_back(wire::CreateMember(builder, id.number,
+                                       builder.CreateString(member.address),
+                                       member.port, id.address_id));
   }
   builder.Finish(wire::CreateMembership(builder, membership.version,
                                         builder.CreateVector(slots)));
@@ -62,6 +64,19 @@
   return bytes.substr(header, size);
 }
 
+/// Reads a member. Replaces a legacy id by the id of the member's address, so
+/// that two daemons whose legacy ids are equal are told apart.
+Member ToMember(const wire::Member& row) {
+  Member member{FromDaemonIdFields(row.daemon(), row.address_id()),
+                row.address() == nullptr ? std::string() : row.address()->str(),
+                row.port()};
+  if (const auto current = DaemonIdFromAddress(member.address, member.port);
+      current.has_value() && LegacyDaemonId(*current) == member.daemon) {
+    member.daemon = *current;
+  }
+  return member;
+}
+
 std::optional<Membership> Unpack(std::string_view bytes) {
   // The bytes follow the magic bytes and may therefore be unaligned.
   const std::vector<std::uint8_t> aligned(bytes.begin(), bytes.end());
@@ -76,10 +91,10 @@
     return membership;
   }
   for (const wire::Member* row : *table->slots()) {
-    membership.slots.push_back(Member{
-        DaemonId{row->daemon()},
-        row->address() == nullptr ? std::string() : row->address()->str(),
-        row->port()});
+    membership.slots.push_back(ToMember(*row));
+  }
+  if (!membership.HasDistinctVoters()) {
+    return std::nullopt;
   }
   return membership;
 }
@@ -102,6 +117,13 @@
   return voters;
 }
 
+bool Membership::HasDistinctVoters() const {
+  std::vector<DaemonId> voters = this->Voters();
+  std::erase(voters, kNoVoter);
+  std::sort(voters.begin(), voters.end());
+  return std::adjacent_find(voters.begin(), voters.end()) == voters.end();
+}
+
 Membership FoundingMembership(std::vector<Member> founders,
                               std::size_t losses) {
   Membership membership;
@@ -109,6 +131,9 @@
   std::sort(
       membership.slots.begin(), membership.slots.end(),
       [](const Member& a, const Member& b) { return a.daemon < b.daemon; });
+  membership.slots.erase(
+      std::unique(membership.slots.begin(), membership.slots.end()),
+      membership.slots.end());
   const std::size_t slots =
       std::max(membership.slots.size() | 1U, 2 * losses + 1);
   membership.slots.resize(slots, VacantSlot());
@@ -117,7 +142,7 @@
 
 bool IsValidSuccessor(const Membership& current, const Membership& next) {
   if (next.version != current.version + 1 ||
-      next.slots.size() != current.slots.size()) {
+      next.slots.size() != current.slots.size() || !next.HasDistinctVoters()) {
     return false;
   }
   std::size_t changed = 0;
