Wait until all requests of a round run in the test of many servers

The server was allowed to answer as soon as the test had submitted the requests of a round, so the client could reuse a connection within the first round.

--- a/tests/backend_servers/exchange_client_test.cc
+++ b/tests/backend_servers/exchange_client_test.cc
@@ -134,7 +134,7 @@
   this->settings.request_id_prefix = "test";
   this->StartClient();
   // All exchanges of a round are in progress together, because the server holds
-  // back its answers.
+  // back its answers until it has received all requests.
   for (int round = 0; round < 3; ++round) {
     any_address.SetFaults({{"stall", true}});
     const std::uint64_t first = this->last_id + 1;
@@ -147,6 +147,10 @@
       request.timeout = kResultTimeout;
       ASSERT_TRUE(this->client->Submit(std::move(request)));
     }
+    while (any_address.Runs()["in_progress"] !=
+           kServers * kConnectionsPerServer) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
     any_address.SetFaults({{"stall", false}});
     std::size_t reused = 0;
     for (std::uint64_t id = first; id <= this->last_id; ++id) {
