Poll the sockets of the exchange client with fewer system calls

The client's event loop was Asio's: each wait for a socket cost an epoll_ctl, each timer of libcurl a timerfd_settime, and each request a wake-up even while the thread was busy. SocketPoller keeps a socket registered while its connection is idle, timers are the time limit of epoll_wait, and a request interrupts the thread only if it waits. Sockets are forgotten when libcurl closes them, and an event of a socket that was replaced in the meantime is dropped, so no socket can be watched twice and no call throws in a callback of libcurl.

Submit_ConnectionTakenOverInSameIteration_AreServed guards against the second watch of a socket.

--- a/src/mimosastage/backend_servers/exchange_client.cc
+++ b/src/mimosastage/backend_servers/exchange_client.cc
@@ -2,9 +2,9 @@
 
 #include <curl/curl.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include <algorithm>
-#include <asio.hpp>
 #include <atomic>
 #include <memory>
 #include <optional>
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "mimosastage/backend_servers/internal/exchange.h"
+#include "mimosastage/backend_servers/internal/socket_poller.h"
 #include "mimosastage/base/ring.h"
 
 namespace mimosastage {
@@ -25,6 +26,7 @@
 using internal::Exchange;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using SteadyClock = std::chrono::steady_clock;
 
 struct CancelCommand {
   std::uint64_t id = 0;
@@ -70,8 +72,6 @@
       : settings(std::move(given_settings)),
         hooks(std::move(given_hooks)),
         multi(CreateMulti(this->settings)),
-        curl_timer(this->io),
-        stall_timer(this->io),
         commands(this->settings.ring_capacity, [this] { this->Wake(); }) {
     curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &Impl::OnSocket);
     curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
@@ -99,33 +99,29 @@
     return multi;
   }
 
-  /// Coalesces wakeups until the thread has run, because each one costs a
-  /// system call.
+  /// Interrupts the thread only if it waits, because that costs a system call.
   void Wake() {
-    if (!this->wake_pending.exchange(true)) {
-      asio::post(this->io, [this] { this->OnWake(); });
+    if (this->waiting.exchange(false)) {
+      this->poller.Interrupt();
     }
   }
 
   void Run() {
-    const auto keep_running = asio::make_work_guard(this->io);
-    this->io.run();
-    this->CancelAll();
-    this->io.restart();
-    this->io.poll();
-  }
-
-  void OnWake() {
-    this->wake_pending.exchange(false);
-    if (this->stopping.load()) {
-      this->io.stop();
-      return;
-    }
-    if (this->ExecuteCommands() >= kMaxCommandsPerWakeup) {
-      this->Wake();
+    const internal::SocketPoller::Handler handle =
+        [this](const internal::SocketEvent& event) { this->OnReady(event); };
+    while (!this->stopping.load()) {
+      // Set before the commands are taken, so that a command that is pushed
+      // later ends the wait.
+      this->waiting.exchange(true);
+      const bool executed = this->ExecuteCommands() > 0;
+      this->RunDueTimers();
+      this->poller.Wait(
+          executed ? SteadyClock::duration::zero() : this->TimeToNextTimer(),
+          handle);
+      this->waiting.store(false);
+      this->ReportFinishedTransfers();
     }
-    this->ReportFinishedTransfers();
-    this->ScheduleStallCheck();
+    this->CancelAll();
   }
 
   std::size_t ExecuteCommands() {
@@ -136,132 +132,73 @@
         kMaxCommandsPerWakeup);
   }
 
-  /// A socket that libcurl wants to have polled. libcurl owns the descriptor
-  /// and closes it.
-  struct WatchedSocket {
-    WatchedSocket(asio::io_context& io, curl_socket_t socket)
-        : descriptor(io, socket) {}
-    ~WatchedSocket() { this->Release(); }
-    WatchedSocket(const WatchedSocket&) = delete;
-    WatchedSocket& operator=(const WatchedSocket&) = delete;
-
-    void Release() {
-      if (this->descriptor.is_open()) {
-        this->descriptor.release();
-      }
-    }
-
-    asio::posix::stream_descriptor descriptor;
-    bool wants_read = false;
-    bool wants_write = false;
-    bool read_wait_pending = false;
-    bool write_wait_pending = false;
-  };
-
   static int OnSocket(CURL*, curl_socket_t socket, int what, void* user_data,
                       void*) {
-    static_cast<Impl*>(user_data)->UpdateWatch(socket, what);
+    // At the end of each transfer libcurl calls this with CURL_POLL_REMOVE,
+    // which sets neither bit.
+    static_cast<Impl*>(user_data)->poller.Watch(
+        socket, what != CURL_POLL_REMOVE && (what & CURL_POLL_IN) != 0,
+        what != CURL_POLL_REMOVE && (what & CURL_POLL_OUT) != 0);
     return 0;
   }
 
+  static int OnCloseSocket(void* user_data, curl_socket_t socket) {
+    static_cast<Impl*>(user_data)->poller.Forget(socket);
+    return close(socket);
+  }
+
   static int OnTimer(CURLM*, long timeout_ms, void* user_data) {  // NOLINT
-    static_cast<Impl*>(user_data)->SetTimer(timeout_ms);
+    auto& due = static_cast<Impl*>(user_data)->curl_due;
+    if (timeout_ms < 0) {
+      due.reset();
+    } else {
+      due = SteadyClock::now() + milliseconds(timeout_ms);
+    }
     return 0;
   }
 
-  void UpdateWatch(curl_socket_t socket, int what) {
-    if (what == CURL_POLL_REMOVE) {
-      // Released here and not only by the destructor: a running handler may
-      // still hold the entry, and a new socket may get the same descriptor
-      // number before that handler returns.
-      if (const auto found = this->watched_sockets.find(socket);
-          found != this->watched_sockets.end()) {
-        found->second->Release();
-        this->watched_sockets.erase(found);
-      }
-      return;
-    }
-    std::shared_ptr<WatchedSocket>& entry = this->watched_sockets[socket];
-    if (entry == nullptr) {
-      entry = std::make_shared<WatchedSocket>(this->io, socket);
-    }
-    entry->wants_read = (what & CURL_POLL_IN) != 0;
-    entry->wants_write = (what & CURL_POLL_OUT) != 0;
-    this->AwaitReadiness(socket, entry);
+  void OnReady(const internal::SocketEvent& event) {
+    const int events = (event.readable ? CURL_CSELECT_IN : 0) |
+                       (event.writable ? CURL_CSELECT_OUT : 0);
+    this->RunSocketAction(event.socket, events);
   }
 
-  void AwaitReadiness(curl_socket_t socket,
-                      const std::shared_ptr<WatchedSocket>& entry) {
-    if (entry->wants_read && !std::exchange(entry->read_wait_pending, true)) {
-      entry->descriptor.async_wait(
-          asio::posix::stream_descriptor::wait_read,
-          [this, socket, weak = std::weak_ptr(entry)](asio::error_code error) {
-            this->OnSocketReady(socket, weak, error, CURL_CSELECT_IN);
-          });
-    }
-    if (entry->wants_write && !std::exchange(entry->write_wait_pending, true)) {
-      entry->descriptor.async_wait(
-          asio::posix::stream_descriptor::wait_write,
-          [this, socket, weak = std::weak_ptr(entry)](asio::error_code error) {
-            this->OnSocketReady(socket, weak, error, CURL_CSELECT_OUT);
-          });
-    }
+  void RunSocketAction(curl_socket_t socket, int events) {
+    int running = 0;
+    curl_multi_socket_action(this->multi, socket, events, &running);
   }
 
-  void OnSocketReady(curl_socket_t socket,
-                     const std::weak_ptr<WatchedSocket>& weak,
-                     asio::error_code error, int event) {
-    const auto entry = weak.lock();
-    if (entry == nullptr || error == asio::error::operation_aborted) {
+  void RunDueTimers() {
+    if (!this->curl_due.has_value() && !this->stall_check_due.has_value()) {
       return;
     }
-    bool& wait_pending = event == CURL_CSELECT_IN ? entry->read_wait_pending
-                                                  : entry->write_wait_pending;
-    wait_pending = false;
-    const bool wanted =
-        event == CURL_CSELECT_IN ? entry->wants_read : entry->wants_write;
-    if (wanted) {
-      this->RunSocketAction(socket, error ? CURL_CSELECT_ERR : event);
+    const SteadyClock::time_point now = SteadyClock::now();
+    if (this->curl_due.has_value() && *this->curl_due <= now) {
+      this->curl_due.reset();
+      this->RunSocketAction(CURL_SOCKET_TIMEOUT, 0);
+      this->ReportFinishedTransfers();
     }
-    if (const auto found = this->watched_sockets.find(socket);
-        found != this->watched_sockets.end() && found->second == entry) {
-      this->AwaitReadiness(socket, entry);
+    if (this->stall_check_due.has_value() && *this->stall_check_due <= now) {
+      this->stall_check_due.reset();
+      this->AbandonStalled();
+      this->ScheduleStallCheck();
     }
   }
 
-  void SetTimer(long timeout_ms) {  // NOLINT: the type that libcurl uses.
-    if (timeout_ms < 0) {
-      this->curl_timer.cancel();
-      return;
+  std::optional<SteadyClock::duration> TimeToNextTimer() const {
+    if (!this->curl_due.has_value() && !this->stall_check_due.has_value()) {
+      return std::nullopt;
     }
-    this->curl_timer.expires_after(milliseconds(timeout_ms));
-    this->curl_timer.async_wait([this](asio::error_code error) {
-      if (!error) {
-        this->RunSocketAction(CURL_SOCKET_TIMEOUT, 0);
-      }
-    });
-  }
-
-  void RunSocketAction(curl_socket_t socket, int events) {
-    int running = 0;
-    curl_multi_socket_action(this->multi, socket, events, &running);
-    this->ReportFinishedTransfers();
-    this->ScheduleStallCheck();
+    constexpr auto kNever = SteadyClock::time_point::max();
+    return std::min(this->curl_due.value_or(kNever),
+                    this->stall_check_due.value_or(kNever)) -
+           SteadyClock::now();
   }
 
   void ScheduleStallCheck() {
-    if (this->stallable.empty() ||
-        std::exchange(this->stall_check_scheduled, true)) {
-      return;
+    if (!this->stallable.empty() && !this->stall_check_due.has_value()) {
+      this->stall_check_due = SteadyClock::now() + kStallCheckPeriod;
     }
-    this->stall_timer.expires_after(kStallCheckPeriod);
-    this->stall_timer.async_wait([this](asio::error_code error) {
-      this->stall_check_scheduled = false;
-      if (!error) {
-        this->AbandonStalled();
-        this->ScheduleStallCheck();
-      }
-    });
   }
 
   void ExecuteCommand(ClientCommand&& command) {
@@ -287,8 +224,12 @@
     auto exchange =
         std::make_unique<Exchange>(this->AcquireHandle(), std::move(request),
                                    std::move(request_id), limits, now, max_age);
+    curl_easy_setopt(exchange->Easy(), CURLOPT_CLOSESOCKETFUNCTION,
+                     &Impl::OnCloseSocket);
+    curl_easy_setopt(exchange->Easy(), CURLOPT_CLOSESOCKETDATA, this);
     if (exchange->HasStallLimit()) {
       this->stallable.insert(id);
+      this->ScheduleStallCheck();
     }
     const CURLMcode added =
         curl_multi_add_handle(this->multi, exchange->Easy());
@@ -409,12 +350,9 @@
   Settings settings;
   Hooks hooks;
   CURLM* multi;
-  asio::io_context io{1};
-  asio::steady_timer curl_timer;
-  asio::steady_timer stall_timer;
-  std::unordered_map<curl_socket_t, std::shared_ptr<WatchedSocket>>
-      watched_sockets;
-  std::atomic<bool> wake_pending{false};
+  internal::SocketPoller poller;
+  /// Set while the thread waits, or is about to, and wasn't interrupted yet.
+  std::atomic<bool> waiting{false};
   std::atomic<bool> stopping{false};
   Ring<ClientCommand> commands;
   std::thread thread;
@@ -422,7 +360,9 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<Exchange>> exchanges;
   /// Exchanges that have a stall limit.
   std::unordered_set<std::uint64_t> stallable;
-  bool stall_check_scheduled = false;
+  /// When libcurl wants to be called; nullopt means never.
+  std::optional<SteadyClock::time_point> curl_due;
+  std::optional<SteadyClock::time_point> stall_check_due;
   std::unordered_map<std::string, TimePoint> suspected_since;
   std::vector<CURL*> spare_handles;
 };
@@ -441,7 +381,7 @@
     return;
   }
   this->impl->stopping.store(true);
-  asio::post(this->impl->io, [this] { this->impl->OnWake(); });
+  this->impl->poller.Interrupt();
   this->impl->thread.join();
 }
 
--- a/tests/backend_servers/exchange_client_test.cc
+++ b/tests/backend_servers/exchange_client_test.cc
@@ -33,7 +33,13 @@
   void StartClient() {
     this->client = std::make_unique<ExchangeClient>(
         this->settings, ExchangeClient::Hooks{[this](ExchangeResult&& result) {
-          const std::lock_guard lock(this->mutex);
+          std::unique_lock lock(this->mutex);
+          if (result.id == this->paused_id) {
+            this->paused = true;
+            this->arrived.notify_all();
+            this->arrived.wait_for(lock, kResultTimeout,
+                                   [this] { return !this->paused; });
+          }
           this->result_counts[result.id] += 1;
           this->results[result.id] = std::move(result);
           this->arrived.notify_all();
@@ -67,6 +73,19 @@
     return this->Wait(id);
   }
 
+  /// Waits until the client's thread has stopped in the hook of `paused_id`.
+  void WaitForPause() {
+    std::unique_lock lock(this->mutex);
+    EXPECT_TRUE(this->arrived.wait_for(lock, kResultTimeout,
+                                       [this] { return this->paused; }));
+  }
+
+  void Resume() {
+    const std::lock_guard lock(this->mutex);
+    this->paused = false;
+    this->arrived.notify_all();
+  }
+
   /// Number of times that the server ran the exchange.
   std::uint32_t CountServerRuns(std::uint64_t id) {
     return this->server.Runs()["requests"].value("test-" + std::to_string(id),
@@ -81,6 +100,10 @@
   std::map<std::uint64_t, ExchangeResult> results;
   std::map<std::uint64_t, int> result_counts;
   std::uint64_t last_id = 0;
+  /// The client's thread stops in the hook of this exchange until Resume; 0
+  /// means no exchange.
+  std::uint64_t paused_id = 0;
+  bool paused = false;
 };
 
 // Guards against a crash when a new connection gets the descriptor number of
@@ -107,6 +130,38 @@
   }
 }
 
+// Guards against a socket that is watched twice when an exchange takes over the
+// connection of one that ended in the same iteration of the client's event
+// loop. Watching it for the second exchange then terminated the process.
+TEST_F(ExchangeClientTest,
+       Submit_ConnectionTakenOverInSameIteration_AreServed) {
+  this->StartClient();
+  this->server.SetFaults({{"late_ms", 300}});
+  ExchangeRequest first = this->MakeRequest(true);
+  const std::uint64_t ending = first.id;
+  ASSERT_TRUE(this->client->Submit(std::move(first)));
+  while (this->CountServerRuns(ending) == 0) {
+  }
+  // This exchange ends while the first is in progress, and its connection is
+  // closed, so that the second exchange can only reuse that of the first.
+  this->server.SetFaults({{"late_ms", 0}, {"crossed", true}});
+  ExchangeRequest pausing = this->MakeRequest(false);
+  this->paused_id = pausing.id;
+  ASSERT_TRUE(this->client->Submit(std::move(pausing)));
+  this->WaitForPause();
+  this->server.SetFaults({{"crossed", false}});
+  while (this->server.Runs()["in_progress"] != 0) {
+  }
+  ExchangeRequest second = this->MakeRequest(true);
+  const std::uint64_t reusing = second.id;
+  ASSERT_TRUE(this->client->Submit(std::move(second)));
+  this->Resume();
+  EXPECT_EQ(this->Wait(ending).end, AttemptEnd::kWholeAnswer);
+  const ExchangeResult result = this->Wait(reusing);
+  EXPECT_EQ(result.end, AttemptEnd::kWholeAnswer);
+  EXPECT_TRUE(result.reused_connection);
+}
+
 /// Sets the limit on file descriptors of a voter while it exists.
 class VoterDescriptorLimit {
  public:
