--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -53,8 +53,8 @@
                    }));
              }),
       speed(this->config.speed),
-      start_window(this->config.start_window),
       waiting_steps(state),
+      start_window(this->config.start_window),
       balancer(this->config.balancer) {
   for (const auto& [id, worker] : state.Workers()) {
     this->AddSession(worker, now);
--- a/tests/system/support/cluster.h
+++ b/tests/system/support/cluster.h
@@ -23,7 +23,6 @@
   void StartDaemon(int index);
   void StartAllDaemons();
   Process& Daemon(int index) { return *this->daemons[index]; }
-  bool HasDaemon(int index) const { return this->daemons[index] != nullptr; }
   /// Sends SIGKILL and waits until the process has ended.
   void KillDaemon(int index);
   std::filesystem::path DataDir(int index) const;
