--- a/tests/replication/membership_schedules_test.cc
+++ b/tests/replication/membership_schedules_test.cc
@@ -188,5 +188,11 @@
   EXPECT_GT(accepted, count * 20);
 }
 
+// Guards against a voter that never recovers: it loses its disk while another
+// one is replaced, and keeps waiting for a membership that is out of date.
+TEST_F(MembershipSchedulesTest, Group_Seed7384_VoterWithoutDiskRecovers) {
+  EXPECT_EQ(ReplacementSchedule(7384).Run(), "");
+}
+
 }  // namespace
 }  // namespace mimosastage
