Tell new voters and voters without their disk who votes, too

The same cause as for entries: a daemon whose seeds name no leader never hears it. A voter that replaces another one, or that lost its disk, would wait for the leader's membership for good. Followers now tell every daemon; one that has a replica ignores it. Such a membership only says whom to connect to; a replica still starts on the leader's notice only.

JobNodeWithFollowerTest.VoterHasNoDisk_LearnsTheOtherVoters fails without the change.

--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -199,8 +199,12 @@
                            TimePoint now) {
   const DaemonId daemon =
       FromDaemonIdFields(notice.leader, notice.leader_address_id);
-  if (daemon == kNoVoter && !this->config.is_voter) {
-    this->LearnMembers(notice, now);
+  if (daemon == kNoVoter) {
+    // From a voter that doesn't lead. A replica learns the members from its log
+    // and its leader; without one they only tell whom to connect to.
+    if (this->replica == nullptr) {
+      this->LearnMembers(notice, now);
+    }
     return;
   }
   if (daemon != from ||
@@ -250,8 +254,7 @@
 }
 
 void JobNode::SendMembers(DaemonId to) {
-  if (!this->config.is_voter || this->members.version == 0 ||
-      this->members.Contains(to)) {
+  if (!this->config.is_voter || this->members.version == 0) {
     return;
   }
   jobs::Leadership notice;
--- a/src/mimosastage/node/job_node.h
+++ b/src/mimosastage/node/job_node.h
@@ -176,8 +176,8 @@
   /// On the leader: proposes to fill vacant slots and to replace lost voters.
   void PlanMembership(TimePoint now);
   void AdoptMembership(const Membership& committed);
-  /// Tells a daemon that isn't a voter who votes. Its seeds may name no leader,
-  /// and only the leader's links carry Leadership messages to it.
+  /// Tells another daemon who votes. Its seeds may name no leader, and only the
+  /// leader's links carry Leadership messages to it.
   void SendMembers(DaemonId to);
   /// Takes over a newer membership. Must be committed.
   void LearnMembers(const jobs::Leadership& notice, TimePoint now);
--- a/tests/node/job_node_test.cc
+++ b/tests/node/job_node_test.cc
@@ -106,46 +106,72 @@
   EXPECT_EQ(this->reported_members, logged);
 }
 
-// Guards against a restarted entry that serves nobody: its seeds name voters of
-// which none leads, and only the leader told the entries who votes.
-TEST_F(JobNodeTest, EntryRestarts_SeedIsNotTheLeader_LearnsTheOtherVoters) {
+/// A daemon whose only link is to a voter that doesn't lead.
+class JobNodeWithFollowerTest : public JobNodeTest {
+ protected:
+  static constexpr DaemonId kFollower{1};
+
+  /// Starts the node under test with the id `self` and exchanges messages with
+  /// the follower for a second.
+  void LinkToFollower(DaemonId self, std::optional<DurableImage> own_image) {
+    std::vector<std::string> to_node;
+    JobNode::Config follower_config = this->config;
+    follower_config.is_voter = true;
+    JobNode::Hooks follower_hooks = this->hooks;
+    follower_hooks.on_members = [](const Membership&, bool) {};
+    follower_hooks.send = [&](DaemonId to, const std::string& message) {
+      if (to == self) {
+        to_node.push_back(message);
+      }
+    };
+    DurableImage image;
+    image.intact = true;
+    image.incarnation = AddStart(image.starts, 7);
+    image.snapshot = WrapSnapshot(this->logged, jobs::FleetState().Snapshot());
+    image.snapshot_index = 1;
+    JobNode follower(follower_config, follower_hooks);
+    follower.Start(std::move(image), this->now);
+    this->config.self = self;
+    this->config.is_voter = own_image.has_value();
+    this->node = std::make_unique<JobNode>(this->config, this->hooks);
+    this->node->Start(std::move(own_image), this->now);
+    this->node->OnLinkState(kFollower, true, this->now);
+    follower.OnLinkState(self, true, this->now);
+    for (int i = 0; i < 50; ++i) {
+      this->now += milliseconds(20);
+      follower.Advance(this->now);
+      for (const std::string& message : std::exchange(to_node, {})) {
+        this->node->OnMessage(kFollower, message, this->now);
+      }
+      this->node->Advance(this->now);
+    }
+  }
+
   const Membership logged{1,
-                          {Member{DaemonId{1}, "10.0.0.1", 7000},
+                          {Member{kFollower, "10.0.0.1", 7000},
                            Member{DaemonId{2}, "10.0.0.2", 7000},
                            Member{DaemonId{3}, "10.0.0.3", 7000}}};
-  constexpr DaemonId kEntry{0x8000};
-  std::vector<std::string> to_entry;
-  this->config.is_voter = true;
-  this->hooks.send = [&](DaemonId to, const std::string& message) {
-    if (to == kEntry) {
-      to_entry.push_back(message);
-    }
-  };
-  DurableImage image;
-  image.intact = true;
-  image.incarnation = AddStart(image.starts, 7);
-  image.snapshot = WrapSnapshot(logged, jobs::FleetState().Snapshot());
-  image.snapshot_index = 1;
-  JobNode::Hooks voter_hooks = this->hooks;
-  voter_hooks.on_members = [](const Membership&, bool) {};
-  JobNode voter(this->config, std::move(voter_hooks));
-  voter.Start(std::move(image), this->now);
-  this->config.is_voter = false;
-  this->config.self = kEntry;
-  this->Start();
-  this->node->OnLinkState(DaemonId{1}, true, this->now);
-  voter.OnLinkState(kEntry, true, this->now);
-  for (int i = 0; i < 50; ++i) {
-    this->now += milliseconds(20);
-    voter.Advance(this->now);
-    for (const std::string& message : std::exchange(to_entry, {})) {
-      this->node->OnMessage(DaemonId{1}, message, this->now);
-    }
-    this->node->Advance(this->now);
-  }
-  EXPECT_EQ(this->reported_members, logged);
+};
+
+// Guards against a restarted entry that serves nobody: its seeds name voters of
+// which none leads, and only the leader told the entries who votes.
+TEST_F(JobNodeWithFollowerTest, EntryRestarts_LearnsTheOtherVoters) {
+  this->LinkToFollower(DaemonId{0x8000}, std::nullopt);
+  EXPECT_EQ(this->reported_members, this->logged);
   EXPECT_FALSE(this->node->Ready(this->now)) << "a follower isn't a leader";
 }
 
+// Guards against a new voter, or one that has lost its disk, that never finds
+// the leader, for the same reason.
+TEST_F(JobNodeWithFollowerTest, VoterHasNoDisk_LearnsTheOtherVoters) {
+  DurableImage empty;
+  empty.incarnation = AddStart(empty.starts, 7);
+  this->LinkToFollower(DaemonId{4}, empty);
+  EXPECT_EQ(this->reported_members, this->logged);
+  this->reported_members = Membership();
+  this->LinkToFollower(DaemonId{2}, std::move(empty));
+  EXPECT_EQ(this->reported_members, this->logged);
+}
+
 }  // namespace
 }  // namespace mimosastage
