Take a refusal for overload from the leader that has the call only

A caller could get 429 though a leader may have stored its job: the call was sent again to the next leader, and the former one, whose AdmissionControl is its own, refused it late. Such a refusal is dropped and counted now (refusal_of_former_leader). JobNodeTest.FormerLeaderRefuses_CallIsAtTheNextOne_StaysOpen fails without it.

In a planned stop, commands no longer wait 5 ms for the next log entry, because the leader resigns in the same turn.

--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -166,7 +166,7 @@
                        EncodeMessage(JobsBytes{jobs::EncodeAnswer(answer)}));
     });
   } else if (const auto* answer = decoded->body.AsAnswer(); answer != nullptr) {
-    this->OnAnswer(answer->number, *answer, now);
+    this->OnAnswer(from, answer->number, *answer, now);
   } else if (const auto* notice = decoded->body.AsLeadership();
              notice != nullptr) {
     this->OnLeadership(from, *notice, now);
@@ -388,7 +388,7 @@
   if (*leader == this->config.self) {
     const jobs::Call call = open.call;
     this->ServeCall(call, now, [this, number, now](jobs::Answer answer) {
-      this->OnAnswer(number, std::move(answer), now);
+      this->OnAnswer(this->config.self, number, std::move(answer), now);
     });
     return;
   }
@@ -410,7 +410,7 @@
   });
 }
 
-void JobNode::OnAnswer(std::uint64_t number, jobs::Answer answer,
+void JobNode::OnAnswer(DaemonId from, std::uint64_t number, jobs::Answer answer,
                        TimePoint now) {
   const auto found = this->calls.find(number);
   if (found == this->calls.end()) {
@@ -418,6 +418,11 @@
   }
   OpenCall& open = found->second;
   const auto outcome = static_cast<jobs::CallOutcome>(answer.outcome);
+  if (outcome == jobs::CallOutcome::kOverloaded && open.sent_to != from) {
+    // The call was sent again to another leader, which may store it.
+    this->hooks.count_drop("refusal_of_former_leader");
+    return;
+  }
   if (outcome == jobs::CallOutcome::kUnavailable) {
     // The daemon that was asked didn't accept the call. It is sent again until
     // its deadline.
@@ -581,8 +586,10 @@
 
 void JobNode::FlushBatch(TimePoint now) {
   Term& current = *this->term;
-  if (current.batch.commands.empty() ||
-      now - current.last_entry < this->config.log_entry_interval) {
+  const bool waits =
+      now - current.last_entry < this->config.log_entry_interval &&
+      !this->stopping_since.has_value();
+  if (current.batch.commands.empty() || waits) {
     return;
   }
   current.last_entry = now;
--- a/src/mimosastage/node/job_node.h
+++ b/src/mimosastage/node/job_node.h
@@ -190,7 +190,8 @@
   /// answered if that is earlier.
   TimePoint AnswerDeadline(TimePoint deadline) const;
   void SendCalls(TimePoint now);
-  void OnAnswer(std::uint64_t number, jobs::Answer answer, TimePoint now);
+  void OnAnswer(DaemonId from, std::uint64_t number, jobs::Answer answer,
+                TimePoint now);
   void Finish(std::uint64_t number, jobs::Answer answer);
   bool HasAuthority(TimePoint now) const;
   std::optional<DaemonId> Leader(TimePoint now) const;
--- a/tests/node/job_node_test.cc
+++ b/tests/node/job_node_test.cc
@@ -8,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "mimosastage/daemons/message_codec.h"
+
 namespace mimosastage {
 namespace {
 
@@ -106,6 +108,40 @@
   EXPECT_EQ(this->reported_members, logged);
 }
 
+// Guards against a false refusal: a former leader refuses a call for overload
+// after the call was sent to the next leader, which may store it.
+TEST_F(JobNodeTest, FormerLeaderRefuses_CallIsAtTheNextOne_StaysOpen) {
+  this->Start();
+  const auto lead = [this](std::uint16_t leader, std::uint64_t view) {
+    this->node->OnLinkState(DaemonId{leader}, true, this->now);
+    jobs::Leadership notice;
+    notice.leader = leader;
+    notice.view = view;
+    notice.serving = true;
+    this->node->OnMessage(
+        DaemonId{leader},
+        EncodeMessage(JobsBytes{jobs::EncodeLeadership(notice)}), this->now);
+    this->now += milliseconds(60);
+    this->node->Advance(this->now);
+  };
+  const auto refuse = [this](std::uint16_t leader) {
+    jobs::Answer answer;
+    answer.number = 1;
+    answer.outcome = static_cast<std::uint8_t>(jobs::CallOutcome::kOverloaded);
+    this->node->OnMessage(DaemonId{leader},
+                          EncodeMessage(JobsBytes{jobs::EncodeAnswer(answer)}),
+                          this->now);
+  };
+  lead(2, 1);
+  this->node->OnCall(1, this->Submit(), seconds(8), this->now);
+  lead(3, 2);
+  refuse(2);
+  EXPECT_TRUE(this->answers.empty());
+  refuse(3);
+  ASSERT_EQ(this->answers.size(), 1U);
+  EXPECT_EQ(this->answers.at(1), jobs::CallOutcome::kOverloaded);
+}
+
 /// A daemon whose only link is to a voter that doesn't lead.
 class JobNodeWithFollowerTest : public JobNodeTest {
  protected:
