Keep a worker reserved while its move waits for the repetition

The check now looks at waiting moves, too. UpkeepIsRefused_MoveIsUnanswered_WorkerGetsNoTasks fails without it.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -283,7 +283,7 @@
   session.hold_open = false;
   if (reply.result == OrderResult::kNotStarted) {
     this->hooks.count_retry("hold_not_started");
-    this->ScheduleHold(session, now);
+    this->ScheduleHold(session, now + this->config.not_started_delay);
     return;
   }
   if (reply.result != OrderResult::kOk) {
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -47,6 +47,9 @@
     /// takes a few milliseconds.
     std::chrono::milliseconds reply_timeout{600};
     std::chrono::milliseconds retry_delay{150};
+    /// Delay before an order is given again that this process didn't begin to
+    /// send. Avoids a tight loop while the queue of orders is full.
+    std::chrono::milliseconds not_started_delay{50};
     /// Longest interval between two placements.
     std::chrono::milliseconds max_placement_interval{100};
     /// Shortest interval between two placements. Runs tend to end in groups,
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -165,8 +165,9 @@
   if (reply.result == OrderResult::kNotStarted) {
     // The worker hasn't seen this copy of the order.
     --run.attempts;
-    run.next_attempt = now;
-    this->next_session_scan = std::min(this->next_session_scan, now);
+    run.next_attempt = now + this->config.not_started_delay;
+    this->next_session_scan =
+        std::min(this->next_session_scan, run.next_attempt);
     this->hooks.count_retry(order.stage == RunStage::kStarting
                                 ? "start_not_started"
                                 : "stop_not_started");
--- a/src/mimosastage/jobs/dispatcher_upkeep.cc
+++ b/src/mimosastage/jobs/dispatcher_upkeep.cc
@@ -283,11 +283,13 @@
   // so the platform refuses it as well.
   upkeep.unanswered = false;
   upkeep.maybe_begun = false;
-  const bool moves = std::any_of(
-      this->instance_requests.begin(), this->instance_requests.end(),
-      [&](const auto& open) {
-        return open.second.instance == instance && !open.second.pool.empty();
-      });
+  const bool moves =
+      this->unanswered_moves.contains(instance) ||
+      std::any_of(this->instance_requests.begin(),
+                  this->instance_requests.end(), [&](const auto& open) {
+                    return open.second.instance == instance &&
+                           !open.second.pool.empty();
+                  });
   if (const Worker* worker = this->WorkerOnInstance(instance);
       worker != nullptr && !moves) {
     this->sessions.at(worker->id).reserved.reset();
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -613,6 +613,32 @@
   }
 }
 
+// Guards against a sound worker that gets no tasks because the leader didn't
+// begin to send its orders in time.
+TEST_F(DispatcherTest, OrdersAreNotStarted_WorkerStaysUsable) {
+  this->StartTermWithWorkers(1);
+  this->fleet.max_send_wait = milliseconds(-1);
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(300));
+  EXPECT_TRUE(this->fleet.starts.empty());
+  EXPECT_EQ(this->fleet.reports["worker_silent"], 0);
+  this->fleet.max_send_wait = milliseconds(250);
+  this->fleet.Advance(milliseconds(100));
+  ASSERT_EQ(this->fleet.starts.size(), 1U);
+  EXPECT_EQ(this->fleet.starts.front().run, 1U);
+}
+
+// Guards against a tight loop: an order that ends at once without being started
+// was given again at every scan.
+TEST_F(DispatcherTest, OrdersAreNotStarted_GivenAgainWithAPause) {
+  this->StartTermWithWorkers(1);
+  this->fleet.max_send_wait = milliseconds(-1);
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(1'000));
+  EXPECT_LE(this->fleet.not_started_orders,
+            2 * 1'000 / this->fleet.config.not_started_delay.count() + 2);
+}
+
 // Guards against a leader whose first seconds of overload last for good: orders
 // that were repeated on top of the delayed ones used up what it can send.
 TEST_F(OverloadedDispatcherTest, LeaderWasTooSlowFor10s_JobsCompleteAgain) {
@@ -645,6 +671,54 @@
       << "accepted jobs meet their objective";
 }
 
+// Guards against tasks that start on a worker whose instance may still move: a
+// refused upkeep released it while its move waited for the repetition.
+TEST_F(DispatcherTest, UpkeepIsRefused_MoveIsUnanswered_WorkerGetsNoTasks) {
+  this->fleet.AddPool("spare", true);
+  this->StartTermWithWorkers(12);
+  Command wave;
+  wave.wave = std::make_unique<Wave>();
+  wave.wave->number = 1;
+  wave.wave->most_at_once = 12;
+  for (int i = 0; i < 12; ++i) {
+    wave.wave->machines.push_back("machine-worker-" + std::to_string(i));
+  }
+  std::set<std::string> moving;
+  for (int i = 0; i < 300; ++i) {
+    this->fleet.Advance(milliseconds(10));
+    if (i == 150) {
+      this->fleet.state.Apply(wave);
+      Step lasting = MakeStep(12, 1'000);
+      lasting.long_running = true;
+      lasting.most_per_worker = 1;
+      this->fleet.Submit("lasting", "render", {lasting});
+    }
+    for (const InstanceRequest& request :
+         std::exchange(this->fleet.instance_requests, {})) {
+      InstanceReply reply;
+      reply.number = request.number;
+      if (request.kind == InstanceRequest::Kind::kList) {
+        reply.result = InstanceReply::Result::kOk;
+        for (const auto& [id, worker] : this->fleet.workers) {
+          reply.instances.push_back(InstanceListEntry{
+              worker.record.machine, "render", InstanceStatus::kUp, id});
+        }
+      } else if (request.kind == InstanceRequest::Kind::kMove) {
+        moving.insert(request.instance);
+      } else {
+        reply.result = InstanceReply::Result::kWrongWave;
+      }
+      this->fleet.dispatcher->OnInstanceReply(reply, this->fleet.now);
+    }
+    for (const std::string& instance : moving) {
+      const std::string worker =
+          instance.substr(std::string("machine-").size());
+      ASSERT_TRUE(this->fleet.workers.at(worker).running.empty()) << instance;
+    }
+  }
+  EXPECT_FALSE(moving.empty());
+}
+
 // Guards against a move that is requested again without a pause: the requests
 // and their log entries used up the leader's processor time.
 TEST_F(DispatcherTest, MoveIsUnanswered_RepeatedAtTheRetryDelay) {
--- a/tests/jobs/support/fake_fleet_leader.cc
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -104,7 +104,8 @@
     this->advice_requests.push_back(std::move(request));
   };
   hooks.wall_time = [this] { return this->wall; };
-  hooks.report = [](const char*, const std::string&, const std::string&) {};
+  hooks.report = [this](const char* event, const std::string&,
+                        const std::string&) { ++this->reports[event]; };
   hooks.count_retry = [](const char*) {};
   this->dispatcher =
       std::make_unique<Dispatcher>(this->config, std::move(hooks), this->state,
@@ -233,6 +234,7 @@
       WorkerReply reply;
       reply.number = order.number;
       reply.result = OrderResult::kNotStarted;
+      ++this->not_started_orders;
       this->dispatcher->OnReply(reply, this->now);
     } else if (sent.size() < this->orders_per_tick) {
       sent.push_back(std::move(order));
--- a/tests/jobs/support/fake_fleet_leader.h
+++ b/tests/jobs/support/fake_fleet_leader.h
@@ -80,6 +80,10 @@
   /// How far the time that the leader passes along with answers is behind, as
   /// after a freeze or CPU starvation.
   std::chrono::milliseconds leader_lag{0};
+  /// How many orders were answered as not started.
+  int not_started_orders = 0;
+  /// How often each event was reported.
+  std::map<std::string, int> reports;
   std::vector<InstanceRequest> instance_requests;
   std::vector<StartOrder> starts;
   /// Runs whose start was proposed to the log.
