--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -601,8 +601,8 @@
   EXPECT_GE(this->CompletedJobs(), this->submitted - 2 * 20);
 }
 
-// Guards against a leader that takes its own delay for the silence of workers:
-// their leases were no longer renewed, and long-running tasks lapsed for good.
+// Guards against holds that wait behind starts: the leases of sound workers
+// were no longer renewed, and long-running tasks lapsed for good.
 TEST_F(OverloadedDispatcherTest, LeaderSendsOrdersTooSlowly_NoLeaseLapses) {
   this->fleet.orders_per_tick = 2;
   this->AdvanceWithLoad(milliseconds(30'000));
