--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -636,7 +636,7 @@
   this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
   this->fleet.Advance(milliseconds(1'000));
   EXPECT_LE(this->fleet.not_started_orders,
-            2 * 1'000 / this->fleet.config.not_started_delay.count() + 2);
+            2'000 / this->fleet.config.not_started_delay.count() + 2);
 }
 
 // Guards against a leader whose first seconds of overload last for good: orders
