--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -253,20 +253,24 @@
   }
 }
 
-void JobNode::SendMembers(DaemonId to) {
-  if (!this->config.is_voter || this->members.version == 0) {
-    return;
-  }
+jobs::Leadership JobNode::MakeNotice(DaemonId leader) const {
   jobs::Leadership notice;
-  const DaemonIdFields none = ToDaemonIdFields(kNoVoter);
-  notice.leader = none.number;
-  notice.leader_address_id = none.address_id;
+  const DaemonIdFields id = ToDaemonIdFields(leader);
+  notice.leader = id.number;
+  notice.leader_address_id = id.address_id;
   notice.members_version = this->members.version;
   for (const Member& member : this->members.slots) {
     notice.members.push_back(ToGroupMember(member));
   }
-  this->hooks.send(to,
-                   EncodeMessage(JobsBytes{jobs::EncodeLeadership(notice)}));
+  return notice;
+}
+
+void JobNode::SendMembers(DaemonId to) {
+  if (!this->config.is_voter || this->members.version == 0) {
+    return;
+  }
+  this->hooks.send(to, EncodeMessage(JobsBytes{jobs::EncodeLeadership(
+                           this->MakeNotice(kNoVoter))}));
 }
 
 void JobNode::AdoptMembership(const Membership& committed) {
@@ -627,16 +631,9 @@
   }
   this->last_serving = serving;
   this->next_leadership_notice = now + this->config.leadership_interval;
-  jobs::Leadership notice;
-  const DaemonIdFields id = ToDaemonIdFields(this->config.self);
-  notice.leader = id.number;
-  notice.leader_address_id = id.address_id;
+  jobs::Leadership notice = this->MakeNotice(this->config.self);
   notice.view = this->term->view;
   notice.serving = serving;
-  notice.members_version = this->members.version;
-  for (const Member& member : this->members.slots) {
-    notice.members.push_back(ToGroupMember(member));
-  }
   const std::string message =
       EncodeMessage(JobsBytes{jobs::EncodeLeadership(notice)});
   for (const DaemonId peer : this->links) {
--- a/src/mimosastage/node/job_node.h
+++ b/src/mimosastage/node/job_node.h
@@ -176,6 +176,8 @@
   /// On the leader: proposes to fill vacant slots and to replace lost voters.
   void PlanMembership(TimePoint now);
   void AdoptMembership(const Membership& committed);
+  /// A notice with the members; kNoVoter if this daemon doesn't lead.
+  jobs::Leadership MakeNotice(DaemonId leader) const;
   /// Tells another daemon who votes. Its seeds may name no leader, and only the
   /// leader's links carry Leadership messages to it.
   void SendMembers(DaemonId to);
