Remove twins and repeated work from the placement

IsServing replaces five copies of its condition, RemoveFromGroup two copies of its loop, and one map of sums the two maps of waiting resources that were copied from it at each placement. A job's chains are computed once where it is added, and its objective only if the leader is overloaded; the backlog, which is read only then, is no longer counted every 100 ms on a leader that isn't.

--- a/src/mimosastage/jobs/admission_control.cc
+++ b/src/mimosastage/jobs/admission_control.cc
@@ -37,10 +37,14 @@
   return starts;
 }
 
+bool AdmissionControl::IsOverloaded(TimePoint now) const {
+  return this->last_blocked.has_value() &&
+         now - *this->last_blocked <= kBlockedMemory;
+}
+
 std::optional<milliseconds> AdmissionControl::ExpectedWait(
     TimePoint now) const {
-  if (!this->last_blocked.has_value() ||
-      now - *this->last_blocked > kBlockedMemory) {
+  if (!this->IsOverloaded(now)) {
     return std::nullopt;
   }
   const std::size_t starts = std::max<std::size_t>(1, this->RecentStarts(now));
--- a/src/mimosastage/jobs/admission_control.h
+++ b/src/mimosastage/jobs/admission_control.h
@@ -25,6 +25,8 @@
   /// Corrects the number of tasks that wait for their start.
   void SetBacklog(std::size_t tasks) { this->backlog = tasks; }
 
+  /// True if starts were blocked lately.
+  bool IsOverloaded(TimePoint now) const;
   /// Expected wait of a task that is accepted at `now`; nullopt if the leader
   /// starts tasks as fast as they arrive.
   std::optional<std::chrono::milliseconds> ExpectedWait(TimePoint now) const;
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -420,8 +420,7 @@
   TimePoint last_session_scan{};
   TimePoint next_load_report{};
   /// Resources that each pool's waiting tasks need, as of the last placement.
-  std::map<std::string, std::int64_t> waiting_millicores;
-  std::map<std::string, std::int64_t> waiting_memory_mb;
+  std::map<std::string, WaitingSteps::Sums> waiting_sums;
   std::map<std::pair<std::uint64_t, std::string>, Upkeep> upkeeps;
   std::unordered_map<std::uint64_t, OpenInstanceRequest> instance_requests;
   TimePoint next_wave_round{};
--- a/src/mimosastage/jobs/dispatcher_instances.cc
+++ b/src/mimosastage/jobs/dispatcher_instances.cc
@@ -81,13 +81,10 @@
     demand.standby = pool->standby;
     demand.instances_for_anti_affine_tasks =
         this->waiting_steps.InstancesForAntiAffineTasks(pool->name);
-    if (const auto waiting = this->waiting_millicores.find(pool->name);
-        waiting != this->waiting_millicores.end()) {
-      demand.waiting_millicores = waiting->second;
-    }
-    if (const auto waiting = this->waiting_memory_mb.find(pool->name);
-        waiting != this->waiting_memory_mb.end()) {
-      demand.waiting_memory_mb = waiting->second;
+    if (const auto waiting = this->waiting_sums.find(pool->name);
+        waiting != this->waiting_sums.end()) {
+      demand.waiting_millicores = waiting->second.millicores;
+      demand.waiting_memory_mb = waiting->second.memory_mb;
     }
   }
   std::vector<PooledInstance> instances;
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -25,7 +25,7 @@
   const Step& step = *run.step;
   Add(session.used, Charge(step));
   session.fillers += step.filler ? 1 : 0;
-  session.serving += step.tail_target_ms > 0 && !step.filler ? 1 : 0;
+  session.serving += IsServing(step) ? 1 : 0;
   Add(this->used_by_team[run.request->team], *step.need);
 }
 
@@ -33,7 +33,7 @@
   const Step& step = *run.step;
   Subtract(session.used, Charge(step));
   session.fillers -= step.filler ? 1 : 0;
-  session.serving -= step.tail_target_ms > 0 && !step.filler ? 1 : 0;
+  session.serving -= IsServing(step) ? 1 : 0;
   Subtract(this->used_by_team[run.request->team], *step.need);
 }
 
@@ -103,7 +103,8 @@
 }
 
 void Dispatcher::CountBacklog(TimePoint now) {
-  if (now < this->next_backlog_count) {
+  // The backlog matters only while the leader is overloaded.
+  if (now < this->next_backlog_count || !this->admission.IsOverloaded(now)) {
     return;
   }
   this->next_backlog_count = now + kBacklogCountInterval;
@@ -126,16 +127,16 @@
 std::optional<milliseconds> Dispatcher::OverloadDelay(const JobRequest& request,
                                                       const Queue& queue,
                                                       TimePoint now) const {
+  const auto wait = this->admission.ExpectedWait(now);
   const bool lasts =
       std::any_of(request.steps.begin(), request.steps.end(),
                   [](const auto& step) { return step->long_running; });
-  if (lasts || request.occurrences > 0) {
+  if (!wait.has_value() || lasts || request.occurrences > 0) {
     return std::nullopt;
   }
-  const auto wait = this->admission.ExpectedWait(now);
-  const milliseconds slack =
-      ObjectiveOf(request, queue) - LongestChain(request);
-  if (!wait.has_value() || *wait <= slack) {
+  const milliseconds chain = LongestChain(request);
+  const milliseconds slack = ObjectiveOf(chain, queue) - chain;
+  if (*wait <= slack) {
     return std::nullopt;
   }
   return *wait - slack;
@@ -171,8 +172,8 @@
           run.step->long_running ? Charge(*run.step).millicores : 0;
     }
   }
-  for (const auto& [pool, waiting] : this->waiting_millicores) {
-    loads[pool].waiting = waiting;
+  for (const auto& [pool, waiting] : this->waiting_sums) {
+    loads[pool].waiting = waiting.millicores;
   }
   for (const auto& [pool, load] : loads) {
     this->hooks.report("pool_load", pool,
@@ -189,19 +190,13 @@
 void Dispatcher::PlaceTasks(TimePoint now) {
   this->waiting_steps.Refresh(this->hooks.wall_time());
   this->IndexWorkers();
-  this->waiting_millicores.clear();
-  this->waiting_memory_mb.clear();
-  const auto sums_by_pool = this->waiting_steps.SumsByPool();
-  for (const auto& [pool, sums] : sums_by_pool) {
-    this->waiting_millicores[pool] = sums.millicores;
-    this->waiting_memory_mb[pool] = sums.memory_mb;
-  }
+  this->waiting_sums = this->waiting_steps.SumsByPool();
   std::map<std::string, TeamQuota> teams;
-  if (!sums_by_pool.empty()) {
+  if (!this->waiting_sums.empty()) {
     teams = this->TeamQuotas();
   }
-  std::size_t pools_left = sums_by_pool.size();
-  for (const auto& [pool, sums] : sums_by_pool) {
+  std::size_t pools_left = this->waiting_sums.size();
+  for (const auto& [pool, sums] : this->waiting_sums) {
     // Each pool gets an equal part of the start window, so that a long queue
     // for one pool doesn't keep the tasks of the others from starting.
     const std::size_t room = this->start_window.Room();
@@ -248,6 +243,7 @@
                                const PoolWorkers& workers,
                                const std::vector<Assignment>& assignments,
                                TimePoint now) {
+  WaitingSteps::Sums& waiting = this->waiting_sums.at(pool);
   std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> gang_runs;
   for (const Assignment& assignment : assignments) {
     const TaskId& task = assignment.task;
@@ -267,8 +263,9 @@
       number = shared;
     }
     const std::string& worker = workers.candidates[assignment.candidate].id;
-    this->waiting_millicores[pool] -= Charge(step).millicores;
-    this->waiting_memory_mb[pool] -= Charge(step).memory_mb;
+    const Amount charge = Charge(step);
+    waiting.millicores -= charge.millicores;
+    waiting.memory_mb -= charge.memory_mb;
     if (this->health.AnyQuarantined() &&
         this->health.EligibilityOf(InstanceName(worker), now) ==
             WorkerHealth::Eligibility::kProbe) {
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -357,7 +357,7 @@
   }
   double worst = 0;
   for (const auto& [key, run] : session.runs) {
-    if (run.step->tail_target_ms > 0 && !run.step->filler && run.ready) {
+    if (IsServing(*run.step) && run.ready) {
       worst =
           std::max(worst, static_cast<double>(run.load) /
                               static_cast<double>(run.step->tail_target_ms));
--- a/src/mimosastage/jobs/dispatcher_upkeep.cc
+++ b/src/mimosastage/jobs/dispatcher_upkeep.cc
@@ -171,10 +171,10 @@
     if (session->second.draining || session->second.leaving) {
       continue;
     }
-    const auto waiting = this->waiting_millicores.find(worker->pool);
+    const auto waiting = this->waiting_sums.find(worker->pool);
     const Candidate candidate{
         refused,
-        waiting != this->waiting_millicores.end() && waiting->second > 0,
+        waiting != this->waiting_sums.end() && waiting->second.millicores > 0,
         session->second.used.millicores, instance, worker->id};
     if (session->second.reserved.has_value()) {
       ++reserved;
--- a/src/mimosastage/jobs/placement.cc
+++ b/src/mimosastage/jobs/placement.cc
@@ -130,7 +130,7 @@
     }
     Subtract(candidate->free, Charge(step));
     candidate->fillers += step.filler ? 1 : 0;
-    candidate->serving += step.tail_target_ms > 0 && !step.filler ? 1 : 0;
+    candidate->serving += IsServing(step) ? 1 : 0;
     if (this->team != nullptr) {
       Subtract(this->team->free, *step.need);
     }
@@ -155,7 +155,7 @@
           this->candidates[this->assignments[i].candidate];
       Add(candidate.free, Charge(step));
       candidate.fillers -= step.filler ? 1 : 0;
-      candidate.serving -= step.tail_target_ms > 0 && !step.filler ? 1 : 0;
+      candidate.serving -= IsServing(step) ? 1 : 0;
       if (this->team != nullptr) {
         Add(this->team->free, *step.need);
       }
@@ -193,6 +193,10 @@
   return need;
 }
 
+bool IsServing(const Step& step) {
+  return step.tail_target_ms > 0 && !step.filler;
+}
+
 void Add(Amount& to, const Amount& amount) {
   to.millicores += amount.millicores;
   to.memory_mb += amount.memory_mb;
--- a/src/mimosastage/jobs/placement.h
+++ b/src/mimosastage/jobs/placement.h
@@ -18,6 +18,9 @@
 bool Fits(const Step& step, const Amount& free);
 /// Resources that one task of the step reserves on its worker.
 Amount Charge(const Step& step);
+/// True if the tasks of the step serve users of their own, whose tail latency
+/// has a target that fillers beside them must not exceed.
+bool IsServing(const Step& step);
 void Add(Amount& to, const Amount& amount);
 void Subtract(Amount& from, const Amount& amount);
 
--- a/src/mimosastage/jobs/waiting_steps.cc
+++ b/src/mimosastage/jobs/waiting_steps.cc
@@ -25,6 +25,11 @@
   return chains;
 }
 
+milliseconds Longest(const std::vector<milliseconds>& chains) {
+  return chains.empty() ? milliseconds(0)
+                        : *std::max_element(chains.begin(), chains.end());
+}
+
 milliseconds DueOf(const JobRequest& request, std::uint32_t occurrence) {
   if (request.occurrences == 0) {
     return milliseconds(request.accepted_ms);
@@ -52,14 +57,12 @@
 }  // namespace
 
 milliseconds LongestChain(const JobRequest& request) {
-  const std::vector<milliseconds> chains = ChainsOf(request);
-  return chains.empty() ? milliseconds(0)
-                        : *std::max_element(chains.begin(), chains.end());
+  return Longest(ChainsOf(request));
 }
 
-milliseconds ObjectiveOf(const JobRequest& request, const Queue& queue) {
+milliseconds ObjectiveOf(milliseconds longest_chain, const Queue& queue) {
   return std::chrono::duration_cast<milliseconds>(queue.stretch *
-                                                  LongestChain(request)) +
+                                                  longest_chain) +
          milliseconds(queue.target_ms);
 }
 
@@ -200,7 +203,7 @@
   open.priority = queue.priority;
   open.advised = queue.advised;
   open.chains = ChainsOf(request);
-  open.objective = ObjectiveOf(request, queue);
+  open.objective = ObjectiveOf(Longest(open.chains), queue);
   open.anti_affine_instances = AntiAffineInstances(request);
   if (open.anti_affine_instances > 0) {
     ++open.pool->anti_affine_jobs[open.anti_affine_instances];
@@ -213,11 +216,7 @@
   OpenJob& open = found->second;
   for (const auto& [number, step] : open.waiting) {
     AddToSums(*open.pool, step->demand, -1);
-    const auto group = open.pool->groups.find(KeyOf(*step));
-    group->second.erase(step.get());
-    if (group->second.empty()) {
-      open.pool->groups.erase(group);
-    }
+    RemoveFromGroup(*open.pool, *step);
   }
   const std::uint32_t occurrences =
       std::max<std::uint32_t>(1, open.request->occurrences);
@@ -283,11 +282,7 @@
   if (known != open.waiting.end()) {
     AddToSums(*open.pool, known->second->demand, -1);
     if (this->found_waiting.empty()) {
-      const auto group = open.pool->groups.find(KeyOf(*known->second));
-      group->second.erase(known->second.get());
-      if (group->second.empty()) {
-        open.pool->groups.erase(group);
-      }
+      RemoveFromGroup(*open.pool, *known->second);
       open.waiting.erase(known);
       return;
     }
@@ -315,6 +310,14 @@
   AddToSums(*open.pool, demand, 1);
 }
 
+void WaitingSteps::RemoveFromGroup(PoolSteps& pool, WaitingStep& step) {
+  const auto group = pool.groups.find(KeyOf(step));
+  group->second.erase(&step);
+  if (group->second.empty()) {
+    pool.groups.erase(group);
+  }
+}
+
 void WaitingSteps::AddToSums(PoolSteps& pool, const StepDemand& demand,
                              std::int64_t sign) {
   const Amount charge = Charge(*demand.step);
--- a/src/mimosastage/jobs/waiting_steps.h
+++ b/src/mimosastage/jobs/waiting_steps.h
@@ -22,8 +22,9 @@
 /// Estimated duration of the longest chain of dependent steps.
 std::chrono::milliseconds LongestChain(const JobRequest& request);
 
-/// Time from its acceptance within which a job of the queue must complete.
-std::chrono::milliseconds ObjectiveOf(const JobRequest& request,
+/// Time from its acceptance within which a job of the queue must complete,
+/// given its longest chain.
+std::chrono::milliseconds ObjectiveOf(std::chrono::milliseconds longest_chain,
                                       const Queue& queue);
 
 /// A step of one occurrence of a job that is due and ready, and has tasks that
@@ -145,6 +146,7 @@
   /// Counts the step's runs on each worker.
   static std::map<std::string, std::size_t> CountOnWorkers(
       const Job& job, std::uint32_t occurrence, std::uint32_t step);
+  static void RemoveFromGroup(PoolSteps& pool, WaitingStep& step);
   static void AddToSums(PoolSteps& pool, const StepDemand& demand,
                         std::int64_t sign);
   static GroupKey KeyOf(const WaitingStep& step);
--- a/tests/jobs/support/dispatcher_peer.cc
+++ b/tests/jobs/support/dispatcher_peer.cc
@@ -380,8 +380,8 @@
 std::map<std::string, std::pair<std::int64_t, std::int64_t>>
 DispatcherPeer::Waiting() const {
   std::map<std::string, std::pair<std::int64_t, std::int64_t>> waiting;
-  for (const auto& [pool, millicores] : this->dispatcher.waiting_millicores) {
-    waiting[pool] = {millicores, this->dispatcher.waiting_memory_mb.at(pool)};
+  for (const auto& [pool, sums] : this->dispatcher.waiting_sums) {
+    waiting[pool] = {sums.millicores, sums.memory_mb};
   }
   return waiting;
 }
