Share the twins that the new tests wrote

The list of instances in two tests of the dispatcher, and the loop over killed voters in two tests of the job cluster, with the same assertions.

--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -38,6 +38,15 @@
     return TaskId{job, 0, step, index};
   }
 
+  /// Makes `reply` the list of all workers' instances, in pool "render".
+  void ListInstances(InstanceReply& reply) const {
+    reply.result = InstanceReply::Result::kOk;
+    for (const auto& [id, worker] : this->fleet.workers) {
+      reply.instances.push_back(InstanceListEntry{
+          worker.record.machine, "render", InstanceStatus::kUp, id});
+    }
+  }
+
   void EndAllRuns(const TaskId& task, RunOutcome outcome) {
     for (const std::string& worker : this->fleet.WorkersOf(task)) {
       this->fleet.EndRun(worker, task, outcome);
@@ -698,11 +707,7 @@
       InstanceReply reply;
       reply.number = request.number;
       if (request.kind == InstanceRequest::Kind::kList) {
-        reply.result = InstanceReply::Result::kOk;
-        for (const auto& [id, worker] : this->fleet.workers) {
-          reply.instances.push_back(InstanceListEntry{
-              worker.record.machine, "render", InstanceStatus::kUp, id});
-        }
+        this->ListInstances(reply);
       } else if (request.kind == InstanceRequest::Kind::kMove) {
         moving.insert(request.instance);
       } else {
@@ -734,11 +739,7 @@
         InstanceReply reply;
         reply.number = request.number;
         if (request.kind == InstanceRequest::Kind::kList) {
-          reply.result = InstanceReply::Result::kOk;
-          for (const auto& [id, worker] : this->fleet.workers) {
-            reply.instances.push_back(InstanceListEntry{
-                worker.record.machine, "render", InstanceStatus::kUp, id});
-          }
+          this->ListInstances(reply);
         } else {
           ++requests[request.instance];
         }
--- a/tests/system/job_cluster_test.cc
+++ b/tests/system/job_cluster_test.cc
@@ -199,6 +199,17 @@
     }
   }
 
+  void ExpectJobsCompleteWhileEachVoterIsKilled() {
+    for (int victim = 0; victim < kVoters; ++victim) {
+      const std::string id = "job" + std::to_string(victim);
+      ASSERT_TRUE(this->Submit(id));
+      this->KillDaemon(victim);
+      EXPECT_TRUE(this->Completes(id));
+      this->StartDaemon(victim, false);
+    }
+    this->ExpectEachDoneOnce(3 * kVoters);
+  }
+
   static constexpr int kVoters = 3;
   static constexpr int kDaemons = 4;
   /// A voter with an empty data directory at another address. SetUp() doesn't
@@ -245,14 +256,7 @@
 // addresses give one id: no configuration came into force, and no job was
 // accepted.
 TEST_F(EqualLegacyIdsTest, Submit_VotersAndEntry_JobsComplete) {
-  for (int victim = 0; victim < kVoters; ++victim) {
-    const std::string id = "job" + std::to_string(victim);
-    ASSERT_TRUE(this->Submit(id));
-    this->KillDaemon(victim);
-    EXPECT_TRUE(this->Completes(id));
-    this->StartDaemon(victim, false);
-  }
-  this->ExpectEachDoneOnce(3 * kVoters);
+  this->ExpectJobsCompleteWhileEachVoterIsKilled();
 }
 
 // Guards against a replacement that never becomes a member because its address
@@ -275,14 +279,7 @@
 }
 
 TEST_F(JobClusterTest, Kill_EachVoterInTurn_AcceptedJobsCompleteOnce) {
-  for (int victim = 0; victim < kVoters; ++victim) {
-    const std::string id = "job" + std::to_string(victim);
-    ASSERT_TRUE(this->Submit(id));
-    this->KillDaemon(victim);
-    EXPECT_TRUE(this->Completes(id));
-    this->StartDaemon(victim, false);
-  }
-  this->ExpectEachDoneOnce(3 * kVoters);
+  this->ExpectJobsCompleteWhileEachVoterIsKilled();
 }
 
 TEST_F(JobClusterTest, Kill_AllVotersAtOnce_AcceptedJobIsKnown) {
