--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -260,6 +260,12 @@
   Session& session = found->second;
   if (reply.result == OrderResult::kOtherIncarnation ||
       (reply.born_ms.has_value() && *reply.born_ms > session.born_ms)) {
+    const std::string answered =
+        reply.born_ms.has_value() ? std::to_string(*reply.born_ms) : "unknown";
+    this->hooks.report("other_incarnation_answered", id,
+                       "order " + std::to_string(reply.number) + ", born " +
+                           answered + ", expected " +
+                           std::to_string(session.born_ms));
     this->RemoveWorker(id, "another incarnation answered", now);
     return;
   }
--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -518,10 +518,13 @@
 }
 
 void JobNode::AdvanceTerm(TimePoint now) {
-  if (this->term != nullptr &&
-      (this->term->failed || !this->replica->IsLeader() ||
-       this->replica->View() != this->term->view)) {
-    this->EndTerm("leadership ended or the log refused a proposal");
+  if (this->term != nullptr) {
+    if (!this->replica->IsLeader() ||
+        this->replica->View() != this->term->view) {
+      this->EndTerm("leadership ended");
+    } else if (this->term->failed) {
+      this->EndTerm("the log refused a proposal");
+    }
   }
   if (this->term == nullptr) {
     if (this->replica->HasAuthority(now) && !this->stopping_since.has_value()) {
@@ -597,12 +600,17 @@
     return;
   }
   current.last_entry = now;
-  const auto index =
-      this->replica->Propose(jobs::EncodeBatch(current.batch), now);
+  std::string entry = jobs::EncodeBatch(current.batch);
+  const std::size_t bytes = entry.size();
+  const auto index = this->replica->Propose(std::move(entry), now);
   if (!index.has_value()) {
     // The working state is ahead of the log; the next term starts from the
     // committed state.
     this->hooks.count_drop("proposal_refused_by_log");
+    this->hooks.report(
+        "proposal_refused", this->config.name,
+        index.error().message() + "; " + std::to_string(bytes) + " bytes, " +
+            std::to_string(current.batch.commands.size()) + " commands");
     current.failed = true;
     return;
   }
