Never lead two terms in one view

Cause: when the log refuses an entry, the leader ended its term and began the next one in the same view. The fencing token is derived from the view and the order numbers from the token, so both repeated. A start order of the former term that arrives late isn't refused by the worker, and an answer to an order of the former term is taken for the answer to an order of the new one.

A daemon whose term has ended in a view now resigns instead of leading that view again, so that the next term has a higher view, token and numbers.

The test stalls the disk until the log refuses an entry. Before the change order numbers were repeated; the test failed with one failure for each of them.

--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -527,7 +527,12 @@
     }
   }
   if (this->term == nullptr) {
-    if (this->replica->HasAuthority(now) && !this->stopping_since.has_value()) {
+    if (!this->replica->HasAuthority(now) || this->stopping_since.has_value()) {
+      return;
+    }
+    if (this->last_term_view == this->replica->View()) {
+      this->replica->Resign(now);
+    } else {
       this->BeginTerm(now);
     }
     return;
@@ -542,6 +547,7 @@
 void JobNode::BeginTerm(TimePoint now) {
   auto next = std::make_unique<Term>();
   next->view = this->replica->View();
+  this->last_term_view = next->view;
   next->working.Restore(this->committed.Snapshot());
   this->term = std::move(next);
   const auto propose = [this](jobs::Command command,
--- a/src/mimosastage/node/job_node.h
+++ b/src/mimosastage/node/job_node.h
@@ -209,6 +209,9 @@
   TimePoint next_membership_check{};
   jobs::FleetState committed;
   std::unique_ptr<Term> term;
+  /// View of the latest term of this daemon. A second term in one view would
+  /// have the fencing token and the order numbers of the first.
+  std::optional<ViewNumber> last_term_view;
   std::set<DaemonId> links;
   std::optional<KnownLeader> leader;
   TimePoint next_leadership_notice{};
--- a/tests/node/job_node_test.cc
+++ b/tests/node/job_node_test.cc
@@ -4,6 +4,8 @@
 
 #include <chrono>
 #include <map>
+#include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -209,5 +211,103 @@
   EXPECT_EQ(this->reported_members, this->logged);
 }
 
+/// The only voter of a group, which leads alone.
+class JobNodeAloneTest : public JobNodeTest {
+ protected:
+  static constexpr std::size_t kMaxPendingEntries = 2;
+
+  JobNodeAloneTest() {
+    this->config.is_voter = true;
+    this->config.founding_membership =
+        FoundingMembership({this->config.own_member}, 0);
+    this->config.limits.pending_entries = kMaxPendingEntries;
+    this->hooks.persist = [this](const DurableWrite& write) {
+      this->written_ticket = write.ticket;
+    };
+    this->hooks.send_order = [this](const jobs::WorkerOrder& order) {
+      this->orders.push_back(order);
+    };
+    this->hooks.send_instance_request = [](const jobs::InstanceRequest&) {};
+    this->hooks.report = [this](const char* event, const std::string&,
+                                const std::string&) { ++this->events[event]; };
+    this->node = std::make_unique<JobNode>(this->config, this->hooks);
+    DurableImage image;
+    image.intact = true;
+    image.incarnation = AddStart(image.starts, 7);
+    this->node->Start(std::move(image), this->now);
+    this->Run(seconds(2));
+    this->Call(this->Configure(1, 0));
+    this->Call(this->Announce());
+  }
+
+  void Run(Duration duration) {
+    for (const TimePoint end = this->now + duration; this->now < end;) {
+      this->now += milliseconds(5);
+      if (!this->disk_stalls) {
+        this->node->OnStorageSynced(this->written_ticket, this->now);
+      }
+      this->node->Advance(this->now);
+    }
+  }
+
+  /// Makes a call and runs the node for 100 ms. Returns the call's number.
+  std::uint64_t Call(jobs::Call call) {
+    this->node->OnCall(++this->last_call, std::move(call), seconds(1),
+                       this->now);
+    this->Run(milliseconds(100));
+    return this->last_call;
+  }
+
+  static jobs::Call Configure(std::uint64_t version, std::size_t source_bytes) {
+    jobs::Call call;
+    call.kind = static_cast<std::uint8_t>(jobs::CallKind::kConfigure);
+    call.configuration = std::make_unique<jobs::Configuration>();
+    call.configuration->version = version;
+    call.configuration->source = std::string(source_bytes, 'x');
+    auto pool = std::make_unique<jobs::Pool>();
+    pool->name = "render";
+    call.configuration->pools.push_back(std::move(pool));
+    return call;
+  }
+
+  static jobs::Call Announce() {
+    jobs::Call call;
+    call.kind = static_cast<std::uint8_t>(jobs::CallKind::kAnnounceWorker);
+    call.worker = std::make_unique<jobs::Worker>();
+    call.worker->id = "worker-1";
+    call.worker->born_ms = 1;
+    call.worker->pool = "render";
+    call.worker->address = "10.0.1.1:80";
+    call.worker->capacity = std::make_unique<jobs::Amount>();
+    return call;
+  }
+
+  bool disk_stalls = false;
+  std::uint64_t written_ticket = 0;
+  std::uint64_t last_call = 0;
+  std::vector<jobs::WorkerOrder> orders;
+  std::map<std::string, int> events;
+};
+
+// Guards against two terms that workers can't tell apart: after the log refuses
+// an entry, the next term repeats the fencing token and the order numbers.
+TEST_F(JobNodeAloneTest, LogRefusesAnEntry_NextTermHasAnotherTokenAndNumbers) {
+  this->disk_stalls = true;
+  for (std::uint64_t version = 2; version < 6; ++version) {
+    this->Call(Configure(version, 0));
+  }
+  ASSERT_GE(this->events["proposal_refused"], 1);
+  this->disk_stalls = false;
+  this->Run(seconds(3));
+  ASSERT_GE(this->events["term_began"], 2);
+  std::set<std::uint64_t> numbers;
+  std::set<std::uint64_t> tokens;
+  for (const jobs::WorkerOrder& order : this->orders) {
+    EXPECT_TRUE(numbers.insert(order.number).second) << order.number;
+    tokens.insert(order.fence);
+  }
+  EXPECT_GE(tokens.size(), 2U);
+}
+
 }  // namespace
 }  // namespace mimosastage
