End a request with the id of an open exchange, and keep the open one

Cause: the exchange client keeps exchanges by id. A second one with the id of an open one wasn't stored and was destroyed at once, while libcurl kept its handle and the pointer to it, so that the client's thread read freed memory when the transfer ended. Terms with repeated order numbers made such requests.

The client now ends the second request with kNotStarted and leaves the open one alone, whoever repeats an id. Without the change the test ends with a segmentation fault (139); with it, it passes.

--- a/src/mimosastage/backend_servers/exchange_client.cc
+++ b/src/mimosastage/backend_servers/exchange_client.cc
@@ -212,6 +212,16 @@
   void StartExchange(ExchangeRequest&& request) {
     const TimePoint now = LeaseClock::now();
     const std::uint64_t id = request.id;
+    if (this->exchanges.contains(id)) {
+      ExchangeResult refused;
+      refused.id = id;
+      refused.end = AttemptEnd::kNotStarted;
+      refused.ended_at = now;
+      refused.detail =
+          "another exchange with this id is open; give each its own id";
+      this->hooks.on_result(std::move(refused));
+      return;
+    }
     const Exchange::Limits limits{
         this->settings.connect_timeout, this->settings.unacknowledged_timeout,
         this->settings.max_idle_time, this->settings.max_answer_bytes};
--- a/src/mimosastage/backend_servers/exchange_client.h
+++ b/src/mimosastage/backend_servers/exchange_client.h
@@ -15,7 +15,8 @@
 
 /// One attempt to send a request to a backend server.
 struct ExchangeRequest {
-  /// Unique over the lifetime of the client.
+  /// Unique over the lifetime of the client. A request with the id of an open
+  /// exchange ends with kNotStarted.
   std::uint64_t id = 0;
   /// Numeric IP address.
   std::string address;
--- a/tests/backend_servers/exchange_client_test.cc
+++ b/tests/backend_servers/exchange_client_test.cc
@@ -370,6 +370,25 @@
   EXPECT_EQ(this->Wait(id).end, AttemptEnd::kCancelled);
 }
 
+// Guards against a crash of the client's thread: libcurl keeps a pointer to the
+// second exchange, which was destroyed because its id was in use.
+TEST_F(ExchangeClientTest, Submit_IdOfAnOpenExchange_SecondIsNotStarted) {
+  this->server.SetFaults({{"stall", true}});
+  this->StartClient();
+  ExchangeRequest first = this->MakeRequest(false);
+  ExchangeRequest second = first;
+  const std::uint64_t id = first.id;
+  ASSERT_TRUE(this->client->Submit(std::move(first)));
+  while (this->CountServerRuns(id) == 0) {
+  }
+  EXPECT_EQ(this->Run(std::move(second)).end, AttemptEnd::kNotStarted);
+  ASSERT_TRUE(this->client->Cancel(id));
+  this->client->Stop();
+  EXPECT_EQ(this->results[id].end, AttemptEnd::kCancelled);
+  EXPECT_EQ(this->result_counts[id], 2);
+  EXPECT_EQ(this->CountServerRuns(id), 1U);
+}
+
 // Guards against lost, duplicated or swapped answers under random faults.
 TEST_F(ExchangeClientTest, Submit_RandomFaults_OneResultAndAtMostOneRunEach) {
   constexpr int kRounds = 20;
