Let log entries and messages hold the largest configuration that is accepted

Cause: a log entry was limited to 768 KiB and a message between daemons to 1 MiB, while the operator's interface accepts bodies of 4 MiB. The entry holds the body and its parsed form. A call above 1 MiB was dropped by the link to the leader and waited for its deadline.

An entry may now have 15 MiB and a message 16 MiB. The limit on the bytes that wait on a link stays at 4 MiB; it is checked before the message is added, so that one longer message passes and memory stays bounded.

--- a/src/mimosastage/daemons/internal/link.cc
+++ b/src/mimosastage/daemons/internal/link.cc
@@ -88,7 +88,7 @@
     this->hooks.on_drop("message_too_large");
     return;
   }
-  this->CloseIfQueueFull(message.size());
+  this->CloseIfQueueFull();
   this->Enqueue(
       BuildFrame(message, this->send_authenticator->NextTag(message)));
 }
@@ -246,9 +246,9 @@
 // The tags of frames include a counter, so removing a queued frame would
 // invalidate all later ones. A link whose peer reads too slowly is closed
 // instead; the peer gets what it missed after the reconnect.
-void Link::CloseIfQueueFull(std::size_t size) {
+void Link::CloseIfQueueFull() {
   if (this->queue.size() < this->settings.max_queued_frames &&
-      this->queued_bytes + size <= this->settings.max_queued_bytes) {
+      this->queued_bytes <= this->settings.max_queued_bytes) {
     return;
   }
   this->hooks.on_drop("peer_too_slow");
--- a/src/mimosastage/daemons/internal/link.h
+++ b/src/mimosastage/daemons/internal/link.h
@@ -67,7 +67,7 @@
   bool OnHello();
   bool OnMessageFrame();
   void Enqueue(std::string frame);
-  void CloseIfQueueFull(std::size_t size);
+  void CloseIfQueueFull();
   void WriteNext();
   void OnHeartbeatTimer();
 
--- a/src/mimosastage/daemons/links.h
+++ b/src/mimosastage/daemons/links.h
@@ -59,6 +59,8 @@
     std::chrono::milliseconds min_reconnect_delay{50};
     std::chrono::milliseconds max_reconnect_delay{2'000};
     std::size_t max_queued_frames = 1'024;
+    /// A link that has more bytes queued than this is closed at the next
+    /// message. One message more than this may be queued.
     std::size_t max_queued_bytes = 4U << 20U;
     std::uint64_t seed = 0;
     /// Accepts connections of daemons that send kAnonymousDaemon.
@@ -109,7 +111,8 @@
   /// hook.
   void Send(DaemonId to, std::string&& message);
 
-  static constexpr std::size_t kMaxMessageBytes = 1U << 20U;
+  /// Holds a log entry of ReplicationLimits::command_bytes.
+  static constexpr std::size_t kMaxMessageBytes = 16U << 20U;
   static constexpr std::chrono::seconds kConflictReportInterval{60};
 
  private:
--- a/src/mimosastage/replication/replication_config.h
+++ b/src/mimosastage/replication/replication_config.h
@@ -41,10 +41,11 @@
   /// Proposed and not yet committed. Beyond these limits, proposals fail with
   /// kTooManyPending.
   std::size_t pending_entries = 4096;
-  std::size_t pending_bytes = 8U << 20U;
+  std::size_t pending_bytes = 32U << 20U;
   /// Longer commands are refused with kCommandTooLong. A command must fit into
-  /// a frame of 1 MiB.
-  std::size_t command_bytes = 768U << 10U;
+  /// a message between daemons (Links::kMaxMessageBytes, 16 MiB). The largest
+  /// request body of an operator, 4 MiB, makes a command of at most 12 MiB.
+  std::size_t command_bytes = 15U << 20U;
 };
 
 struct ReplicaConfig {
--- a/tests/system/job_cluster_test.cc
+++ b/tests/system/job_cluster_test.cc
@@ -107,17 +107,27 @@
     process->Wait();
   }
 
-  int Configure(int version, const std::string& host = "host") {
+  static json MakeRoute(const std::string& name, const std::string& host) {
+    return json{{"name", name},
+                {"host", host},
+                {"path_prefix", "/" + name + "/"},
+                {"service", "pool"},
+                {"timeout_ms", 3'000},
+                {"max_attempts", 2},
+                {"stretch", 2.0},
+                {"public", true}};
+  }
+
+  /// Sends a configuration with the route "queue" and `more_routes` others to
+  /// the voters in turn. Returns the first status that isn't 0 or 5xx.
+  int Configure(int version, const std::string& host = "host",
+                int more_routes = 0) {
+    json routes{MakeRoute("queue", host)};
+    for (int i = 0; i < more_routes; ++i) {
+      routes.push_back(MakeRoute("queue-" + std::to_string(i), host));
+    }
     const json body{{"version", version},
-                    {"routes",
-                     {{{"name", "queue"},
-                       {"host", host},
-                       {"path_prefix", "/queue/"},
-                       {"service", "pool"},
-                       {"timeout_ms", 3'000},
-                       {"max_attempts", 2},
-                       {"stretch", 2.0},
-                       {"public", true}}}},
+                    {"routes", std::move(routes)},
                     {"services", {{{"name", "pool"}}}},
                     {"tenants", json::array()}};
     for (int i = 0; i < kVoters; ++i) {
@@ -402,6 +412,17 @@
       << "an outdated change must be acknowledged without effect";
 }
 
+// Guards against a configuration that is valid and too long for the log or the
+// links: the leader lost its term to it, and no voter ever acknowledged it.
+TEST_F(JobClusterTest, Configure_TenThousandRoutes_IsAcknowledgedAndReadBack) {
+  ASSERT_EQ(this->Configure(5, "host", 10'000), 200);
+  for (int voter = 0; voter < kVoters; ++voter) {
+    EXPECT_TRUE(Eventually([&] {
+      return this->ConfigurationVersionAt(voter) == "\"version\":5";
+    }));
+  }
+}
+
 TEST_F(JobClusterTest, Stop_EveryDaemonInTurn_EndsWithinTheGracePeriod) {
   for (int i = 0; i < kDaemons; ++i) {
     auto& process = this->daemons[static_cast<std::size_t>(i)];
