Check calls against the log's limit before they change the working state

One call that the log refuses ended the leader's term with all calls and orders of that term, and did so again on each daemon to which it was sent. Calls that are short enough but arrive together could exceed the limit as one entry, too.

A call whose content is too long for an entry is now refused at once (400, call_too_long) by the daemon that takes it. Commands that are too long for one entry together are proposed as several.

Configure_LongerThanALogEntry_OnlyItIsRefused and Calls_TogetherLongerThanALogEntry_AllAreAccepted guard both.

--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -1,6 +1,7 @@
 #include "mimosastage/node/job_node.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "mimosastage/base/daemon_id.h"
@@ -19,6 +20,9 @@
 /// Interval at which the leader checks whether a voter must be replaced.
 constexpr milliseconds kMembershipCheckInterval{100};
 
+/// Bytes that a log entry has in addition to those of the call that it stores.
+constexpr std::size_t kCommandOverhead = 1'024;
+
 bool ChangesState(jobs::CallKind kind) {
   switch (kind) {
     case jobs::CallKind::kJobState:
@@ -360,6 +364,13 @@
         MakeAnswer(jobs::CallOutcome::kOverloaded, "too_many_open_calls"));
     return;
   }
+  if (this->IsTooLong(call)) {
+    this->hooks.count_refusal("call_too_long");
+    this->hooks.answer(
+        request, kind,
+        MakeAnswer(jobs::CallOutcome::kInvalid, "call_too_long"));
+    return;
+  }
   const std::uint64_t number = this->next_call++;
   call.number = number;
   this->call_of_request[request] = number;
@@ -606,25 +617,48 @@
     return;
   }
   current.last_entry = now;
-  std::string entry = jobs::EncodeBatch(current.batch);
-  const std::size_t bytes = entry.size();
-  const auto index = this->replica->Propose(std::move(entry), now);
+  const std::size_t commands = current.batch.commands.size();
+  const auto index =
+      this->ProposeBatch(std::exchange(current.batch, jobs::Batch()), now);
   if (!index.has_value()) {
     // The working state is ahead of the log; the next term starts from the
     // committed state.
     this->hooks.count_drop("proposal_refused_by_log");
-    this->hooks.report(
-        "proposal_refused", this->config.name,
-        index.error().message() + "; " + std::to_string(bytes) + " bytes, " +
-            std::to_string(current.batch.commands.size()) + " commands");
+    this->hooks.report("proposal_refused", this->config.name,
+                       index.error().message() + "; " +
+                           std::to_string(commands) + " commands");
     current.failed = true;
     return;
   }
-  current.batch = jobs::Batch();
   current.effects.emplace_back(*index,
                                std::exchange(current.batch_effects, {}));
 }
 
+Result<LogIndex> JobNode::ProposeBatch(jobs::Batch batch, TimePoint now) {
+  std::string entry = jobs::EncodeBatch(batch);
+  const std::size_t commands = batch.commands.size();
+  if (entry.size() <= this->config.limits.command_bytes || commands == 1) {
+    return this->replica->Propose(std::move(entry), now);
+  }
+  jobs::Batch second;
+  const auto middle = std::next(batch.commands.begin(),
+                                static_cast<std::ptrdiff_t>(commands / 2));
+  std::move(middle, batch.commands.end(), std::back_inserter(second.commands));
+  batch.commands.erase(middle, batch.commands.end());
+  if (const auto first = this->ProposeBatch(std::move(batch), now);
+      !first.has_value()) {
+    return first;
+  }
+  return this->ProposeBatch(std::move(second), now);
+}
+
+bool JobNode::IsTooLong(const jobs::Call& call) const {
+  const bool stores_content = call.configuration != nullptr ||
+                              call.job != nullptr || call.wave != nullptr;
+  return stores_content && jobs::EncodeCall(call).size() + kCommandOverhead >
+                               this->config.limits.command_bytes;
+}
+
 void JobNode::RunEffects(TimePoint now) {
   Term& current = *this->term;
   while (!current.effects.empty() &&
--- a/src/mimosastage/node/job_node.h
+++ b/src/mimosastage/node/job_node.h
@@ -171,6 +171,11 @@
   void EndTerm(const char* reason);
   void Propose(jobs::Command command, std::function<void(TimePoint)> committed);
   void FlushBatch(TimePoint now);
+  /// Appends the commands to the log as one entry, or as several if they are
+  /// too long for one. Returns the index of the last one, or the log's error.
+  Result<LogIndex> ProposeBatch(jobs::Batch batch, TimePoint now);
+  /// True if the log can't take what the call stores.
+  bool IsTooLong(const jobs::Call& call) const;
   void RunEffects(TimePoint now);
   void BroadcastLeadership(TimePoint now);
   /// On the leader: proposes to fill vacant slots and to replace lost voters.
