Log one line for each way in which a process fails

Operators saw processes of the core end with an exit code and could not tell from the logs why: bad settings were plain text on stderr, and std::abort, a library's CHECK, an uncaught exception, a fatal signal, a descriptor limit and an exit status that a daemon stored left no line of their own.

telemetry/fatal_log writes one `process_failed` line of severity fatal to the output of the other lines, with the duty of the thread, the reason and the exit status: from std::terminate (type and text of the exception), from signals that end a process by default (async-signal-safe, on a stack of its own, sender or address included), from glog's fatal severity and from AbortProcess, which replaces std::abort. The process then ends by the same signal or status as before. A refused start leaves one `settings_rejected` or `listener_failed` line of severity error. Threads are named by their duty.

If two threads fail at once the second waits for the line of the first. If the output accepts no bytes for 200 ms the line is dropped, so that the process still ends.

Changes of behaviour: mimosastaged ignores SIGXFSZ as mimosastage_platform does, so that a write beyond the file size limit leads to the documented exit with status 1 and not to a core dump. `listener_failed` no longer has the field `cluster`.

--- a/src/mimosastage/backend_servers/exchange_client.cc
+++ b/src/mimosastage/backend_servers/exchange_client.cc
@@ -19,6 +19,7 @@
 #include "mimosastage/backend_servers/internal/exchange.h"
 #include "mimosastage/backend_servers/internal/socket_poller.h"
 #include "mimosastage/base/ring.h"
+#include "mimosastage/telemetry/fatal_log.h"
 
 namespace mimosastage {
 namespace {
@@ -383,7 +384,10 @@
 ExchangeClient::~ExchangeClient() { this->Stop(); }
 
 void ExchangeClient::Start() {
-  this->impl->thread = std::thread([this] { this->impl->Run(); });
+  this->impl->thread = std::thread([this] {
+    const ThreadDuty duty("exchanges");
+    this->impl->Run();
+  });
 }
 
 void ExchangeClient::Stop() {
--- a/src/mimosastage/daemons/frame_authenticator.cc
+++ b/src/mimosastage/daemons/frame_authenticator.cc
@@ -5,9 +5,10 @@
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
 
-#include <cstdlib>
 #include <cstring>
 
+#include "mimosastage/telemetry/fatal_log.h"
+
 namespace mimosastage {
 namespace {
 
@@ -40,7 +41,9 @@
   // replayed.
   if (RAND_bytes(reinterpret_cast<unsigned char*>(nonce.data()),
                  static_cast<int>(nonce.size())) != 1) {
-    std::abort();
+    AbortProcess(
+        "the system gives no random numbers; check the configuration of "
+        "OpenSSL");
   }
   return nonce;
 }
--- a/src/mimosastage/daemons/links.cc
+++ b/src/mimosastage/daemons/links.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "mimosastage/daemons/internal/link.h"
+#include "mimosastage/telemetry/fatal_log.h"
 
 namespace mimosastage {
 namespace {
@@ -355,7 +356,10 @@
   self.Accept();
   self.DialPeers();
   const std::uint16_t port = self.acceptor.local_endpoint().port();
-  self.thread = std::thread([&self] { self.io.run(); });
+  self.thread = std::thread([&self] {
+    const ThreadDuty duty("links");
+    self.io.run();
+  });
   return port;
 }
 
--- a/src/mimosastage/http/http_server.cc
+++ b/src/mimosastage/http/http_server.cc
@@ -9,6 +9,8 @@
 #include <thread>
 #include <unordered_map>
 
+#include "mimosastage/telemetry/fatal_log.h"
+
 namespace mimosastage {
 namespace {
 
@@ -212,7 +214,10 @@
   } catch (const std::exception&) {
     return std::make_error_code(std::errc::address_in_use);
   }
-  self.thread = std::thread([&self] { self.io.run(); });
+  self.thread = std::thread([&self] {
+    const ThreadDuty duty(self.settings.thread_duty);
+    self.io.run();
+  });
   return self.port;
 }
 
--- a/src/mimosastage/http/http_server.h
+++ b/src/mimosastage/http/http_server.h
@@ -58,6 +58,8 @@
     /// A request that has no answer by then has its connection closed.
     std::chrono::milliseconds answer_timeout{3'600'000};
     std::size_t max_connections = 20'000;
+    /// See ThreadDuty.
+    std::string thread_duty = "http";
   };
 
   /// All hooks run on the server's thread.
--- a/src/mimosastage/node/daemon.cc
+++ b/src/mimosastage/node/daemon.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <cstdlib>
 #include <thread>
 #include <utility>
 #include <variant>
@@ -19,6 +18,7 @@
 #include "mimosastage/node/node.h"
 #include "mimosastage/storage/data_folder.h"
 #include "mimosastage/storage/storage_thread.h"
+#include "mimosastage/telemetry/fatal_log.h"
 #include "mimosastage/telemetry/log.h"
 #include "mimosastage/telemetry/metrics.h"
 
@@ -59,7 +59,9 @@
   // daemon aborts if no random number is available.
   if (RAND_bytes(reinterpret_cast<unsigned char*>(&number), sizeof(number)) !=
       1) {
-    std::abort();
+    AbortProcess(
+        "the system gives no random numbers; check the configuration of "
+        "OpenSSL");
   }
   // Session id 0 means "no session" in the snapshot of the allowances.
   return std::max<std::uint64_t>(number, 1);
@@ -146,7 +148,10 @@
   if (std::string problem = this->StartListeners(); !problem.empty()) {
     return problem;
   }
-  this->node_thread = std::thread([this] { this->RunNode(); });
+  this->node_thread = std::thread([this] {
+    const ThreadDuty duty("node");
+    this->RunNode();
+  });
   return {};
 }
 
@@ -179,6 +184,7 @@
 
 void Daemon::Impl::MakeCallers() {
   HttpServer::Settings server;
+  server.thread_duty = "callers";
   server.address = this->settings.callers_listen.address;
   server.port = this->settings.callers_listen.port;
   server.max_body_bytes = this->settings.limits.max_body_bytes;
@@ -210,6 +216,7 @@
 
 void Daemon::Impl::MakeOperators() {
   HttpServer::Settings server;
+  server.thread_duty = "operators";
   server.address = this->settings.operators_listen.address;
   server.port = this->settings.operators_listen.port;
   // Large enough for the complete declaration of the largest fleet.
@@ -368,6 +375,7 @@
     this->node->Advance(now);
     if (this->storage_failed.load()) {
       this->exit_status.store(1);
+      LogFailedExit("the disk failed: " + this->folder->ErrorDetail(), 1);
       return;
     }
     if (this->shutting_down &&
--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <cstdlib>
 #include <map>
 #include <thread>
 #include <unordered_map>
@@ -18,6 +17,7 @@
 #include "mimosastage/node/link_log.h"
 #include "mimosastage/storage/data_folder.h"
 #include "mimosastage/storage/storage_thread.h"
+#include "mimosastage/telemetry/fatal_log.h"
 #include "mimosastage/telemetry/log.h"
 #include "mimosastage/telemetry/metrics.h"
 
@@ -92,7 +92,9 @@
   std::uint64_t number = 0;
   if (RAND_bytes(reinterpret_cast<unsigned char*>(&number), sizeof(number)) !=
       1) {
-    std::abort();
+    AbortProcess(
+        "the system gives no random numbers; check the configuration of "
+        "OpenSSL");
   }
   return number;
 }
@@ -249,7 +251,10 @@
              "; choose a free address in the settings";
     }
   }
-  this->node_thread = std::thread([this] { this->RunNode(); });
+  this->node_thread = std::thread([this] {
+    const ThreadDuty duty("node");
+    this->RunNode();
+  });
   return {};
 }
 
@@ -319,8 +324,7 @@
   this->reopen_storage_at.reset();
   std::optional<DurableImage> image;
   if (const std::string problem = this->OpenStorage(image); !problem.empty()) {
-    LogEvent(LogSeverity::kError, events::kStorageFailed, problem)
-        .With("folder", this->settings.data_folder.string());
+    LogFailedExit("the data folder can't be opened again: " + problem, 1);
     this->exit_status.store(1);
   } else if (image.has_value()) {
     LogEvent(LogSeverity::kInfo, kStorageOpened,
@@ -334,6 +338,7 @@
   for (std::size_t i = 0; i < this->settings.listeners.size(); ++i) {
     auto listener = std::make_unique<Listener>(this->wake_node);
     HttpServer::Settings server;
+    server.thread_duty = "listener-" + std::to_string(i);
     server.address = this->settings.listeners[i].address;
     server.port = this->settings.listeners[i].port;
     server.max_connections = this->settings.max_connections;
--- a/src/mimosastage/storage/storage_thread.cc
+++ b/src/mimosastage/storage/storage_thread.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "mimosastage/telemetry/fatal_log.h"
+
 namespace mimosastage {
 namespace {
 
@@ -18,7 +20,10 @@
 StorageThread::~StorageThread() { this->Stop(); }
 
 void StorageThread::Start() {
-  this->thread = std::thread([this] { this->Run(); });
+  this->thread = std::thread([this] {
+    const ThreadDuty duty("storage");
+    this->Run();
+  });
 }
 
 void StorageThread::Stop() {
--- a/src/mimosastage/telemetry/log.cc
+++ b/src/mimosastage/telemetry/log.cc
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "mimosastage/state/key_secret.h"
+#include "mimosastage/telemetry/fatal_log.h"
 #include "mimosastage/telemetry/internal/json_log_sink.h"
 
 namespace mimosastage {
@@ -142,6 +143,14 @@
                        const char* /*full_filename*/, const char* base_filename,
                        int line, const google::LogMessageTime& time,
                        const char* message, size_t message_len) {
+  if (severity == google::GLOG_FATAL) {
+    const std::string reason = std::string(base_filename) + ":" +
+                               std::to_string(line) + ": " +
+                               std::string(message, message_len);
+    if (LogAbort(reason)) {
+      return;
+    }
+  }
   nlohmann::json object;
   object["time"] = FormatTimestamp(time);
   object["severity"] = SeverityName(severity);
--- a/src/mimosastaged/main.cc
+++ b/src/mimosastaged/main.cc
@@ -1,6 +1,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <iostream>
@@ -10,6 +11,7 @@
 #include "mimosastage/node/daemon.h"
 #include "mimosastage/settings/settings.h"
 #include "mimosastage/storage/data_folder.h"
+#include "mimosastage/telemetry/fatal_log.h"
 #include "mimosastage/telemetry/log.h"
 
 ABSL_FLAG(std::string, settings, "", "the daemon's settings file (JSON)");
@@ -28,6 +30,9 @@
 using mimosastage::SettingsProblem;
 
 constexpr int kExitBadSettings = 2;
+constexpr const char* kProgram = "mimosastaged";
+/// Name in log lines until the settings give the daemon's own.
+constexpr const char* kUnknownDaemon = "unknown";
 
 int PrintProblems(const std::vector<SettingsProblem>& problems) {
   for (const SettingsProblem& problem : problems) {
@@ -36,6 +41,27 @@
   return problems.empty() ? 0 : kExitBadSettings;
 }
 
+void LogRefusedStart(mimosastage::EventName event, const std::string& problem,
+                     const std::string& file) {
+  LogEvent(LogSeverity::kError, event, "the start was refused")
+      .With("reason", problem)
+      .With("settings", file)
+      .With("thread", mimosastage::ThreadDuty::Current())
+      .With("exit_status", kExitBadSettings);
+}
+
+/// Logs all problems in one line, because a process leaves one line about its
+/// end.
+void LogRejectedSettings(const std::vector<SettingsProblem>& problems,
+                         const std::string& daemon, const std::string& file) {
+  std::string text;
+  for (const SettingsProblem& problem : problems) {
+    text += (text.empty() ? "" : "; ") + problem.Message();
+  }
+  const mimosastage::JsonLogging logging(kProgram, daemon, {});
+  LogRefusedStart(mimosastage::events::kSettingsRejected, text, file);
+}
+
 int FormatDataFolder(const Settings& settings) {
   if (!settings.Self().voter) {
     std::cerr << "daemon " << settings.daemon
@@ -62,6 +88,9 @@
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  // A write beyond the file size limit then fails with EFBIG, and the daemon
+  // ends with the exit status and the line of a failed disk.
+  std::signal(SIGXFSZ, SIG_IGN);
 }
 
 void ForwardStopSignals(const sigset_t& signals, Daemon& daemon) {
@@ -72,19 +101,19 @@
   }
 }
 
-int Run(const Settings& settings) {
+int Run(const Settings& settings, const std::string& file) {
   sigset_t signals;
   BlockStopSignals(signals);
-  const mimosastage::JsonLogging logging(
-      "mimosastaged", settings.daemon,
-      {settings.link_key.Reveal(), settings.operator_key.Reveal(),
-       settings.platform_key.Reveal()});
+  const std::vector<std::string> secrets{settings.link_key.Reveal(),
+                                         settings.operator_key.Reveal(),
+                                         settings.platform_key.Reveal()};
+  const mimosastage::JsonLogging logging(kProgram, settings.daemon, secrets);
+  mimosastage::InstallFatalLog({settings.daemon, secrets, STDERR_FILENO});
   // Static, because the detached signal thread may still use it when main
   // returns.
   static Daemon daemon(settings);
   if (const std::string problem = daemon.Start(); !problem.empty()) {
-    LogEvent(LogSeverity::kError, mimosastage::events::kListenerFailed, problem)
-        .With("cluster", settings.cluster);
+    LogRefusedStart(mimosastage::events::kListenerFailed, problem, file);
     return kExitBadSettings;
   }
   LogEvent(LogSeverity::kInfo, mimosastage::events::kDaemonStarted,
@@ -92,37 +121,53 @@
       .With("cluster", settings.cluster)
       .With("callers", settings.callers_listen.str())
       .With("operators", settings.operators_listen.str());
-  std::thread([signals] { ForwardStopSignals(signals, daemon); }).detach();
+  std::thread([signals] {
+    const mimosastage::ThreadDuty duty("signals");
+    ForwardStopSignals(signals, daemon);
+  }).detach();
   return daemon.Wait();
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
+  const mimosastage::ThreadDuty duty("main");
+  mimosastage::InstallFatalLog({kUnknownDaemon, {}, STDERR_FILENO});
   absl::SetProgramUsageMessage(
       "The mimosastage daemon. mimosastaged --settings=FILE "
       "[--check_settings | --format_data_dir]");
   absl::ParseCommandLine(argc, argv);
   const std::string file = absl::GetFlag(FLAGS_settings);
   if (file.empty()) {
-    std::cerr << "no settings; give --settings=FILE\n";
+    const mimosastage::JsonLogging logging(kProgram, kUnknownDaemon, {});
+    LogRefusedStart(mimosastage::events::kSettingsRejected,
+                    "no settings; give --settings=FILE", file);
     return kExitBadSettings;
   }
   mimosastage::SettingsResult load = mimosastage::LoadSettings(file);
+  const bool starts = !absl::GetFlag(FLAGS_format_data_dir) &&
+                      !absl::GetFlag(FLAGS_check_settings);
   if (!load.settings.has_value()) {
-    return PrintProblems(load.problems);
+    if (!starts) {
+      return PrintProblems(load.problems);
+    }
+    LogRejectedSettings(load.problems, kUnknownDaemon, file);
+    return kExitBadSettings;
   }
   if (absl::GetFlag(FLAGS_format_data_dir)) {
     return FormatDataFolder(*load.settings);
   }
-  if (const int status =
-          PrintProblems(mimosastage::CheckEnvironment(*load.settings, file));
-      status != 0) {
-    return status;
+  const std::vector<SettingsProblem> problems =
+      mimosastage::CheckEnvironment(*load.settings, file);
+  if (starts && !problems.empty()) {
+    LogRejectedSettings(problems, load.settings->daemon, file);
+    return kExitBadSettings;
   }
-  if (absl::GetFlag(FLAGS_check_settings)) {
-    std::cout << file << " is valid\n";
-    return 0;
+  if (!starts) {
+    if (problems.empty()) {
+      std::cout << file << " is valid\n";
+    }
+    return PrintProblems(problems);
   }
-  return Run(*load.settings);
+  return Run(*load.settings, file);
 }
--- a/tests/system/job_cluster_test.cc
+++ b/tests/system/job_cluster_test.cc
@@ -165,6 +165,18 @@
     });
   }
 
+  static bool HasThread(pid_t process, const std::string& name) {
+    for (const auto& thread : std::filesystem::directory_iterator(
+             "/proc/" + std::to_string(process) + "/task")) {
+      std::string found;
+      std::getline(std::ifstream(thread.path() / "comm"), found);
+      if (found == name) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   Reply SendToQueue(const std::string& method, const std::string& id,
                     const std::string& body = "") {
     return Send({.method = method,
@@ -369,6 +381,42 @@
   this->ExpectEachDoneOnce(3 * kVoters);
 }
 
+// Guards against a voter that ends because its data folder became unusable
+// while it ran, with nothing but a line of severity error.
+TEST_F(JobClusterTest, DataFolder_ForeignWhenReopened_ExitsAfterOneFatalLine) {
+  Process& voter = *this->daemons[0];
+  const rlimit no_writes{0, RLIM_INFINITY};
+  rlimit original{};
+  ASSERT_EQ(prlimit(voter.Pid(), RLIMIT_FSIZE, &no_writes, &original), 0);
+  ASSERT_TRUE(this->Submit("job"));
+  // The limit holds for the log file too, so that no line tells that the
+  // storage thread has ended.
+  ASSERT_TRUE(Eventually([&] { return !HasThread(voter.Pid(), "storage"); }));
+  // The voter must not open the folder again before both the foreign identity
+  // and the original limit are in place.
+  voter.Signal(SIGSTOP);
+  std::filesystem::copy_file(this->folder / "data-1" / "identity",
+                             this->folder / "data-0" / "identity",
+                             std::filesystem::copy_options::overwrite_existing);
+  ASSERT_EQ(prlimit(voter.Pid(), RLIMIT_FSIZE, &original, nullptr), 0);
+  voter.Signal(SIGCONT);
+  ASSERT_TRUE(Eventually([&] { return !voter.Running(); }));
+  EXPECT_EQ(voter.Wait(), 1);
+  std::ifstream log(this->folder / "log-0");
+  int fatal_lines = 0;
+  for (std::string text; std::getline(log, text);) {
+    const json line = json::parse(text, nullptr, false);
+    if (line.is_object() && line["severity"] == "fatal") {
+      ++fatal_lines;
+      EXPECT_EQ(line["event"], "process_failed");
+      EXPECT_EQ(line["fields"]["exit_status"], 1);
+      EXPECT_EQ(line["fields"]["thread"], "node");
+      EXPECT_NE(text.find("can't be opened again"), std::string::npos) << text;
+    }
+  }
+  EXPECT_EQ(fatal_lines, 1);
+}
+
 TEST_F(JobClusterTest, Start_DataFolderCantBeMade_VotesOnceItCan) {
   ASSERT_EQ(this->Configure(5), 200);
   this->KillDaemon(0);
