Put the storage's file operations behind an interface

DataFolder uses FileSystem, an abstract class with the operations that a data folder needs, and the operating system's files by default.

--- a/src/mimosastage/storage/data_folder.cc
+++ b/src/mimosastage/storage/data_folder.cc
@@ -8,12 +8,14 @@
 #include <utility>
 
 #include "mimosastage/base/daemon_id.h"
-#include "mimosastage/storage/internal/file.h"
+#include "mimosastage/storage/internal/file_system.h"
 #include "mimosastage/storage/internal/frame.h"
 #include "mimosastage/storage/internal/identity.h"
 #include "mimosastage/storage/internal/log_records.h"
 #include "mimosastage/storage/internal/numbered_files.h"
+#include "mimosastage/storage/internal/replace_file.h"
 #include "mimosastage/storage/internal/snapshot_file.h"
+#include "mimosastage/storage/internal/storage_failure.h"
 
 namespace mimosastage {
 namespace {
@@ -27,15 +29,12 @@
 
 /// Ignores the folder that mkfs creates in the root of a file system, so that
 /// a data folder may be a mount point.
-bool CountsAsContent(const std::filesystem::path& name) {
-  return name != "lost+found";
-}
+bool CountsAsContent(const std::string& name) { return name != "lost+found"; }
 
-bool IsEmpty(const std::filesystem::path& folder) {
-  const std::filesystem::directory_iterator items(folder);
-  return std::none_of(begin(items), end(items), [](const auto& item) {
-    return CountsAsContent(item.path().filename());
-  });
+bool IsEmpty(internal::FileSystem& file_system,
+             const std::filesystem::path& folder) {
+  const auto names = file_system.FileNames(folder);
+  return std::none_of(names.begin(), names.end(), CountsAsContent);
 }
 
 [[noreturn]] void ThrowDamaged(const std::filesystem::path& path,
@@ -68,8 +67,10 @@
 /// filesystem_error.
 class DataFolder::Files {
  public:
-  Files(std::filesystem::path folder, std::string cluster_id, DaemonId voter)
-      : folder(std::move(folder)),
+  Files(std::filesystem::path folder, std::string cluster_id, DaemonId voter,
+        internal::FileSystem& file_system)
+      : file_system(file_system),
+        folder(std::move(folder)),
         cluster_id(std::move(cluster_id)),
         voter(voter),
         checksum_seed(internal::Checksum(this->cluster_id,
@@ -102,14 +103,15 @@
   void StoreSnapshot(const DurableWrite& write);
   void RemoveObsoleteFiles();
 
+  internal::FileSystem& file_system;
   std::filesystem::path folder;
   std::string cluster_id;
   DaemonId voter;
   std::uint64_t checksum_seed;
-  internal::File lock;
+  std::unique_ptr<internal::FolderLock> lock;
   internal::LogState state;
   std::deque<Segment> segments;
-  internal::File newest_segment;
+  std::unique_ptr<internal::OpenFile> newest_segment;
   bool folder_changed = false;
   std::uint64_t next_sequence = 1;
   internal::LogRecordWriter records;
@@ -129,8 +131,8 @@
   if (latest < identity.incarnation) {
     ThrowDamaged(this->folder, 0, "the newest log records are missing");
   }
-  auto snapshot =
-      internal::ReadNewestSnapshot(this->folder, this->checksum_seed);
+  auto snapshot = internal::ReadNewestSnapshot(this->file_system, this->folder,
+                                               this->checksum_seed);
   const LogIndex newest_snapshot = snapshot.has_value() ? snapshot->index : 0;
   if (newest_snapshot < content.state.snapshot_index) {
     ThrowDamaged(this->folder, 0,
@@ -166,13 +168,12 @@
 }
 
 void DataFolder::Files::Lock() {
-  std::filesystem::create_directories(this->folder);
-  this->lock = internal::File::OpenFolder(this->folder);
-  this->lock.Lock();
+  this->file_system.CreateFolder(this->folder);
+  this->lock = this->file_system.LockFolder(this->folder);
 }
 
 internal::Identity DataFolder::Files::ReadOrCreateIdentity() {
-  if (auto identity = internal::ReadIdentity(this->folder)) {
+  if (auto identity = internal::ReadIdentity(this->file_system, this->folder)) {
     const bool own = identity->voter == this->voter ||
                      identity->voter == LegacyDaemonId(this->voter);
     if (identity->cluster_id != this->cluster_id || !own) {
@@ -191,7 +192,7 @@
     return *identity;
   }
   this->RemoveTemporaryFiles();
-  if (!IsEmpty(this->folder)) {
+  if (!IsEmpty(this->file_system, this->folder)) {
     throw StorageFailure{
         StorageError::kForeignFolder,
         this->folder.string() +
@@ -200,7 +201,7 @@
             "other voters"};
   }
   internal::Identity unformatted{this->cluster_id, this->voter, false, 0};
-  internal::WriteIdentity(this->folder, unformatted);
+  internal::WriteIdentity(this->file_system, this->folder, unformatted);
   this->open_report +=
       this->folder.string() +
       ": was empty; the voter recovers from the other voters. ";
@@ -208,16 +209,16 @@
 }
 
 void DataFolder::Files::RemoveTemporaryFiles() {
-  for (const auto& item : std::filesystem::directory_iterator(this->folder)) {
-    if (item.path().extension() == internal::kTemporarySuffix) {
-      std::filesystem::remove(item.path());
+  for (const std::string& name : this->file_system.FileNames(this->folder)) {
+    if (name.ends_with(internal::kTemporarySuffix)) {
+      this->file_system.Remove(this->folder / name);
     }
   }
 }
 
 void DataFolder::Files::ReadSegments(internal::LogContent& content) {
-  for (const auto& [number, path] :
-       internal::NumberedFiles(this->folder, kSegmentPrefix)) {
+  for (const auto& [number, path] : internal::NumberedFiles(
+           this->file_system, this->folder, kSegmentPrefix)) {
     this->segments.push_back(Segment{number, path, 0});
   }
   for (Segment& segment : this->segments) {
@@ -226,13 +227,13 @@
   }
   if (!this->segments.empty()) {
     this->newest_segment =
-        internal::File::OpenForAppend(this->segments.back().path);
+        this->file_system.OpenForAppend(this->segments.back().path);
   }
 }
 
 void DataFolder::Files::ReadSegment(Segment& segment, bool is_newest,
                                     internal::LogContent& content) {
-  const std::string bytes = internal::ReadWholeFile(segment.path);
+  const std::string bytes = this->file_system.ReadWholeFile(segment.path);
   const std::uint64_t segment_seed = this->checksum_seed ^ segment.number;
   std::size_t offset = 0;
   while (offset < bytes.size()) {
@@ -268,9 +269,9 @@
                        std::to_string(bytes.size() - offset) +
                        " bytes at offset " + std::to_string(offset) +
                        "; its writes were never acknowledged. ";
-  internal::File file = internal::File::OpenForAppend(segment.path);
-  file.Truncate(offset);
-  file.Sync();
+  const auto file = this->file_system.OpenForAppend(segment.path);
+  file->Truncate(offset);
+  file->Sync();
 }
 
 void DataFolder::Files::RaiseIncarnation(internal::Identity& identity) {
@@ -278,7 +279,7 @@
   identity.incarnation = AddStart(this->state.starts, random());
   this->records.State(this->state);
   this->Sync();
-  internal::WriteIdentity(this->folder, identity);
+  internal::WriteIdentity(this->file_system, this->folder, identity);
 }
 
 void DataFolder::Files::Write(const DurableWrite& write) {
@@ -319,7 +320,7 @@
 void DataFolder::Files::StoreSnapshot(const DurableWrite& write) {
   this->Sync();
   internal::WriteSnapshot(
-      this->folder, this->checksum_seed,
+      this->file_system, this->folder, this->checksum_seed,
       {write.snapshot_index, write.snapshot_view, *write.snapshot});
   this->state.snapshot_index = write.snapshot_index;
   this->state.snapshot_view = write.snapshot_view;
@@ -332,7 +333,7 @@
       this->segments.empty() ? 1 : this->segments.back().number + 1;
   const std::filesystem::path path =
       this->folder / internal::NumberedName(kSegmentPrefix, number);
-  this->newest_segment = internal::File::CreateEmpty(path);
+  this->newest_segment = this->file_system.CreateEmpty(path);
   this->segments.push_back(Segment{number, path, 0});
   this->folder_changed = true;
 }
@@ -344,44 +345,47 @@
   if (this->segments.empty()) {
     this->StartSegment();
   }
-  this->newest_segment.Write(
+  this->newest_segment->Write(
       internal::EncodeFrame(this->checksum_seed ^ this->segments.back().number,
                             this->next_sequence, this->records.Take()));
   ++this->next_sequence;
-  this->newest_segment.Sync();
+  this->newest_segment->Sync();
   if (std::exchange(this->folder_changed, false)) {
-    internal::SyncFolder(this->folder);
+    this->file_system.SyncFolder(this->folder);
     this->RemoveObsoleteFiles();
   }
 }
 
 void DataFolder::Files::RemoveObsoleteFiles() {
-  internal::RemoveSnapshotsBefore(this->folder, this->state.snapshot_index);
+  internal::RemoveSnapshotsBefore(this->file_system, this->folder,
+                                  this->state.snapshot_index);
   while (this->segments.size() > 1 &&
          this->segments.front().last_index <= this->state.snapshot_index) {
-    std::filesystem::remove(this->segments.front().path);
+    this->file_system.Remove(this->segments.front().path);
     this->segments.pop_front();
   }
 }
 
 Result<void> DataFolder::Format(const std::filesystem::path& folder,
-                                const std::string& cluster_id, DaemonId voter) {
+                                const std::string& cluster_id, DaemonId voter,
+                                internal::FileSystem& file_system) {
   std::string detail;
   return CatchErrors(
       [&] {
-        std::filesystem::create_directories(folder);
-        if (!IsEmpty(folder)) {
+        file_system.CreateFolder(folder);
+        if (!IsEmpty(file_system, folder)) {
           throw StorageFailure{StorageError::kNotEmpty, folder.string()};
         }
-        internal::WriteIdentity(folder, {cluster_id, voter, true, 0});
+        internal::WriteIdentity(file_system, folder,
+                                {cluster_id, voter, true, 0});
       },
       detail);
 }
 
 DataFolder::DataFolder(std::filesystem::path folder, std::string cluster_id,
-                       DaemonId voter)
+                       DaemonId voter, internal::FileSystem& file_system)
     : files(std::make_unique<Files>(std::move(folder), std::move(cluster_id),
-                                    voter)) {}
+                                    voter, file_system)) {}
 
 DataFolder::~DataFolder() = default;
 
--- a/src/mimosastage/storage/data_folder.h
+++ b/src/mimosastage/storage/data_folder.h
@@ -10,6 +10,7 @@
 #include "mimosastage/base/names.h"
 #include "mimosastage/base/result.h"
 #include "mimosastage/replication/durable_state.h"
+#include "mimosastage/storage/internal/file_system.h"
 #include "mimosastage/storage/storage_error.h"
 
 namespace mimosastage {
@@ -25,11 +26,14 @@
  public:
   /// Writes the identity of a voter into an empty or missing folder. Called
   /// once, at first install. Errors: kNotEmpty, kInputOutput.
-  static Result<void> Format(const std::filesystem::path& folder,
-                             const std::string& cluster_id, DaemonId voter);
+  static Result<void> Format(
+      const std::filesystem::path& folder, const std::string& cluster_id,
+      DaemonId voter,
+      internal::FileSystem& file_system = internal::RealFileSystem());
 
   DataFolder(std::filesystem::path folder, std::string cluster_id,
-             DaemonId voter);
+             DaemonId voter,
+             internal::FileSystem& file_system = internal::RealFileSystem());
   ~DataFolder();
   DataFolder(const DataFolder&) = delete;
   DataFolder& operator=(const DataFolder&) = delete;
--- a/src/mimosastage/storage/internal/identity.cc
+++ b/src/mimosastage/storage/internal/identity.cc
@@ -2,8 +2,9 @@
 
 #include "mimosastage/base/daemon_id.h"
 #include "mimosastage/storage/internal/bytes.h"
-#include "mimosastage/storage/internal/file.h"
 #include "mimosastage/storage/internal/frame.h"
+#include "mimosastage/storage/internal/replace_file.h"
+#include "mimosastage/storage/internal/storage_failure.h"
 
 namespace mimosastage::internal {
 namespace {
@@ -72,17 +73,18 @@
 
 }  // namespace
 
-void WriteIdentity(const std::filesystem::path& folder,
+void WriteIdentity(FileSystem& file_system, const std::filesystem::path& folder,
                    const Identity& identity) {
-  ReplaceFile(folder, kIdentityFileName, EncodeIdentity(identity));
+  ReplaceFile(file_system, folder, kIdentityFileName, EncodeIdentity(identity));
 }
 
-std::optional<Identity> ReadIdentity(const std::filesystem::path& folder) {
+std::optional<Identity> ReadIdentity(FileSystem& file_system,
+                                     const std::filesystem::path& folder) {
   const std::filesystem::path path = folder / kIdentityFileName;
-  if (!std::filesystem::exists(path)) {
+  if (!file_system.Exists(path)) {
     return std::nullopt;
   }
-  auto identity = DecodeIdentity(ReadWholeFile(path));
+  auto identity = DecodeIdentity(file_system.ReadWholeFile(path));
   if (!identity.has_value()) {
     throw StorageFailure{
         StorageError::kDamaged,
--- a/src/mimosastage/storage/internal/identity.h
+++ b/src/mimosastage/storage/internal/identity.h
@@ -8,6 +8,7 @@
 
 #include "mimosastage/base/names.h"
 #include "mimosastage/replication/durable_state.h"
+#include "mimosastage/storage/internal/file_system.h"
 
 namespace mimosastage::internal {
 
@@ -25,12 +26,13 @@
   Incarnation incarnation = 0;
 };
 
-void WriteIdentity(const std::filesystem::path& folder,
+void WriteIdentity(FileSystem& file_system, const std::filesystem::path& folder,
                    const Identity& identity);
 
 /// Nothing if the folder has no identity file. Throws StorageFailure if the
 /// file is damaged.
-std::optional<Identity> ReadIdentity(const std::filesystem::path& folder);
+std::optional<Identity> ReadIdentity(FileSystem& file_system,
+                                     const std::filesystem::path& folder);
 
 }  // namespace mimosastage::internal
 
--- a/src/mimosastage/storage/internal/numbered_files.cc
+++ b/src/mimosastage/storage/internal/numbered_files.cc
@@ -14,10 +14,10 @@
 }
 
 std::map<std::uint64_t, std::filesystem::path> NumberedFiles(
-    const std::filesystem::path& folder, std::string_view prefix) {
+    FileSystem& file_system, const std::filesystem::path& folder,
+    std::string_view prefix) {
   std::map<std::uint64_t, std::filesystem::path> files;
-  for (const auto& item : std::filesystem::directory_iterator(folder)) {
-    const std::string name = item.path().filename().string();
+  for (const std::string& name : file_system.FileNames(folder)) {
     if (!name.starts_with(prefix)) {
       continue;
     }
@@ -26,7 +26,7 @@
     const auto [stop, error] =
         std::from_chars(name.data() + prefix.size(), end, number);
     if (error == std::errc() && stop == end) {
-      files[number] = item.path();
+      files[number] = folder / name;
     }
   }
   return files;
--- a/src/mimosastage/storage/internal/numbered_files.h
+++ b/src/mimosastage/storage/internal/numbered_files.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include "mimosastage/storage/internal/file_system.h"
+
 namespace mimosastage::internal {
 
 /// "<prefix><number>", zero-padded so that names sort by number.
@@ -14,7 +16,8 @@
 
 /// The files in `folder` whose names have the form of NumberedName, by number.
 std::map<std::uint64_t, std::filesystem::path> NumberedFiles(
-    const std::filesystem::path& folder, std::string_view prefix);
+    FileSystem& file_system, const std::filesystem::path& folder,
+    std::string_view prefix);
 
 }  // namespace mimosastage::internal
 
--- a/src/mimosastage/storage/internal/snapshot_file.cc
+++ b/src/mimosastage/storage/internal/snapshot_file.cc
@@ -1,9 +1,10 @@
 #include "mimosastage/storage/internal/snapshot_file.h"
 
 #include "mimosastage/storage/internal/bytes.h"
-#include "mimosastage/storage/internal/file.h"
 #include "mimosastage/storage/internal/frame.h"
 #include "mimosastage/storage/internal/numbered_files.h"
+#include "mimosastage/storage/internal/replace_file.h"
+#include "mimosastage/storage/internal/storage_failure.h"
 
 namespace mimosastage::internal {
 namespace {
@@ -12,24 +13,25 @@
 
 }  // namespace
 
-void WriteSnapshot(const std::filesystem::path& folder,
+void WriteSnapshot(FileSystem& file_system, const std::filesystem::path& folder,
                    std::uint64_t checksum_seed,
                    const StoredSnapshot& snapshot) {
   std::string payload;
   PutNumber(payload, snapshot.view);
   payload += snapshot.bytes;
-  ReplaceFile(folder, NumberedName(kPrefix, snapshot.index),
+  ReplaceFile(file_system, folder, NumberedName(kPrefix, snapshot.index),
               EncodeFrame(checksum_seed, snapshot.index, payload));
 }
 
 std::optional<StoredSnapshot> ReadNewestSnapshot(
-    const std::filesystem::path& folder, std::uint64_t checksum_seed) {
-  const auto files = NumberedFiles(folder, kPrefix);
+    FileSystem& file_system, const std::filesystem::path& folder,
+    std::uint64_t checksum_seed) {
+  const auto files = NumberedFiles(file_system, folder, kPrefix);
   if (files.empty()) {
     return std::nullopt;
   }
   const auto& [index, path] = *files.rbegin();
-  const std::string content = ReadWholeFile(path);
+  const std::string content = file_system.ReadWholeFile(path);
   const auto frame = FrameAt(content, 0, checksum_seed);
   if (!frame.has_value() || frame->sequence != index ||
       frame->size != content.size() ||
@@ -45,11 +47,13 @@
                         std::string(frame->payload.substr(sizeof(ViewNumber)))};
 }
 
-void RemoveSnapshotsBefore(const std::filesystem::path& folder,
+void RemoveSnapshotsBefore(FileSystem& file_system,
+                           const std::filesystem::path& folder,
                            LogIndex index) {
-  for (const auto& [number, path] : NumberedFiles(folder, kPrefix)) {
+  for (const auto& [number, path] :
+       NumberedFiles(file_system, folder, kPrefix)) {
     if (number < index) {
-      std::filesystem::remove(path);
+      file_system.Remove(path);
     }
   }
 }
--- a/src/mimosastage/storage/internal/snapshot_file.h
+++ b/src/mimosastage/storage/internal/snapshot_file.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "mimosastage/replication/messages.h"
+#include "mimosastage/storage/internal/file_system.h"
 
 namespace mimosastage::internal {
 
@@ -17,16 +18,18 @@
 };
 
 /// Writes and syncs a snapshot to a file that is named after its index.
-void WriteSnapshot(const std::filesystem::path& folder,
+void WriteSnapshot(FileSystem& file_system, const std::filesystem::path& folder,
                    std::uint64_t checksum_seed, const StoredSnapshot& snapshot);
 
 /// Reads the newest snapshot of the folder; nothing if there is none. Throws
 /// StorageFailure if it is damaged.
 std::optional<StoredSnapshot> ReadNewestSnapshot(
-    const std::filesystem::path& folder, std::uint64_t checksum_seed);
+    FileSystem& file_system, const std::filesystem::path& folder,
+    std::uint64_t checksum_seed);
 
 /// Removes the snapshots with a lower index than `index`.
-void RemoveSnapshotsBefore(const std::filesystem::path& folder, LogIndex index);
+void RemoveSnapshotsBefore(FileSystem& file_system,
+                           const std::filesystem::path& folder, LogIndex index);
 
 }  // namespace mimosastage::internal
 
