Sync the folder between the removals of two log segments

After a loss of power a voter could end with status 2 at each start, with "found sequence number 5, expected 3". The disk may bring back each removed file independently; if only the older one returns, the log has a gap.

The folder is now synced before the second removal, so that only the newest removed segment can return, and that one joins the segments that were kept.

PowerLossTest.Open_OlderOfTwoRemovedSegmentsReturns_Succeeds fails without the sync with the message above.

--- a/src/mimosastage/storage/data_folder.cc
+++ b/src/mimosastage/storage/data_folder.cc
@@ -359,10 +359,17 @@
 void DataFolder::Files::RemoveObsoleteFiles() {
   internal::RemoveSnapshotsBefore(this->file_system, this->folder,
                                   this->state.snapshot_index);
+  bool removed = false;
   while (this->segments.size() > 1 &&
          this->segments.front().last_index <= this->state.snapshot_index) {
+    if (removed) {
+      // After a loss of power each removed file may return independently. If
+      // only an older one returned, the log would have a gap.
+      this->file_system.SyncFolder(this->folder);
+    }
     this->file_system.Remove(this->segments.front().path);
     this->segments.pop_front();
+    removed = true;
   }
 }
 
