Sync the newest segment before a start appends to it

After a killed process and a loss of power a voter could end with status 2 at each start, with "the record's checksum doesn't match". A process that is killed between the write of a record and its sync leaves an unsynced record. The next start read it, appended the record of its own start and synced both at once. A loss of power before that sync can tear the first record and keep the second one, which Open takes for damage in the middle.

Open now syncs the newest segment before it appends, so that only the last record of a file is ever unsynced.

--- a/src/mimosastage/storage/data_folder.cc
+++ b/src/mimosastage/storage/data_folder.cc
@@ -98,6 +98,8 @@
                    internal::LogContent& content);
   void TruncateTornTail(const Segment& segment, std::string_view bytes,
                         std::size_t offset);
+  /// Makes durable what Open has read, so that later files may rely on it.
+  void SyncFilesRead();
   void RaiseIncarnation(internal::Identity& identity);
   void StartSegment();
   void StoreSnapshot(const DurableWrite& write);
@@ -149,6 +151,7 @@
                      " are missing");
   }
   this->state = content.state;
+  this->SyncFilesRead();
   this->RaiseIncarnation(identity);
   DurableImage image;
   image.intact = this->state.intact;
@@ -274,6 +277,14 @@
   file->Sync();
 }
 
+void DataFolder::Files::SyncFilesRead() {
+  // A killed process may have left an unsynced record. If another one followed
+  // it in the same file, a loss of power could tear only the earlier one.
+  if (this->newest_segment != nullptr) {
+    this->newest_segment->Sync();
+  }
+}
+
 void DataFolder::Files::RaiseIncarnation(internal::Identity& identity) {
   std::random_device random;
   identity.incarnation = AddStart(this->state.starts, random());
--- a/tests/storage/power_loss_test.cc
+++ b/tests/storage/power_loss_test.cc
@@ -16,14 +16,18 @@
 
 class PowerLossTest : public ::testing::Test {
  protected:
-  void SetUp() override {
+  void SetUp() override { this->UseNewDisk(1); }
+
+  void UseNewDisk(std::uint64_t seed) {
+    this->folder.reset();
+    this->disk = std::make_unique<SimulatedDisk>(seed);
     ASSERT_TRUE(
-        DataFolder::Format(kFolder, kCluster, kVoter, this->disk).has_value());
+        DataFolder::Format(kFolder, kCluster, kVoter, *this->disk).has_value());
   }
 
   Result<DurableImage> Open() {
     this->folder =
-        std::make_unique<DataFolder>(kFolder, kCluster, kVoter, this->disk);
+        std::make_unique<DataFolder>(kFolder, kCluster, kVoter, *this->disk);
     return this->folder->Open();
   }
 
@@ -49,7 +53,21 @@
     ASSERT_TRUE(this->folder->Sync().has_value());
   }
 
-  SimulatedDisk disk{1};
+  /// Kills the process at the operation of `action` after the first
+  /// `operations`, if there are as many.
+  template <class Action>
+  void KillAfter(std::uint64_t operations, const Action& action) {
+    this->disk->ClearFaults();
+    this->disk->KillAfter(operations);
+    try {
+      action();
+    } catch (const ProcessKilled&) {
+    }
+    this->disk->ClearFaults();
+    this->folder.reset();
+  }
+
+  std::unique_ptr<SimulatedDisk> disk;
   std::unique_ptr<DataFolder> folder;
 };
 
@@ -62,15 +80,40 @@
   this->Store(Snapshot(5));
   this->Store(Entries(11, 20));
   this->Store(Snapshot(20));
-  ASSERT_FALSE(this->disk.HasFile("log-00000000000000000001"));
-  ASSERT_FALSE(this->disk.HasFile("log-00000000000000000002"));
+  ASSERT_FALSE(this->disk->HasFile("log-00000000000000000001"));
+  ASSERT_FALSE(this->disk->HasFile("log-00000000000000000002"));
   this->folder.reset();
-  this->disk.LosePowerKeepingNames({"log-00000000000000000002"});
+  this->disk->LosePowerKeepingNames({"log-00000000000000000002"});
   const auto image = this->Open();
   ASSERT_TRUE(image.has_value()) << this->folder->ErrorDetail();
   EXPECT_EQ(image->snapshot_index, 20);
   EXPECT_TRUE(image->entries.empty());
 }
 
+// Guards against a start that appends to a record which isn't synced yet: a
+// loss of power can tear the earlier record and keep the later one, which looks
+// like damage in the middle of the log.
+TEST_F(PowerLossTest, Open_KilledBeforeSyncThenInStart_Succeeds) {
+  constexpr std::uint64_t kOperationsOfOpen = 24;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    for (std::uint64_t killed_at = 0; killed_at < kOperationsOfOpen;
+         ++killed_at) {
+      SCOPED_TRACE("seed " + std::to_string(seed) + ", killed at " +
+                   std::to_string(killed_at));
+      this->UseNewDisk(seed);
+      ASSERT_TRUE(this->Open().has_value());
+      this->Store(Entries(1, 3));
+      ASSERT_TRUE(this->folder->Write(Entries(4, 9)).has_value());
+      // The first operation writes the record, the second one syncs it.
+      this->KillAfter(1, [&] { (void)this->folder->Sync(); });
+      this->KillAfter(killed_at, [&] { (void)this->Open(); });
+      this->disk->LosePower();
+      const auto image = this->Open();
+      ASSERT_TRUE(image.has_value()) << this->folder->ErrorDetail();
+      EXPECT_GE(image->entries.size(), 3);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace mimosastage::testing
