Report a read error of the data folder as kInputOutput

A process whose disk failed while a file was read at a start, or while the data folder was opened again, ended by an uncaught exception. ReadWholeFile read through std::ifstream, whose buffer throws std::ios_base::failure on a read error; CatchErrors caught only StorageFailure and filesystem_error.

The file is now read with read(2), so that the error names the file, the reason and the remedy, and CatchErrors catches every std::system_error.

DataFolderTest.Open_FileCantBeRead_GivesInputOutputError fails without the change: "basic_filebuf::underflow error reading the file" leaves Open.

--- a/src/mimosastage/storage/data_folder.cc
+++ b/src/mimosastage/storage/data_folder.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <random>
 #include <string_view>
+#include <system_error>
 #include <utility>
 
 #include "mimosastage/base/daemon_id.h"
@@ -45,7 +46,7 @@
 }
 
 /// Runs `action` and converts the exceptions of this package and of
-/// std::filesystem to an error code and a `detail` text.
+/// the standard library to an error code and a `detail` text.
 Result<void> CatchErrors(const std::function<void()>& action,
                          std::string& detail) {
   try {
@@ -54,7 +55,7 @@
   } catch (const StorageFailure& failure) {
     detail = failure.detail;
     return make_error_code(failure.error);
-  } catch (const std::filesystem::filesystem_error& failure) {
+  } catch (const std::system_error& failure) {
     detail = std::string(failure.what()) +
              "; check the disk and the folder's permissions";
     return make_error_code(StorageError::kInputOutput);
--- a/src/mimosastage/storage/internal/file_system.cc
+++ b/src/mimosastage/storage/internal/file_system.cc
@@ -5,8 +5,6 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <fstream>
-#include <iterator>
 #include <system_error>
 #include <utility>
 
@@ -64,6 +62,23 @@
     }
   }
 
+  std::string ReadAll() {
+    constexpr std::size_t kChunkBytes = 64U << 10U;
+    std::string content;
+    std::string chunk(kChunkBytes, '\0');
+    while (true) {
+      const ssize_t got = read(this->descriptor, chunk.data(), chunk.size());
+      if (got == 0) {
+        return content;
+      }
+      if (got > 0) {
+        content.append(chunk, 0, static_cast<std::size_t>(got));
+      } else if (errno != EINTR) {
+        ThrowErrno("read", this->path);
+      }
+    }
+  }
+
   void Lock() {
     if (flock(this->descriptor, LOCK_EX | LOCK_NB) == 0) {
       return;
@@ -109,15 +124,7 @@
   }
 
   std::string ReadWholeFile(const std::filesystem::path& path) override {
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
-      ThrowErrno("open", path);
-    }
-    std::string content{std::istreambuf_iterator<char>(file), {}};
-    if (file.bad()) {
-      ThrowErrno("read", path);
-    }
-    return content;
+    return RealFile(path, O_RDONLY).ReadAll();
   }
 
   std::unique_ptr<OpenFile> OpenForAppend(
--- a/tests/storage/data_folder_test.cc
+++ b/tests/storage/data_folder_test.cc
@@ -166,6 +166,29 @@
   EXPECT_EQ(this->Open().value().entries, Entries(1, 5).entries);
 }
 
+// Guards against a read error that leaves Open as an exception and ends the
+// process. Reading a folder fails as reading from a broken disk does.
+TEST_F(DataFolderTest, Open_FileCantBeRead_GivesInputOutputError) {
+  this->Fill(2);
+  for (const char* name : {"identity", "log-00000000000000000002",
+                           "snapshot-00000000000000000009"}) {
+    const fs::path path = this->folder / name;
+    const fs::path kept = this->root / "kept";
+    if (fs::exists(path)) {
+      fs::rename(path, kept);
+    }
+    fs::create_directory(path);
+    EXPECT_EQ(this->Open().error(), StorageError::kInputOutput) << name;
+    EXPECT_NE(this->open_folder->ErrorDetail().find(name), std::string::npos)
+        << this->open_folder->ErrorDetail();
+    fs::remove(path);
+    if (fs::exists(kept)) {
+      fs::rename(kept, path);
+    }
+  }
+  EXPECT_TRUE(this->Open().has_value());
+}
+
 // Guards against a damaged snapshot or a missing file that is accepted as an
 // older state.
 TEST_F(DataFolderTest, Open_SnapshotDamagedOrFileMissing_Refuses) {
