Let a voter set the damaged files of its own folder aside

A folder that is damaged beyond what a loss of power can do needed an operator who moves the files away.

A part of the files can look like an older, intact state: a marker file is synced first, and Open fails with kDamaged until everything is renamed and synced. Nothing is changed unless the identity shows that the folder is the voter's own. A record whose checksum matches but which can't be read is now kUnknownRecord instead of kDamaged: it was written by another release, and setting it aside would put all voters out of use after a step back.

PowerLossTest.SetDamagedFilesAside_KilledAnywhere_IsNeverIntact kills the call at each of its operations, with and without a loss of power.

--- a/src/mimosastage/storage/data_folder.cc
+++ b/src/mimosastage/storage/data_folder.cc
@@ -24,6 +24,11 @@
 using internal::StorageFailure;
 
 constexpr std::string_view kSegmentPrefix = "log-";
+constexpr std::string_view kSnapshotPrefix = "snapshot-";
+/// Exists while damaged files are set aside. Until all are, the rest can look
+/// like an older state.
+constexpr const char* kSetAsideMarker = "setting_aside";
+constexpr std::string_view kSetAsideSuffix = ".damaged";
 constexpr std::string_view kRemedy =
     "; check the disk, then move the folder's files away so that the voter "
     "recovers from the other voters";
@@ -80,6 +85,7 @@
   DurableImage Open();
   void Write(const DurableWrite& write);
   void Sync();
+  void SetDamagedFilesAside();
 
   std::string open_report;
 
@@ -93,6 +99,9 @@
 
   void Lock();
   internal::Identity ReadOrCreateIdentity();
+  /// Throws kForeignFolder unless the folder belongs to this voter.
+  void CheckOwner(const internal::Identity& identity) const;
+  [[noreturn]] void ThrowNoIdentity() const;
   void RemoveTemporaryFiles();
   void ReadSegments(internal::LogContent& content);
   void ReadSegment(Segment& segment, bool is_newest,
@@ -123,6 +132,10 @@
 DurableImage DataFolder::Files::Open() {
   this->Lock();
   internal::Identity identity = this->ReadOrCreateIdentity();
+  if (this->file_system.Exists(this->folder / kSetAsideMarker)) {
+    ThrowDamaged(this->folder / kSetAsideMarker, 0,
+                 "damaged files weren't all set aside");
+  }
   this->RemoveTemporaryFiles();
   internal::LogContent content;
   content.state.intact = identity.formatted;
@@ -176,19 +189,63 @@
   this->lock = this->file_system.LockFolder(this->folder);
 }
 
+void DataFolder::Files::SetDamagedFilesAside() {
+  this->Lock();
+  auto identity = internal::ReadIdentity(this->file_system, this->folder);
+  if (!identity.has_value()) {
+    this->ThrowNoIdentity();
+  }
+  this->CheckOwner(*identity);
+  const bool resumed = this->file_system.Exists(this->folder / kSetAsideMarker);
+  if (!resumed) {
+    internal::ReplaceFile(this->file_system, this->folder, kSetAsideMarker, "");
+  }
+  for (const std::string& name : this->file_system.FileNames(this->folder)) {
+    if (name.ends_with(kSetAsideSuffix)) {
+      if (!resumed) {
+        this->file_system.Remove(this->folder / name);
+      }
+    } else if (name.starts_with(kSegmentPrefix) ||
+               name.starts_with(kSnapshotPrefix)) {
+      this->file_system.Rename(
+          this->folder / name,
+          this->folder / (name + std::string(kSetAsideSuffix)));
+    }
+  }
+  this->file_system.SyncFolder(this->folder);
+  identity->formatted = false;
+  identity->incarnation = 0;
+  internal::WriteIdentity(this->file_system, this->folder, *identity);
+  this->file_system.Remove(this->folder / kSetAsideMarker);
+  this->file_system.SyncFolder(this->folder);
+}
+
+void DataFolder::Files::CheckOwner(const internal::Identity& identity) const {
+  const bool own = identity.voter == this->voter ||
+                   identity.voter == LegacyDaemonId(this->voter);
+  if (identity.cluster_id == this->cluster_id && own) {
+    return;
+  }
+  throw StorageFailure{
+      StorageError::kForeignFolder,
+      this->folder.string() + ": belongs to voter " +
+          DaemonIdText(identity.voter) + " of cluster '" + identity.cluster_id +
+          "'; correct the setting, or move the folder's files away so that "
+          "the voter recovers from the other voters"};
+}
+
+void DataFolder::Files::ThrowNoIdentity() const {
+  throw StorageFailure{
+      StorageError::kForeignFolder,
+      this->folder.string() +
+          ": has files but no identity file; correct the setting, or move "
+          "the folder's files away so that the voter recovers from the "
+          "other voters"};
+}
+
 internal::Identity DataFolder::Files::ReadOrCreateIdentity() {
   if (auto identity = internal::ReadIdentity(this->file_system, this->folder)) {
-    const bool own = identity->voter == this->voter ||
-                     identity->voter == LegacyDaemonId(this->voter);
-    if (identity->cluster_id != this->cluster_id || !own) {
-      throw StorageFailure{
-          StorageError::kForeignFolder,
-          this->folder.string() + ": belongs to voter " +
-              DaemonIdText(identity->voter) + " of cluster '" +
-              identity->cluster_id +
-              "'; correct the setting, or move the folder's files away so that "
-              "the voter recovers from the other voters"};
-    }
+    this->CheckOwner(*identity);
     // A folder of an earlier release keeps its identity, because the checksums
     // of all its files depend on it.
     this->checksum_seed = internal::Checksum(
@@ -197,12 +254,7 @@
   }
   this->RemoveTemporaryFiles();
   if (!IsEmpty(this->file_system, this->folder)) {
-    throw StorageFailure{
-        StorageError::kForeignFolder,
-        this->folder.string() +
-            ": has files but no identity file; correct the setting, or move "
-            "the folder's files away so that the voter recovers from the "
-            "other voters"};
+    this->ThrowNoIdentity();
   }
   internal::Identity unformatted{this->cluster_id, this->voter, false, 0};
   internal::WriteIdentity(this->file_system, this->folder, unformatted);
@@ -258,7 +310,11 @@
                        ", expected " + std::to_string(this->next_sequence));
     }
     if (!content.Apply(frame->payload)) {
-      ThrowDamaged(segment.path, offset, "the record is malformed");
+      throw StorageFailure{
+          StorageError::kUnknownRecord,
+          segment.path.string() + ": offset " + std::to_string(offset) +
+              ": the record's checksum matches, but it can't be read; install "
+              "the release that wrote it"};
     }
     segment.last_index = std::max(segment.last_index, content.LastIndex());
     this->next_sequence = frame->sequence + 1;
@@ -421,6 +477,11 @@
   return image;
 }
 
+Result<void> DataFolder::SetDamagedFilesAside() {
+  return CatchErrors([this] { this->files->SetDamagedFilesAside(); },
+                     this->error_detail);
+}
+
 Result<void> DataFolder::Write(const DurableWrite& write) {
   return this->RunUnlessFailed([&] { this->files->Write(write); });
 }
--- a/src/mimosastage/storage/data_folder.h
+++ b/src/mimosastage/storage/data_folder.h
@@ -42,9 +42,18 @@
   /// persists a new incarnation. Must be called once, before Write and Sync. An
   /// empty or missing folder gives an image that isn't intact. A torn last
   /// record is truncated; see OpenReport. Errors: kForeignFolder, kDamaged,
-  /// kAlreadyOpen, kInputOutput; ErrorDetail has the details.
+  /// kUnknownRecord, kAlreadyOpen, kInputOutput; ErrorDetail has the details.
   Result<DurableImage> Open();
 
+  /// Renames the log and the snapshots to names with ".damaged", after Open has
+  /// failed with kDamaged, so that the voter recovers from the others as after
+  /// a lost disk. Replaces files that were set aside earlier. Must be called on
+  /// an object of its own, without Open. If it is interrupted, Open fails with
+  /// kDamaged until another call completes. Errors: kForeignFolder, kDamaged if
+  /// the identity is damaged, kAlreadyOpen, kInputOutput; no file is changed if
+  /// the folder isn't known to be the voter's.
+  Result<void> SetDamagedFilesAside();
+
   /// Buffers the changes until the next Sync makes them durable. A snapshot is
   /// stored immediately. After an error every later call fails with
   /// kInputOutput, because what reached the disk is unknown until the folder is
--- a/src/mimosastage/storage/storage_error.cc
+++ b/src/mimosastage/storage/storage_error.cc
@@ -27,6 +27,9 @@
                "free space and the folder's permissions";
       case StorageError::kAlreadyOpen:
         return "another process uses the data folder; stop it first";
+      case StorageError::kUnknownRecord:
+        return "the data folder has a record that this release can't read; "
+               "install the release that wrote it";
     }
     return "unknown storage error " + std::to_string(value);
   }
--- a/src/mimosastage/storage/storage_error.h
+++ b/src/mimosastage/storage/storage_error.h
@@ -12,7 +12,9 @@
   kForeignFolder,
   kDamaged,
   kInputOutput,
-  kAlreadyOpen
+  kAlreadyOpen,
+  /// A record is intact but unknown to this release.
+  kUnknownRecord
 };
 
 const std::error_category& StorageCategory() noexcept;
--- a/tests/storage/power_loss_test.cc
+++ b/tests/storage/power_loss_test.cc
@@ -207,6 +207,13 @@
     return this->folder->Open();
   }
 
+  /// Returns false if it fails.
+  bool SetAside() {
+    this->folder =
+        std::make_unique<DataFolder>(kFolder, kCluster, kVoter, *this->disk);
+    return this->folder->SetDamagedFilesAside().has_value();
+  }
+
   /// Entries `first` to `last` of view 1.
   static DurableWrite Entries(LogIndex first, LogIndex last) {
     DurableWrite write;
@@ -311,6 +318,72 @@
   });
 }
 
+// Guards against damaged files that are set aside only in part, so that the
+// rest is taken for the voter's whole state and it votes without what it
+// promised.
+TEST_F(PowerLossTest, SetDamagedFilesAside_KilledAnywhere_IsNeverIntact) {
+  constexpr std::uint64_t kOperations = 30;
+  const std::string segment = "log-00000000000000000001";
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    for (std::uint64_t killed_at = 0; killed_at < kOperations; ++killed_at) {
+      SCOPED_TRACE("seed " + std::to_string(seed) + ", killed at " +
+                   std::to_string(killed_at));
+      this->UseNewDisk(seed);
+      ASSERT_TRUE(this->Open().has_value());
+      this->Store(Entries(1, 9));
+      this->Store(Snapshot(5));
+      this->Store(Entries(10, 12));
+      // Without the first segment the second one has all entries after 9 only.
+      std::string damaged = this->disk->Content(segment);
+      damaged[damaged.size() / 2] ^= 1;
+      this->disk->Overwrite(segment, damaged);
+      ASSERT_EQ(this->Open().error(), StorageError::kDamaged);
+      this->KillAfter(killed_at, [this] { this->SetAside(); });
+      const bool power_lost = seed % 2 == 0;
+      if (power_lost) {
+        this->disk->LosePower();
+      }
+      auto image = this->Open();
+      if (image.has_error()) {
+        ASSERT_EQ(image.error(), StorageError::kDamaged);
+        ASSERT_TRUE(this->SetAside());
+        image = this->Open();
+      }
+      ASSERT_TRUE(image.has_value()) << this->folder->ErrorDetail();
+      EXPECT_FALSE(image->intact);
+      EXPECT_TRUE(image->entries.empty());
+      EXPECT_EQ(image->snapshot_index, 0);
+      if (!power_lost) {
+        // The disk may lose the new name of a renamed file and not the removal
+        // of the old one, so the copy doesn't survive each loss of power.
+        EXPECT_EQ(this->disk->Content(segment + ".damaged"), damaged);
+      }
+      this->Store(Entries(1, 2));
+      const auto again = this->Open();
+      ASSERT_TRUE(again.has_value()) << this->folder->ErrorDetail();
+      EXPECT_FALSE(again->intact);
+      EXPECT_EQ(again->entries, Entries(1, 2).entries);
+    }
+  }
+}
+
+// Guards against another voter's state that is put out of use because a
+// setting names the wrong folder, and against a folder of unknown owner.
+TEST_F(PowerLossTest, SetDamagedFilesAside_OwnerIsOtherOrUnknown_IsRefused) {
+  ASSERT_TRUE(this->Open().has_value());
+  this->Store(Entries(1, 3));
+  const auto names = this->disk->FileNames(kFolder);
+  DataFolder other(kFolder, "other-cluster", kVoter, *this->disk);
+  EXPECT_EQ(other.SetDamagedFilesAside().error(), StorageError::kForeignFolder);
+  EXPECT_EQ(this->disk->FileNames(kFolder), names);
+  EXPECT_TRUE(this->Open().has_value());
+  std::string identity = this->disk->Content("identity");
+  identity.back() ^= 1;
+  this->disk->Overwrite("identity", identity);
+  EXPECT_FALSE(this->SetAside());
+  EXPECT_EQ(this->disk->FileNames(kFolder), names);
+}
+
 // Guards against a folder that can't be opened after a loss of power, synced
 // content that is lost, and truncated entries that return.
 TEST_F(PowerLossTest, Open_AfterRandomLosses_HasAllSynced) {
