Keep the platform's daemon running if its data folder can't be used

A voter whose folder was damaged, belonged to another voter or held an unknown record ended with status 2 at each start, or with 1 while running. Where ended processes are restarted at once this is a crash loop, and the daemon didn't pass calls on either.

JobDaemon now sets the damaged files of its own folder aside and recovers from the other voters as after a lost disk (storage_set_aside). In all other cases it runs without voting, passes calls on, and opens the folder again every 5 s with a line that names the remedy (storage_unusable). Each failure is counted in mimosastage_storage_failures_total by reason.

JobClusterTest.Start_LogIsDamaged_VoterRecoversFromTheOthers and Start_FolderOfAnotherVoter_RunsAndLeavesItAlone fail without the change: the process has ended and its log never has the lines.

--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -51,12 +51,18 @@
 constexpr EventName kDataFolderKept{"data_folder_kept"};
 constexpr EventName kStorageRetried{"storage_retried"};
 constexpr EventName kStorageOpened{"storage_opened"};
+constexpr EventName kStorageUnusable{"storage_unusable"};
+constexpr EventName kStorageSetAside{"storage_set_aside"};
 
 /// Time between two attempts to open a data folder whose disk failed; a disk
 /// stays full for seconds. Must be above 300 ms, for which a voter that hears
 /// from a leader promises to support no other.
 constexpr std::chrono::milliseconds kStorageReopenInterval{500};
 
+/// As kStorageReopenInterval, for a folder that needs an operator: often enough
+/// to be seen in the log.
+constexpr std::chrono::seconds kUnusableStorageReopenInterval{5};
+
 struct DaemonEvent {
   DaemonId peer{};
   /// Empty if the state of the link changed.
@@ -88,6 +94,20 @@
   HttpAnswer answer;
 };
 
+/// Label of metrics::kStorageFailures.
+std::string_view StorageFailureReason(std::error_code error) {
+  if (error == StorageError::kDamaged) {
+    return "damaged";
+  }
+  if (error == StorageError::kForeignFolder) {
+    return "foreign_folder";
+  }
+  if (error == StorageError::kUnknownRecord) {
+    return "unknown_record";
+  }
+  return "input_output";
+}
+
 std::uint64_t RandomNumber() {
   std::uint64_t number = 0;
   if (RAND_bytes(reinterpret_cast<unsigned char*>(&number), sizeof(number)) !=
@@ -170,10 +190,14 @@
       : settings(std::move(given)), protocol(std::move(protocol)) {}
 
   std::string Start();
-  /// Returns an empty string, or a message with the failure and its remedy. If
-  /// the disk can't be read or written, schedules another attempt and leaves
-  /// `image` empty.
+  /// Returns an empty string, or a message with the failure and its remedy if
+  /// another process uses the folder. If the folder can't be used for another
+  /// reason, schedules another attempt and leaves `image` empty.
   std::string OpenStorage(std::optional<DurableImage>& image);
+  /// Opens `folder`. Sets its files aside if they are damaged, so that the
+  /// voter recovers from the others.
+  Result<DurableImage> OpenOrSetAside();
+  void CountStorageFailure(std::error_code error);
   /// Stops voting until the data folder can be opened again, because the
   /// content of the disk after a failed write is unknown.
   void HandleStorageFailure(TimePoint now);
@@ -267,19 +291,22 @@
           .With("reason", formatted.error());
     }
   }
-  this->folder = std::make_unique<DataFolder>(path, this->settings.cluster,
-                                              this->settings.node.self);
-  auto opened = this->folder->Open();
+  auto opened = this->OpenOrSetAside();
   if (!opened.has_value()) {
     std::string problem =
         opened.error().message() + ": " + this->folder->ErrorDetail();
-    if (opened.error() != StorageError::kInputOutput) {
+    if (opened.error() == StorageError::kAlreadyOpen) {
       return problem;
     }
-    LogEvent(LogSeverity::kError, kStorageRetried, problem)
+    this->CountStorageFailure(opened.error());
+    const bool needs_operator = opened.error() != StorageError::kInputOutput;
+    LogEvent(LogSeverity::kError,
+             needs_operator ? kStorageUnusable : kStorageRetried, problem)
         .With("folder", path.string());
     this->lacks_durable_state = true;
-    this->reopen_storage_at = LeaseClock::now() + kStorageReopenInterval;
+    this->reopen_storage_at =
+        LeaseClock::now() + (needs_operator ? kUnusableStorageReopenInterval
+                                            : kStorageReopenInterval);
     return {};
   }
   if (!this->folder->OpenReport().empty()) {
@@ -298,6 +325,7 @@
   hooks.on_failed = [this](const std::string& detail) {
     LogEvent(LogSeverity::kError, events::kStorageFailed, detail)
         .With("folder", this->settings.data_folder.string());
+    this->CountStorageFailure(StorageError::kInputOutput);
     this->storage_failed.store(true);
     this->wake.Notify();
   };
@@ -307,6 +335,36 @@
   return {};
 }
 
+Result<DurableImage> JobDaemon::Impl::OpenOrSetAside() {
+  const auto make_folder = [this] {
+    this->folder = std::make_unique<DataFolder>(this->settings.data_folder,
+                                                this->settings.cluster,
+                                                this->settings.node.self);
+  };
+  make_folder();
+  auto opened = this->folder->Open();
+  if (opened.has_value() || opened.error() != StorageError::kDamaged) {
+    return opened;
+  }
+  this->CountStorageFailure(opened.error());
+  LogEvent(LogSeverity::kError, kStorageSetAside,
+           "the damaged files are renamed to names with .damaged, and this "
+           "voter recovers from the other voters; check the disk: " +
+               this->folder->ErrorDetail())
+      .With("folder", this->settings.data_folder.string());
+  make_folder();
+  if (const auto done = this->folder->SetDamagedFilesAside();
+      done.has_error()) {
+    return done.error();
+  }
+  make_folder();
+  return this->folder->Open();
+}
+
+void JobDaemon::Impl::CountStorageFailure(std::error_code error) {
+  this->metrics.Add(metrics::kStorageFailures, StorageFailureReason(error));
+}
+
 void JobDaemon::Impl::HandleStorageFailure(TimePoint now) {
   this->node->StopVoting("the disk failed");
   this->storage->Stop();
--- a/src/mimosastage/telemetry/metrics.h
+++ b/src/mimosastage/telemetry/metrics.h
@@ -52,6 +52,9 @@
                                           "Views that this daemon entered."};
 inline constexpr CounterName kChanges{"mimosastage_changes_total", "outcome",
                                       "Changes by operators, by outcome."};
+inline constexpr CounterName kStorageFailures{
+    "mimosastage_storage_failures_total", "reason",
+    "Failures of the data folder; the voter doesn't vote after one."};
 inline constexpr CounterName kSeriesMerged{
     "mimosastage_metric_series_merged_total", "metric",
     "Samples that went to the series \"other\" because of the bound."};
--- a/tests/system/job_cluster_test.cc
+++ b/tests/system/job_cluster_test.cc
@@ -146,6 +146,15 @@
                : std::string();
   }
 
+  static void FlipByte(const std::filesystem::path& path, int offset) {
+    std::fstream file(path, std::ios::binary | std::ios::in | std::ios::out);
+    file.seekg(offset);
+    const char flipped = static_cast<char>(file.get() ^ 1);
+    file.seekp(offset);
+    file.put(flipped);
+    ASSERT_TRUE(file.good()) << path;
+  }
+
   bool WaitForLog(int daemon, const std::string& text) {
     return Eventually([&] {
       std::ifstream log(this->folder / ("log-" + std::to_string(daemon)));
@@ -378,6 +387,51 @@
       [&] { return this->ConfigurationVersionAt(0) == "\"version\":5"; }));
 }
 
+// Guards against a voter process that ends at each start because of a damaged
+// file, and against one that votes without the state that it lost.
+TEST_F(JobClusterTest, Start_LogIsDamaged_VoterRecoversFromTheOthers) {
+  ASSERT_EQ(this->Configure(5), 200);
+  this->KillDaemon(0);
+  this->FlipByte(this->folder / "data-0" / "log-00000000000000000001", 10);
+  this->StartDaemon(0, false);
+  ASSERT_TRUE(this->WaitForLog(0, "storage_set_aside"));
+  ASSERT_TRUE(this->WaitForLog(0, "recovery_started"));
+  ASSERT_TRUE(Eventually(
+      [this] { return this->ConfigurationVersionAt(0) == "\"version\":5"; }));
+  SleepFor(std::chrono::milliseconds(1'500));
+  this->KillDaemon(1);
+  EXPECT_TRUE(Eventually([this] {
+    return this->ConfigurationVersionAt(0) == "\"version\":5";
+  })) << "the recovered voter and one other are a quorum";
+}
+
+// Guards against a voter process that ends at each start because of another
+// voter's folder, and against one that puts that voter's files out of use.
+TEST_F(JobClusterTest, Start_FolderOfAnotherVoter_RunsAndLeavesItAlone) {
+  ASSERT_EQ(this->Configure(5), 200);
+  this->KillDaemon(0);
+  const auto folder = this->folder / "data-0";
+  std::filesystem::rename(folder, this->folder / "own");
+  std::filesystem::copy(this->folder / "data-1", folder,
+                        std::filesystem::copy_options::recursive);
+  this->StartDaemon(0, false);
+  ASSERT_TRUE(this->WaitForLog(0, "storage_unusable"));
+  ASSERT_TRUE(Eventually([this] {
+    return this->ConfigurationVersionAt(0) == "\"version\":5";
+  })) << "a voter without storage must forward requests";
+  EXPECT_TRUE(this->daemons[0]->Running());
+  for (const auto& item : std::filesystem::directory_iterator(folder)) {
+    EXPECT_NE(item.path().extension(), ".damaged") << item.path();
+  }
+  std::filesystem::remove_all(folder);
+  std::filesystem::rename(this->folder / "own", folder);
+  ASSERT_TRUE(this->WaitForLog(0, "storage_opened"));
+  SleepFor(std::chrono::milliseconds(1'500));
+  this->KillDaemon(1);
+  EXPECT_TRUE(Eventually(
+      [this] { return this->ConfigurationVersionAt(0) == "\"version\":5"; }));
+}
+
 // Guards against a voter that forms a smaller group when its seeds name only
 // some of the voters.
 TEST_F(JobClusterTest, Restart_OtherSeeds_VotersStayTheSame) {
