--- a/src/mimosastage/storage/data_folder.cc
+++ b/src/mimosastage/storage/data_folder.cc
@@ -5,15 +5,18 @@
 #include <optional>
 #include <random>
 #include <string_view>
+#include <system_error>
 #include <utility>
 
 #include "mimosastage/base/daemon_id.h"
-#include "mimosastage/storage/internal/file.h"
+#include "mimosastage/storage/internal/file_system.h"
 #include "mimosastage/storage/internal/frame.h"
 #include "mimosastage/storage/internal/identity.h"
 #include "mimosastage/storage/internal/log_records.h"
 #include "mimosastage/storage/internal/numbered_files.h"
+#include "mimosastage/storage/internal/replace_file.h"
 #include "mimosastage/storage/internal/snapshot_file.h"
+#include "mimosastage/storage/internal/storage_failure.h"
 
 namespace mimosastage {
 namespace {
@@ -21,21 +24,23 @@
 using internal::StorageFailure;
 
 constexpr std::string_view kSegmentPrefix = "log-";
+constexpr std::string_view kSnapshotPrefix = "snapshot-";
+/// Exists while damaged files are set aside. Until all are, the rest can look
+/// like an older state.
+constexpr const char* kSetAsideMarker = "setting_aside";
+constexpr std::string_view kSetAsideSuffix = ".damaged";
 constexpr std::string_view kRemedy =
     "; check the disk, then move the folder's files away so that the voter "
     "recovers from the other voters";
 
 /// Ignores the folder that mkfs creates in the root of a file system, so that
 /// a data folder may be a mount point.
-bool CountsAsContent(const std::filesystem::path& name) {
-  return name != "lost+found";
-}
+bool CountsAsContent(const std::string& name) { return name != "lost+found"; }
 
-bool IsEmpty(const std::filesystem::path& folder) {
-  const std::filesystem::directory_iterator items(folder);
-  return std::none_of(begin(items), end(items), [](const auto& item) {
-    return CountsAsContent(item.path().filename());
-  });
+bool IsEmpty(internal::FileSystem& file_system,
+             const std::filesystem::path& folder) {
+  const auto names = file_system.FileNames(folder);
+  return std::none_of(names.begin(), names.end(), CountsAsContent);
 }
 
 [[noreturn]] void ThrowDamaged(const std::filesystem::path& path,
@@ -46,7 +51,7 @@
 }
 
 /// Runs `action` and converts the exceptions of this package and of
-/// std::filesystem to an error code and a `detail` text.
+/// the standard library to an error code and a `detail` text.
 Result<void> CatchErrors(const std::function<void()>& action,
                          std::string& detail) {
   try {
@@ -55,7 +60,7 @@
   } catch (const StorageFailure& failure) {
     detail = failure.detail;
     return make_error_code(failure.error);
-  } catch (const std::filesystem::filesystem_error& failure) {
+  } catch (const std::system_error& failure) {
     detail = std::string(failure.what()) +
              "; check the disk and the folder's permissions";
     return make_error_code(StorageError::kInputOutput);
@@ -68,8 +73,10 @@
 /// filesystem_error.
 class DataFolder::Files {
  public:
-  Files(std::filesystem::path folder, std::string cluster_id, DaemonId voter)
-      : folder(std::move(folder)),
+  Files(std::filesystem::path folder, std::string cluster_id, DaemonId voter,
+        internal::FileSystem& file_system)
+      : file_system(file_system),
+        folder(std::move(folder)),
         cluster_id(std::move(cluster_id)),
         voter(voter),
         checksum_seed(internal::Checksum(this->cluster_id,
@@ -78,6 +85,7 @@
   DurableImage Open();
   void Write(const DurableWrite& write);
   void Sync();
+  void SetDamagedFilesAside();
 
   std::string open_report;
 
@@ -91,25 +99,31 @@
 
   void Lock();
   internal::Identity ReadOrCreateIdentity();
+  /// Throws kForeignFolder unless the folder belongs to this voter.
+  void CheckOwner(const internal::Identity& identity) const;
+  [[noreturn]] void ThrowNoIdentity() const;
   void RemoveTemporaryFiles();
   void ReadSegments(internal::LogContent& content);
   void ReadSegment(Segment& segment, bool is_newest,
                    internal::LogContent& content);
   void TruncateTornTail(const Segment& segment, std::string_view bytes,
                         std::size_t offset);
+  /// Makes durable what Open has read, so that later files may rely on it.
+  void SyncFilesRead();
   void RaiseIncarnation(internal::Identity& identity);
   void StartSegment();
   void StoreSnapshot(const DurableWrite& write);
   void RemoveObsoleteFiles();
 
+  internal::FileSystem& file_system;
   std::filesystem::path folder;
   std::string cluster_id;
   DaemonId voter;
   std::uint64_t checksum_seed;
-  internal::File lock;
+  std::unique_ptr<internal::FolderLock> lock;
   internal::LogState state;
   std::deque<Segment> segments;
-  internal::File newest_segment;
+  std::unique_ptr<internal::OpenFile> newest_segment;
   bool folder_changed = false;
   std::uint64_t next_sequence = 1;
   internal::LogRecordWriter records;
@@ -118,6 +132,10 @@
 DurableImage DataFolder::Files::Open() {
   this->Lock();
   internal::Identity identity = this->ReadOrCreateIdentity();
+  if (this->file_system.Exists(this->folder / kSetAsideMarker)) {
+    ThrowDamaged(this->folder / kSetAsideMarker, 0,
+                 "damaged files weren't all set aside");
+  }
   this->RemoveTemporaryFiles();
   internal::LogContent content;
   content.state.intact = identity.formatted;
@@ -129,8 +147,8 @@
   if (latest < identity.incarnation) {
     ThrowDamaged(this->folder, 0, "the newest log records are missing");
   }
-  auto snapshot =
-      internal::ReadNewestSnapshot(this->folder, this->checksum_seed);
+  auto snapshot = internal::ReadNewestSnapshot(this->file_system, this->folder,
+                                               this->checksum_seed);
   const LogIndex newest_snapshot = snapshot.has_value() ? snapshot->index : 0;
   if (newest_snapshot < content.state.snapshot_index) {
     ThrowDamaged(this->folder, 0,
@@ -147,6 +165,7 @@
                      " are missing");
   }
   this->state = content.state;
+  this->SyncFilesRead();
   this->RaiseIncarnation(identity);
   DurableImage image;
   image.intact = this->state.intact;
@@ -166,24 +185,67 @@
 }
 
 void DataFolder::Files::Lock() {
-  std::filesystem::create_directories(this->folder);
-  this->lock = internal::File::OpenFolder(this->folder);
-  this->lock.Lock();
+  this->file_system.CreateFolder(this->folder);
+  this->lock = this->file_system.LockFolder(this->folder);
 }
 
-internal::Identity DataFolder::Files::ReadOrCreateIdentity() {
-  if (auto identity = internal::ReadIdentity(this->folder)) {
-    const bool own = identity->voter == this->voter ||
-                     identity->voter == LegacyDaemonId(this->voter);
-    if (identity->cluster_id != this->cluster_id || !own) {
-      throw StorageFailure{
-          StorageError::kForeignFolder,
-          this->folder.string() + ": belongs to voter " +
-              DaemonIdText(identity->voter) + " of cluster '" +
-              identity->cluster_id +
-              "'; correct the setting, or move the folder's files away so that "
-              "the voter recovers from the other voters"};
+void DataFolder::Files::SetDamagedFilesAside() {
+  this->Lock();
+  auto identity = internal::ReadIdentity(this->file_system, this->folder);
+  if (!identity.has_value()) {
+    this->ThrowNoIdentity();
+  }
+  this->CheckOwner(*identity);
+  const bool resumed = this->file_system.Exists(this->folder / kSetAsideMarker);
+  if (!resumed) {
+    internal::ReplaceFile(this->file_system, this->folder, kSetAsideMarker, "");
+  }
+  for (const std::string& name : this->file_system.FileNames(this->folder)) {
+    if (name.ends_with(kSetAsideSuffix)) {
+      if (!resumed) {
+        this->file_system.Remove(this->folder / name);
+      }
+    } else if (name.starts_with(kSegmentPrefix) ||
+               name.starts_with(kSnapshotPrefix)) {
+      this->file_system.Rename(
+          this->folder / name,
+          this->folder / (name + std::string(kSetAsideSuffix)));
     }
+  }
+  this->file_system.SyncFolder(this->folder);
+  identity->formatted = false;
+  identity->incarnation = 0;
+  internal::WriteIdentity(this->file_system, this->folder, *identity);
+  this->file_system.Remove(this->folder / kSetAsideMarker);
+  this->file_system.SyncFolder(this->folder);
+}
+
+void DataFolder::Files::CheckOwner(const internal::Identity& identity) const {
+  const bool own = identity.voter == this->voter ||
+                   identity.voter == LegacyDaemonId(this->voter);
+  if (identity.cluster_id == this->cluster_id && own) {
+    return;
+  }
+  throw StorageFailure{
+      StorageError::kForeignFolder,
+      this->folder.string() + ": belongs to voter " +
+          DaemonIdText(identity.voter) + " of cluster '" + identity.cluster_id +
+          "'; correct the setting, or move the folder's files away so that "
+          "the voter recovers from the other voters"};
+}
+
+void DataFolder::Files::ThrowNoIdentity() const {
+  throw StorageFailure{
+      StorageError::kForeignFolder,
+      this->folder.string() +
+          ": has files but no identity file; correct the setting, or move "
+          "the folder's files away so that the voter recovers from the "
+          "other voters"};
+}
+
+internal::Identity DataFolder::Files::ReadOrCreateIdentity() {
+  if (auto identity = internal::ReadIdentity(this->file_system, this->folder)) {
+    this->CheckOwner(*identity);
     // A folder of an earlier release keeps its identity, because the checksums
     // of all its files depend on it.
     this->checksum_seed = internal::Checksum(
@@ -191,16 +253,11 @@
     return *identity;
   }
   this->RemoveTemporaryFiles();
-  if (!IsEmpty(this->folder)) {
-    throw StorageFailure{
-        StorageError::kForeignFolder,
-        this->folder.string() +
-            ": has files but no identity file; correct the setting, or move "
-            "the folder's files away so that the voter recovers from the "
-            "other voters"};
+  if (!IsEmpty(this->file_system, this->folder)) {
+    this->ThrowNoIdentity();
   }
   internal::Identity unformatted{this->cluster_id, this->voter, false, 0};
-  internal::WriteIdentity(this->folder, unformatted);
+  internal::WriteIdentity(this->file_system, this->folder, unformatted);
   this->open_report +=
       this->folder.string() +
       ": was empty; the voter recovers from the other voters. ";
@@ -208,16 +265,16 @@
 }
 
 void DataFolder::Files::RemoveTemporaryFiles() {
-  for (const auto& item : std::filesystem::directory_iterator(this->folder)) {
-    if (item.path().extension() == internal::kTemporarySuffix) {
-      std::filesystem::remove(item.path());
+  for (const std::string& name : this->file_system.FileNames(this->folder)) {
+    if (name.ends_with(internal::kTemporarySuffix)) {
+      this->file_system.Remove(this->folder / name);
     }
   }
 }
 
 void DataFolder::Files::ReadSegments(internal::LogContent& content) {
-  for (const auto& [number, path] :
-       internal::NumberedFiles(this->folder, kSegmentPrefix)) {
+  for (const auto& [number, path] : internal::NumberedFiles(
+           this->file_system, this->folder, kSegmentPrefix)) {
     this->segments.push_back(Segment{number, path, 0});
   }
   for (Segment& segment : this->segments) {
@@ -226,13 +283,13 @@
   }
   if (!this->segments.empty()) {
     this->newest_segment =
-        internal::File::OpenForAppend(this->segments.back().path);
+        this->file_system.OpenForAppend(this->segments.back().path);
   }
 }
 
 void DataFolder::Files::ReadSegment(Segment& segment, bool is_newest,
                                     internal::LogContent& content) {
-  const std::string bytes = internal::ReadWholeFile(segment.path);
+  const std::string bytes = this->file_system.ReadWholeFile(segment.path);
   const std::uint64_t segment_seed = this->checksum_seed ^ segment.number;
   std::size_t offset = 0;
   while (offset < bytes.size()) {
@@ -253,7 +310,11 @@
                        ", expected " + std::to_string(this->next_sequence));
     }
     if (!content.Apply(frame->payload)) {
-      ThrowDamaged(segment.path, offset, "the record is malformed");
+      throw StorageFailure{
+          StorageError::kUnknownRecord,
+          segment.path.string() + ": offset " + std::to_string(offset) +
+              ": the record's checksum matches, but it can't be read; install "
+              "the release that wrote it"};
     }
     segment.last_index = std::max(segment.last_index, content.LastIndex());
     this->next_sequence = frame->sequence + 1;
@@ -268,9 +329,20 @@
                        std::to_string(bytes.size() - offset) +
                        " bytes at offset " + std::to_string(offset) +
                        "; its writes were never acknowledged. ";
-  internal::File file = internal::File::OpenForAppend(segment.path);
-  file.Truncate(offset);
-  file.Sync();
+  const auto file = this->file_system.OpenForAppend(segment.path);
+  file->Truncate(offset);
+  file->Sync();
+}
+
+void DataFolder::Files::SyncFilesRead() {
+  // A killed process may have left an unsynced record. If another one followed
+  // it in the same file, a loss of power could tear only the earlier one.
+  if (this->newest_segment != nullptr) {
+    this->newest_segment->Sync();
+  }
+  // A killed process may also have left names that aren't synced. The record
+  // written next names the newest snapshot, whose name must not be lost then.
+  this->file_system.SyncFolder(this->folder);
 }
 
 void DataFolder::Files::RaiseIncarnation(internal::Identity& identity) {
@@ -278,7 +350,7 @@
   identity.incarnation = AddStart(this->state.starts, random());
   this->records.State(this->state);
   this->Sync();
-  internal::WriteIdentity(this->folder, identity);
+  internal::WriteIdentity(this->file_system, this->folder, identity);
 }
 
 void DataFolder::Files::Write(const DurableWrite& write) {
@@ -319,7 +391,7 @@
 void DataFolder::Files::StoreSnapshot(const DurableWrite& write) {
   this->Sync();
   internal::WriteSnapshot(
-      this->folder, this->checksum_seed,
+      this->file_system, this->folder, this->checksum_seed,
       {write.snapshot_index, write.snapshot_view, *write.snapshot});
   this->state.snapshot_index = write.snapshot_index;
   this->state.snapshot_view = write.snapshot_view;
@@ -332,7 +404,7 @@
       this->segments.empty() ? 1 : this->segments.back().number + 1;
   const std::filesystem::path path =
       this->folder / internal::NumberedName(kSegmentPrefix, number);
-  this->newest_segment = internal::File::CreateEmpty(path);
+  this->newest_segment = this->file_system.CreateEmpty(path);
   this->segments.push_back(Segment{number, path, 0});
   this->folder_changed = true;
 }
@@ -344,44 +416,54 @@
   if (this->segments.empty()) {
     this->StartSegment();
   }
-  this->newest_segment.Write(
+  this->newest_segment->Write(
       internal::EncodeFrame(this->checksum_seed ^ this->segments.back().number,
                             this->next_sequence, this->records.Take()));
   ++this->next_sequence;
-  this->newest_segment.Sync();
+  this->newest_segment->Sync();
   if (std::exchange(this->folder_changed, false)) {
-    internal::SyncFolder(this->folder);
+    this->file_system.SyncFolder(this->folder);
     this->RemoveObsoleteFiles();
   }
 }
 
 void DataFolder::Files::RemoveObsoleteFiles() {
-  internal::RemoveSnapshotsBefore(this->folder, this->state.snapshot_index);
+  internal::RemoveSnapshotsBefore(this->file_system, this->folder,
+                                  this->state.snapshot_index);
+  bool removed = false;
   while (this->segments.size() > 1 &&
          this->segments.front().last_index <= this->state.snapshot_index) {
-    std::filesystem::remove(this->segments.front().path);
+    if (removed) {
+      // After a loss of power each removed file may return independently. If
+      // only an older one returned, the log would have a gap.
+      this->file_system.SyncFolder(this->folder);
+    }
+    this->file_system.Remove(this->segments.front().path);
     this->segments.pop_front();
+    removed = true;
   }
 }
 
 Result<void> DataFolder::Format(const std::filesystem::path& folder,
-                                const std::string& cluster_id, DaemonId voter) {
+                                const std::string& cluster_id, DaemonId voter,
+                                internal::FileSystem& file_system) {
   std::string detail;
   return CatchErrors(
       [&] {
-        std::filesystem::create_directories(folder);
-        if (!IsEmpty(folder)) {
+        file_system.CreateFolder(folder);
+        if (!IsEmpty(file_system, folder)) {
           throw StorageFailure{StorageError::kNotEmpty, folder.string()};
         }
-        internal::WriteIdentity(folder, {cluster_id, voter, true, 0});
+        internal::WriteIdentity(file_system, folder,
+                                {cluster_id, voter, true, 0});
       },
       detail);
 }
 
 DataFolder::DataFolder(std::filesystem::path folder, std::string cluster_id,
-                       DaemonId voter)
+                       DaemonId voter, internal::FileSystem& file_system)
     : files(std::make_unique<Files>(std::move(folder), std::move(cluster_id),
-                                    voter)) {}
+                                    voter, file_system)) {}
 
 DataFolder::~DataFolder() = default;
 
@@ -395,6 +477,11 @@
   return image;
 }
 
+Result<void> DataFolder::SetDamagedFilesAside() {
+  return CatchErrors([this] { this->files->SetDamagedFilesAside(); },
+                     this->error_detail);
+}
+
 Result<void> DataFolder::Write(const DurableWrite& write) {
   return this->RunUnlessFailed([&] { this->files->Write(write); });
 }
