--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -213,6 +213,7 @@
   order.worker = id;
   order.address = session.address;
   order.fence = this->fence;
+  order.send_before = open.sent + this->config.send_window;
   open.worker = id;
   open.born_ms = session.born_ms;
   this->orders.emplace(order.number, std::move(open));
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -46,6 +46,9 @@
     /// Timeout of an order, in addition to the delay of a hold. A round trip
     /// takes a few milliseconds.
     std::chrono::milliseconds reply_timeout{600};
+    /// An order that can't be sent within this time is dropped, because a
+    /// daemon that was frozen in between may no longer be the leader.
+    std::chrono::milliseconds send_window{250};
     std::chrono::milliseconds retry_delay{150};
     /// Delay before an order is given again that this process didn't begin to
     /// send. Avoids a tight loop while the queue of orders is full.
--- a/src/mimosastage/jobs/internal/records_generated.h
+++ b/src/mimosastage/jobs/internal/records_generated.h
@@ -116,6 +116,34 @@
 struct CandidacyBuilder;
 struct CandidacyT;
 
+struct ListedTask;
+struct ListedTaskBuilder;
+struct ListedTaskT;
+
+struct ListedEnd;
+struct ListedEndBuilder;
+struct ListedEndT;
+
+struct CarriedOrder;
+struct CarriedOrderBuilder;
+struct CarriedOrderT;
+
+struct OrderBatch;
+struct OrderBatchBuilder;
+struct OrderBatchT;
+
+struct CarriedReply;
+struct CarriedReplyBuilder;
+struct CarriedReplyT;
+
+struct ReplyBatch;
+struct ReplyBatchBuilder;
+struct ReplyBatchT;
+
+struct CarrierNotice;
+struct CarrierNoticeBuilder;
+struct CarrierNoticeT;
+
 struct Message;
 struct MessageBuilder;
 struct MessageT;
@@ -126,35 +154,44 @@
   Answer = 2,
   Leadership = 3,
   Candidacy = 4,
+  OrderBatch = 5,
+  ReplyBatch = 6,
+  CarrierNotice = 7,
   MIN = NONE,
-  MAX = Candidacy
+  MAX = CarrierNotice
 };
 
-inline const Body (&EnumValuesBody())[5] {
+inline const Body (&EnumValuesBody())[8] {
   static const Body values[] = {
     Body::NONE,
     Body::Call,
     Body::Answer,
     Body::Leadership,
-    Body::Candidacy
+    Body::Candidacy,
+    Body::OrderBatch,
+    Body::ReplyBatch,
+    Body::CarrierNotice
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[6] = {
+  static const char * const names[9] = {
     "NONE",
     "Call",
     "Answer",
     "Leadership",
     "Candidacy",
+    "OrderBatch",
+    "ReplyBatch",
+    "CarrierNotice",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Candidacy)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::CarrierNotice)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -179,6 +216,18 @@
   static const Body enum_value = Body::Candidacy;
 };
 
+template<> struct BodyTraits<mimosastage::jobs_wire::OrderBatch> {
+  static const Body enum_value = Body::OrderBatch;
+};
+
+template<> struct BodyTraits<mimosastage::jobs_wire::ReplyBatch> {
+  static const Body enum_value = Body::ReplyBatch;
+};
+
+template<> struct BodyTraits<mimosastage::jobs_wire::CarrierNotice> {
+  static const Body enum_value = Body::CarrierNotice;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -199,6 +248,18 @@
   static const Body enum_value = Body::Candidacy;
 };
 
+template<> struct BodyUnionTraits<mimosastage::jobs_wire::OrderBatchT> {
+  static const Body enum_value = Body::OrderBatch;
+};
+
+template<> struct BodyUnionTraits<mimosastage::jobs_wire::ReplyBatchT> {
+  static const Body enum_value = Body::ReplyBatch;
+};
+
+template<> struct BodyUnionTraits<mimosastage::jobs_wire::CarrierNoticeT> {
+  static const Body enum_value = Body::CarrierNotice;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -261,6 +322,30 @@
     return type == Body::Candidacy ?
       reinterpret_cast<const mimosastage::jobs_wire::CandidacyT *>(value) : nullptr;
   }
+  mimosastage::jobs_wire::OrderBatchT *AsOrderBatch() {
+    return type == Body::OrderBatch ?
+      reinterpret_cast<mimosastage::jobs_wire::OrderBatchT *>(value) : nullptr;
+  }
+  const mimosastage::jobs_wire::OrderBatchT *AsOrderBatch() const {
+    return type == Body::OrderBatch ?
+      reinterpret_cast<const mimosastage::jobs_wire::OrderBatchT *>(value) : nullptr;
+  }
+  mimosastage::jobs_wire::ReplyBatchT *AsReplyBatch() {
+    return type == Body::ReplyBatch ?
+      reinterpret_cast<mimosastage::jobs_wire::ReplyBatchT *>(value) : nullptr;
+  }
+  const mimosastage::jobs_wire::ReplyBatchT *AsReplyBatch() const {
+    return type == Body::ReplyBatch ?
+      reinterpret_cast<const mimosastage::jobs_wire::ReplyBatchT *>(value) : nullptr;
+  }
+  mimosastage::jobs_wire::CarrierNoticeT *AsCarrierNotice() {
+    return type == Body::CarrierNotice ?
+      reinterpret_cast<mimosastage::jobs_wire::CarrierNoticeT *>(value) : nullptr;
+  }
+  const mimosastage::jobs_wire::CarrierNoticeT *AsCarrierNotice() const {
+    return type == Body::CarrierNotice ?
+      reinterpret_cast<const mimosastage::jobs_wire::CarrierNoticeT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -3606,106 +3691,1167 @@
 
 flatbuffers::Offset<Candidacy> CreateCandidacy(flatbuffers::FlatBufferBuilder &_fbb, const CandidacyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct MessageT : public flatbuffers::NativeTable {
-  typedef Message TableType;
-  mimosastage::jobs_wire::BodyUnion body{};
+struct ListedTaskT : public flatbuffers::NativeTable {
+  typedef ListedTask TableType;
+  std::string job{};
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  uint32_t index = 0;
+  uint32_t run = 0;
+  std::string checkpoint{};
+  uint32_t percent = 0;
+  int64_t load = 0;
 };
 
-struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef MessageT NativeTableType;
-  typedef MessageBuilder Builder;
+struct ListedTask FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ListedTaskT NativeTableType;
+  typedef ListedTaskBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_BODY_TYPE = 4,
-    VT_BODY = 6
+    VT_JOB = 4,
+    VT_OCCURRENCE = 6,
+    VT_STEP = 8,
+    VT_INDEX = 10,
+    VT_RUN = 12,
+    VT_CHECKPOINT = 14,
+    VT_PERCENT = 16,
+    VT_LOAD = 18
   };
-  mimosastage::jobs_wire::Body body_type() const {
-    return static_cast<mimosastage::jobs_wire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
   }
-  const void *body() const {
-    return GetPointer<const void *>(VT_BODY);
+  uint32_t occurrence() const {
+    return GetField<uint32_t>(VT_OCCURRENCE, 0);
   }
-  template<typename T> const T *body_as() const;
-  const mimosastage::jobs_wire::Call *body_as_Call() const {
-    return body_type() == mimosastage::jobs_wire::Body::Call ? static_cast<const mimosastage::jobs_wire::Call *>(body()) : nullptr;
+  uint32_t step() const {
+    return GetField<uint32_t>(VT_STEP, 0);
   }
-  const mimosastage::jobs_wire::Answer *body_as_Answer() const {
-    return body_type() == mimosastage::jobs_wire::Body::Answer ? static_cast<const mimosastage::jobs_wire::Answer *>(body()) : nullptr;
+  uint32_t index() const {
+    return GetField<uint32_t>(VT_INDEX, 0);
   }
-  const mimosastage::jobs_wire::Leadership *body_as_Leadership() const {
-    return body_type() == mimosastage::jobs_wire::Body::Leadership ? static_cast<const mimosastage::jobs_wire::Leadership *>(body()) : nullptr;
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
   }
-  const mimosastage::jobs_wire::Candidacy *body_as_Candidacy() const {
-    return body_type() == mimosastage::jobs_wire::Body::Candidacy ? static_cast<const mimosastage::jobs_wire::Candidacy *>(body()) : nullptr;
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  uint32_t percent() const {
+    return GetField<uint32_t>(VT_PERCENT, 0);
+  }
+  int64_t load() const {
+    return GetField<int64_t>(VT_LOAD, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
-           VerifyOffset(verifier, VT_BODY) &&
-           VerifyBody(verifier, body(), body_type()) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<uint32_t>(verifier, VT_OCCURRENCE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_STEP, 4) &&
+           VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           VerifyField<uint32_t>(verifier, VT_PERCENT, 4) &&
+           VerifyField<int64_t>(verifier, VT_LOAD, 8) &&
            verifier.EndTable();
   }
-  MessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(MessageT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Message> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MessageT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  ListedTaskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ListedTaskT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ListedTask> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListedTaskT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-template<> inline const mimosastage::jobs_wire::Call *Message::body_as<mimosastage::jobs_wire::Call>() const {
-  return body_as_Call();
-}
+struct ListedTaskBuilder {
+  typedef ListedTask Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(ListedTask::VT_JOB, job);
+  }
+  void add_occurrence(uint32_t occurrence) {
+    fbb_.AddElement<uint32_t>(ListedTask::VT_OCCURRENCE, occurrence, 0);
+  }
+  void add_step(uint32_t step) {
+    fbb_.AddElement<uint32_t>(ListedTask::VT_STEP, step, 0);
+  }
+  void add_index(uint32_t index) {
+    fbb_.AddElement<uint32_t>(ListedTask::VT_INDEX, index, 0);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(ListedTask::VT_RUN, run, 0);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(ListedTask::VT_CHECKPOINT, checkpoint);
+  }
+  void add_percent(uint32_t percent) {
+    fbb_.AddElement<uint32_t>(ListedTask::VT_PERCENT, percent, 0);
+  }
+  void add_load(int64_t load) {
+    fbb_.AddElement<int64_t>(ListedTask::VT_LOAD, load, 0);
+  }
+  explicit ListedTaskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ListedTask> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ListedTask>(end);
+    return o;
+  }
+};
 
-template<> inline const mimosastage::jobs_wire::Answer *Message::body_as<mimosastage::jobs_wire::Answer>() const {
-  return body_as_Answer();
+inline flatbuffers::Offset<ListedTask> CreateListedTask(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t index = 0,
+    uint32_t run = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
+    uint32_t percent = 0,
+    int64_t load = 0) {
+  ListedTaskBuilder builder_(_fbb);
+  builder_.add_load(load);
+  builder_.add_percent(percent);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_run(run);
+  builder_.add_index(index);
+  builder_.add_step(step);
+  builder_.add_occurrence(occurrence);
+  builder_.add_job(job);
+  return builder_.Finish();
 }
 
-template<> inline const mimosastage::jobs_wire::Leadership *Message::body_as<mimosastage::jobs_wire::Leadership>() const {
-  return body_as_Leadership();
-}
+struct ListedTask::Traits {
+  using type = ListedTask;
+  static auto constexpr Create = CreateListedTask;
+};
 
-template<> inline const mimosastage::jobs_wire::Candidacy *Message::body_as<mimosastage::jobs_wire::Candidacy>() const {
-  return body_as_Candidacy();
+inline flatbuffers::Offset<ListedTask> CreateListedTaskDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *job = nullptr,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t index = 0,
+    uint32_t run = 0,
+    const char *checkpoint = nullptr,
+    uint32_t percent = 0,
+    int64_t load = 0) {
+  auto job__ = job ? _fbb.CreateSharedString(job) : 0;
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  return mimosastage::jobs_wire::CreateListedTask(
+      _fbb,
+      job__,
+      occurrence,
+      step,
+      index,
+      run,
+      checkpoint__,
+      percent,
+      load);
 }
 
-struct MessageBuilder {
-  typedef Message Table;
+flatbuffers::Offset<ListedTask> CreateListedTask(flatbuffers::FlatBufferBuilder &_fbb, const ListedTaskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ListedEndT : public flatbuffers::NativeTable {
+  typedef ListedEnd TableType;
+  uint64_t number = 0;
+  std::string job{};
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  uint32_t index = 0;
+  uint32_t run = 0;
+  uint8_t outcome = 0;
+  std::string checkpoint{};
+};
+
+struct ListedEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ListedEndT NativeTableType;
+  typedef ListedEndBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_JOB = 6,
+    VT_OCCURRENCE = 8,
+    VT_STEP = 10,
+    VT_INDEX = 12,
+    VT_RUN = 14,
+    VT_OUTCOME = 16,
+    VT_CHECKPOINT = 18
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  uint32_t occurrence() const {
+    return GetField<uint32_t>(VT_OCCURRENCE, 0);
+  }
+  uint32_t step() const {
+    return GetField<uint32_t>(VT_STEP, 0);
+  }
+  uint32_t index() const {
+    return GetField<uint32_t>(VT_INDEX, 0);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  uint8_t outcome() const {
+    return GetField<uint8_t>(VT_OUTCOME, 0);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<uint32_t>(verifier, VT_OCCURRENCE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_STEP, 4) &&
+           VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           verifier.EndTable();
+  }
+  ListedEndT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ListedEndT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ListedEnd> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListedEndT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ListedEndBuilder {
+  typedef ListedEnd Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_body_type(mimosastage::jobs_wire::Body body_type) {
-    fbb_.AddElement<uint8_t>(Message::VT_BODY_TYPE, static_cast<uint8_t>(body_type), 0);
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(ListedEnd::VT_NUMBER, number, 0);
   }
-  void add_body(flatbuffers::Offset<void> body) {
-    fbb_.AddOffset(Message::VT_BODY, body);
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(ListedEnd::VT_JOB, job);
   }
-  explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_occurrence(uint32_t occurrence) {
+    fbb_.AddElement<uint32_t>(ListedEnd::VT_OCCURRENCE, occurrence, 0);
+  }
+  void add_step(uint32_t step) {
+    fbb_.AddElement<uint32_t>(ListedEnd::VT_STEP, step, 0);
+  }
+  void add_index(uint32_t index) {
+    fbb_.AddElement<uint32_t>(ListedEnd::VT_INDEX, index, 0);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(ListedEnd::VT_RUN, run, 0);
+  }
+  void add_outcome(uint8_t outcome) {
+    fbb_.AddElement<uint8_t>(ListedEnd::VT_OUTCOME, outcome, 0);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(ListedEnd::VT_CHECKPOINT, checkpoint);
+  }
+  explicit ListedEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<Message> Finish() {
+  flatbuffers::Offset<ListedEnd> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Message>(end);
+    auto o = flatbuffers::Offset<ListedEnd>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<Message> CreateMessage(
+inline flatbuffers::Offset<ListedEnd> CreateListedEnd(
     flatbuffers::FlatBufferBuilder &_fbb,
-    mimosastage::jobs_wire::Body body_type = mimosastage::jobs_wire::Body::NONE,
-    flatbuffers::Offset<void> body = 0) {
-  MessageBuilder builder_(_fbb);
-  builder_.add_body(body);
-  builder_.add_body_type(body_type);
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t index = 0,
+    uint32_t run = 0,
+    uint8_t outcome = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0) {
+  ListedEndBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_run(run);
+  builder_.add_index(index);
+  builder_.add_step(step);
+  builder_.add_occurrence(occurrence);
+  builder_.add_job(job);
+  builder_.add_outcome(outcome);
   return builder_.Finish();
 }
 
-struct Message::Traits {
-  using type = Message;
-  static auto constexpr Create = CreateMessage;
+struct ListedEnd::Traits {
+  using type = ListedEnd;
+  static auto constexpr Create = CreateListedEnd;
 };
 
-flatbuffers::Offset<Message> CreateMessage(flatbuffers::FlatBufferBuilder &_fbb, const MessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
-inline AmountT *Amount::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<AmountT>();
+inline flatbuffers::Offset<ListedEnd> CreateListedEndDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *job = nullptr,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t index = 0,
+    uint32_t run = 0,
+    uint8_t outcome = 0,
+    const char *checkpoint = nullptr) {
+  auto job__ = job ? _fbb.CreateSharedString(job) : 0;
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  return mimosastage::jobs_wire::CreateListedEnd(
+      _fbb,
+      number,
+      job__,
+      occurrence,
+      step,
+      index,
+      run,
+      outcome,
+      checkpoint__);
+}
+
+flatbuffers::Offset<ListedEnd> CreateListedEnd(flatbuffers::FlatBufferBuilder &_fbb, const ListedEndT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CarriedOrderT : public flatbuffers::NativeTable {
+  typedef CarriedOrder TableType;
+  uint64_t number = 0;
+  std::string worker{};
+  std::string address{};
+  uint8_t kind = 0;
+  std::string job{};
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  uint32_t index = 0;
+  uint32_t run = 0;
+  std::string specification{};
+  std::string checkpoint{};
+  std::string ticket{};
+  flatbuffers::Optional<int64_t> deadline_ms = flatbuffers::nullopt;
+  uint64_t last_durable_end = 0;
+  uint32_t wait_ms = 0;
+  uint32_t percent = 0;
+  uint32_t timeout_ms = 0;
+  bool fresh_connection = false;
+  int64_t send_before_us = 0;
+};
+
+struct CarriedOrder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CarriedOrderT NativeTableType;
+  typedef CarriedOrderBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_WORKER = 6,
+    VT_ADDRESS = 8,
+    VT_KIND = 10,
+    VT_JOB = 12,
+    VT_OCCURRENCE = 14,
+    VT_STEP = 16,
+    VT_INDEX = 18,
+    VT_RUN = 20,
+    VT_SPECIFICATION = 22,
+    VT_CHECKPOINT = 24,
+    VT_TICKET = 26,
+    VT_DEADLINE_MS = 28,
+    VT_LAST_DURABLE_END = 30,
+    VT_WAIT_MS = 32,
+    VT_PERCENT = 34,
+    VT_TIMEOUT_MS = 36,
+    VT_FRESH_CONNECTION = 38,
+    VT_SEND_BEFORE_US = 40
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  uint32_t occurrence() const {
+    return GetField<uint32_t>(VT_OCCURRENCE, 0);
+  }
+  uint32_t step() const {
+    return GetField<uint32_t>(VT_STEP, 0);
+  }
+  uint32_t index() const {
+    return GetField<uint32_t>(VT_INDEX, 0);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  const flatbuffers::String *specification() const {
+    return GetPointer<const flatbuffers::String *>(VT_SPECIFICATION);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  const flatbuffers::String *ticket() const {
+    return GetPointer<const flatbuffers::String *>(VT_TICKET);
+  }
+  flatbuffers::Optional<int64_t> deadline_ms() const {
+    return GetOptional<int64_t, int64_t>(VT_DEADLINE_MS);
+  }
+  uint64_t last_durable_end() const {
+    return GetField<uint64_t>(VT_LAST_DURABLE_END, 0);
+  }
+  uint32_t wait_ms() const {
+    return GetField<uint32_t>(VT_WAIT_MS, 0);
+  }
+  uint32_t percent() const {
+    return GetField<uint32_t>(VT_PERCENT, 0);
+  }
+  uint32_t timeout_ms() const {
+    return GetField<uint32_t>(VT_TIMEOUT_MS, 0);
+  }
+  bool fresh_connection() const {
+    return GetField<uint8_t>(VT_FRESH_CONNECTION, 0) != 0;
+  }
+  int64_t send_before_us() const {
+    return GetField<int64_t>(VT_SEND_BEFORE_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<uint32_t>(verifier, VT_OCCURRENCE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_STEP, 4) &&
+           VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyOffset(verifier, VT_SPECIFICATION) &&
+           verifier.VerifyString(specification()) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           VerifyOffset(verifier, VT_TICKET) &&
+           verifier.VerifyString(ticket()) &&
+           VerifyField<int64_t>(verifier, VT_DEADLINE_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_DURABLE_END, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PERCENT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_TIMEOUT_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_FRESH_CONNECTION, 1) &&
+           VerifyField<int64_t>(verifier, VT_SEND_BEFORE_US, 8) &&
+           verifier.EndTable();
+  }
+  CarriedOrderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CarriedOrderT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CarriedOrder> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CarriedOrderT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CarriedOrderBuilder {
+  typedef CarriedOrder Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(CarriedOrder::VT_NUMBER, number, 0);
+  }
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(CarriedOrder::VT_WORKER, worker);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(CarriedOrder::VT_ADDRESS, address);
+  }
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(CarriedOrder::VT_KIND, kind, 0);
+  }
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(CarriedOrder::VT_JOB, job);
+  }
+  void add_occurrence(uint32_t occurrence) {
+    fbb_.AddElement<uint32_t>(CarriedOrder::VT_OCCURRENCE, occurrence, 0);
+  }
+  void add_step(uint32_t step) {
+    fbb_.AddElement<uint32_t>(CarriedOrder::VT_STEP, step, 0);
+  }
+  void add_index(uint32_t index) {
+    fbb_.AddElement<uint32_t>(CarriedOrder::VT_INDEX, index, 0);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(CarriedOrder::VT_RUN, run, 0);
+  }
+  void add_specification(flatbuffers::Offset<flatbuffers::String> specification) {
+    fbb_.AddOffset(CarriedOrder::VT_SPECIFICATION, specification);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(CarriedOrder::VT_CHECKPOINT, checkpoint);
+  }
+  void add_ticket(flatbuffers::Offset<flatbuffers::String> ticket) {
+    fbb_.AddOffset(CarriedOrder::VT_TICKET, ticket);
+  }
+  void add_deadline_ms(int64_t deadline_ms) {
+    fbb_.AddElement<int64_t>(CarriedOrder::VT_DEADLINE_MS, deadline_ms);
+  }
+  void add_last_durable_end(uint64_t last_durable_end) {
+    fbb_.AddElement<uint64_t>(CarriedOrder::VT_LAST_DURABLE_END, last_durable_end, 0);
+  }
+  void add_wait_ms(uint32_t wait_ms) {
+    fbb_.AddElement<uint32_t>(CarriedOrder::VT_WAIT_MS, wait_ms, 0);
+  }
+  void add_percent(uint32_t percent) {
+    fbb_.AddElement<uint32_t>(CarriedOrder::VT_PERCENT, percent, 0);
+  }
+  void add_timeout_ms(uint32_t timeout_ms) {
+    fbb_.AddElement<uint32_t>(CarriedOrder::VT_TIMEOUT_MS, timeout_ms, 0);
+  }
+  void add_fresh_connection(bool fresh_connection) {
+    fbb_.AddElement<uint8_t>(CarriedOrder::VT_FRESH_CONNECTION, static_cast<uint8_t>(fresh_connection), 0);
+  }
+  void add_send_before_us(int64_t send_before_us) {
+    fbb_.AddElement<int64_t>(CarriedOrder::VT_SEND_BEFORE_US, send_before_us, 0);
+  }
+  explicit CarriedOrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CarriedOrder> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CarriedOrder>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CarriedOrder> CreateCarriedOrder(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint8_t kind = 0,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t index = 0,
+    uint32_t run = 0,
+    flatbuffers::Offset<flatbuffers::String> specification = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
+    flatbuffers::Offset<flatbuffers::String> ticket = 0,
+    flatbuffers::Optional<int64_t> deadline_ms = flatbuffers::nullopt,
+    uint64_t last_durable_end = 0,
+    uint32_t wait_ms = 0,
+    uint32_t percent = 0,
+    uint32_t timeout_ms = 0,
+    bool fresh_connection = false,
+    int64_t send_before_us = 0) {
+  CarriedOrderBuilder builder_(_fbb);
+  builder_.add_send_before_us(send_before_us);
+  builder_.add_last_durable_end(last_durable_end);
+  if(deadline_ms) { builder_.add_deadline_ms(*deadline_ms); }
+  builder_.add_number(number);
+  builder_.add_timeout_ms(timeout_ms);
+  builder_.add_percent(percent);
+  builder_.add_wait_ms(wait_ms);
+  builder_.add_ticket(ticket);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_specification(specification);
+  builder_.add_run(run);
+  builder_.add_index(index);
+  builder_.add_step(step);
+  builder_.add_occurrence(occurrence);
+  builder_.add_job(job);
+  builder_.add_address(address);
+  builder_.add_worker(worker);
+  builder_.add_fresh_connection(fresh_connection);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+struct CarriedOrder::Traits {
+  using type = CarriedOrder;
+  static auto constexpr Create = CreateCarriedOrder;
+};
+
+inline flatbuffers::Offset<CarriedOrder> CreateCarriedOrderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *worker = nullptr,
+    const char *address = nullptr,
+    uint8_t kind = 0,
+    const char *job = nullptr,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t index = 0,
+    uint32_t run = 0,
+    const char *specification = nullptr,
+    const char *checkpoint = nullptr,
+    const char *ticket = nullptr,
+    flatbuffers::Optional<int64_t> deadline_ms = flatbuffers::nullopt,
+    uint64_t last_durable_end = 0,
+    uint32_t wait_ms = 0,
+    uint32_t percent = 0,
+    uint32_t timeout_ms = 0,
+    bool fresh_connection = false,
+    int64_t send_before_us = 0) {
+  auto worker__ = worker ? _fbb.CreateSharedString(worker) : 0;
+  auto address__ = address ? _fbb.CreateSharedString(address) : 0;
+  auto job__ = job ? _fbb.CreateSharedString(job) : 0;
+  auto specification__ = specification ? _fbb.CreateSharedString(specification) : 0;
+  auto checkpoint__ = checkpoint ? _fbb.CreateSharedString(checkpoint) : 0;
+  auto ticket__ = ticket ? _fbb.CreateSharedString(ticket) : 0;
+  return mimosastage::jobs_wire::CreateCarriedOrder(
+      _fbb,
+      number,
+      worker__,
+      address__,
+      kind,
+      job__,
+      occurrence,
+      step,
+      index,
+      run,
+      specification__,
+      checkpoint__,
+      ticket__,
+      deadline_ms,
+      last_durable_end,
+      wait_ms,
+      percent,
+      timeout_ms,
+      fresh_connection,
+      send_before_us);
+}
+
+flatbuffers::Offset<CarriedOrder> CreateCarriedOrder(flatbuffers::FlatBufferBuilder &_fbb, const CarriedOrderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct OrderBatchT : public flatbuffers::NativeTable {
+  typedef OrderBatch TableType;
+  uint64_t fence = 0;
+  uint64_t session = 0;
+  std::vector<std::unique_ptr<mimosastage::jobs_wire::CarriedOrderT>> orders{};
+  OrderBatchT() = default;
+  OrderBatchT(const OrderBatchT &o);
+  OrderBatchT(OrderBatchT&&) FLATBUFFERS_NOEXCEPT = default;
+  OrderBatchT &operator=(OrderBatchT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct OrderBatch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OrderBatchT NativeTableType;
+  typedef OrderBatchBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FENCE = 4,
+    VT_SESSION = 6,
+    VT_ORDERS = 8
+  };
+  uint64_t fence() const {
+    return GetField<uint64_t>(VT_FENCE, 0);
+  }
+  uint64_t session() const {
+    return GetField<uint64_t>(VT_SESSION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::CarriedOrder>> *orders() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::CarriedOrder>> *>(VT_ORDERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_FENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SESSION, 8) &&
+           VerifyOffset(verifier, VT_ORDERS) &&
+           verifier.VerifyVector(orders()) &&
+           verifier.VerifyVectorOfTables(orders()) &&
+           verifier.EndTable();
+  }
+  OrderBatchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OrderBatchT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OrderBatch> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrderBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OrderBatchBuilder {
+  typedef OrderBatch Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_fence(uint64_t fence) {
+    fbb_.AddElement<uint64_t>(OrderBatch::VT_FENCE, fence, 0);
+  }
+  void add_session(uint64_t session) {
+    fbb_.AddElement<uint64_t>(OrderBatch::VT_SESSION, session, 0);
+  }
+  void add_orders(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::CarriedOrder>>> orders) {
+    fbb_.AddOffset(OrderBatch::VT_ORDERS, orders);
+  }
+  explicit OrderBatchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OrderBatch> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OrderBatch>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OrderBatch> CreateOrderBatch(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t fence = 0,
+    uint64_t session = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::CarriedOrder>>> orders = 0) {
+  OrderBatchBuilder builder_(_fbb);
+  builder_.add_session(session);
+  builder_.add_fence(fence);
+  builder_.add_orders(orders);
+  return builder_.Finish();
+}
+
+struct OrderBatch::Traits {
+  using type = OrderBatch;
+  static auto constexpr Create = CreateOrderBatch;
+};
+
+inline flatbuffers::Offset<OrderBatch> CreateOrderBatchDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t fence = 0,
+    uint64_t session = 0,
+    const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::CarriedOrder>> *orders = nullptr) {
+  auto orders__ = orders ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::CarriedOrder>>(*orders) : 0;
+  return mimosastage::jobs_wire::CreateOrderBatch(
+      _fbb,
+      fence,
+      session,
+      orders__);
+}
+
+flatbuffers::Offset<OrderBatch> CreateOrderBatch(flatbuffers::FlatBufferBuilder &_fbb, const OrderBatchT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CarriedReplyT : public flatbuffers::NativeTable {
+  typedef CarriedReply TableType;
+  uint64_t number = 0;
+  uint8_t result = 0;
+  flatbuffers::Optional<int64_t> clock_ms = flatbuffers::nullopt;
+  flatbuffers::Optional<int64_t> born_ms = flatbuffers::nullopt;
+  int64_t since_start_us = 0;
+  std::vector<std::unique_ptr<mimosastage::jobs_wire::ListedTaskT>> running{};
+  std::vector<std::unique_ptr<mimosastage::jobs_wire::ListedEndT>> ended{};
+  CarriedReplyT() = default;
+  CarriedReplyT(const CarriedReplyT &o);
+  CarriedReplyT(CarriedReplyT&&) FLATBUFFERS_NOEXCEPT = default;
+  CarriedReplyT &operator=(CarriedReplyT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct CarriedReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CarriedReplyT NativeTableType;
+  typedef CarriedReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_RESULT = 6,
+    VT_CLOCK_MS = 8,
+    VT_BORN_MS = 10,
+    VT_SINCE_START_US = 12,
+    VT_RUNNING = 14,
+    VT_ENDED = 16
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint8_t result() const {
+    return GetField<uint8_t>(VT_RESULT, 0);
+  }
+  flatbuffers::Optional<int64_t> clock_ms() const {
+    return GetOptional<int64_t, int64_t>(VT_CLOCK_MS);
+  }
+  flatbuffers::Optional<int64_t> born_ms() const {
+    return GetOptional<int64_t, int64_t>(VT_BORN_MS);
+  }
+  int64_t since_start_us() const {
+    return GetField<int64_t>(VT_SINCE_START_US, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::ListedTask>> *running() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::ListedTask>> *>(VT_RUNNING);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::ListedEnd>> *ended() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::ListedEnd>> *>(VT_ENDED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RESULT, 1) &&
+           VerifyField<int64_t>(verifier, VT_CLOCK_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_BORN_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_SINCE_START_US, 8) &&
+           VerifyOffset(verifier, VT_RUNNING) &&
+           verifier.VerifyVector(running()) &&
+           verifier.VerifyVectorOfTables(running()) &&
+           VerifyOffset(verifier, VT_ENDED) &&
+           verifier.VerifyVector(ended()) &&
+           verifier.VerifyVectorOfTables(ended()) &&
+           verifier.EndTable();
+  }
+  CarriedReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CarriedReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CarriedReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CarriedReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CarriedReplyBuilder {
+  typedef CarriedReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(CarriedReply::VT_NUMBER, number, 0);
+  }
+  void add_result(uint8_t result) {
+    fbb_.AddElement<uint8_t>(CarriedReply::VT_RESULT, result, 0);
+  }
+  void add_clock_ms(int64_t clock_ms) {
+    fbb_.AddElement<int64_t>(CarriedReply::VT_CLOCK_MS, clock_ms);
+  }
+  void add_born_ms(int64_t born_ms) {
+    fbb_.AddElement<int64_t>(CarriedReply::VT_BORN_MS, born_ms);
+  }
+  void add_since_start_us(int64_t since_start_us) {
+    fbb_.AddElement<int64_t>(CarriedReply::VT_SINCE_START_US, since_start_us, 0);
+  }
+  void add_running(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::ListedTask>>> running) {
+    fbb_.AddOffset(CarriedReply::VT_RUNNING, running);
+  }
+  void add_ended(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::ListedEnd>>> ended) {
+    fbb_.AddOffset(CarriedReply::VT_ENDED, ended);
+  }
+  explicit CarriedReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CarriedReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CarriedReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CarriedReply> CreateCarriedReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint8_t result = 0,
+    flatbuffers::Optional<int64_t> clock_ms = flatbuffers::nullopt,
+    flatbuffers::Optional<int64_t> born_ms = flatbuffers::nullopt,
+    int64_t since_start_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::ListedTask>>> running = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::ListedEnd>>> ended = 0) {
+  CarriedReplyBuilder builder_(_fbb);
+  builder_.add_since_start_us(since_start_us);
+  if(born_ms) { builder_.add_born_ms(*born_ms); }
+  if(clock_ms) { builder_.add_clock_ms(*clock_ms); }
+  builder_.add_number(number);
+  builder_.add_ended(ended);
+  builder_.add_running(running);
+  builder_.add_result(result);
+  return builder_.Finish();
+}
+
+struct CarriedReply::Traits {
+  using type = CarriedReply;
+  static auto constexpr Create = CreateCarriedReply;
+};
+
+inline flatbuffers::Offset<CarriedReply> CreateCarriedReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint8_t result = 0,
+    flatbuffers::Optional<int64_t> clock_ms = flatbuffers::nullopt,
+    flatbuffers::Optional<int64_t> born_ms = flatbuffers::nullopt,
+    int64_t since_start_us = 0,
+    const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::ListedTask>> *running = nullptr,
+    const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::ListedEnd>> *ended = nullptr) {
+  auto running__ = running ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::ListedTask>>(*running) : 0;
+  auto ended__ = ended ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::ListedEnd>>(*ended) : 0;
+  return mimosastage::jobs_wire::CreateCarriedReply(
+      _fbb,
+      number,
+      result,
+      clock_ms,
+      born_ms,
+      since_start_us,
+      running__,
+      ended__);
+}
+
+flatbuffers::Offset<CarriedReply> CreateCarriedReply(flatbuffers::FlatBufferBuilder &_fbb, const CarriedReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ReplyBatchT : public flatbuffers::NativeTable {
+  typedef ReplyBatch TableType;
+  std::vector<std::unique_ptr<mimosastage::jobs_wire::CarriedReplyT>> replies{};
+  ReplyBatchT() = default;
+  ReplyBatchT(const ReplyBatchT &o);
+  ReplyBatchT(ReplyBatchT&&) FLATBUFFERS_NOEXCEPT = default;
+  ReplyBatchT &operator=(ReplyBatchT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct ReplyBatch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ReplyBatchT NativeTableType;
+  typedef ReplyBatchBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REPLIES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::CarriedReply>> *replies() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::CarriedReply>> *>(VT_REPLIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_REPLIES) &&
+           verifier.VerifyVector(replies()) &&
+           verifier.VerifyVectorOfTables(replies()) &&
+           verifier.EndTable();
+  }
+  ReplyBatchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ReplyBatchT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ReplyBatch> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReplyBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ReplyBatchBuilder {
+  typedef ReplyBatch Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_replies(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::CarriedReply>>> replies) {
+    fbb_.AddOffset(ReplyBatch::VT_REPLIES, replies);
+  }
+  explicit ReplyBatchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ReplyBatch> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ReplyBatch>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ReplyBatch> CreateReplyBatch(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::CarriedReply>>> replies = 0) {
+  ReplyBatchBuilder builder_(_fbb);
+  builder_.add_replies(replies);
+  return builder_.Finish();
+}
+
+struct ReplyBatch::Traits {
+  using type = ReplyBatch;
+  static auto constexpr Create = CreateReplyBatch;
+};
+
+inline flatbuffers::Offset<ReplyBatch> CreateReplyBatchDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::CarriedReply>> *replies = nullptr) {
+  auto replies__ = replies ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::CarriedReply>>(*replies) : 0;
+  return mimosastage::jobs_wire::CreateReplyBatch(
+      _fbb,
+      replies__);
+}
+
+flatbuffers::Offset<ReplyBatch> CreateReplyBatch(flatbuffers::FlatBufferBuilder &_fbb, const ReplyBatchT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CarrierNoticeT : public flatbuffers::NativeTable {
+  typedef CarrierNotice TableType;
+  uint64_t fence = 0;
+  uint64_t session = 0;
+  int64_t clock_us = 0;
+};
+
+struct CarrierNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CarrierNoticeT NativeTableType;
+  typedef CarrierNoticeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FENCE = 4,
+    VT_SESSION = 6,
+    VT_CLOCK_US = 8
+  };
+  uint64_t fence() const {
+    return GetField<uint64_t>(VT_FENCE, 0);
+  }
+  uint64_t session() const {
+    return GetField<uint64_t>(VT_SESSION, 0);
+  }
+  int64_t clock_us() const {
+    return GetField<int64_t>(VT_CLOCK_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_FENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SESSION, 8) &&
+           VerifyField<int64_t>(verifier, VT_CLOCK_US, 8) &&
+           verifier.EndTable();
+  }
+  CarrierNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CarrierNoticeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CarrierNotice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CarrierNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CarrierNoticeBuilder {
+  typedef CarrierNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_fence(uint64_t fence) {
+    fbb_.AddElement<uint64_t>(CarrierNotice::VT_FENCE, fence, 0);
+  }
+  void add_session(uint64_t session) {
+    fbb_.AddElement<uint64_t>(CarrierNotice::VT_SESSION, session, 0);
+  }
+  void add_clock_us(int64_t clock_us) {
+    fbb_.AddElement<int64_t>(CarrierNotice::VT_CLOCK_US, clock_us, 0);
+  }
+  explicit CarrierNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CarrierNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CarrierNotice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CarrierNotice> CreateCarrierNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t fence = 0,
+    uint64_t session = 0,
+    int64_t clock_us = 0) {
+  CarrierNoticeBuilder builder_(_fbb);
+  builder_.add_clock_us(clock_us);
+  builder_.add_session(session);
+  builder_.add_fence(fence);
+  return builder_.Finish();
+}
+
+struct CarrierNotice::Traits {
+  using type = CarrierNotice;
+  static auto constexpr Create = CreateCarrierNotice;
+};
+
+flatbuffers::Offset<CarrierNotice> CreateCarrierNotice(flatbuffers::FlatBufferBuilder &_fbb, const CarrierNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct MessageT : public flatbuffers::NativeTable {
+  typedef Message TableType;
+  mimosastage::jobs_wire::BodyUnion body{};
+};
+
+struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MessageT NativeTableType;
+  typedef MessageBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BODY_TYPE = 4,
+    VT_BODY = 6
+  };
+  mimosastage::jobs_wire::Body body_type() const {
+    return static_cast<mimosastage::jobs_wire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  }
+  const void *body() const {
+    return GetPointer<const void *>(VT_BODY);
+  }
+  template<typename T> const T *body_as() const;
+  const mimosastage::jobs_wire::Call *body_as_Call() const {
+    return body_type() == mimosastage::jobs_wire::Body::Call ? static_cast<const mimosastage::jobs_wire::Call *>(body()) : nullptr;
+  }
+  const mimosastage::jobs_wire::Answer *body_as_Answer() const {
+    return body_type() == mimosastage::jobs_wire::Body::Answer ? static_cast<const mimosastage::jobs_wire::Answer *>(body()) : nullptr;
+  }
+  const mimosastage::jobs_wire::Leadership *body_as_Leadership() const {
+    return body_type() == mimosastage::jobs_wire::Body::Leadership ? static_cast<const mimosastage::jobs_wire::Leadership *>(body()) : nullptr;
+  }
+  const mimosastage::jobs_wire::Candidacy *body_as_Candidacy() const {
+    return body_type() == mimosastage::jobs_wire::Body::Candidacy ? static_cast<const mimosastage::jobs_wire::Candidacy *>(body()) : nullptr;
+  }
+  const mimosastage::jobs_wire::OrderBatch *body_as_OrderBatch() const {
+    return body_type() == mimosastage::jobs_wire::Body::OrderBatch ? static_cast<const mimosastage::jobs_wire::OrderBatch *>(body()) : nullptr;
+  }
+  const mimosastage::jobs_wire::ReplyBatch *body_as_ReplyBatch() const {
+    return body_type() == mimosastage::jobs_wire::Body::ReplyBatch ? static_cast<const mimosastage::jobs_wire::ReplyBatch *>(body()) : nullptr;
+  }
+  const mimosastage::jobs_wire::CarrierNotice *body_as_CarrierNotice() const {
+    return body_type() == mimosastage::jobs_wire::Body::CarrierNotice ? static_cast<const mimosastage::jobs_wire::CarrierNotice *>(body()) : nullptr;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           VerifyBody(verifier, body(), body_type()) &&
+           verifier.EndTable();
+  }
+  MessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(MessageT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Message> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MessageT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+template<> inline const mimosastage::jobs_wire::Call *Message::body_as<mimosastage::jobs_wire::Call>() const {
+  return body_as_Call();
+}
+
+template<> inline const mimosastage::jobs_wire::Answer *Message::body_as<mimosastage::jobs_wire::Answer>() const {
+  return body_as_Answer();
+}
+
+template<> inline const mimosastage::jobs_wire::Leadership *Message::body_as<mimosastage::jobs_wire::Leadership>() const {
+  return body_as_Leadership();
+}
+
+template<> inline const mimosastage::jobs_wire::Candidacy *Message::body_as<mimosastage::jobs_wire::Candidacy>() const {
+  return body_as_Candidacy();
+}
+
+template<> inline const mimosastage::jobs_wire::OrderBatch *Message::body_as<mimosastage::jobs_wire::OrderBatch>() const {
+  return body_as_OrderBatch();
+}
+
+template<> inline const mimosastage::jobs_wire::ReplyBatch *Message::body_as<mimosastage::jobs_wire::ReplyBatch>() const {
+  return body_as_ReplyBatch();
+}
+
+template<> inline const mimosastage::jobs_wire::CarrierNotice *Message::body_as<mimosastage::jobs_wire::CarrierNotice>() const {
+  return body_as_CarrierNotice();
+}
+
+struct MessageBuilder {
+  typedef Message Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_body_type(mimosastage::jobs_wire::Body body_type) {
+    fbb_.AddElement<uint8_t>(Message::VT_BODY_TYPE, static_cast<uint8_t>(body_type), 0);
+  }
+  void add_body(flatbuffers::Offset<void> body) {
+    fbb_.AddOffset(Message::VT_BODY, body);
+  }
+  explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Message> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Message>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Message> CreateMessage(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    mimosastage::jobs_wire::Body body_type = mimosastage::jobs_wire::Body::NONE,
+    flatbuffers::Offset<void> body = 0) {
+  MessageBuilder builder_(_fbb);
+  builder_.add_body(body);
+  builder_.add_body_type(body_type);
+  return builder_.Finish();
+}
+
+struct Message::Traits {
+  using type = Message;
+  static auto constexpr Create = CreateMessage;
+};
+
+flatbuffers::Offset<Message> CreateMessage(flatbuffers::FlatBufferBuilder &_fbb, const MessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+inline AmountT *Amount::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AmountT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
@@ -4980,6 +6126,361 @@
       _member);
 }
 
+inline ListedTaskT *ListedTask::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ListedTaskT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ListedTask::UnPackTo(ListedTaskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = job(); if (_e) _o->job = _e->str(); }
+  { auto _e = occurrence(); _o->occurrence = _e; }
+  { auto _e = step(); _o->step = _e; }
+  { auto _e = index(); _o->index = _e; }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
+  { auto _e = percent(); _o->percent = _e; }
+  { auto _e = load(); _o->load = _e; }
+}
+
+inline flatbuffers::Offset<ListedTask> ListedTask::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListedTaskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateListedTask(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ListedTask> CreateListedTask(flatbuffers::FlatBufferBuilder &_fbb, const ListedTaskT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ListedTaskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _job = _o->job.empty() ? 0 : _fbb.CreateSharedString(_o->job);
+  auto _occurrence = _o->occurrence;
+  auto _step = _o->step;
+  auto _index = _o->index;
+  auto _run = _o->run;
+  auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
+  auto _percent = _o->percent;
+  auto _load = _o->load;
+  return mimosastage::jobs_wire::CreateListedTask(
+      _fbb,
+      _job,
+      _occurrence,
+      _step,
+      _index,
+      _run,
+      _checkpoint,
+      _percent,
+      _load);
+}
+
+inline ListedEndT *ListedEnd::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ListedEndT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ListedEnd::UnPackTo(ListedEndT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = job(); if (_e) _o->job = _e->str(); }
+  { auto _e = occurrence(); _o->occurrence = _e; }
+  { auto _e = step(); _o->step = _e; }
+  { auto _e = index(); _o->index = _e; }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = outcome(); _o->outcome = _e; }
+  { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
+}
+
+inline flatbuffers::Offset<ListedEnd> ListedEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListedEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateListedEnd(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ListedEnd> CreateListedEnd(flatbuffers::FlatBufferBuilder &_fbb, const ListedEndT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ListedEndT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _job = _o->job.empty() ? 0 : _fbb.CreateSharedString(_o->job);
+  auto _occurrence = _o->occurrence;
+  auto _step = _o->step;
+  auto _index = _o->index;
+  auto _run = _o->run;
+  auto _outcome = _o->outcome;
+  auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
+  return mimosastage::jobs_wire::CreateListedEnd(
+      _fbb,
+      _number,
+      _job,
+      _occurrence,
+      _step,
+      _index,
+      _run,
+      _outcome,
+      _checkpoint);
+}
+
+inline CarriedOrderT *CarriedOrder::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CarriedOrderT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CarriedOrder::UnPackTo(CarriedOrderT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = job(); if (_e) _o->job = _e->str(); }
+  { auto _e = occurrence(); _o->occurrence = _e; }
+  { auto _e = step(); _o->step = _e; }
+  { auto _e = index(); _o->index = _e; }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = specification(); if (_e) _o->specification = _e->str(); }
+  { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
+  { auto _e = ticket(); if (_e) _o->ticket = _e->str(); }
+  { auto _e = deadline_ms(); _o->deadline_ms = _e; }
+  { auto _e = last_durable_end(); _o->last_durable_end = _e; }
+  { auto _e = wait_ms(); _o->wait_ms = _e; }
+  { auto _e = percent(); _o->percent = _e; }
+  { auto _e = timeout_ms(); _o->timeout_ms = _e; }
+  { auto _e = fresh_connection(); _o->fresh_connection = _e; }
+  { auto _e = send_before_us(); _o->send_before_us = _e; }
+}
+
+inline flatbuffers::Offset<CarriedOrder> CarriedOrder::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CarriedOrderT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCarriedOrder(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CarriedOrder> CreateCarriedOrder(flatbuffers::FlatBufferBuilder &_fbb, const CarriedOrderT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CarriedOrderT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateSharedString(_o->worker);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateSharedString(_o->address);
+  auto _kind = _o->kind;
+  auto _job = _o->job.empty() ? 0 : _fbb.CreateSharedString(_o->job);
+  auto _occurrence = _o->occurrence;
+  auto _step = _o->step;
+  auto _index = _o->index;
+  auto _run = _o->run;
+  auto _specification = _o->specification.empty() ? 0 : _fbb.CreateSharedString(_o->specification);
+  auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateSharedString(_o->checkpoint);
+  auto _ticket = _o->ticket.empty() ? 0 : _fbb.CreateSharedString(_o->ticket);
+  auto _deadline_ms = _o->deadline_ms;
+  auto _last_durable_end = _o->last_durable_end;
+  auto _wait_ms = _o->wait_ms;
+  auto _percent = _o->percent;
+  auto _timeout_ms = _o->timeout_ms;
+  auto _fresh_connection = _o->fresh_connection;
+  auto _send_before_us = _o->send_before_us;
+  return mimosastage::jobs_wire::CreateCarriedOrder(
+      _fbb,
+      _number,
+      _worker,
+      _address,
+      _kind,
+      _job,
+      _occurrence,
+      _step,
+      _index,
+      _run,
+      _specification,
+      _checkpoint,
+      _ticket,
+      _deadline_ms,
+      _last_durable_end,
+      _wait_ms,
+      _percent,
+      _timeout_ms,
+      _fresh_connection,
+      _send_before_us);
+}
+
+inline OrderBatchT::OrderBatchT(const OrderBatchT &o)
+      : fence(o.fence),
+        session(o.session) {
+  orders.reserve(o.orders.size());
+  for (const auto &orders_ : o.orders) { orders.emplace_back((orders_) ? new mimosastage::jobs_wire::CarriedOrderT(*orders_) : nullptr); }
+}
+
+inline OrderBatchT &OrderBatchT::operator=(OrderBatchT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(fence, o.fence);
+  std::swap(session, o.session);
+  std::swap(orders, o.orders);
+  return *this;
+}
+
+inline OrderBatchT *OrderBatch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<OrderBatchT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OrderBatch::UnPackTo(OrderBatchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = fence(); _o->fence = _e; }
+  { auto _e = session(); _o->session = _e; }
+  { auto _e = orders(); if (_e) { _o->orders.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->orders[_i] = std::unique_ptr<mimosastage::jobs_wire::CarriedOrderT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<OrderBatch> OrderBatch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrderBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOrderBatch(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OrderBatch> CreateOrderBatch(flatbuffers::FlatBufferBuilder &_fbb, const OrderBatchT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OrderBatchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _fence = _o->fence;
+  auto _session = _o->session;
+  auto _orders = _o->orders.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::CarriedOrder>> (_o->orders.size(), [](size_t i, _VectorArgs *__va) { return CreateCarriedOrder(*__va->__fbb, __va->__o->orders[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return mimosastage::jobs_wire::CreateOrderBatch(
+      _fbb,
+      _fence,
+      _session,
+      _orders);
+}
+
+inline CarriedReplyT::CarriedReplyT(const CarriedReplyT &o)
+      : number(o.number),
+        result(o.result),
+        clock_ms(o.clock_ms),
+        born_ms(o.born_ms),
+        since_start_us(o.since_start_us) {
+  running.reserve(o.running.size());
+  for (const auto &running_ : o.running) { running.emplace_back((running_) ? new mimosastage::jobs_wire::ListedTaskT(*running_) : nullptr); }
+  ended.reserve(o.ended.size());
+  for (const auto &ended_ : o.ended) { ended.emplace_back((ended_) ? new mimosastage::jobs_wire::ListedEndT(*ended_) : nullptr); }
+}
+
+inline CarriedReplyT &CarriedReplyT::operator=(CarriedReplyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(result, o.result);
+  std::swap(clock_ms, o.clock_ms);
+  std::swap(born_ms, o.born_ms);
+  std::swap(since_start_us, o.since_start_us);
+  std::swap(running, o.running);
+  std::swap(ended, o.ended);
+  return *this;
+}
+
+inline CarriedReplyT *CarriedReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CarriedReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CarriedReply::UnPackTo(CarriedReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = result(); _o->result = _e; }
+  { auto _e = clock_ms(); _o->clock_ms = _e; }
+  { auto _e = born_ms(); _o->born_ms = _e; }
+  { auto _e = since_start_us(); _o->since_start_us = _e; }
+  { auto _e = running(); if (_e) { _o->running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->running[_i] = std::unique_ptr<mimosastage::jobs_wire::ListedTaskT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = ended(); if (_e) { _o->ended.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ended[_i] = std::unique_ptr<mimosastage::jobs_wire::ListedEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<CarriedReply> CarriedReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CarriedReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCarriedReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CarriedReply> CreateCarriedReply(flatbuffers::FlatBufferBuilder &_fbb, const CarriedReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CarriedReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _result = _o->result;
+  auto _clock_ms = _o->clock_ms;
+  auto _born_ms = _o->born_ms;
+  auto _since_start_us = _o->since_start_us;
+  auto _running = _o->running.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::ListedTask>> (_o->running.size(), [](size_t i, _VectorArgs *__va) { return CreateListedTask(*__va->__fbb, __va->__o->running[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _ended = _o->ended.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::ListedEnd>> (_o->ended.size(), [](size_t i, _VectorArgs *__va) { return CreateListedEnd(*__va->__fbb, __va->__o->ended[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return mimosastage::jobs_wire::CreateCarriedReply(
+      _fbb,
+      _number,
+      _result,
+      _clock_ms,
+      _born_ms,
+      _since_start_us,
+      _running,
+      _ended);
+}
+
+inline ReplyBatchT::ReplyBatchT(const ReplyBatchT &o) {
+  replies.reserve(o.replies.size());
+  for (const auto &replies_ : o.replies) { replies.emplace_back((replies_) ? new mimosastage::jobs_wire::CarriedReplyT(*replies_) : nullptr); }
+}
+
+inline ReplyBatchT &ReplyBatchT::operator=(ReplyBatchT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(replies, o.replies);
+  return *this;
+}
+
+inline ReplyBatchT *ReplyBatch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ReplyBatchT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ReplyBatch::UnPackTo(ReplyBatchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = replies(); if (_e) { _o->replies.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->replies[_i] = std::unique_ptr<mimosastage::jobs_wire::CarriedReplyT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<ReplyBatch> ReplyBatch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReplyBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateReplyBatch(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ReplyBatch> CreateReplyBatch(flatbuffers::FlatBufferBuilder &_fbb, const ReplyBatchT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ReplyBatchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _replies = _o->replies.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::CarriedReply>> (_o->replies.size(), [](size_t i, _VectorArgs *__va) { return CreateCarriedReply(*__va->__fbb, __va->__o->replies[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return mimosastage::jobs_wire::CreateReplyBatch(
+      _fbb,
+      _replies);
+}
+
+inline CarrierNoticeT *CarrierNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CarrierNoticeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CarrierNotice::UnPackTo(CarrierNoticeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = fence(); _o->fence = _e; }
+  { auto _e = session(); _o->session = _e; }
+  { auto _e = clock_us(); _o->clock_us = _e; }
+}
+
+inline flatbuffers::Offset<CarrierNotice> CarrierNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CarrierNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCarrierNotice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CarrierNotice> CreateCarrierNotice(flatbuffers::FlatBufferBuilder &_fbb, const CarrierNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CarrierNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _fence = _o->fence;
+  auto _session = _o->session;
+  auto _clock_us = _o->clock_us;
+  return mimosastage::jobs_wire::CreateCarrierNotice(
+      _fbb,
+      _fence,
+      _session,
+      _clock_us);
+}
+
 inline MessageT *Message::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<MessageT>();
   UnPackTo(_o.get(), _resolver);
@@ -5030,6 +6531,18 @@
       auto ptr = reinterpret_cast<const mimosastage::jobs_wire::Candidacy *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::OrderBatch: {
+      auto ptr = reinterpret_cast<const mimosastage::jobs_wire::OrderBatch *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::ReplyBatch: {
+      auto ptr = reinterpret_cast<const mimosastage::jobs_wire::ReplyBatch *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::CarrierNotice: {
+      auto ptr = reinterpret_cast<const mimosastage::jobs_wire::CarrierNotice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5065,6 +6578,18 @@
       auto ptr = reinterpret_cast<const mimosastage::jobs_wire::Candidacy *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::OrderBatch: {
+      auto ptr = reinterpret_cast<const mimosastage::jobs_wire::OrderBatch *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::ReplyBatch: {
+      auto ptr = reinterpret_cast<const mimosastage::jobs_wire::ReplyBatch *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::CarrierNotice: {
+      auto ptr = reinterpret_cast<const mimosastage::jobs_wire::CarrierNotice *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5088,6 +6613,18 @@
       auto ptr = reinterpret_cast<const mimosastage::jobs_wire::CandidacyT *>(value);
       return CreateCandidacy(_fbb, ptr, _rehasher).Union();
     }
+    case Body::OrderBatch: {
+      auto ptr = reinterpret_cast<const mimosastage::jobs_wire::OrderBatchT *>(value);
+      return CreateOrderBatch(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::ReplyBatch: {
+      auto ptr = reinterpret_cast<const mimosastage::jobs_wire::ReplyBatchT *>(value);
+      return CreateReplyBatch(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::CarrierNotice: {
+      auto ptr = reinterpret_cast<const mimosastage::jobs_wire::CarrierNoticeT *>(value);
+      return CreateCarrierNotice(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5110,6 +6647,18 @@
       value = new mimosastage::jobs_wire::CandidacyT(*reinterpret_cast<mimosastage::jobs_wire::CandidacyT *>(u.value));
       break;
     }
+    case Body::OrderBatch: {
+      value = new mimosastage::jobs_wire::OrderBatchT(*reinterpret_cast<mimosastage::jobs_wire::OrderBatchT *>(u.value));
+      break;
+    }
+    case Body::ReplyBatch: {
+      value = new mimosastage::jobs_wire::ReplyBatchT(*reinterpret_cast<mimosastage::jobs_wire::ReplyBatchT *>(u.value));
+      break;
+    }
+    case Body::CarrierNotice: {
+      value = new mimosastage::jobs_wire::CarrierNoticeT(*reinterpret_cast<mimosastage::jobs_wire::CarrierNoticeT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5137,6 +6686,21 @@
       delete ptr;
       break;
     }
+    case Body::OrderBatch: {
+      auto ptr = reinterpret_cast<mimosastage::jobs_wire::OrderBatchT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::ReplyBatch: {
+      auto ptr = reinterpret_cast<mimosastage::jobs_wire::ReplyBatchT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::CarrierNotice: {
+      auto ptr = reinterpret_cast<mimosastage::jobs_wire::CarrierNoticeT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- /dev/null
+++ b/src/mimosastage/jobs/order_carriers.h
@@ -0,0 +1,137 @@
+#ifndef MIMOSASTAGE_JOBS_ORDER_CARRIERS_H_
+#define MIMOSASTAGE_JOBS_ORDER_CARRIERS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "mimosastage/base/names.h"
+#include "mimosastage/base/time.h"
+#include "mimosastage/jobs/carried_messages.h"
+#include "mimosastage/jobs/worker_order.h"
+
+namespace mimosastage::jobs {
+
+/// Hands the leader's orders for workers to other voters, the carriers, which
+/// exchange them with the workers. Gives exactly one result for each order and
+/// sends each order at most once. docs/platform.md, section 8, shows why leases
+/// and single runs stay safe. Lives for one term of leadership and does no I/O.
+/// Not thread-safe.
+class OrderCarriers {
+ public:
+  struct Config {
+    /// Shortest interval between two batches. A batch costs the leader a few
+    /// system calls, whatever it holds.
+    std::chrono::milliseconds batch_interval{4};
+    /// No order leaves in this first part of a term, in which the other voters
+    /// report, so that the first holds don't all go to one voter.
+    std::chrono::milliseconds first_notices{30};
+    /// A voter whose last notice is older carries nothing. Notices answer the
+    /// leader's messages, which are sent every 200 ms.
+    std::chrono::milliseconds notice_validity{600};
+    /// Added to the order's time to send and timeout before an order is given
+    /// up. Covers the link, batches, and waits in the carrier's process.
+    std::chrono::milliseconds answer_margin{150};
+    /// How long a carrier is avoided that left an order unanswered or couldn't
+    /// begin it in time.
+    std::chrono::milliseconds avoid_time{1'000};
+    /// A larger order is sent by the leader itself.
+    std::size_t max_order_bytes = 64U << 10U;
+    /// Limits of one batch. Links take messages of 1 MiB.
+    std::size_t max_batch_bytes = 256U << 10U;
+    std::size_t max_batch_orders = 256;
+    /// Workers whose carrier was changed after failures and is remembered.
+    std::size_t max_moved_workers = 4'096;
+  };
+
+  struct Hooks {
+    std::function<void(DaemonId carrier, OrderBatch batch)> send_batch;
+    /// Sends an order from this daemon. Its reply must be passed to OnOwnReply.
+    std::function<void(WorkerOrder order)> send_order;
+    std::function<void(const WorkerReply& reply, TimePoint now)> on_reply;
+    std::function<void(const char* event, const std::string& id,
+                       const std::string& detail)>
+        report;
+    std::function<void(const char* reason)> count_retry;
+  };
+
+  /// `now` is the start of the term with this fence.
+  OrderCarriers(Config config, Hooks hooks, DaemonId self, std::uint64_t fence,
+                TimePoint now)
+      : config(config),
+        hooks(std::move(hooks)),
+        self(self),
+        fence(fence),
+        first_flush(now + config.first_notices) {}
+
+  /// Queues an order until the next Flush.
+  void Submit(WorkerOrder order) { this->queue.push_back(std::move(order)); }
+  /// Sends the queued orders if a batch is due, and gives up the orders without
+  /// a result in time. Must be called only while the leader has authority.
+  void Flush(TimePoint now);
+  /// When Flush must run next; orders are given up at its first call after
+  /// their time.
+  TimePoint NextDue() const;
+
+  /// `now` must not be earlier than the arrival of the message.
+  void OnNotice(DaemonId from, const CarrierNotice& notice, TimePoint now);
+  void OnReplies(DaemonId from, std::vector<CarriedReply> replies,
+                 TimePoint now);
+  /// The link broke: the carrier's orders are unanswered.
+  void OnLinkDown(DaemonId peer, TimePoint now);
+  void OnOwnReply(const WorkerReply& reply, TimePoint now);
+
+ private:
+  struct Carrier {
+    std::uint64_t session = 0;
+    /// The carrier's clock in its last notice, and when that was received.
+    TimePoint clock{};
+    TimePoint heard_at{};
+    TimePoint avoid_until{};
+  };
+
+  struct InHand {
+    DaemonId carrier{};
+    std::string worker;
+    TimePoint give_up_at{};
+  };
+
+  void GiveUpOverdue(TimePoint now);
+  /// Returns the voters that should carry orders now.
+  std::vector<DaemonId> UsableCarriers(TimePoint now) const;
+  DaemonId ChooseCarrier(const std::string& worker,
+                         const std::vector<DaemonId>& usable) const;
+  void SendBatches(DaemonId to, std::vector<WorkerOrder> orders);
+  /// Ends orders with a result that no worker gave.
+  void EndWithout(const std::vector<std::uint64_t>& numbers, TimePoint now);
+  void Finish(const WorkerReply& reply, TimePoint now);
+  void MoveWorker(const std::string& worker);
+  void Avoid(DaemonId carrier, const char* reason, TimePoint now);
+
+  Config config;
+  Hooks hooks;
+  DaemonId self;
+  std::uint64_t fence;
+  TimePoint first_flush;
+  TimePoint last_flush{};
+  std::vector<WorkerOrder> queue;
+  /// Voters with an open link that sent a notice for this term.
+  std::map<DaemonId, Carrier> carriers;
+  /// Orders that were sent and have no result yet, by number.
+  std::unordered_map<std::uint64_t, InHand> in_hand;
+  /// The orders in hand of other carriers, by when they are given up.
+  std::set<std::pair<TimePoint, std::uint64_t>> give_up;
+  /// How often the carrier of a worker was changed after a failed order.
+  std::unordered_map<std::string, std::size_t> moved_workers;
+};
+
+}  // namespace mimosastage::jobs
+
+#endif  // MIMOSASTAGE_JOBS_ORDER_CARRIERS_H_
--- a/src/mimosastage/jobs/records.cc
+++ b/src/mimosastage/jobs/records.cc
@@ -92,6 +92,18 @@
   return EncodeMessage(jobs_wire::Body::Candidacy, candidacy);
 }
 
+std::string EncodeBody(const jobs_wire::OrderBatchT& batch) {
+  return EncodeMessage(jobs_wire::Body::OrderBatch, batch);
+}
+
+std::string EncodeBody(const jobs_wire::ReplyBatchT& batch) {
+  return EncodeMessage(jobs_wire::Body::ReplyBatch, batch);
+}
+
+std::string EncodeBody(const jobs_wire::CarrierNoticeT& notice) {
+  return EncodeMessage(jobs_wire::Body::CarrierNotice, notice);
+}
+
 std::optional<jobs_wire::MessageT> DecodeMessage(std::string_view bytes) {
   auto verifier = VerifierFor(bytes);
   if (!verifier.VerifyBuffer<jobs_wire::Message>(nullptr)) {
--- a/src/mimosastage/jobs/records.h
+++ b/src/mimosastage/jobs/records.h
@@ -115,6 +115,10 @@
 std::string EncodeAnswer(const Answer& answer);
 std::string EncodeLeadership(const Leadership& leadership);
 std::string EncodeCandidacy(const Candidacy& candidacy);
+/// See carried_messages.h.
+std::string EncodeBody(const jobs_wire::OrderBatchT& batch);
+std::string EncodeBody(const jobs_wire::ReplyBatchT& batch);
+std::string EncodeBody(const jobs_wire::CarrierNoticeT& notice);
 /// Returns nullopt if `bytes` isn't a complete, valid message.
 std::optional<jobs_wire::MessageT> DecodeMessage(std::string_view bytes);
 
--- a/src/mimosastage/jobs/worker_order.h
+++ b/src/mimosastage/jobs/worker_order.h
@@ -61,6 +61,9 @@
   std::variant<StartOrder, StopOrder, HoldOrder, PaceOrder> body;
   std::chrono::milliseconds timeout{1'000};
   bool fresh_connection = false;
+  /// The order isn't sent at or after this time. On the clock of the daemon
+  /// that sends it.
+  TimePoint send_before = TimePoint::max();
 };
 
 struct RunningTask {
@@ -115,10 +118,11 @@
   std::uint64_t number = 0;
   OrderResult result = OrderResult::kUnanswered;
   std::optional<std::chrono::milliseconds> clock;
-  /// When the answer was read from the connection; the worker's clock was at
-  /// `clock` or later by then. The leader may process the answer much later.
+  /// When the answer was read from the connection, or when it arrived from the
+  /// voter that carried the order; the worker's clock was at `clock` or later
+  /// by then. The leader may process the answer much later.
   TimePoint read_at{};
-  /// When the daemon began to send the order.
+  /// When the daemon, or the voter that carried the order, began to send it.
   TimePoint started_at{};
   /// Start of the incarnation in Unix milliseconds, if the answer contains it.
   std::optional<std::int64_t> born_ms;
--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -34,7 +34,7 @@
 /// Set in the ids of requests to the advisory service.
 constexpr std::uint64_t kAdviceRequestBit = 1ULL << 62U;
 
-/// An order that can't be sent within this time is dropped, because a daemon
+/// A request that can't be sent within this time is dropped, because a daemon
 /// that was frozen in between may no longer be the leader.
 constexpr std::chrono::milliseconds kOrderSendTimeout{250};
 
@@ -473,7 +473,9 @@
     this->to_daemons.PushOrWait(LinkOrder(std::move(change)));
   };
   hooks.send_order = [this](const jobs::WorkerOrder& order) {
-    this->SendExchange(this->protocol.encode_order(order));
+    ExchangeRequest exchange = this->protocol.encode_order(order);
+    exchange.start_before = order.send_before;
+    this->SendExchange(std::move(exchange));
   };
   hooks.send_instance_request = [this](const jobs::InstanceRequest& request) {
     ExchangeRequest exchange = this->protocol.encode_instance_request(request);
@@ -514,7 +516,8 @@
 
 void JobDaemon::Impl::SendExchange(ExchangeRequest&& request) {
   const std::uint64_t id = request.id;
-  request.start_before = LeaseClock::now() + kOrderSendTimeout;
+  request.start_before =
+      std::min(request.start_before, LeaseClock::now() + kOrderSendTimeout);
   ++this->load.exchanges;
   if (!this->exchanges->Submit(std::move(request))) {
     this->metrics.Add(metrics::kDrops, "exchange_ring_full");
--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -46,6 +46,9 @@
                 row.port};
 }
 
+/// The first view is 0, and a worker reads a missing token as 0.
+std::uint64_t FenceOf(ViewNumber view) { return view + 1; }
+
 jobs::Answer MakeAnswer(jobs::CallOutcome outcome, const char* reason) {
   jobs::Answer answer;
   answer.outcome = static_cast<std::uint8_t>(outcome);
@@ -58,7 +61,19 @@
 JobNode::JobNode(Config config, Hooks hooks)
     : config(std::move(config)),
       hooks(std::move(hooks)),
-      planner(this->config.membership) {}
+      planner(this->config.membership),
+      carried(
+          this->config.carried_orders,
+          jobs::CarriedOrders::Hooks{
+              this->hooks.send_order,
+              [this](DaemonId leader,
+                     const std::vector<jobs::CarriedReply>& replies) {
+                this->hooks.send(
+                    leader,
+                    EncodeMessage(JobsBytes{jobs::EncodeReplyBatch(replies)}));
+              },
+              this->hooks.count_drop},
+          this->config.seed) {}
 
 JobNode::~JobNode() = default;
 
@@ -174,6 +189,58 @@
              candidacy != nullptr && candidacy->member != nullptr &&
              this->term != nullptr) {
     this->planner.OnCandidate(ToMember(*candidacy->member), now);
+  } else if (const auto* orders = decoded->body.AsOrderBatch();
+             orders != nullptr) {
+    this->OnOrderBatch(from, *orders, now);
+  } else if (const auto* replies = decoded->body.AsReplyBatch();
+             replies != nullptr) {
+    this->OnReplyBatch(from, *replies, now);
+  } else if (const auto* carrier = decoded->body.AsCarrierNotice();
+             carrier != nullptr && this->term != nullptr &&
+             this->members.Contains(from)) {
+    this->term->carriers->OnNotice(from, jobs::FromWire(*carrier), now);
+  }
+}
+
+std::optional<DaemonId> JobNode::LeaderToCarryFor() const {
+  if (this->replica == nullptr || this->term != nullptr ||
+      this->stopping_since.has_value() || !this->leader.has_value() ||
+      this->replica->View() > this->leader->view) {
+    return std::nullopt;
+  }
+  return this->leader->daemon;
+}
+
+void JobNode::SendCarrierNotice(TimePoint now) {
+  if (const auto leader = this->LeaderToCarryFor();
+      leader.has_value() && this->members.Contains(this->config.self)) {
+    this->hooks.send(
+        *leader,
+        EncodeMessage(JobsBytes{jobs::EncodeCarrierNotice(
+            this->carried.MakeNotice(FenceOf(this->leader->view), now))}));
+  }
+}
+
+void JobNode::OnOrderBatch(DaemonId from, const jobs_wire::OrderBatchT& wire,
+                           TimePoint now) {
+  auto batch = jobs::FromWire(wire);
+  if (!batch.has_value()) {
+    this->hooks.count_drop("malformed_order_batch");
+    return;
+  }
+  const auto known = this->LeaderToCarryFor();
+  this->carried.OnBatch(from, *std::move(batch), known,
+                        known.has_value() ? FenceOf(this->leader->view) : 0,
+                        now);
+}
+
+void JobNode::OnReplyBatch(DaemonId from, const jobs_wire::ReplyBatchT& wire,
+                           TimePoint now) {
+  auto replies = jobs::FromWire(wire);
+  if (!replies.has_value()) {
+    this->hooks.count_drop("malformed_reply_batch");
+  } else if (this->term != nullptr) {
+    this->term->carriers->OnReplies(from, *std::move(replies), now);
   }
 }
 
@@ -185,6 +252,9 @@
     return;
   }
   this->links.erase(peer);
+  if (this->term != nullptr) {
+    this->term->carriers->OnLinkDown(peer, now);
+  }
   if (this->leader.has_value() && this->leader->daemon == peer) {
     this->leader.reset();
   }
@@ -232,6 +302,7 @@
     DurableImage image = *std::exchange(this->deferred_image, std::nullopt);
     this->StartReplica(std::move(image), this->members, now);
   }
+  this->SendCarrierNotice(now);
 }
 
 void JobNode::LearnMembers(const jobs::Leadership& notice, TimePoint now) {
@@ -476,8 +547,8 @@
 }
 
 void JobNode::OnWorkerReply(const jobs::WorkerReply& reply, TimePoint now) {
-  if (this->term != nullptr) {
-    this->term->dispatcher->OnReply(reply, now);
+  if (!this->carried.OnReply(reply, now) && this->term != nullptr) {
+    this->term->carriers->OnOwnReply(reply, now);
   }
 }
 
@@ -511,6 +582,7 @@
     this->FlushBatch(now);
     this->BroadcastLeadership(now);
   }
+  this->carried.Flush(now);
   if (this->stopping_since.has_value() && this->replica != nullptr &&
       !std::exchange(this->resigned, true)) {
     this->replica->Resign(now);
@@ -532,6 +604,7 @@
   this->RunEffects(now);
   if (this->HasAuthority(now)) {
     this->term->dispatcher->Tick(now);
+    this->term->carriers->Flush(now);
     this->PlanMembership(now);
   }
 }
@@ -545,18 +618,23 @@
                               std::function<void(TimePoint)> committed) {
     this->Propose(std::move(command), std::move(committed));
   };
+  const std::uint64_t fence = FenceOf(this->term->view);
+  this->term->carriers = std::make_unique<jobs::OrderCarriers>(
+      this->config.order_carriers, this->CarrierHooks(), this->config.self,
+      fence, now);
   jobs::Dispatcher::Hooks hooks;
   hooks.propose = propose;
-  hooks.send = this->hooks.send_order;
+  hooks.send = [this](jobs::WorkerOrder order) {
+    this->term->carriers->Submit(std::move(order));
+  };
   hooks.send_instance_request = this->hooks.send_instance_request;
   hooks.ask_advice = this->hooks.ask_advice;
   hooks.wall_time = this->hooks.wall_time;
   hooks.report = this->hooks.report;
   hooks.count_retry = this->hooks.count_retry;
-  // The first view is 0, and a worker reads a missing token as 0.
   this->term->dispatcher = std::make_unique<jobs::Dispatcher>(
       this->config.dispatcher, std::move(hooks), this->term->working,
-      this->config.name, this->term->view + 1, now);
+      this->config.name, fence, now);
   this->term->handler = std::make_unique<jobs::CallHandler>(
       jobs::CallHandler::Hooks{propose, this->hooks.wall_time,
                                this->hooks.report, this->hooks.count_refusal},
@@ -567,6 +645,21 @@
   this->leader.reset();
 }
 
+jobs::OrderCarriers::Hooks JobNode::CarrierHooks() {
+  jobs::OrderCarriers::Hooks hooks;
+  hooks.send_batch = [this](DaemonId carrier, const jobs::OrderBatch& batch) {
+    this->hooks.send(carrier,
+                     EncodeMessage(JobsBytes{jobs::EncodeOrderBatch(batch)}));
+  };
+  hooks.send_order = this->hooks.send_order;
+  hooks.on_reply = [this](const jobs::WorkerReply& reply, TimePoint now) {
+    this->term->dispatcher->OnReply(reply, now);
+  };
+  hooks.report = this->hooks.report;
+  hooks.count_retry = this->hooks.count_retry;
+  return hooks;
+}
+
 void JobNode::EndTerm(const char* reason) {
   this->hooks.report("term_ended", this->config.name, reason);
   this->term.reset();
@@ -644,8 +737,10 @@
 TimePoint JobNode::NextDue(TimePoint now) const {
   TimePoint due = now + (this->replica != nullptr ? kReplicaTickInterval
                                                   : kEntryTickInterval);
+  due = std::min(due, this->carried.NextDue());
   if (this->term != nullptr && this->HasAuthority(now)) {
     due = std::min(due, this->term->dispatcher->NextDue(now));
+    due = std::min(due, this->term->carriers->NextDue());
     if (!this->term->batch.commands.empty()) {
       due = std::min(due,
                      this->term->last_entry + this->config.log_entry_interval);
@@ -681,7 +776,7 @@
                                   ? milliseconds(500)
                                   : this->config.load_balancer_wait;
   return since > this->config.stop_deadline ||
-         (since > notice && this->calls.empty());
+         (since > notice && this->calls.empty() && this->carried.IsIdle());
 }
 
 }  // namespace mimosastage
--- a/src/mimosastage/node/job_node.h
+++ b/src/mimosastage/node/job_node.h
@@ -16,8 +16,10 @@
 #include "mimosastage/base/names.h"
 #include "mimosastage/base/time.h"
 #include "mimosastage/jobs/call_handler.h"
+#include "mimosastage/jobs/carried_orders.h"
 #include "mimosastage/jobs/dispatcher.h"
 #include "mimosastage/jobs/fleet_state.h"
+#include "mimosastage/jobs/order_carriers.h"
 #include "mimosastage/replication/membership_planner.h"
 #include "mimosastage/replication/replica.h"
 
@@ -47,6 +49,8 @@
     ReplicationLimits limits;
     MembershipPlanner::Config membership;
     jobs::Dispatcher::Config dispatcher;
+    jobs::OrderCarriers::Config order_carriers;
+    jobs::CarriedOrders::Config carried_orders;
     /// Shortest interval between two log entries of the leader. Each entry
     /// costs a message to and from every voter, whatever it holds.
     std::chrono::milliseconds log_entry_interval{5};
@@ -131,6 +135,7 @@
     /// The committed state at the start of the term plus all commands proposed
     /// since.
     jobs::FleetState working;
+    std::unique_ptr<jobs::OrderCarriers> carriers;
     std::unique_ptr<jobs::Dispatcher> dispatcher;
     std::unique_ptr<jobs::CallHandler> handler;
     /// Commands to propose as one log entry.
@@ -168,6 +173,7 @@
   void Apply(const std::string& command);
   void AdvanceTerm(TimePoint now);
   void BeginTerm(TimePoint now);
+  jobs::OrderCarriers::Hooks CarrierHooks();
   void EndTerm(const char* reason);
   void Propose(jobs::Command command, std::function<void(TimePoint)> committed);
   void FlushBatch(TimePoint now);
@@ -195,6 +201,14 @@
   void OnAnswer(DaemonId from, std::uint64_t number, jobs::Answer answer,
                 TimePoint now);
   void Finish(std::uint64_t number, jobs::Answer answer);
+  /// The leader for which this voter can send orders to workers, if any.
+  std::optional<DaemonId> LeaderToCarryFor() const;
+  /// Tells the leader that this voter can send orders to workers.
+  void SendCarrierNotice(TimePoint now);
+  void OnOrderBatch(DaemonId from, const jobs_wire::OrderBatchT& wire,
+                    TimePoint now);
+  void OnReplyBatch(DaemonId from, const jobs_wire::ReplyBatchT& wire,
+                    TimePoint now);
   bool HasAuthority(TimePoint now) const;
   std::optional<DaemonId> Leader(TimePoint now) const;
 
@@ -208,6 +222,8 @@
   MembershipPlanner planner;
   TimePoint next_membership_check{};
   jobs::FleetState committed;
+  /// Orders of another voter that leads.
+  jobs::CarriedOrders carried;
   std::unique_ptr<Term> term;
   std::set<DaemonId> links;
   std::optional<KnownLeader> leader;
