--- a/tests/jobs/carried_orders_test.cc
+++ b/tests/jobs/carried_orders_test.cc
@@ -36,7 +36,7 @@
                                                     std::move(hooks), kSession);
   }
 
-  OrderBatch Batch(std::vector<std::uint64_t> numbers,
+  OrderBatch Batch(const std::vector<std::uint64_t>& numbers,
                    std::uint64_t fence = kFence) const {
     OrderBatch batch;
     batch.session = kSession;
--- a/tests/jobs/order_carriers_test.cc
+++ b/tests/jobs/order_carriers_test.cc
@@ -26,7 +26,7 @@
 
   OrderCarriersTest() {
     OrderCarriers::Hooks hooks;
-    hooks.send_batch = [this](DaemonId to, OrderBatch batch) {
+    hooks.send_batch = [this](DaemonId to, const OrderBatch& batch) {
       this->batches.emplace_back(to, batch);
       for (const WorkerOrder& order : batch.orders) {
         this->sent[order.number].push_back(to);
