--- a/src/mimosastage/jobs/order_carriers.cc
+++ b/src/mimosastage/jobs/order_carriers.cc
@@ -48,6 +48,7 @@
 
 void OrderCarriers::Flush(TimePoint now) {
   this->GiveUpOverdue(now);
+  this->DropSilentCarriers(now);
   if (this->queue.empty()) {
     return;
   }
@@ -212,6 +213,27 @@
   this->EndWithout(overdue, now);
 }
 
+void OrderCarriers::DropSilentCarriers(TimePoint now) {
+  if (now - this->last_check > this->config.own_delay) {
+    this->drop_from = now + this->config.notice_validity;
+  }
+  this->last_check = now;
+  if (now < this->drop_from) {
+    return;
+  }
+  std::vector<DaemonId> silent;
+  for (const auto& [daemon, carrier] : this->carriers) {
+    if (now - carrier.heard_at >= this->config.notice_validity) {
+      silent.push_back(daemon);
+    }
+  }
+  for (const DaemonId daemon : silent) {
+    this->hooks.report("carrier_silent", DaemonIdText(daemon),
+                       "its orders are given up");
+    this->OnLinkDown(daemon, now);
+  }
+}
+
 void OrderCarriers::EndWithout(const std::vector<std::uint64_t>& numbers,
                                TimePoint now) {
   for (const std::uint64_t number : numbers) {
--- a/src/mimosastage/jobs/order_carriers.h
+++ b/src/mimosastage/jobs/order_carriers.h
@@ -37,9 +37,13 @@
     /// How long they wait for the first notice. The leader can't open
     /// connections to hundreds of workers within the time to send an order.
     std::chrono::milliseconds first_notice_wait{100};
-    /// A voter whose last notice is older carries nothing. Notices answer the
-    /// leader's messages, which are sent every 200 ms.
-    std::chrono::milliseconds notice_validity{600};
+    /// A voter whose last notice is older carries nothing, and its orders are
+    /// given up. Notices answer the leader's messages, which are sent every 200
+    /// ms.
+    std::chrono::milliseconds notice_validity{500};
+    /// If Flush wasn't called for this long, the leader was frozen or busy, and
+    /// the silence of carriers is measured anew.
+    std::chrono::milliseconds own_delay{100};
     /// Added to the order's time to send and timeout before an order is given
     /// up. Covers the link, batches, and waits in the carrier's process.
     std::chrono::milliseconds answer_margin{150};
@@ -103,6 +107,7 @@
   };
 
   void GiveUpOverdue(TimePoint now);
+  void DropSilentCarriers(TimePoint now);
   /// Returns the voters that should carry orders now.
   std::vector<DaemonId> UsableCarriers(TimePoint now) const;
   DaemonId ChooseCarrier(const std::string& worker,
@@ -122,6 +127,9 @@
   /// start of a term takes the leader some time.
   std::optional<TimePoint> first_batch;
   TimePoint last_flush{};
+  /// When DropSilentCarriers last ran, and from when on it drops carriers.
+  TimePoint last_check{};
+  TimePoint drop_from{};
   std::vector<WorkerOrder> queue;
   /// Voters with an open link that sent a notice for this term.
   std::map<DaemonId, Carrier> carriers;
--- a/tests/jobs/order_carriers_test.cc
+++ b/tests/jobs/order_carriers_test.cc
@@ -266,6 +266,32 @@
   }
 }
 
+// Guards against workers that stay silent for up to 2 s because a frozen or
+// cut-off carrier has their hold in hand.
+TEST_F(OrderCarriersTest, CarrierIsSilent_ItsOrdersAreUnanswered) {
+  this->BeginTerm({this->a});
+  const std::uint64_t number = this->Order();
+  this->Wait(milliseconds(450), {});
+  EXPECT_TRUE(this->replies[number].empty());
+  this->Wait(milliseconds(100), {});
+  ASSERT_EQ(this->replies[number].size(), 1U);
+  EXPECT_EQ(this->replies[number].front().result, OrderResult::kUnanswered);
+}
+
+// Guards against a leader that takes its own freeze for the silence of all
+// carriers, and all workers for silent.
+TEST_F(OrderCarriersTest, LeaderWasFrozen_CarriersKeepTheirOrders) {
+  this->BeginTerm({this->a});
+  const std::uint64_t number = this->Order();
+  this->now += milliseconds(550);
+  this->Wait(milliseconds(250), {});
+  EXPECT_TRUE(this->replies[number].empty());
+  this->Wait(milliseconds(50), {this->a});
+  this->Reply(this->a, number, OrderResult::kOk);
+  ASSERT_EQ(this->replies[number].size(), 1U);
+  EXPECT_EQ(this->replies[number].front().result, OrderResult::kOk);
+}
+
 // Guards against workers that wait for the time-out of a dead carrier, and
 // against an answer that is counted after the link is up again.
 TEST_F(OrderCarriersTest, LinkBreaks_OrdersAreUnansweredAtOnce) {
