--- a/src/mimosastage/replication/internal/membership_log.cc
+++ b/src/mimosastage/replication/internal/membership_log.cc
@@ -3,6 +3,7 @@
 namespace mimosastage::internal {
 
 void MembershipLog::Reset(LogIndex index, Membership membership) {
+  this->LearnMembership(membership);
   this->history.clear();
   this->history.emplace_back(index, std::move(membership));
 }
--- a/src/mimosastage/replication/internal/membership_log.h
+++ b/src/mimosastage/replication/internal/membership_log.h
@@ -11,10 +11,13 @@
 
 /// The memberships in a replica's log. The latest one is in force as soon as it
 /// is in the log, committed or not. When its entry is truncated, the previous
-/// one is in force again.
+/// one is in force again. An older entry never replaces a membership that is
+/// known to be committed.
 class MembershipLog {
  public:
-  /// Discards all others. `index` is the index of the entry or snapshot.
+  /// Discards the entries of all others. `index` is the index of the snapshot.
+  /// Its membership is committed and can be newer than the entries after
+  /// `index`, because a voter can learn a membership before it has the entry.
   void Reset(LogIndex index, Membership membership);
   void Append(LogIndex index, Membership membership);
   void TruncateFrom(LogIndex index);
--- a/src/mimosastage/replication/internal/replica_core.cc
+++ b/src/mimosastage/replication/internal/replica_core.cc
@@ -248,6 +248,8 @@
   }
   const ViewNumber entry_view = *this->log.ViewAt(this->commit);
   std::string bytes = this->hooks.take_snapshot();
+  // Keeps a membership that this voter has learned before it has the entry, so
+  // that it is known after a restart, too.
   if (const Membership& members = this->CommittedMembers();
       members.version > 0) {
     bytes = WrapSnapshot(members, bytes);
--- a/tests/replication/membership_test.cc
+++ b/tests/replication/membership_test.cc
@@ -142,6 +142,30 @@
   EXPECT_EQ(log.InForce(), other);
 }
 
+// Guards against a voter that goes back to replaced voters: its snapshot has a
+// membership that it learned before the entry, and the log then adds the older
+// entries after the snapshot.
+TEST_F(MembershipTest, Log_OlderEntryAfterSnapshot_NewerOneStaysInForce) {
+  const Membership vacant = this->With(2, VacantSlot());
+  Membership filled = vacant;
+  ++filled.version;
+  filled.slots[2] = At(4);
+  internal::MembershipLog log;
+  log.Reset(5, filled);
+  log.Append(6, vacant);
+  EXPECT_EQ(log.InForce(), filled);
+  EXPECT_EQ(log.Committed(6), filled);
+  log.Reset(6, vacant);
+  EXPECT_EQ(log.InForce(), filled);
+  Membership next = filled;
+  ++next.version;
+  next.slots[0] = VacantSlot();
+  log.Append(8, next);
+  EXPECT_EQ(log.InForce(), next);
+  log.TruncateFrom(8);
+  EXPECT_EQ(log.InForce(), filled);
+}
+
 class MembershipPlannerTest : public MembershipTest {
  protected:
   std::optional<Membership> Plan() {
