Take the committed members from any voter, not only from the leader

Two of three voters with intact disks, which are a quorum, never elected a leader. In seed 24194 the members are 3, 2 and 4. Daemon 3 has lost its disk and waits for a leader. Daemon 2 was down while 4 became a member, so it restarts with the members 3, 1 and 2 and drops 4's Recovery messages as those of a stranger; it sends its own only to 3 and the removed 1. Daemon 4 thus stays unconfirmed, and 2 too. Only a leader's notice could have told 2 the members, and there was none. Callers get no service until an operator acts.

Voters already send each other the committed members when a link opens and when they change. A voter with a replica now takes them over as it does from its leader; they are committed either way, and the newest version wins. When a voter without its disk may start is unchanged: only a leader's notice starts its replica, and it votes after recovering from a quorum.

The simulated group now sends the members as the daemons do, without drawing random numbers. Seed 7384 is also run with leaders alone sending them, because otherwise its voter learns them in another order and its fault, without its fix, doesn't show any more.

Group_Seed24194_VoterWithOldMembersRecovers and VoterHasOlderMembers_AsksTheAddedVoter failed before and pass.

--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -200,11 +200,10 @@
   const DaemonId daemon =
       FromDaemonIdFields(notice.leader, notice.leader_address_id);
   if (daemon == kNoVoter) {
-    // From a voter that doesn't lead. A replica learns the members from its log
-    // and its leader; without one they only tell whom to connect to.
-    if (this->replica == nullptr) {
-      this->LearnMembers(notice, now);
-    }
+    // From a voter that doesn't lead, which sends only committed members. A
+    // replica with older ones would drop the messages of the voters that were
+    // added since, and without those voters there may be no leader.
+    this->LearnMembers(notice, now);
     return;
   }
   if (daemon != from ||
--- a/src/mimosastage/replication/replica.h
+++ b/src/mimosastage/replication/replica.h
@@ -76,9 +76,9 @@
   /// kInvalidMembership if `next` isn't a valid successor of Members(), or
   /// lacks this voter or a quorum.
   Result<LogIndex> ProposeMembership(Membership next, TimePoint now);
-  /// Takes over a membership that the leader reports as committed. Without it,
-  /// a voter that was partitioned during the change would ignore messages from
-  /// voters that were added meanwhile.
+  /// Takes over a membership that another voter reports as committed. Without
+  /// it, a voter that was partitioned during the change would ignore messages
+  /// from voters that were added meanwhile.
   void LearnMembership(Membership committed, TimePoint now);
 
   /// Reports that everything up to the DurableWrite with this ticket is synced.
--- a/tests/node/job_node_test.cc
+++ b/tests/node/job_node_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "mimosastage/daemons/message_codec.h"
+#include "mimosastage/replication/message_codec.h"
 
 namespace mimosastage {
 namespace {
@@ -209,5 +210,34 @@
   EXPECT_EQ(this->reported_members, this->logged);
 }
 
+// Guards against a restarted voter with older members that drops the messages
+// of a voter that was added while it was down, when no leader is left that
+// could name the members.
+TEST_F(JobNodeWithFollowerTest, VoterHasOlderMembers_AsksTheAddedVoter) {
+  this->config.founding_membership =
+      FoundingMembership({Member{DaemonId{2}, "10.0.0.2", 7000},
+                          Member{DaemonId{3}, "10.0.0.3", 7000},
+                          Member{DaemonId{9}, "10.0.0.9", 7000}},
+                         1);
+  int asked = 0;
+  this->hooks.send = [&](DaemonId to, const std::string& bytes) {
+    const auto message = DecodeMessage(bytes);
+    ASSERT_TRUE(message.has_value());
+    const auto* replication = std::get_if<ReplicationBytes>(&*message);
+    if (to != kFollower || replication == nullptr) {
+      return;
+    }
+    const auto decoded = Decode(replication->bytes);
+    ASSERT_TRUE(decoded.has_value());
+    asked += std::holds_alternative<Recovery>(*decoded) ? 1 : 0;
+  };
+  DurableImage image;
+  image.intact = true;
+  image.incarnation = AddStart(image.starts, 7);
+  this->LinkToFollower(DaemonId{2}, std::move(image));
+  EXPECT_EQ(this->reported_members, this->logged);
+  EXPECT_GT(asked, 0);
+}
+
 }  // namespace
 }  // namespace mimosastage
--- a/tests/replication/membership_schedules_test.cc
+++ b/tests/replication/membership_schedules_test.cc
@@ -29,8 +29,10 @@
 /// freeze, are partitioned or lose their disk. Deterministic for a given seed.
 class ReplacementSchedule {
  public:
-  explicit ReplacementSchedule(std::uint64_t seed)
+  explicit ReplacementSchedule(std::uint64_t seed,
+                               bool only_leaders_send_members = false)
       : random(seed), group(seed % 2 == 0 ? 3 : 5, 0, seed, kSpares) {
+    this->group.only_leaders_send_members = only_leaders_send_members;
     this->group.faults.loss = this->Draw(3) == 0 ? 0.1 : 0.01;
     this->group.faults.duplication = 0.05;
     this->group.faults.max_delay = milliseconds(this->Draw(2) == 0 ? 4 : 100);
@@ -192,6 +194,15 @@
 // one is replaced, and keeps waiting for a membership that is out of date.
 TEST_F(MembershipSchedulesTest, Group_Seed7384_VoterWithoutDiskRecovers) {
   EXPECT_EQ(ReplacementSchedule(7384).Run(), "");
+  EXPECT_EQ(ReplacementSchedule(7384, /*only_leaders_send_members=*/true).Run(),
+            "");
+}
+
+// Guards against two voters with intact disks that never form a quorum: one was
+// down while the other became a member, drops its messages as those of a
+// stranger, and no leader is left that could name the members.
+TEST_F(MembershipSchedulesTest, Group_Seed24194_VoterWithOldMembersRecovers) {
+  EXPECT_EQ(ReplacementSchedule(24194).Run(), "");
 }
 
 }  // namespace
--- a/tests/replication/support/replication_group.cc
+++ b/tests/replication/support/replication_group.cc
@@ -311,6 +311,7 @@
   Daemon& d = this->daemons[leader];
   const TimePoint now = this->Now(leader);
   if (!d.replica->HasAuthority(now)) {
+    this->SendMembers(leader);
     return;
   }
   const DaemonId self = this->IdOf(leader);
@@ -350,9 +351,30 @@
   }
 }
 
-void ReplicationGroup::OnMembershipNotice(std::size_t leader,
-                                          std::size_t daemon,
-                                          const Membership& members) {
+void ReplicationGroup::SendMembers(std::size_t voter) {
+  Daemon& d = this->daemons[voter];
+  const Membership committed = d.replica->CommittedMembers();
+  if (this->only_leaders_send_members || committed.version == 0 ||
+      this->time < d.next_membership_notice) {
+    return;
+  }
+  d.next_membership_notice = this->time + milliseconds(200);
+  for (std::size_t i = 0; i < this->voter_count; ++i) {
+    // Draws no random numbers, so that the schedules of known seeds stay the
+    // same.
+    this->At(this->time + this->faults.max_delay / 2,
+             [this, voter, i, committed] {
+               Daemon& to = this->daemons[i];
+               if (i != voter && to.running && !to.frozen &&
+                   to.replica != nullptr && !this->blocked[voter][i]) {
+                 this->LearnMembers(i, committed);
+               }
+             });
+  }
+}
+
+void ReplicationGroup::LearnMembers(std::size_t daemon,
+                                    const Membership& members) {
   Daemon& d = this->daemons[daemon];
   if (members.version > d.members.version) {
     d.members = members;
@@ -360,6 +382,13 @@
       d.replica->LearnMembership(members, this->Now(daemon));
     }
   }
+}
+
+void ReplicationGroup::OnMembershipNotice(std::size_t leader,
+                                          std::size_t daemon,
+                                          const Membership& members) {
+  Daemon& d = this->daemons[daemon];
+  this->LearnMembers(daemon, members);
   if (d.members.version == 0) {
     return;
   }
--- a/tests/replication/support/replication_group.h
+++ b/tests/replication/support/replication_group.h
@@ -56,6 +56,9 @@
   TestFaults faults;
   /// Whether each message is encoded and decoded.
   bool encode = false;
+  /// Whether voters that don't lead keep the committed membership to
+  /// themselves, as if those messages were lost.
+  bool only_leaders_send_members = false;
 
   /// Founders and spares.
   std::size_t Voters() const { return this->voter_count; }
@@ -128,7 +131,7 @@
     /// The disk is lost or an old copy, and the voter hasn't recovered yet.
     bool disk_invalid = false;
     bool removed = false;
-    /// The newest committed membership in the notices of leaders.
+    /// The newest committed membership in the notices of other voters.
     Membership members;
     MembershipPlanner planner{MembershipPlanner::Config{}};
     Duration next_membership_notice{};
@@ -160,6 +163,10 @@
   /// On the leader: sends the committed membership to the other voters, and
   /// plans and proposes the next one.
   void ManageMembership(std::size_t leader);
+  /// On a voter that doesn't lead: sends the committed membership that it knows
+  /// to the other voters.
+  void SendMembers(std::size_t voter);
+  void LearnMembers(std::size_t daemon, const Membership& members);
   void OnMembershipNotice(std::size_t leader, std::size_t daemon,
                           const Membership& members);
   void ClearReplacedVoters();
