Lend each entry slots of two backend servers, so that it can retry

With one of two backend servers refusing, an entry answered its callers 503 backend_server_unavailable, not_run, although the other server was idle. It did so for as long as the server refused.

A refused request can only go to another server of which the entry holds a slot. The lender divides a pool's slots between the entries without regard to the server, and moves idle ones only if a request waits: entries that start before the second server announces itself get all slots of the first, later ones those of the second, or a single slot. In the logs of a failing run, with 4 of 8 requests answered, entries 3 and 4 held 4 and 0 free slots of the refusing server and none of the other; entries 1 and 2 held both. Now an entry that holds slots of one server only gets one of another server of that zone: in exchange for one, or, if it holds just one and nobody waits, in addition. Each step adds a pair of entry and server, so that units don't pass back and forth.

--- a/src/mimosastage/admission/allowance_lender.cc
+++ b/src/mimosastage/admission/allowance_lender.cc
@@ -748,6 +748,7 @@
   }
   capacity = std::max(0.0, capacity);
   this->SetPoolTargets(plan, name, pool, capacity, allocations);
+  this->SpreadSlots(plan, name, slots, allocations);
   this->BalancePool(plan, slots, capacity, allocations);
   this->CheckExhausted(plan, name, pool, slots);
 }
@@ -882,6 +883,95 @@
   }
 }
 
+void AllowanceLender::SpreadSlots(Plan& plan, const PoolName& name,
+                                  std::vector<SlotView>& slots,
+                                  std::vector<Allocation>& allocations) {
+  struct Holding {
+    std::uint32_t units = 0;
+    std::size_t servers = 0;
+    const SlotView* only = nullptr;
+  };
+  std::map<Session, Holding> holdings;
+  // Recalled units of each server that reachable entries haven't returned yet.
+  std::vector<std::uint64_t> returning(slots.size());
+  for (std::size_t i = 0; i < slots.size(); ++i) {
+    const SlotView& view = slots[i];
+    for (const auto& [session, totals] : *view.totals) {
+      const Entry& entry = this->FindOrAddEntry(session);
+      const std::uint32_t units =
+          UnrecalledUnits(*view.totals, view.resource, entry);
+      if (!entry.MayBorrow()) {
+        continue;
+      }
+      returning[i] += totals.lent_total - totals.returned_total - units;
+      if (units > 0) {
+        Holding& holding = holdings[session];
+        holding.units += units;
+        ++holding.servers;
+        holding.only = &view;
+      }
+    }
+  }
+  const bool unmet = std::any_of(
+      allocations.begin(), allocations.end(),
+      [](const Allocation& allocation) { return allocation.HasUnmetDemand(); });
+  bool recalled = false;
+  for (const auto& [session, holding] : holdings) {
+    // An only slot is kept; a second one must not be taken from requests that
+    // wait, which would take it back.
+    const bool exchange = holding.units > 1;
+    if (holding.servers > 1 || (!exchange && unmet)) {
+      continue;
+    }
+    std::vector<std::size_t> others;
+    for (std::size_t i = 0; i < slots.size(); ++i) {
+      if (&slots[i] != holding.only &&
+          slots[i].server->announced.zone ==
+              holding.only->server->announced.zone) {
+        others.push_back(i);
+      }
+    }
+    const auto has_free = [&](std::size_t i) { return slots[i].free > 0; };
+    const auto has_returning = [&](std::size_t i) { return returning[i] > 0; };
+    if (const auto found = std::find_if(others.begin(), others.end(), has_free);
+        found != others.end()) {
+      Lend(plan, slots[*found].resource, session, 1);
+      --slots[*found].free;
+      this->Recall(plan, holding.only->resource, this->FindOrAddEntry(session),
+                   exchange ? 1 : 0);
+    } else if (const auto coming =
+                   std::find_if(others.begin(), others.end(), has_returning);
+               coming != others.end()) {
+      --returning[*coming];
+    } else if (recalled) {
+      this->SchedulePool(name, false);
+    } else {
+      recalled = std::any_of(others.begin(), others.end(), [&](std::size_t i) {
+        return this->RecallForSpread(plan, slots[i], allocations);
+      });
+    }
+  }
+}
+
+bool AllowanceLender::RecallForSpread(Plan& plan, const SlotView& view,
+                                      std::vector<Allocation>& allocations) {
+  Allocation* donor = nullptr;
+  std::uint32_t most = 1;
+  for (Allocation& allocation : allocations) {
+    const std::uint32_t units =
+        UnrecalledUnits(*view.totals, view.resource, *allocation.entry);
+    if (units > most) {
+      most = units;
+      donor = &allocation;
+    }
+  }
+  if (donor == nullptr) {
+    return false;
+  }
+  donor->held -= this->Recall(plan, view.resource, *donor->entry, 1);
+  return true;
+}
+
 void AllowanceLender::SetPoolTargets(Plan& plan, const PoolName& name,
                                      PoolState& pool, double capacity,
                                      std::vector<Allocation>& allocations) {
--- a/src/mimosastage/admission/allowance_lender.h
+++ b/src/mimosastage/admission/allowance_lender.h
@@ -247,6 +247,16 @@
   std::vector<SlotView> CollectSlots(Plan& plan, PoolState& pool);
   void BalancePool(Plan& plan, std::vector<SlotView>& slots, double capacity,
                    std::vector<Allocation>& allocations);
+  /// Lends each entry that holds slots of a single server one of another server
+  /// of that zone, in exchange for one if it holds several. An entry can send a
+  /// refused request only to a server of which it holds a slot.
+  void SpreadSlots(Plan& plan, const PoolName& name,
+                   std::vector<SlotView>& slots,
+                   std::vector<Allocation>& allocations);
+  /// Recalls one slot of the server from the entry that holds most of them, so
+  /// that it can be lent to another. False if no entry holds two or more.
+  bool RecallForSpread(Plan& plan, const SlotView& view,
+                       std::vector<Allocation>& allocations);
   void SetPoolTargets(Plan& plan, const PoolName& name, PoolState& pool,
                       double capacity, std::vector<Allocation>& allocations);
   void AllocateTeamSlots(Plan& plan, const PoolName& pool, const TeamName& name,
--- a/tests/admission/allowance_lender_test.cc
+++ b/tests/admission/allowance_lender_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -117,6 +118,18 @@
     }
   }
 
+  /// Starts again without sessions and servers, with another limit.
+  void Restart(std::uint32_t upper_limit) {
+    this->team.upper_limit = upper_limit;
+    this->ledger = AllowanceLedger(
+        [this](const std::string&) { return this->team.upper_limit; });
+    this->lender = AllowanceLender({}, this->now);
+    this->lender.SetTeams({this->team});
+    this->lender.SetLongestDeadline(seconds(30));
+    this->numbers.clear();
+    this->recalls.clear();
+  }
+
   std::uint32_t Slots(const char* server, Session session) {
     return this->ledger.Held({ResourceKind::kBackendServerSlots, server},
                              session);
@@ -215,6 +228,101 @@
   this->ExpectEachIsServedAlone(this->StartEntries(24));
 }
 
+// Guards against an entry that holds slots of a single backend server for good,
+// because the others were lent before it started: while that server refuses,
+// the entry refuses all requests, although another server could run them.
+TEST_F(AllowanceLenderTest, SecondServerAppearsLater_EachEntryHoldsBoth) {
+  const AvailabilityZone zone("x");
+  this->lender.RemoveServer(BackendServerName("y"));
+  this->RunRounds(10, 0, 0);
+  ASSERT_EQ(this->Slots("x", this->a) + this->Slots("x", this->b), 8U);
+  const std::vector<Session> sessions = this->StartEntries(4);
+  this->lender.SetServer({BackendServerName("z"), this->pool, zone, 8, true});
+  const auto round = [&] {
+    for (const Session session : sessions) {
+      this->Report(session, 0);
+    }
+    return this->Round().moves.has_value();
+  };
+  for (int i = 0; i < 60; ++i) {
+    round();
+  }
+  for (const Session session : sessions) {
+    EXPECT_GT(this->Slots("x", session), 0U)
+        << "session of daemon " << static_cast<std::uint64_t>(session.daemon);
+    EXPECT_GT(this->Slots("z", session), 0U)
+        << "session of daemon " << static_cast<std::uint64_t>(session.daemon);
+    EXPECT_EQ(this->Slots("x", session) + this->Slots("z", session), 4U);
+  }
+  for (int i = 0; i < 60; ++i) {
+    EXPECT_FALSE(round()) << "units must not oscillate";
+  }
+}
+
+// The same for entries and servers that start in any order, also for an entry
+// that has got a single slot.
+TEST_F(AllowanceLenderTest, AnyStartOrder_FewRequests_EntriesHoldBothOrNone) {
+  constexpr int kRounds = 80;
+  constexpr int kLatestStart = 12;
+  const AvailabilityZone zone("x");
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    std::mt19937_64 random(seed);
+    this->Restart(64);
+    std::map<std::string, int> server_start;
+    for (const char* server : {"x", "y"}) {
+      server_start[server] = static_cast<int>(random() % kLatestStart);
+    }
+    std::map<Session, int> session_start;
+    for (std::uint16_t daemon = 0; daemon < 4; ++daemon) {
+      session_start[{DaemonId{daemon}, SessionId{seed}}] =
+          static_cast<int>(random() % kLatestStart);
+    }
+    for (int i = 0; i < kRounds; ++i) {
+      for (const auto& [server, start] : server_start) {
+        if (start == i) {
+          this->lender.SetServer(
+              {BackendServerName(server), this->pool, zone, 8, true});
+        }
+      }
+      for (const auto& [session, start] : session_start) {
+        if (start == i) {
+          this->ledger.StartSession(session);
+          this->lender.SetZone(session.daemon, zone);
+        }
+        if (start <= i) {
+          const bool sends = session.daemon == DaemonId{2} && i > kLatestStart;
+          this->Report(session, sends ? random() % 2 : 0);
+        }
+      }
+      this->Round();
+    }
+    std::vector<Session> sessions;
+    for (const auto& [session, start] : session_start) {
+      EXPECT_EQ(this->Slots("x", session) > 0, this->Slots("y", session) > 0)
+          << "session of daemon " << static_cast<std::uint64_t>(session.daemon);
+      sessions.push_back(session);
+    }
+    this->ExpectEachIsServedAlone(sessions);
+  }
+}
+
+// Guards against slots that pass between entries with a single server while a
+// request at another entry waits for one.
+TEST_F(AllowanceLenderTest, OneEntryWaits_TwoServersInAZone_GetsASlot) {
+  this->team.upper_limit = 64;
+  this->lender.SetTeams({this->team});
+  const std::vector<Session> sessions = this->StartEntries(5);
+  for (const std::uint32_t slots : {8U, 3U, 2U, 1U}) {
+    for (const char* server : {"x", "y"}) {
+      this->lender.SetServer({BackendServerName(server), this->pool,
+                              AvailabilityZone("x"), slots, true});
+    }
+    SCOPED_TRACE(std::to_string(slots) + " slots");
+    this->ExpectEachIsServedAlone(sessions);
+  }
+}
+
 // Guards against a lend that the ledger refuses because the return that frees
 // the units comes later in the same command. The waiting entry then got nothing
 // until the next planning, up to a second later.
