Keep refused exchanges out of the exchange client's ring

If the exchange client refused a request, the node thread of the job daemon pushed the result into the ring that only the client's thread may write, which loses or repeats results, and waited while the ring was full, though it is the only reader: the daemon did nothing any more. The node thread now keeps refused exchanges in a list of its own and handles them in its next turn.

The client's thread also waited for room when the node thread had ended: at a planned stop it reports the exchanges that it cancels. Closing the inbox drops these results. Both daemons use it.

--- a/src/mimosastage/base/ring.h
+++ b/src/mimosastage/base/ring.h
@@ -33,11 +33,22 @@
   /// Blocks while the ring is full, for items that must not be lost. To avoid a
   /// deadlock, the reading thread must never wait for the writing one.
   void PushOrWait(const T& item) {
+    this->PushUnless(item, [] { return false; });
+  }
+
+  /// Like PushOrWait, but drops the item and returns false if the ring is full
+  /// and `abandoned` returns true, because the reading thread has ended.
+  template <class Abandoned>
+  bool PushUnless(const T& item, Abandoned&& abandoned) {
     constexpr std::chrono::microseconds kRetryInterval{50};
     while (!this->items.push(item)) {
+      if (abandoned()) {
+        return false;
+      }
       std::this_thread::sleep_for(kRetryInterval);
     }
     this->wake();
+    return true;
   }
 
   /// Passes at most `limit` items to `consume`; returns the number of items.
--- a/src/mimosastage/node/daemon.cc
+++ b/src/mimosastage/node/daemon.cc
@@ -14,6 +14,7 @@
 #include "mimosastage/base/wake_signal.h"
 #include "mimosastage/daemons/links.h"
 #include "mimosastage/http/http_server.h"
+#include "mimosastage/node/exchange_inbox.h"
 #include "mimosastage/node/link_log.h"
 #include "mimosastage/node/node.h"
 #include "mimosastage/storage/data_folder.h"
@@ -103,7 +104,7 @@
   Ring<CallerEvent> from_callers{kRingCapacity, this->wake_node};
   Ring<HttpRequest> from_operators{kRingCapacity, this->wake_node};
   Ring<DaemonEvent> from_daemons{kRingCapacity, this->wake_node};
-  Ring<ExchangeResult> from_exchanges{kRingCapacity, this->wake_node};
+  ExchangeInbox from_exchanges{kRingCapacity, this->wake_node};
   Ring<OutgoingAnswer> to_callers{kRingCapacity,
                                   [this] { this->callers->Wake(); }};
   Ring<OutgoingAnswer> to_operators{kRingCapacity,
@@ -299,7 +300,7 @@
       this->settings.daemon + "-" + std::to_string(RandomNumber());
   ExchangeClient::Hooks client_hooks;
   client_hooks.on_result = [this](ExchangeResult&& result) {
-    this->from_exchanges.PushOrWait(result);
+    this->from_exchanges.Deliver(result);
   };
   this->exchanges = std::make_unique<ExchangeClient>(std::move(client),
                                                      std::move(client_hooks));
@@ -456,6 +457,7 @@
     this->exit_status.store(1);
   }
   this->FlushAnswers();
+  this->from_exchanges.Close();
   this->exchanges->Stop();
   this->callers->Stop();
   this->operators->Stop();
--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -14,6 +14,7 @@
 #include "mimosastage/base/daemon_id.h"
 #include "mimosastage/base/ring.h"
 #include "mimosastage/base/wake_signal.h"
+#include "mimosastage/node/exchange_inbox.h"
 #include "mimosastage/node/link_log.h"
 #include "mimosastage/storage/data_folder.h"
 #include "mimosastage/storage/storage_thread.h"
@@ -227,7 +228,7 @@
   std::function<void()> wake_node = [this] { this->wake.Notify(); };
   std::vector<std::unique_ptr<Listener>> listeners;
   Ring<DaemonEvent> from_daemons{kRingCapacity, this->wake_node};
-  Ring<ExchangeResult> from_exchanges{kRingCapacity, this->wake_node};
+  ExchangeInbox from_exchanges{kRingCapacity, this->wake_node};
   Ring<LinkOrder> to_daemons{kRingCapacity, [this] { this->links->Wake(); }};
   std::unique_ptr<DataFolder> folder;
   std::unique_ptr<StorageThread> storage;
@@ -500,7 +501,7 @@
   client.unacknowledged_timeout = std::chrono::milliseconds(1'000);
   ExchangeClient::Hooks hooks;
   hooks.on_result = [this](ExchangeResult&& result) {
-    this->from_exchanges.PushOrWait(result);
+    this->from_exchanges.Deliver(result);
   };
   this->exchanges =
       std::make_unique<ExchangeClient>(std::move(client), std::move(hooks));
@@ -584,10 +585,7 @@
   ++this->load.exchanges;
   if (!this->exchanges->Submit(std::move(request))) {
     this->metrics.Add(metrics::kDrops, "exchange_ring_full");
-    ExchangeResult result;
-    result.id = id;
-    result.end = AttemptEnd::kNotStarted;
-    this->from_exchanges.PushOrWait(result);
+    this->from_exchanges.AddRefused(id);
   }
 }
 
@@ -747,6 +745,7 @@
   // truncate the last ones.
   constexpr std::chrono::milliseconds kFlushTime{100};
   std::this_thread::sleep_for(kFlushTime);
+  this->from_exchanges.Close();
   if (this->exchanges != nullptr) {
     this->exchanges->Stop();
   }
