Don't wait for a storage thread that has ended

The storage thread ends at the first write or sync that fails. While a slow sync was about to fail the node thread could fill its ring; it then waited for room that nobody made, didn't see the failure, and the daemon did nothing any more. After a failure Write drops what doesn't fit: nothing more is written, and no ticket beyond the last sync is reported.

Write_DiskFailedAndRingFull_DoesNotBlock failed before, after 30 s.

--- a/src/mimosastage/storage/storage_thread.cc
+++ b/src/mimosastage/storage/storage_thread.cc
@@ -36,7 +36,7 @@
 }
 
 void StorageThread::Write(DurableWrite&& write) {
-  this->ring.PushOrWait(write);
+  this->ring.PushUnless(write, [this] { return this->failed.load(); });
 }
 
 void StorageThread::Run() {
@@ -54,17 +54,18 @@
 
 bool StorageThread::WriteBatch() {
   std::uint64_t last = 0;
-  bool failed = false;
+  bool write_failed = false;
   const std::size_t taken = this->ring.Drain(
       [&](DurableWrite&& write) {
         last = write.ticket;
-        failed = failed || !this->folder.Write(write).has_value();
+        write_failed = write_failed || !this->folder.Write(write).has_value();
       },
       kRingCapacity);
   if (taken == 0) {
     return true;
   }
-  if (failed || !this->folder.Sync().has_value()) {
+  if (write_failed || !this->folder.Sync().has_value()) {
+    this->failed.store(true);
     this->hooks.on_failed(this->folder.ErrorDetail());
     return false;
   }
--- a/src/mimosastage/storage/storage_thread.h
+++ b/src/mimosastage/storage/storage_thread.h
@@ -38,7 +38,8 @@
   void Stop();
 
   /// Queues a write; blocks while the ring is full, because a write must not be
-  /// lost. Must always be called from the same thread.
+  /// lost. After a failure, writes beyond the ring's capacity are dropped, as
+  /// nothing is written any more. Must always be called from the same thread.
   void Write(DurableWrite&& write);
 
   /// The highest ticket that is on disk together with all earlier ones; 0
@@ -57,6 +58,7 @@
   Ring<DurableWrite> ring;
   std::atomic<std::uint64_t> last_synced_ticket{0};
   std::atomic<bool> stopping{false};
+  std::atomic<bool> failed{false};
   std::thread thread;
 };
 
