--- a/tests/system/job_cluster_test.cc
+++ b/tests/system/job_cluster_test.cc
@@ -1,6 +1,8 @@
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <signal.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <array>
@@ -155,6 +157,32 @@
     ASSERT_TRUE(file.good()) << path;
   }
 
+  /// Makes each start of the daemon hang when it reads its data folder, until
+  /// ReleaseDataFolder.
+  void HangDataFolder(int daemon) {
+    const auto identity = this->IdentityFile(daemon);
+    std::filesystem::rename(identity, this->folder / "identity");
+    ASSERT_EQ(mkfifo(identity.c_str(), 0600), 0);
+  }
+
+  void ReleaseDataFolder(int daemon) {
+    std::ifstream kept(this->folder / "identity", std::ios::binary);
+    const std::string content((std::istreambuf_iterator<char>(kept)),
+                              std::istreambuf_iterator<char>());
+    int pipe = -1;
+    ASSERT_TRUE(Eventually([&] {
+      pipe = open(this->IdentityFile(daemon).c_str(), O_WRONLY | O_NONBLOCK);
+      return pipe >= 0;
+    })) << "the daemon doesn't read the folder";
+    EXPECT_EQ(write(pipe, content.data(), content.size()),
+              static_cast<ssize_t>(content.size()));
+    close(pipe);
+  }
+
+  std::filesystem::path IdentityFile(int daemon) const {
+    return this->folder / ("data-" + std::to_string(daemon)) / "identity";
+  }
+
   bool WaitForLog(int daemon, const std::string& text) {
     return Eventually([&] {
       std::ifstream log(this->folder / ("log-" + std::to_string(daemon)));
@@ -432,6 +460,44 @@
       [this] { return this->ConfigurationVersionAt(0) == "\"version\":5"; }));
 }
 
+// Guards against a daemon that doesn't serve while a disk hangs at its start.
+TEST_F(JobClusterTest, DiskHangsAtStart_VoterForwardsRequests_VotesLater) {
+  ASSERT_EQ(this->Configure(5), 200);
+  this->KillDaemon(0);
+  this->HangDataFolder(0);
+  this->StartDaemon(0, false);
+  ASSERT_TRUE(Eventually([this] {
+    return this->ConfigurationVersionAt(0) == "\"version\":5";
+  })) << "a voter without storage must forward requests";
+  this->ReleaseDataFolder(0);
+  ASSERT_TRUE(this->WaitForLog(0, "storage_opened"));
+  SleepFor(std::chrono::milliseconds(1'500));
+  this->KillDaemon(1);
+  EXPECT_TRUE(Eventually(
+      [this] { return this->ConfigurationVersionAt(0) == "\"version\":5"; }));
+}
+
+// Guards against a daemon that stops serving while a disk that failed hangs in
+// the attempt to open the data folder again.
+TEST_F(JobClusterTest, DiskHangsWhenReopened_VoterForwardsRequests) {
+  ASSERT_EQ(this->Configure(5), 200);
+  this->HangDataFolder(0);
+  const pid_t pid = this->daemons[0]->Pid();
+  rlimit no_writes{0, RLIM_INFINITY};
+  rlimit original{};
+  ASSERT_EQ(prlimit(pid, RLIMIT_FSIZE, &no_writes, &original), 0);
+  ASSERT_TRUE(this->Submit("job1"));
+  // The folder is opened again after 500 ms. The daemon can't write its log
+  // meanwhile.
+  SleepFor(std::chrono::milliseconds(1'500));
+  ASSERT_EQ(prlimit(pid, RLIMIT_FSIZE, &original, nullptr), 0);
+  ASSERT_TRUE(Eventually([this] {
+    return this->ConfigurationVersionAt(0) == "\"version\":5";
+  })) << "a voter without storage must forward requests";
+  this->ReleaseDataFolder(0);
+  EXPECT_TRUE(this->WaitForLog(0, "storage_opened"));
+}
+
 // Guards against a voter that forms a smaller group when its seeds name only
 // some of the voters.
 TEST_F(JobClusterTest, Restart_OtherSeeds_VotersStayTheSame) {
