--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <future>
 #include <map>
 #include <thread>
 #include <unordered_map>
@@ -64,6 +65,10 @@
 /// to be seen in the log.
 constexpr std::chrono::seconds kUnusableStorageReopenInterval{5};
 
+/// How long a start waits for the data folder before it goes on without it.
+/// Opening a folder takes some 10 ms unless the disk hangs.
+constexpr std::chrono::seconds kLongestStartWait{1};
+
 struct DaemonEvent {
   DaemonId peer{};
   /// Empty if the state of the link changed.
@@ -169,6 +174,11 @@
   std::map<std::string, std::size_t, std::less<>> dropped;
 };
 
+struct OpenedFolder {
+  std::unique_ptr<DataFolder> folder;
+  Result<DurableImage> image;
+};
+
 /// What the node thread did since `start`.
 struct NodeLoad {
   TimePoint start{};
@@ -191,20 +201,27 @@
 struct JobDaemon::Impl {
   Impl(Settings given, JobProtocol protocol)
       : settings(std::move(given)), protocol(std::move(protocol)) {}
+  ~Impl() { this->JoinOpener(); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
 
   std::string Start();
-  /// Returns an empty string, or a message with the failure and its remedy if
-  /// another process uses the folder. If the folder can't be used for another
-  /// reason, schedules another attempt and leaves `image` empty.
-  std::string OpenStorage(std::optional<DurableImage>& image);
-  /// Opens `folder`. Sets its files aside if they are damaged, so that the
-  /// voter recovers from the others.
-  Result<DurableImage> OpenOrSetAside();
+  /// Opens the data folder on a thread of its own, because a disk can hang for
+  /// seconds. Ends the storage thread that failed before.
+  void BeginOpeningStorage();
+  /// Runs on the thread that opens the folder.
+  OpenedFolder OpenFolder();
+  /// Starts the storage thread and sets `image`. If the folder can't be used,
+  /// schedules another attempt and leaves `image` empty. Returns an empty
+  /// string, or a message with the remedy if another process uses the folder.
+  std::string FinishOpeningStorage(std::optional<DurableImage>& image);
+  void JoinOpener();
   void CountStorageFailure(std::error_code error);
   /// Stops voting until the data folder can be opened again, because the
   /// content of the disk after a failed write is unknown.
   void HandleStorageFailure(TimePoint now);
-  void ReopenStorage(TimePoint now);
+  /// Begins to open the folder if that is due, and votes once it is open.
+  void AdvanceStorage(TimePoint now);
   void MakeListeners();
   void MakeLinks();
   void MakeExchanges();
@@ -242,8 +259,13 @@
   /// The voter's disk is empty, out of date or unusable. Its links dial all
   /// peers, because the others may not know this voter.
   bool lacks_durable_state = false;
-  /// Set while the data folder can't be used.
+  /// Set while the data folder can't be used and isn't being opened.
   std::optional<TimePoint> reopen_storage_at;
+  std::thread opener;
+  /// Valid while `opener` runs or its result isn't taken yet.
+  std::future<OpenedFolder> opening;
+  /// Ended by `opener`, because its last write may hang.
+  std::unique_ptr<StorageThread> failed_storage;
   std::atomic<bool> stop_requested{false};
   std::atomic<bool> storage_failed{false};
   std::atomic<int> exit_status{0};
@@ -252,8 +274,18 @@
 std::string JobDaemon::Impl::Start() {
   std::optional<DurableImage> image;
   if (this->settings.node.is_voter) {
-    if (std::string problem = this->OpenStorage(image); !problem.empty()) {
-      return problem;
+    this->BeginOpeningStorage();
+    if (this->opening.wait_for(kLongestStartWait) ==
+        std::future_status::ready) {
+      if (std::string problem = this->FinishOpeningStorage(image);
+          !problem.empty()) {
+        return problem;
+      }
+    } else {
+      LogEvent(LogSeverity::kError, kStorageRetried,
+               "the data folder isn't open yet; check whether the disk hangs")
+          .With("folder", this->settings.data_folder.string());
+      this->lacks_durable_state = true;
     }
   }
   this->MakeListeners();
@@ -283,32 +315,74 @@
   return {};
 }
 
-std::string JobDaemon::Impl::OpenStorage(std::optional<DurableImage>& image) {
+void JobDaemon::Impl::BeginOpeningStorage() {
+  std::promise<OpenedFolder> opened;
+  this->opening = opened.get_future();
+  this->opener = std::thread([this, opened = std::move(opened)]() mutable {
+    // The folder has one writer at a time.
+    this->failed_storage.reset();
+    this->folder.reset();
+    opened.set_value(this->OpenFolder());
+    this->wake.Notify();
+  });
+}
+
+OpenedFolder JobDaemon::Impl::OpenFolder() {
   const std::filesystem::path& path = this->settings.data_folder;
   const JobNode::Config& node_config = this->settings.node;
   if (this->settings.first_start &&
       node_config.founding_membership.Contains(node_config.self)) {
     // Fails if the folder has content, because it is formatted already.
-    const auto formatted = DataFolder::Format(path, this->settings.cluster,
-                                              this->settings.node.self);
+    const auto formatted =
+        DataFolder::Format(path, this->settings.cluster, node_config.self);
     if (!formatted.has_value()) {
       LogEvent(LogSeverity::kInfo, kDataFolderKept,
                "the data folder is already formatted")
           .With("reason", formatted.error());
     }
   }
-  auto opened = this->OpenOrSetAside();
-  if (!opened.has_value()) {
-    std::string problem =
-        opened.error().message() + ": " + this->folder->ErrorDetail();
-    if (opened.error() == StorageError::kAlreadyOpen) {
+  const auto make_folder = [&] {
+    return std::make_unique<DataFolder>(path, this->settings.cluster,
+                                        node_config.self);
+  };
+  auto folder = make_folder();
+  auto image = folder->Open();
+  if (image.has_value() || image.error() != StorageError::kDamaged) {
+    return {std::move(folder), std::move(image)};
+  }
+  this->CountStorageFailure(image.error());
+  LogEvent(LogSeverity::kError, kStorageSetAside,
+           "the damaged files are renamed to names with .damaged, and this "
+           "voter recovers from the other voters; check the disk: " +
+               folder->ErrorDetail())
+      .With("folder", path.string());
+  folder.reset();
+  folder = make_folder();
+  if (const auto done = folder->SetDamagedFilesAside(); done.has_error()) {
+    return {std::move(folder), done.error()};
+  }
+  folder.reset();
+  folder = make_folder();
+  image = folder->Open();
+  return {std::move(folder), std::move(image)};
+}
+
+std::string JobDaemon::Impl::FinishOpeningStorage(
+    std::optional<DurableImage>& image) {
+  OpenedFolder opened = this->opening.get();
+  this->JoinOpener();
+  this->folder = std::move(opened.folder);
+  if (opened.image.has_error()) {
+    const std::error_code error = opened.image.error();
+    std::string problem = error.message() + ": " + this->folder->ErrorDetail();
+    if (error == StorageError::kAlreadyOpen) {
       return problem;
     }
-    this->CountStorageFailure(opened.error());
-    const bool needs_operator = opened.error() != StorageError::kInputOutput;
+    this->CountStorageFailure(error);
+    const bool needs_operator = error != StorageError::kInputOutput;
     LogEvent(LogSeverity::kError,
              needs_operator ? kStorageUnusable : kStorageRetried, problem)
-        .With("folder", path.string());
+        .With("folder", this->settings.data_folder.string());
     this->lacks_durable_state = true;
     this->reopen_storage_at =
         LeaseClock::now() + (needs_operator ? kUnusableStorageReopenInterval
@@ -319,7 +393,7 @@
     LogEvent(LogSeverity::kWarning, events::kLogTruncated,
              this->folder->OpenReport());
   }
-  image = std::move(*opened);
+  image = std::move(*opened.image);
   this->lacks_durable_state = !image->intact;
   if (this->lacks_durable_state) {
     LogEvent(LogSeverity::kWarning, events::kRecoveryStarted,
@@ -335,36 +409,18 @@
     this->storage_failed.store(true);
     this->wake.Notify();
   };
+  // The thread that failed before may have reported it late.
+  this->storage_failed.store(false);
   this->storage =
       std::make_unique<StorageThread>(*this->folder, std::move(hooks));
   this->storage->Start();
   return {};
 }
 
-Result<DurableImage> JobDaemon::Impl::OpenOrSetAside() {
-  const auto make_folder = [this] {
-    this->folder = std::make_unique<DataFolder>(this->settings.data_folder,
-                                                this->settings.cluster,
-                                                this->settings.node.self);
-  };
-  make_folder();
-  auto opened = this->folder->Open();
-  if (opened.has_value() || opened.error() != StorageError::kDamaged) {
-    return opened;
+void JobDaemon::Impl::JoinOpener() {
+  if (this->opener.joinable()) {
+    this->opener.join();
   }
-  this->CountStorageFailure(opened.error());
-  LogEvent(LogSeverity::kError, kStorageSetAside,
-           "the damaged files are renamed to names with .damaged, and this "
-           "voter recovers from the other voters; check the disk: " +
-               this->folder->ErrorDetail())
-      .With("folder", this->settings.data_folder.string());
-  make_folder();
-  if (const auto done = this->folder->SetDamagedFilesAside();
-      done.has_error()) {
-    return done.error();
-  }
-  make_folder();
-  return this->folder->Open();
 }
 
 void JobDaemon::Impl::CountStorageFailure(std::error_code error) {
@@ -372,17 +428,28 @@
 }
 
 void JobDaemon::Impl::HandleStorageFailure(TimePoint now) {
+  if (this->storage == nullptr) {
+    return;
+  }
   this->node->StopVoting("the disk failed");
-  this->storage->Stop();
-  this->storage.reset();
+  this->failed_storage = std::move(this->storage);
   this->synced = 0;
   this->reopen_storage_at = now + kStorageReopenInterval;
 }
 
-void JobDaemon::Impl::ReopenStorage(TimePoint now) {
-  this->reopen_storage_at.reset();
+void JobDaemon::Impl::AdvanceStorage(TimePoint now) {
+  if (this->reopen_storage_at.has_value() && now >= *this->reopen_storage_at) {
+    this->reopen_storage_at.reset();
+    this->BeginOpeningStorage();
+  }
+  if (!this->opening.valid() ||
+      this->opening.wait_for(std::chrono::seconds::zero()) !=
+          std::future_status::ready) {
+    return;
+  }
   std::optional<DurableImage> image;
-  if (const std::string problem = this->OpenStorage(image); !problem.empty()) {
+  if (const std::string problem = this->FinishOpeningStorage(image);
+      !problem.empty()) {
     LogFailedExit("the data folder can't be opened again: " + problem, 1);
     this->exit_status.store(1);
   } else if (image.has_value()) {
@@ -662,10 +729,7 @@
     if (this->storage_failed.exchange(false)) {
       this->HandleStorageFailure(now);
     }
-    if (this->reopen_storage_at.has_value() &&
-        now >= *this->reopen_storage_at) {
-      this->ReopenStorage(now);
-    }
+    this->AdvanceStorage(now);
     if (this->exit_status.load() != 0) {
       return;
     }
@@ -753,6 +817,7 @@
     listener->server->Stop();
   }
   this->links->Stop();
+  this->JoinOpener();
   if (this->storage != nullptr) {
     this->storage->Stop();
   }
