--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -319,6 +319,7 @@
   std::promise<OpenedFolder> opened;
   this->opening = opened.get_future();
   this->opener = std::thread([this, opened = std::move(opened)]() mutable {
+    const ThreadDuty duty("storage opener");
     // The folder has one writer at a time.
     this->failed_storage.reset();
     this->folder.reset();
