Refuse requests that wait for their intent once the lease lapses

When the quorum was lost, a request on a route that isn't repeatable waited up to its deadline of 10 s and then got 504 deadline_passed, not_run. Callers took that for a slow backend server. The design promises 503 within the 2 s of the lease.

A lapsed lease was reported only to the requests in a queue. One that was admitted and waits until its IntentBegin is committed has left the queue, and its proposal is repeated until a quorum is back. The tracker refuses such a request with lease_lapsed if it is told, and ends the intent as not run if it is committed later, so the service now tells all requests once when the lease lapses. Requests with an attempt go on as before, because they may have run.

--- a/src/mimosastage/node/request_service.cc
+++ b/src/mimosastage/node/request_service.cc
@@ -274,6 +274,9 @@
 void RequestService::AdmitQueued(TimePoint now) {
   this->last_now = now;
   const bool serving = this->hooks.serving_until(now) > now;
+  if (std::exchange(this->was_serving, serving) && !serving) {
+    this->RefuseNotStarted(now);
+  }
   for (auto& [pool, state] : this->queues) {
     if (!serving && state.queue->waiting() > 0) {
       state.queue->RefuseAll(AdmissionError::kNotServing);
@@ -288,6 +291,17 @@
   }
 }
 
+void RequestService::RefuseNotStarted(TimePoint now) {
+  std::vector<std::uint64_t> ids;
+  ids.reserve(this->requests.size());
+  for (const auto& [id, open] : this->requests) {
+    ids.push_back(id);
+  }
+  for (const std::uint64_t id : ids) {
+    this->HandleEvent(id, LeaseLapsed{}, now);
+  }
+}
+
 bool RequestService::HasDeferredEvents() const {
   return !this->queue_refusals.empty() || !this->failed_exchanges.empty() ||
          !this->failed_intents.empty();
--- a/src/mimosastage/node/request_service.h
+++ b/src/mimosastage/node/request_service.h
@@ -160,6 +160,10 @@
   std::uint32_t HeldSlots(const PoolName& pool) const;
   void HandleQueueRefusals(TimePoint now);
   void HandleFailures(TimePoint now);
+  /// Refuses all requests without an attempt when the lease has lapsed. One
+  /// that waits for its intent isn't in a queue, and without a quorum the
+  /// intent isn't committed.
+  void RefuseNotStarted(TimePoint now);
   bool HasDeferredEvents() const;
   void AdmitQueuedOf(const PoolName& pool, PoolQueue& state, TimePoint now);
   void Admit(const QueuedRequest& queued, OpenRequest& open, TimePoint now);
@@ -191,6 +195,8 @@
   RetryBudget retry_budget;
   BackendServerPicker picker;
   bool accepting = true;
+  /// Whether this entry held a serving lease at the last AdmitQueued.
+  bool was_serving = false;
   std::uint64_t next_exchange = 1;
   TimePoint last_now{};
   std::map<PoolName, PoolQueue> queues;
--- a/tests/system/failover_test.cc
+++ b/tests/system/failover_test.cc
@@ -149,6 +149,29 @@
       [&] { return this->RequestWith(3, this->key).status == 200; }));
 }
 
+// Guards against a request that waits for its intent until its deadline of 10 s
+// although the entry's lease has lapsed, and gets a 504 that looks like a slow
+// backend server.
+TEST_F(FailoverTest, QuorumLost_IntentNotCommitted_IsRefusedOnceLeaseLapses) {
+  ASSERT_TRUE(Eventually(
+      [&] { return this->RequestWith(3, this->key, "before").status == 200; }));
+  this->cluster.Daemon(0).Signal(SIGSTOP);
+  this->cluster.Daemon(1).Signal(SIGSTOP);
+  const auto began = std::chrono::steady_clock::now();
+  const Reply reply = this->RequestWith(3, this->key, "during");
+  const auto took = std::chrono::steady_clock::now() - began;
+  EXPECT_EQ(reply.status, 503) << reply.body;
+  EXPECT_EQ(json::parse(reply.body)["reason"], "lease_lapsed");
+  EXPECT_EQ(json::parse(reply.body)["outcome"], "not_run");
+  // The lease lasts 2 s; the deadline of the route is 10 s.
+  EXPECT_LT(took, std::chrono::seconds(5));
+  this->cluster.Daemon(0).Signal(SIGCONT);
+  this->cluster.Daemon(1).Signal(SIGCONT);
+  EXPECT_TRUE(Eventually(
+      [&] { return this->RequestWith(3, this->key, "during").status == 200; }));
+  EXPECT_EQ(this->cluster.CountRuns("during"), 1);
+}
+
 // Guards against losing accepted changes when a voter loses its disk and
 // another voter fails right after the first has recovered.
 TEST_F(FailoverTest, DiskLost_SecondFailureAfterRepair_NothingIsLost) {
