Find the lender of a slot for an entry with one server in one pass

The search for an entry that can give up a slot read all entries and servers again for each entry with a single server, also if nobody could give one up. With many entries and few slots that work would grow with the square of the number of entries. The pass that counts the holdings now remembers for each server the entry that holds most of it.

--- a/src/mimosastage/admission/allowance_lender.cc
+++ b/src/mimosastage/admission/allowance_lender.cc
@@ -891,19 +891,29 @@
     std::size_t servers = 0;
     const SlotView* only = nullptr;
   };
+  struct Loans {
+    /// Recalled units that reachable entries haven't returned yet.
+    std::uint64_t returning = 0;
+    /// The entry that holds most units, and their number.
+    Entry* holder = nullptr;
+    std::uint32_t most = 0;
+  };
   std::map<Session, Holding> holdings;
-  // Recalled units of each server that reachable entries haven't returned yet.
-  std::vector<std::uint64_t> returning(slots.size());
+  std::vector<Loans> loans(slots.size());
   for (std::size_t i = 0; i < slots.size(); ++i) {
     const SlotView& view = slots[i];
     for (const auto& [session, totals] : *view.totals) {
-      const Entry& entry = this->FindOrAddEntry(session);
+      Entry& entry = this->FindOrAddEntry(session);
       const std::uint32_t units =
           UnrecalledUnits(*view.totals, view.resource, entry);
       if (!entry.MayBorrow()) {
         continue;
       }
-      returning[i] += totals.lent_total - totals.returned_total - units;
+      loans[i].returning += totals.lent_total - totals.returned_total - units;
+      if (units > loans[i].most) {
+        loans[i].holder = &entry;
+        loans[i].most = units;
+      }
       if (units > 0) {
         Holding& holding = holdings[session];
         holding.units += units;
@@ -932,7 +942,10 @@
       }
     }
     const auto has_free = [&](std::size_t i) { return slots[i].free > 0; };
-    const auto has_returning = [&](std::size_t i) { return returning[i] > 0; };
+    const auto has_returning = [&](std::size_t i) {
+      return loans[i].returning > 0;
+    };
+    const auto has_several = [&](std::size_t i) { return loans[i].most > 1; };
     if (const auto found = std::find_if(others.begin(), others.end(), has_free);
         found != others.end()) {
       Lend(plan, slots[*found].resource, session, 1);
@@ -942,34 +955,21 @@
     } else if (const auto coming =
                    std::find_if(others.begin(), others.end(), has_returning);
                coming != others.end()) {
-      --returning[*coming];
+      --loans[*coming].returning;
     } else if (recalled) {
       this->SchedulePool(name, false);
-    } else {
-      recalled = std::any_of(others.begin(), others.end(), [&](std::size_t i) {
-        return this->RecallForSpread(plan, slots[i], allocations);
-      });
-    }
-  }
-}
-
-bool AllowanceLender::RecallForSpread(Plan& plan, const SlotView& view,
-                                      std::vector<Allocation>& allocations) {
-  Allocation* donor = nullptr;
-  std::uint32_t most = 1;
-  for (Allocation& allocation : allocations) {
-    const std::uint32_t units =
-        UnrecalledUnits(*view.totals, view.resource, *allocation.entry);
-    if (units > most) {
-      most = units;
-      donor = &allocation;
+    } else if (const auto donated =
+                   std::find_if(others.begin(), others.end(), has_several);
+               donated != others.end()) {
+      Entry* const holder = loans[*donated].holder;
+      const std::uint32_t units =
+          this->Recall(plan, slots[*donated].resource, *holder, 1);
+      for (Allocation& allocation : allocations) {
+        allocation.held -= allocation.entry == holder ? units : 0;
+      }
+      recalled = true;
     }
   }
-  if (donor == nullptr) {
-    return false;
-  }
-  donor->held -= this->Recall(plan, view.resource, *donor->entry, 1);
-  return true;
 }
 
 void AllowanceLender::SetPoolTargets(Plan& plan, const PoolName& name,
--- a/src/mimosastage/admission/allowance_lender.h
+++ b/src/mimosastage/admission/allowance_lender.h
@@ -253,10 +253,6 @@
   void SpreadSlots(Plan& plan, const PoolName& name,
                    std::vector<SlotView>& slots,
                    std::vector<Allocation>& allocations);
-  /// Recalls one slot of the server from the entry that holds most of them, so
-  /// that it can be lent to another. False if no entry holds two or more.
-  bool RecallForSpread(Plan& plan, const SlotView& view,
-                       std::vector<Allocation>& allocations);
   void SetPoolTargets(Plan& plan, const PoolName& name, PoolState& pool,
                       double capacity, std::vector<Allocation>& allocations);
   void AllocateTeamSlots(Plan& plan, const PoolName& pool, const TeamName& name,
