--- a/src/mimosastage/jobs/order_carriers.cc
+++ b/src/mimosastage/jobs/order_carriers.cc
@@ -67,9 +67,10 @@
       late.push_back(order.number);
       continue;
     }
-    const DaemonId carrier = EncodedSize(order) > this->config.max_order_bytes
-                                 ? this->self
-                                 : this->ChooseCarrier(order.worker, usable);
+    const DaemonId carrier =
+        EncodedSize(order) > this->config.max_order_bytes
+            ? this->self
+            : this->ChooseCarrier(order.worker, usable, now);
     InHand entry{carrier, order.worker, TimePoint::max()};
     if (carrier != this->self) {
       entry.give_up_at =
@@ -117,8 +118,9 @@
   return usable.empty() ? in_touch : usable;
 }
 
-DaemonId OrderCarriers::ChooseCarrier(
-    const std::string& worker, const std::vector<DaemonId>& usable) const {
+DaemonId OrderCarriers::ChooseCarrier(const std::string& worker,
+                                      const std::vector<DaemonId>& usable,
+                                      TimePoint now) {
   if (usable.empty()) {
     return this->self;
   }
@@ -131,10 +133,15 @@
   }
   std::sort(ranking.rbegin(), ranking.rend());
   const auto moved = this->moved_workers.find(worker);
+  if (moved == this->moved_workers.end()) {
+    return ranking.front().second;
+  }
+  if (now - moved->second.last >= this->config.move_time) {
+    this->moved_workers.erase(moved);
+    return ranking.front().second;
+  }
   // The leader itself is the last of the ranking.
-  const std::size_t place = moved == this->moved_workers.end()
-                                ? 0
-                                : moved->second % (ranking.size() + 1);
+  const std::size_t place = moved->second.times % (ranking.size() + 1);
   return place < ranking.size() ? ranking[place].second : this->self;
 }
 
@@ -250,18 +257,22 @@
   const InHand entry = std::move(found->second);
   this->in_hand.erase(found);
   this->give_up.erase({entry.give_up_at, reply.number});
-  if (FailedOnTheWay(reply.result)) {
-    this->MoveWorker(entry.worker);
+  const bool carrier_is_gone =
+      entry.carrier != this->self && !this->carriers.contains(entry.carrier);
+  if (FailedOnTheWay(reply.result) && !carrier_is_gone) {
+    this->MoveWorker(entry.worker, now);
   }
   this->hooks.on_reply(reply, now);
 }
 
-void OrderCarriers::MoveWorker(const std::string& worker) {
+void OrderCarriers::MoveWorker(const std::string& worker, TimePoint now) {
   if (this->moved_workers.size() >= this->config.max_moved_workers &&
       !this->moved_workers.contains(worker)) {
     this->moved_workers.clear();
   }
-  ++this->moved_workers[worker];
+  Moved& moved = this->moved_workers[worker];
+  ++moved.times;
+  moved.last = now;
 }
 
 void OrderCarriers::Avoid(DaemonId carrier, const char* reason, TimePoint now) {
--- a/src/mimosastage/jobs/order_carriers.h
+++ b/src/mimosastage/jobs/order_carriers.h
@@ -55,6 +55,10 @@
     /// Limits of one batch. Links take messages of 1 MiB.
     std::size_t max_batch_bytes = 256U << 10U;
     std::size_t max_batch_orders = 256;
+    /// A worker goes back to its first carrier this long after an order to it
+    /// failed on the way. A cut between instances lasts for some seconds, and
+    /// the leader must not keep the workers of which it carries the orders.
+    std::chrono::milliseconds move_time{10'000};
     /// Workers whose carrier was changed after failures and is remembered.
     std::size_t max_moved_workers = 4'096;
   };
@@ -111,12 +115,12 @@
   /// Returns the voters that should carry orders now.
   std::vector<DaemonId> UsableCarriers(TimePoint now) const;
   DaemonId ChooseCarrier(const std::string& worker,
-                         const std::vector<DaemonId>& usable) const;
+                         const std::vector<DaemonId>& usable, TimePoint now);
   void SendBatches(DaemonId to, std::vector<WorkerOrder> orders);
-  /// Ends orders with a result that no worker gave.
+  /// Ends orders without a result as unanswered.
   void EndWithout(const std::vector<std::uint64_t>& numbers, TimePoint now);
   void Finish(const WorkerReply& reply, TimePoint now);
-  void MoveWorker(const std::string& worker);
+  void MoveWorker(const std::string& worker, TimePoint now);
   void Avoid(DaemonId carrier, const char* reason, TimePoint now);
 
   Config config;
@@ -137,8 +141,12 @@
   std::unordered_map<std::uint64_t, InHand> in_hand;
   /// The orders in hand of other carriers, by when they are given up.
   std::set<std::pair<TimePoint, std::uint64_t>> give_up;
-  /// How often the carrier of a worker was changed after a failed order.
-  std::unordered_map<std::string, std::size_t> moved_workers;
+  struct Moved {
+    /// How often the carrier was changed.
+    std::size_t times = 0;
+    TimePoint last{};
+  };
+  std::unordered_map<std::string, Moved> moved_workers;
 };
 
 }  // namespace mimosastage::jobs
--- a/tests/jobs/order_carriers_test.cc
+++ b/tests/jobs/order_carriers_test.cc
@@ -343,6 +343,30 @@
   EXPECT_EQ(this->CarrierOf(this->Order()), kSelf);
 }
 
+// Guards against a leader that gathers the workers to which an order has once
+// failed.
+TEST_F(OrderCarriersTest, OrderFailedLongAgo_WorkerIsBackAtItsCarrier) {
+  this->BeginTerm({this->a, this->b});
+  const std::uint64_t number = this->Order();
+  const DaemonId first = this->CarrierOf(number);
+  this->Reply(first, number, OrderResult::kUnanswered);
+  EXPECT_NE(this->CarrierOf(this->Order()), first);
+  this->Wait(seconds(11), {this->a, this->b});
+  EXPECT_EQ(this->CarrierOf(this->Order()), first);
+}
+
+// Guards against workers that change their carrier, and their connection, twice
+// because another voter was gone for a moment.
+TEST_F(OrderCarriersTest, CarrierWasGone_ItsWorkersAreBackAtIt) {
+  this->BeginTerm({this->a, this->b});
+  const std::uint64_t number = this->Order();
+  const DaemonId first = this->CarrierOf(number);
+  this->carriers->OnLinkDown(first, this->now);
+  EXPECT_NE(this->CarrierOf(this->Order()), first);
+  this->NoticesOf({this->a, this->b});
+  EXPECT_EQ(this->CarrierOf(this->Order()), first);
+}
+
 // Guards against orders that a leader sends after it was frozen or without
 // authority, when another may lead.
 TEST_F(OrderCarriersTest, OrderWaitsTooLong_NeverLeaves_IsNotStarted) {
