Keep a link open while one message longer than its limit waits

A link was closed if any message followed one of more than 4 MiB before that was written: max_queued_bytes stayed at 4 MiB when messages of up to 16 MiB were allowed, and the longer message alone exceeded it. The peer then needs the long message again after the reconnect, with the same end. A leader sends heartbeats and batches of orders every few milliseconds, and an entry goes to all voters at once, so it loses all its links together.

The longest queued frame no longer counts toward the limit. What a link may hold grows from 4 MiB and one message to 4 MiB and two messages.

--- a/src/mimosastage/daemons/internal/link.cc
+++ b/src/mimosastage/daemons/internal/link.cc
@@ -248,7 +248,7 @@
 // instead; the peer gets what it missed after the reconnect.
 void Link::CloseIfQueueFull() {
   if (this->queue.size() < this->settings.max_queued_frames &&
-      this->queued_bytes <= this->settings.max_queued_bytes) {
+      !this->HasTooManyQueuedBytes()) {
     return;
   }
   this->hooks.on_drop("peer_too_slow");
@@ -256,6 +256,18 @@
              [self = this->shared_from_this()] { self->Close(); });
 }
 
+// The longest frame isn't counted. A message may be longer than the limit, and
+// would otherwise close the link as soon as another one follows.
+bool Link::HasTooManyQueuedBytes() const {
+  if (this->queued_bytes <= this->settings.max_queued_bytes) {
+    return false;
+  }
+  const auto longest = std::max_element(
+      this->queue.begin(), this->queue.end(),
+      [](const auto& a, const auto& b) { return a.size() < b.size(); });
+  return this->queued_bytes - longest->size() > this->settings.max_queued_bytes;
+}
+
 void Link::WriteNext() {
   if (this->writing || this->queue.empty() || this->closed) {
     return;
--- a/src/mimosastage/daemons/internal/link.h
+++ b/src/mimosastage/daemons/internal/link.h
@@ -68,6 +68,7 @@
   bool OnMessageFrame();
   void Enqueue(std::string frame);
   void CloseIfQueueFull();
+  bool HasTooManyQueuedBytes() const;
   void WriteNext();
   void OnHeartbeatTimer();
 
--- a/src/mimosastage/daemons/links.h
+++ b/src/mimosastage/daemons/links.h
@@ -59,8 +59,9 @@
     std::chrono::milliseconds min_reconnect_delay{50};
     std::chrono::milliseconds max_reconnect_delay{2'000};
     std::size_t max_queued_frames = 1'024;
-    /// A link that has more bytes queued than this is closed at the next
-    /// message. One message more than this may be queued.
+    /// A link that has more bytes queued than this, not counting its longest
+    /// message, is closed at the next message. Two messages more than this may
+    /// be queued.
     std::size_t max_queued_bytes = 4U << 20U;
     std::uint64_t seed = 0;
     /// Accepts connections of daemons that send kAnonymousDaemon.
--- a/tests/daemons/links_test.cc
+++ b/tests/daemons/links_test.cc
@@ -218,6 +218,31 @@
   EXPECT_EQ(low.received, sent);
 }
 
+// Guards against a link that is closed because a message of the largest size
+// still waits when the next one is sent. The peer would receive it again after
+// the reconnect, and the link would be closed again.
+TEST_F(LinksTest, Links_LargestMessageBeforeOthers_AllArriveOnOneLink) {
+  TestPeer low(SettingsFor(0, 1, 0));
+  const auto port = low.links.Start();
+  ASSERT_TRUE(port.has_value());
+  TestPeer high(SettingsFor(1, 0, *port));
+  ASSERT_TRUE(high.links.Start().has_value());
+  ASSERT_TRUE(high.WaitFor([&] { return high.up; }));
+  ASSERT_TRUE(low.WaitFor([&] { return low.up; }));
+  std::vector<std::string> sent{"before",
+                                std::string(Links::kMaxMessageBytes, 'x')};
+  for (int i = 0; i < 100; ++i) {
+    sent.push_back(std::to_string(i));
+  }
+  for (const std::string& message : sent) {
+    high.QueueMessage(DaemonId{0}, message);
+  }
+  EXPECT_TRUE(low.WaitFor([&] { return low.received.size() >= sent.size(); }));
+  EXPECT_TRUE(low.received == sent);
+  EXPECT_EQ(high.drop_counts["peer_too_slow"], 0);
+  EXPECT_EQ(high.up_count, 1);
+}
+
 // Guards against messages from a sender that doesn't know the link key.
 TEST_F(LinksTest, Links_PeerHasWrongKey_NeverComesUp) {
   TestPeer low(SettingsFor(0, 1, 0));
