Send calls again when the same daemon leads a later view

A call that a daemon had sent to the leader waited for its deadline and ended as unknown if the leader's term ended and the same daemon led the next one, as the only voter of a group always does. The ended term forgets its calls, and the other daemons sent a call again only if another daemon led.

A daemon that leads in a later view now gets the calls again that were sent to it before. This is as safe as sending them to another leader: a link delivers in order, so no answer of the former term follows the notice of the next one.

--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -284,12 +284,19 @@
       (this->leader.has_value() && notice.view < this->leader->view)) {
     return;
   }
-  const bool changed =
-      !this->leader.has_value() || this->leader->daemon != daemon;
+  const bool changed = !this->leader.has_value() ||
+                       this->leader->daemon != daemon ||
+                       this->leader->view != notice.view;
   this->leader = KnownLeader{daemon, notice.view, notice.serving, now};
   if (changed) {
     this->hooks.report("leader_changed", DaemonIdText(daemon),
                        "view " + std::to_string(notice.view));
+    // A daemon that leads again has lost the calls of its former term.
+    for (auto& [number, call] : this->calls) {
+      if (call.sent_to == daemon) {
+        call.sent_to.reset();
+      }
+    }
     this->SendCalls(now);
   }
   this->LearnMembers(notice, now);
