--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -115,7 +115,7 @@
 
 std::uint64_t RandomNumber() {
   std::uint64_t number = 0;
-  if (RAND_bytes(reinterpret_cast<unsigned char *>(&number), sizeof(number)) !=
+  if (RAND_bytes(reinterpret_cast<unsigned char*>(&number), sizeof(number)) !=
       1) {
     std::abort();
   }
@@ -124,7 +124,7 @@
 
 /// An HTTP server and the rings between its thread and the node's.
 struct Listener {
-  explicit Listener(const std::function<void()> &wake_node)
+  explicit Listener(const std::function<void()>& wake_node)
       : requests(kRingCapacity, wake_node),
         answers(kRingCapacity, [this] { this->server->Wake(); }) {}
 
@@ -135,15 +135,15 @@
 
 /// Limits the log lines of JobNode.
 class LogRateLimiter {
-public:
-  bool Allow(const char *event, TimePoint now) {
+ public:
+  bool Allow(const char* event, TimePoint now) {
     if (now - this->window_start >= std::chrono::seconds(1)) {
       this->ReportDropped();
       this->window_start = now;
       this->written = 0;
       this->written_of_event.clear();
     }
-    std::size_t &of_event = this->written_of_event[event];
+    std::size_t& of_event = this->written_of_event[event];
     if (this->written >= kMaxLogLinesPerSecond ||
         of_event >= kMaxLogLinesPerEventAndSecond) {
       ++this->dropped[event];
@@ -154,9 +154,9 @@
     return true;
   }
 
-private:
+ private:
   void ReportDropped() {
-    for (const auto &[event, lines] : this->dropped) {
+    for (const auto& [event, lines] : this->dropped) {
       LogEvent(LogSeverity::kWarning, kLogLinesDropped,
                "log lines were dropped by the rate limit")
           .With("of_event", event)
@@ -193,14 +193,14 @@
   std::uint64_t new_connections = 0;
 };
 
-} // namespace
+}  // namespace
 
 struct JobDaemon::Impl {
   Impl(Settings given, JobProtocol protocol)
       : settings(std::move(given)), protocol(std::move(protocol)) {}
   ~Impl() { this->JoinOpener(); }
-  Impl(const Impl &) = delete;
-  Impl &operator=(const Impl &) = delete;
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
 
   std::string Start();
   /// Opens the data folder on a thread of its own, because a disk can hang for
@@ -211,7 +211,7 @@
   /// Starts the storage thread and sets `image`. If the folder can't be used,
   /// schedules another attempt and leaves `image` empty. Returns an empty
   /// string, or a message with the remedy if another process uses the folder.
-  std::string FinishOpeningStorage(std::optional<DurableImage> &image);
+  std::string FinishOpeningStorage(std::optional<DurableImage>& image);
   void JoinOpener();
   void CountStorageFailure(std::error_code error);
   /// Stops voting until the data folder can be opened again, because the
@@ -225,12 +225,12 @@
   void MakeNode();
   void RunNode();
   bool DrainRings();
-  void OnRequest(std::uint64_t id, HttpRequest &&request, TimePoint now);
-  void OnExchange(ExchangeResult &&result, TimePoint now);
-  void SendExchange(ExchangeRequest &&request);
+  void OnRequest(std::uint64_t id, HttpRequest&& request, TimePoint now);
+  void OnExchange(ExchangeResult&& result, TimePoint now);
+  void SendExchange(ExchangeRequest&& request);
   /// Logs the node thread's load once per interval, unless it was idle.
   void ReportLoad(TimePoint now);
-  void AnswerHttp(std::uint64_t id, HttpAnswer &&answer);
+  void AnswerHttp(std::uint64_t id, HttpAnswer&& answer);
   void StopThreads();
 
   Settings settings;
@@ -299,7 +299,7 @@
   }
   for (std::size_t i = 0; i < this->listeners.size(); ++i) {
     if (auto port = this->listeners[i]->server->Start(); !port.has_value()) {
-      const ListenAddress &at = this->settings.listeners[i];
+      const ListenAddress& at = this->settings.listeners[i];
       return "can't listen on " + at.address + ":" + std::to_string(at.port) +
              ": " + port.error().message() +
              "; choose a free address in the settings";
@@ -322,8 +322,8 @@
 }
 
 OpenedFolder JobDaemon::Impl::OpenFolder() {
-  const std::filesystem::path &path = this->settings.data_folder;
-  const JobNode::Config &node_config = this->settings.node;
+  const std::filesystem::path& path = this->settings.data_folder;
+  const JobNode::Config& node_config = this->settings.node;
   if (this->settings.first_start &&
       node_config.founding_membership.Contains(node_config.self)) {
     // Fails if the folder has content, because it is formatted already.
@@ -361,8 +361,8 @@
   return {std::move(folder), std::move(image)};
 }
 
-std::string
-JobDaemon::Impl::FinishOpeningStorage(std::optional<DurableImage> &image) {
+std::string JobDaemon::Impl::FinishOpeningStorage(
+    std::optional<DurableImage>& image) {
   OpenedFolder opened = this->opening.get();
   this->JoinOpener();
   this->folder = std::move(opened.folder);
@@ -396,7 +396,7 @@
   }
   StorageThread::Hooks hooks;
   hooks.on_synced = this->wake_node;
-  hooks.on_failed = [this](const std::string &detail) {
+  hooks.on_failed = [this](const std::string& detail) {
     LogEvent(LogSeverity::kError, events::kStorageFailed, detail)
         .With("folder", this->settings.data_folder.string());
     this->CountStorageFailure(StorageError::kInputOutput);
@@ -465,9 +465,9 @@
     // Largest announcement of a worker: 4 MiB.
     server.max_body_bytes = 4U << 20U;
     HttpServer::Hooks hooks;
-    Listener *const self = listener.get();
+    Listener* const self = listener.get();
     const std::uint64_t base = static_cast<std::uint64_t>(i) << kListenerShift;
-    hooks.on_request = [this, self, base](HttpRequest &&request) {
+    hooks.on_request = [this, self, base](HttpRequest&& request) {
       const std::uint64_t id = request.id;
       request.id |= base;
       if (!self->requests.Push(HttpEvent{std::move(request), false})) {
@@ -488,7 +488,7 @@
     };
     hooks.on_wake = [self] {
       self->answers.Drain(
-          [self](OutgoingAnswer &&out) {
+          [self](OutgoingAnswer&& out) {
             self->server->Answer(out.request, std::move(out.answer));
           },
           kRingCapacity);
@@ -515,7 +515,7 @@
   link_settings.heartbeat = std::chrono::milliseconds(400);
   link_settings.max_reconnect_delay = std::chrono::milliseconds(500);
   Links::Hooks hooks;
-  hooks.on_message = [this](DaemonId from, std::string &&message) {
+  hooks.on_message = [this](DaemonId from, std::string&& message) {
     if (!this->from_daemons.Push(DaemonEvent{from, std::move(message), true})) {
       this->metrics.Add(metrics::kDrops, "daemon_message_ring_full");
     }
@@ -533,17 +533,17 @@
     this->metrics.Add(metrics::kLinkBytes, "sent", sent);
     this->metrics.Add(metrics::kLinkBytes, "received", received);
   };
-  hooks.on_id_conflict = [this](const DaemonIdConflict &conflict) {
+  hooks.on_id_conflict = [this](const DaemonIdConflict& conflict) {
     this->link_log.OnIdConflict(conflict);
   };
   hooks.on_wake = [this] {
     this->link_log.WriteSummaries(LeaseClock::now());
     this->to_daemons.Drain(
-        [this](LinkOrder &&order) {
-          if (auto *out = std::get_if<OutgoingMessage>(&order);
+        [this](LinkOrder&& order) {
+          if (auto* out = std::get_if<OutgoingMessage>(&order);
               out != nullptr) {
             this->links->Send(out->to, std::move(out->message));
-          } else if (auto *change = std::get_if<PeerChange>(&order);
+          } else if (auto* change = std::get_if<PeerChange>(&order);
                      change != nullptr) {
             this->links->SetPeers(std::move(change->peers), change->dial_all);
           }
@@ -561,7 +561,7 @@
   client.connect_timeout = std::chrono::milliseconds(400);
   client.unacknowledged_timeout = std::chrono::milliseconds(1'000);
   ExchangeClient::Hooks hooks;
-  hooks.on_result = [this](ExchangeResult &&result) {
+  hooks.on_result = [this](ExchangeResult&& result) {
     this->from_exchanges.PushOrWait(result);
   };
   this->exchanges =
@@ -581,14 +581,14 @@
   hooks.persist = [this](DurableWrite write) {
     this->storage->Write(std::move(write));
   };
-  hooks.on_members = [this](const Membership &members, bool member) {
+  hooks.on_members = [this](const Membership& members, bool member) {
     PeerChange change;
     change.dial_all = !member;
     change.peers = this->settings.peers;
-    for (const Member &other : members.slots) {
+    for (const Member& other : members.slots) {
       const bool listed = std::any_of(
           change.peers.begin(), change.peers.end(),
-          [&](const LinkAddress &peer) { return peer.daemon == other.daemon; });
+          [&](const LinkAddress& peer) { return peer.daemon == other.daemon; });
       if (other.daemon != kNoVoter && !listed &&
           other.daemon != this->settings.node.self) {
         change.peers.push_back(
@@ -597,47 +597,47 @@
     }
     this->to_daemons.PushOrWait(LinkOrder(std::move(change)));
   };
-  hooks.send_order = [this](const jobs::WorkerOrder &order) {
+  hooks.send_order = [this](const jobs::WorkerOrder& order) {
     this->SendExchange(this->protocol.encode_order(order));
   };
-  hooks.send_instance_request = [this](const jobs::InstanceRequest &request) {
+  hooks.send_instance_request = [this](const jobs::InstanceRequest& request) {
     ExchangeRequest exchange = this->protocol.encode_instance_request(request);
     exchange.id |= kInstanceRequestBit;
     ++this->load.instance_requests;
     this->SendExchange(std::move(exchange));
   };
-  hooks.ask_advice = [this](const jobs::AdviceRequest &request) {
+  hooks.ask_advice = [this](const jobs::AdviceRequest& request) {
     ExchangeRequest exchange = this->protocol.encode_advice_request(request);
     exchange.id |= kAdviceRequestBit;
     this->SendExchange(std::move(exchange));
   };
   hooks.answer = [this](std::uint64_t request, jobs::CallKind kind,
-                        const jobs::Answer &answer) {
+                        const jobs::Answer& answer) {
     this->AnswerHttp(request, this->protocol.encode_answer(kind, answer));
   };
   hooks.wall_time = [] {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
         std::chrono::system_clock::now().time_since_epoch());
   };
-  hooks.report = [this](const char *event, const std::string &id,
-                        const std::string &detail) {
+  hooks.report = [this](const char* event, const std::string& id,
+                        const std::string& detail) {
     if (this->log_limiter.Allow(event, LeaseClock::now())) {
       LogEvent(LogSeverity::kInfo, EventName{event}, detail).With("id", id);
     }
   };
-  hooks.count_refusal = [this](const char *reason) {
+  hooks.count_refusal = [this](const char* reason) {
     this->metrics.Add(metrics::kRefusals, reason);
   };
-  hooks.count_retry = [this](const char *reason) {
+  hooks.count_retry = [this](const char* reason) {
     this->metrics.Add(metrics::kRetries, reason);
   };
-  hooks.count_drop = [this](const char *reason) {
+  hooks.count_drop = [this](const char* reason) {
     this->metrics.Add(metrics::kDrops, reason);
   };
   this->node = std::make_unique<JobNode>(std::move(config), std::move(hooks));
 }
 
-void JobDaemon::Impl::SendExchange(ExchangeRequest &&request) {
+void JobDaemon::Impl::SendExchange(ExchangeRequest&& request) {
   const std::uint64_t id = request.id;
   request.start_before = LeaseClock::now() + kOrderSendTimeout;
   ++this->load.exchanges;
@@ -650,21 +650,21 @@
   }
 }
 
-void JobDaemon::Impl::AnswerHttp(std::uint64_t id, HttpAnswer &&answer) {
-  Listener &listener = *this->listeners[id >> kListenerShift];
+void JobDaemon::Impl::AnswerHttp(std::uint64_t id, HttpAnswer&& answer) {
+  Listener& listener = *this->listeners[id >> kListenerShift];
   answer.close = answer.close || this->node->ShuttingDown();
   this->metrics.Add(metrics::kRequests, std::to_string(answer.status));
   listener.answers.PushOrWait(
       OutgoingAnswer{id & ((1ULL << kListenerShift) - 1), std::move(answer)});
 }
 
-void JobDaemon::Impl::OnRequest(std::uint64_t id, HttpRequest &&request,
+void JobDaemon::Impl::OnRequest(std::uint64_t id, HttpRequest&& request,
                                 TimePoint now) {
   DecodedRequest decoded =
       this->protocol.decode_request(request, id >> kListenerShift);
-  if (auto *call = std::get_if<IncomingCall>(&decoded); call != nullptr) {
+  if (auto* call = std::get_if<IncomingCall>(&decoded); call != nullptr) {
     this->node->OnCall(id, std::move(call->call), call->patience, now);
-  } else if (auto *answer = std::get_if<HttpAnswer>(&decoded);
+  } else if (auto* answer = std::get_if<HttpAnswer>(&decoded);
              answer != nullptr) {
     this->AnswerHttp(id, std::move(*answer));
   } else if (std::holds_alternative<MetricsRequest>(decoded)) {
@@ -679,7 +679,7 @@
   }
 }
 
-void JobDaemon::Impl::OnExchange(ExchangeResult &&result, TimePoint now) {
+void JobDaemon::Impl::OnExchange(ExchangeResult&& result, TimePoint now) {
   ++this->load.answers;
   this->load.not_started += result.end == AttemptEnd::kNotStarted ? 1 : 0;
   this->load.new_connections += result.reused_connection ? 0 : 1;
@@ -770,7 +770,7 @@
     }
   }
   taken += this->from_daemons.Drain(
-      [&](DaemonEvent &&event) {
+      [&](DaemonEvent&& event) {
         if (event.message.has_value()) {
           this->node->OnMessage(event.peer, *event.message, LeaseClock::now());
         } else {
@@ -779,13 +779,13 @@
       },
       kMaxEventsPerDrain);
   taken += this->from_exchanges.Drain(
-      [&](ExchangeResult &&result) {
+      [&](ExchangeResult&& result) {
         this->OnExchange(std::move(result), LeaseClock::now());
       },
       kMaxEventsPerDrain);
-  for (const auto &listener : this->listeners) {
+  for (const auto& listener : this->listeners) {
     taken += listener->requests.Drain(
-        [&](HttpEvent &&event) {
+        [&](HttpEvent&& event) {
           const std::uint64_t id = event.request.id;
           if (event.disconnected) {
             this->node->OnDisconnect(id);
@@ -806,7 +806,7 @@
   if (this->exchanges != nullptr) {
     this->exchanges->Stop();
   }
-  for (const auto &listener : this->listeners) {
+  for (const auto& listener : this->listeners) {
     listener->server->Stop();
   }
   this->links->Stop();
@@ -840,4 +840,4 @@
   return this->impl->exit_status.load();
 }
 
-} // namespace mimosastage
+}  // namespace mimosastage
