Refuse a write to storage instead of waiting for a hanging disk

StorageThread::Write waited without a bound while its ring of 1,024 writes was full, on the thread that sends heartbeats and passes calls on. A replica keeps one write outstanding, so the ring doesn't fill today; the wait depended on that alone.

Write now returns false at once. The daemon logs storage_failed, counts mimosastage_storage_failures_total{reason="ring_full"} and stops voting as after a failed write; mimosastaged exits with 1 as after one.

--- a/src/mimosastage/node/daemon.cc
+++ b/src/mimosastage/node/daemon.cc
@@ -314,7 +314,13 @@
     }
   };
   node_hooks.persist = [this](DurableWrite&& write) {
-    this->storage->Write(std::move(write));
+    if (!this->storage->Write(std::move(write))) {
+      LogEvent(LogSeverity::kError, events::kStorageFailed,
+               "too many writes wait for the disk; check whether it hangs")
+          .With("folder", this->settings.data_dir);
+      this->metrics.Add(metrics::kStorageFailures, "ring_full");
+      this->storage_failed.store(true);
+    }
   };
   node_hooks.start_exchange = [this](ExchangeRequest&& request) {
     return this->exchanges->Submit(std::move(request));
--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -579,7 +579,13 @@
     }
   };
   hooks.persist = [this](DurableWrite write) {
-    this->storage->Write(std::move(write));
+    if (!this->storage->Write(std::move(write))) {
+      LogEvent(LogSeverity::kError, events::kStorageFailed,
+               "too many writes wait for the disk; check whether it hangs")
+          .With("folder", this->settings.data_folder.string());
+      this->metrics.Add(metrics::kStorageFailures, "ring_full");
+      this->storage_failed.store(true);
+    }
   };
   hooks.on_members = [this](const Membership& members, bool member) {
     PeerChange change;
--- a/src/mimosastage/storage/storage_thread.cc
+++ b/src/mimosastage/storage/storage_thread.cc
@@ -30,8 +30,8 @@
   this->thread.join();
 }
 
-void StorageThread::Write(DurableWrite&& write) {
-  this->ring.PushOrWait(write);
+bool StorageThread::Write(DurableWrite&& write) {
+  return this->ring.Push(write);
 }
 
 void StorageThread::Run() {
--- a/src/mimosastage/storage/storage_thread.h
+++ b/src/mimosastage/storage/storage_thread.h
@@ -37,9 +37,10 @@
   /// Writes and syncs what is queued, then joins the thread.
   void Stop();
 
-  /// Queues a write; blocks while the ring is full, because a write must not be
-  /// lost. Must always be called from the same thread.
-  void Write(DurableWrite&& write);
+  /// Queues a write. Returns false without waiting if the ring is full, because
+  /// the disk hangs; the caller must then stop voting, as the write is lost.
+  /// Must always be called from the same thread.
+  [[nodiscard]] bool Write(DurableWrite&& write);
 
   /// The highest ticket that is on disk together with all earlier ones; 0
   /// before the first sync.
