--- a/src/mimosastage/storage/storage_thread.cc
+++ b/src/mimosastage/storage/storage_thread.cc
@@ -35,8 +35,9 @@
   this->thread.join();
 }
 
-void StorageThread::Write(DurableWrite&& write) {
-  this->ring.PushUnless(write, [this] { return this->failed.load(); });
+bool StorageThread::Write(DurableWrite&& write) {
+  this->overflowed = this->overflowed || !this->ring.Push(write);
+  return !this->overflowed;
 }
 
 void StorageThread::Run() {
@@ -54,18 +55,17 @@
 
 bool StorageThread::WriteBatch() {
   std::uint64_t last = 0;
-  bool write_failed = false;
+  bool failed = false;
   const std::size_t taken = this->ring.Drain(
       [&](DurableWrite&& write) {
         last = write.ticket;
-        write_failed = write_failed || !this->folder.Write(write).has_value();
+        failed = failed || !this->folder.Write(write).has_value();
       },
       kRingCapacity);
   if (taken == 0) {
     return true;
   }
-  if (write_failed || !this->folder.Sync().has_value()) {
-    this->failed.store(true);
+  if (failed || !this->folder.Sync().has_value()) {
     this->hooks.on_failed(this->folder.ErrorDetail());
     return false;
   }
--- a/src/mimosastage/storage/storage_thread.h
+++ b/src/mimosastage/storage/storage_thread.h
@@ -37,10 +37,11 @@
   /// Writes and syncs what is queued, then joins the thread.
   void Stop();
 
-  /// Queues a write; blocks while the ring is full, because a write must not be
-  /// lost. After a failure, writes beyond the ring's capacity are dropped, as
-  /// nothing is written any more. Must always be called from the same thread.
-  void Write(DurableWrite&& write);
+  /// Queues a write. Returns false without waiting if the ring is full, because
+  /// the disk hangs; the caller must then stop voting, as the write is lost.
+  /// Refuses all later writes as well, so that none follows a lost one.
+  /// Must always be called from the same thread.
+  [[nodiscard]] bool Write(DurableWrite&& write);
 
   /// The highest ticket that is on disk together with all earlier ones; 0
   /// before the first sync.
@@ -58,7 +59,8 @@
   Ring<DurableWrite> ring;
   std::atomic<std::uint64_t> last_synced_ticket{0};
   std::atomic<bool> stopping{false};
-  std::atomic<bool> failed{false};
+  /// Used by the thread that writes.
+  bool overflowed = false;
   std::thread thread;
 };
 
