--- a/tests/system/process_end_test.cc
+++ b/tests/system/process_end_test.cc
@@ -286,5 +286,35 @@
   }
 }
 
+// Guards against a descriptor limit that ends a running process, and against a
+// listener that never accepts again after a connection that it couldn't accept.
+TEST_F(ProcessEndTest, NoDescriptorsLeft_EachProgramRuns_GoesOnAfterwards) {
+  for (const std::string& program : Programs()) {
+    SCOPED_TRACE(program);
+    const std::string url =
+        program == "mimosastaged"
+            ? this->cluster.OperatorUrl(0, "/readyz")
+            : "http://" + this->cluster.Address() + ":8345/-/configuration";
+    const auto process = this->StartProgram(program, this->SettingsOf(program));
+    ASSERT_TRUE(this->WaitForThreads(*process, program));
+    rlimit original{};
+    ASSERT_EQ(prlimit(process->Pid(), RLIMIT_NOFILE, nullptr, &original), 0);
+    const rlimit none{3, original.rlim_max};
+    ASSERT_EQ(prlimit(process->Pid(), RLIMIT_NOFILE, &none, nullptr), 0);
+    for (int i = 0; i < 5; ++i) {
+      Send({.url = url, .timeout = std::chrono::milliseconds(200)});
+    }
+    EXPECT_TRUE(process->Running());
+    ASSERT_EQ(prlimit(process->Pid(), RLIMIT_NOFILE, &original, nullptr), 0);
+    EXPECT_TRUE(Eventually(
+        [&] {
+          return Send({.url = url, .timeout = std::chrono::seconds(2)})
+                     .status != 0;
+        },
+        std::chrono::seconds(10)));
+    EXPECT_TRUE(this->EndLines().empty()) << ReadFile(this->Log());
+  }
+}
+
 }  // namespace
 }  // namespace mimosastage::testing
