--- a/tests/storage/storage_thread_failure_test.cc
+++ b/tests/storage/storage_thread_failure_test.cc
@@ -70,6 +70,10 @@
     ended.set_value();
   });
   const auto status = future.wait_for(std::chrono::seconds(30));
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+  while (!this->failed.load() && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
   setrlimit(RLIMIT_FSIZE, &original);
   EXPECT_TRUE(this->failed.load());
   if (status != std::future_status::ready) {
