Open a listener again that stopped accepting

The port stayed bound and answered nothing until the process was started again, nothing was logged, and the thread of an idle listener ended. Callers saw connections that time out.

The HTTP server checks once a second, on its own thread, whether connections wait and none was accepted; after two such checks it opens the listener again and logs `listener_restarted`. Connections that are open stay open. Below the limit on connections only, because RESTinio accepts again by itself when one of those is closed.

The check costs one wake-up a second for each listener. A listener on port 0 (tests only) isn't checked.

--- a/src/mimosastage/http/http_server.cc
+++ b/src/mimosastage/http/http_server.cc
@@ -1,5 +1,6 @@
 #include "mimosastage/http/http_server.h"
 
+#include <poll.h>
 #include <strings.h>
 
 #include <atomic>
@@ -10,29 +11,47 @@
 #include <unordered_map>
 
 #include "mimosastage/telemetry/fatal_log.h"
+#include "mimosastage/telemetry/log.h"
 
 namespace mimosastage {
 namespace {
 
+/// Interval of the check whether connections are accepted. A failed accept is
+/// rare, so that clients may wait for up to two intervals.
+constexpr std::chrono::seconds kAcceptCheckInterval{1};
+constexpr EventName kListenerRestarted{"listener_restarted"};
+
 using ConnectionId = restinio::connection_id_t;
 using RequestHandle = restinio::request_handle_t;
 
-/// Calls `on_close` for each connection that RESTinio closes.
+/// Calls `on_close` for each connection that RESTinio closes, and counts the
+/// connections.
 class CloseListener {
  public:
   explicit CloseListener(std::function<void(ConnectionId)> on_close)
       : on_close(std::move(on_close)) {}
 
+  std::size_t Connections() const { return this->connections; }
+  /// Connections accepted so far.
+  std::uint64_t Accepted() const { return this->accepted; }
+
   // RESTinio requires this name.
   void state_changed(const restinio::connection_state::notice_t& notice) {
-    if (restinio::holds_alternative<restinio::connection_state::closed_t>(
+    if (restinio::holds_alternative<restinio::connection_state::accepted_t>(
             notice.cause())) {
+      ++this->connections;
+      ++this->accepted;
+    } else if (restinio::holds_alternative<
+                   restinio::connection_state::closed_t>(notice.cause())) {
+      --this->connections;
       this->on_close(notice.connection_id());
     }
   }
 
  private:
   std::function<void(ConnectionId)> on_close;
+  std::size_t connections = 0;
+  std::uint64_t accepted = 0;
 };
 
 struct ServerTraits : public restinio::default_single_thread_traits_t {
@@ -153,9 +172,58 @@
     }
   }
 
+  /// RESTinio accepts nothing any more after an accept that failed, for example
+  /// for want of descriptors. Opens the listener again if connections wait in
+  /// two checks on end and none was accepted in between.
+  void CheckAccepting() {
+    pollfd waiting{this->acceptor->native_handle(), POLLIN, 0};
+    const bool below_limit =
+        this->listener->Connections() < this->settings.max_connections;
+    const bool stuck =
+        !this->acceptor->is_open() ||
+        (below_limit && this->listener->Accepted() == this->accepted_before &&
+         poll(&waiting, 1, 0) == 1);
+    this->accepted_before = this->listener->Accepted();
+    if (stuck && this->was_stuck) {
+      this->RestartListener();
+    }
+    this->was_stuck = stuck;
+    this->ScheduleAcceptCheck();
+  }
+
+  void RestartListener() {
+    std::string problem = "connections were not accepted";
+    try {
+      this->server->close_sync();
+      this->server->open_sync();
+    } catch (const std::exception& error) {
+      problem = error.what();
+    }
+    LogEvent(LogSeverity::kWarning, kListenerRestarted,
+             "the listener was opened again; check the descriptor limit")
+        .With("address",
+              this->settings.address + ":" + std::to_string(this->port))
+        .With("reason", problem);
+  }
+
+  void ScheduleAcceptCheck() {
+    this->accept_check.expires_after(kAcceptCheckInterval);
+    this->accept_check.async_wait([this](const asio::error_code& error) {
+      if (!error) {
+        this->CheckAccepting();
+      }
+    });
+  }
+
   Settings settings;
   Hooks hooks;
   asio::io_context io{1};
+  asio::steady_timer accept_check{this->io};
+  std::shared_ptr<CloseListener> listener;
+  /// Owned by the server.
+  asio::ip::tcp::acceptor* acceptor = nullptr;
+  std::uint64_t accepted_before = 0;
+  bool was_stuck = false;
   std::unique_ptr<restinio::http_server_t<ServerTraits>> server;
   std::thread thread;
   std::atomic<bool> wake_pending{false};
@@ -174,7 +242,7 @@
 
 Result<std::uint16_t> HttpServer::Start() {
   Impl& self = *this->impl;
-  auto listener = std::make_shared<CloseListener>(
+  self.listener = std::make_shared<CloseListener>(
       [&self](ConnectionId id) { self.OnClose(id); });
   const restinio::incoming_http_msg_limits_t limits =
       restinio::incoming_http_msg_limits_t{}
@@ -200,10 +268,11 @@
             // and so notices when the caller disconnects.
             .max_pipelined_requests(2)
             .max_parallel_connections(self.settings.max_connections)
-            .connection_state_listener(listener)
+            .connection_state_listener(self.listener)
             .acceptor_post_bind_hook(
                 [&self](asio::ip::tcp::acceptor& acceptor) {
                   self.port = acceptor.local_endpoint().port();
+                  self.acceptor = &acceptor;
                 })
             .request_handler([&self](RequestHandle handle) {
               return self.OnRequest(std::move(handle));
@@ -214,6 +283,10 @@
   } catch (const std::exception&) {
     return std::make_error_code(std::errc::address_in_use);
   }
+  if (self.settings.port != 0) {
+    // A listener on any free port would get another one.
+    self.ScheduleAcceptCheck();
+  }
   self.thread = std::thread([&self] {
     const ThreadDuty duty(self.settings.thread_duty);
     self.io.run();
