--- a/src/mimosastage/jobs/order_carriers.cc
+++ b/src/mimosastage/jobs/order_carriers.cc
@@ -259,20 +259,29 @@
   this->give_up.erase({entry.give_up_at, reply.number});
   const bool carrier_is_gone =
       entry.carrier != this->self && !this->carriers.contains(entry.carrier);
-  if (FailedOnTheWay(reply.result) && !carrier_is_gone) {
-    this->MoveWorker(entry.worker, now);
+  if (FailedOnTheWay(reply.result)) {
+    if (!carrier_is_gone) {
+      this->CountFailure(entry.worker, now);
+    }
+  } else if (const auto moved = this->moved_workers.find(entry.worker);
+             moved != this->moved_workers.end() &&
+             reply.result != OrderResult::kNotStarted) {
+    moved->second.failures = 0;
   }
   this->hooks.on_reply(reply, now);
 }
 
-void OrderCarriers::MoveWorker(const std::string& worker, TimePoint now) {
+void OrderCarriers::CountFailure(const std::string& worker, TimePoint now) {
   if (this->moved_workers.size() >= this->config.max_moved_workers &&
       !this->moved_workers.contains(worker)) {
     this->moved_workers.clear();
   }
   Moved& moved = this->moved_workers[worker];
-  ++moved.times;
   moved.last = now;
+  if (++moved.failures >= this->config.failures_until_move) {
+    moved.failures = 0;
+    ++moved.times;
+  }
 }
 
 void OrderCarriers::Avoid(DaemonId carrier, const char* reason, TimePoint now) {
--- a/src/mimosastage/jobs/order_carriers.h
+++ b/src/mimosastage/jobs/order_carriers.h
@@ -59,7 +59,10 @@
     /// failed on the way. A cut between instances lasts for some seconds, and
     /// the leader must not keep the workers of which it carries the orders.
     std::chrono::milliseconds move_time{10'000};
-    /// Workers whose carrier was changed after failures and is remembered.
+    /// A worker changes its carrier after this many failures in a row. Single
+    /// answers are lost without a cut, and a change costs a connection.
+    std::size_t failures_until_move = 2;
+    /// Workers with failed orders that are remembered.
     std::size_t max_moved_workers = 4'096;
   };
 
@@ -120,7 +123,8 @@
   /// Ends orders without a result as unanswered.
   void EndWithout(const std::vector<std::uint64_t>& numbers, TimePoint now);
   void Finish(const WorkerReply& reply, TimePoint now);
-  void MoveWorker(const std::string& worker, TimePoint now);
+  /// Changes the worker's carrier if orders to it have failed repeatedly.
+  void CountFailure(const std::string& worker, TimePoint now);
   void Avoid(DaemonId carrier, const char* reason, TimePoint now);
 
   Config config;
@@ -142,8 +146,11 @@
   /// The orders in hand of other carriers, by when they are given up.
   std::set<std::pair<TimePoint, std::uint64_t>> give_up;
   struct Moved {
+    /// Orders in a row that failed on the way.
+    std::size_t failures = 0;
     /// How often the carrier was changed.
     std::size_t times = 0;
+    /// The last failure.
     TimePoint last{};
   };
   std::unordered_map<std::string, Moved> moved_workers;
