Log which runs a crashed worker held, and how old they were

When a worker ended without notice, the log named the runs that ended with it one by one, without their run numbers and ages, and without telling a crash from a planned end. worker_crashed now names the runs, their numbers and how long each is known to have run. The end is planned if the worker drains or has announced its exit, or if a move or an upkeep of its instance was ordered during its life.

The age is counted to the last time at which the worker was surely alive: to the break of an open connection, otherwise to the last answer.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -93,6 +93,7 @@
   Run run = this->MakeRun(task);
   run.stage = RunStage::kRunning;
   run.confirmed = now;
+  run.running_since = now;
   this->AddToSums(found->second, run);
   found->second.runs.emplace(RunKey{task, active.number}, std::move(run));
   return true;
@@ -106,6 +107,7 @@
   session.draining = worker.draining;
   this->ScheduleHold(session, now);
   session.last_announced = now;
+  session.last_answer = now;
   this->indexed_workers_version = 0;
   return this->sessions.insert_or_assign(worker.id, std::move(session))
       .first->second;
@@ -186,6 +188,9 @@
   }
   Session& session = found->second;
   this->hooks.report("worker_gone", id, reason);
+  if (!session.runs.empty() && !this->EndWasPlanned(id, session)) {
+    this->OnWorkerCrashed(id, session, reason);
+  }
   while (!session.runs.empty()) {
     const RunKey key = session.runs.begin()->first;
     this->EndRun(id, session, key, RunOutcome::kLost, "", now);
@@ -215,6 +220,7 @@
   order.fence = this->fence;
   open.worker = id;
   open.born_ms = session.born_ms;
+  open.timeout = order.timeout;
   this->orders.emplace(order.number, std::move(open));
   this->hooks.send(std::move(order));
 }
@@ -269,6 +275,7 @@
       now);
   if (reply.clock.has_value()) {
     session.lease.OnClock(*reply.clock, reply.read_at);
+    session.last_answer = std::max(session.last_answer, reply.read_at);
   }
   if (order.run.has_value()) {
     this->OnRunReply(id, session, order, reply, now);
@@ -287,7 +294,7 @@
     return;
   }
   if (reply.result != OrderResult::kOk) {
-    this->CountUnanswered(id, session, "hold", reply.result, now - order.sent);
+    this->CountUnanswered(id, session, "hold", reply.result, order, now);
     this->ScheduleHold(session, now + this->config.retry_delay);
     if (session.leaving && reply.result == OrderResult::kRefused) {
       this->RemoveWorker(
@@ -319,9 +326,15 @@
 
 void Dispatcher::CountUnanswered(const std::string& id, Session& session,
                                  const char* kind, OrderResult result,
-                                 Duration since_sent) {
+                                 const OpenOrder& order, TimePoint now) {
   const std::string reason = std::string(kind) + "_" + NameOf(result);
+  const Duration since_sent = now - order.sent;
   if (session.unanswered_orders++ == 0) {
+    // A connection that breaks before the timeout was held by a live worker
+    // until then.
+    const bool broke =
+        result == OrderResult::kUnanswered && since_sent < order.timeout;
+    session.alive_until = broke ? now : session.last_answer;
     this->hooks.report(
         "worker_silent", id,
         reason + " " +
@@ -423,6 +436,7 @@
     if (run.stage == RunStage::kStarting) {
       run.stage = RunStage::kRunning;
       run.confirmed = now;
+      run.running_since = now;
       this->LeaveStartWindow(run);
     }
   }
@@ -452,6 +466,9 @@
     this->SendHold(id, session, now);
   }
   if (session.unanswered_orders > 0 && session.lease.Expired(now)) {
+    if (!session.runs.empty() && !this->EndWasPlanned(id, session)) {
+      this->OnWorkerCrashed(id, session, "silent until its lease expired");
+    }
     while (!session.runs.empty()) {
       const RunKey key = session.runs.begin()->first;
       this->hooks.report("run_lease_expired", ToString(key.first), id);
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -158,6 +158,8 @@
     std::shared_ptr<const JobRequest> request;
     /// When the worker confirmed the start, or the stop.
     std::optional<TimePoint> confirmed;
+    /// Since when the worker is known to execute the run.
+    std::optional<TimePoint> running_since;
     unsigned attempts = 0;
     bool order_open = false;
     /// The run takes part of the start window: its start isn't confirmed.
@@ -192,6 +194,10 @@
     TimePoint next_hold{};
     TimePoint last_announced{};
     std::uint64_t sequence = 0;
+    /// When the worker's latest answer was read.
+    TimePoint last_answer{};
+    /// While the worker is silent: it had not ended before this time.
+    TimePoint alive_until{};
     std::map<RunKey, Run> runs;
     /// Sums over `runs`; see AddToSums.
     Amount used;
@@ -209,6 +215,7 @@
     std::optional<RunKey> run;
     RunStage stage = RunStage::kStarting;
     TimePoint sent{};
+    std::chrono::milliseconds timeout{0};
   };
 
   /// The workers of a pool in the order of their ids.
@@ -275,7 +282,7 @@
   /// silent. `kind` is the kind of order.
   void CountUnanswered(const std::string& id, Session& session,
                        const char* kind, OrderResult result,
-                       Duration since_sent);
+                       const OpenOrder& order, TimePoint now);
   void RecordEnds(const std::string& id, Session& session,
                   const WorkerReply& reply, TimePoint now);
   /// Records the end of a run that this leader has given up.
@@ -293,6 +300,18 @@
   void Send(const std::string& id, Session& session, OpenOrder open,
             WorkerOrder order);
 
+  // dispatcher_crashes.cc: workers that end without notice.
+  /// How long the worker is known to have executed the run; nullopt if its
+  /// start wasn't confirmed.
+  static std::optional<std::chrono::milliseconds> AgeOf(const Session& session,
+                                                        const Run& run);
+  /// True if the worker's end was announced, or ordered through the platform.
+  bool EndWasPlanned(const std::string& id, const Session& session) const;
+  /// Must be called before the runs of a worker end that has crashed, or that
+  /// was silent until its lease expired.
+  void OnWorkerCrashed(const std::string& id, const Session& session,
+                       const char* reason);
+
   // dispatcher_runs.cc: single runs.
   void StartRun(const TaskId& task, std::uint32_t number,
                 const std::string& worker);
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -177,6 +177,7 @@
     run.confirmed = now;
     if (run.stage == RunStage::kStarting) {
       run.stage = RunStage::kRunning;
+      run.running_since = now;
       this->LeaveStartWindow(run);
     } else {
       // Sends a hold now, as its answer lists the end of the run once the
@@ -198,8 +199,7 @@
     case OrderResult::kUnanswered:
     case OrderResult::kNotSent:
     case OrderResult::kRefused:
-      this->CountUnanswered(id, session, "start", reply.result,
-                            now - order.sent);
+      this->CountUnanswered(id, session, "start", reply.result, order, now);
       // A silent worker must not keep the window from others.
       this->LeaveStartWindow(run);
       this->ScheduleHold(session, now);
