Test crashes of workers under tasks, and capacities that shrink

A task may crash every worker that starts it, and a worker's capacity may shrink while it runs. The tests of the dispatcher knew neither.

- WorkerCapacityTest: no start goes beyond a capacity that has shrunk.

--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -498,6 +498,111 @@
   EXPECT_EQ(ordered.size(), 1U);
 }
 
+/// A worker that doesn't reject what exceeds its capacity, and whose capacity
+/// changes while it runs.
+class WorkerCapacityTest : public DispatcherTest {
+ protected:
+  void SetUp() override {
+    DispatcherTest::SetUp();
+    this->StartTermWithWorkers(1, 4'000);
+  }
+
+  void Announce(std::int64_t millicores, std::uint64_t sequence) {
+    Worker report = this->fleet.workers.at("worker-0").record;
+    report.capacity->millicores = millicores;
+    this->fleet.dispatcher->Announce(report, sequence, this->fleet.now, [] {});
+  }
+};
+
+// Guards against a start that brings a worker over a capacity that has shrunk.
+TEST_F(WorkerCapacityTest, Announce_Shrinks_NothingStartsBeyondIt) {
+  this->fleet.Submit("first", "render", {MakeStep(2, 1'000)});
+  this->fleet.Advance(milliseconds(100));
+  this->Announce(2'500, 2);
+  this->fleet.Submit("second", "render", {MakeStep(2, 1'000)});
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_EQ(this->fleet.RunningTasks(), 2U);
+  this->Announce(4'000, 3);
+  this->fleet.Advance(milliseconds(200));
+  EXPECT_EQ(this->fleet.RunningTasks(), 4U);
+}
+
+// Guards against logged starts that are sent although the capacity has shrunk
+// since they were placed.
+TEST_F(WorkerCapacityTest, Announce_ShrinksBeforeStartsAreDurable_HeldBack) {
+  this->fleet.log_stalled = true;
+  this->fleet.Submit("job", "render", {MakeStep(4, 1'000)});
+  this->fleet.Advance(milliseconds(50));
+  ASSERT_EQ(this->fleet.proposed_starts.size(), 4U);
+  this->Announce(2'000, 2);
+  this->fleet.log_stalled = false;
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_EQ(this->fleet.starts.size(), 2U);
+  EXPECT_EQ(this->fleet.RunningTasks(), 2U);
+  this->EndAllRuns(TaskOf("job", 0, 2), RunOutcome::kDone);
+  this->EndAllRuns(TaskOf("job", 0, 3), RunOutcome::kDone);
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_EQ(this->fleet.RunningTasks(), 2U);
+}
+
+// Guards against a start that is repeated after the capacity has shrunk; its
+// first order never reached the worker.
+TEST_F(WorkerCapacityTest, Announce_ShrinksBeforeAStartIsRepeated_IsNotSent) {
+  FakeWorker& worker = this->fleet.workers.at("worker-0");
+  worker.silent = true;
+  this->fleet.Submit("job", "render", {MakeStep(3, 1'000)});
+  this->fleet.Advance(milliseconds(100));
+  ASSERT_EQ(this->fleet.proposed_starts.size(), 3U);
+  this->Announce(1'500, 2);
+  worker.silent = false;
+  for (int i = 0; i < 300; ++i) {
+    this->fleet.Advance(milliseconds(10));
+    ASSERT_LE(this->fleet.RunningTasks(), 1U) << i;
+  }
+  EXPECT_EQ(this->fleet.RunningTasks(), 1U);
+}
+
+// Guards against work that is thrown away because the capacity has shrunk: the
+// rule limits starts only.
+TEST_F(WorkerCapacityTest, Announce_ShrinksBelowWhatRuns_RunsContinue) {
+  this->fleet.Submit("first", "render", {MakeStep(4, 1'000)});
+  this->fleet.Advance(milliseconds(100));
+  this->Announce(2'000, 2);
+  this->fleet.Submit("second", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_EQ(this->fleet.RunningTasks(), 4U);
+  this->EndAllRuns(TaskOf("first", 0, 0), RunOutcome::kDone);
+  this->EndAllRuns(TaskOf("first", 0, 1), RunOutcome::kDone);
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_TRUE(this->fleet.WorkersOf(TaskOf("second")).empty());
+  this->EndAllRuns(TaskOf("first", 0, 2), RunOutcome::kDone);
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_EQ(this->fleet.WorkersOf(TaskOf("second")).size(), 1U);
+}
+
+// Guards against a report that was overtaken, for example because another
+// daemon received it, and raises the capacity again.
+TEST_F(WorkerCapacityTest, Announce_EarlierReportComesLate_IsIgnored) {
+  this->Announce(4'000, 4);
+  this->Announce(2'000, 6);
+  this->Announce(4'000, 5);
+  this->fleet.Submit("job", "render", {MakeStep(4, 1'000)});
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_EQ(this->fleet.RunningTasks(), 2U);
+}
+
+// The same across a change of the leader, which forgot the sequence.
+TEST_F(WorkerCapacityTest, Announce_LateAfterALeaderChange_IsIgnored) {
+  this->Announce(4'000, 4);
+  this->Announce(2'000, 6);
+  ASSERT_TRUE(this->fleet.state.Restore(this->fleet.state.Snapshot()));
+  this->fleet.BeginTerm();
+  this->Announce(4'000, 5);
+  this->fleet.Submit("job", "render", {MakeStep(4, 1'000)});
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_EQ(this->fleet.RunningTasks(), 2U);
+}
+
 class OverloadedDispatcherTest : public DispatcherTest {
  protected:
   static constexpr int kWorkers = 40;
--- a/tests/jobs/support/fake_fleet_leader.cc
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -149,6 +149,49 @@
   }
 }
 
+void FakeFleetLeader::Crash(const std::string& worker) {
+  FakeWorker& fake = this->workers.at(worker);
+  for (const auto& [key, began] : fake.running) {
+    ++this->crashes_under[key.first];
+  }
+  ++this->crashes;
+  fake.running.clear();
+  fake.ended.clear();
+  fake.ended_without_notice = true;
+  Worker next = fake.record;
+  next.id = next.machine + "/" + std::to_string(this->crashes);
+  next.born_ms = (this->wall + this->restart_delay).count();
+  this->restarting.emplace_back(this->now + this->restart_delay,
+                                std::move(next));
+}
+
+void FakeFleetLeader::CrashAndRestartWorkers() {
+  const auto clock =
+      std::chrono::duration_cast<milliseconds>(this->now.time_since_epoch())
+          .count();
+  std::vector<std::string> crashing;
+  for (const auto& [id, worker] : this->workers) {
+    if (std::any_of(worker.running.begin(), worker.running.end(),
+                    [&](const auto& run) {
+                      return this->deadly.contains(run.first.first) &&
+                             run.second < clock;
+                    })) {
+      crashing.push_back(id);
+    }
+  }
+  for (const std::string& id : crashing) {
+    this->Crash(id);
+  }
+  std::erase_if(this->restarting, [&](const auto& row) {
+    if (row.first > this->now) {
+      return false;
+    }
+    this->workers[row.second.id].record = row.second;
+    this->dispatcher->Announce(row.second, 1, this->now, [] {});
+    return true;
+  });
+}
+
 std::vector<std::string> FakeFleetLeader::WorkersOf(const TaskId& task) const {
   std::vector<std::string> found;
   for (const auto& [id, worker] : this->workers) {
@@ -174,6 +217,10 @@
   reply.number = order.number;
   reply.started_at = this->now;
   FakeWorker& worker = this->workers.at(order.worker);
+  if (worker.ended_without_notice) {
+    reply.result = OrderResult::kRefused;
+    return reply;
+  }
   if (worker.silent) {
     return reply;
   }
@@ -272,6 +319,7 @@
       worker.running.clear();
     }
   }
+  this->CrashAndRestartWorkers();
   this->Commit();
   std::deque<WorkerOrder> sent = this->TakeSentOrders();
   if (this->delay_hold_answers) {
@@ -282,7 +330,8 @@
         continue;
       }
       FakeWorker& worker = this->workers.at(order.worker);
-      if (!worker.silent && hold->deadline.has_value()) {
+      if (!worker.silent && !worker.ended_without_notice &&
+          hold->deadline.has_value()) {
         worker.deadline = std::max(worker.deadline, hold->deadline->count());
       }
       this->waiting_holds.emplace_back(this->now + hold->wait,
@@ -293,7 +342,7 @@
       const auto& hold = std::get<HoldOrder>(row.second.body);
       const bool has_end = !worker.silent && !worker.ended.empty() &&
                            worker.ended.back().number > hold.last_durable_end;
-      if (row.first > this->now && !has_end) {
+      if (row.first > this->now && !has_end && !worker.ended_without_notice) {
         return false;
       }
       sent.push_back(std::move(row.second));
--- a/tests/jobs/support/fake_fleet_leader.h
+++ b/tests/jobs/support/fake_fleet_leader.h
@@ -23,6 +23,8 @@
 struct FakeWorker {
   Worker record;
   bool silent = false;
+  /// The incarnation has ended; connections to it are refused.
+  bool ended_without_notice = false;
   std::uint64_t fence = 0;
   std::int64_t deadline = 0;
   std::map<std::pair<TaskId, std::uint32_t>, std::int64_t> running;
@@ -55,6 +57,9 @@
   /// Ends the task's run on the worker.
   void EndRun(const std::string& worker, const TaskId& task, RunOutcome outcome,
               const std::string& checkpoint = "");
+  /// Ends the worker without notice. Another incarnation on its instance
+  /// announces itself after `restart_delay`.
+  void Crash(const std::string& worker);
 
   const Job& JobOf(const std::string& id) { return *this->state.FindJob(id); }
   /// Returns the workers that currently run the task.
@@ -86,6 +91,12 @@
   std::map<std::string, int> reports;
   std::vector<InstanceRequest> instance_requests;
   std::vector<StartOrder> starts;
+  /// Tasks that crash each worker 10 ms after it has started them.
+  std::set<TaskId> deadly;
+  std::chrono::milliseconds restart_delay{3'000};
+  /// How many workers have crashed while they ran each task.
+  std::map<TaskId, int> crashes_under;
+  int crashes = 0;
   /// Runs whose start was proposed to the log.
   std::vector<RunStart> proposed_starts;
   std::vector<AdviceRequest> advice_requests;
@@ -99,6 +110,9 @@
   /// answers those that have waited for too long.
   std::deque<WorkerOrder> TakeSentOrders();
   void AdvanceOneTick();
+  /// Crashes the workers of deadly tasks, and announces the incarnations that
+  /// are due.
+  void CrashAndRestartWorkers();
 
   Configuration configuration;
   std::deque<std::function<void(TimePoint)>> commit_callbacks;
@@ -106,6 +120,8 @@
   std::deque<std::pair<TimePoint, WorkerOrder>> orders;
   /// Delayed holds with the time of their answer.
   std::deque<std::pair<TimePoint, WorkerOrder>> waiting_holds;
+  /// Incarnations that announce themselves at a later time.
+  std::deque<std::pair<TimePoint, Worker>> restarting;
 };
 
 /// Makes a step of `tasks` tasks that need `millicores` each.
