Keep starts within a capacity that has shrunk

A worker's capacity may shrink while it runs. A worker that doesn't guard it was brought over it in three ways (rule LIMIT):

- Starts that were placed before the report and waited for the log were sent anyway.
StartRun checks the capacity again when its log entry is durable.
- A start without an answer was repeated.
It is stopped instead, which makes the worker refuse it for good; one that was never sent is withdrawn.
- After a change of the leader, a report from before the shrink raised the capacity again, as the new leader knew no sequence.
The sequence of each change is now part of the worker's record.
Old logs read as 0, unknown.

What runs goes on: the rule limits starts, and a stop throws work away.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -22,6 +22,11 @@
   return config;
 }
 
+bool Shrinks(const Amount& from, const Amount& to) {
+  return to.millicores < from.millicores || to.memory_mb < from.memory_mb ||
+         to.accelerators < from.accelerators;
+}
+
 bool SameRecord(const Worker& a, const Worker& b) {
   return a.born_ms == b.born_ms && a.pool == b.pool && a.address == b.address &&
          a.machine == b.machine && a.draining == b.draining &&
@@ -105,6 +110,7 @@
   session.address = worker.address;
   session.born_ms = worker.born_ms;
   session.draining = worker.draining;
+  session.sequence = worker.sequence;
   this->ScheduleHold(session, now);
   session.last_announced = now;
   session.last_answer = now;
@@ -148,8 +154,12 @@
     Worker next = worker;
     // An incarnation that has begun to drain never accepts tasks again.
     next.draining = worker.draining || known->second.draining;
+    // A later leader must know which reports are late.
+    next.sequence = session.sequence;
     session.draining = next.draining;
     session.address = next.address;
+    session.capacity_shrunk = session.capacity_shrunk ||
+                              Shrinks(*known->second.capacity, *next.capacity);
     this->placement_needed = true;
     this->hooks.report("worker_changed", worker.id,
                        next.draining ? "draining" : "changed");
@@ -165,6 +175,7 @@
   this->hooks.report("worker_joined", worker.id, worker.pool);
   Command command;
   command.worker = std::make_unique<Worker>(worker);
+  command.worker->sequence = sequence;
   this->hooks.propose(
       std::move(command),
       [acknowledge = std::move(acknowledge)](TimePoint) { acknowledge(); });
@@ -475,6 +486,7 @@
       this->EndRun(id, session, key, RunOutcome::kLeaseExpired, "", now);
     }
   }
+  this->WithdrawStarts(id, session, now);
   for (auto& [key, run] : session.runs) {
     if (run.order_open || now < run.next_attempt) {
       continue;
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -192,6 +192,8 @@
     /// they are.
     bool ends_pending = false;
     TimePoint next_hold{};
+    /// The capacity has shrunk, and starts from before may be unconfirmed.
+    bool capacity_shrunk = false;
     TimePoint last_announced{};
     std::uint64_t sequence = 0;
     /// When the worker's latest answer was read.
@@ -315,6 +317,14 @@
   // dispatcher_runs.cc: single runs.
   void StartRun(const TaskId& task, std::uint32_t number,
                 const std::string& worker);
+  /// False if the worker's runs, of which `run` is one, exceed a part of its
+  /// capacity that `run` uses.
+  bool IsWithinCapacity(const std::string& worker, const Session& session,
+                        const Run& run) const;
+  /// Withdraws the starts that wait to be sent, or repeated, and don't fit into
+  /// the worker's capacity any more.
+  void WithdrawStarts(const std::string& worker, Session& session,
+                      TimePoint now);
   void SendStart(const std::string& worker, const RunKey& key, TimePoint now);
   void StopRun(const std::string& worker, Session& session, const RunKey& key,
                Run& run, const char* reason, TimePoint now);
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -59,9 +59,10 @@
           return;
         }
         const Job* job = this->state.FindJob(key.first.job);
-        const bool wanted = run->second.stage == RunStage::kLogging &&
-                            job != nullptr && !job->Ended() &&
-                            !found->second.draining;
+        const bool wanted =
+            run->second.stage == RunStage::kLogging && job != nullptr &&
+            !job->Ended() && !found->second.draining &&
+            this->IsWithinCapacity(worker, found->second, run->second);
         if (!wanted) {
           // The start was never sent, so the run can end immediately.
           this->EndRun(worker, found->second, key, RunOutcome::kLost, "", at);
@@ -72,6 +73,48 @@
       });
 }
 
+bool Dispatcher::IsWithinCapacity(const std::string& worker,
+                                  const Session& session,
+                                  const Run& run) const {
+  Amount before = session.used;
+  Subtract(before, Charge(*run.step));
+  Amount free = *this->state.Workers().at(worker).capacity;
+  Subtract(free, before);
+  return Fits(*run.step, free);
+}
+
+void Dispatcher::WithdrawStarts(const std::string& worker, Session& session,
+                                TimePoint now) {
+  if (!session.capacity_shrunk || session.unanswered_orders > 0) {
+    return;
+  }
+  bool all_checked = true;
+  std::vector<RunKey> unsent;
+  for (auto& [key, run] : session.runs) {
+    if (run.stage != RunStage::kStarting) {
+      all_checked = all_checked && run.stage != RunStage::kLogging;
+      continue;
+    }
+    all_checked = false;
+    if (run.order_open || this->IsWithinCapacity(worker, session, run)) {
+      continue;
+    }
+    if (run.attempts == 0) {
+      unsent.push_back(key);
+    } else {
+      // An earlier copy of the order may still be executed.
+      this->StopRun(worker, session, key, run,
+                    "its start isn't confirmed, and the worker's capacity has "
+                    "shrunk",
+                    now);
+    }
+  }
+  for (const RunKey& key : unsent) {
+    this->EndRun(worker, session, key, RunOutcome::kLost, "", now);
+  }
+  session.capacity_shrunk = !all_checked;
+}
+
 void Dispatcher::SendStart(const std::string& worker, const RunKey& key,
                            TimePoint now) {
   Session& session = this->sessions.at(worker);
--- a/src/mimosastage/jobs/internal/records_generated.h
+++ b/src/mimosastage/jobs/internal/records_generated.h
@@ -1362,6 +1362,7 @@
   std::unique_ptr<mimosastage::jobs_wire::AmountT> capacity{};
   std::vector<std::string> labels{};
   bool draining = false;
+  uint64_t sequence = 0;
   WorkerT() = default;
   WorkerT(const WorkerT &o);
   WorkerT(WorkerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1381,7 +1382,8 @@
     VT_AVAILABILITY_ZONE = 14,
     VT_CAPACITY = 16,
     VT_LABELS = 18,
-    VT_DRAINING = 20
+    VT_DRAINING = 20,
+    VT_SEQUENCE = 22
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -1410,6 +1412,9 @@
   bool draining() const {
     return GetField<uint8_t>(VT_DRAINING, 0) != 0;
   }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -1429,6 +1434,7 @@
            verifier.VerifyVector(labels()) &&
            verifier.VerifyVectorOfStrings(labels()) &&
            VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            verifier.EndTable();
   }
   WorkerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1467,6 +1473,9 @@
   void add_draining(bool draining) {
     fbb_.AddElement<uint8_t>(Worker::VT_DRAINING, static_cast<uint8_t>(draining), 0);
   }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(Worker::VT_SEQUENCE, sequence, 0);
+  }
   explicit WorkerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1488,8 +1497,10 @@
     flatbuffers::Offset<flatbuffers::String> availability_zone = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::Amount> capacity = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> labels = 0,
-    bool draining = false) {
+    bool draining = false,
+    uint64_t sequence = 0) {
   WorkerBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
   builder_.add_born_ms(born_ms);
   builder_.add_labels(labels);
   builder_.add_capacity(capacity);
@@ -1517,7 +1528,8 @@
     const char *availability_zone = nullptr,
     flatbuffers::Offset<mimosastage::jobs_wire::Amount> capacity = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *labels = nullptr,
-    bool draining = false) {
+    bool draining = false,
+    uint64_t sequence = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto machine__ = machine ? _fbb.CreateString(machine) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
@@ -1534,7 +1546,8 @@
       availability_zone__,
       capacity,
       labels__,
-      draining);
+      draining,
+      sequence);
 }
 
 flatbuffers::Offset<Worker> CreateWorker(flatbuffers::FlatBufferBuilder &_fbb, const WorkerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4127,7 +4140,8 @@
         availability_zone(o.availability_zone),
         capacity((o.capacity) ? new mimosastage::jobs_wire::AmountT(*o.capacity) : nullptr),
         labels(o.labels),
-        draining(o.draining) {
+        draining(o.draining),
+        sequence(o.sequence) {
 }
 
 inline WorkerT &WorkerT::operator=(WorkerT o) FLATBUFFERS_NOEXCEPT {
@@ -4140,6 +4154,7 @@
   std::swap(capacity, o.capacity);
   std::swap(labels, o.labels);
   std::swap(draining, o.draining);
+  std::swap(sequence, o.sequence);
   return *this;
 }
 
@@ -4161,6 +4176,7 @@
   { auto _e = capacity(); if (_e) _o->capacity = std::unique_ptr<mimosastage::jobs_wire::AmountT>(_e->UnPack(_resolver)); }
   { auto _e = labels(); if (_e) { _o->labels.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->labels[_i] = _e->Get(_i)->str(); } } }
   { auto _e = draining(); _o->draining = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
 }
 
 inline flatbuffers::Offset<Worker> Worker::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4180,6 +4196,7 @@
   auto _capacity = _o->capacity ? CreateAmount(_fbb, _o->capacity.get(), _rehasher) : 0;
   auto _labels = _o->labels.size() ? _fbb.CreateVectorOfStrings(_o->labels) : 0;
   auto _draining = _o->draining;
+  auto _sequence = _o->sequence;
   return mimosastage::jobs_wire::CreateWorker(
       _fbb,
       _id,
@@ -4190,7 +4207,8 @@
       _availability_zone,
       _capacity,
       _labels,
-      _draining);
+      _draining,
+      _sequence);
 }
 
 inline WorkerGoneT *WorkerGone::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
