--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -58,6 +58,7 @@
                    }));
              }),
       speed(this->config.speed),
+      stopped_given_up_jobs(state.GivenUpJobs()),
       waiting_steps(state),
       start_window(this->config.start_window),
       balancer(this->config.balancer) {
@@ -98,7 +99,16 @@
   Run run = this->MakeRun(task);
   run.stage = RunStage::kRunning;
   run.confirmed = now;
-  run.running_since = now;
+  // The clocks of two leaders may differ.
+  const milliseconds age =
+      active.started_ms == 0
+          ? milliseconds(0)
+          : std::max(milliseconds(0), this->hooks.wall_time() -
+                                          milliseconds(active.started_ms) -
+                                          this->config.clock_tolerance);
+  run.running_since = now - age;
+  run.start_sent = true;
+  run.unlisted = true;
   this->AddToSums(found->second, run);
   found->second.runs.emplace(RunKey{task, active.number}, std::move(run));
   return true;
@@ -112,6 +122,7 @@
   session.draining = worker.draining;
   session.sequence = worker.sequence;
   this->ScheduleHold(session, now);
+  session.known_since = now;
   session.last_announced = now;
   session.last_answer = now;
   this->indexed_workers_version = 0;
@@ -141,6 +152,7 @@
   for (const std::string& id : replaced) {
     this->RemoveWorker(id, "replaced by a later incarnation", now);
   }
+  this->ConfirmCrashes(worker);
   const auto known = this->state.Workers().find(worker.id);
   if (known != this->state.Workers().end()) {
     Session& session = this->sessions.at(worker.id);
@@ -200,7 +212,7 @@
   Session& session = found->second;
   this->hooks.report("worker_gone", id, reason);
   if (!session.runs.empty() && !this->EndWasPlanned(id, session)) {
-    this->OnWorkerCrashed(id, session, reason);
+    this->OnWorkerCrashed(id, session, reason, true, now);
   }
   while (!session.runs.empty()) {
     const RunKey key = session.runs.begin()->first;
@@ -253,6 +265,9 @@
   if (!answer_immediately) {
     hold.wait = runs_fillers ? this->config.hold_wait_with_fillers
                              : this->config.hold_wait;
+    if (!session.isolated_job.empty()) {
+      hold.wait = std::min(hold.wait, this->config.hold_wait_isolated);
+    }
   }
   WorkerOrder order;
   order.timeout = hold.wait + this->config.reply_timeout;
@@ -321,6 +336,9 @@
   }
   session.unanswered_orders = 0;
   session.leaving = false;
+  if (this->state.Crashes().FindUnsettled(id, session.born_ms) != nullptr) {
+    this->Settle(id, session.born_ms, false);
+  }
   // The first hold had no deadline because the worker's clock was unknown, so
   // the next one is sent immediately.
   this->ScheduleHold(
@@ -346,6 +364,15 @@
     const bool broke =
         result == OrderResult::kUnanswered && since_sent < order.timeout;
     session.alive_until = broke ? now : session.last_answer;
+    // A worker that hasn't answered in this term may have crashed long before.
+    if (const auto worker = this->state.Workers().find(id);
+        worker != this->state.Workers().end() && session.has_answered) {
+      const auto& labels = worker->second.labels;
+      this->silences.push_back(Silence{session.alive_until, now, id,
+                                       labels.size() > 1 ? labels[1] : "",
+                                       worker->second.availability_zone});
+    }
+    this->ForgetOldSilences(now);
     this->hooks.report(
         "worker_silent", id,
         reason + " " +
@@ -441,6 +468,7 @@
       continue;
     }
     Run& run = found->second;
+    run.unlisted = false;
     run.ready = !run.step->long_running || task.percent >= 100;
     run.load = task.load;
     run.percent = task.percent;
@@ -478,7 +506,8 @@
   }
   if (session.unanswered_orders > 0 && session.lease.Expired(now)) {
     if (!session.runs.empty() && !this->EndWasPlanned(id, session)) {
-      this->OnWorkerCrashed(id, session, "silent until its lease expired");
+      this->OnWorkerCrashed(id, session, "silent until its lease expired",
+                            false, now);
     }
     while (!session.runs.empty()) {
       const RunKey key = session.runs.begin()->first;
@@ -523,6 +552,7 @@
       this->StopJob(job, now);
     }
   }
+  this->StopGivenUpJobs(now);
   if (now >= this->next_session_scan &&
       now - this->last_session_scan >= this->config.min_session_scan_interval) {
     this->TickSessions(now);
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -46,6 +47,14 @@
     /// Timeout of an order, in addition to the delay of a hold. A round trip
     /// takes a few milliseconds.
     std::chrono::milliseconds reply_timeout{600};
+    /// How long a worker may delay its answer to a hold while it runs a task
+    /// that is implicated in a crash; each answer shows that it is alive.
+    std::chrono::milliseconds hold_wait_isolated{200};
+    /// Places tasks that are implicated in a crash apart from others.
+    bool isolate_implicated = true;
+    /// At most 1/divisor of a pool's workers, but at least one, are kept for
+    /// tasks that must run apart, so that the others go on.
+    std::size_t isolation_divisor = 2;
     std::chrono::milliseconds retry_delay{150};
     /// Delay before an order is given again that this process didn't begin to
     /// send. Avoids a tight loop while the queue of orders is full.
@@ -158,6 +167,11 @@
     std::shared_ptr<const JobRequest> request;
     /// When the worker confirmed the start, or the stop.
     std::optional<TimePoint> confirmed;
+    /// The start may have reached the worker.
+    bool start_sent = false;
+    /// An earlier leader logged the start, and the worker hasn't listed the run
+    /// in this term.
+    bool unlisted = false;
     /// Since when the worker is known to execute the run.
     std::optional<TimePoint> running_since;
     unsigned attempts = 0;
@@ -194,6 +208,8 @@
     TimePoint next_hold{};
     /// The capacity has shrunk, and starts from before may be unconfirmed.
     bool capacity_shrunk = false;
+    /// Since when the leader knows the incarnation.
+    TimePoint known_since{};
     TimePoint last_announced{};
     std::uint64_t sequence = 0;
     /// When the worker's latest answer was read.
@@ -208,6 +224,8 @@
     /// Since when the worker gets no tasks because its instance is due for
     /// upkeep or a move.
     std::optional<TimePoint> reserved;
+    /// The job for whose implicated tasks the worker is kept free of others.
+    std::string isolated_job;
     TimePoint next_pace{};
   };
 
@@ -220,6 +238,15 @@
     std::chrono::milliseconds timeout{0};
   };
 
+  /// A worker that fell silent at some time from `alive_until` to `noticed`.
+  struct Silence {
+    TimePoint alive_until{};
+    TimePoint noticed{};
+    std::string worker;
+    std::string rack;
+    std::string availability_zone;
+  };
+
   /// The workers of a pool in the order of their ids.
   struct PoolWorkers {
     struct Member {
@@ -309,10 +336,22 @@
                                                         const Run& run);
   /// True if the worker's end was announced, or ordered through the platform.
   bool EndWasPlanned(const std::string& id, const Session& session) const;
-  /// Must be called before the runs of a worker end that has crashed, or that
-  /// was silent until its lease expired.
+  /// Must be called before the runs of a worker end that has crashed
+  /// (`confirmed`), or that was silent until its lease expired.
   void OnWorkerCrashed(const std::string& id, const Session& session,
-                       const char* reason);
+                       const char* reason, bool confirmed, TimePoint now);
+  /// True if a whole rack or zone, or half of the fleet, fell silent at about
+  /// the same time as the worker.
+  bool LostWithOthers(const Worker& worker, const Session& session,
+                      TimePoint now) const;
+  void ForgetOldSilences(TimePoint now);
+  /// Logs what a later incarnation tells of earlier crashes.
+  void ConfirmCrashes(const Worker& later);
+  void Settle(const std::string& worker, std::int64_t born_ms, bool crashed);
+  /// Logs the runs that have lasted long enough to clear their tasks.
+  void ClearSurvivors(TimePoint now);
+  /// Stops the runs of jobs that were given up since the last call.
+  void StopGivenUpJobs(TimePoint now);
 
   // dispatcher_runs.cc: single runs.
   void StartRun(const TaskId& task, std::uint32_t number,
@@ -360,11 +399,42 @@
   void PlaceTasksOf(const std::string& pool, PoolWorkers& workers,
                     std::map<std::string, TeamQuota>& teams, std::size_t limit,
                     TimePoint now);
-  void StartAssigned(const std::string& pool, const PoolWorkers& workers,
+  void StartAssigned(const std::string& pool,
+                     const std::vector<CandidateWorker>& candidates,
                      const std::vector<Assignment>& assignments, TimePoint now);
   /// Brings `pool_workers` up to date with the sessions and their workers.
   void IndexWorkers();
   void UpdateCandidates(PoolWorkers& workers, TimePoint now) const;
+  WorkerHealth::Eligibility EligibilityOf(const std::string& worker,
+                                          TimePoint now) const;
+  /// True if the worker accepts tasks and isn't quarantined.
+  bool MayUse(const PoolWorkers::Member& member, TimePoint now) const;
+  /// Sets everything but the id and the labels.
+  void UpdateCandidate(const PoolWorkers::Member& member,
+                       CandidateWorker& candidate, TimePoint now) const;
+
+  // dispatcher_isolation.cc: tasks that are implicated in a crash.
+  /// Places the pool's implicated tasks, each job's apart from other jobs.
+  /// Returns how many it has placed.
+  std::size_t PlaceImplicated(const std::string& pool,
+                              const PoolWorkers& workers,
+                              std::map<std::string, TeamQuota>& teams,
+                              std::size_t limit, TimePoint now);
+  /// Places the implicated tasks of one step on workers without young runs of
+  /// other jobs, or keeps a worker free for them.
+  std::size_t PlaceApart(const std::string& pool, const PoolWorkers& workers,
+                         const StepDemand& demand, TeamQuota* team,
+                         std::size_t limit, TimePoint now);
+  /// Brings `implicated` up to date.
+  void FindImplicated();
+  /// Ends the isolation of workers whose job no longer needs it.
+  void EndIsolations();
+  /// True if no run of another job on the worker is younger than
+  /// CrashLedger::kYoungRun.
+  static bool HasNoYoungRunOfOthers(const Session& session,
+                                    const std::string& job, TimePoint now);
+  /// Returns the tasks of `demand` that are, or aren't, implicated.
+  StepDemand PartOf(const StepDemand& demand, bool implicated) const;
   /// Resources that each limited team may still use.
   std::map<std::string, TeamQuota> TeamQuotas() const;
   /// Must be called when a run is added to a session or removed from it.
@@ -427,6 +497,14 @@
   WorkerHealth health;
   WorkerSpeed speed;
   std::map<std::string, Session> sessions;
+  std::deque<Silence> silences;
+  /// FleetState::GivenUpJobs of which the runs were stopped.
+  std::uint64_t stopped_given_up_jobs = 0;
+  std::size_t isolated_workers = 0;
+  /// CrashLedger::ImplicatedTasks as of CrashLedger::Version.
+  std::map<std::string, std::vector<TaskId>> implicated;
+  std::uint64_t implicated_version = 0;
+  TimePoint next_survivor_check{};
   std::map<std::string, PoolWorkers> pool_workers;
   /// FleetState::WorkersVersion that `pool_workers` reflects; 0 once a session
   /// was added or removed.
--- a/src/mimosastage/jobs/dispatcher_crashes.cc
+++ b/src/mimosastage/jobs/dispatcher_crashes.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <set>
+#include <utility>
 
 #include "mimosastage/jobs/dispatcher.h"
 
@@ -9,6 +11,15 @@
 
 /// Runs that one log line names; a worker can hold hundreds.
 constexpr std::size_t kRunsPerLine = 12;
+/// Fewer workers can crash at about the same time by chance, above all in a
+/// burst of deadly tasks.
+constexpr std::size_t kFewestLostTogether = 3;
+constexpr milliseconds kSurvivorCheckInterval{50};
+/// The workers of a rack or zone are lost within this time.
+constexpr milliseconds kLossDuration{150};
+/// Longer than it takes to learn that a silent worker has crashed: its lease
+/// expires after 6 s at most.
+constexpr std::chrono::seconds kSilenceRetention{12};
 
 }  // namespace
 
@@ -42,21 +53,199 @@
 }
 
 void Dispatcher::OnWorkerCrashed(const std::string& id, const Session& session,
-                                 const char* reason) {
+                                 const char* reason, bool confirmed,
+                                 TimePoint now) {
   std::string detail = std::string(reason) + "; it held " +
                        std::to_string(session.runs.size()) + " runs:";
   std::size_t named = 0;
+  Command command;
+  command.crash = std::make_unique<WorkerCrash>();
+  WorkerCrash& crash = *command.crash;
+  crash.worker = id;
+  crash.born_ms = session.born_ms;
+  crash.confirmed = confirmed;
+  if (const auto worker = this->state.Workers().find(id);
+      worker != this->state.Workers().end()) {
+    crash.instance = worker->second.machine;
+    crash.address = worker->second.address;
+    crash.correlated = this->LostWithOthers(worker->second, session, now);
+  }
   for (const auto& [key, run] : session.runs) {
-    if (run.stage == RunStage::kLogging || named == kRunsPerLine) {
+    if (!run.start_sent) {
       continue;
     }
-    ++named;
     const auto age = AgeOf(session, run);
+    auto row = std::make_unique<CrashedRun>();
+    row->job = key.first.job;
+    row->occurrence = key.first.occurrence;
+    row->step = key.first.step;
+    row->index = key.first.index;
+    row->run = key.second;
+    row->age_ms = age.value_or(milliseconds(0)).count();
+    row->uncertain = run.unlisted;
+    crash.runs.push_back(std::move(row));
+    if (named == kRunsPerLine) {
+      continue;
+    }
+    ++named;
     detail += " " + ToString(key.first) + " run " + std::to_string(key.second) +
               (age.has_value() ? " age " + std::to_string(age->count()) + " ms"
-                               : " unconfirmed");
+                               : " unconfirmed") +
+              " crashes " +
+              std::to_string(this->state.Crashes().CrashesUnder(key.first));
+  }
+  if (crash.correlated) {
+    detail += "; lost with its rack, zone or half of the fleet";
   }
   this->hooks.report("worker_crashed", id, detail);
+  if (!crash.runs.empty()) {
+    this->hooks.propose(std::move(command), {});
+  }
+}
+
+bool Dispatcher::LostWithOthers(const Worker& worker, const Session& session,
+                                TimePoint now) const {
+  // Breaking connections tell the time of a crash; otherwise it lies between
+  // the last answer and a timeout.
+  Silence own{session.last_answer, now, worker.id, "", ""};
+  bool time_is_known = session.unanswered_orders == 0;
+  for (const Silence& silence : this->silences) {
+    if (silence.worker == worker.id) {
+      own = silence;
+      time_is_known = true;
+    }
+  }
+  if (!time_is_known) {
+    return false;
+  }
+  std::set<std::string> silent;
+  std::set<std::string> silent_in_rack;
+  std::set<std::string> silent_in_zone;
+  const std::string rack = worker.labels.size() > 1 ? worker.labels[1] : "";
+  for (const Silence& other : this->silences) {
+    if (other.alive_until > own.noticed + kLossDuration ||
+        own.alive_until > other.noticed + kLossDuration) {
+      continue;
+    }
+    silent.insert(other.worker);
+    if (other.rack == rack) {
+      silent_in_rack.insert(other.worker);
+    }
+    if (other.availability_zone == worker.availability_zone) {
+      silent_in_zone.insert(other.worker);
+    }
+  }
+  std::size_t others = 0;
+  std::size_t others_in_rack = 0;
+  std::size_t others_in_zone = 0;
+  for (const auto& [id, known] : this->state.Workers()) {
+    // A worker that was born since may have replaced one that was lost as well.
+    if (silent.contains(id) || id == worker.id ||
+        this->sessions.at(id).known_since > own.noticed) {
+      continue;
+    }
+    ++others;
+    others_in_rack +=
+        known.labels.size() > 1 && known.labels[1] == rack ? 1 : 0;
+    others_in_zone +=
+        known.availability_zone == worker.availability_zone ? 1 : 0;
+  }
+  const auto most_lost = [](std::size_t lost, std::size_t left) {
+    return (lost >= kFewestLostTogether && left * 3 <= lost) ||
+           (lost >= 2 && left == 0);
+  };
+  return (!rack.empty() && most_lost(silent_in_rack.size(), others_in_rack)) ||
+         (!worker.availability_zone.empty() &&
+          most_lost(silent_in_zone.size(), others_in_zone)) ||
+         (silent.size() >= kFewestLostTogether && silent.size() >= others);
+}
+
+void Dispatcher::ForgetOldSilences(TimePoint now) {
+  while (!this->silences.empty() &&
+         now - this->silences.front().alive_until > kSilenceRetention) {
+    this->silences.pop_front();
+  }
+}
+
+void Dispatcher::Settle(const std::string& worker, std::int64_t born_ms,
+                        bool crashed) {
+  this->hooks.report("crash_settled", worker,
+                     crashed ? "a later incarnation was seen"
+                             : "the worker has answered again");
+  Command command;
+  command.finding = std::make_unique<CrashFinding>();
+  command.finding->worker = worker;
+  command.finding->born_ms = born_ms;
+  command.finding->crashed = crashed;
+  this->hooks.propose(std::move(command), {});
+}
+
+void Dispatcher::ConfirmCrashes(const Worker& later) {
+  std::vector<std::pair<std::string, std::int64_t>> confirmed;
+  for (const WorkerCrash* crash :
+       this->state.Crashes().UnsettledCrashesOf(later)) {
+    confirmed.emplace_back(crash->worker, crash->born_ms);
+  }
+  for (const auto& [worker, born_ms] : confirmed) {
+    this->Settle(worker, born_ms, true);
+  }
+}
+
+void Dispatcher::ClearSurvivors(TimePoint now) {
+  const CrashLedger& crashes = this->state.Crashes();
+  if (crashes.Empty() || now < this->next_survivor_check) {
+    return;
+  }
+  this->next_survivor_check = now + kSurvivorCheckInterval;
+  for (const TaskId& task : crashes.Tasks()) {
+    // An earlier command may have ended the job.
+    const Job* job = this->state.FindJob(task.job);
+    if (job == nullptr || job->Ended() || !job->Contains(task)) {
+      continue;
+    }
+    std::optional<milliseconds> longest;
+    for (const ActiveRun& active : job->At(task).active) {
+      const auto session = this->sessions.find(active.worker);
+      if (session == this->sessions.end() ||
+          session->second.unanswered_orders > 0) {
+        continue;
+      }
+      if (const auto run = session->second.runs.find({task, active.number});
+          run != session->second.runs.end()) {
+        longest = std::max(longest, AgeOf(session->second, run->second));
+      }
+    }
+    if (!longest.has_value() || *longest < crashes.AgeToClear(task)) {
+      continue;
+    }
+    Command command;
+    command.survived = std::make_unique<RunSurvived>();
+    command.survived->job = task.job;
+    command.survived->occurrence = task.occurrence;
+    command.survived->step = task.step;
+    command.survived->index = task.index;
+    command.survived->age_ms = longest->count();
+    this->hooks.propose(std::move(command), {});
+  }
+}
+
+void Dispatcher::StopGivenUpJobs(TimePoint now) {
+  const std::uint64_t given_up = this->state.GivenUpJobs();
+  if (std::exchange(this->stopped_given_up_jobs, given_up) == given_up) {
+    return;
+  }
+  std::vector<std::string> jobs;
+  for (const auto& [id, job] : this->state.Jobs()) {
+    if (job.phase == JobPhase::kFailed && job.active_runs > 0) {
+      jobs.push_back(id);
+    }
+  }
+  for (const std::string& job : jobs) {
+    this->StopJob(job, now);
+  }
+  this->hooks.report("jobs_given_up", std::to_string(given_up),
+                     "jobs in total with tasks that crash their workers");
+  this->placement_needed = true;
 }
 
 }  // namespace mimosastage::jobs
--- a/src/mimosastage/jobs/dispatcher_instances.cc
+++ b/src/mimosastage/jobs/dispatcher_instances.cc
@@ -102,11 +102,11 @@
         session.unanswered_orders > 0) {
       continue;
     }
-    instances.push_back(
-        PooledInstance{worker.machine, worker.pool, worker.capacity->millicores,
-                       this->AcceptsTasks(session) && session.runs.empty() &&
-                           this->MayOrder(worker.machine, now),
-                       worker.capacity->memory_mb});
+    instances.push_back(PooledInstance{
+        worker.machine, worker.pool, worker.capacity->millicores,
+        this->AcceptsTasks(session) && session.runs.empty() &&
+            session.isolated_job.empty() && this->MayOrder(worker.machine, now),
+        worker.capacity->memory_mb});
     worker_of[worker.machine] = id;
   }
   for (const auto& [instance, entry] : this->listed_instances) {
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -52,17 +52,38 @@
   }
 }
 
+WorkerHealth::Eligibility Dispatcher::EligibilityOf(const std::string& worker,
+                                                    TimePoint now) const {
+  return this->health.AnyQuarantined()
+             ? this->health.EligibilityOf(InstanceName(worker), now)
+             : WorkerHealth::Eligibility::kHealthy;
+}
+
+bool Dispatcher::MayUse(const PoolWorkers::Member& member,
+                        TimePoint now) const {
+  return this->AcceptsTasks(*member.session) &&
+         this->EligibilityOf(member.worker->id, now) !=
+             WorkerHealth::Eligibility::kQuarantined;
+}
+
+void Dispatcher::UpdateCandidate(const PoolWorkers::Member& member,
+                                 CandidateWorker& candidate,
+                                 TimePoint now) const {
+  const auto& [worker, session] = member;
+  candidate.free = *worker->capacity;
+  Subtract(candidate.free, session->used);
+  candidate.fillers = session->fillers;
+  candidate.serving = session->serving;
+  candidate.suspect = this->EligibilityOf(worker->id, now) ==
+                          WorkerHealth::Eligibility::kProbe ||
+                      this->speed.IsSlow(worker->id, now);
+}
+
 void Dispatcher::UpdateCandidates(PoolWorkers& workers, TimePoint now) const {
   std::size_t count = 0;
-  for (const auto& [worker, session] : workers.members) {
-    if (!this->AcceptsTasks(*session)) {
-      continue;
-    }
-    const auto eligibility =
-        this->health.AnyQuarantined()
-            ? this->health.EligibilityOf(InstanceName(worker->id), now)
-            : WorkerHealth::Eligibility::kHealthy;
-    if (eligibility == WorkerHealth::Eligibility::kQuarantined) {
+  for (const PoolWorkers::Member& member : workers.members) {
+    const auto& [worker, session] = member;
+    if (!session->isolated_job.empty() || !this->MayUse(member, now)) {
       continue;
     }
     if (count == workers.candidates.size()) {
@@ -75,12 +96,7 @@
       candidate.labels = worker->labels;
     }
     ++count;
-    candidate.free = *worker->capacity;
-    Subtract(candidate.free, session->used);
-    candidate.fillers = session->fillers;
-    candidate.serving = session->serving;
-    candidate.suspect = eligibility == WorkerHealth::Eligibility::kProbe ||
-                        this->speed.IsSlow(worker->id, now);
+    this->UpdateCandidate(member, candidate, now);
   }
   workers.candidates.resize(count);
   workers.sources.resize(count);
@@ -188,6 +204,10 @@
 }
 
 void Dispatcher::PlaceTasks(TimePoint now) {
+  this->ClearSurvivors(now);
+  this->StopGivenUpJobs(now);
+  this->FindImplicated();
+  this->EndIsolations();
   this->waiting_steps.Refresh(this->hooks.wall_time());
   this->IndexWorkers();
   this->waiting_sums = this->waiting_steps.SumsByPool();
@@ -215,10 +235,19 @@
                               std::map<std::string, TeamQuota>& teams,
                               std::size_t limit, TimePoint now) {
   this->UpdateCandidates(workers, now);
-  if (workers.candidates.empty()) {
+  const bool any_implicated = !this->implicated.empty();
+  if (workers.candidates.empty() && !any_implicated) {
     return;
   }
   this->ApplyAdvice(pool, workers.candidates, now);
+  if (any_implicated) {
+    limit -= std::min(limit,
+                      this->PlaceImplicated(pool, workers, teams, limit, now));
+    this->UpdateCandidates(workers, now);
+    if (limit == 0 || workers.candidates.empty()) {
+      return;
+    }
+  }
   std::vector<Assignment> assignments;
   this->waiting_steps.Visit(pool, [&](const WaitingStep& waiting) {
     if (waiting.advised && waiting.demand.approved == nullptr) {
@@ -228,21 +257,34 @@
       return WaitingSteps::Next::kStop;
     }
     const auto team = teams.find(waiting.demand.team);
+    TeamQuota* const quota = team == teams.end() ? nullptr : &team->second;
+    if (this->implicated.contains(waiting.request->id)) {
+      const StepDemand others = this->PartOf(waiting.demand, false);
+      if (others.waiting.size() < waiting.demand.waiting.size()) {
+        if (!others.waiting.empty()) {
+          PlaceStep(others, workers.candidates, quota, assignments,
+                    limit - assignments.size());
+        }
+        return WaitingSteps::Next::kContinue;
+      }
+    }
     const StepPlacement placement =
-        PlaceStep(waiting.demand, workers.candidates,
-                  team == teams.end() ? nullptr : &team->second, assignments,
+        PlaceStep(waiting.demand, workers.candidates, quota, assignments,
                   limit - assignments.size());
     return placement == StepPlacement::kNoRoom
                ? WaitingSteps::Next::kLeaveOutAlike
                : WaitingSteps::Next::kContinue;
   });
-  this->StartAssigned(pool, workers, assignments, now);
+  this->StartAssigned(pool, workers.candidates, assignments, now);
 }
 
 void Dispatcher::StartAssigned(const std::string& pool,
-                               const PoolWorkers& workers,
+                               const std::vector<CandidateWorker>& candidates,
                                const std::vector<Assignment>& assignments,
                                TimePoint now) {
+  if (assignments.empty()) {
+    return;
+  }
   WaitingSteps::Sums& waiting = this->waiting_sums.at(pool);
   std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> gang_runs;
   for (const Assignment& assignment : assignments) {
@@ -262,7 +304,7 @@
       }
       number = shared;
     }
-    const std::string& worker = workers.candidates[assignment.candidate].id;
+    const std::string& worker = candidates[assignment.candidate].id;
     const Amount charge = Charge(step);
     waiting.millicores -= charge.millicores;
     waiting.memory_mb -= charge.memory_mb;
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -47,6 +47,7 @@
   command.start->run = number;
   command.start->worker = worker;
   command.start->born_ms = session.born_ms;
+  command.start->at_ms = this->hooks.wall_time().count();
   const std::int64_t born_ms = session.born_ms;
   this->hooks.propose(
       std::move(command), [this, worker, born_ms, key](TimePoint at) {
@@ -142,6 +143,7 @@
   order.timeout = this->config.reply_timeout;
   order.fresh_connection = run.attempts > 0;
   ++run.attempts;
+  run.start_sent = true;
   run.order_open = true;
   this->Send(worker, session,
              OpenOrder{.run = key, .stage = RunStage::kStarting, .sent = now},
@@ -243,6 +245,10 @@
     case OrderResult::kNotSent:
     case OrderResult::kRefused:
       this->CountUnanswered(id, session, "start", reply.result, order, now);
+      if (run.attempts == 1 && reply.result != OrderResult::kUnanswered) {
+        // The order didn't reach the worker, so it can't have crashed it.
+        run.start_sent = false;
+      }
       // A silent worker must not keep the window from others.
       this->LeaveStartWindow(run);
       this->ScheduleHold(session, now);
--- a/src/mimosastage/jobs/fleet_state.cc
+++ b/src/mimosastage/jobs/fleet_state.cc
@@ -100,6 +100,17 @@
     }
   } else if (command.ordered != nullptr) {
     this->ordered_at[command.ordered->instance] = command.ordered->at_ms;
+  } else if (command.crash != nullptr) {
+    this->Apply(*command.crash);
+  } else if (command.finding != nullptr) {
+    this->crashes.Settle(*command.finding);
+    this->GiveUpDeadlyJobs();
+  } else if (command.survived != nullptr) {
+    const RunSurvived& run = *command.survived;
+    this->crashes.OnSurvived(
+        TaskId{run.job, run.occurrence, run.step, run.index},
+        std::chrono::milliseconds(run.age_ms));
+    this->GiveUpDeadlyJobs();
   } else if (!command.cancelled_job.empty()) {
     this->Cancel(command.cancelled_job);
   }
@@ -180,7 +191,8 @@
   Job& job = found->second;
   Task& task = job.At(id);
   task.runs = std::max(task.runs, start.run);
-  task.active.push_back(ActiveRun{start.run, start.worker, start.born_ms});
+  task.active.push_back(
+      ActiveRun{start.run, start.worker, start.born_ms, start.at_ms});
   ++job.active_runs;
   this->AddChange(id);
   job.started = true;
@@ -198,6 +210,7 @@
   Job& job = found->second;
   Task& task = job.At(id);
   this->AddChange(id);
+  const bool concerned = this->crashes.Concerns(end.job);
   const auto run = std::find_if(
       task.active.begin(), task.active.end(),
       [&](const ActiveRun& active) { return active.number == end.run; });
@@ -208,6 +221,9 @@
         !job.request->steps[end.step]->long_running) {
       this->FinishTask(job, id);
     }
+    if (concerned) {
+      this->GiveUpDeadlyJobs();
+    }
     return;
   }
   task.active.erase(run);
@@ -230,6 +246,39 @@
     }
   }
   this->ReleaseTasks(job);
+  if (concerned) {
+    // The end may have cleared the task, which leaves its neighbours to blame.
+    this->GiveUpDeadlyJobs();
+  }
+}
+
+void FleetState::Apply(const WorkerCrash& crash) {
+  WorkerCrash open = crash;
+  // A job may have ended between the crash and its record. One that didn't
+  // complete may have caused the crash, so it doesn't count against others.
+  for (const auto& run : crash.runs) {
+    if (const Job* job = this->FindJob(run->job);
+        job != nullptr && job->Ended() && job->phase != JobPhase::kCompleted &&
+        run->age_ms < CrashLedger::kYoungRun.count()) {
+      open.explained = true;
+    }
+  }
+  std::erase_if(open.runs, [&](const auto& run) {
+    const Job* job = this->FindJob(run->job);
+    const TaskId task{run->job, run->occurrence, run->step, run->index};
+    return job == nullptr || job->Ended() || !job->Contains(task) ||
+           job->At(task).done;
+  });
+  this->crashes.Record(open);
+  this->GiveUpDeadlyJobs();
+}
+
+void FleetState::GiveUpDeadlyJobs() {
+  for (std::vector<std::string> blamed = this->crashes.JobsToBlame();
+       !blamed.empty(); blamed = this->crashes.JobsToBlame()) {
+    ++this->given_up_jobs;
+    this->EndJob(this->jobs.at(blamed.front()), JobPhase::kFailed);
+  }
 }
 
 void FleetState::AddChange(const TaskId& task) {
@@ -251,6 +300,12 @@
     job.At(id).done = true;
     --open;
   }
+  if (this->crashes.Concerns(id.job)) {
+    for (std::uint32_t i = 0; step.gang && i < step.tasks; ++i) {
+      this->crashes.OnDone(TaskId{id.job, id.occurrence, id.step, i});
+    }
+    this->crashes.OnDone(id);
+  }
   if (std::all_of(job.open_task_counts.begin(), job.open_task_counts.end(),
                   [](std::uint32_t left) { return left == 0; })) {
     this->EndJob(job, JobPhase::kCompleted);
@@ -262,6 +317,11 @@
   job.ended_ms = this->latest_ms;
   this->open_jobs.erase({job.request->accepted_ms, job.request->id});
   this->ended_jobs.emplace(job.ended_ms, job.request->id);
+  if (phase != JobPhase::kCompleted) {
+    // The job may have caused its crashes, so they don't count against others.
+    this->crashes.Explain(job.request->id);
+  }
+  this->crashes.ForgetJob(job.request->id);
   this->job_changes.Add(JobChange{job.request->id, std::nullopt});
   this->ReleaseTasks(job);
 }
@@ -347,6 +407,7 @@
         run->run = active.number;
         run->worker = active.worker;
         run->born_ms = active.born_ms;
+        run->started_ms = active.started_ms;
         row->active.push_back(std::move(run));
       }
       record->tasks.push_back(std::move(row));
@@ -365,6 +426,7 @@
     row->at_ms = at_ms;
     snapshot.ordered.push_back(std::move(row));
   }
+  snapshot.crashes = this->crashes.Records();
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(jobs_wire::Snapshot::Pack(builder, &snapshot));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
@@ -374,7 +436,9 @@
 bool FleetState::Restore(std::string_view bytes) {
   JobChanges changes = std::move(this->job_changes);
   const std::uint64_t version = this->workers_version;
+  const std::uint64_t given_up = this->given_up_jobs;
   *this = FleetState();
+  this->given_up_jobs = given_up;
   this->job_changes = std::move(changes);
   this->job_changes.AddAll();
   this->workers_version = version + 1;
@@ -404,7 +468,8 @@
       task.failures = row->failures;
       task.checkpoint = row->checkpoint;
       for (const auto& run : row->active) {
-        task.active.push_back(ActiveRun{run->run, run->worker, run->born_ms});
+        task.active.push_back(
+            ActiveRun{run->run, run->worker, run->born_ms, run->started_ms});
       }
       job.active_runs += task.active.size();
       job.tasks.push_back(std::move(task));
@@ -435,6 +500,9 @@
   for (const auto& row : snapshot.ordered) {
     this->ordered_at[row->instance] = row->at_ms;
   }
+  for (const auto& crash : snapshot.crashes) {
+    this->crashes.Record(*crash);
+  }
   return true;
 }
 
--- a/src/mimosastage/jobs/fleet_state.h
+++ b/src/mimosastage/jobs/fleet_state.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "mimosastage/jobs/crash_ledger.h"
 #include "mimosastage/jobs/job_changes.h"
 #include "mimosastage/jobs/records.h"
 
@@ -21,6 +22,8 @@
   std::uint32_t number = 0;
   std::string worker;
   std::int64_t born_ms = 0;
+  /// When its start was logged, in Unix milliseconds; 0 if unknown.
+  std::int64_t started_ms = 0;
 };
 
 struct Task {
@@ -106,6 +109,11 @@
   /// Changes of the jobs' tasks and phases; a change of the configuration
   /// counts as one of all jobs.
   const JobChanges& Changes() const { return this->job_changes; }
+  /// The crashes of workers that aren't explained.
+  const CrashLedger& Crashes() const { return this->crashes; }
+  /// Number of jobs that failed because a task crashes its workers, as far as
+  /// this replica has applied their failure. Not part of snapshots.
+  std::uint64_t GivenUpJobs() const { return this->given_up_jobs; }
   /// Increases whenever a worker is added, changed or removed.
   std::uint64_t WorkersVersion() const { return this->workers_version; }
 
@@ -118,6 +126,9 @@
   void Cancel(const std::string& id);
   void Apply(const RunStart& start);
   void Apply(const RunEnd& end);
+  void Apply(const WorkerCrash& crash);
+  /// Fails the jobs that the crashes are blamed on.
+  void GiveUpDeadlyJobs();
   void AddChange(const TaskId& task);
   void FinishTask(Job& job, const TaskId& id);
   void EndJob(Job& job, JobPhase phase);
@@ -142,6 +153,8 @@
   JobChanges job_changes;
   std::map<std::string, Worker> workers;
   std::uint64_t workers_version = 1;
+  CrashLedger crashes;
+  std::uint64_t given_up_jobs = 0;
   std::map<std::uint64_t, Wave> waves;
   std::map<std::string, std::int64_t> ordered_at;
 };
--- a/src/mimosastage/jobs/internal/records_generated.h
+++ b/src/mimosastage/jobs/internal/records_generated.h
@@ -60,6 +60,22 @@
 struct RunEndBuilder;
 struct RunEndT;
 
+struct CrashedRun;
+struct CrashedRunBuilder;
+struct CrashedRunT;
+
+struct WorkerCrash;
+struct WorkerCrashBuilder;
+struct WorkerCrashT;
+
+struct CrashFinding;
+struct CrashFindingBuilder;
+struct CrashFindingT;
+
+struct RunSurvived;
+struct RunSurvivedBuilder;
+struct RunSurvivedT;
+
 struct Wave;
 struct WaveBuilder;
 struct WaveT;
@@ -1642,6 +1658,7 @@
   uint32_t run = 0;
   std::string worker{};
   int64_t born_ms = 0;
+  int64_t at_ms = 0;
 };
 
 struct RunStart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1655,7 +1672,8 @@
     VT_INDEX = 10,
     VT_RUN = 12,
     VT_WORKER = 14,
-    VT_BORN_MS = 16
+    VT_BORN_MS = 16,
+    VT_AT_MS = 18
   };
   const flatbuffers::String *job() const {
     return GetPointer<const flatbuffers::String *>(VT_JOB);
@@ -1678,6 +1696,9 @@
   int64_t born_ms() const {
     return GetField<int64_t>(VT_BORN_MS, 0);
   }
+  int64_t at_ms() const {
+    return GetField<int64_t>(VT_AT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_JOB) &&
@@ -1689,6 +1710,7 @@
            VerifyOffset(verifier, VT_WORKER) &&
            verifier.VerifyString(worker()) &&
            VerifyField<int64_t>(verifier, VT_BORN_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_AT_MS, 8) &&
            verifier.EndTable();
   }
   RunStartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1721,6 +1743,9 @@
   void add_born_ms(int64_t born_ms) {
     fbb_.AddElement<int64_t>(RunStart::VT_BORN_MS, born_ms, 0);
   }
+  void add_at_ms(int64_t at_ms) {
+    fbb_.AddElement<int64_t>(RunStart::VT_AT_MS, at_ms, 0);
+  }
   explicit RunStartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1740,8 +1765,10 @@
     uint32_t index = 0,
     uint32_t run = 0,
     flatbuffers::Offset<flatbuffers::String> worker = 0,
-    int64_t born_ms = 0) {
+    int64_t born_ms = 0,
+    int64_t at_ms = 0) {
   RunStartBuilder builder_(_fbb);
+  builder_.add_at_ms(at_ms);
   builder_.add_born_ms(born_ms);
   builder_.add_worker(worker);
   builder_.add_run(run);
@@ -1765,7 +1792,8 @@
     uint32_t index = 0,
     uint32_t run = 0,
     const char *worker = nullptr,
-    int64_t born_ms = 0) {
+    int64_t born_ms = 0,
+    int64_t at_ms = 0) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   return mimosastage::jobs_wire::CreateRunStart(
@@ -1776,7 +1804,8 @@
       index,
       run,
       worker__,
-      born_ms);
+      born_ms,
+      at_ms);
 }
 
 flatbuffers::Offset<RunStart> CreateRunStart(flatbuffers::FlatBufferBuilder &_fbb, const RunStartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1929,6 +1958,536 @@
 
 flatbuffers::Offset<RunEnd> CreateRunEnd(flatbuffers::FlatBufferBuilder &_fbb, const RunEndT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct CrashedRunT : public flatbuffers::NativeTable {
+  typedef CrashedRun TableType;
+  std::string job{};
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  uint32_t index = 0;
+  uint32_t run = 0;
+  int64_t age_ms = 0;
+  bool uncertain = false;
+};
+
+struct CrashedRun FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashedRunT NativeTableType;
+  typedef CrashedRunBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOB = 4,
+    VT_OCCURRENCE = 6,
+    VT_STEP = 8,
+    VT_INDEX = 10,
+    VT_RUN = 12,
+    VT_AGE_MS = 14,
+    VT_UNCERTAIN = 16
+  };
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  uint32_t occurrence() const {
+    return GetField<uint32_t>(VT_OCCURRENCE, 0);
+  }
+  uint32_t step() const {
+    return GetField<uint32_t>(VT_STEP, 0);
+  }
+  uint32_t index() const {
+    return GetField<uint32_t>(VT_INDEX, 0);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  int64_t age_ms() const {
+    return GetField<int64_t>(VT_AGE_MS, 0);
+  }
+  bool uncertain() const {
+    return GetField<uint8_t>(VT_UNCERTAIN, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<uint32_t>(verifier, VT_OCCURRENCE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_STEP, 4) &&
+           VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_UNCERTAIN, 1) &&
+           verifier.EndTable();
+  }
+  CrashedRunT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CrashedRunT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CrashedRun> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashedRunT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CrashedRunBuilder {
+  typedef CrashedRun Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(CrashedRun::VT_JOB, job);
+  }
+  void add_occurrence(uint32_t occurrence) {
+    fbb_.AddElement<uint32_t>(CrashedRun::VT_OCCURRENCE, occurrence, 0);
+  }
+  void add_step(uint32_t step) {
+    fbb_.AddElement<uint32_t>(CrashedRun::VT_STEP, step, 0);
+  }
+  void add_index(uint32_t index) {
+    fbb_.AddElement<uint32_t>(CrashedRun::VT_INDEX, index, 0);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(CrashedRun::VT_RUN, run, 0);
+  }
+  void add_age_ms(int64_t age_ms) {
+    fbb_.AddElement<int64_t>(CrashedRun::VT_AGE_MS, age_ms, 0);
+  }
+  void add_uncertain(bool uncertain) {
+    fbb_.AddElement<uint8_t>(CrashedRun::VT_UNCERTAIN, static_cast<uint8_t>(uncertain), 0);
+  }
+  explicit CrashedRunBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashedRun> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashedRun>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashedRun> CreateCrashedRun(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t index = 0,
+    uint32_t run = 0,
+    int64_t age_ms = 0,
+    bool uncertain = false) {
+  CrashedRunBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_run(run);
+  builder_.add_index(index);
+  builder_.add_step(step);
+  builder_.add_occurrence(occurrence);
+  builder_.add_job(job);
+  builder_.add_uncertain(uncertain);
+  return builder_.Finish();
+}
+
+struct CrashedRun::Traits {
+  using type = CrashedRun;
+  static auto constexpr Create = CreateCrashedRun;
+};
+
+inline flatbuffers::Offset<CrashedRun> CreateCrashedRunDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *job = nullptr,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t index = 0,
+    uint32_t run = 0,
+    int64_t age_ms = 0,
+    bool uncertain = false) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  return mimosastage::jobs_wire::CreateCrashedRun(
+      _fbb,
+      job__,
+      occurrence,
+      step,
+      index,
+      run,
+      age_ms,
+      uncertain);
+}
+
+flatbuffers::Offset<CrashedRun> CreateCrashedRun(flatbuffers::FlatBufferBuilder &_fbb, const CrashedRunT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct WorkerCrashT : public flatbuffers::NativeTable {
+  typedef WorkerCrash TableType;
+  std::string worker{};
+  int64_t born_ms = 0;
+  std::string instance{};
+  std::string address{};
+  bool confirmed = false;
+  bool correlated = false;
+  bool explained = false;
+  std::vector<std::unique_ptr<mimosastage::jobs_wire::CrashedRunT>> runs{};
+  WorkerCrashT() = default;
+  WorkerCrashT(const WorkerCrashT &o);
+  WorkerCrashT(WorkerCrashT&&) FLATBUFFERS_NOEXCEPT = default;
+  WorkerCrashT &operator=(WorkerCrashT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct WorkerCrash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WorkerCrashT NativeTableType;
+  typedef WorkerCrashBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORKER = 4,
+    VT_BORN_MS = 6,
+    VT_INSTANCE = 8,
+    VT_ADDRESS = 10,
+    VT_CONFIRMED = 12,
+    VT_CORRELATED = 14,
+    VT_EXPLAINED = 16,
+    VT_RUNS = 18
+  };
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  int64_t born_ms() const {
+    return GetField<int64_t>(VT_BORN_MS, 0);
+  }
+  const flatbuffers::String *instance() const {
+    return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  bool confirmed() const {
+    return GetField<uint8_t>(VT_CONFIRMED, 0) != 0;
+  }
+  bool correlated() const {
+    return GetField<uint8_t>(VT_CORRELATED, 0) != 0;
+  }
+  bool explained() const {
+    return GetField<uint8_t>(VT_EXPLAINED, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::CrashedRun>> *runs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::CrashedRun>> *>(VT_RUNS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyField<int64_t>(verifier, VT_BORN_MS, 8) &&
+           VerifyOffset(verifier, VT_INSTANCE) &&
+           verifier.VerifyString(instance()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint8_t>(verifier, VT_CONFIRMED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_CORRELATED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_EXPLAINED, 1) &&
+           VerifyOffset(verifier, VT_RUNS) &&
+           verifier.VerifyVector(runs()) &&
+           verifier.VerifyVectorOfTables(runs()) &&
+           verifier.EndTable();
+  }
+  WorkerCrashT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(WorkerCrashT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<WorkerCrash> Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkerCrashT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct WorkerCrashBuilder {
+  typedef WorkerCrash Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(WorkerCrash::VT_WORKER, worker);
+  }
+  void add_born_ms(int64_t born_ms) {
+    fbb_.AddElement<int64_t>(WorkerCrash::VT_BORN_MS, born_ms, 0);
+  }
+  void add_instance(flatbuffers::Offset<flatbuffers::String> instance) {
+    fbb_.AddOffset(WorkerCrash::VT_INSTANCE, instance);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(WorkerCrash::VT_ADDRESS, address);
+  }
+  void add_confirmed(bool confirmed) {
+    fbb_.AddElement<uint8_t>(WorkerCrash::VT_CONFIRMED, static_cast<uint8_t>(confirmed), 0);
+  }
+  void add_correlated(bool correlated) {
+    fbb_.AddElement<uint8_t>(WorkerCrash::VT_CORRELATED, static_cast<uint8_t>(correlated), 0);
+  }
+  void add_explained(bool explained) {
+    fbb_.AddElement<uint8_t>(WorkerCrash::VT_EXPLAINED, static_cast<uint8_t>(explained), 0);
+  }
+  void add_runs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::CrashedRun>>> runs) {
+    fbb_.AddOffset(WorkerCrash::VT_RUNS, runs);
+  }
+  explicit WorkerCrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<WorkerCrash> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<WorkerCrash>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<WorkerCrash> CreateWorkerCrash(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    int64_t born_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> instance = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    bool confirmed = false,
+    bool correlated = false,
+    bool explained = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::CrashedRun>>> runs = 0) {
+  WorkerCrashBuilder builder_(_fbb);
+  builder_.add_born_ms(born_ms);
+  builder_.add_runs(runs);
+  builder_.add_address(address);
+  builder_.add_instance(instance);
+  builder_.add_worker(worker);
+  builder_.add_explained(explained);
+  builder_.add_correlated(correlated);
+  builder_.add_confirmed(confirmed);
+  return builder_.Finish();
+}
+
+struct WorkerCrash::Traits {
+  using type = WorkerCrash;
+  static auto constexpr Create = CreateWorkerCrash;
+};
+
+inline flatbuffers::Offset<WorkerCrash> CreateWorkerCrashDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *worker = nullptr,
+    int64_t born_ms = 0,
+    const char *instance = nullptr,
+    const char *address = nullptr,
+    bool confirmed = false,
+    bool correlated = false,
+    bool explained = false,
+    const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::CrashedRun>> *runs = nullptr) {
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  auto instance__ = instance ? _fbb.CreateString(instance) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto runs__ = runs ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::CrashedRun>>(*runs) : 0;
+  return mimosastage::jobs_wire::CreateWorkerCrash(
+      _fbb,
+      worker__,
+      born_ms,
+      instance__,
+      address__,
+      confirmed,
+      correlated,
+      explained,
+      runs__);
+}
+
+flatbuffers::Offset<WorkerCrash> CreateWorkerCrash(flatbuffers::FlatBufferBuilder &_fbb, const WorkerCrashT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CrashFindingT : public flatbuffers::NativeTable {
+  typedef CrashFinding TableType;
+  std::string worker{};
+  int64_t born_ms = 0;
+  bool crashed = false;
+};
+
+struct CrashFinding FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashFindingT NativeTableType;
+  typedef CrashFindingBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORKER = 4,
+    VT_BORN_MS = 6,
+    VT_CRASHED = 8
+  };
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  int64_t born_ms() const {
+    return GetField<int64_t>(VT_BORN_MS, 0);
+  }
+  bool crashed() const {
+    return GetField<uint8_t>(VT_CRASHED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyField<int64_t>(verifier, VT_BORN_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_CRASHED, 1) &&
+           verifier.EndTable();
+  }
+  CrashFindingT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CrashFindingT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CrashFinding> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashFindingT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CrashFindingBuilder {
+  typedef CrashFinding Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(CrashFinding::VT_WORKER, worker);
+  }
+  void add_born_ms(int64_t born_ms) {
+    fbb_.AddElement<int64_t>(CrashFinding::VT_BORN_MS, born_ms, 0);
+  }
+  void add_crashed(bool crashed) {
+    fbb_.AddElement<uint8_t>(CrashFinding::VT_CRASHED, static_cast<uint8_t>(crashed), 0);
+  }
+  explicit CrashFindingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashFinding> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashFinding>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashFinding> CreateCrashFinding(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    int64_t born_ms = 0,
+    bool crashed = false) {
+  CrashFindingBuilder builder_(_fbb);
+  builder_.add_born_ms(born_ms);
+  builder_.add_worker(worker);
+  builder_.add_crashed(crashed);
+  return builder_.Finish();
+}
+
+struct CrashFinding::Traits {
+  using type = CrashFinding;
+  static auto constexpr Create = CreateCrashFinding;
+};
+
+inline flatbuffers::Offset<CrashFinding> CreateCrashFindingDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *worker = nullptr,
+    int64_t born_ms = 0,
+    bool crashed = false) {
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  return mimosastage::jobs_wire::CreateCrashFinding(
+      _fbb,
+      worker__,
+      born_ms,
+      crashed);
+}
+
+flatbuffers::Offset<CrashFinding> CreateCrashFinding(flatbuffers::FlatBufferBuilder &_fbb, const CrashFindingT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RunSurvivedT : public flatbuffers::NativeTable {
+  typedef RunSurvived TableType;
+  std::string job{};
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  uint32_t index = 0;
+  int64_t age_ms = 0;
+};
+
+struct RunSurvived FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RunSurvivedT NativeTableType;
+  typedef RunSurvivedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOB = 4,
+    VT_OCCURRENCE = 6,
+    VT_STEP = 8,
+    VT_INDEX = 10,
+    VT_AGE_MS = 12
+  };
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  uint32_t occurrence() const {
+    return GetField<uint32_t>(VT_OCCURRENCE, 0);
+  }
+  uint32_t step() const {
+    return GetField<uint32_t>(VT_STEP, 0);
+  }
+  uint32_t index() const {
+    return GetField<uint32_t>(VT_INDEX, 0);
+  }
+  int64_t age_ms() const {
+    return GetField<int64_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<uint32_t>(verifier, VT_OCCURRENCE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_STEP, 4) &&
+           VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
+           VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
+           verifier.EndTable();
+  }
+  RunSurvivedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RunSurvivedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RunSurvived> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunSurvivedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RunSurvivedBuilder {
+  typedef RunSurvived Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(RunSurvived::VT_JOB, job);
+  }
+  void add_occurrence(uint32_t occurrence) {
+    fbb_.AddElement<uint32_t>(RunSurvived::VT_OCCURRENCE, occurrence, 0);
+  }
+  void add_step(uint32_t step) {
+    fbb_.AddElement<uint32_t>(RunSurvived::VT_STEP, step, 0);
+  }
+  void add_index(uint32_t index) {
+    fbb_.AddElement<uint32_t>(RunSurvived::VT_INDEX, index, 0);
+  }
+  void add_age_ms(int64_t age_ms) {
+    fbb_.AddElement<int64_t>(RunSurvived::VT_AGE_MS, age_ms, 0);
+  }
+  explicit RunSurvivedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RunSurvived> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RunSurvived>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RunSurvived> CreateRunSurvived(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t index = 0,
+    int64_t age_ms = 0) {
+  RunSurvivedBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_index(index);
+  builder_.add_step(step);
+  builder_.add_occurrence(occurrence);
+  builder_.add_job(job);
+  return builder_.Finish();
+}
+
+struct RunSurvived::Traits {
+  using type = RunSurvived;
+  static auto constexpr Create = CreateRunSurvived;
+};
+
+inline flatbuffers::Offset<RunSurvived> CreateRunSurvivedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *job = nullptr,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t index = 0,
+    int64_t age_ms = 0) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  return mimosastage::jobs_wire::CreateRunSurvived(
+      _fbb,
+      job__,
+      occurrence,
+      step,
+      index,
+      age_ms);
+}
+
+flatbuffers::Offset<RunSurvived> CreateRunSurvived(flatbuffers::FlatBufferBuilder &_fbb, const RunSurvivedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct WaveT : public flatbuffers::NativeTable {
   typedef Wave TableType;
   uint64_t number = 0;
@@ -2240,6 +2799,9 @@
   std::unique_ptr<mimosastage::jobs_wire::WaveT> wave{};
   std::unique_ptr<mimosastage::jobs_wire::WaveMachineT> begun{};
   std::unique_ptr<mimosastage::jobs_wire::InstanceOrderT> ordered{};
+  std::unique_ptr<mimosastage::jobs_wire::WorkerCrashT> crash{};
+  std::unique_ptr<mimosastage::jobs_wire::CrashFindingT> finding{};
+  std::unique_ptr<mimosastage::jobs_wire::RunSurvivedT> survived{};
   CommandT() = default;
   CommandT(const CommandT &o);
   CommandT(CommandT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2260,7 +2822,10 @@
     VT_WORKER_GONE = 16,
     VT_WAVE = 18,
     VT_BEGUN = 20,
-    VT_ORDERED = 22
+    VT_ORDERED = 22,
+    VT_CRASH = 24,
+    VT_FINDING = 26,
+    VT_SURVIVED = 28
   };
   const mimosastage::jobs_wire::Configuration *configuration() const {
     return GetPointer<const mimosastage::jobs_wire::Configuration *>(VT_CONFIGURATION);
@@ -2292,6 +2857,15 @@
   const mimosastage::jobs_wire::InstanceOrder *ordered() const {
     return GetPointer<const mimosastage::jobs_wire::InstanceOrder *>(VT_ORDERED);
   }
+  const mimosastage::jobs_wire::WorkerCrash *crash() const {
+    return GetPointer<const mimosastage::jobs_wire::WorkerCrash *>(VT_CRASH);
+  }
+  const mimosastage::jobs_wire::CrashFinding *finding() const {
+    return GetPointer<const mimosastage::jobs_wire::CrashFinding *>(VT_FINDING);
+  }
+  const mimosastage::jobs_wire::RunSurvived *survived() const {
+    return GetPointer<const mimosastage::jobs_wire::RunSurvived *>(VT_SURVIVED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CONFIGURATION) &&
@@ -2314,6 +2888,12 @@
            verifier.VerifyTable(begun()) &&
            VerifyOffset(verifier, VT_ORDERED) &&
            verifier.VerifyTable(ordered()) &&
+           VerifyOffset(verifier, VT_CRASH) &&
+           verifier.VerifyTable(crash()) &&
+           VerifyOffset(verifier, VT_FINDING) &&
+           verifier.VerifyTable(finding()) &&
+           VerifyOffset(verifier, VT_SURVIVED) &&
+           verifier.VerifyTable(survived()) &&
            verifier.EndTable();
   }
   CommandT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2355,6 +2935,15 @@
   void add_ordered(flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder> ordered) {
     fbb_.AddOffset(Command::VT_ORDERED, ordered);
   }
+  void add_crash(flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash> crash) {
+    fbb_.AddOffset(Command::VT_CRASH, crash);
+  }
+  void add_finding(flatbuffers::Offset<mimosastage::jobs_wire::CrashFinding> finding) {
+    fbb_.AddOffset(Command::VT_FINDING, finding);
+  }
+  void add_survived(flatbuffers::Offset<mimosastage::jobs_wire::RunSurvived> survived) {
+    fbb_.AddOffset(Command::VT_SURVIVED, survived);
+  }
   explicit CommandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2377,8 +2966,14 @@
     flatbuffers::Offset<mimosastage::jobs_wire::WorkerGone> worker_gone = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::Wave> wave = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::WaveMachine> begun = 0,
-    flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder> ordered = 0) {
+    flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder> ordered = 0,
+    flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash> crash = 0,
+    flatbuffers::Offset<mimosastage::jobs_wire::CrashFinding> finding = 0,
+    flatbuffers::Offset<mimosastage::jobs_wire::RunSurvived> survived = 0) {
   CommandBuilder builder_(_fbb);
+  builder_.add_survived(survived);
+  builder_.add_finding(finding);
+  builder_.add_crash(crash);
   builder_.add_ordered(ordered);
   builder_.add_begun(begun);
   builder_.add_wave(wave);
@@ -2408,7 +3003,10 @@
     flatbuffers::Offset<mimosastage::jobs_wire::WorkerGone> worker_gone = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::Wave> wave = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::WaveMachine> begun = 0,
-    flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder> ordered = 0) {
+    flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder> ordered = 0,
+    flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash> crash = 0,
+    flatbuffers::Offset<mimosastage::jobs_wire::CrashFinding> finding = 0,
+    flatbuffers::Offset<mimosastage::jobs_wire::RunSurvived> survived = 0) {
   auto cancelled_job__ = cancelled_job ? _fbb.CreateString(cancelled_job) : 0;
   return mimosastage::jobs_wire::CreateCommand(
       _fbb,
@@ -2421,7 +3019,10 @@
       worker_gone,
       wave,
       begun,
-      ordered);
+      ordered,
+      crash,
+      finding,
+      survived);
 }
 
 flatbuffers::Offset<Command> CreateCommand(flatbuffers::FlatBufferBuilder &_fbb, const CommandT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2504,6 +3105,7 @@
   uint32_t run = 0;
   std::string worker{};
   int64_t born_ms = 0;
+  int64_t started_ms = 0;
 };
 
 struct ActiveRun FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2513,7 +3115,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_RUN = 4,
     VT_WORKER = 6,
-    VT_BORN_MS = 8
+    VT_BORN_MS = 8,
+    VT_STARTED_MS = 10
   };
   uint32_t run() const {
     return GetField<uint32_t>(VT_RUN, 0);
@@ -2524,12 +3127,16 @@
   int64_t born_ms() const {
     return GetField<int64_t>(VT_BORN_MS, 0);
   }
+  int64_t started_ms() const {
+    return GetField<int64_t>(VT_STARTED_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
            VerifyOffset(verifier, VT_WORKER) &&
            verifier.VerifyString(worker()) &&
            VerifyField<int64_t>(verifier, VT_BORN_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_MS, 8) &&
            verifier.EndTable();
   }
   ActiveRunT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2550,6 +3157,9 @@
   void add_born_ms(int64_t born_ms) {
     fbb_.AddElement<int64_t>(ActiveRun::VT_BORN_MS, born_ms, 0);
   }
+  void add_started_ms(int64_t started_ms) {
+    fbb_.AddElement<int64_t>(ActiveRun::VT_STARTED_MS, started_ms, 0);
+  }
   explicit ActiveRunBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2565,8 +3175,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t run = 0,
     flatbuffers::Offset<flatbuffers::String> worker = 0,
-    int64_t born_ms = 0) {
+    int64_t born_ms = 0,
+    int64_t started_ms = 0) {
   ActiveRunBuilder builder_(_fbb);
+  builder_.add_started_ms(started_ms);
   builder_.add_born_ms(born_ms);
   builder_.add_worker(worker);
   builder_.add_run(run);
@@ -2582,13 +3194,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t run = 0,
     const char *worker = nullptr,
-    int64_t born_ms = 0) {
+    int64_t born_ms = 0,
+    int64_t started_ms = 0) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   return mimosastage::jobs_wire::CreateActiveRun(
       _fbb,
       run,
       worker__,
-      born_ms);
+      born_ms,
+      started_ms);
 }
 
 flatbuffers::Offset<ActiveRun> CreateActiveRun(flatbuffers::FlatBufferBuilder &_fbb, const ActiveRunT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2853,6 +3467,7 @@
   std::vector<std::unique_ptr<mimosastage::jobs_wire::WorkerT>> workers{};
   std::vector<std::unique_ptr<mimosastage::jobs_wire::WaveT>> waves{};
   std::vector<std::unique_ptr<mimosastage::jobs_wire::InstanceOrderT>> ordered{};
+  std::vector<std::unique_ptr<mimosastage::jobs_wire::WorkerCrashT>> crashes{};
   SnapshotT() = default;
   SnapshotT(const SnapshotT &o);
   SnapshotT(SnapshotT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2868,7 +3483,8 @@
     VT_JOBS = 6,
     VT_WORKERS = 8,
     VT_WAVES = 10,
-    VT_ORDERED = 12
+    VT_ORDERED = 12,
+    VT_CRASHES = 14
   };
   const mimosastage::jobs_wire::Configuration *configuration() const {
     return GetPointer<const mimosastage::jobs_wire::Configuration *>(VT_CONFIGURATION);
@@ -2885,6 +3501,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>> *ordered() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>> *>(VT_ORDERED);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>> *>(VT_CRASHES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CONFIGURATION) &&
@@ -2901,6 +3520,9 @@
            VerifyOffset(verifier, VT_ORDERED) &&
            verifier.VerifyVector(ordered()) &&
            verifier.VerifyVectorOfTables(ordered()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
            verifier.EndTable();
   }
   SnapshotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2927,6 +3549,9 @@
   void add_ordered(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>>> ordered) {
     fbb_.AddOffset(Snapshot::VT_ORDERED, ordered);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>>> crashes) {
+    fbb_.AddOffset(Snapshot::VT_CRASHES, crashes);
+  }
   explicit SnapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2944,8 +3569,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::JobRecord>>> jobs = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::Worker>>> workers = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::Wave>>> waves = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>>> ordered = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>>> ordered = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>>> crashes = 0) {
   SnapshotBuilder builder_(_fbb);
+  builder_.add_crashes(crashes);
   builder_.add_ordered(ordered);
   builder_.add_waves(waves);
   builder_.add_workers(workers);
@@ -2965,18 +3592,21 @@
     const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::JobRecord>> *jobs = nullptr,
     const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::Worker>> *workers = nullptr,
     const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::Wave>> *waves = nullptr,
-    const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>> *ordered = nullptr) {
+    const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>> *ordered = nullptr,
+    const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>> *crashes = nullptr) {
   auto jobs__ = jobs ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::JobRecord>>(*jobs) : 0;
   auto workers__ = workers ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::Worker>>(*workers) : 0;
   auto waves__ = waves ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::Wave>>(*waves) : 0;
   auto ordered__ = ordered ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>>(*ordered) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>>(*crashes) : 0;
   return mimosastage::jobs_wire::CreateSnapshot(
       _fbb,
       configuration,
       jobs__,
       workers__,
       waves__,
-      ordered__);
+      ordered__,
+      crashes__);
 }
 
 flatbuffers::Offset<Snapshot> CreateSnapshot(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4256,6 +4886,7 @@
   { auto _e = run(); _o->run = _e; }
   { auto _e = worker(); if (_e) _o->worker = _e->str(); }
   { auto _e = born_ms(); _o->born_ms = _e; }
+  { auto _e = at_ms(); _o->at_ms = _e; }
 }
 
 inline flatbuffers::Offset<RunStart> RunStart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunStartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4273,6 +4904,7 @@
   auto _run = _o->run;
   auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
   auto _born_ms = _o->born_ms;
+  auto _at_ms = _o->at_ms;
   return mimosastage::jobs_wire::CreateRunStart(
       _fbb,
       _job,
@@ -4281,7 +4913,8 @@
       _index,
       _run,
       _worker,
-      _born_ms);
+      _born_ms,
+      _at_ms);
 }
 
 inline RunEndT *RunEnd::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4328,6 +4961,191 @@
       _checkpoint);
 }
 
+inline CrashedRunT *CrashedRun::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CrashedRunT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CrashedRun::UnPackTo(CrashedRunT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = job(); if (_e) _o->job = _e->str(); }
+  { auto _e = occurrence(); _o->occurrence = _e; }
+  { auto _e = step(); _o->step = _e; }
+  { auto _e = index(); _o->index = _e; }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+  { auto _e = uncertain(); _o->uncertain = _e; }
+}
+
+inline flatbuffers::Offset<CrashedRun> CrashedRun::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashedRunT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCrashedRun(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CrashedRun> CreateCrashedRun(flatbuffers::FlatBufferBuilder &_fbb, const CrashedRunT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashedRunT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _job = _o->job.empty() ? 0 : _fbb.CreateString(_o->job);
+  auto _occurrence = _o->occurrence;
+  auto _step = _o->step;
+  auto _index = _o->index;
+  auto _run = _o->run;
+  auto _age_ms = _o->age_ms;
+  auto _uncertain = _o->uncertain;
+  return mimosastage::jobs_wire::CreateCrashedRun(
+      _fbb,
+      _job,
+      _occurrence,
+      _step,
+      _index,
+      _run,
+      _age_ms,
+      _uncertain);
+}
+
+inline WorkerCrashT::WorkerCrashT(const WorkerCrashT &o)
+      : worker(o.worker),
+        born_ms(o.born_ms),
+        instance(o.instance),
+        address(o.address),
+        confirmed(o.confirmed),
+        correlated(o.correlated),
+        explained(o.explained) {
+  runs.reserve(o.runs.size());
+  for (const auto &runs_ : o.runs) { runs.emplace_back((runs_) ? new mimosastage::jobs_wire::CrashedRunT(*runs_) : nullptr); }
+}
+
+inline WorkerCrashT &WorkerCrashT::operator=(WorkerCrashT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(worker, o.worker);
+  std::swap(born_ms, o.born_ms);
+  std::swap(instance, o.instance);
+  std::swap(address, o.address);
+  std::swap(confirmed, o.confirmed);
+  std::swap(correlated, o.correlated);
+  std::swap(explained, o.explained);
+  std::swap(runs, o.runs);
+  return *this;
+}
+
+inline WorkerCrashT *WorkerCrash::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<WorkerCrashT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void WorkerCrash::UnPackTo(WorkerCrashT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
+  { auto _e = born_ms(); _o->born_ms = _e; }
+  { auto _e = instance(); if (_e) _o->instance = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = confirmed(); _o->confirmed = _e; }
+  { auto _e = correlated(); _o->correlated = _e; }
+  { auto _e = explained(); _o->explained = _e; }
+  { auto _e = runs(); if (_e) { _o->runs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->runs[_i] = std::unique_ptr<mimosastage::jobs_wire::CrashedRunT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<WorkerCrash> WorkerCrash::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkerCrashT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateWorkerCrash(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<WorkerCrash> CreateWorkerCrash(flatbuffers::FlatBufferBuilder &_fbb, const WorkerCrashT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WorkerCrashT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
+  auto _born_ms = _o->born_ms;
+  auto _instance = _o->instance.empty() ? 0 : _fbb.CreateString(_o->instance);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _confirmed = _o->confirmed;
+  auto _correlated = _o->correlated;
+  auto _explained = _o->explained;
+  auto _runs = _o->runs.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::CrashedRun>> (_o->runs.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashedRun(*__va->__fbb, __va->__o->runs[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return mimosastage::jobs_wire::CreateWorkerCrash(
+      _fbb,
+      _worker,
+      _born_ms,
+      _instance,
+      _address,
+      _confirmed,
+      _correlated,
+      _explained,
+      _runs);
+}
+
+inline CrashFindingT *CrashFinding::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CrashFindingT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CrashFinding::UnPackTo(CrashFindingT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
+  { auto _e = born_ms(); _o->born_ms = _e; }
+  { auto _e = crashed(); _o->crashed = _e; }
+}
+
+inline flatbuffers::Offset<CrashFinding> CrashFinding::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashFindingT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCrashFinding(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CrashFinding> CreateCrashFinding(flatbuffers::FlatBufferBuilder &_fbb, const CrashFindingT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashFindingT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
+  auto _born_ms = _o->born_ms;
+  auto _crashed = _o->crashed;
+  return mimosastage::jobs_wire::CreateCrashFinding(
+      _fbb,
+      _worker,
+      _born_ms,
+      _crashed);
+}
+
+inline RunSurvivedT *RunSurvived::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RunSurvivedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RunSurvived::UnPackTo(RunSurvivedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = job(); if (_e) _o->job = _e->str(); }
+  { auto _e = occurrence(); _o->occurrence = _e; }
+  { auto _e = step(); _o->step = _e; }
+  { auto _e = index(); _o->index = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<RunSurvived> RunSurvived::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunSurvivedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRunSurvived(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RunSurvived> CreateRunSurvived(flatbuffers::FlatBufferBuilder &_fbb, const RunSurvivedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RunSurvivedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _job = _o->job.empty() ? 0 : _fbb.CreateString(_o->job);
+  auto _occurrence = _o->occurrence;
+  auto _step = _o->step;
+  auto _index = _o->index;
+  auto _age_ms = _o->age_ms;
+  return mimosastage::jobs_wire::CreateRunSurvived(
+      _fbb,
+      _job,
+      _occurrence,
+      _step,
+      _index,
+      _age_ms);
+}
+
 inline WaveT *Wave::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<WaveT>();
   UnPackTo(_o.get(), _resolver);
@@ -4437,7 +5255,10 @@
         worker_gone((o.worker_gone) ? new mimosastage::jobs_wire::WorkerGoneT(*o.worker_gone) : nullptr),
         wave((o.wave) ? new mimosastage::jobs_wire::WaveT(*o.wave) : nullptr),
         begun((o.begun) ? new mimosastage::jobs_wire::WaveMachineT(*o.begun) : nullptr),
-        ordered((o.ordered) ? new mimosastage::jobs_wire::InstanceOrderT(*o.ordered) : nullptr) {
+        ordered((o.ordered) ? new mimosastage::jobs_wire::InstanceOrderT(*o.ordered) : nullptr),
+        crash((o.crash) ? new mimosastage::jobs_wire::WorkerCrashT(*o.crash) : nullptr),
+        finding((o.finding) ? new mimosastage::jobs_wire::CrashFindingT(*o.finding) : nullptr),
+        survived((o.survived) ? new mimosastage::jobs_wire::RunSurvivedT(*o.survived) : nullptr) {
 }
 
 inline CommandT &CommandT::operator=(CommandT o) FLATBUFFERS_NOEXCEPT {
@@ -4451,6 +5272,9 @@
   std::swap(wave, o.wave);
   std::swap(begun, o.begun);
   std::swap(ordered, o.ordered);
+  std::swap(crash, o.crash);
+  std::swap(finding, o.finding);
+  std::swap(survived, o.survived);
   return *this;
 }
 
@@ -4473,6 +5297,9 @@
   { auto _e = wave(); if (_e) _o->wave = std::unique_ptr<mimosastage::jobs_wire::WaveT>(_e->UnPack(_resolver)); }
   { auto _e = begun(); if (_e) _o->begun = std::unique_ptr<mimosastage::jobs_wire::WaveMachineT>(_e->UnPack(_resolver)); }
   { auto _e = ordered(); if (_e) _o->ordered = std::unique_ptr<mimosastage::jobs_wire::InstanceOrderT>(_e->UnPack(_resolver)); }
+  { auto _e = crash(); if (_e) _o->crash = std::unique_ptr<mimosastage::jobs_wire::WorkerCrashT>(_e->UnPack(_resolver)); }
+  { auto _e = finding(); if (_e) _o->finding = std::unique_ptr<mimosastage::jobs_wire::CrashFindingT>(_e->UnPack(_resolver)); }
+  { auto _e = survived(); if (_e) _o->survived = std::unique_ptr<mimosastage::jobs_wire::RunSurvivedT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<Command> Command::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CommandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4493,6 +5320,9 @@
   auto _wave = _o->wave ? CreateWave(_fbb, _o->wave.get(), _rehasher) : 0;
   auto _begun = _o->begun ? CreateWaveMachine(_fbb, _o->begun.get(), _rehasher) : 0;
   auto _ordered = _o->ordered ? CreateInstanceOrder(_fbb, _o->ordered.get(), _rehasher) : 0;
+  auto _crash = _o->crash ? CreateWorkerCrash(_fbb, _o->crash.get(), _rehasher) : 0;
+  auto _finding = _o->finding ? CreateCrashFinding(_fbb, _o->finding.get(), _rehasher) : 0;
+  auto _survived = _o->survived ? CreateRunSurvived(_fbb, _o->survived.get(), _rehasher) : 0;
   return mimosastage::jobs_wire::CreateCommand(
       _fbb,
       _configuration,
@@ -4504,7 +5334,10 @@
       _worker_gone,
       _wave,
       _begun,
-      _ordered);
+      _ordered,
+      _crash,
+      _finding,
+      _survived);
 }
 
 inline BatchT::BatchT(const BatchT &o) {
@@ -4555,6 +5388,7 @@
   { auto _e = run(); _o->run = _e; }
   { auto _e = worker(); if (_e) _o->worker = _e->str(); }
   { auto _e = born_ms(); _o->born_ms = _e; }
+  { auto _e = started_ms(); _o->started_ms = _e; }
 }
 
 inline flatbuffers::Offset<ActiveRun> ActiveRun::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ActiveRunT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4568,11 +5402,13 @@
   auto _run = _o->run;
   auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
   auto _born_ms = _o->born_ms;
+  auto _started_ms = _o->started_ms;
   return mimosastage::jobs_wire::CreateActiveRun(
       _fbb,
       _run,
       _worker,
-      _born_ms);
+      _born_ms,
+      _started_ms);
 }
 
 inline TaskT::TaskT(const TaskT &o)
@@ -4697,6 +5533,8 @@
   for (const auto &waves_ : o.waves) { waves.emplace_back((waves_) ? new mimosastage::jobs_wire::WaveT(*waves_) : nullptr); }
   ordered.reserve(o.ordered.size());
   for (const auto &ordered_ : o.ordered) { ordered.emplace_back((ordered_) ? new mimosastage::jobs_wire::InstanceOrderT(*ordered_) : nullptr); }
+  crashes.reserve(o.crashes.size());
+  for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new mimosastage::jobs_wire::WorkerCrashT(*crashes_) : nullptr); }
 }
 
 inline SnapshotT &SnapshotT::operator=(SnapshotT o) FLATBUFFERS_NOEXCEPT {
@@ -4705,6 +5543,7 @@
   std::swap(workers, o.workers);
   std::swap(waves, o.waves);
   std::swap(ordered, o.ordered);
+  std::swap(crashes, o.crashes);
   return *this;
 }
 
@@ -4722,6 +5561,7 @@
   { auto _e = workers(); if (_e) { _o->workers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->workers[_i] = std::unique_ptr<mimosastage::jobs_wire::WorkerT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = waves(); if (_e) { _o->waves.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->waves[_i] = std::unique_ptr<mimosastage::jobs_wire::WaveT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = ordered(); if (_e) { _o->ordered.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ordered[_i] = std::unique_ptr<mimosastage::jobs_wire::InstanceOrderT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<mimosastage::jobs_wire::WorkerCrashT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<Snapshot> Snapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4737,13 +5577,15 @@
   auto _workers = _o->workers.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::Worker>> (_o->workers.size(), [](size_t i, _VectorArgs *__va) { return CreateWorker(*__va->__fbb, __va->__o->workers[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _waves = _o->waves.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::Wave>> (_o->waves.size(), [](size_t i, _VectorArgs *__va) { return CreateWave(*__va->__fbb, __va->__o->waves[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _ordered = _o->ordered.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>> (_o->ordered.size(), [](size_t i, _VectorArgs *__va) { return CreateInstanceOrder(*__va->__fbb, __va->__o->ordered[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateWorkerCrash(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
   return mimosastage::jobs_wire::CreateSnapshot(
       _fbb,
       _configuration,
       _jobs,
       _workers,
       _waves,
-      _ordered);
+      _ordered,
+      _crashes);
 }
 
 inline CallT::CallT(const CallT &o)
--- a/src/mimosastage/jobs/waiting_steps.cc
+++ b/src/mimosastage/jobs/waiting_steps.cc
@@ -413,6 +413,20 @@
   this->Visit(pool, false, visit);
 }
 
+void WaitingSteps::VisitJob(
+    const std::string& pool, const std::string& job,
+    const std::function<void(const WaitingStep&)>& visit) const {
+  const auto steps = this->pools.find(pool);
+  const auto open = this->jobs.find(job);
+  if (steps == this->pools.end() || open == this->jobs.end() ||
+      open->second.pool != &steps->second) {
+    return;
+  }
+  for (const auto& [number, step] : open->second.waiting) {
+    visit(*step);
+  }
+}
+
 void WaitingSteps::VisitAdvised(
     const std::string& pool, const std::function<void(WaitingStep&)>& visit) {
   this->Visit(pool, true, [&](WaitingStep& step) {
--- a/src/mimosastage/jobs/waiting_steps.h
+++ b/src/mimosastage/jobs/waiting_steps.h
@@ -76,6 +76,9 @@
   /// Passes the steps of the pool to `visit`, the most urgent one first.
   void Visit(const std::string& pool,
              const std::function<Next(WaitingStep&)>& visit);
+  /// Passes the waiting steps of one job to `visit` if it belongs to the pool.
+  void VisitJob(const std::string& pool, const std::string& job,
+                const std::function<void(const WaitingStep&)>& visit) const;
   /// The same for the steps that need approval by the advisory service only.
   void VisitAdvised(const std::string& pool,
                     const std::function<void(WaitingStep&)>& visit);
--- a/tests/jobs/dispatcher_crash_test.cc
+++ b/tests/jobs/dispatcher_crash_test.cc
@@ -170,6 +170,24 @@
   EXPECT_EQ(this->PhaseOf("deadly"), JobPhase::kFailed);
 }
 
+// Guards against a worker that is kept for an implicated task although the
+// step's limit of tasks per worker keeps the task off it.
+TEST_F(DispatcherCrashTest, TasksOfAStepRunApart_AllRunAgain) {
+  this->StartTermWithWorkers(4);
+  Step step = MakeStep(4, 1'000);
+  step.long_running = true;
+  step.most_per_worker = 1;
+  this->fleet.Submit("lasting", "render", {step});
+  this->fleet.Advance(milliseconds(100));
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    this->CrashWorkersOf(TaskOf("lasting", i));
+    this->fleet.Advance(milliseconds(250));
+  }
+  this->fleet.Advance(milliseconds(20'000));
+  EXPECT_EQ(this->PhaseOf("lasting"), JobPhase::kRunning);
+  EXPECT_EQ(this->fleet.RunningTasks(), 4U);
+}
+
 // Guards against a gang that crashes its workers for ever.
 TEST_F(DispatcherCrashTest, GangMemberCrashesItsWorkers_JobIsGivenUp) {
   this->StartTermWithWorkers(6);
@@ -230,7 +248,7 @@
     this->fleet.Advance(milliseconds(6'000));
     worker.silent = false;
     this->fleet.dispatcher->Announce(worker.record,
-                                     static_cast<std::uint64_t>(100 + cut),
+                                     100 + static_cast<std::uint64_t>(cut),
                                      this->fleet.now, [] {});
     this->fleet.Advance(milliseconds(500));
   }
@@ -277,6 +295,18 @@
   this->fleet.Submit("lasting", "render", {lasting});
   std::vector<std::string> jobs;
   std::set<std::string> deadly_jobs;
+  // Jobs of which a task was already implicated when its worker crashed for
+  // another reason. Nothing tells them from deadly ones, and a task under which
+  // two workers have crashed may be given up.
+  std::set<std::string> hit_again;
+  const auto crash = [&](const std::string& worker) {
+    for (const auto& [key, began] : this->fleet.workers.at(worker).running) {
+      if (this->fleet.crashes_under[key.first] > 0) {
+        hit_again.insert(key.first.job);
+      }
+    }
+    this->fleet.Crash(worker);
+  };
   for (int tick = 0; tick < 1'500; ++tick) {
     if (tick < 1'000 && tick % 10 == 0) {
       const std::string id = "job-" + std::to_string(tick);
@@ -287,7 +317,7 @@
       }
       this->fleet.Submit(id, "render",
                          {MakeStep(static_cast<std::uint32_t>(1 + draw(6)),
-                                   500 * (1 + draw(4)))});
+                                   std::int64_t{500} * (1 + draw(4)))});
     }
     if (draw(300) == 0) {
       // A crash for another reason.
@@ -295,7 +325,7 @@
       auto victim = known.begin();
       std::advance(victim, draw(static_cast<int>(known.size())));
       if (!this->fleet.workers.at(victim->first).ended_without_notice) {
-        this->fleet.Crash(victim->first);
+        crash(std::string(victim->first));
       }
     }
     if (tick == 600) {
@@ -308,7 +338,7 @@
         }
       }
       for (const std::string& id : lost) {
-        this->fleet.Crash(id);
+        crash(id);
       }
     }
     if (draw(400) == 0) {
@@ -317,15 +347,22 @@
     this->AdvanceWithEnds(milliseconds(10), milliseconds(300 + 100 * draw(7)));
   }
   this->AdvanceWithEnds(milliseconds(40'000), milliseconds(600));
+  int failed_by_chance = 0;
   for (const std::string& job : jobs) {
     const bool deadly = deadly_jobs.contains(job);
-    EXPECT_EQ(this->PhaseOf(job),
-              deadly ? JobPhase::kFailed : JobPhase::kCompleted)
-        << job;
+    if (!deadly && hit_again.contains(job) &&
+        this->PhaseOf(job) == JobPhase::kFailed) {
+      ++failed_by_chance;
+    } else {
+      EXPECT_EQ(this->PhaseOf(job),
+                deadly ? JobPhase::kFailed : JobPhase::kCompleted)
+          << job;
+    }
     if (deadly) {
       EXPECT_LE(this->fleet.crashes_under[TaskOf(job)], 3) << job;
     }
   }
+  EXPECT_LE(failed_by_chance, 1);
   EXPECT_EQ(this->PhaseOf("lasting"), JobPhase::kRunning);
   EXPECT_EQ(this->fleet.RunningTasks(), 5U);
 }
--- a/tests/jobs/fleet_state_test.cc
+++ b/tests/jobs/fleet_state_test.cc
@@ -2,12 +2,57 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <string_view>
+#include <vector>
+
 #include "mimosastage/jobs/configuration_check.h"
 #include "tests/jobs/support/fake_fleet_leader.h"
 
 namespace mimosastage::jobs {
 namespace {
 
+/// Bytes that the release before the records of crashes wrote: a batch that
+/// adds a worker and a job and starts its task there, and the snapshot of the
+/// same.
+constexpr std::string_view kEarlierBatch =
+    "10000000000000000000060008000400060000000400000003000000f0000000"
+    "68000000100000000c000a0000000000000004000c0000001800000000001200"
+    "1c00040000000000000008000c00100012000000240000000100000010000000"
+    "07000000000000000000000006000000776f726b65720000030000006a6f6200"
+    "08000a0000000400080000001c00000000001600180004000800000000000c00"
+    "000000000000100016000000480000003c0000000c000000e803000000000000"
+    "010000000c00000008000c00040008000800000001000000040000008effffff"
+    "6400000000000000000000000100000071000000030000006a6f620010000a00"
+    "0000000000000000000004001000000018000000000012002600040018000800"
+    "0c00100000001400120000005000000044000000380000002c00000018000000"
+    "070000000000000000000000000006001000040006000000a00f000000000000"
+    "0000000003000000613a31000100000070000000010000006d00000006000000"
+    "776f726b65720000";
+constexpr std::string_view kEarlierSnapshot =
+    "140000000000000000000a001000040008000c000a0000007401000078000000"
+    "0400000001000000180000000000120024000400180008000c00100000001400"
+    "1200000044000000380000002c00000020000000100000000700000000000000"
+    "00000000fefeffffa00f00000000000003000000613a31000100000070000000"
+    "010000006d00000006000000776f726b65720000010000001400000000000e00"
+    "100008000600070000000c000e000000000001017c0000000400000001000000"
+    "1400000000000e000c00000004000000000008000e0000000100000004000000"
+    "010000001000000000000a001800040008000c000a0000000100000010000000"
+    "07000000000000000000000006000000776f726b657200000000160018000400"
+    "0800000000000c000000000000001000160000004c000000400000000c000000"
+    "e803000000000000010000000c00000008000e00040008000800000001000000"
+    "0c000000000006000c0004000600000064000000000000000100000071000000"
+    "030000006a6f62000400040004000000";
+
+std::string FromHex(std::string_view text) {
+  std::string bytes;
+  for (std::size_t i = 0; i + 1 < text.size(); i += 2) {
+    bytes.push_back(static_cast<char>(
+        std::stoi(std::string(text.substr(i, 2)), nullptr, 16)));
+  }
+  return bytes;
+}
+
 class FleetStateTest : public ::testing::Test {
  protected:
   void Accept(const std::string& id, std::vector<Step> steps) {
@@ -44,6 +89,21 @@
     this->state.Apply(command);
   }
 
+  /// Records that the worker has crashed with task 0 of each job.
+  void Crash(const std::string& worker, const std::vector<std::string>& jobs) {
+    Batch batch;
+    batch.commands.push_back(std::make_unique<Command>());
+    batch.commands[0]->crash = std::make_unique<WorkerCrash>();
+    batch.commands[0]->crash->worker = worker;
+    batch.commands[0]->crash->confirmed = true;
+    for (const std::string& job : jobs) {
+      auto run = std::make_unique<CrashedRun>();
+      run->job = job;
+      batch.commands[0]->crash->runs.push_back(std::move(run));
+    }
+    this->state.Apply(*DecodeBatch(EncodeBatch(batch)));
+  }
+
   static std::unique_ptr<Configuration> MakeConfiguration(
       std::uint64_t version) {
     auto configuration = std::make_unique<Configuration>();
@@ -116,6 +176,76 @@
   EXPECT_EQ(copy.OpenJobs().size(), 1U);
 }
 
+// Guards against a schema that can't read the logs and snapshots of the release
+// before the records of crashes.
+TEST_F(FleetStateTest, EarlierRelease_LogAndSnapshot_AreReadable) {
+  const auto batch = DecodeBatch(FromHex(kEarlierBatch));
+  ASSERT_TRUE(batch.has_value());
+  FleetState restored;
+  ASSERT_TRUE(restored.Restore(FromHex(kEarlierSnapshot)));
+  this->state.Apply(*batch);
+  for (const FleetState* read : {&this->state, &restored}) {
+    EXPECT_EQ(read->FindJob("job")->phase, JobPhase::kRunning);
+    EXPECT_EQ(read->FindJob("job")->active_runs, 1U);
+    EXPECT_EQ(read->Workers().at("worker").born_ms, 7);
+    EXPECT_EQ(read->Workers().at("worker").sequence, 0U);
+    EXPECT_TRUE(read->Crashes().Empty());
+  }
+}
+
+// Guards against evidence that a snapshot or the log's format drops.
+TEST_F(FleetStateTest, Crash_LoggedAndRestored_SecondOneFailsTheJob) {
+  this->Accept("job", {MakeStep(2, 1'000)});
+  this->Accept("other", {MakeStep(1, 1'000)});
+  this->Start("job", 0, 1);
+  this->Start("other", 0, 1);
+  this->Crash("worker", {"job", "other"});
+  this->End("job", 0, 1, RunOutcome::kLost);
+  this->End("other", 0, 1, RunOutcome::kLost);
+  ASSERT_TRUE(this->state.Restore(this->state.Snapshot()));
+  EXPECT_TRUE(this->state.Crashes().IsImplicated(TaskId{"job", 0, 0, 0}));
+  this->Start("job", 0, 2);
+  this->Crash("second", {"job"});
+  EXPECT_EQ(this->state.FindJob("job")->phase, JobPhase::kFailed);
+  EXPECT_EQ(this->state.FindJob("other")->phase, JobPhase::kRunning);
+  EXPECT_FALSE(this->state.Crashes().IsImplicated(TaskId{"other", 0, 0, 0}));
+  this->End("job", 0, 2, RunOutcome::kLost);
+  EXPECT_EQ(this->state.FindJob("job")->active_runs, 0U);
+}
+
+// Guards against a completed job that is shown as failed: the end that clears
+// one task leaves another task of the same job to blame.
+TEST_F(FleetStateTest, End_LeavesTheOtherTaskToBlame_JobFailsOnce) {
+  this->Accept("job", {MakeStep(1, 1'000)});
+  this->Accept("other", {MakeStep(1, 1'000)});
+  this->Start("job", 0, 1);
+  this->Start("other", 0, 1);
+  this->Crash("worker", {"job", "other"});
+  this->Crash("second", {"job", "other"});
+  EXPECT_EQ(this->state.FindJob("job")->phase, JobPhase::kRunning);
+  this->End("other", 0, 1, RunOutcome::kDone);
+  EXPECT_EQ(this->state.FindJob("other")->phase, JobPhase::kCompleted);
+  EXPECT_EQ(this->state.FindJob("job")->phase, JobPhase::kFailed);
+  EXPECT_EQ(this->state.OpenJobs().size(), 0U);
+}
+
+// Guards against crashes that count against the neighbours of a job that was
+// cancelled before it was cleared.
+TEST_F(FleetStateTest, Cancel_JobIsImplicated_NeighboursAreCleared) {
+  this->Accept("job", {MakeStep(1, 1'000)});
+  this->Accept("other", {MakeStep(1, 1'000)});
+  this->Start("job", 0, 1);
+  this->Start("other", 0, 1);
+  this->Crash("worker", {"job", "other"});
+  Command cancel;
+  cancel.cancelled_job = "job";
+  this->state.Apply(cancel);
+  EXPECT_FALSE(this->state.Crashes().IsImplicated(TaskId{"other", 0, 0, 0}));
+  this->Crash("second", {"job", "other"});
+  EXPECT_EQ(this->state.Crashes().CrashesUnder(TaskId{"other", 0, 0, 0}), 2U);
+  EXPECT_TRUE(this->state.Crashes().JobsToBlame().empty());
+}
+
 TEST_F(FleetStateTest, Restore_BytesAreNoSnapshot_StateIsEmpty) {
   this->Configure(4);
   EXPECT_FALSE(this->state.Restore("no snapshot"));
--- a/tests/jobs/placement_differential_test.cc
+++ b/tests/jobs/placement_differential_test.cc
@@ -23,6 +23,8 @@
   Dispatcher::Config config;
   config.min_placement_interval = hours(10);
   config.max_placement_interval = hours(10);
+  // The naive placement knows no tasks that must run apart.
+  config.isolate_implicated = false;
   return config;
 }
 
--- a/tests/jobs/support/fake_fleet_leader.cc
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -155,7 +155,22 @@
     ++this->crashes_under[key.first];
   }
   ++this->crashes;
-  fake.running.clear();
+  const auto crashed_runs = std::exchange(fake.running, {});
+  for (const auto& [key, began] : crashed_runs) {
+    const Job* job = this->state.FindJob(key.first.job);
+    if (job == nullptr || !job->Contains(key.first) ||
+        !job->request->steps[key.first.step]->gang) {
+      continue;
+    }
+    for (std::uint32_t i = 0; i < job->request->steps[key.first.step]->tasks;
+         ++i) {
+      TaskId member = key.first;
+      member.index = i;
+      for (const std::string& other : this->WorkersOf(member)) {
+        this->EndRun(other, member, RunOutcome::kGangBroken);
+      }
+    }
+  }
   fake.ended.clear();
   fake.ended_without_notice = true;
   Worker next = fake.record;
