Count a crash that was explained since as one of the two

Two deadly tasks that crashed a worker together were tried apart at the same time. The common crash still happened under the task, so it counts as one of the two now; the one in which it ran alone names it.

Test: CrashLedgerTest.FirstCrashIsExplained_SecondOneAlone_IsToBlame; it was not run on the code before.

--- a/src/mimosastage/jobs/crash_ledger.cc
+++ b/src/mimosastage/jobs/crash_ledger.cc
@@ -32,11 +32,6 @@
   return prime;
 }
 
-bool CrashLedger::IsEvidence(const WorkerCrash& crash) {
-  return crash.confirmed && !crash.correlated && !crash.explained &&
-         HasYoungRun(crash);
-}
-
 void CrashLedger::Record(const WorkerCrash& crash) {
   const Key key{crash.worker, crash.born_ms};
   if (crash.runs.empty() || !this->crashes.emplace(key, crash).second) {
@@ -166,13 +161,14 @@
     const bool one_job = std::all_of(
         prime.begin(), prime.end(),
         [&](const auto* run) { return run->job == prime.front()->job; });
-    const bool evidence = IsEvidence(crash);
+    const bool counts =
+        crash.confirmed && !crash.correlated && HasYoungRun(crash);
+    const bool names_the_job = counts && one_job && !crash.explained;
     for (const CrashedRun* run : prime) {
       Evidence& sum = tasks[TaskOf(*run)];
       ++sum.crashes;
-      const bool proves = evidence && !run->uncertain;
-      sum.confirmed += proves ? 1 : 0;
-      sum.alone = sum.alone || (proves && one_job);
+      sum.confirmed += counts && !run->uncertain ? 1 : 0;
+      sum.alone = sum.alone || (names_the_job && !run->uncertain);
     }
   }
   std::vector<std::string> jobs;
--- a/src/mimosastage/jobs/crash_ledger.h
+++ b/src/mimosastage/jobs/crash_ledger.h
@@ -37,8 +37,8 @@
   /// Clears a task that has completed.
   void OnDone(const TaskId& task);
   void ForgetJob(const std::string& job);
-  /// Removes the crashes that the job may have caused from the evidence against
-  /// others. They still count towards `kMostCrashes`.
+  /// Marks the crashes that the job may have caused as explained: they no
+  /// longer isolate or name another task, but still count as crashes under it.
   void Explain(const std::string& job);
 
   /// Returns the jobs, in the order of their ids, with a task that is to blame:
@@ -84,9 +84,6 @@
   /// The runs that may have caused the crash: the young ones, or all if none of
   /// these is left.
   static std::vector<const CrashedRun*> PrimeRuns(const WorkerCrash& crash);
-  /// True if the crash counts as evidence by itself, not only towards
-  /// `kMostCrashes`.
-  static bool IsEvidence(const WorkerCrash& crash);
   static bool HasYoungRun(const WorkerCrash& crash);
   template <class Predicate>
   void RemoveRuns(const std::string& job, Predicate predicate);
--- a/tests/jobs/crash_ledger_test.cc
+++ b/tests/jobs/crash_ledger_test.cc
@@ -85,6 +85,18 @@
   EXPECT_TRUE(this->ledger.Empty());
 }
 
+// Guards against a third crash of a task that shared its first one with another
+// deadly task, which was blamed in the meantime.
+TEST_F(CrashLedgerTest, FirstCrashIsExplained_SecondOneAlone_IsToBlame) {
+  this->Crash({{"a", 10}, {"b", 10}});
+  this->Crash({{"b", 10}});
+  this->ledger.Explain("b");
+  this->ledger.ForgetJob("b");
+  EXPECT_EQ(this->ledger.JobsToBlame(), Jobs());
+  this->Crash({{"a", 10}});
+  EXPECT_EQ(this->ledger.JobsToBlame(), Jobs{"a"});
+}
+
 // Guards against a deadly task that starts beside other deadly ones each time,
 // so that each of its crashes is explained by one of these.
 TEST_F(CrashLedgerTest, CrashesAreExplained_TheLastStartsAreApart) {
