--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -22,6 +22,11 @@
   return config;
 }
 
+bool Shrinks(const Amount& from, const Amount& to) {
+  return to.millicores < from.millicores || to.memory_mb < from.memory_mb ||
+         to.accelerators < from.accelerators;
+}
+
 bool SameRecord(const Worker& a, const Worker& b) {
   return a.born_ms == b.born_ms && a.pool == b.pool && a.address == b.address &&
          a.machine == b.machine && a.draining == b.draining &&
@@ -53,6 +58,7 @@
                    }));
              }),
       speed(this->config.speed),
+      stopped_given_up_jobs(state.GivenUpJobs()),
       waiting_steps(state),
       start_window(this->config.start_window),
       balancer(this->config.balancer) {
@@ -93,6 +99,16 @@
   Run run = this->MakeRun(task);
   run.stage = RunStage::kRunning;
   run.confirmed = now;
+  // The clocks of two leaders may differ.
+  const milliseconds age =
+      active.started_ms == 0
+          ? milliseconds(0)
+          : std::max(milliseconds(0), this->hooks.wall_time() -
+                                          milliseconds(active.started_ms) -
+                                          this->config.clock_tolerance);
+  run.running_since = now - age;
+  run.start_sent = true;
+  run.unlisted = true;
   this->AddToSums(found->second, run);
   found->second.runs.emplace(RunKey{task, active.number}, std::move(run));
   return true;
@@ -104,8 +120,11 @@
   session.address = worker.address;
   session.born_ms = worker.born_ms;
   session.draining = worker.draining;
+  session.sequence = worker.sequence;
   this->ScheduleHold(session, now);
+  session.known_since = now;
   session.last_announced = now;
+  session.last_answer = now;
   this->indexed_workers_version = 0;
   return this->sessions.insert_or_assign(worker.id, std::move(session))
       .first->second;
@@ -133,6 +152,7 @@
   for (const std::string& id : replaced) {
     this->RemoveWorker(id, "replaced by a later incarnation", now);
   }
+  this->ConfirmCrashes(worker);
   const auto known = this->state.Workers().find(worker.id);
   if (known != this->state.Workers().end()) {
     Session& session = this->sessions.at(worker.id);
@@ -146,8 +166,12 @@
     Worker next = worker;
     // An incarnation that has begun to drain never accepts tasks again.
     next.draining = worker.draining || known->second.draining;
+    // A later leader must know which reports are late.
+    next.sequence = session.sequence;
     session.draining = next.draining;
     session.address = next.address;
+    session.capacity_shrunk = session.capacity_shrunk ||
+                              Shrinks(*known->second.capacity, *next.capacity);
     this->placement_needed = true;
     this->hooks.report("worker_changed", worker.id,
                        next.draining ? "draining" : "changed");
@@ -163,6 +187,7 @@
   this->hooks.report("worker_joined", worker.id, worker.pool);
   Command command;
   command.worker = std::make_unique<Worker>(worker);
+  command.worker->sequence = sequence;
   this->hooks.propose(
       std::move(command),
       [acknowledge = std::move(acknowledge)](TimePoint) { acknowledge(); });
@@ -186,6 +211,9 @@
   }
   Session& session = found->second;
   this->hooks.report("worker_gone", id, reason);
+  if (!session.runs.empty() && !this->EndWasPlanned(id, session)) {
+    this->OnWorkerCrashed(id, session, reason, true, now);
+  }
   while (!session.runs.empty()) {
     const RunKey key = session.runs.begin()->first;
     this->EndRun(id, session, key, RunOutcome::kLost, "", now);
@@ -216,6 +244,7 @@
   order.send_before = open.sent + this->config.send_window;
   open.worker = id;
   open.born_ms = session.born_ms;
+  open.timeout = order.timeout;
   this->orders.emplace(order.number, std::move(open));
   this->hooks.send(std::move(order));
 }
@@ -237,6 +266,9 @@
   if (!answer_immediately) {
     hold.wait = runs_fillers ? this->config.hold_wait_with_fillers
                              : this->config.hold_wait;
+    if (!session.isolated_job.empty()) {
+      hold.wait = std::min(hold.wait, this->config.hold_wait_isolated);
+    }
   }
   WorkerOrder order;
   order.timeout = hold.wait + this->config.reply_timeout;
@@ -276,6 +308,7 @@
       now);
   if (reply.clock.has_value()) {
     session.lease.OnClock(*reply.clock, reply.read_at);
+    session.last_answer = std::max(session.last_answer, reply.read_at);
   }
   if (order.run.has_value()) {
     this->OnRunReply(id, session, order, reply, now);
@@ -294,7 +327,7 @@
     return;
   }
   if (reply.result != OrderResult::kOk) {
-    this->CountUnanswered(id, session, "hold", reply.result, now - order.sent);
+    this->CountUnanswered(id, session, "hold", reply.result, order, now);
     this->ScheduleHold(session, now + this->config.retry_delay);
     if (session.leaving && reply.result == OrderResult::kRefused) {
       this->RemoveWorker(
@@ -310,6 +343,9 @@
   }
   session.unanswered_orders = 0;
   session.leaving = false;
+  if (this->state.Crashes().FindUnsettled(id, session.born_ms) != nullptr) {
+    this->Settle(id, session.born_ms, false);
+  }
   // The first hold had no deadline because the worker's clock was unknown, so
   // the next one is sent immediately.
   this->ScheduleHold(
@@ -326,9 +362,24 @@
 
 void Dispatcher::CountUnanswered(const std::string& id, Session& session,
                                  const char* kind, OrderResult result,
-                                 Duration since_sent) {
+                                 const OpenOrder& order, TimePoint now) {
   const std::string reason = std::string(kind) + "_" + NameOf(result);
+  const Duration since_sent = now - order.sent;
   if (session.unanswered_orders++ == 0) {
+    // A connection that breaks before the timeout was held by a live worker
+    // until then.
+    const bool broke =
+        result == OrderResult::kUnanswered && since_sent < order.timeout;
+    session.alive_until = broke ? now : session.last_answer;
+    // A worker that hasn't answered in this term may have crashed long before.
+    if (const auto worker = this->state.Workers().find(id);
+        worker != this->state.Workers().end() && session.has_answered) {
+      const auto& labels = worker->second.labels;
+      this->silences.push_back(Silence{session.alive_until, now, id,
+                                       labels.size() > 1 ? labels[1] : "",
+                                       worker->second.availability_zone});
+    }
+    this->ForgetOldSilences(now);
     this->hooks.report(
         "worker_silent", id,
         reason + " " +
@@ -424,12 +475,14 @@
       continue;
     }
     Run& run = found->second;
+    run.unlisted = false;
     run.ready = !run.step->long_running || task.percent >= 100;
     run.load = task.load;
     run.percent = task.percent;
     if (run.stage == RunStage::kStarting) {
       run.stage = RunStage::kRunning;
       run.confirmed = now;
+      run.running_since = now;
       this->LeaveStartWindow(run);
     }
   }
@@ -459,12 +512,17 @@
     this->SendHold(id, session, now);
   }
   if (session.unanswered_orders > 0 && session.lease.Expired(now)) {
+    if (!session.runs.empty() && !this->EndWasPlanned(id, session)) {
+      this->OnWorkerCrashed(id, session, "silent until its lease expired",
+                            false, now);
+    }
     while (!session.runs.empty()) {
       const RunKey key = session.runs.begin()->first;
       this->hooks.report("run_lease_expired", ToString(key.first), id);
       this->EndRun(id, session, key, RunOutcome::kLeaseExpired, "", now);
     }
   }
+  this->WithdrawStarts(id, session, now);
   for (auto& [key, run] : session.runs) {
     if (run.order_open || now < run.next_attempt) {
       continue;
@@ -501,6 +559,7 @@
       this->StopJob(job, now);
     }
   }
+  this->StopGivenUpJobs(now);
   if (now >= this->next_session_scan &&
       now - this->last_session_scan >= this->config.min_session_scan_interval) {
     this->TickSessions(now);
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -47,6 +47,7 @@
   command.start->run = number;
   command.start->worker = worker;
   command.start->born_ms = session.born_ms;
+  command.start->at_ms = this->hooks.wall_time().count();
   const std::int64_t born_ms = session.born_ms;
   this->hooks.propose(
       std::move(command), [this, worker, born_ms, key](TimePoint at) {
@@ -59,9 +60,10 @@
           return;
         }
         const Job* job = this->state.FindJob(key.first.job);
-        const bool wanted = run->second.stage == RunStage::kLogging &&
-                            job != nullptr && !job->Ended() &&
-                            !found->second.draining;
+        const bool wanted =
+            run->second.stage == RunStage::kLogging && job != nullptr &&
+            !job->Ended() && !found->second.draining &&
+            this->IsWithinCapacity(worker, found->second, run->second);
         if (!wanted) {
           // The start was never sent, so the run can end immediately.
           this->EndRun(worker, found->second, key, RunOutcome::kLost, "", at);
@@ -72,6 +74,48 @@
       });
 }
 
+bool Dispatcher::IsWithinCapacity(const std::string& worker,
+                                  const Session& session,
+                                  const Run& run) const {
+  Amount before = session.used;
+  Subtract(before, Charge(*run.step));
+  Amount free = *this->state.Workers().at(worker).capacity;
+  Subtract(free, before);
+  return Fits(*run.step, free);
+}
+
+void Dispatcher::WithdrawStarts(const std::string& worker, Session& session,
+                                TimePoint now) {
+  if (!session.capacity_shrunk || session.unanswered_orders > 0) {
+    return;
+  }
+  bool all_checked = true;
+  std::vector<RunKey> unsent;
+  for (auto& [key, run] : session.runs) {
+    if (run.stage != RunStage::kStarting) {
+      all_checked = all_checked && run.stage != RunStage::kLogging;
+      continue;
+    }
+    all_checked = false;
+    if (run.order_open || this->IsWithinCapacity(worker, session, run)) {
+      continue;
+    }
+    if (run.attempts == 0) {
+      unsent.push_back(key);
+    } else {
+      // An earlier copy of the order may still be executed.
+      this->StopRun(worker, session, key, run,
+                    "its start isn't confirmed, and the worker's capacity has "
+                    "shrunk",
+                    now);
+    }
+  }
+  for (const RunKey& key : unsent) {
+    this->EndRun(worker, session, key, RunOutcome::kLost, "", now);
+  }
+  session.capacity_shrunk = !all_checked;
+}
+
 void Dispatcher::SendStart(const std::string& worker, const RunKey& key,
                            TimePoint now) {
   Session& session = this->sessions.at(worker);
@@ -99,6 +143,7 @@
   order.timeout = this->config.reply_timeout;
   order.fresh_connection = run.attempts > 0;
   ++run.attempts;
+  run.start_sent = true;
   run.order_open = true;
   this->Send(worker, session,
              OpenOrder{.run = key, .stage = RunStage::kStarting, .sent = now},
@@ -177,6 +222,7 @@
     run.confirmed = now;
     if (run.stage == RunStage::kStarting) {
       run.stage = RunStage::kRunning;
+      run.running_since = now;
       this->LeaveStartWindow(run);
     } else {
       // Sends a hold now, as its answer lists the end of the run once the
@@ -198,8 +244,11 @@
     case OrderResult::kUnanswered:
     case OrderResult::kNotSent:
     case OrderResult::kRefused:
-      this->CountUnanswered(id, session, "start", reply.result,
-                            now - order.sent);
+      this->CountUnanswered(id, session, "start", reply.result, order, now);
+      if (run.attempts == 1 && reply.result != OrderResult::kUnanswered) {
+        // The order didn't reach the worker, so it can't have crashed it.
+        run.start_sent = false;
+      }
       // A silent worker must not keep the window from others.
       this->LeaveStartWindow(run);
       this->ScheduleHold(session, now);
