Format a folder that holds only what an interrupted Format left

A founding voter that was killed in its first start, between the creation and the rename of the identity file, counted as a voter whose disk was lost: Format refused the folder because of identity.tmp, and Open then wrote an identity that isn't intact. If this happens to most voters, none of them can recover. A temporary file is now no content.

PowerLossTest.Format_KilledAnywhere_SucceedsWhenRepeated fails without the change (seed 1, killed at operation 2). Found by reading.

--- a/src/mimosastage/storage/data_folder.cc
+++ b/src/mimosastage/storage/data_folder.cc
@@ -34,8 +34,10 @@
     "recovers from the other voters";
 
 /// Ignores the folder that mkfs creates in the root of a file system, so that
-/// a data folder may be a mount point.
-bool CountsAsContent(const std::string& name) { return name != "lost+found"; }
+/// a data folder may be a mount point, and what an interrupted Format leaves.
+bool CountsAsContent(const std::string& name) {
+  return name != "lost+found" && !name.ends_with(internal::kTemporarySuffix);
+}
 
 bool IsEmpty(internal::FileSystem& file_system,
              const std::filesystem::path& folder) {
--- a/tests/storage/power_loss_test.cc
+++ b/tests/storage/power_loss_test.cc
@@ -384,6 +384,31 @@
   EXPECT_EQ(this->disk->FileNames(kFolder), names);
 }
 
+// Guards against a founding voter that is killed in its first start and is then
+// taken for one whose disk was lost: if most are, none can recover.
+TEST_F(PowerLossTest, Format_KilledAnywhere_SucceedsWhenRepeated) {
+  constexpr std::uint64_t kOperationsOfFormat = 8;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    for (std::uint64_t at = 0; at < kOperationsOfFormat; ++at) {
+      SCOPED_TRACE("seed " + std::to_string(seed) + ", killed at " +
+                   std::to_string(at));
+      this->disk = std::make_unique<SimulatedDisk>(seed);
+      const auto format = [this] {
+        return DataFolder::Format(kFolder, kCluster, kVoter, *this->disk);
+      };
+      this->KillAfter(at, [&] { (void)format(); });
+      if (seed % 2 == 0) {
+        this->disk->LosePower();
+      }
+      // Refused if the first one had taken effect.
+      (void)format();
+      const auto image = this->Open();
+      ASSERT_TRUE(image.has_value()) << this->folder->ErrorDetail();
+      EXPECT_TRUE(image->intact);
+    }
+  }
+}
+
 // Guards against a folder that can't be opened after a loss of power, synced
 // content that is lost, and truncated entries that return.
 TEST_F(PowerLossTest, Open_AfterRandomLosses_HasAllSynced) {
