Test that one leader acknowledges a configuration of nearly 4 MiB

Its log entry is longer than max_queued_bytes of a link, which the test with 10,000 routes (1.4 MiB) doesn't reach.

--- a/tests/system/job_cluster_test.cc
+++ b/tests/system/job_cluster_test.cc
@@ -560,6 +560,18 @@
   }
 }
 
+// Guards against a log entry that is longer than what may wait on a link: the
+// leader's links were closed by the messages that followed it.
+TEST_F(JobClusterTest, Configure_NearlyLargestBody_OneLeaderAcknowledgesIt) {
+  ASSERT_EQ(this->Configure(5, "host", 28'500), 200);
+  for (int voter = 0; voter < kVoters; ++voter) {
+    EXPECT_TRUE(Eventually([&] {
+      return this->ConfigurationVersionAt(voter) == "\"version\":5";
+    }));
+    EXPECT_FALSE(this->LogContains(voter, "term_ended"));
+  }
+}
+
 TEST_F(JobClusterTest, Stop_EveryDaemonInTurn_EndsWithinTheGracePeriod) {
   for (int i = 0; i < kDaemons; ++i) {
     auto& process = this->daemons[static_cast<std::size_t>(i)];
