--- a/src/mimosastage/jobs/carried_orders.h
+++ b/src/mimosastage/jobs/carried_orders.h
@@ -27,7 +27,7 @@
     std::chrono::milliseconds batch_interval{4};
     /// Further orders are refused as not started.
     std::size_t max_in_hand = 2'048;
-    /// Limit of one batch. Links take messages of 1 MiB.
+    /// Limit of one batch. Well below Links::kMaxMessageBytes.
     std::size_t max_batch_bytes = 256U << 10U;
   };
 
--- a/src/mimosastage/jobs/order_carriers.h
+++ b/src/mimosastage/jobs/order_carriers.h
@@ -52,7 +52,7 @@
     std::chrono::milliseconds avoid_time{1'000};
     /// A larger order is sent by the leader itself.
     std::size_t max_order_bytes = 64U << 10U;
-    /// Limits of one batch. Links take messages of 1 MiB.
+    /// Limits of one batch. Well below Links::kMaxMessageBytes.
     std::size_t max_batch_bytes = 256U << 10U;
     std::size_t max_batch_orders = 256;
     /// Workers whose carrier was changed after failures and is remembered.
