Give a request with the id of an open exchange no result

The second request ended with kNotStarted, and its owner took that for the result of the open exchange with this id: as not seen by the worker, though it may run.

--- a/src/mimosastage/backend_servers/exchange_client.cc
+++ b/src/mimosastage/backend_servers/exchange_client.cc
@@ -20,6 +20,7 @@
 #include "mimosastage/backend_servers/internal/socket_poller.h"
 #include "mimosastage/base/ring.h"
 #include "mimosastage/telemetry/fatal_log.h"
+#include "mimosastage/telemetry/log.h"
 
 namespace mimosastage {
 namespace {
@@ -34,6 +35,8 @@
 };
 using ClientCommand = std::variant<ExchangeRequest, CancelCommand>;
 
+constexpr EventName kExchangeIdInUse{"exchange_id_in_use"};
+
 constexpr std::size_t kMaxCommandsPerWakeup = 256;
 constexpr std::size_t kMaxSpareHandles = 256;
 constexpr std::size_t kMaxSuspectServers = 4'096;
@@ -214,13 +217,11 @@
     const TimePoint now = LeaseClock::now();
     const std::uint64_t id = request.id;
     if (this->exchanges.contains(id)) {
-      ExchangeResult refused;
-      refused.id = id;
-      refused.end = AttemptEnd::kNotStarted;
-      refused.ended_at = now;
-      refused.detail =
-          "another exchange with this id is open; give each its own id";
-      this->hooks.on_result(std::move(refused));
+      // A result would be taken for that of the open exchange.
+      LogEvent(LogSeverity::kError, kExchangeIdInUse,
+               "a request was dropped because an exchange with its id is open; "
+               "give each request its own id")
+          .With("id", id);
       return;
     }
     const Exchange::Limits limits{
--- a/src/mimosastage/backend_servers/exchange_client.h
+++ b/src/mimosastage/backend_servers/exchange_client.h
@@ -16,7 +16,7 @@
 /// One attempt to send a request to a backend server.
 struct ExchangeRequest {
   /// Unique over the lifetime of the client. A request with the id of an open
-  /// exchange ends with kNotStarted.
+  /// exchange is dropped without a result, and logged.
   std::uint64_t id = 0;
   /// Numeric IP address.
   std::string address;
