Wait until a frozen process of a test has stopped

Cause: kill returns when the signal is queued, and the process stops once the thread that takes the signal is scheduled; on a busy machine its other threads go on and acknowledge log entries until then.

--- a/tests/system/support/process.cc
+++ b/tests/system/support/process.cc
@@ -43,8 +43,16 @@
 }
 
 void Process::Signal(int signal) {
-  if (!this->status.has_value()) {
-    kill(this->pid, signal);
+  if (this->status.has_value()) {
+    return;
+  }
+  kill(this->pid, signal);
+  if (signal == SIGSTOP) {
+    // Threads of the process run on until the one that takes the signal is
+    // scheduled, which takes a while on a busy machine.
+    siginfo_t stopped{};
+    waitid(P_PID, static_cast<id_t>(this->pid), &stopped,
+           WSTOPPED | WEXITED | WNOWAIT);
   }
 }
 
--- a/tests/system/support/process.h
+++ b/tests/system/support/process.h
@@ -19,6 +19,7 @@
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
+  /// Returns after SIGSTOP only once all threads have stopped.
   void Signal(int signal);
   /// The exit status, 128 + n if signal n ended the process, or nothing while
   /// it runs.
