--- a/src/mimosastage/jobs/dispatcher_crashes.cc
+++ b/src/mimosastage/jobs/dispatcher_crashes.cc
@@ -12,7 +12,7 @@
 /// Runs that one log line names; a worker can hold hundreds.
 constexpr std::size_t kRunsPerLine = 12;
 /// Fewer workers can crash at about the same time by chance, above all in a
-/// burst of deadly tasks.
+/// burst of tasks that crash their workers.
 constexpr std::size_t kFewestLostTogether = 3;
 constexpr milliseconds kSurvivorCheckInterval{50};
 /// The workers of a rack or zone are lost within this time.
--- a/src/mimosastage/jobs/fleet_state.cc
+++ b/src/mimosastage/jobs/fleet_state.cc
@@ -104,13 +104,13 @@
     this->Apply(*command.crash);
   } else if (command.finding != nullptr) {
     this->crashes.Settle(*command.finding);
-    this->GiveUpDeadlyJobs();
+    this->FailCrashingJobs();
   } else if (command.survived != nullptr) {
     const RunSurvived& run = *command.survived;
     this->crashes.OnSurvived(
         TaskId{run.job, run.occurrence, run.step, run.index},
         std::chrono::milliseconds(run.age_ms));
-    this->GiveUpDeadlyJobs();
+    this->FailCrashingJobs();
   } else if (!command.cancelled_job.empty()) {
     this->Cancel(command.cancelled_job);
   }
@@ -222,7 +222,7 @@
       this->FinishTask(job, id);
     }
     if (concerned) {
-      this->GiveUpDeadlyJobs();
+      this->FailCrashingJobs();
     }
     return;
   }
@@ -248,7 +248,7 @@
   this->ReleaseTasks(job);
   if (concerned) {
     // The end may have cleared the task, which leaves its neighbours to blame.
-    this->GiveUpDeadlyJobs();
+    this->FailCrashingJobs();
   }
 }
 
@@ -270,10 +270,10 @@
            job->At(task).done;
   });
   this->crashes.Record(open);
-  this->GiveUpDeadlyJobs();
+  this->FailCrashingJobs();
 }
 
-void FleetState::GiveUpDeadlyJobs() {
+void FleetState::FailCrashingJobs() {
   for (std::vector<std::string> blamed = this->crashes.JobsToBlame();
        !blamed.empty(); blamed = this->crashes.JobsToBlame()) {
     ++this->given_up_jobs;
--- a/src/mimosastage/jobs/fleet_state.h
+++ b/src/mimosastage/jobs/fleet_state.h
@@ -128,7 +128,7 @@
   void Apply(const RunEnd& end);
   void Apply(const WorkerCrash& crash);
   /// Fails the jobs that the crashes are blamed on.
-  void GiveUpDeadlyJobs();
+  void FailCrashingJobs();
   void AddChange(const TaskId& task);
   void FinishTask(Job& job, const TaskId& id);
   void EndJob(Job& job, JobPhase phase);
--- a/tests/jobs/crash_ledger_test.cc
+++ b/tests/jobs/crash_ledger_test.cc
@@ -60,7 +60,7 @@
 }
 
 // Guards against a count without regard to the neighbours: in a burst, an
-// innocent task can be beside two deadly ones.
+// innocent task can be beside two crashing ones.
 TEST_F(CrashLedgerTest, TwoCrashes_BothBesideOthers_NobodyIsToBlame) {
   this->Crash({{"a", 10}, {"b", 300}});
   this->Crash({{"a", 10}, {"c", 300}});
@@ -86,7 +86,7 @@
 }
 
 // Guards against a third crash of a task that shared its first one with another
-// deadly task, which was blamed in the meantime.
+// crashing task, which was blamed in the meantime.
 TEST_F(CrashLedgerTest, FirstCrashIsExplained_SecondOneAlone_IsToBlame) {
   this->Crash({{"a", 10}, {"b", 10}});
   this->Crash({{"b", 10}});
@@ -97,8 +97,8 @@
   EXPECT_EQ(this->ledger.JobsToBlame(), Jobs{"a"});
 }
 
-// Guards against a deadly task that starts beside other deadly ones each time,
-// so that each of its crashes is explained by one of these.
+// Guards against a crashing task that starts beside other crashing ones each
+// time, so that each of its crashes is explained by one of these.
 TEST_F(CrashLedgerTest, CrashesAreExplained_TheLastStartsAreApart) {
   for (const char* other : {"b", "c"}) {
     this->Crash({{"a", 10}, {other, 10}});
--- a/tests/jobs/dispatcher_crash_test.cc
+++ b/tests/jobs/dispatcher_crash_test.cc
@@ -86,36 +86,36 @@
 };
 
 // Guards against a task that is started without end although it crashes every
-// worker that starts it (BUDGET on a day of deadly tasks).
+// worker that starts it.
 TEST_F(DispatcherCrashTest, TaskCrashesItsWorkers_IsGivenUp) {
   this->StartTermWithWorkers(6);
-  this->fleet.deadly = {TaskOf("deadly")};
-  this->fleet.Submit("deadly", "render", {MakeStep(2, 1'000)});
+  this->fleet.crashing = {TaskOf("crashing")};
+  this->fleet.Submit("crashing", "render", {MakeStep(2, 1'000)});
   this->AdvanceWithEnds(milliseconds(30'000), milliseconds(600));
-  EXPECT_EQ(this->PhaseOf("deadly"), JobPhase::kFailed);
+  EXPECT_EQ(this->PhaseOf("crashing"), JobPhase::kFailed);
   EXPECT_EQ(this->fleet.crashes, 2);
   EXPECT_EQ(this->fleet.RunningTasks(), 0U);
 }
 
 // Guards against a job that is given up because its tasks ran beside a task
 // that crashes its workers.
-TEST_F(DispatcherCrashTest, TasksBesideADeadlyTask_AreDone) {
+TEST_F(DispatcherCrashTest, TasksBesideACrashingTask_AreDone) {
   this->StartTermWithWorkers(3);
-  this->fleet.deadly = {TaskOf("deadly")};
+  this->fleet.crashing = {TaskOf("crashing")};
   this->fleet.Submit("before", "render", {MakeStep(3, 1'000)});
-  this->fleet.Submit("deadly", "render", {MakeStep(1, 1'000)});
+  this->fleet.Submit("crashing", "render", {MakeStep(1, 1'000)});
   this->fleet.Submit("after", "render", {MakeStep(3, 1'000)});
   this->AdvanceWithEnds(milliseconds(20'000), milliseconds(600));
   EXPECT_EQ(this->PhaseOf("before"), JobPhase::kCompleted);
   EXPECT_EQ(this->PhaseOf("after"), JobPhase::kCompleted);
-  EXPECT_EQ(this->PhaseOf("deadly"), JobPhase::kFailed);
+  EXPECT_EQ(this->PhaseOf("crashing"), JobPhase::kFailed);
 }
 
 // Guards against evidence that is lost with the leader or with a snapshot.
 TEST_F(DispatcherCrashTest, LeaderChangesBetweenCrashes_TaskIsGivenUp) {
   this->StartTermWithWorkers(6);
-  this->fleet.deadly = {TaskOf("deadly")};
-  this->fleet.Submit("deadly", "render", {MakeStep(1, 1'000)});
+  this->fleet.crashing = {TaskOf("crashing")};
+  this->fleet.Submit("crashing", "render", {MakeStep(1, 1'000)});
   while (this->fleet.crashes < 1) {
     this->fleet.Advance(milliseconds(10));
   }
@@ -123,7 +123,7 @@
   this->AdvanceWithEnds(milliseconds(3'500), milliseconds(600));
   this->RestoreAndBeginTerm();
   this->AdvanceWithEnds(milliseconds(20'000), milliseconds(600));
-  EXPECT_EQ(this->PhaseOf("deadly"), JobPhase::kFailed);
+  EXPECT_EQ(this->PhaseOf("crashing"), JobPhase::kFailed);
   EXPECT_LE(this->fleet.crashes, 3);
 }
 
@@ -132,10 +132,10 @@
 TEST_F(DispatcherCrashTest, StartsAreUnanswered_TaskIsGivenUp) {
   this->StartTermWithWorkers(6);
   this->fleet.lose_start_answers = true;
-  this->fleet.deadly = {TaskOf("deadly")};
-  this->fleet.Submit("deadly", "render", {MakeStep(1, 1'000)});
+  this->fleet.crashing = {TaskOf("crashing")};
+  this->fleet.Submit("crashing", "render", {MakeStep(1, 1'000)});
   this->AdvanceWithEnds(milliseconds(30'000), milliseconds(600));
-  EXPECT_EQ(this->PhaseOf("deadly"), JobPhase::kFailed);
+  EXPECT_EQ(this->PhaseOf("crashing"), JobPhase::kFailed);
   EXPECT_LE(this->fleet.crashes, 3);
 }
 
@@ -144,11 +144,11 @@
   this->StartTermWithWorkers(6);
   Step step = MakeStep(2, 1'000);
   step.long_running = true;
-  this->fleet.deadly = {TaskOf("deadly")};
-  this->fleet.Submit("deadly", "render", {step});
+  this->fleet.crashing = {TaskOf("crashing")};
+  this->fleet.Submit("crashing", "render", {step});
   this->fleet.Submit("lasting", "render", {step});
   this->AdvanceWithEnds(milliseconds(30'000), milliseconds(600));
-  EXPECT_EQ(this->PhaseOf("deadly"), JobPhase::kFailed);
+  EXPECT_EQ(this->PhaseOf("crashing"), JobPhase::kFailed);
   EXPECT_EQ(this->PhaseOf("lasting"), JobPhase::kRunning);
   EXPECT_EQ(this->fleet.RunningTasks(), 2U);
   EXPECT_LE(this->fleet.crashes, 3);
@@ -160,14 +160,14 @@
   this->StartTermWithWorkers(6);
   Step step = MakeStep(1, 1'000);
   step.long_running = true;
-  this->fleet.Submit("deadly", "render", {step});
+  this->fleet.Submit("crashing", "render", {step});
   for (int crash = 0; crash < 3; ++crash) {
     this->fleet.Advance(milliseconds(5'000));
-    ASSERT_EQ(this->fleet.WorkersOf(TaskOf("deadly")).size(), 1U) << crash;
-    this->CrashWorkersOf(TaskOf("deadly"));
+    ASSERT_EQ(this->fleet.WorkersOf(TaskOf("crashing")).size(), 1U) << crash;
+    this->CrashWorkersOf(TaskOf("crashing"));
   }
   this->fleet.Advance(milliseconds(5'000));
-  EXPECT_EQ(this->PhaseOf("deadly"), JobPhase::kFailed);
+  EXPECT_EQ(this->PhaseOf("crashing"), JobPhase::kFailed);
 }
 
 // Guards against a worker that is kept for an implicated task although the
@@ -193,11 +193,11 @@
   this->StartTermWithWorkers(6);
   Step gang = MakeStep(4, 4'000);
   gang.gang = true;
-  this->fleet.deadly = {TaskOf("deadly", 2)};
+  this->fleet.crashing = {TaskOf("crashing", 2)};
   this->fleet.Submit("other", "render", {MakeStep(4, 1'000)});
-  this->fleet.Submit("deadly", "render", {gang});
+  this->fleet.Submit("crashing", "render", {gang});
   this->AdvanceWithEnds(milliseconds(30'000), milliseconds(600));
-  EXPECT_EQ(this->PhaseOf("deadly"), JobPhase::kFailed);
+  EXPECT_EQ(this->PhaseOf("crashing"), JobPhase::kFailed);
   EXPECT_EQ(this->PhaseOf("other"), JobPhase::kCompleted);
   EXPECT_LE(this->fleet.crashes, 3);
 }
@@ -276,14 +276,14 @@
   EXPECT_EQ(this->PhaseOf("job"), JobPhase::kCompleted);
 }
 
-/// Jobs, of which some are deadly, beside crashes of workers for other reasons
-/// and changes of the leader, all drawn from a seed.
-class DeadlyBurstTest : public DispatcherCrashTest,
-                        public ::testing::WithParamInterface<unsigned> {};
+/// Jobs, of which some are crashing, beside crashes of workers for other
+/// reasons and changes of the leader, all drawn from a seed.
+class CrashingBurstTest : public DispatcherCrashTest,
+                          public ::testing::WithParamInterface<unsigned> {};
 
-// Guards against innocent jobs that are given up in a burst of deadly tasks,
-// and against deadly tasks that crash more than three workers.
-TEST_P(DeadlyBurstTest, Burst_OnlyDeadlyJobsAreGivenUp) {
+// Guards against innocent jobs that are given up in a burst of tasks that crash
+// their workers, and against crashing tasks that crash more than three workers.
+TEST_P(CrashingBurstTest, Burst_OnlyCrashingJobsAreGivenUp) {
   std::mt19937 random(GetParam());
   const auto draw = [&](int below) {
     return static_cast<int>(random() % static_cast<unsigned>(below));
@@ -294,10 +294,10 @@
   lasting.most_per_worker = 1;
   this->fleet.Submit("lasting", "render", {lasting});
   std::vector<std::string> jobs;
-  std::set<std::string> deadly_jobs;
+  std::set<std::string> crashing_jobs;
   // Jobs of which a task was already implicated when its worker crashed for
-  // another reason. Nothing tells them from deadly ones, and a task under which
-  // two workers have crashed may be given up.
+  // another reason. Nothing tells them from crashing ones, and a task under
+  // which two workers have crashed may be given up.
   std::set<std::string> hit_again;
   const auto crash = [&](const std::string& worker) {
     for (const auto& [key, began] : this->fleet.workers.at(worker).running) {
@@ -312,8 +312,8 @@
       const std::string id = "job-" + std::to_string(tick);
       jobs.push_back(id);
       if (draw(10) == 0) {
-        deadly_jobs.insert(id);
-        this->fleet.deadly.insert(TaskOf(id));
+        crashing_jobs.insert(id);
+        this->fleet.crashing.insert(TaskOf(id));
       }
       this->fleet.Submit(id, "render",
                          {MakeStep(static_cast<std::uint32_t>(1 + draw(6)),
@@ -349,16 +349,16 @@
   this->AdvanceWithEnds(milliseconds(40'000), milliseconds(600));
   int failed_by_chance = 0;
   for (const std::string& job : jobs) {
-    const bool deadly = deadly_jobs.contains(job);
-    if (!deadly && hit_again.contains(job) &&
+    const bool crashing = crashing_jobs.contains(job);
+    if (!crashing && hit_again.contains(job) &&
         this->PhaseOf(job) == JobPhase::kFailed) {
       ++failed_by_chance;
     } else {
       EXPECT_EQ(this->PhaseOf(job),
-                deadly ? JobPhase::kFailed : JobPhase::kCompleted)
+                crashing ? JobPhase::kFailed : JobPhase::kCompleted)
           << job;
     }
-    if (deadly) {
+    if (crashing) {
       EXPECT_LE(this->fleet.crashes_under[TaskOf(job)], 3) << job;
     }
   }
@@ -367,7 +367,7 @@
   EXPECT_EQ(this->fleet.RunningTasks(), 5U);
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, DeadlyBurstTest, ::testing::Range(1U, 21U));
+INSTANTIATE_TEST_SUITE_P(Seeds, CrashingBurstTest, ::testing::Range(1U, 21U));
 
 }  // namespace
 }  // namespace mimosastage::jobs
--- a/tests/jobs/support/fake_fleet_leader.cc
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -184,17 +184,17 @@
   const auto clock =
       std::chrono::duration_cast<milliseconds>(this->now.time_since_epoch())
           .count();
-  std::vector<std::string> crashing;
+  std::vector<std::string> crashed;
   for (const auto& [id, worker] : this->workers) {
     if (std::any_of(worker.running.begin(), worker.running.end(),
                     [&](const auto& run) {
-                      return this->deadly.contains(run.first.first) &&
+                      return this->crashing.contains(run.first.first) &&
                              run.second < clock;
                     })) {
-      crashing.push_back(id);
+      crashed.push_back(id);
     }
   }
-  for (const std::string& id : crashing) {
+  for (const std::string& id : crashed) {
     this->Crash(id);
   }
   std::erase_if(this->restarting, [&](const auto& row) {
--- a/tests/jobs/support/fake_fleet_leader.h
+++ b/tests/jobs/support/fake_fleet_leader.h
@@ -92,7 +92,7 @@
   std::vector<InstanceRequest> instance_requests;
   std::vector<StartOrder> starts;
   /// Tasks that crash each worker 10 ms after it has started them.
-  std::set<TaskId> deadly;
+  std::set<TaskId> crashing;
   std::chrono::milliseconds restart_delay{3'000};
   /// How many workers have crashed while they ran each task.
   std::map<TaskId, int> crashes_under;
@@ -110,7 +110,7 @@
   /// answers those that have waited for too long.
   std::deque<WorkerOrder> TakeSentOrders();
   void AdvanceOneTick();
-  /// Crashes the workers of deadly tasks, and announces the incarnations that
+  /// Crashes the workers of crashing tasks, and announces the incarnations that
   /// are due.
   void CrashAndRestartWorkers();
 
