--- a/src/mimosastage/jobs/crash_ledger.h
+++ b/src/mimosastage/jobs/crash_ledger.h
@@ -20,8 +20,8 @@
 /// states the rule of blame and its reason.
 class CrashLedger {
  public:
-  /// A task that crashes its workers was seen to do so 10 ms after its start. A
-  /// run that is older than this when its worker crashes is blamed only if no
+  /// A task that crashes its workers mostly does so soon after its start. A run
+  /// that is older than this when its worker crashes is blamed only if no
   /// younger one is left to blame.
   static constexpr std::chrono::milliseconds kYoungRun{500};
   /// Crashes after which a task is given up whatever the other evidence.
