Stop the runs of ended jobs in one place

The same loop stood in the first tick of a term and after a job was given up for crashing its workers. Runs that are stopping already are left alone, so the second place may look at all ended jobs as the first one does.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -549,15 +549,7 @@
   if (!std::exchange(this->stopped_ended_jobs, true)) {
     // An earlier leader may have lost leadership before it stopped the runs of
     // ended jobs.
-    std::vector<std::string> ended;
-    for (const auto& [id, job] : this->state.Jobs()) {
-      if (job.Ended() && job.active_runs > 0) {
-        ended.push_back(id);
-      }
-    }
-    for (const std::string& job : ended) {
-      this->StopJob(job, now);
-    }
+    this->StopEndedJobs(now);
   }
   this->StopGivenUpJobs(now);
   if (now >= this->next_session_scan &&
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -382,6 +382,8 @@
   /// Stops the runs that an end makes pointless: all runs of an ended job, the
   /// rest of a gang, or other copies of a completed task.
   void StopObsoleteRuns(const RunKey& key, TimePoint now);
+  /// Stops the runs of all ended jobs; those that are stopping already go on.
+  void StopEndedJobs(TimePoint now);
   void StopJob(const std::string& job, TimePoint now);
   Run MakeRun(const TaskId& task) const;
   /// Makes the log command that records the end of a run.
--- a/src/mimosastage/jobs/dispatcher_crashes.cc
+++ b/src/mimosastage/jobs/dispatcher_crashes.cc
@@ -234,15 +234,7 @@
   if (std::exchange(this->stopped_given_up_jobs, given_up) == given_up) {
     return;
   }
-  std::vector<std::string> jobs;
-  for (const auto& [id, job] : this->state.Jobs()) {
-    if (job.phase == JobPhase::kFailed && job.active_runs > 0) {
-      jobs.push_back(id);
-    }
-  }
-  for (const std::string& job : jobs) {
-    this->StopJob(job, now);
-  }
+  this->StopEndedJobs(now);
   this->hooks.report("jobs_given_up", std::to_string(given_up),
                      "jobs in total with tasks that crash their workers");
   this->placement_needed = true;
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -355,6 +355,18 @@
   }
 }
 
+void Dispatcher::StopEndedJobs(TimePoint now) {
+  std::vector<std::string> ended;
+  for (const auto& [id, job] : this->state.Jobs()) {
+    if (job.Ended() && job.active_runs > 0) {
+      ended.push_back(id);
+    }
+  }
+  for (const std::string& job : ended) {
+    this->StopJob(job, now);
+  }
+}
+
 void Dispatcher::StopJob(const std::string& job, TimePoint now) {
   for (auto& [id, session] : this->sessions) {
     for (auto& [key, run] : session.runs) {
