--- a/src/mimosastage/daemons/frame_authenticator.cc
+++ b/src/mimosastage/daemons/frame_authenticator.cc
@@ -3,11 +3,10 @@
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
-#include <openssl/rand.h>
 
 #include <cstring>
 
-#include "mimosastage/telemetry/fatal_log.h"
+#include "mimosastage/daemons/random_bytes.h"
 
 namespace mimosastage {
 namespace {
@@ -39,12 +38,8 @@
   LinkNonce nonce{};
   // A predictable nonce would allow frames of earlier connections to be
   // replayed.
-  if (RAND_bytes(reinterpret_cast<unsigned char*>(nonce.data()),
-                 static_cast<int>(nonce.size())) != 1) {
-    AbortProcess(
-        "the system gives no random numbers; check the configuration of "
-        "OpenSSL");
-  }
+  FillWithRandomBytes(
+      {reinterpret_cast<unsigned char*>(nonce.data()), nonce.size()});
   return nonce;
 }
 
--- a/src/mimosastage/node/daemon.cc
+++ b/src/mimosastage/node/daemon.cc
@@ -1,7 +1,5 @@
 #include "mimosastage/node/daemon.h"
 
-#include <openssl/rand.h>
-
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -13,6 +11,7 @@
 #include "mimosastage/base/ring.h"
 #include "mimosastage/base/wake_signal.h"
 #include "mimosastage/daemons/links.h"
+#include "mimosastage/daemons/random_bytes.h"
 #include "mimosastage/http/http_server.h"
 #include "mimosastage/node/exchange_inbox.h"
 #include "mimosastage/node/link_log.h"
@@ -56,14 +55,9 @@
 
 std::uint64_t RandomNumber() {
   std::uint64_t number = 0;
-  // A reused session id would bring back the units of an earlier run, so the
-  // daemon aborts if no random number is available.
-  if (RAND_bytes(reinterpret_cast<unsigned char*>(&number), sizeof(number)) !=
-      1) {
-    AbortProcess(
-        "the system gives no random numbers; check the configuration of "
-        "OpenSSL");
-  }
+  // A reused session id would bring back the units of an earlier run.
+  FillWithRandomBytes(
+      {reinterpret_cast<unsigned char*>(&number), sizeof(number)});
   // Session id 0 means "no session" in the snapshot of the allowances.
   return std::max<std::uint64_t>(number, 1);
 }
--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -1,7 +1,5 @@
 #include "mimosastage/node/job_daemon.h"
 
-#include <openssl/rand.h>
-
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -15,6 +13,7 @@
 #include "mimosastage/base/daemon_id.h"
 #include "mimosastage/base/ring.h"
 #include "mimosastage/base/wake_signal.h"
+#include "mimosastage/daemons/random_bytes.h"
 #include "mimosastage/node/exchange_inbox.h"
 #include "mimosastage/node/link_log.h"
 #include "mimosastage/storage/data_folder.h"
@@ -116,12 +115,8 @@
 
 std::uint64_t RandomNumber() {
   std::uint64_t number = 0;
-  if (RAND_bytes(reinterpret_cast<unsigned char*>(&number), sizeof(number)) !=
-      1) {
-    AbortProcess(
-        "the system gives no random numbers; check the configuration of "
-        "OpenSSL");
-  }
+  FillWithRandomBytes(
+      {reinterpret_cast<unsigned char*>(&number), sizeof(number)});
   return number;
 }
 
