--- a/src/mimosastage/telemetry/fatal_log.cc
+++ b/src/mimosastage/telemetry/fatal_log.cc
@@ -369,6 +369,15 @@
   }
 }
 
+void LogRefusedStart(EventName event, const std::string& problem,
+                     const std::string& settings_file, int exit_status) {
+  LogEvent(LogSeverity::kError, event, "the start was refused")
+      .With("reason", problem)
+      .With("settings", settings_file)
+      .With("thread", ThreadDuty::Current())
+      .With("exit_status", exit_status);
+}
+
 ThreadDuty::ThreadDuty(std::string_view duty) {
   const std::size_t length = duty.copy(current_duty.data(), kMaxDutyBytes);
   current_duty[length] = '\0';
--- a/src/mimosastage/telemetry/fatal_log.h
+++ b/src/mimosastage/telemetry/fatal_log.h
@@ -47,6 +47,12 @@
 /// Writes the line for a process that is about to exit with this status.
 void LogFailedExit(std::string_view reason, int exit_status);
 
+/// Logs, with severity error, that a process ends with this status instead of
+/// starting. `problem` names the reason and the remedy, `settings_file` the
+/// file that the process was given.
+void LogRefusedStart(EventName event, const std::string& problem,
+                     const std::string& settings_file, int exit_status);
+
 /// Writes the line for a process that is about to abort. Returns false if
 /// InstallFatalLog was never called.
 bool LogAbort(std::string_view reason);
--- a/src/mimosastaged/main.cc
+++ b/src/mimosastaged/main.cc
@@ -41,15 +41,6 @@
   return problems.empty() ? 0 : kExitBadSettings;
 }
 
-void LogRefusedStart(mimosastage::EventName event, const std::string& problem,
-                     const std::string& file) {
-  LogEvent(LogSeverity::kError, event, "the start was refused")
-      .With("reason", problem)
-      .With("settings", file)
-      .With("thread", mimosastage::ThreadDuty::Current())
-      .With("exit_status", kExitBadSettings);
-}
-
 /// Logs all problems in one line, because a process leaves one line about its
 /// end.
 void LogRejectedSettings(const std::vector<SettingsProblem>& problems,
@@ -59,7 +50,8 @@
     text += (text.empty() ? "" : "; ") + problem.Message();
   }
   const mimosastage::JsonLogging logging(kProgram, daemon, {});
-  LogRefusedStart(mimosastage::events::kSettingsRejected, text, file);
+  mimosastage::LogRefusedStart(mimosastage::events::kSettingsRejected, text,
+                               file, kExitBadSettings);
 }
 
 int FormatDataFolder(const Settings& settings) {
@@ -113,7 +105,8 @@
   // returns.
   static Daemon daemon(settings);
   if (const std::string problem = daemon.Start(); !problem.empty()) {
-    LogRefusedStart(mimosastage::events::kListenerFailed, problem, file);
+    mimosastage::LogRefusedStart(mimosastage::events::kListenerFailed, problem,
+                                 file, kExitBadSettings);
     return kExitBadSettings;
   }
   LogEvent(LogSeverity::kInfo, mimosastage::events::kDaemonStarted,
@@ -140,8 +133,9 @@
   const std::string file = absl::GetFlag(FLAGS_settings);
   if (file.empty()) {
     const mimosastage::JsonLogging logging(kProgram, kUnknownDaemon, {});
-    LogRefusedStart(mimosastage::events::kSettingsRejected,
-                    "no settings; give --settings=FILE", file);
+    mimosastage::LogRefusedStart(mimosastage::events::kSettingsRejected,
+                                 "no settings; give --settings=FILE", file,
+                                 kExitBadSettings);
     return kExitBadSettings;
   }
   mimosastage::SettingsResult load = mimosastage::LoadSettings(file);
