Report repeated runs, late ends that are ignored, and workers above capacity

Callers saw a task run again after its end was acknowledged, and a worker given more than it has room for. The lines of the leader couldn't tell the hypotheses apart: the second start of a task had no line, a late end of a run whose task was done elsewhere had none, and nothing said what the leader counted on a worker that lists more than its capacity.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -27,6 +27,13 @@
          to.accelerators < from.accelerators;
 }
 
+/// "MILLICORES millicores, MEMORY MB, ACCELERATORS accelerators".
+std::string Describe(const Amount& amount) {
+  return std::to_string(amount.millicores) + " millicores, " +
+         std::to_string(amount.memory_mb) + " MB, " +
+         std::to_string(amount.accelerators) + " accelerators";
+}
+
 bool SameRecord(const Worker& a, const Worker& b) {
   return a.born_ms == b.born_ms && a.pool == b.pool && a.address == b.address &&
          a.machine == b.machine && a.draining == b.draining &&
@@ -353,6 +360,7 @@
       first ? now : std::max(now, order.sent + this->config.min_hold_interval));
   this->RecordEnds(id, session, reply, now);
   this->ReconcileRuns(id, session, order, reply, now);
+  this->ReportOverload(id, session, reply);
   this->CheckSpeed(id, session, now);
   this->ThrottleFillers(id, session, now);
   if (first) {
@@ -437,6 +445,10 @@
   if (ended.outcome != RunOutcome::kDone || job == nullptr || job->Ended() ||
       !job->Contains(ended.task) || job->At(ended.task).done ||
       job->request->steps[ended.task.step]->long_running) {
+    if (ended.outcome == RunOutcome::kDone) {
+      this->hooks.report("late_end_ignored", ToString(ended.task),
+                         id + " run " + std::to_string(ended.run));
+    }
     return;
   }
   this->hooks.report("late_end_recorded", ToString(ended.task), id);
@@ -506,6 +518,34 @@
   }
 }
 
+void Dispatcher::ReportOverload(const std::string& id, Session& session,
+                                const WorkerReply& reply) {
+  Amount listed;
+  std::size_t unknown = 0;
+  for (const RunningTask& task : reply.running) {
+    if (const auto run = session.runs.find({task.task, task.run});
+        run != session.runs.end()) {
+      Add(listed, Charge(*run->second.step));
+    } else if (const Job* job = this->state.FindJob(task.task.job);
+               job != nullptr && job->Contains(task.task)) {
+      Add(listed, Charge(*job->request->steps[task.task.step]));
+    } else {
+      ++unknown;
+    }
+  }
+  const Amount& capacity = *this->state.Workers().at(id).capacity;
+  if (!std::exchange(session.overloaded, Shrinks(listed, capacity)) &&
+      session.overloaded) {
+    this->hooks.report(
+        "worker_overloaded", id,
+        "capacity " + Describe(capacity) + ", listed " + Describe(listed) +
+            " in " + std::to_string(reply.running.size()) + " runs, " +
+            std::to_string(unknown) + " of jobs that aren't known, counted " +
+            Describe(session.used) + " in " +
+            std::to_string(session.runs.size()));
+  }
+}
+
 void Dispatcher::TickSession(const std::string& id, Session& session,
                              TimePoint now) {
   if (!session.hold_open && !session.ends_pending && now >= session.next_hold) {
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -211,6 +211,8 @@
     TimePoint next_hold{};
     /// The capacity has shrunk, and starts from before may be unconfirmed.
     bool capacity_shrunk = false;
+    /// The worker's last answer listed more than its capacity.
+    bool overloaded = false;
     /// Since when the leader knows the incarnation.
     TimePoint known_since{};
     TimePoint last_announced{};
@@ -323,6 +325,10 @@
   void ReconcileRuns(const std::string& id, Session& session,
                      const OpenOrder& order, const WorkerReply& reply,
                      TimePoint now);
+  /// Reports a worker that runs more than its capacity, once until it is within
+  /// its capacity again.
+  void ReportOverload(const std::string& id, Session& session,
+                      const WorkerReply& reply);
   void TickSessions(TimePoint now);
   void TickSession(const std::string& id, Session& session, TimePoint now);
   /// Schedules the next hold for `at`, or for when the open one is answered.
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -34,6 +34,10 @@
   const RunKey key{task, number};
   Run run = this->MakeRun(task);
   this->AddToSums(session, run);
+  if (number > 1) {
+    this->hooks.report("run_repeated", ToString(task),
+                       worker + " run " + std::to_string(number));
+  }
   run.in_start_window = true;
   this->start_window.OnOpened();
   this->admission.OnStart(this->last_placement);
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -188,6 +188,41 @@
   EXPECT_EQ(this->fleet.starts.size(), 1U);
 }
 
+// Guards against a second start that the log doesn't show, and against a late
+// end of the first run that leaves no line.
+TEST_F(DispatcherTest, RunWasGivenUp_TaskRunsElsewhere_BothAreReported) {
+  this->StartTermWithWorkers(2);
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(200));
+  const std::string first = this->fleet.WorkersOf(TaskOf("job")).at(0);
+  this->fleet.workers.at(first).silent = true;
+  this->fleet.EndRun(first, TaskOf("job"), RunOutcome::kDone);
+  EXPECT_EQ(this->fleet.reports["run_repeated"], 0);
+  this->fleet.Advance(milliseconds(5'500));
+  EXPECT_EQ(this->fleet.reports["run_repeated"], 1);
+  this->EndAllRuns(TaskOf("job"), RunOutcome::kDone);
+  this->fleet.Advance(milliseconds(200));
+  FakeWorker& worker = this->fleet.workers.at(first);
+  worker.silent = false;
+  this->fleet.dispatcher->Announce(worker.record, 9, this->fleet.now, [] {});
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_EQ(this->fleet.reports["late_end_ignored"], 1);
+}
+
+// Guards against a worker above its capacity without a line that says what the
+// leader counted there.
+TEST_F(DispatcherTest, WorkerListsMoreThanItsCapacity_ReportedOnce) {
+  this->StartTermWithWorkers(1, 2'000);
+  this->fleet.Submit("job", "render", {MakeStep(3, 1'000)});
+  this->fleet.Advance(milliseconds(200));
+  EXPECT_EQ(this->fleet.reports["worker_overloaded"], 0);
+  FakeWorker& worker = this->fleet.workers.at("worker-0");
+  worker.running.emplace(std::pair(TaskOf("job", 0, 2), 7U), 0);
+  this->fleet.dispatcher->OnWorkerLeaving("worker-0", this->fleet.now);
+  this->fleet.Advance(milliseconds(20));
+  EXPECT_EQ(this->fleet.reports["worker_overloaded"], 1);
+}
+
 // Guards against a task that is started twice: a leader that is starved of CPU
 // must not overestimate the worker's clock, or it treats the worker's lease as
 // expired too early.
