Show that an answer with another worker's lists makes a task run twice

Failing test for the TWICE report: a task that had ended as done, whose end was acknowledged, is started again. An answer to a hold that lists the runs of another incarnation is taken for the worker's own. Its runs count as missing, and the highest listed number is acknowledged to the worker, which forgets its own ends up to it.

--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -223,6 +223,36 @@
   EXPECT_EQ(this->fleet.reports["worker_overloaded"], 1);
 }
 
+// Guards against a task that is started again after its end was acknowledged:
+// an answer with the lists of another worker acknowledges ends that its own
+// worker hasn't reported yet.
+TEST_F(DispatcherTest, AnswerHasListsOfAnotherWorker_OwnEndsStillCount) {
+  this->StartTermWithWorkers(2);
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(200));
+  const std::string worker = this->fleet.WorkersOf(TaskOf("job")).at(0);
+  FakeWorker other;
+  other.record = this->fleet.workers.at(worker).record;
+  --other.record.born_ms;
+  other.ended.push_back(
+      EndedRun{9, TaskOf("unknown"), 1, RunOutcome::kDone, ""});
+  bool crossed = false;
+  this->fleet.change_reply = [&](const WorkerOrder& order, WorkerReply& reply) {
+    reply.born_ms = this->fleet.workers.at(order.worker).record.born_ms;
+    if (order.worker == worker && !std::exchange(crossed, true)) {
+      reply.born_ms = other.record.born_ms;
+      reply.running.clear();
+      reply.ended = other.ended;
+    }
+  };
+  this->fleet.Advance(milliseconds(500));
+  ASSERT_TRUE(crossed);
+  this->EndAllRuns(TaskOf("job"), RunOutcome::kDone);
+  this->fleet.Advance(milliseconds(1'000));
+  EXPECT_EQ(this->fleet.JobOf("job").phase, JobPhase::kCompleted);
+  EXPECT_EQ(this->fleet.starts.size(), 1U);
+}
+
 // Guards against a task that is started twice: a leader that is starved of CPU
 // must not overestimate the worker's clock, or it treats the worker's lease as
 // expired too early.
--- a/tests/jobs/support/fake_fleet_leader.cc
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -365,8 +365,11 @@
     });
   }
   for (const WorkerOrder& order : sent) {
-    this->dispatcher->OnReply(this->Execute(order),
-                              this->now - this->leader_lag);
+    WorkerReply reply = this->Execute(order);
+    if (this->change_reply) {
+      this->change_reply(order, reply);
+    }
+    this->dispatcher->OnReply(reply, this->now - this->leader_lag);
   }
   this->dispatcher->Tick(this->now);
 }
--- a/tests/jobs/support/fake_fleet_leader.h
+++ b/tests/jobs/support/fake_fleet_leader.h
@@ -100,6 +100,9 @@
   /// Runs whose start was proposed to the log.
   std::vector<RunStart> proposed_starts;
   std::vector<AdviceRequest> advice_requests;
+  /// If set, changes each answer before the leader gets it.
+  std::function<void(const WorkerOrder& order, WorkerReply& reply)>
+      change_reply;
   std::uint64_t fence = 0;
   TimePoint now{std::chrono::hours(1)};
   std::chrono::milliseconds wall{1'000'000};
