Ignore what an earlier incarnation lists in an answer

Callers saw a task run again after it had ended as done and its end was acknowledged (TWICE).

Cause: an answer whose start time is earlier than the worker's was taken for the worker's own. Its lists then ended runs that go on, its clock counted as the worker's, and the acknowledgement of its highest end number covered ends of the worker that the leader had never read. The order numbers that repeated before crossed answers in this way; the numbers are unique now, but nothing else kept a crossed answer from being believed.

Such an answer now counts as no answer, and a line names the order and both start times.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -309,6 +309,26 @@
     this->RemoveWorker(id, "another incarnation answered", now);
     return;
   }
+  if (reply.born_ms.has_value() && *reply.born_ms < session.born_ms) {
+    // The lists and the clock of an earlier incarnation say nothing about this
+    // one, and an acknowledgement of its ends would cover ends of this one.
+    this->hooks.report("earlier_incarnation_answered", id,
+                       "order " + std::to_string(reply.number) + ", born " +
+                           std::to_string(*reply.born_ms) + ", expected " +
+                           std::to_string(session.born_ms));
+    WorkerReply unanswered;
+    unanswered.number = reply.number;
+    unanswered.read_at = reply.read_at;
+    unanswered.started_at = reply.started_at;
+    this->HandleReply(id, session, order, unanswered, now);
+    return;
+  }
+  this->HandleReply(id, session, order, reply, now);
+}
+
+void Dispatcher::HandleReply(const std::string& id, Session& session,
+                             const OpenOrder& order, const WorkerReply& reply,
+                             TimePoint now) {
   this->start_window.OnWait(
       (reply.result == OrderResult::kNotStarted ? now : reply.started_at) -
           order.sent,
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -310,6 +310,10 @@
   std::vector<const Worker*> WorkersLike(const Worker& worker);
   void RemoveWorker(const std::string& id, const char* reason, TimePoint now);
   void SendHold(const std::string& id, Session& session, TimePoint now);
+  /// Handles a reply of the session's own incarnation.
+  void HandleReply(const std::string& id, Session& session,
+                   const OpenOrder& order, const WorkerReply& reply,
+                   TimePoint now);
   void OnHold(const std::string& id, Session& session, const OpenOrder& order,
               const WorkerReply& reply, TimePoint now);
   /// Counts an order that got no valid answer; the first one makes the worker
