Read answers on sockets whose number a failed one had

What callers saw: after a connection that timed out, or was refused after a round trip, the daemon didn't read the answer on the next new connection. The exchange with a sound server ended as unanswered at its timeout; a leader then takes the worker for silent.

Cause: libcurl 7.88 calls the callback for closing a socket only if it was connected. One that wasn't is closed directly, so SocketPoller kept its entry, and the kernel dropped the registration. The next socket gets the same number. The poller took it for registered, or changed a registration that doesn't exist, and the socket never reported anything.

Evidence: the thread sanitizer reported epoll_ctl on a descriptor of the server in the randomized test. strace shows for one failed and one good exchange: EPOLL_CTL_ADD 13, close 13, socket = 13, no EPOLL_CTL_ADD, EPOLL_CTL_MOD 13 = ENOENT. The test, with a server that answers after 1 s as workers answer holds, fails before ("timed out after 5007 milliseconds with 0 bytes received", 3 of 3 exchanges) and passes with the change.

Why it works: the client opens the sockets itself and forgets at that time what the poller knew of the number. That holds however the former one was closed.

--- a/src/mimosastage/backend_servers/exchange_client.cc
+++ b/src/mimosastage/backend_servers/exchange_client.cc
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -146,6 +147,19 @@
     return 0;
   }
 
+  /// libcurl calls OnCloseSocket for connected sockets only. One that couldn't
+  /// be connected is closed without notice, so what the poller knows of a new
+  /// socket's number may be of an earlier one.
+  static curl_socket_t OnOpenSocket(void* user_data, curlsocktype,
+                                    curl_sockaddr* address) {
+    const curl_socket_t opened =
+        socket(address->family, address->socktype, address->protocol);
+    if (opened != CURL_SOCKET_BAD) {
+      static_cast<Impl*>(user_data)->poller.Forget(opened);
+    }
+    return opened;
+  }
+
   static int OnCloseSocket(void* user_data, curl_socket_t socket) {
     static_cast<Impl*>(user_data)->poller.Forget(socket);
     return close(socket);
@@ -236,6 +250,9 @@
     auto exchange =
         std::make_unique<Exchange>(this->AcquireHandle(), std::move(request),
                                    std::move(request_id), limits, now, max_age);
+    curl_easy_setopt(exchange->Easy(), CURLOPT_OPENSOCKETFUNCTION,
+                     &Impl::OnOpenSocket);
+    curl_easy_setopt(exchange->Easy(), CURLOPT_OPENSOCKETDATA, this);
     curl_easy_setopt(exchange->Easy(), CURLOPT_CLOSESOCKETFUNCTION,
                      &Impl::OnCloseSocket);
     curl_easy_setopt(exchange->Easy(), CURLOPT_CLOSESOCKETDATA, this);
--- a/tests/backend_servers/exchange_client_test.cc
+++ b/tests/backend_servers/exchange_client_test.cc
@@ -1,8 +1,12 @@
 #include "mimosastage/backend_servers/exchange_client.h"
 
 #include <gtest/gtest.h>
+#include <netinet/in.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <condition_variable>
 #include <cstdlib>
 #include <map>
@@ -185,6 +189,65 @@
   EXPECT_TRUE(result.reused_connection);
 }
 
+/// A listener on 127.0.0.1 that leaves further connections without an answer,
+/// as a server does that a partition cuts off.
+class UnansweringListener {
+ public:
+  UnansweringListener() {
+    this->listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* const any = reinterpret_cast<sockaddr*>(&address);
+    EXPECT_EQ(bind(this->listener, any, size), 0);
+    EXPECT_EQ(listen(this->listener, 0), 0);
+    EXPECT_EQ(getsockname(this->listener, any, &size), 0);
+    this->port = ntohs(address.sin_port);
+    // The kernel drops connections beyond the backlog.
+    for (int& waiting : this->waiting) {
+      waiting = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect(waiting, any, size);
+    }
+  }
+  ~UnansweringListener() {
+    for (const int waiting : this->waiting) {
+      close(waiting);
+    }
+    close(this->listener);
+  }
+  UnansweringListener(const UnansweringListener&) = delete;
+  UnansweringListener& operator=(const UnansweringListener&) = delete;
+
+  std::uint16_t Port() const { return this->port; }
+
+ private:
+  int listener = -1;
+  std::uint16_t port = 0;
+  std::array<int, 4> waiting{};
+};
+
+// Guards against answers that aren't read, because the connection has the
+// descriptor number of one that couldn't be opened. The poller took the new
+// socket for the former one, which it had registered.
+TEST_F(ExchangeClientTest, Submit_ConnectionsTimedOutBefore_IsAnswered) {
+  const UnansweringListener cut_off;
+  this->settings.connect_timeout = milliseconds(100);
+  this->server.SetFaults({{"late_ms", 1'000}});
+  this->StartClient();
+  for (int i = 0; i < 3; ++i) {
+    ExchangeRequest request = this->MakeRequest(true);
+    request.port = cut_off.Port();
+    EXPECT_EQ(this->Run(std::move(request)).end,
+              AttemptEnd::kFailedBeforeFirstByte);
+    ExchangeRequest next = this->MakeRequest(true);
+    next.fresh_connection = true;
+    next.timeout = seconds(5);
+    const ExchangeResult result = this->Run(std::move(next));
+    EXPECT_EQ(result.end, AttemptEnd::kWholeAnswer) << result.detail;
+  }
+}
+
 /// Sets the limit on file descriptors of a voter while it exists.
 class VoterDescriptorLimit {
  public:
