Keep the runs of a worker born after its instance's upkeep was ordered

What callers saw: tasks that ran twice, and workers that were given more than they have room for, beside a platform that answers upkeeps late or loses answers.

Cause: the answer to an upkeep removed whatever worker was known on the instance. If the answer was late, or the request was repeated and the platform said that it had been done before, that was the instance's next worker, which had already taken tasks. Its runs counted as lost and were started elsewhere while they went on. When it announced itself again, its room counted as empty, and its listed runs were stopped as strays while others were started beside them. A late end of such a run was recorded and acknowledged after the second start. The same holds for the answer to a move of an instance that has moved on since.

UpkeepIsAnsweredLate_NextWorkerRunsTasks_RunsGoOn fails on the code before: the next worker is removed.

The change: a request for an instance remembers the incarnation that ran there when it was ordered, and its answer removes only this one. A later incarnation is drained before an unanswered upkeep is repeated, since the repetition may end it, and takes tasks again once the upkeep is answered. Incarnations that the platform did end are noticed as any other: by their successor's announcement, an answer of another incarnation, or silence until the lease has expired.

--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -269,6 +269,10 @@
     std::uint64_t wave = 0;
     std::string instance;
     std::string pool;
+    /// The worker that ran on the instance when the request was ordered, and
+    /// the only one that its answer tells the end of; empty if there was none.
+    std::string worker;
+    std::int64_t born_ms = 0;
   };
 
   struct UnansweredMove {
@@ -475,9 +479,17 @@
   void OrderMove(const InstanceMove& move);
   /// Orders the unanswered moves again whose retry delay has passed.
   void RepeatMoves(TimePoint now);
-  void OnMoveReply(const InstanceMove& move, const InstanceReply& reply,
-                   TimePoint now);
+  void OnMoveReply(const OpenInstanceRequest& request,
+                   const InstanceReply& reply, TimePoint now);
   const Worker* WorkerOnInstance(const std::string& instance) const;
+  /// Makes the record of a request that is ordered now.
+  OpenInstanceRequest MakeOpenRequest(std::uint64_t wave,
+                                      const std::string& instance,
+                                      const std::string& pool) const;
+  /// Removes the worker that the request has ended. One that was born since
+  /// stays: the answer may be late, or say that it was done before.
+  void RemoveEndedWorker(const OpenInstanceRequest& request, const char* reason,
+                         TimePoint now);
   /// Reserves the worker and stops its runs as far as allowed. Returns true
   /// once it has no runs.
   bool DrainForUpkeep(const std::string& id, Session& session, TimePoint now);
@@ -485,8 +497,10 @@
   bool MayStop(const TaskId& task) const;
   void OrderUpkeep(const Wave& wave, const std::string& instance,
                    TimePoint now);
-  void RecordUpkeepBegun(std::uint64_t wave, const std::string& instance,
-                         TimePoint now);
+  void RecordUpkeepBegun(const OpenInstanceRequest& request, TimePoint now);
+  /// Lets the worker that is on the instance after an upkeep was answered take
+  /// tasks, unless the instance may move.
+  void EndReservation(const std::string& instance);
   /// Postpones an upkeep that the platform refused because of its instance or
   /// wave; the instance takes tasks until the next attempt.
   void PostponeRefusedUpkeep(Upkeep& upkeep, const std::string& instance,
--- a/src/mimosastage/jobs/dispatcher_instances.cc
+++ b/src/mimosastage/jobs/dispatcher_instances.cc
@@ -142,7 +142,7 @@
   request.instance = move.instance;
   request.pool = move.to_pool;
   this->instance_requests[request.number] =
-      OpenInstanceRequest{0, move.instance, move.to_pool};
+      this->MakeOpenRequest(0, move.instance, move.to_pool);
   this->SendInstanceRequest(std::move(request));
 }
 
@@ -160,13 +160,35 @@
   }
 }
 
-void Dispatcher::OnMoveReply(const InstanceMove& move,
+Dispatcher::OpenInstanceRequest Dispatcher::MakeOpenRequest(
+    std::uint64_t wave, const std::string& instance,
+    const std::string& pool) const {
+  OpenInstanceRequest request{wave, instance, pool, "", 0};
+  if (const Worker* worker = this->WorkerOnInstance(instance);
+      worker != nullptr) {
+    request.worker = worker->id;
+    request.born_ms = worker->born_ms;
+  }
+  return request;
+}
+
+void Dispatcher::RemoveEndedWorker(const OpenInstanceRequest& request,
+                                   const char* reason, TimePoint now) {
+  const auto known = this->state.Workers().find(request.worker);
+  if (known != this->state.Workers().end() &&
+      known->second.born_ms == request.born_ms) {
+    this->RemoveWorker(request.worker, reason, now);
+  }
+}
+
+void Dispatcher::OnMoveReply(const OpenInstanceRequest& request,
                              const InstanceReply& reply, TimePoint now) {
+  const InstanceMove move{request.instance, request.pool};
   const Worker* worker = this->WorkerOnInstance(move.instance);
   if (reply.result == InstanceReply::Result::kOk) {
     if (worker != nullptr && worker->pool != move.to_pool) {
-      const std::string id = worker->id;
-      this->RemoveWorker(id, "its instance moves to another pool", now);
+      this->RemoveEndedWorker(request, "its instance moves to another pool",
+                              now);
     }
     this->listed_instances.erase(move.instance);
     return;
--- a/src/mimosastage/jobs/dispatcher_upkeep.cc
+++ b/src/mimosastage/jobs/dispatcher_upkeep.cc
@@ -154,7 +154,11 @@
     const bool known = ordered != this->upkeeps.end();
     if (known && ordered->second.maybe_begun) {
       ++down;
-      if (!ordered->second.order_open && now >= ordered->second.next_attempt &&
+      // The worker may have been born since the first order, and run tasks.
+      const bool vacant =
+          off || this->DrainForUpkeep(worker->id, session->second, now);
+      if (vacant && !ordered->second.order_open &&
+          now >= ordered->second.next_attempt &&
           this->MayOrder(instance, now)) {
         this->OrderUpkeep(wave, instance, now);
       }
@@ -224,7 +228,7 @@
   request.instance = instance;
   request.wave = wave.number;
   this->instance_requests[request.number] =
-      OpenInstanceRequest{wave.number, instance, ""};
+      this->MakeOpenRequest(wave.number, instance, "");
   this->SendInstanceRequest(std::move(request));
 }
 
@@ -233,14 +237,16 @@
   if (open == this->instance_requests.end()) {
     return;
   }
-  const auto [wave, instance, pool] = open->second;
+  const OpenInstanceRequest request = std::move(open->second);
+  const std::uint64_t wave = request.wave;
+  const std::string& instance = request.instance;
   this->instance_requests.erase(open);
   if (instance.empty()) {
     this->OnInstanceList(reply, now);
     return;
   }
-  if (!pool.empty()) {
-    this->OnMoveReply(InstanceMove{instance, pool}, reply, now);
+  if (!request.pool.empty()) {
+    this->OnMoveReply(request, reply, now);
     return;
   }
   Upkeep& upkeep = this->upkeeps[{wave, instance}];
@@ -249,7 +255,7 @@
   switch (reply.result) {
     case InstanceReply::Result::kOk:
       this->upkeep_began[instance] = now;
-      this->RecordUpkeepBegun(wave, instance, now);
+      this->RecordUpkeepBegun(request, now);
       return;
     case InstanceReply::Result::kInvalid:
       this->hooks.report("upkeep_refused", instance, "no such instance");
@@ -283,6 +289,10 @@
   // so the platform refuses it as well.
   upkeep.unanswered = false;
   upkeep.maybe_begun = false;
+  this->EndReservation(instance);
+}
+
+void Dispatcher::EndReservation(const std::string& instance) {
   const bool moves =
       this->unanswered_moves.contains(instance) ||
       std::any_of(this->instance_requests.begin(),
@@ -297,19 +307,19 @@
   }
 }
 
-void Dispatcher::RecordUpkeepBegun(std::uint64_t wave,
-                                   const std::string& instance, TimePoint now) {
-  this->hooks.report("upkeep_begun", instance, "wave " + std::to_string(wave));
-  this->upkeeps.erase({wave, instance});
-  if (const Worker* worker = this->WorkerOnInstance(instance);
-      worker != nullptr) {
-    const std::string id = worker->id;
-    this->RemoveWorker(id, "its instance is in upkeep", now);
-  }
+void Dispatcher::RecordUpkeepBegun(const OpenInstanceRequest& request,
+                                   TimePoint now) {
+  this->hooks.report("upkeep_begun", request.instance,
+                     "wave " + std::to_string(request.wave));
+  this->upkeeps.erase({request.wave, request.instance});
+  this->RemoveEndedWorker(request, "its instance is in upkeep", now);
+  // A worker that was born since the order may have been drained for a
+  // repetition.
+  this->EndReservation(request.instance);
   Command command;
   command.begun = std::make_unique<WaveMachine>();
-  command.begun->wave = wave;
-  command.begun->machine = instance;
+  command.begun->wave = request.wave;
+  command.begun->machine = request.instance;
   this->hooks.propose(std::move(command), {});
 }
 
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -479,6 +480,45 @@
   }
 }
 
+// Guards against tasks that run twice, and a worker that is given more than it
+// has room for: the platform answered an upkeep after the instance's next
+// worker had begun to run tasks, and the leader gave up this worker's runs.
+TEST_F(DispatcherTest, UpkeepIsAnsweredLate_NextWorkerRunsTasks_RunsGoOn) {
+  this->StartTermWithWorkers(1);
+  Command wave;
+  wave.wave = std::make_unique<Wave>();
+  wave.wave->number = 1;
+  wave.wave->most_at_once = 1;
+  wave.wave->machines = {"machine-worker-0"};
+  this->fleet.state.Apply(wave);
+  this->fleet.Advance(milliseconds(500));
+  const auto order = std::find_if(
+      this->fleet.instance_requests.begin(),
+      this->fleet.instance_requests.end(), [](const InstanceRequest& request) {
+        return request.kind == InstanceRequest::Kind::kUpkeep;
+      });
+  ASSERT_NE(order, this->fleet.instance_requests.end());
+  InstanceReply reply;
+  reply.number = order->number;
+  reply.result = InstanceReply::Result::kOk;
+  // The upkeep begins and ends, and its answer is still on its way.
+  this->fleet.workers.at("worker-0").ended_without_notice = true;
+  FakeWorker& next = this->fleet.workers["worker-1"];
+  next.record = this->fleet.workers.at("worker-0").record;
+  next.record.id = "worker-1";
+  next.record.born_ms += 10'000;
+  this->fleet.dispatcher->Announce(next.record, 1, this->fleet.now, [] {});
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(200));
+  this->fleet.dispatcher->OnInstanceReply(reply, this->fleet.now);
+  this->fleet.Advance(milliseconds(200));
+  EXPECT_TRUE(this->fleet.state.Workers().contains("worker-1"));
+  EXPECT_EQ(this->fleet.state.Waves().at(1).begun.size(), 1U);
+  ASSERT_EQ(this->fleet.WorkersOf(TaskOf("job")),
+            std::vector<std::string>{"worker-1"});
+  EXPECT_EQ(this->fleet.proposed_starts.size(), 1U);
+}
+
 TEST_F(DispatcherTest, Wave_LimitOfOne_BeginsOneUpkeepAtATime) {
   this->StartTermWithWorkers(3);
   Command command;
