Refuse a forwarded call that lacks its record

What callers saw: nothing so far; the platform adapter always sets the record. A call of another daemon that names a worker's announcement or the state of a wave without the record ended the leader with signal 11, and its sender would repeat it to the next leader.

Cause: CallHandler::Handle dereferenced Call::worker and Call::wave without a check; both are optional in the encoding, and the verifier accepts a call without them.

Evidence: OddCallTest.Handle_RecordIsMissing_IsInvalid ended with status 139 before. Such a call is now refused as invalid, as a submission without a job already was.

--- a/src/mimosastage/jobs/call_handler.cc
+++ b/src/mimosastage/jobs/call_handler.cc
@@ -65,6 +65,10 @@
       }
       return;
     case CallKind::kAnnounceWorker:
+      if (call.worker == nullptr) {
+        this->Refuse(CallOutcome::kInvalid, "malformed_worker", reply);
+        return;
+      }
       this->dispatcher.Announce(*call.worker, call.sequence, now,
                                 [reply] { reply(AnswerOf(CallOutcome::kOk)); });
       return;
@@ -76,7 +80,11 @@
       this->StartWave(call, reply);
       return;
     case CallKind::kWaveState:
-      this->ShowWave(call, reply);
+      if (call.wave == nullptr) {
+        this->Refuse(CallOutcome::kInvalid, "malformed_wave", reply);
+      } else {
+        this->ShowWave(call, reply);
+      }
       return;
   }
   this->Refuse(CallOutcome::kInvalid, "unknown_call", reply);
--- /dev/null
+++ b/tests/jobs/odd_values_test.cc
@@ -0,0 +1,120 @@
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <cstdint>
+#include <limits>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "mimosastage/jobs/call_handler.h"
+#include "mimosastage/jobs/configuration_check.h"
+#include "mimosastage/jobs/waiting_steps.h"
+#include "mimosastage/jobs/worker_lease.h"
+#include "tests/jobs/support/fake_fleet_leader.h"
+
+namespace mimosastage::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::int64_t kLargest = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t kSmallest = std::numeric_limits<std::int64_t>::min();
+
+/// A leader and a log that already holds odd values of other writers.
+class OddValuesTest : public ::testing::Test {
+ protected:
+  void SetUp() override { this->fleet.AddPool("render"); }
+
+  void StartTerm() {
+    this->fleet.BeginTerm();
+    this->fleet.Advance(milliseconds(50));
+  }
+
+  /// Memory that the runs on a worker need, with `memory_mb` each.
+  std::int64_t MemoryInUse(const std::string& worker, std::int64_t memory_mb) {
+    return static_cast<std::int64_t>(
+               this->fleet.workers.at(worker).running.size()) *
+           memory_mb;
+  }
+
+  static JobRequest MakeJob(std::uint32_t steps, std::uint32_t tasks,
+                            std::uint32_t occurrences) {
+    JobRequest job;
+    job.id = "odd";
+    job.queue = "queue-render";
+    job.occurrences = occurrences;
+    for (std::uint32_t i = 0; i < steps; ++i) {
+      job.steps.push_back(std::make_unique<Step>(MakeStep(tasks, 1'000)));
+    }
+    return job;
+  }
+
+  void Apply(const JobRequest& job) {
+    Command command;
+    command.job = std::make_unique<JobRequest>(job);
+    this->fleet.state.Apply(command);
+  }
+
+  static Amount MakeAmount(std::int64_t millicores, std::int64_t memory_mb) {
+    Amount amount;
+    amount.millicores = millicores;
+    amount.memory_mb = memory_mb;
+    return amount;
+  }
+
+  FakeFleetLeader fleet;
+};
+
+/// Calls as another daemon may forward them.
+class OddCallTest : public OddValuesTest {
+ protected:
+  std::vector<CallOutcome> Answer(const Call& call) {
+    CallHandler::Hooks hooks;
+    hooks.propose = [this](const Command& command,
+                           const std::function<void(TimePoint)>& committed) {
+      this->fleet.state.Apply(command);
+      if (committed) {
+        committed(this->fleet.now);
+      }
+    };
+    hooks.wall_time = [this] { return this->fleet.wall; };
+    hooks.report = [](const char*, const std::string&, const std::string&) {};
+    hooks.count_refusal = [](const char*) {};
+    CallHandler handler(std::move(hooks), this->fleet.state, this->fleet.state,
+                        *this->fleet.dispatcher);
+    std::vector<CallOutcome> outcomes;
+    handler.Handle(call, this->fleet.now, [&](const jobs::Answer& answer) {
+      outcomes.push_back(static_cast<CallOutcome>(answer.outcome));
+    });
+    return outcomes;
+  }
+};
+
+// Guards against a forwarded call that ends the leader because it lacks the
+// record that its kind needs.
+TEST_F(OddCallTest, Handle_RecordIsMissing_IsInvalid) {
+  this->StartTerm();
+  for (const CallKind kind : {CallKind::kAnnounceWorker, CallKind::kWaveState,
+                              CallKind::kStartWave, CallKind::kConfigure}) {
+    Call call;
+    call.kind = static_cast<std::uint8_t>(kind);
+    EXPECT_EQ(this->Answer(call),
+              std::vector<CallOutcome>{CallOutcome::kInvalid})
+        << static_cast<int>(kind);
+  }
+  Call submit;
+  submit.kind = static_cast<std::uint8_t>(CallKind::kSubmit);
+  submit.host = "host";
+  submit.path = "/render/job";
+  EXPECT_EQ(this->Answer(submit),
+            std::vector<CallOutcome>{CallOutcome::kInvalid});
+  Call unknown;
+  unknown.kind = 200;
+  EXPECT_EQ(this->Answer(unknown),
+            std::vector<CallOutcome>{CallOutcome::kInvalid});
+}
+
+}  // namespace
+}  // namespace mimosastage::jobs
