Leave out jobs that no memory holds, and bound dependencies on use

What callers saw: nothing so far; the platform adapter bounds tasks and repetitions. A job of 4 steps with 2^31 tasks and 2^31 occurrences has 2^64 tasks, passed the check as one with none, and ended the leader that applied it, then each further daemon that the client asked. A step in the log that depends on a step which doesn't exist ended each leader with signal 11.

Cause: FleetState::TaskCount multiplied without a check, Accept allocated whatever the record asked for, and StepReady used indexes of the record without a bound.

Evidence: Submit_NumberOfTasksOverflows_IsInvalid found no problem, JobInLog_TasksDontFitIntoMemory_IsLeftOut ran out of 6 GB, JobInLog_DependsOnMissingStep_OtherJobsRun ended with status 139.

The product saturates, so the check refuses the job. Replicas leave out a record with more than 1,000,000 tasks, all alike: a leader accepts at most 20,000, and earlier releases ended at such a record, so none has a state that holds it. A missing step counts as complete.

--- a/src/mimosastage/jobs/fleet_state.cc
+++ b/src/mimosastage/jobs/fleet_state.cc
@@ -1,6 +1,7 @@
 #include "mimosastage/jobs/fleet_state.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace mimosastage::jobs {
@@ -12,6 +13,25 @@
   return found == map.end() ? nullptr : found->second;
 }
 
+/// A job with more tasks, or more steps of all occurrences, would use up the
+/// memory of each daemon that applies it. Far above FleetState::Limits, so that
+/// no job that a leader accepts is left out. All replicas must agree on it.
+constexpr std::size_t kMaxTasksOfRecord = 1'000'000;
+
+std::size_t SaturatingProduct(std::size_t a, std::size_t b) {
+  std::size_t product = 0;
+  return __builtin_mul_overflow(a, b, &product)
+             ? std::numeric_limits<std::size_t>::max()
+             : product;
+}
+
+bool IsTooLarge(const JobRequest& request) {
+  const std::size_t steps = SaturatingProduct(
+      request.steps.size(), std::max<std::uint32_t>(1, request.occurrences));
+  return steps > kMaxTasksOfRecord ||
+         FleetState::TaskCount(request) > kMaxTasksOfRecord;
+}
+
 }  // namespace
 
 std::uint32_t Job::Occurrences() const {
@@ -62,7 +82,8 @@
 bool Job::StepReady(std::uint32_t occurrence, std::uint32_t step) const {
   const auto& after = this->request->steps[step]->after;
   return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
-    return this->OpenTasks(occurrence, earlier) == 0;
+    return earlier >= this->request->steps.size() ||
+           this->OpenTasks(occurrence, earlier) == 0;
   });
 }
 
@@ -148,7 +169,8 @@
   for (const auto& step : request.steps) {
     count += step->tasks;
   }
-  return count * std::max<std::uint32_t>(1, request.occurrences);
+  return SaturatingProduct(count,
+                           std::max<std::uint32_t>(1, request.occurrences));
 }
 
 void FleetState::ResetOpenCounts(Job& job) {
@@ -161,7 +183,7 @@
 }
 
 void FleetState::Accept(const JobRequest& request) {
-  if (this->jobs.contains(request.id)) {
+  if (this->jobs.contains(request.id) || IsTooLarge(request)) {
     return;
   }
   Job job;
--- a/tests/jobs/odd_values_test.cc
+++ b/tests/jobs/odd_values_test.cc
@@ -67,6 +67,37 @@
   FakeFleetLeader fleet;
 };
 
+// Guards against a number of tasks that overflows to a small one: the job would
+// be accepted, and each daemon that applies it would run out of memory.
+TEST_F(OddValuesTest, Submit_NumberOfTasksOverflows_IsInvalid) {
+  // 4 steps of 2^31 tasks, 2^31 times, are 2^64 tasks.
+  EXPECT_TRUE(
+      FindProblem(this->MakeJob(4, 1U << 31U, 1U << 31U), 20'000).has_value());
+  EXPECT_FALSE(FindProblem(this->MakeJob(4, 10, 500), 20'000).has_value());
+  EXPECT_TRUE(FindProblem(this->MakeJob(4, 10, 501), 20'000).has_value());
+}
+
+// Guards against a daemon that ends, again and again, because it applies a job
+// whose tasks don't fit into memory.
+TEST_F(OddValuesTest, JobInLog_TasksDontFitIntoMemory_IsLeftOut) {
+  this->Apply(this->MakeJob(4, 1U << 31U, 1U << 31U));
+  this->Apply(this->MakeJob(1, 1U << 31U, 1U << 31U));
+  EXPECT_EQ(this->fleet.state.FindJob("odd"), nullptr);
+  EXPECT_TRUE(this->fleet.state.OpenJobs().empty());
+}
+
+// Guards against steps in the log that depend on steps which don't exist.
+TEST_F(OddValuesTest, JobInLog_DependsOnMissingStep_OtherJobsRun) {
+  this->fleet.AddWorker("worker", "render", 4'000);
+  this->StartTerm();
+  Step odd = MakeStep(1, 1'000);
+  odd.after = {0xffffffffU, 7, 0};
+  this->fleet.Submit("odd", "render", {odd});
+  this->fleet.Submit("sound", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(200));
+  EXPECT_EQ(this->fleet.WorkersOf(TaskId{"sound", 0, 0, 0}).size(), 1U);
+}
+
 /// Calls as another daemon may forward them.
 class OddCallTest : public OddValuesTest {
  protected:
