--- a/src/mimosastage/jobs/fleet_state.cc
+++ b/src/mimosastage/jobs/fleet_state.cc
@@ -32,6 +32,18 @@
          FleetState::TaskCount(request) > kMaxTasksOfRecord;
 }
 
+/// True if the record's tasks are those of its job. A job that has ended may
+/// have none left.
+bool IsConsistent(const jobs_wire::JobRecordT& record) {
+  if (record.job == nullptr || IsTooLarge(*record.job)) {
+    return false;
+  }
+  const bool ended =
+      static_cast<JobPhase>(record.phase) >= JobPhase::kCompleted;
+  return record.tasks.size() == FleetState::TaskCount(*record.job) ||
+         (ended && record.tasks.empty());
+}
+
 }  // namespace
 
 std::uint32_t Job::Occurrences() const {
@@ -298,8 +310,13 @@
 void FleetState::FailCrashingJobs() {
   for (std::vector<std::string> blamed = this->crashes.JobsToBlame();
        !blamed.empty(); blamed = this->crashes.JobsToBlame()) {
+    const auto found = this->jobs.find(blamed.front());
+    if (found == this->jobs.end()) {
+      this->crashes.ForgetJob(blamed.front());
+      continue;
+    }
     ++this->given_up_jobs;
-    this->EndJob(this->jobs.at(blamed.front()), JobPhase::kFailed);
+    this->EndJob(found->second, JobPhase::kFailed);
   }
 }
 
@@ -365,7 +382,7 @@
   while (!this->ended_jobs.empty()) {
     const auto& [ended_ms, id] = *this->ended_jobs.begin();
     const auto found = this->jobs.find(id);
-    if (ended_ms + this->bounds.ended_job_retention_ms > now_ms ||
+    if (ended_ms > now_ms - this->bounds.ended_job_retention_ms ||
         (found != this->jobs.end() && found->second.active_runs > 0)) {
       return;
     }
@@ -472,6 +489,10 @@
   }
   jobs_wire::SnapshotT snapshot;
   flatbuffers::GetRoot<jobs_wire::Snapshot>(bytes.data())->UnPackTo(&snapshot);
+  if (!std::all_of(snapshot.jobs.begin(), snapshot.jobs.end(),
+                   [](const auto& record) { return IsConsistent(*record); })) {
+    return false;
+  }
   if (snapshot.configuration != nullptr) {
     this->configuration =
         std::make_shared<Configuration>(*snapshot.configuration);
@@ -496,7 +517,7 @@
       job.active_runs += task.active.size();
       job.tasks.push_back(std::move(task));
     }
-    if (!job.tasks.empty()) {
+    if (!job.Ended() || !job.tasks.empty()) {
       ResetOpenCounts(job);
       std::size_t next = 0;
       for (std::size_t i = 0; i < job.open_task_counts.size(); ++i) {
@@ -510,8 +531,10 @@
         std::max({this->latest_ms, job.request->accepted_ms, job.ended_ms});
     const std::pair<std::int64_t, std::string> key{
         job.Ended() ? job.ended_ms : job.request->accepted_ms, job.request->id};
-    (job.Ended() ? this->ended_jobs : this->open_jobs).insert(key);
-    this->jobs.emplace(job.request->id, std::move(job));
+    const bool ended = job.Ended();
+    if (this->jobs.emplace(key.second, std::move(job)).second) {
+      (ended ? this->ended_jobs : this->open_jobs).insert(key);
+    }
   }
   for (auto& worker : snapshot.workers) {
     this->workers.emplace(worker->id, *worker);
--- a/tests/jobs/odd_values_test.cc
+++ b/tests/jobs/odd_values_test.cc
@@ -98,6 +98,79 @@
   EXPECT_EQ(this->fleet.WorkersOf(TaskId{"sound", 0, 0, 0}).size(), 1U);
 }
 
+/// Snapshots that can be read, but whose records contradict each other.
+class OddSnapshotTest : public OddValuesTest {
+ protected:
+  static std::string Encode(const jobs_wire::SnapshotT& snapshot) {
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(jobs_wire::Snapshot::Pack(builder, &snapshot));
+    return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+            builder.GetSize()};
+  }
+
+  static std::unique_ptr<jobs_wire::JobRecordT> MakeRecord(
+      std::size_t tasks, JobPhase phase = JobPhase::kRunning) {
+    auto record = std::make_unique<jobs_wire::JobRecordT>();
+    record->job = std::make_unique<JobRequest>(MakeJob(2, 2, 0));
+    record->phase = static_cast<std::uint8_t>(phase);
+    for (std::size_t i = 0; i < tasks; ++i) {
+      record->tasks.push_back(std::make_unique<jobs_wire::TaskT>());
+    }
+    return record;
+  }
+
+  bool Restore(std::unique_ptr<jobs_wire::JobRecordT> record) {
+    jobs_wire::SnapshotT snapshot;
+    snapshot.workers.push_back(std::make_unique<Worker>());
+    snapshot.jobs.push_back(std::move(record));
+    return this->fleet.state.Restore(Encode(snapshot));
+  }
+
+  void ExpectRefused(std::unique_ptr<jobs_wire::JobRecordT> record) {
+    EXPECT_FALSE(this->Restore(std::move(record)));
+    EXPECT_TRUE(this->fleet.state.Jobs().empty());
+    EXPECT_TRUE(this->fleet.state.Workers().empty());
+  }
+};
+
+// Guards against a snapshot that ends each daemon that restores it, because a
+// record has another number of tasks than its job.
+TEST_F(OddSnapshotTest, Restore_TasksDontMatchTheJob_IsRefused) {
+  EXPECT_TRUE(this->Restore(MakeRecord(4)));
+  EXPECT_TRUE(this->Restore(MakeRecord(4, JobPhase::kCompleted)));
+  EXPECT_TRUE(this->Restore(MakeRecord(0, JobPhase::kCompleted)));
+  this->ExpectRefused(MakeRecord(3));
+  this->ExpectRefused(MakeRecord(5));
+  this->ExpectRefused(MakeRecord(0));
+  this->ExpectRefused(MakeRecord(3, JobPhase::kCompleted));
+  auto no_job = MakeRecord(4);
+  no_job->job.reset();
+  this->ExpectRefused(std::move(no_job));
+  auto too_large = MakeRecord(4);
+  too_large->job->occurrences = 1U << 31U;
+  this->ExpectRefused(std::move(too_large));
+}
+
+// Guards against crashes in a snapshot that are blamed on a job which isn't
+// there.
+TEST_F(OddSnapshotTest, Restore_CrashNamesUnknownJob_LaterCrashesCount) {
+  jobs_wire::SnapshotT snapshot;
+  for (std::int64_t born = 1; born <= 3; ++born) {
+    auto crash = std::make_unique<WorkerCrash>();
+    crash->worker = "worker";
+    crash->born_ms = born;
+    crash->confirmed = true;
+    crash->runs.push_back(std::make_unique<CrashedRun>());
+    crash->runs[0]->job = "unknown";
+    snapshot.crashes.push_back(std::move(crash));
+  }
+  ASSERT_TRUE(this->fleet.state.Restore(Encode(snapshot)));
+  Command command;
+  command.finding = std::make_unique<CrashFinding>();
+  EXPECT_NO_THROW(this->fleet.state.Apply(command));
+  EXPECT_TRUE(this->fleet.state.Jobs().empty());
+}
+
 /// Calls as another daemon may forward them.
 class OddCallTest : public OddValuesTest {
  protected:
