Bound needs, capacities and limits wherever they are used

What callers saw: a worker was given more than it has room for. The adapter passes on a job's negative `memory` and `cpu` as they are, and a worker's capacity up to 2^63 - 1.

Cause: a task with a negative need added room to the worker that ran it, for any other task (LIMIT). A capacity of 2^63 - 1 made its worker the one that fits everything, and the measure by which pools are sized. Sums of large needs, and a negative limit minus what its team uses, overflowed: the limit was lifted.

Evidence: JobInLog_NeedIsNegative_OthersStayWithinCapacity started 10 tasks of 10,000 MiB on a worker with 65,536 beside one that needs -60,000; WorkerInLog_CapacityIsOdd_GetsNoTask saw all tasks on the odd worker; TeamInLog_LimitIsNegative_NothingMoreStarts saw a second task start; Submit_NeedIsNegative_IsInvalid found no problem.

A negative need is now refused with the job. Values in the log stay as they are, because replicas of different releases apply the same records; what the leader computes with is bounded instead: a negative need counts as none, a larger one than any worker has fits nowhere, and a capacity that can't be true counts as none.

--- a/src/mimosastage/jobs/configuration_check.cc
+++ b/src/mimosastage/jobs/configuration_check.cc
@@ -83,6 +83,11 @@
       return "step " + std::to_string(i) +
              " has no tasks, or depends on itself or a later step";
     }
+    if (step.need == nullptr || step.need->millicores < 0 ||
+        step.need->memory_mb < 0 || step.need->accelerators < 0) {
+      return "step " + std::to_string(i) +
+             " needs a negative amount; use 0 or more";
+    }
   }
   if (FleetState::TaskCount(job) > max_tasks) {
     return "the job has more than " + std::to_string(max_tasks) +
--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <memory>
 
+#include "mimosastage/jobs/value_bounds.h"
+
 namespace mimosastage::jobs {
 namespace {
 
@@ -28,12 +30,12 @@
 }
 
 bool SameRecord(const Worker& a, const Worker& b) {
+  const Amount capacity = CapacityOf(a);
+  const Amount other = CapacityOf(b);
   return a.born_ms == b.born_ms && a.pool == b.pool && a.address == b.address &&
          a.machine == b.machine && a.draining == b.draining &&
-         a.labels == b.labels &&
-         a.capacity->millicores == b.capacity->millicores &&
-         a.capacity->memory_mb == b.capacity->memory_mb &&
-         a.capacity->accelerators == b.capacity->accelerators;
+         a.labels == b.labels && !Shrinks(capacity, other) &&
+         !Shrinks(other, capacity);
 }
 
 }  // namespace
@@ -170,8 +172,9 @@
     next.sequence = session.sequence;
     session.draining = next.draining;
     session.address = next.address;
-    session.capacity_shrunk = session.capacity_shrunk ||
-                              Shrinks(*known->second.capacity, *next.capacity);
+    session.capacity_shrunk =
+        session.capacity_shrunk ||
+        Shrinks(CapacityOf(known->second), CapacityOf(next));
     this->placement_needed = true;
     this->hooks.report("worker_changed", worker.id,
                        next.draining ? "draining" : "changed");
--- a/src/mimosastage/jobs/dispatcher_instances.cc
+++ b/src/mimosastage/jobs/dispatcher_instances.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "mimosastage/jobs/dispatcher.h"
+#include "mimosastage/jobs/value_bounds.h"
 
 namespace mimosastage::jobs {
 namespace {
@@ -102,11 +103,12 @@
         session.unanswered_orders > 0) {
       continue;
     }
+    const Amount capacity = CapacityOf(worker);
     instances.push_back(PooledInstance{
-        worker.machine, worker.pool, worker.capacity->millicores,
+        worker.machine, worker.pool, capacity.millicores,
         this->AcceptsTasks(session) && session.runs.empty() &&
             session.isolated_job.empty() && this->MayOrder(worker.machine, now),
-        worker.capacity->memory_mb});
+        capacity.memory_mb});
     worker_of[worker.machine] = id;
   }
   for (const auto& [instance, entry] : this->listed_instances) {
--- a/src/mimosastage/jobs/dispatcher_isolation.cc
+++ b/src/mimosastage/jobs/dispatcher_isolation.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "mimosastage/jobs/dispatcher.h"
+#include "mimosastage/jobs/value_bounds.h"
 
 namespace mimosastage::jobs {
 
@@ -122,7 +123,7 @@
                                    std::size_t limit, TimePoint now) {
   const Step& step = *demand.step;
   const std::string& job = demand.first.job;
-  if (team != nullptr && !team->Admits(*step.need)) {
+  if (team != nullptr && !team->Admits(NeedOf(step))) {
     return 0;
   }
   std::size_t usable = 0;
@@ -203,7 +204,7 @@
     std::vector<CandidateWorker> candidates(1);
     candidates[0].id = member->worker->id;
     candidates[0].labels = member->worker->labels;
-    candidates[0].free = *member->worker->capacity;
+    candidates[0].free = CapacityOf(*member->worker);
     for (const auto& [key, run] : member->session->runs) {
       if (run.step->long_running) {
         Subtract(candidates[0].free, Charge(*run.step));
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "mimosastage/jobs/dispatcher.h"
+#include "mimosastage/jobs/value_bounds.h"
 
 namespace mimosastage::jobs {
 namespace {
@@ -26,7 +27,7 @@
   Add(session.used, Charge(step));
   session.fillers += step.filler ? 1 : 0;
   session.serving += IsServing(step) ? 1 : 0;
-  Add(this->used_by_team[run.request->team], *step.need);
+  Add(this->used_by_team[run.request->team], NeedOf(step));
 }
 
 void Dispatcher::SubtractFromSums(Session& session, const Run& run) {
@@ -34,7 +35,7 @@
   Subtract(session.used, Charge(step));
   session.fillers -= step.filler ? 1 : 0;
   session.serving -= IsServing(step) ? 1 : 0;
-  Subtract(this->used_by_team[run.request->team], *step.need);
+  Subtract(this->used_by_team[run.request->team], NeedOf(step));
 }
 
 void Dispatcher::IndexWorkers() {
@@ -70,7 +71,7 @@
                                  CandidateWorker& candidate,
                                  TimePoint now) const {
   const auto& [worker, session] = member;
-  candidate.free = *worker->capacity;
+  candidate.free = CapacityOf(*worker);
   Subtract(candidate.free, session->used);
   candidate.fillers = session->fillers;
   candidate.serving = session->serving;
@@ -108,7 +109,8 @@
     if (team->upper_limit == nullptr) {
       continue;
     }
-    TeamQuota quota{*team->upper_limit, *team->upper_limit};
+    const Amount limit = UpperLimitOf(*team);
+    TeamQuota quota{limit, limit};
     if (const auto used = this->used_by_team.find(team->name);
         used != this->used_by_team.end()) {
       Subtract(quota.free, used->second);
@@ -181,7 +183,7 @@
     Load& load = loads[worker.pool];
     ++load.workers;
     load.usable += this->AcceptsTasks(session) ? 1 : 0;
-    load.capacity += worker.capacity->millicores;
+    load.capacity += CapacityOf(worker).millicores;
     load.used += session.used.millicores;
     for (const auto& [key, run] : session.runs) {
       load.long_running +=
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "mimosastage/jobs/dispatcher.h"
+#include "mimosastage/jobs/value_bounds.h"
 
 namespace mimosastage::jobs {
 namespace {
@@ -79,7 +80,7 @@
                                   const Run& run) const {
   Amount before = session.used;
   Subtract(before, Charge(*run.step));
-  Amount free = *this->state.Workers().at(worker).capacity;
+  Amount free = CapacityOf(this->state.Workers().at(worker));
   Subtract(free, before);
   return Fits(*run.step, free);
 }
--- a/src/mimosastage/jobs/placement.cc
+++ b/src/mimosastage/jobs/placement.cc
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include "mimosastage/jobs/value_bounds.h"
+
 namespace mimosastage::jobs {
 namespace {
 
@@ -112,15 +114,14 @@
 
   bool PlaceOne(std::uint32_t index) {
     const Step& step = *this->demand.step;
-    if (this->team != nullptr && !this->team->Admits(*step.need)) {
+    if (this->team != nullptr && !this->team->Admits(NeedOf(step))) {
       this->no_room = true;
       return false;
     }
     // The worker of the previous task stays the best one while it has room: its
     // rack is the preferred one, and it only becomes fuller.
     const bool is_still_best =
-        this->latest != nullptr && step.need->millicores >= 0 &&
-        Fits(step, this->latest->free) &&
+        this->latest != nullptr && Fits(step, this->latest->free) &&
         Admits(this->demand, *this->latest, this->on_worker);
     CandidateWorker* const candidate =
         is_still_best ? this->latest : this->FindBest();
@@ -132,7 +133,7 @@
     candidate->fillers += step.filler ? 1 : 0;
     candidate->serving += IsServing(step) ? 1 : 0;
     if (this->team != nullptr) {
-      Subtract(this->team->free, *step.need);
+      Subtract(this->team->free, NeedOf(step));
     }
     if (step.most_per_worker > 0) {
       ++this->on_worker[candidate->id];
@@ -157,7 +158,7 @@
       candidate.fillers -= step.filler ? 1 : 0;
       candidate.serving -= IsServing(step) ? 1 : 0;
       if (this->team != nullptr) {
-        Add(this->team->free, *step.need);
+        Add(this->team->free, NeedOf(step));
       }
     }
     this->assignments.resize(this->first);
@@ -179,14 +180,14 @@
 }  // namespace
 
 bool Fits(const Step& step, const Amount& free) {
-  const Amount& need = *step.need;
+  const Amount need = NeedOf(step);
   return (step.filler || need.millicores <= free.millicores) &&
          need.memory_mb <= free.memory_mb &&
          need.accelerators <= free.accelerators;
 }
 
 Amount Charge(const Step& step) {
-  Amount need = *step.need;
+  Amount need = NeedOf(step);
   if (step.filler) {
     need.millicores = 0;
   }
--- a/src/mimosastage/jobs/waiting_steps.cc
+++ b/src/mimosastage/jobs/waiting_steps.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <optional>
 
+#include "mimosastage/jobs/value_bounds.h"
+
 namespace mimosastage::jobs {
 namespace {
 
@@ -41,9 +43,8 @@
   std::size_t most = 0;
   for (const auto& step : request.steps) {
     if (step->long_running && step->most_per_worker > 0) {
-      most = std::max<std::size_t>(
-          most,
-          (step->tasks + step->most_per_worker - 1) / step->most_per_worker);
+      const std::size_t per_worker = step->most_per_worker;
+      most = std::max(most, (step->tasks + per_worker - 1) / per_worker);
     }
   }
   return most;
@@ -329,15 +330,10 @@
 
 WaitingSteps::GroupKey WaitingSteps::KeyOf(const WaitingStep& step) {
   const Step& record = *step.demand.step;
-  return {record.need->millicores,
-          record.need->memory_mb,
-          record.need->accelerators,
-          record.filler,
-          record.required_label,
-          step.demand.team,
-          record.long_running,
-          step.priority,
-          step.advised};
+  const Amount need = NeedOf(record);
+  return {need.millicores,     need.memory_mb,        need.accelerators,
+          record.filler,       record.required_label, step.demand.team,
+          record.long_running, step.priority,         step.advised};
 }
 
 std::map<std::string, WaitingSteps::Sums> WaitingSteps::SumsByPool() const {
--- a/tests/jobs/odd_values_test.cc
+++ b/tests/jobs/odd_values_test.cc
@@ -67,6 +67,40 @@
   FakeFleetLeader fleet;
 };
 
+// Guards against a job with a negative need that makes room on a worker which
+// the worker doesn't have, so that other tasks exceed its capacity.
+TEST_F(OddValuesTest, JobInLog_NeedIsNegative_OthersStayWithinCapacity) {
+  this->fleet.AddWorker("worker", "render", 64'000);
+  this->StartTerm();
+  Step odd = MakeStep(1, 1'000);
+  odd.need->memory_mb = -60'000;
+  this->fleet.Submit("odd", "render", {odd});
+  this->fleet.Advance(milliseconds(100));
+  Step large = MakeStep(10, 1'000);
+  large.need->memory_mb = 10'000;
+  this->fleet.Submit("large", "render", {large});
+  this->fleet.Advance(milliseconds(500));
+  std::size_t large_runs = 0;
+  for (const auto& [key, began] : this->fleet.workers.at("worker").running) {
+    large_runs += key.first.job == "large" ? 1 : 0;
+  }
+  EXPECT_EQ(large_runs, 6U) << "65,536 MiB hold 6 tasks of 10,000";
+}
+
+// Guards against a negative need that a leader accepts into the log.
+TEST_F(OddValuesTest, Submit_NeedIsNegative_IsInvalid) {
+  for (const Amount& need : {MakeAmount(-1, 100), MakeAmount(1'000, -1)}) {
+    JobRequest job = this->MakeJob(1, 1, 0);
+    job.steps[0]->need = std::make_unique<Amount>(need);
+    EXPECT_TRUE(FindProblem(job, 20'000).has_value());
+  }
+  JobRequest job = this->MakeJob(1, 1, 0);
+  job.steps[0]->need->accelerators = -1;
+  EXPECT_TRUE(FindProblem(job, 20'000).has_value());
+  job.steps[0]->need.reset();
+  EXPECT_TRUE(FindProblem(job, 20'000).has_value());
+}
+
 // Guards against a number of tasks that overflows to a small one: the job would
 // be accepted, and each daemon that applies it would run out of memory.
 TEST_F(OddValuesTest, Submit_NumberOfTasksOverflows_IsInvalid) {
@@ -98,6 +132,65 @@
   EXPECT_EQ(this->fleet.WorkersOf(TaskId{"sound", 0, 0, 0}).size(), 1U);
 }
 
+// Guards against a need that overflows the sums of its pool: the sums would
+// order instances of other pools for tasks that no instance can run.
+TEST_F(OddValuesTest, JobInLog_NeedsOverflowTheSums_OtherJobsRun) {
+  this->fleet.AddWorker("worker", "render", 64'000);
+  this->StartTerm();
+  Step odd = MakeStep(5, kLargest);
+  odd.need->memory_mb = kLargest;
+  odd.need->accelerators = kSmallest;
+  this->fleet.Submit("odd", "render", {odd});
+  odd.need->millicores = kSmallest;
+  this->fleet.Submit("odder", "render", {odd});
+  this->fleet.Submit("sound", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(200));
+  EXPECT_EQ(this->fleet.WorkersOf(TaskId{"sound", 0, 0, 0}).size(), 1U);
+  EXPECT_EQ(this->fleet.RunningTasks(), 1U);
+}
+
+// Guards against a worker with a capacity that can't be true, which would get
+// all tasks.
+TEST_F(OddValuesTest, WorkerInLog_CapacityIsOdd_GetsNoTask) {
+  this->fleet.AddWorker("sound", "render", 4'000);
+  FakeWorker& worker = this->fleet.AddWorker("odd", "render", 4'000);
+  for (const std::int64_t odd : {kLargest, kSmallest, std::int64_t{-1}}) {
+    SCOPED_TRACE(odd);
+    Command command;
+    command.worker = std::make_unique<Worker>(worker.record);
+    command.worker->capacity->memory_mb = odd;
+    this->fleet.state.Apply(command);
+    this->StartTerm();
+    const std::string job = "job" + std::to_string(odd);
+    this->fleet.Submit(job, "render", {MakeStep(4, 1'000)});
+    this->fleet.Advance(milliseconds(200));
+    EXPECT_TRUE(this->fleet.workers.at("odd").running.empty());
+    EXPECT_EQ(this->fleet.workers.at("sound").running.size(), 4U);
+    this->fleet.Cancel(job);
+    this->fleet.Advance(milliseconds(500));
+  }
+}
+
+// Guards against a limit of a team that overflows when what the team uses is
+// taken from it, which would lift the limit.
+TEST_F(OddValuesTest, TeamInLog_LimitIsNegative_NothingMoreStarts) {
+  this->fleet.AddTeam("crew", 0);
+  this->fleet.AddWorker("worker", "render", 4'000);
+  this->StartTerm();
+  this->fleet.Submit("first", "render", {MakeStep(1, 1'000)}, "crew");
+  this->fleet.Advance(milliseconds(200));
+  ASSERT_EQ(this->fleet.RunningTasks(), 1U);
+  Command command;
+  command.configuration =
+      std::make_unique<Configuration>(this->fleet.state.Config());
+  ++command.configuration->version;
+  command.configuration->teams[0]->upper_limit->millicores = kSmallest;
+  this->fleet.state.Apply(command);
+  this->fleet.Submit("second", "render", {MakeStep(1, 1'000)}, "crew");
+  this->fleet.Advance(milliseconds(200));
+  EXPECT_EQ(this->fleet.RunningTasks(), 1U);
+}
+
 /// Snapshots that can be read, but whose records contradict each other.
 class OddSnapshotTest : public OddValuesTest {
  protected:
