Keep odd announcements from displacing sound workers

What callers saw: tasks that ran were started again on another worker. The adapter registers a heartbeat with `born` 1e300 as 2^63 - 1.

Cause: Announce replaces the worker at the same address or on the same instance by the one that started later. An odd start time is later than any other, so the sound worker was removed, its runs counted as lost while it ran them, and all its further announcements counted as late.

Evidence: Announce_OddStartAtAddressOfWorker_ItsRunsStay saw 8 starts of 4 tasks and the sound worker gone. WorkerInLog_StartIsOdd_SoundWorkerReplacesIt saw the sound worker ignored. Announce_CapacityOrStartIsOdd_AcknowledgedNotStored saw the odd worker in the log.

An announcement with a start or a capacity that can't be true is acknowledged and not stored, as one of an unknown pool. A worker in the log with such a start gives way to a sound one.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -134,7 +134,7 @@
 
 void Dispatcher::Announce(const Worker& worker, std::uint64_t sequence,
                           TimePoint now, std::function<void()> acknowledge) {
-  if (this->state.FindPool(worker.pool) == nullptr) {
+  if (this->state.FindPool(worker.pool) == nullptr || !IsPlausible(worker)) {
     acknowledge();
     return;
   }
@@ -143,7 +143,7 @@
     if (known->id == worker.id && known->born_ms == worker.born_ms) {
       continue;
     }
-    if (known->born_ms >= worker.born_ms) {
+    if (IsPlausibleStart(known->born_ms) && known->born_ms >= worker.born_ms) {
       // A delayed announcement; a later incarnation has taken the worker's
       // place.
       acknowledge();
@@ -295,7 +295,8 @@
   const std::string id = found->first;
   Session& session = found->second;
   if (reply.result == OrderResult::kOtherIncarnation ||
-      (reply.born_ms.has_value() && *reply.born_ms > session.born_ms)) {
+      (reply.born_ms.has_value() && IsPlausibleStart(*reply.born_ms) &&
+       *reply.born_ms > session.born_ms)) {
     const std::string answered =
         reply.born_ms.has_value() ? std::to_string(*reply.born_ms) : "unknown";
     this->hooks.report("other_incarnation_answered", id,
--- a/tests/jobs/odd_values_test.cc
+++ b/tests/jobs/odd_values_test.cc
@@ -171,6 +171,82 @@
   }
 }
 
+// Guards against an announcement with odd values that is stored, and against
+// one that is left unanswered, after which its writer goes on to the next
+// daemon.
+TEST_F(OddValuesTest, Announce_CapacityOrStartIsOdd_AcknowledgedNotStored) {
+  this->StartTerm();
+  FakeWorker& worker = this->fleet.AddWorker("sound", "render", 4'000);
+  this->fleet.Advance(milliseconds(50));
+  const auto announce = [&](const Worker& odd) {
+    int acknowledged = 0;
+    this->fleet.dispatcher->Announce(odd, 9, this->fleet.now,
+                                     [&] { ++acknowledged; });
+    this->fleet.Advance(milliseconds(50));
+    EXPECT_EQ(acknowledged, 1);
+    EXPECT_FALSE(this->fleet.state.Workers().contains("odd"));
+    EXPECT_EQ(this->fleet.state.Workers().size(), 1U);
+  };
+  this->fleet.workers["odd"].silent = true;
+  Worker odd = worker.record;
+  odd.id = "odd";
+  odd.machine = "machine-odd";
+  odd.address = "odd:80";
+  for (const std::int64_t value : {kLargest, kSmallest, std::int64_t{-1}}) {
+    SCOPED_TRACE(value);
+    Worker other = odd;
+    other.capacity->millicores = value;
+    announce(other);
+    other = odd;
+    other.born_ms = value;
+    announce(other);
+  }
+  odd.capacity.reset();
+  announce(odd);
+}
+
+// Guards against an odd announcement that displaces a sound worker at the same
+// address: its runs would start again elsewhere while they run.
+TEST_F(OddValuesTest, Announce_OddStartAtAddressOfWorker_ItsRunsStay) {
+  this->fleet.AddWorker("first", "render", 4'000);
+  this->fleet.AddWorker("second", "render", 4'000);
+  this->StartTerm();
+  this->fleet.Submit("job", "render", {MakeStep(4, 1'000)});
+  this->fleet.Advance(milliseconds(200));
+  const auto holders = this->fleet.WorkersOf(TaskId{"job", 0, 0, 0});
+  ASSERT_EQ(holders.size(), 1U);
+  ASSERT_EQ(this->fleet.starts.size(), 4U);
+  const Worker sound = this->fleet.workers.at(holders[0]).record;
+  this->fleet.workers["odd"].silent = true;
+  Worker odd = sound;
+  odd.id = "odd";
+  odd.born_ms = kLargest;
+  this->fleet.dispatcher->Announce(odd, 1, this->fleet.now, [] {});
+  this->fleet.dispatcher->Announce(sound, 2, this->fleet.now, [] {});
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_EQ(this->fleet.starts.size(), 4U);
+  EXPECT_TRUE(this->fleet.state.Workers().contains(sound.id));
+}
+
+// Guards against a worker in the log whose start can't be true, before which
+// every sound announcement from its address counts as late.
+TEST_F(OddValuesTest, WorkerInLog_StartIsOdd_SoundWorkerReplacesIt) {
+  FakeWorker& worker = this->fleet.AddWorker("odd", "render", 4'000);
+  Command command;
+  command.worker = std::make_unique<Worker>(worker.record);
+  command.worker->born_ms = kLargest;
+  this->fleet.state.Apply(command);
+  worker.silent = true;
+  this->StartTerm();
+  Worker sound = worker.record;
+  sound.id = "sound";
+  this->fleet.workers["sound"].record = sound;
+  this->fleet.dispatcher->Announce(sound, 1, this->fleet.now, [] {});
+  this->fleet.Advance(milliseconds(50));
+  EXPECT_TRUE(this->fleet.state.Workers().contains("sound"));
+  EXPECT_FALSE(this->fleet.state.Workers().contains("odd"));
+}
+
 // Guards against a limit of a team that overflows when what the team uses is
 // taken from it, which would lift the limit.
 TEST_F(OddValuesTest, TeamInLog_LimitIsNegative_NothingMoreStarts) {
