Ignore listed ends whose number can't be true

What callers saw: a task that had ended as done was started again.

Cause: the leader acknowledges the highest number among the listed ends, and the worker forgets all ends up to it.

Evidence: Reply_NumberOfEndIsOdd_LaterEndsCount saw the job unfinished and a second start of its task.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -398,14 +398,19 @@
                             const WorkerReply& reply, TimePoint now) {
   std::uint64_t last = session.last_durable_end;
   for (const EndedRun& ended : reply.ended) {
-    last = std::max(last, ended.number);
+    // An acknowledged number covers all lower ones, and so would an odd one all
+    // ends to come.
+    if (ended.number <= kMaxEndNumber) {
+      last = std::max(last, ended.number);
+    }
   }
   if (last == session.last_durable_end) {
     return;
   }
   for (const EndedRun& ended : reply.ended) {
     const RunKey key{ended.task, ended.run};
-    if (ended.number <= session.last_durable_end) {
+    if (ended.number <= session.last_durable_end ||
+        ended.number > kMaxEndNumber) {
       continue;
     }
     if (!session.runs.contains(key)) {
--- a/tests/jobs/odd_values_test.cc
+++ b/tests/jobs/odd_values_test.cc
@@ -247,6 +247,25 @@
   EXPECT_FALSE(this->fleet.state.Workers().contains("odd"));
 }
 
+// Guards against an odd row among the listed ends whose number covers all later
+// ends: the worker would forget them before the leader knows of them, and a
+// task that is done would start again.
+TEST_F(OddValuesTest, Reply_NumberOfEndIsOdd_LaterEndsCount) {
+  this->fleet.AddWorker("worker", "render", 4'000);
+  this->StartTerm();
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(200));
+  ASSERT_EQ(this->fleet.starts.size(), 1U);
+  this->fleet.workers.at("worker").ended.push_back(
+      EndedRun{std::numeric_limits<std::uint64_t>::max(),
+               TaskId{"unknown", 0, 0, 0}, 1, RunOutcome::kDone, ""});
+  this->fleet.Advance(milliseconds(2'000));
+  this->fleet.EndRun("worker", TaskId{"job", 0, 0, 0}, RunOutcome::kDone);
+  this->fleet.Advance(milliseconds(2'000));
+  EXPECT_EQ(this->fleet.JobOf("job").phase, JobPhase::kCompleted);
+  EXPECT_EQ(this->fleet.starts.size(), 1U);
+}
+
 // Guards against a limit of a team that overflows when what the team uses is
 // taken from it, which would lift the limit.
 TEST_F(OddValuesTest, TeamInLog_LimitIsNegative_NothingMoreStarts) {
