Bound times and factors of others before computing with them

What callers saw: nothing is known. Estimates, due times, the factor of a queue, a worker's clock, the validity of advice and the times of carriers go up to 2^63 - 1 milliseconds, and sums and conversions to nanoseconds overflowed.

Cause: the values were used as they arrived. A validity of 2^63 - 1 had expired at once, so the step never started and the advisory service was asked without end; a worker's odd clock stayed its clock for good, because later ones are lower; an infinite factor gave an objective of -292 million years.

All go through BoundedTime or are ignored beyond it. Only the leader and the carriers compute with them, so replicas don't differ.

--- a/src/mimosastage/jobs/carried_messages.cc
+++ b/src/mimosastage/jobs/carried_messages.cc
@@ -1,10 +1,13 @@
 #include "mimosastage/jobs/carried_messages.h"
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <utility>
 #include <variant>
 
+#include "mimosastage/jobs/value_bounds.h"
+
 namespace mimosastage::jobs {
 namespace {
 
@@ -25,7 +28,8 @@
 }
 
 TimePoint FromMicroseconds(std::int64_t time) {
-  return TimePoint(microseconds(time));
+  constexpr microseconds kMost = kLongestTime;
+  return TimePoint(std::clamp(microseconds(time), -kMost, kMost));
 }
 
 template <class Row>
@@ -162,7 +166,8 @@
   CarriedReply carried;
   WorkerReply& reply = carried.reply;
   if (row.result > static_cast<std::uint8_t>(OrderResult::kUnanswered) ||
-      row.since_start_us < 0) {
+      row.since_start_us < 0 ||
+      microseconds(row.since_start_us) > kLongestTime) {
     return std::nullopt;
   }
   reply.number = row.number;
--- a/src/mimosastage/jobs/crash_ledger.cc
+++ b/src/mimosastage/jobs/crash_ledger.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "mimosastage/jobs/value_bounds.h"
+
 namespace mimosastage::jobs {
 
 using std::chrono::milliseconds;
@@ -11,7 +13,7 @@
 }
 
 milliseconds CrashLedger::AgeToClear(const CrashedRun& run) {
-  return std::max(kYoungRun, milliseconds(2 * run.age_ms));
+  return std::max(kYoungRun, 2 * BoundedTime(run.age_ms));
 }
 
 bool CrashLedger::HasYoungRun(const WorkerCrash& crash) {
--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -106,7 +106,7 @@
       active.started_ms == 0
           ? milliseconds(0)
           : std::max(milliseconds(0), this->hooks.wall_time() -
-                                          milliseconds(active.started_ms) -
+                                          BoundedTime(active.started_ms) -
                                           this->config.clock_tolerance);
   run.running_since = now - age;
   run.start_sent = true;
--- a/src/mimosastage/jobs/dispatcher_advice.cc
+++ b/src/mimosastage/jobs/dispatcher_advice.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "mimosastage/jobs/dispatcher.h"
+#include "mimosastage/jobs/value_bounds.h"
 
 namespace mimosastage::jobs {
 namespace {
@@ -79,7 +80,7 @@
     return;
   }
   known.approved = reply.approved;
-  known.valid_until = now + reply.validity;
+  known.valid_until = now + BoundedTime(reply.validity.count());
   if (!known.approved.empty()) {
     // The service may be called again as soon as the tickets expire.
     known.next_attempt = now;
--- a/src/mimosastage/jobs/dispatcher_crashes.cc
+++ b/src/mimosastage/jobs/dispatcher_crashes.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "mimosastage/jobs/dispatcher.h"
+#include "mimosastage/jobs/value_bounds.h"
 
 namespace mimosastage::jobs {
 namespace {
@@ -48,7 +49,7 @@
   const auto ordered = this->state.OrderedAt().find(worker->second.machine);
   return ordered != this->state.OrderedAt().end() &&
          ordered->second >= session.born_ms &&
-         this->hooks.wall_time() - milliseconds(ordered->second) <
+         this->hooks.wall_time() - BoundedTime(ordered->second) <
              this->config.instance_lease + this->config.clock_tolerance;
 }
 
--- a/src/mimosastage/jobs/dispatcher_instances.cc
+++ b/src/mimosastage/jobs/dispatcher_instances.cc
@@ -18,7 +18,7 @@
   }
   const auto ordered = this->state.OrderedAt().find(instance);
   return ordered == this->state.OrderedAt().end() ||
-         this->hooks.wall_time() - std::chrono::milliseconds(ordered->second) >=
+         this->hooks.wall_time() - BoundedTime(ordered->second) >=
              this->config.instance_lease + this->config.clock_tolerance;
 }
 
--- a/src/mimosastage/jobs/waiting_steps.cc
+++ b/src/mimosastage/jobs/waiting_steps.cc
@@ -22,7 +22,7 @@
         longest = std::max(longest, chains[next]);
       }
     }
-    chains[step] = longest + milliseconds(request.steps[step]->estimate_ms);
+    chains[step] = longest + BoundedTime(request.steps[step]->estimate_ms);
   }
   return chains;
 }
@@ -36,7 +36,8 @@
   if (request.occurrences == 0) {
     return milliseconds(request.accepted_ms);
   }
-  return milliseconds(request.first_due_ms + occurrence * request.interval_ms);
+  return BoundedTime(request.first_due_ms) +
+         occurrence * BoundedTime(request.interval_ms);
 }
 
 std::size_t AntiAffineInstances(const JobRequest& request) {
@@ -62,9 +63,15 @@
 }
 
 milliseconds ObjectiveOf(milliseconds longest_chain, const Queue& queue) {
-  return std::chrono::duration_cast<milliseconds>(queue.stretch *
-                                                  longest_chain) +
-         milliseconds(queue.target_ms);
+  const double stretched =
+      queue.stretch * static_cast<double>(longest_chain.count());
+  // The comparison is false for a factor that isn't a number.
+  const double bounded =
+      stretched > 0
+          ? std::min(stretched, static_cast<double>(kLongestTime.count()))
+          : 0;
+  return milliseconds(static_cast<std::int64_t>(bounded)) +
+         BoundedTime(queue.target_ms);
 }
 
 StepUrgency WaitingStep::UrgencyAt(milliseconds wall) const {
--- a/src/mimosastage/jobs/worker_lease.cc
+++ b/src/mimosastage/jobs/worker_lease.cc
@@ -2,12 +2,17 @@
 
 #include <algorithm>
 
+#include "mimosastage/jobs/value_bounds.h"
+
 namespace mimosastage::jobs {
 
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 void WorkerLease::OnClock(milliseconds clock, TimePoint read_at) {
+  if (clock.count() < 0 || clock > kLongestTime) {
+    return;
+  }
   if (this->clock.has_value() && clock < *this->clock) {
     // Answers on different connections can overtake each other.
     return;
--- a/tests/jobs/odd_values_test.cc
+++ b/tests/jobs/odd_values_test.cc
@@ -132,6 +132,55 @@
   EXPECT_EQ(this->fleet.WorkersOf(TaskId{"sound", 0, 0, 0}).size(), 1U);
 }
 
+// Guards against undefined behaviour, an endless loop or a wrong placement for
+// values at the ends of their ranges.
+TEST_F(OddValuesTest, JobInLog_TimesAtTheEndsOfTheirRange_OtherJobsRun) {
+  this->fleet.AddWorker("worker", "render", 64'000);
+  this->StartTerm();
+  int number = 0;
+  for (const std::int64_t odd : {kLargest, kSmallest, std::int64_t{-1}}) {
+    JobRequest job = this->MakeJob(2, 2, 3);
+    job.id = "odd-" + std::to_string(++number);
+    job.first_due_ms = odd;
+    job.interval_ms = odd;
+    job.accepted_ms = 1;
+    job.steps[0]->estimate_ms = static_cast<std::uint64_t>(odd);
+    job.steps[1]->estimate_ms = static_cast<std::uint64_t>(odd);
+    job.steps[1]->after = {0};
+    job.steps[1]->most_per_worker = 0xffffffffU;
+    job.steps[1]->long_running = true;
+    this->Apply(job);
+    this->fleet.dispatcher->OnChange(job.id, this->fleet.now);
+  }
+  this->fleet.Submit("sound", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(200));
+  EXPECT_EQ(this->fleet.WorkersOf(TaskId{"sound", 0, 0, 0}).size(), 1U);
+  for (int i = 1; i <= number; ++i) {
+    this->fleet.Cancel("odd-" + std::to_string(i));
+  }
+  this->fleet.Advance(milliseconds(200));
+  EXPECT_EQ(this->fleet.WorkersOf(TaskId{"sound", 0, 0, 0}).size(), 1U);
+}
+
+// Guards against a queue whose factors have no objective as a result.
+TEST_F(OddValuesTest, Objective_FactorIsOdd_IsBounded) {
+  Queue queue;
+  queue.target_ms = 600;
+  for (const double odd :
+       {std::numeric_limits<double>::quiet_NaN(),
+        std::numeric_limits<double>::infinity(),
+        -std::numeric_limits<double>::infinity(), 1e300, -1e300}) {
+    queue.stretch = odd;
+    const milliseconds objective = ObjectiveOf(milliseconds(1'000), queue);
+    EXPECT_GE(objective, milliseconds(600)) << odd;
+    EXPECT_LE(objective, std::chrono::hours(24 * 366 * 250)) << odd;
+  }
+  queue.stretch = 2;
+  EXPECT_EQ(ObjectiveOf(milliseconds(1'000), queue), milliseconds(2'600));
+  queue.target_ms = std::numeric_limits<std::uint64_t>::max();
+  EXPECT_GE(ObjectiveOf(milliseconds(1'000), queue), milliseconds(2'000));
+}
+
 // Guards against a need that overflows the sums of its pool: the sums would
 // order instances of other pools for tasks that no instance can run.
 TEST_F(OddValuesTest, JobInLog_NeedsOverflowTheSums_OtherJobsRun) {
@@ -266,6 +315,20 @@
   EXPECT_EQ(this->fleet.starts.size(), 1U);
 }
 
+// Guards against a worker's clock that can't be true: the deadlines that follow
+// from it overflow.
+TEST_F(OddValuesTest, Lease_ClockIsOdd_IsIgnored) {
+  for (const std::int64_t odd : {kLargest, kSmallest, std::int64_t{-1}}) {
+    const TimePoint now{std::chrono::hours(1)};
+    WorkerLease lease(Dispatcher::Config().lease, now);
+    lease.OnClock(milliseconds(odd), now);
+    EXPECT_FALSE(lease.HoldDeadline(now).has_value()) << odd;
+    lease.OnClock(milliseconds(5'000), now);
+    ASSERT_TRUE(lease.HoldDeadline(now).has_value()) << odd;
+    EXPECT_LT(*lease.HoldDeadline(now), std::chrono::hours(1)) << odd;
+  }
+}
+
 // Guards against a limit of a team that overflows when what the team uses is
 // taken from it, which would lift the limit.
 TEST_F(OddValuesTest, TeamInLog_LimitIsNegative_NothingMoreStarts) {
@@ -286,6 +349,28 @@
   EXPECT_EQ(this->fleet.RunningTasks(), 1U);
 }
 
+// Guards against a validity of advice that overflows: the tickets would have
+// expired at once, and the service would be asked without end.
+TEST_F(OddValuesTest, Advice_ValidityIsOdd_TaskStartsOrWaits) {
+  this->fleet.AddPool("scan", false, true);
+  this->fleet.AddWorker("worker", "scan", 4'000);
+  this->StartTerm();
+  this->fleet.Submit("job", "scan", {MakeStep(1, 1'000)});
+  for (const std::int64_t odd : {kSmallest, std::int64_t{-1}, kLargest}) {
+    this->fleet.Advance(milliseconds(500));
+    ASSERT_FALSE(this->fleet.advice_requests.empty());
+    EXPECT_TRUE(this->fleet.starts.empty());
+    AdviceReply reply;
+    reply.number = this->fleet.advice_requests.back().number;
+    reply.answered = true;
+    reply.approved["worker"] = "ticket";
+    reply.validity = milliseconds(odd);
+    this->fleet.dispatcher->OnAdvice(reply, this->fleet.now);
+  }
+  this->fleet.Advance(milliseconds(100));
+  EXPECT_EQ(this->fleet.starts.size(), 1U);
+}
+
 /// Snapshots that can be read, but whose records contradict each other.
 class OddSnapshotTest : public OddValuesTest {
  protected:
