Refuse numbers out of range in announcements of backend servers

What callers saw: nothing is known. An announcement with "epoch": 1e300 or -1 was read as another epoch, up to 2^64 - 1, beside which (by reading) later announcements of the server count as old; "slots": became 1.

Cause: the fields were read with get(), which converts any number.

Evidence: AnnouncementJsonTest.Parse_NumberOutOfRange_IsRefused found them accepted. They are now refused unless they are whole numbers in the range of their field. Deep nesting was harmless already: Parse_NestedDeeply_IsHandled passed before.

--- a/src/mimosastage/backend_servers/announcement_json.cc
+++ b/src/mimosastage/backend_servers/announcement_json.cc
@@ -1,11 +1,28 @@
 #include "mimosastage/backend_servers/announcement_json.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace mimosastage {
+namespace {
 
 using nlohmann::json;
 
+/// Reads a whole number in the range of `Number`. A conversion by get() would
+/// turn a number out of that range into another one.
+template <class Number>
+bool ReadNumber(const json& object, const char* name, Number& number) {
+  const json& value = object.at(name);
+  if (!value.is_number_unsigned()) {
+    return false;
+  }
+  const auto found = value.get<std::uint64_t>();
+  number = static_cast<Number>(found);
+  return found <= std::numeric_limits<Number>::max();
+}
+
+}  // namespace
+
 Result<Announcement> ParseAnnouncement(const std::string& body) {
   const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
   if (!parsed.is_object()) {
@@ -15,17 +32,16 @@
     Announcement announcement;
     announcement.name = BackendServerName(parsed.at("name").get<std::string>());
     announcement.address = parsed.at("address").get<std::string>();
-    const auto port = parsed.at("port").get<std::int64_t>();
-    if (port < 1 || port > 65'535) {
+    if (!ReadNumber(parsed, "port", announcement.port) ||
+        !ReadNumber(parsed, "epoch", announcement.instance_epoch) ||
+        !ReadNumber(parsed, "slots", announcement.slots) ||
+        !ReadNumber(parsed, "connections", announcement.connections) ||
+        announcement.port == 0) {
       return make_error_code(AnnouncementError::kInvalidField);
     }
-    announcement.port = static_cast<std::uint16_t>(port);
     announcement.pool = PoolName(parsed.at("pool").get<std::string>());
     announcement.availability_zone =
         AvailabilityZone(parsed.at("zone").get<std::string>());
-    announcement.instance_epoch = parsed.at("epoch").get<std::uint64_t>();
-    announcement.slots = parsed.at("slots").get<std::uint32_t>();
-    announcement.connections = parsed.at("connections").get<std::uint32_t>();
     announcement.departing = parsed.value("departing", false);
     return announcement;
   } catch (const json::exception&) {
