Leave room on the signal stacks for a second handler

What callers saw: exits with status 139 or 135; whether they had a line isn't known, because the records hold no output.

No thread ends without a line: StackIsUsedUp_EachThread_OneLineNamesIt takes the stack from each thread of both programs in turn (main, node, links, exchanges, storage, signals, listeners, callers, operators), and each leaves its `process_failed` line, also before this change.

Cause of the change: on arm64 the handler and the saved registers use 11,632 of the 20,480 bytes of a signal stack, and the size was the larger of 16,384 and SIGSTKSZ. Another library's handler that interrupts ours had 8,848 bytes, less than the system advises for it, and none of the registers' growth on other processors.

Evidence: SignalStack_HandlerHasRun_RoomForAnotherOne failed with "8848 of 20480 bytes untouched". Each signal stack now has SIGSTKSZ bytes beside 16,384 of our own.

--- a/src/mimosastage/telemetry/fatal_log.cc
+++ b/src/mimosastage/telemetry/fatal_log.cc
@@ -32,7 +32,9 @@
 constexpr std::size_t kMaxLineBytes = 3'584;
 /// Linux limits names of threads to this many bytes.
 constexpr std::size_t kMaxDutyBytes = 15;
-constexpr std::size_t kMinSignalStackBytes = 16'384;
+/// The handler and the registers that the kernel saves for it used 11,632 bytes
+/// on arm64.
+constexpr std::size_t kHandlerStackBytes = 16'384;
 /// Longest wait for an output that accepts no bytes.
 constexpr std::chrono::milliseconds kOutputTimeout{200};
 /// Longest wait for the line of another thread that fails at the same time.
@@ -385,8 +387,10 @@
   if (gettid() != getpid()) {
     pthread_setname_np(pthread_self(), current_duty.data());
   }
-  const std::size_t stack_bytes = std::max<std::size_t>(
-      kMinSignalStackBytes, static_cast<std::size_t>(SIGSTKSZ));
+  // SIGSTKSZ is left for the handler of a library that interrupts this one. It
+  // grows with the registers of the processor.
+  const std::size_t stack_bytes =
+      kHandlerStackBytes + static_cast<std::size_t>(SIGSTKSZ);
   this->signal_stack = std::make_unique_for_overwrite<std::byte[]>(stack_bytes);
   stack_t stack{};
   stack.ss_sp = this->signal_stack.get();
--- a/tests/system/process_end_test.cc
+++ b/tests/system/process_end_test.cc
@@ -1,10 +1,16 @@
+#include <elf.h>
 #include <gtest/gtest.h>
 #include <signal.h>
+#include <sys/ptrace.h>
 #include <sys/resource.h>
+#include <sys/uio.h>
+#include <sys/user.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -28,6 +34,37 @@
           std::istreambuf_iterator<char>()};
 }
 
+/// Makes a thread of a child process fault with a stack pointer at which no
+/// signal handler can run, as after an overflow of its stack. Returns false if
+/// the system doesn't allow it.
+bool TakeStackAway(pid_t thread) {
+  // No process has memory below its first page.
+  constexpr std::uint64_t kNoMemory = 4'096;
+  int status = 0;
+  if (ptrace(PTRACE_SEIZE, thread, nullptr, nullptr) != 0 ||
+      ptrace(PTRACE_INTERRUPT, thread, nullptr, nullptr) != 0 ||
+      waitpid(thread, &status, __WALL) != thread || !WIFSTOPPED(status)) {
+    return false;
+  }
+  user_regs_struct registers{};
+  iovec area{&registers, sizeof(registers)};
+  const auto set = reinterpret_cast<void*>(NT_PRSTATUS);
+  if (ptrace(PTRACE_GETREGSET, thread, set, &area) != 0) {
+    return false;
+  }
+#if defined(__aarch64__)
+  registers.sp = kNoMemory;
+  registers.pc = 0;
+#else
+  registers.rsp = kNoMemory;
+  registers.rip = 0;
+  // The system call in which the thread waits isn't started again.
+  registers.orig_rax = static_cast<unsigned long long>(-1);
+#endif
+  return ptrace(PTRACE_SETREGSET, thread, set, &area) == 0 &&
+         ptrace(PTRACE_DETACH, thread, nullptr, nullptr) == 0;
+}
+
 /// One voter of each program, as a process. Both write to a file, in which the
 /// line about the end of the process is looked up.
 class ProcessEndTest : public ::testing::Test {
@@ -80,17 +117,28 @@
         [&] { return ReadFile(this->Log()).find(text) != std::string::npos; });
   }
 
-  /// Names of all threads but the main one.
-  static std::set<std::string> ThreadNames(pid_t process) {
-    std::set<std::string> names;
+  /// All threads by name; the main one is called "main".
+  static std::map<std::string, pid_t> Threads(pid_t process) {
+    std::map<std::string, pid_t> threads;
     for (const auto& thread : std::filesystem::directory_iterator(
              "/proc/" + std::to_string(process) + "/task")) {
-      if (thread.path().filename() != std::to_string(process)) {
-        std::string name;
+      const pid_t id = std::stoi(thread.path().filename().string());
+      std::string name = "main";
+      if (id != process) {
         std::getline(std::ifstream(thread.path() / "comm"), name);
-        names.insert(name);
       }
+      threads[name] = id;
+    }
+    return threads;
+  }
+
+  /// Names of all threads but the main one.
+  static std::set<std::string> ThreadNames(pid_t process) {
+    std::set<std::string> names;
+    for (const auto& [name, id] : Threads(process)) {
+      names.insert(name);
     }
+    names.erase("main");
     return names;
   }
 
@@ -161,6 +209,35 @@
   }
 }
 
+// Guards against a thread whose overflow of the stack ends the process without
+// a line, because its signals have no stack of their own.
+TEST_F(ProcessEndTest, StackIsUsedUp_EachThread_OneLineNamesIt) {
+  for (const std::string& program : Programs()) {
+    std::set<std::string> names;
+    {
+      const auto process =
+          this->StartProgram(program, this->SettingsOf(program));
+      ASSERT_TRUE(this->WaitForThreads(*process, program));
+      names = ThreadNames(process->Pid());
+    }
+    names.insert("main");
+    EXPECT_GE(names.size(), 8U);
+    for (const std::string& name : names) {
+      SCOPED_TRACE(program + " " + name);
+      const auto process =
+          this->StartProgram(program, this->SettingsOf(program));
+      ASSERT_TRUE(this->WaitForThreads(*process, program));
+      ASSERT_TRUE(TakeStackAway(Threads(process->Pid()).at(name)));
+      EXPECT_EQ(process->Wait(), 128 + SIGSEGV);
+      this->ExpectOneEndLine("fatal", "process_failed", 128 + SIGSEGV,
+                             "SIGSEGV at address 0x");
+      const std::vector<json> lines = this->EndLines();
+      ASSERT_EQ(lines.size(), 1U);
+      EXPECT_EQ(lines[0]["fields"]["thread"], name);
+    }
+  }
+}
+
 // Guards against threads that a fatal line can't tell apart.
 TEST_F(ProcessEndTest, Threads_EachProgram_NamedByDuty) {
   for (const std::string& program : Programs()) {
--- a/tests/telemetry/fatal_log_test.cc
+++ b/tests/telemetry/fatal_log_test.cc
@@ -7,10 +7,13 @@
 #include <openssl/rand.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <csignal>
+#include <cstring>
 #include <functional>
+#include <iostream>
 #include <new>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -203,6 +206,41 @@
                       128 + SIGSEGV));
 }
 
+/// The calling thread's signal stack is filled with this.
+constexpr unsigned char kUntouched = 0xA5;
+
+/// Ends the process with status 0 if the handler before it has left SIGSTKSZ
+/// bytes of the signal stack untouched, else 1.
+void CheckSignalStack(int /*signal*/) {
+  stack_t stack{};
+  sigaltstack(nullptr, &stack);
+  const auto* const begin = static_cast<const unsigned char*>(stack.ss_sp);
+  const auto* const end = begin + stack.ss_size;
+  const auto untouched = static_cast<std::size_t>(
+      std::find_if(begin, end,
+                   [](unsigned char byte) { return byte != kUntouched; }) -
+      begin);
+  std::cerr << untouched << " of " << stack.ss_size << " bytes untouched\n";
+  _exit(untouched >= static_cast<std::size_t>(SIGSTKSZ) ? 0 : 1);
+}
+
+// Guards against a signal stack that the handler itself nearly uses up.
+// SIGSTKSZ is what the system advises for a handler of its own, and covers the
+// registers of the largest processors.
+TEST_F(FatalLogTest, SignalStack_HandlerHasRun_RoomForAnotherOne) {
+  EXPECT_EXIT(
+      {
+        std::signal(SIGSEGV, CheckSignalStack);
+        RunThread([] {
+          stack_t stack{};
+          sigaltstack(nullptr, &stack);
+          std::memset(stack.ss_sp, kUntouched, stack.ss_size);
+          raise(SIGSEGV);
+        });
+      },
+      testing::ExitedWithCode(0), "process_failed");
+}
+
 // Guards against a handler that hides the signal that ends the process.
 TEST_F(FatalLogTest, Process_RaisesSignal_EndsBySameSignalAfterOneLine) {
   for (const int signal :
