--- /dev/null
+++ b/tests/jobs/odd_bytes_test.cc
@@ -0,0 +1,254 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "mimosastage/jobs/call_handler.h"
+#include "mimosastage/jobs/carried_messages.h"
+#include "mimosastage/jobs/fleet_state.h"
+#include "tests/jobs/support/fake_fleet_leader.h"
+
+namespace mimosastage::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Bytes with some changed, and in one case of four without their end.
+std::string Damaged(std::string bytes) {
+  const auto changes = *rc::gen::inRange(0, 6);
+  for (int i = 0; i < changes; ++i) {
+    const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    const auto value = *rc::gen::element<std::uint64_t>(
+        0, 1, 4, 0xff, 0x7fffffff, 0xffffffff, 0x7fffffffffffffff,
+        0x8000000000000000, 0xffffffffffffffff,
+        *rc::gen::arbitrary<std::uint64_t>());
+    const auto size = *rc::gen::element<std::size_t>(1, 2, 4, 8);
+    for (std::size_t k = 0; k < size && at + k < bytes.size(); ++k) {
+      bytes[at + k] = static_cast<char>((value >> (8 * k)) & 0xffU);
+    }
+  }
+  if (*rc::gen::inRange(0, 4) == 0) {
+    bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size()));
+  }
+  return bytes;
+}
+
+std::string ArbitraryBytes() {
+  const auto bytes = *rc::gen::arbitrary<std::vector<char>>();
+  return {bytes.begin(), bytes.end()};
+}
+
+std::unique_ptr<JobRequest> MakeJob(const std::string& id) {
+  auto job = std::make_unique<JobRequest>();
+  job->id = id;
+  job->queue = "queue-render";
+  job->specification = "text";
+  job->occurrences = 2;
+  job->first_due_ms = 5;
+  job->interval_ms = 7;
+  job->accepted_ms = 1'000;
+  for (int i = 0; i < 2; ++i) {
+    job->steps.push_back(std::make_unique<Step>(MakeStep(2, 1'000)));
+  }
+  job->steps[1]->after = {0};
+  job->steps[1]->gang = true;
+  return job;
+}
+
+std::unique_ptr<Worker> MakeWorker(const std::string& id) {
+  auto worker = std::make_unique<Worker>();
+  worker->id = id;
+  worker->born_ms = 7;
+  worker->machine = "machine-" + id;
+  worker->pool = "render";
+  worker->address = id + ":80";
+  worker->capacity = std::make_unique<Amount>();
+  worker->capacity->millicores = 4'000;
+  worker->capacity->memory_mb = 4'000;
+  worker->labels = {"kind", "rack"};
+  return worker;
+}
+
+Batch MakeBatch() {
+  Batch batch;
+  const auto add = [&]() -> Command& {
+    batch.commands.push_back(std::make_unique<Command>());
+    return *batch.commands.back();
+  };
+  add().worker = MakeWorker("a");
+  add().worker = MakeWorker("b");
+  add().job = MakeJob("job");
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    Command& start = add();
+    start.start = std::make_unique<RunStart>();
+    start.start->job = "job";
+    start.start->index = i;
+    start.start->run = 1;
+    start.start->worker = i == 0 ? "a" : "b";
+    start.start->born_ms = 7;
+    start.start->at_ms = 1'000;
+  }
+  Command& end = add();
+  end.end = std::make_unique<RunEnd>();
+  end.end->job = "job";
+  end.end->run = 1;
+  Command& crash = add();
+  crash.crash = std::make_unique<WorkerCrash>();
+  crash.crash->worker = "b";
+  crash.crash->born_ms = 7;
+  crash.crash->confirmed = true;
+  crash.crash->runs.push_back(std::make_unique<CrashedRun>());
+  crash.crash->runs[0]->job = "job";
+  crash.crash->runs[0]->index = 1;
+  Command& wave = add();
+  wave.wave = std::make_unique<Wave>();
+  wave.wave->number = 3;
+  wave.wave->machines = {"machine-a"};
+  wave.wave->most_at_once = 1;
+  return batch;
+}
+
+/// Each example applies what was decoded, and a leader works with the result:
+/// the bytes may be in the log of each daemon.
+class OddBytesTest : public ::testing::Test {
+ protected:
+  /// Lets each known worker answer orders, or leave them unanswered.
+  static void AddFakes(FakeFleetLeader& fleet) {
+    const bool silent = *rc::gen::arbitrary<bool>();
+    for (const auto& [id, worker] : fleet.state.Workers()) {
+      if (FakeWorker& fake = fleet.workers[id]; fake.record.id.empty()) {
+        fake.record = worker;
+        fake.silent = silent;
+      }
+    }
+  }
+
+  static void Lead(FakeFleetLeader& fleet) {
+    fleet.BeginTerm();
+    AddFakes(fleet);
+    fleet.Submit("sound", "render", {MakeStep(1, 1'000)});
+    fleet.Advance(milliseconds(60));
+  }
+
+  static void Handle(FakeFleetLeader& fleet, const Call& call) {
+    CallHandler::Hooks hooks;
+    hooks.propose = [&](const Command& command,
+                        const std::function<void(TimePoint)>& committed) {
+      fleet.state.Apply(command);
+      if (committed) {
+        committed(fleet.now);
+      }
+    };
+    hooks.wall_time = [&] { return fleet.wall; };
+    hooks.report = [](const char*, const std::string&, const std::string&) {};
+    hooks.count_refusal = [](const char*) {};
+    CallHandler handler(std::move(hooks), fleet.state, fleet.state,
+                        *fleet.dispatcher);
+    handler.Handle(call, fleet.now, [](const Answer&) {});
+    AddFakes(fleet);
+  }
+
+  /// Applies a decoded batch to a state with workers, jobs and crashes.
+  static void ApplyAndLead(const std::string& bytes) {
+    const auto batch = DecodeBatch(bytes);
+    if (!batch.has_value()) {
+      return;
+    }
+    FakeFleetLeader fleet;
+    fleet.AddPool("render");
+    fleet.state.Apply(*batch);
+    FleetState copy;
+    RC_ASSERT(copy.Restore(fleet.state.Snapshot()));
+    RC_ASSERT(copy.Snapshot().size() == fleet.state.Snapshot().size());
+    Lead(fleet);
+  }
+};
+
+// Guards against bytes in the log that end each daemon that applies them.
+RC_GTEST_FIXTURE_PROP(OddBytesTest, Batch_BytesAreDamaged_DaemonGoesOn, ()) {
+  ApplyAndLead(Damaged(EncodeBatch(MakeBatch())));
+}
+
+// Guards against any other bytes in the log that do so.
+RC_GTEST_FIXTURE_PROP(OddBytesTest, Batch_BytesAreArbitrary_DaemonGoesOn, ()) {
+  ApplyAndLead(ArbitraryBytes());
+}
+
+// Guards against a snapshot that ends each daemon that restores it.
+RC_GTEST_FIXTURE_PROP(OddBytesTest, Snapshot_BytesAreDamaged_DaemonGoesOn, ()) {
+  FakeFleetLeader fleet;
+  fleet.AddPool("render");
+  fleet.state.Apply(MakeBatch());
+  const bool restored = fleet.state.Restore(Damaged(fleet.state.Snapshot()));
+  if (!restored) {
+    RC_ASSERT(fleet.state.Jobs().empty());
+    RC_ASSERT(fleet.state.Workers().empty());
+  }
+  Lead(fleet);
+}
+
+// Guards against a message of another daemon that ends the leader or a carrier.
+RC_GTEST_FIXTURE_PROP(OddBytesTest, Message_BytesAreDamaged_DaemonGoesOn, ()) {
+  Call call;
+  call.kind = *rc::gen::inRange<std::uint8_t>(0, 10);
+  call.host = "host";
+  call.path = "/render/job";
+  call.key = "key";
+  call.job = MakeJob("");
+  call.worker = MakeWorker("a");
+  call.wave = std::make_unique<Wave>();
+  call.configuration = std::make_unique<Configuration>();
+  call.configuration->version = 2;
+  WorkerOrder order;
+  order.number = 7;
+  order.worker = "a";
+  order.address = "a:80";
+  order.body = StartOrder{TaskId{"job", 0, 0, 0}, 1,       "text", "",
+                          milliseconds(9),        "ticket"};
+  CarriedReply reply;
+  reply.reply.number = 7;
+  reply.reply.clock = milliseconds(9);
+  reply.reply.running.push_back(
+      RunningTask{TaskId{"job", 0, 0, 0}, 1, "", 50, 7});
+  reply.reply.ended.push_back(
+      EndedRun{1, TaskId{"job", 0, 0, 1}, 1, RunOutcome::kDone, ""});
+  const std::string bytes = *rc::gen::element<std::string>(
+      EncodeCall(call), EncodeOrderBatch(OrderBatch{5, {order}}),
+      EncodeReplyBatch({reply}),
+      EncodeCarrierNotice(CarrierNotice{1, 2, TimePoint{milliseconds(3)}}));
+  const auto message = DecodeMessage(Damaged(bytes));
+  if (!message.has_value()) {
+    return;
+  }
+  FakeFleetLeader fleet;
+  fleet.AddPool("render");
+  fleet.state.Apply(MakeBatch());
+  Lead(fleet);
+  if (const auto* decoded = message->body.AsCall(); decoded != nullptr) {
+    Handle(fleet, *decoded);
+  }
+  if (const auto* orders = message->body.AsOrderBatch(); orders != nullptr) {
+    FromWire(*orders);
+  }
+  if (const auto* replies = message->body.AsReplyBatch(); replies != nullptr) {
+    if (auto read = FromWire(*replies); read.has_value()) {
+      for (CarriedReply& each : *read) {
+        each.reply.read_at = fleet.now;
+        each.reply.started_at = fleet.now - each.since_start;
+        fleet.dispatcher->OnReply(each.reply, fleet.now);
+      }
+    }
+  }
+  if (const auto* notice = message->body.AsCarrierNotice(); notice != nullptr) {
+    FromWire(*notice);
+  }
+  fleet.Advance(milliseconds(30));
+}
+
+}  // namespace
+}  // namespace mimosastage::jobs
