Give a thread its signal stack before its name

What callers saw: exits with status 139 and no line are possible while a process starts; whether any of theirs was one isn't known.

Cause: ThreadDuty named the thread first and then allocated its signal stack. A thread that was descheduled in between had its name, and an overflow of its stack left no line.

Evidence: ProcessEndTest.StackIsUsedUp_EachThread_OneLineNamesIt found no line in 5 of 30 runs beside a load of 25 to 29, for another thread each time (node, operators, listener-1, storage, exchanges). With the signal stack set first: 0 of 40 runs beside a load of 22 to 27.

--- a/src/mimosastage/telemetry/fatal_log.cc
+++ b/src/mimosastage/telemetry/fatal_log.cc
@@ -381,12 +381,6 @@
 }
 
 ThreadDuty::ThreadDuty(std::string_view duty) {
-  const std::size_t length = duty.copy(current_duty.data(), kMaxDutyBytes);
-  current_duty[length] = '\0';
-  // The name of the main thread is that of the process in tools.
-  if (gettid() != getpid()) {
-    pthread_setname_np(pthread_self(), current_duty.data());
-  }
   // SIGSTKSZ is left for the handler of a library that interrupts this one. It
   // grows with the registers of the processor.
   const std::size_t stack_bytes =
@@ -396,6 +390,13 @@
   stack.ss_sp = this->signal_stack.get();
   stack.ss_size = stack_bytes;
   sigaltstack(&stack, &this->previous_stack);
+  const std::size_t length = duty.copy(current_duty.data(), kMaxDutyBytes);
+  current_duty[length] = '\0';
+  // The name of the main thread is that of the process in tools. Others take
+  // theirs last, so that a thread with a name has its signal stack.
+  if (gettid() != getpid()) {
+    pthread_setname_np(pthread_self(), current_duty.data());
+  }
 }
 
 ThreadDuty::~ThreadDuty() {
