--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <memory>
 
+#include "mimosastage/jobs/value_bounds.h"
+
 namespace mimosastage::jobs {
 namespace {
 
@@ -35,12 +37,12 @@
 }
 
 bool SameRecord(const Worker& a, const Worker& b) {
+  const Amount capacity = CapacityOf(a);
+  const Amount other = CapacityOf(b);
   return a.born_ms == b.born_ms && a.pool == b.pool && a.address == b.address &&
          a.machine == b.machine && a.draining == b.draining &&
-         a.labels == b.labels &&
-         a.capacity->millicores == b.capacity->millicores &&
-         a.capacity->memory_mb == b.capacity->memory_mb &&
-         a.capacity->accelerators == b.capacity->accelerators;
+         a.labels == b.labels && !Shrinks(capacity, other) &&
+         !Shrinks(other, capacity);
 }
 
 }  // namespace
@@ -111,7 +113,7 @@
       active.started_ms == 0
           ? milliseconds(0)
           : std::max(milliseconds(0), this->hooks.wall_time() -
-                                          milliseconds(active.started_ms) -
+                                          BoundedTime(active.started_ms) -
                                           this->config.clock_tolerance);
   run.running_since = now - age;
   run.start_sent = true;
@@ -139,7 +141,7 @@
 
 void Dispatcher::Announce(const Worker& worker, std::uint64_t sequence,
                           TimePoint now, std::function<void()> acknowledge) {
-  if (this->state.FindPool(worker.pool) == nullptr) {
+  if (this->state.FindPool(worker.pool) == nullptr || !IsPlausible(worker)) {
     acknowledge();
     return;
   }
@@ -148,7 +150,7 @@
     if (known->id == worker.id && known->born_ms == worker.born_ms) {
       continue;
     }
-    if (known->born_ms >= worker.born_ms) {
+    if (IsPlausibleStart(known->born_ms) && known->born_ms >= worker.born_ms) {
       // A delayed announcement; a later incarnation has taken the worker's
       // place.
       acknowledge();
@@ -177,8 +179,9 @@
     next.sequence = session.sequence;
     session.draining = next.draining;
     session.address = next.address;
-    session.capacity_shrunk = session.capacity_shrunk ||
-                              Shrinks(*known->second.capacity, *next.capacity);
+    session.capacity_shrunk =
+        session.capacity_shrunk ||
+        Shrinks(CapacityOf(known->second), CapacityOf(next));
     this->placement_needed = true;
     this->hooks.report("worker_changed", worker.id,
                        next.draining ? "draining" : "changed");
@@ -299,7 +302,8 @@
   const std::string id = found->first;
   Session& session = found->second;
   if (reply.result == OrderResult::kOtherIncarnation ||
-      (reply.born_ms.has_value() && *reply.born_ms > session.born_ms)) {
+      (reply.born_ms.has_value() && IsPlausibleStart(*reply.born_ms) &&
+       *reply.born_ms > session.born_ms)) {
     const std::string answered =
         reply.born_ms.has_value() ? std::to_string(*reply.born_ms) : "unknown";
     this->hooks.report("other_incarnation_answered", id,
@@ -422,14 +426,19 @@
                             const WorkerReply& reply, TimePoint now) {
   std::uint64_t last = session.last_durable_end;
   for (const EndedRun& ended : reply.ended) {
-    last = std::max(last, ended.number);
+    // An acknowledged number covers all lower ones, and so would an odd one all
+    // ends to come.
+    if (ended.number <= kMaxEndNumber) {
+      last = std::max(last, ended.number);
+    }
   }
   if (last == session.last_durable_end) {
     return;
   }
   for (const EndedRun& ended : reply.ended) {
     const RunKey key{ended.task, ended.run};
-    if (ended.number <= session.last_durable_end) {
+    if (ended.number <= session.last_durable_end ||
+        ended.number > kMaxEndNumber) {
       continue;
     }
     if (!session.runs.contains(key)) {
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "mimosastage/jobs/dispatcher.h"
+#include "mimosastage/jobs/value_bounds.h"
 
 namespace mimosastage::jobs {
 namespace {
@@ -83,7 +84,7 @@
                                   const Run& run) const {
   Amount before = session.used;
   Subtract(before, Charge(*run.step));
-  Amount free = *this->state.Workers().at(worker).capacity;
+  Amount free = CapacityOf(this->state.Workers().at(worker));
   Subtract(free, before);
   return Fits(*run.step, free);
 }
@@ -391,8 +392,7 @@
   };
   for (const auto& [key, run] : session.runs) {
     if (measurable(run)) {
-      sample.Add(key.first.job, run.percent,
-                 std::chrono::milliseconds(run.step->estimate_ms),
+      sample.Add(key.first.job, run.percent, BoundedTime(run.step->estimate_ms),
                  now - *run.confirmed);
     }
   }
--- a/src/mimosastage/jobs/fleet_state.cc
+++ b/src/mimosastage/jobs/fleet_state.cc
@@ -1,6 +1,7 @@
 #include "mimosastage/jobs/fleet_state.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace mimosastage::jobs {
@@ -12,6 +13,37 @@
   return found == map.end() ? nullptr : found->second;
 }
 
+/// A job with more tasks, or more steps of all occurrences, would use up the
+/// memory of each daemon that applies it. Far above FleetState::Limits, so that
+/// no job that a leader accepts is left out. All replicas must agree on it.
+constexpr std::size_t kMaxTasksOfRecord = 1'000'000;
+
+std::size_t SaturatingProduct(std::size_t a, std::size_t b) {
+  std::size_t product = 0;
+  return __builtin_mul_overflow(a, b, &product)
+             ? std::numeric_limits<std::size_t>::max()
+             : product;
+}
+
+bool IsTooLarge(const JobRequest& request) {
+  const std::size_t steps = SaturatingProduct(
+      request.steps.size(), std::max<std::uint32_t>(1, request.occurrences));
+  return steps > kMaxTasksOfRecord ||
+         FleetState::TaskCount(request) > kMaxTasksOfRecord;
+}
+
+/// True if the record's tasks are those of its job. A job that has ended may
+/// have none left.
+bool IsConsistent(const jobs_wire::JobRecordT& record) {
+  if (record.job == nullptr || IsTooLarge(*record.job)) {
+    return false;
+  }
+  const bool ended =
+      static_cast<JobPhase>(record.phase) >= JobPhase::kCompleted;
+  return record.tasks.size() == FleetState::TaskCount(*record.job) ||
+         (ended && record.tasks.empty());
+}
+
 }  // namespace
 
 std::uint32_t Job::Occurrences() const {
@@ -62,7 +94,8 @@
 bool Job::StepReady(std::uint32_t occurrence, std::uint32_t step) const {
   const auto& after = this->request->steps[step]->after;
   return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
-    return this->OpenTasks(occurrence, earlier) == 0;
+    return earlier >= this->request->steps.size() ||
+           this->OpenTasks(occurrence, earlier) == 0;
   });
 }
 
@@ -148,7 +181,8 @@
   for (const auto& step : request.steps) {
     count += step->tasks;
   }
-  return count * std::max<std::uint32_t>(1, request.occurrences);
+  return SaturatingProduct(count,
+                           std::max<std::uint32_t>(1, request.occurrences));
 }
 
 void FleetState::ResetOpenCounts(Job& job) {
@@ -161,7 +195,7 @@
 }
 
 void FleetState::Accept(const JobRequest& request) {
-  if (this->jobs.contains(request.id)) {
+  if (this->jobs.contains(request.id) || IsTooLarge(request)) {
     return;
   }
   Job job;
@@ -276,8 +310,13 @@
 void FleetState::FailCrashingJobs() {
   for (std::vector<std::string> blamed = this->crashes.JobsToBlame();
        !blamed.empty(); blamed = this->crashes.JobsToBlame()) {
+    const auto found = this->jobs.find(blamed.front());
+    if (found == this->jobs.end()) {
+      this->crashes.ForgetJob(blamed.front());
+      continue;
+    }
     ++this->given_up_jobs;
-    this->EndJob(this->jobs.at(blamed.front()), JobPhase::kFailed);
+    this->EndJob(found->second, JobPhase::kFailed);
   }
 }
 
@@ -343,7 +382,7 @@
   while (!this->ended_jobs.empty()) {
     const auto& [ended_ms, id] = *this->ended_jobs.begin();
     const auto found = this->jobs.find(id);
-    if (ended_ms + this->bounds.ended_job_retention_ms > now_ms ||
+    if (ended_ms > now_ms - this->bounds.ended_job_retention_ms ||
         (found != this->jobs.end() && found->second.active_runs > 0)) {
       return;
     }
@@ -450,6 +489,10 @@
   }
   jobs_wire::SnapshotT snapshot;
   flatbuffers::GetRoot<jobs_wire::Snapshot>(bytes.data())->UnPackTo(&snapshot);
+  if (!std::all_of(snapshot.jobs.begin(), snapshot.jobs.end(),
+                   [](const auto& record) { return IsConsistent(*record); })) {
+    return false;
+  }
   if (snapshot.configuration != nullptr) {
     this->configuration =
         std::make_shared<Configuration>(*snapshot.configuration);
@@ -474,7 +517,7 @@
       job.active_runs += task.active.size();
       job.tasks.push_back(std::move(task));
     }
-    if (!job.tasks.empty()) {
+    if (!job.Ended() || !job.tasks.empty()) {
       ResetOpenCounts(job);
       std::size_t next = 0;
       for (std::size_t i = 0; i < job.open_task_counts.size(); ++i) {
@@ -488,8 +531,10 @@
         std::max({this->latest_ms, job.request->accepted_ms, job.ended_ms});
     const std::pair<std::int64_t, std::string> key{
         job.Ended() ? job.ended_ms : job.request->accepted_ms, job.request->id};
-    (job.Ended() ? this->ended_jobs : this->open_jobs).insert(key);
-    this->jobs.emplace(job.request->id, std::move(job));
+    const bool ended = job.Ended();
+    if (this->jobs.emplace(key.second, std::move(job)).second) {
+      (ended ? this->ended_jobs : this->open_jobs).insert(key);
+    }
   }
   for (auto& worker : snapshot.workers) {
     this->workers.emplace(worker->id, *worker);
--- a/src/mimosastage/jobs/waiting_steps.cc
+++ b/src/mimosastage/jobs/waiting_steps.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <optional>
 
+#include "mimosastage/jobs/value_bounds.h"
+
 namespace mimosastage::jobs {
 namespace {
 
@@ -20,7 +22,7 @@
         longest = std::max(longest, chains[next]);
       }
     }
-    chains[step] = longest + milliseconds(request.steps[step]->estimate_ms);
+    chains[step] = longest + BoundedTime(request.steps[step]->estimate_ms);
   }
   return chains;
 }
@@ -34,16 +36,16 @@
   if (request.occurrences == 0) {
     return milliseconds(request.accepted_ms);
   }
-  return milliseconds(request.first_due_ms + occurrence * request.interval_ms);
+  return BoundedTime(request.first_due_ms) +
+         occurrence * BoundedTime(request.interval_ms);
 }
 
 std::size_t AntiAffineInstances(const JobRequest& request) {
   std::size_t most = 0;
   for (const auto& step : request.steps) {
     if (step->long_running && step->most_per_worker > 0) {
-      most = std::max<std::size_t>(
-          most,
-          (step->tasks + step->most_per_worker - 1) / step->most_per_worker);
+      const std::size_t per_worker = step->most_per_worker;
+      most = std::max(most, (step->tasks + per_worker - 1) / per_worker);
     }
   }
   return most;
@@ -61,9 +63,15 @@
 }
 
 milliseconds ObjectiveOf(milliseconds longest_chain, const Queue& queue) {
-  return std::chrono::duration_cast<milliseconds>(queue.stretch *
-                                                  longest_chain) +
-         milliseconds(queue.target_ms);
+  const double stretched =
+      queue.stretch * static_cast<double>(longest_chain.count());
+  // The comparison is false for a factor that isn't a number.
+  const double bounded =
+      stretched > 0
+          ? std::min(stretched, static_cast<double>(kLongestTime.count()))
+          : 0;
+  return milliseconds(static_cast<std::int64_t>(bounded)) +
+         BoundedTime(queue.target_ms);
 }
 
 StepUrgency WaitingStep::UrgencyAt(milliseconds wall) const {
@@ -329,15 +337,10 @@
 
 WaitingSteps::GroupKey WaitingSteps::KeyOf(const WaitingStep& step) {
   const Step& record = *step.demand.step;
-  return {record.need->millicores,
-          record.need->memory_mb,
-          record.need->accelerators,
-          record.filler,
-          record.required_label,
-          step.demand.team,
-          record.long_running,
-          step.priority,
-          step.advised};
+  const Amount need = NeedOf(record);
+  return {need.millicores,     need.memory_mb,        need.accelerators,
+          record.filler,       record.required_label, step.demand.team,
+          record.long_running, step.priority,         step.advised};
 }
 
 std::map<std::string, WaitingSteps::Sums> WaitingSteps::SumsByPool() const {
