--- /dev/null
+++ b/tests/platform/support/wire_messages.h
@@ -0,0 +1,47 @@
+#ifndef MIMOSASTAGE_TESTS_PLATFORM_SUPPORT_WIRE_MESSAGES_H_
+#define MIMOSASTAGE_TESTS_PLATFORM_SUPPORT_WIRE_MESSAGES_H_
+
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "platform/platform_settings.h"
+#include "platform/wire_calls.h"
+#include "platform/wire_orders.h"
+
+namespace mimosastage::platform {
+
+HttpRequest MakeRequest(const std::string& method, const std::string& target,
+                        const std::string& body = "");
+
+ExchangeResult MakeResult(std::uint16_t status, const std::string& body);
+
+/// Messages as a sound sender writes them.
+nlohmann::json Heartbeat();
+nlohmann::json JobBody();
+nlohmann::json ConfigurationBody();
+nlohmann::json WaveBody();
+nlohmann::json HoldBody();
+nlohmann::json MachineList();
+nlohmann::json AdviceBody();
+nlohmann::json VoterSettings();
+
+/// A decoder of the adapter, with a message that it accepts.
+struct Decoder {
+  const char* name;
+  std::function<nlohmann::json()> sound_message;
+  std::function<void(const std::string& body)> decode;
+};
+
+/// Every decoder of bytes from outside.
+const std::vector<Decoder>& AllDecoders();
+
+/// Writes `text` to a file in the folder for temporary files and reads it as
+/// the settings file.
+std::optional<PlatformSettings> ReadSettingsText(const std::string& text,
+                                                 std::string* problem);
+
+}  // namespace mimosastage::platform
+
+#endif  // MIMOSASTAGE_TESTS_PLATFORM_SUPPORT_WIRE_MESSAGES_H_
--- a/tests/platform/wire_test.cc
+++ b/tests/platform/wire_test.cc
@@ -1,12 +1,9 @@
 #include <gtest/gtest.h>
 
-#include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
 
-#include "platform/platform_settings.h"
-#include "platform/wire_calls.h"
-#include "platform/wire_orders.h"
+#include "tests/platform/support/wire_messages.h"
 
 namespace mimosastage::platform {
 namespace {
@@ -16,18 +13,6 @@
 
 class WireTest : public ::testing::Test {
  protected:
-  static HttpRequest MakeRequest(const std::string& method,
-                                 const std::string& target,
-                                 const std::string& body = "") {
-    HttpRequest request;
-    request.method = method;
-    request.target = target;
-    request.body = body;
-    request.headers = {{"Host", "pule25.example:80"},
-                       {"Authorization", "Bearer secret"}};
-    return request;
-  }
-
   static jobs::Call DecodeCall(const HttpRequest& request, ListenerRole role) {
     DecodedRequest decoded = DecodeRequest(request, role);
     auto* call = std::get_if<IncomingCall>(&decoded);
@@ -40,27 +25,6 @@
     const auto* answer = std::get_if<HttpAnswer>(&decoded);
     return answer == nullptr ? 0 : answer->status;
   }
-
-  static ExchangeResult MakeResult(std::uint16_t status,
-                                   const std::string& body) {
-    ExchangeResult result;
-    result.id = 7;
-    result.answer.status = status;
-    result.answer.body = body;
-    return result;
-  }
-
-  static json Heartbeat() {
-    return json{{"service", "huvo11a"},
-                {"address", "10.128.0.9:8080"},
-                {"zone", "bogota"},
-                {"state", "ready"},
-                {"born", 1'000},
-                {"machine", "m-1"},
-                {"sequence", 4},
-                {"labels", {"a", "r1-3"}},
-                {"capacity", {{"cpu", 16'000}, {"memory_request_mb", 512}}}};
-  }
 };
 
 TEST_F(WireTest, Decode_Job_WireFieldsAreTranslated) {
@@ -204,21 +168,10 @@
  protected:
   static std::optional<PlatformSettings> Read(const json& value,
                                               std::string* problem) {
-    const std::string file = ::testing::TempDir() + "platform_settings.json";
-    std::ofstream(file) << value.dump();
-    return ReadPlatformSettings(file, problem);
+    return ReadSettingsText(value.dump(), problem);
   }
 
-  static json Voter() {
-    return json{
-        {"node_name", "core-1"},
-        {"ip", "10.1.0.26"},
-        {"listen_addresses", {{"control_plane", "10.1.0.26:8345"}}},
-        {"internal_port_range", {7000, 7015}},
-        {"seed_nodes", {"10.1.0.26:8345", "10.2.0.18:8345", "10.3.0.28:8345"}},
-        {"bootstrap", true},
-        {"data_directory", "/data/core"}};
-  }
+  static json Voter() { return VoterSettings(); }
 };
 
 TEST_F(PlatformSettingsTest, Setup_SeedsInOtherOrder_SameVoters) {
