Keep the known instances when their list can't be read

Callers saw instances without a worker vanish: an answer of the platform without a readable list counted as an empty list, so standby instances were neither moved into a pool nor taken into upkeep until the next list. A page token that isn't a string ended the list after this page, and one with a line break would have ended the target of the next request.

For a move or an upkeep the status alone counts, as before, because the platform has carried it out.

--- a/src/mimosastage/jobs/dispatcher_instances.cc
+++ b/src/mimosastage/jobs/dispatcher_instances.cc
@@ -54,7 +54,7 @@
 
 void Dispatcher::OnInstanceList(const InstanceReply& reply, TimePoint now) {
   this->list_open = false;
-  if (reply.result != InstanceReply::Result::kOk) {
+  if (reply.result != InstanceReply::Result::kOk || reply.list_unreadable) {
     this->hooks.count_retry("instance_list_unread");
     return;
   }
--- a/src/mimosastage/jobs/worker_order.h
+++ b/src/mimosastage/jobs/worker_order.h
@@ -173,6 +173,9 @@
   Result result = Result::kUnanswered;
   std::vector<InstanceListEntry> instances;
   std::string next_page;
+  /// The answer holds no page of the list, or the next page can't be requested.
+  /// Says nothing about a move or an upkeep.
+  bool list_unreadable = false;
 };
 
 /// Asks the advisory service which workers may run a step.
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -362,6 +362,43 @@
   EXPECT_EQ(this->fleet.workers.at("worker-b").running.size(), 2U);
 }
 
+// Guards against a list that counts as empty because it can't be read: an
+// instance without a worker then never has its upkeep.
+TEST_F(DispatcherTest, Wave_LaterListIsUnreadable_KnownInstanceHasItsUpkeep) {
+  this->fleet.AddPool("spare", true);
+  this->fleet.BeginTerm();
+  Command command;
+  command.wave = std::make_unique<Wave>();
+  command.wave->number = 1;
+  command.wave->most_at_once = 1;
+  command.wave->machines.emplace_back("machine-0");
+  InstanceReply list;
+  list.result = InstanceReply::Result::kOk;
+  list.instances.push_back(
+      InstanceListEntry{"machine-0", "spare", InstanceStatus::kUp, ""});
+  int lists = 0;
+  int upkeeps = 0;
+  for (int i = 0; i < 400; ++i) {
+    this->fleet.Advance(milliseconds(10));
+    for (const InstanceRequest& request :
+         std::exchange(this->fleet.instance_requests, {})) {
+      if (request.kind == InstanceRequest::Kind::kList) {
+        list.number = request.number;
+        this->fleet.dispatcher->OnInstanceReply(list, this->fleet.now);
+        list.instances.clear();
+        list.list_unreadable = true;
+        if (++lists == 2) {
+          this->fleet.state.Apply(command);
+        }
+      } else if (request.kind == InstanceRequest::Kind::kUpkeep) {
+        ++upkeeps;
+      }
+    }
+  }
+  EXPECT_GE(lists, 2);
+  EXPECT_GE(upkeeps, 1);
+}
+
 // Guards against a wave that exceeds its limit: if instances with an open
 // request don't count as down, other instances with as little work are selected
 // as well.
--- a/tests/platform/odd_rows_test.cc
+++ b/tests/platform/odd_rows_test.cc
@@ -93,6 +93,37 @@
   }
 }
 
+// Guards against a list that counts as complete although a page of it is
+// missing, and against a page token that ends the target of the next request.
+TEST_F(OddRowsTest, DecodeMachineList_PageCannotBeRead_ListIsUnreadable) {
+  EXPECT_FALSE(DecodeInstanceReply(MakeResult(200, MachineList().dump()))
+                   .list_unreadable);
+  json last = MachineList();
+  last.erase("next_page_token");
+  EXPECT_FALSE(
+      DecodeInstanceReply(MakeResult(200, last.dump())).list_unreadable);
+  last["next_page_token"] = nullptr;
+  EXPECT_FALSE(
+      DecodeInstanceReply(MakeResult(200, last.dump())).list_unreadable);
+  for (const char* text : {"", "[]", "17", "{}", R"({"machines":{}})",
+                           R"({"machines":[)", R"({"machines":null})",
+                           "{\"machines\":[],\"next_page_token\":\"\xff\"}"}) {
+    const jobs::InstanceReply reply =
+        DecodeInstanceReply(MakeResult(200, text));
+    // A move or an upkeep was carried out, whatever the body of the answer.
+    EXPECT_EQ(reply.result, jobs::InstanceReply::Result::kOk) << text;
+    EXPECT_TRUE(reply.list_unreadable) << text;
+  }
+  for (const json& token :
+       {json(7), json::array(), json("a b"), json("a\r\nHost: b"),
+        json("\u00e9"), json(std::string(100'000, 'a'))}) {
+    json odd = MachineList();
+    odd["next_page_token"] = token;
+    EXPECT_TRUE(
+        DecodeInstanceReply(MakeResult(200, odd.dump())).list_unreadable);
+  }
+}
+
 // Guards against tickets that are lost because of one row.
 TEST_F(OddRowsTest, DecodeAdvice_OneOddRow_OtherRowsAreRead) {
   const std::map<std::string, std::string> approved{{"i-1", "t1"},
