Refuse heartbeats that name no worker to use

Callers saw workers registered that no order can reach (port 99999, -1, 0 or none, no host, a host name), which then counted as capacity until they fell silent. A start in the year 9999 replaced each sound worker at the address or on the instance: its runs counted as lost and were started again while they ran. A worker id with a byte that isn't ASCII ended the leader when it asked for advice on that worker, because such a text can't be written as JSON. A name of 3 MB, or a label that isn't a text, became a record of each daemon.

A heartbeat is now refused with 400 if

- its address isn't an IPv4 address, which is all that the network has, with a port from 1 to 65535, written in the one way that compares equal,
- its start is more than 30 days ahead of the daemon's clock, which the decoder gets through a hook.
Clocks differ and jump by seconds; the rest is for clocks that were never set well,
- its id can't be a header or JSON text, a name has over 255 bytes, or a label isn't a text.

Fields that the daemon doesn't read don't matter, but the text must be readable as a whole: a worker writes no bytes that can't be read, so they are those of another writer.

The answer tells the reason and the remedy. Refused heartbeats and rows that are left out are counted, and the line odd_entry is written for the first of each kind and then once a minute with the total.

OddHeartbeatsTest and OddEntryLogTest hold these cases.

--- a/tests/platform/support/wire_messages.cc
+++ b/tests/platform/support/wire_messages.cc
@@ -4,11 +4,46 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <utility>
 
 namespace mimosastage::platform {
 
 using nlohmann::json;
 
+namespace {
+
+std::vector<OddEntry>& Reports() {
+  static std::vector<OddEntry> reports;
+  return reports;
+}
+
+const DecodeHooks& TestHooks() {
+  static const DecodeHooks hooks{
+      [] { return kWallTime; },
+      [](OddEntry kind, std::string_view) { Reports().push_back(kind); }};
+  return hooks;
+}
+
+}  // namespace
+
+std::vector<OddEntry> TakeReports() { return std::exchange(Reports(), {}); }
+
+DecodedRequest DecodeRequest(const HttpRequest& request, ListenerRole role) {
+  return DecodeRequest(request, role, TestHooks());
+}
+
+jobs::WorkerReply DecodeReply(const ExchangeResult& result) {
+  return DecodeReply(result, TestHooks());
+}
+
+jobs::InstanceReply DecodeInstanceReply(const ExchangeResult& result) {
+  return DecodeInstanceReply(result, TestHooks());
+}
+
+jobs::AdviceReply DecodeAdvice(const ExchangeResult& result) {
+  return DecodeAdvice(result, TestHooks());
+}
+
 HttpRequest MakeRequest(const std::string& method, const std::string& target,
                         const std::string& body) {
   HttpRequest request;
--- a/tests/platform/support/wire_messages.h
+++ b/tests/platform/support/wire_messages.h
@@ -15,6 +15,18 @@
 HttpRequest MakeRequest(const std::string& method, const std::string& target,
                         const std::string& body = "");
 
+/// The daemon's clock in the tests.
+inline constexpr std::chrono::milliseconds kWallTime{1'796'400'000'000};
+
+/// What the decoders below reported since the last call.
+std::vector<OddEntry> TakeReports();
+
+/// The decoders with hooks of the tests.
+DecodedRequest DecodeRequest(const HttpRequest& request, ListenerRole role);
+jobs::WorkerReply DecodeReply(const ExchangeResult& result);
+jobs::InstanceReply DecodeInstanceReply(const ExchangeResult& result);
+jobs::AdviceReply DecodeAdvice(const ExchangeResult& result);
+
 ExchangeResult MakeResult(std::uint16_t status, const std::string& body);
 
 /// Messages as a sound sender writes them.
