--- a/tests/platform/odd_numbers_test.cc
+++ b/tests/platform/odd_numbers_test.cc
@@ -10,14 +10,9 @@
 
 class OddNumbersTest : public ::testing::Test {
  protected:
-  /// `message` with the text of a number, which may be one that no JSON library
-  /// would write, in place of the value at `place`.
-  static std::string WithNumber(json message, const std::string& place,
+  static std::string WithNumber(const json& message, const std::string& place,
                                 const std::string& number) {
-    message[json::json_pointer(place)] = "the number";
-    std::string text = message.dump();
-    text.replace(text.find("\"the number\""), 12, number);
-    return text;
+    return WithTextAt(message, json::json_pointer(place), number);
   }
 
   static jobs::Call DecodeCall(const HttpRequest& request, ListenerRole role) {
--- a/tests/platform/support/wire_messages.cc
+++ b/tests/platform/support/wire_messages.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <set>
 #include <utility>
 
 namespace mimosastage::platform {
@@ -136,6 +137,28 @@
       {"data_directory", "/data/core"}};
 }
 
+std::vector<json::json_pointer> PlacesIn(const json& message) {
+  std::set<json::json_pointer> places;
+  const json flat = message.flatten();
+  for (const auto& [path, value] : flat.items()) {
+    for (json::json_pointer place(path); !place.empty();
+         place = place.parent_pointer()) {
+      places.insert(place);
+    }
+  }
+  return {places.begin(), places.end()};
+}
+
+std::string WithTextAt(json message, const json::json_pointer& place,
+                       const std::string& text) {
+  constexpr char kMark[] = "the value that is replaced";
+  message[place] = kMark;
+  std::string whole = message.dump();
+  const std::string quoted = json(kMark).dump();
+  whole.replace(whole.find(quoted), quoted.size(), text);
+  return whole;
+}
+
 const std::vector<Decoder>& AllDecoders() {
   static const std::vector<Decoder> decoders{
       {"Heartbeat", Heartbeat,
--- a/tests/platform/support/wire_messages.h
+++ b/tests/platform/support/wire_messages.h
@@ -39,6 +39,16 @@
 nlohmann::json AdviceBody();
 nlohmann::json VoterSettings();
 
+/// Each value in `message`, and each array and object around it.
+std::vector<nlohmann::json::json_pointer> PlacesIn(
+    const nlohmann::json& message);
+
+/// `message` as text, with `text` in place of the value at `place`. The text
+/// may be one that no JSON library would write.
+std::string WithTextAt(nlohmann::json message,
+                       const nlohmann::json::json_pointer& place,
+                       const std::string& text);
+
 /// A decoder of the adapter, with a message that it accepts.
 struct Decoder {
   const char* name;
