--- a/tests/platform/wire_test.cc
+++ b/tests/platform/wire_test.cc
@@ -242,5 +242,36 @@
   EXPECT_NE(problem.find("seed"), std::string::npos);
 }
 
+// Guards against a daemon that ends, or starts without its listeners, seeds or
+// ports, because a field of the file has another type; a reload reads the file
+// in a running daemon.
+TEST_F(PlatformSettingsTest, Read_FieldHasAnotherType_ProblemNamesIt) {
+  for (const json& value : {json(7), json(true), json("x"), json{{"a", 1}}}) {
+    for (const char* field :
+         {"internal_port_range", "seed_nodes", "listen_addresses"}) {
+      if (std::string_view(field) == "listen_addresses" && value.is_object()) {
+        continue;
+      }
+      json voter = Voter();
+      voter[field] = value;
+      std::string problem;
+      EXPECT_FALSE(Read(voter, &problem).has_value()) << field << value;
+      EXPECT_NE(problem.find(field), std::string::npos) << problem;
+    }
+    json voter = Voter();
+    voter["listen_addresses"]["control_plane"] = value;
+    std::string problem;
+    EXPECT_FALSE(Read(voter, &problem).has_value()) << value;
+    EXPECT_NE(problem.find("control_plane"), std::string::npos) << problem;
+  }
+  for (const json& port : {json(0), json(-1), json(65'535), json(70'000),
+                           json(1e300), json("7000")}) {
+    json voter = Voter();
+    voter["internal_port_range"] = {port, 7015};
+    std::string problem;
+    EXPECT_FALSE(Read(voter, &problem).has_value()) << port;
+  }
+}
+
 }  // namespace
 }  // namespace mimosastage::platform
