--- a/src/mimosastage/node/job_protocol.h
+++ b/src/mimosastage/node/job_protocol.h
@@ -30,8 +30,8 @@
     std::variant<IncomingCall, ReadinessRequest, MetricsRequest, HttpAnswer>;
 
 /// Translates between HTTP and the messages of jobs, because paths and field
-/// names differ between deployments. The hooks are stateless and run on the
-/// node's thread.
+/// names differ between deployments. The hooks keep no state but counts for the
+/// log, and run on the node's thread.
 struct JobProtocol {
   /// `listener` is the index in JobDaemon::Settings::listeners.
   std::function<DecodedRequest(const HttpRequest& request,
--- a/tests/platform/odd_numbers_test.cc
+++ b/tests/platform/odd_numbers_test.cc
@@ -202,6 +202,19 @@
   }
 }
 
+// Guards against a worker that is removed, and whose tasks are started again
+// while they run, because an answer names a start that no worker has yet.
+TEST_F(OddNumbersTest, DecodeReply_StartIsFarAheadOfTheClock_IsUnknown) {
+  const auto read = [](milliseconds born) {
+    return DecodeReply(
+               MakeResult(200, WithNumber(HoldBody(), "/born",
+                                          std::to_string(born.count()))))
+        .born_ms;
+  };
+  EXPECT_EQ(read(kWallTime), kWallTime.count());
+  EXPECT_EQ(read(milliseconds(253'402'214'400'000)), std::nullopt);
+}
+
 // Guards against tickets that are used after they have expired.
 TEST_F(OddNumbersTest, DecodeAdvice_ValidityOutOfRange_IsNone) {
   for (const char* number : {"1e300", "9223372036854775807", "-1"}) {
--- a/tests/platform/wire_test.cc
+++ b/tests/platform/wire_test.cc
@@ -138,6 +138,26 @@
                                              {"last_checkpoint", "saved"}}));
 }
 
+// Guards against an exception that ends the process: an earlier release stored
+// workers whose ids can't be written as JSON.
+TEST_F(WireTest, Encode_TextIsNotUtf8_BytesAreReplaced) {
+  jobs::AdviceRequest advice;
+  advice.step = "job.0.1";
+  advice.workers = {"i-1", "i\xff"};
+  const json body =
+      json::parse(EncodeAdvice(advice, "10.0.0.1", 8344).body, nullptr, false);
+  ASSERT_TRUE(body.is_object());
+  EXPECT_EQ(body["workers"][0], "i-1");
+  jobs::InstanceRequest move;
+  move.kind = jobs::InstanceRequest::Kind::kMove;
+  move.instance = "m\xff";
+  EXPECT_TRUE(json::accept(EncodeInstanceRequest(move, "10.0.0.1", 8344).body));
+  jobs::Answer answer;
+  answer.outcome = static_cast<std::uint8_t>(jobs::CallOutcome::kInvalid);
+  answer.text = "\xff";
+  EXPECT_TRUE(json::accept(EncodeAnswer(jobs::CallKind::kSubmit, answer).body));
+}
+
 TEST_F(WireTest, DecodeReply_Hold_ListsRunsAndEnds) {
   const jobs::WorkerReply reply = DecodeReply(MakeResult(
       200,
