--- a/tests/platform/wire_test.cc
+++ b/tests/platform/wire_test.cc
@@ -1,12 +1,9 @@
 #include <gtest/gtest.h>
 
-#include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
 
-#include "platform/platform_settings.h"
-#include "platform/wire_calls.h"
-#include "platform/wire_orders.h"
+#include "tests/platform/support/wire_messages.h"
 
 namespace mimosastage::platform {
 namespace {
@@ -16,18 +13,6 @@
 
 class WireTest : public ::testing::Test {
  protected:
-  static HttpRequest MakeRequest(const std::string& method,
-                                 const std::string& target,
-                                 const std::string& body = "") {
-    HttpRequest request;
-    request.method = method;
-    request.target = target;
-    request.body = body;
-    request.headers = {{"Host", "pule25.example:80"},
-                       {"Authorization", "Bearer secret"}};
-    return request;
-  }
-
   static jobs::Call DecodeCall(const HttpRequest& request, ListenerRole role) {
     DecodedRequest decoded = DecodeRequest(request, role);
     auto* call = std::get_if<IncomingCall>(&decoded);
@@ -40,27 +25,6 @@
     const auto* answer = std::get_if<HttpAnswer>(&decoded);
     return answer == nullptr ? 0 : answer->status;
   }
-
-  static ExchangeResult MakeResult(std::uint16_t status,
-                                   const std::string& body) {
-    ExchangeResult result;
-    result.id = 7;
-    result.answer.status = status;
-    result.answer.body = body;
-    return result;
-  }
-
-  static json Heartbeat() {
-    return json{{"service", "huvo11a"},
-                {"address", "10.128.0.9:8080"},
-                {"zone", "bogota"},
-                {"state", "ready"},
-                {"born", 1'000},
-                {"machine", "m-1"},
-                {"sequence", 4},
-                {"labels", {"a", "r1-3"}},
-                {"capacity", {{"cpu", 16'000}, {"memory_request_mb", 512}}}};
-  }
 };
 
 TEST_F(WireTest, Decode_Job_WireFieldsAreTranslated) {
@@ -174,6 +138,26 @@
                                              {"last_checkpoint", "saved"}}));
 }
 
+// Guards against an exception that ends the process: an earlier release stored
+// workers whose ids can't be written as JSON.
+TEST_F(WireTest, Encode_TextIsNotUtf8_BytesAreReplaced) {
+  jobs::AdviceRequest advice;
+  advice.step = "job.0.1";
+  advice.workers = {"i-1", "i\xff"};
+  const json body =
+      json::parse(EncodeAdvice(advice, "10.0.0.1", 8344).body, nullptr, false);
+  ASSERT_TRUE(body.is_object());
+  EXPECT_EQ(body["workers"][0], "i-1");
+  jobs::InstanceRequest move;
+  move.kind = jobs::InstanceRequest::Kind::kMove;
+  move.instance = "m\xff";
+  EXPECT_TRUE(json::accept(EncodeInstanceRequest(move, "10.0.0.1", 8344).body));
+  jobs::Answer answer;
+  answer.outcome = static_cast<std::uint8_t>(jobs::CallOutcome::kInvalid);
+  answer.text = "\xff";
+  EXPECT_TRUE(json::accept(EncodeAnswer(jobs::CallKind::kSubmit, answer).body));
+}
+
 TEST_F(WireTest, DecodeReply_Hold_ListsRunsAndEnds) {
   const jobs::WorkerReply reply = DecodeReply(MakeResult(
       200,
@@ -204,21 +188,10 @@
  protected:
   static std::optional<PlatformSettings> Read(const json& value,
                                               std::string* problem) {
-    const std::string file = ::testing::TempDir() + "platform_settings.json";
-    std::ofstream(file) << value.dump();
-    return ReadPlatformSettings(file, problem);
+    return ReadSettingsText(value.dump(), problem);
   }
 
-  static json Voter() {
-    return json{
-        {"node_name", "core-1"},
-        {"ip", "10.1.0.26"},
-        {"listen_addresses", {{"control_plane", "10.1.0.26:8345"}}},
-        {"internal_port_range", {7000, 7015}},
-        {"seed_nodes", {"10.1.0.26:8345", "10.2.0.18:8345", "10.3.0.28:8345"}},
-        {"bootstrap", true},
-        {"data_directory", "/data/core"}};
-  }
+  static json Voter() { return VoterSettings(); }
 };
 
 TEST_F(PlatformSettingsTest, Setup_SeedsInOtherOrder_SameVoters) {
@@ -289,5 +262,36 @@
   EXPECT_NE(problem.find("seed"), std::string::npos);
 }
 
+// Guards against a daemon that ends, or starts without its listeners, seeds or
+// ports, because a field of the file has another type; a reload reads the file
+// in a running daemon.
+TEST_F(PlatformSettingsTest, Read_FieldHasAnotherType_ProblemNamesIt) {
+  for (const json& value : {json(7), json(true), json("x"), json{{"a", 1}}}) {
+    for (const char* field :
+         {"internal_port_range", "seed_nodes", "listen_addresses"}) {
+      if (std::string_view(field) == "listen_addresses" && value.is_object()) {
+        continue;
+      }
+      json voter = Voter();
+      voter[field] = value;
+      std::string problem;
+      EXPECT_FALSE(Read(voter, &problem).has_value()) << field << value;
+      EXPECT_NE(problem.find(field), std::string::npos) << problem;
+    }
+    json voter = Voter();
+    voter["listen_addresses"]["control_plane"] = value;
+    std::string problem;
+    EXPECT_FALSE(Read(voter, &problem).has_value()) << value;
+    EXPECT_NE(problem.find("control_plane"), std::string::npos) << problem;
+  }
+  for (const json& port : {json(0), json(-1), json(65'535), json(70'000),
+                           json(1e300), json("7000")}) {
+    json voter = Voter();
+    voter["internal_port_range"] = {port, 7015};
+    std::string problem;
+    EXPECT_FALSE(Read(voter, &problem).has_value()) << port;
+  }
+}
+
 }  // namespace
 }  // namespace mimosastage::platform
