Keep a worker with runs when an upkeep's answer tells its end

Cause: an instance can be part of two waves. Both upkeeps of its vacant worker were ordered; the answer to the first removed the worker, which lived on (the platform had done it before) or came up again, announced itself and took tasks. The answer to the second order named the same incarnation, and gave up these runs.

UpkeepIsAnsweredLate_WorkerHasReturned_RunsGoOn fails on the code before: the worker is removed.

The change: the answer removes the worker only if it has no runs. Orders are given for vacant workers only, so one with runs has come back since, and its next hold or its successor tells whether it has ended.

--- a/src/mimosastage/jobs/dispatcher_instances.cc
+++ b/src/mimosastage/jobs/dispatcher_instances.cc
@@ -174,9 +174,11 @@
 
 void Dispatcher::RemoveEndedWorker(const OpenInstanceRequest& request,
                                    const char* reason, TimePoint now) {
-  const auto known = this->state.Workers().find(request.worker);
-  if (known != this->state.Workers().end() &&
-      known->second.born_ms == request.born_ms) {
+  // It was vacant when the request was ordered. If it has runs, it has
+  // announced itself again since, and only it can tell whether it has ended.
+  if (const auto found = this->sessions.find(request.worker);
+      found != this->sessions.end() &&
+      found->second.born_ms == request.born_ms && found->second.runs.empty()) {
     this->RemoveWorker(request.worker, reason, now);
   }
 }
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -519,6 +519,43 @@
   EXPECT_EQ(this->fleet.proposed_starts.size(), 1U);
 }
 
+// The same for a worker that the answer to another upkeep has removed although
+// it lives on, and that has announced itself and taken tasks again.
+TEST_F(DispatcherTest, UpkeepIsAnsweredLate_WorkerHasReturned_RunsGoOn) {
+  this->StartTermWithWorkers(1);
+  // Until then, an earlier leader's order may be open.
+  this->fleet.Advance(this->fleet.config.instance_lease);
+  for (const std::uint64_t number : {1U, 2U}) {
+    Command wave;
+    wave.wave = std::make_unique<Wave>();
+    wave.wave->number = number;
+    wave.wave->most_at_once = 1;
+    wave.wave->machines = {"machine-worker-0"};
+    this->fleet.state.Apply(wave);
+  }
+  this->fleet.Advance(milliseconds(500));
+  std::vector<InstanceReply> answers;
+  for (const InstanceRequest& request : this->fleet.instance_requests) {
+    if (request.kind == InstanceRequest::Kind::kUpkeep) {
+      answers.emplace_back().number = request.number;
+      answers.back().result = InstanceReply::Result::kOk;
+    }
+  }
+  ASSERT_EQ(answers.size(), 2U);
+  this->fleet.dispatcher->OnInstanceReply(answers[0], this->fleet.now);
+  ASSERT_FALSE(this->fleet.state.Workers().contains("worker-0"));
+  this->fleet.dispatcher->Announce(this->fleet.workers.at("worker-0").record, 2,
+                                   this->fleet.now, [] {});
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(200));
+  ASSERT_EQ(this->fleet.WorkersOf(TaskOf("job")),
+            std::vector<std::string>{"worker-0"});
+  this->fleet.dispatcher->OnInstanceReply(answers[1], this->fleet.now);
+  this->fleet.Advance(milliseconds(200));
+  EXPECT_TRUE(this->fleet.state.Workers().contains("worker-0"));
+  EXPECT_EQ(this->fleet.proposed_starts.size(), 1U);
+}
+
 TEST_F(DispatcherTest, Wave_LimitOfOne_BeginsOneUpkeepAtATime) {
   this->StartTermWithWorkers(3);
   Command command;
