Run random schedules of leaders, workers and the platform

Terms of leaders follow one another over one log as JobNode composes them, with a change at any moment that keeps a prefix of the open entries. Simulated workers follow the protocol: fencing token, lease by a clock that may be 2% slow, numbered ends, refused runs, holds that wait, stops that take time. Orders are lost, late by up to 12 s, overtaken or without an answer; workers crash, return under their id, are cut off, freeze, drain or fail all tasks; announcements are late; the platform answers upkeeps and moves late or not at all. What the workers see is checked for room, single runs, order of steps, attempts, quotas, cancels and checkpoints, and every job that can be done must end.

--- /dev/null
+++ b/tests/jobs/worker_schedules_test.cc
@@ -0,0 +1,133 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cstdlib>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "tests/jobs/support/worker_schedule.h"
+
+namespace mimosastage::jobs {
+namespace {
+
+std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+class WorkerSchedulesTest : public ::testing::Test {
+ protected:
+  using Make = std::function<WorkerSchedule(std::uint64_t seed)>;
+
+  /// Runs the seeds on 2 threads. The schedules share no state.
+  /// MIMOSASTAGE_SEED and MIMOSASTAGE_SCHEDULES select other seeds;
+  /// MIMOSASTAGE_SCHEDULE_TRACE writes each event to standard error.
+  void RunAll(const Make& make, std::uint64_t default_count) {
+    const std::uint64_t first = FromEnvironment("MIMOSASTAGE_SEED", 1);
+    const std::uint64_t count =
+        FromEnvironment("MIMOSASTAGE_SCHEDULES", default_count);
+    std::atomic<std::uint64_t> next = first;
+    const auto run = [&] {
+      for (auto seed = next++; seed < first + count; seed = next++) {
+        this->RunOne(make, seed);
+      }
+    };
+    std::array<std::thread, 2> threads{std::thread(run), std::thread(run)};
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+    this->Report(count);
+  }
+
+  void RunOne(const Make& make, std::uint64_t seed) {
+    WorkerSchedule schedule = make(seed);
+    const std::string failure = schedule.Run();
+    const std::lock_guard lock(this->mutex);
+    this->starts += schedule.Rules().Starts();
+    this->terms += schedule.Terms();
+    if (!failure.empty()) {
+      this->failures.push_back("seed " + std::to_string(seed) + ": " + failure);
+    }
+  }
+
+  void Report(std::uint64_t count) {
+    std::sort(this->failures.begin(), this->failures.end());
+    for (std::size_t i = 0; i < std::min<std::size_t>(this->failures.size(), 5);
+         ++i) {
+      ADD_FAILURE() << this->failures[i];
+    }
+    EXPECT_TRUE(this->failures.empty())
+        << this->failures.size() << " of " << count << " schedules failed; run "
+        << "one with MIMOSASTAGE_SEED=<seed> MIMOSASTAGE_SCHEDULES=1";
+    // Checks that the schedules did start tasks.
+    EXPECT_GT(this->starts, count * 50);
+  }
+
+  std::mutex mutex;
+  std::vector<std::string> failures;
+  std::uint64_t starts = 0;
+  std::uint64_t terms = 0;
+};
+
+// Guards against starts beyond a worker's room, two runs of one task, repeated
+// runs of tasks that were done, starts out of order, beyond attempts or quotas
+// or after a cancel, and jobs that never end.
+TEST_F(WorkerSchedulesTest, Scheduler_RandomFaults_KeepsRulesOfRuns) {
+  this->RunAll([](std::uint64_t seed) { return WorkerSchedule(seed); }, 150);
+}
+
+// The same while the platform answers upkeeps and moves late or not at all:
+// guards against the loss of runs of a worker that was born in between.
+TEST_F(WorkerSchedulesTest, Scheduler_PlatformIsSlow_KeepsRulesOfRuns) {
+  this->RunAll(
+      [](std::uint64_t seed) {
+        return WorkerSchedule(
+            seed, WorkerSchedule::Faults{.order_interval = 50,
+                                         .leaders_change = seed % 2 == 0,
+                                         .workers_crash = seed % 3 == 0,
+                                         .platform_acts = true});
+      },
+      250);
+}
+
+// The same while workers return under the id that they had, and orders for the
+// incarnation before arrive afterwards.
+TEST_F(WorkerSchedulesTest, Scheduler_IdsReturn_KeepsRulesOfRuns) {
+  this->RunAll(
+      [](std::uint64_t seed) {
+        return WorkerSchedule(
+            seed, WorkerSchedule::Faults{
+                      .order_interval = 4,
+                      .announcement_interval = seed % 2 == 0 ? 3U : 0U,
+                      .leaders_change = seed % 3 == 0,
+                      .workers_crash = true,
+                      .ids_return = true});
+      },
+      50);
+}
+
+// The same while workers are cut off and leaders change: guards against runs
+// that are given up before their worker's lease has lapsed.
+TEST_F(WorkerSchedulesTest, Scheduler_WorkersAreCutOff_KeepsRulesOfRuns) {
+  this->RunAll(
+      [](std::uint64_t seed) {
+        return WorkerSchedule(
+            seed, WorkerSchedule::Faults{.order_interval = 10,
+                                         .announcement_interval = 3,
+                                         .leaders_change = true,
+                                         .leaders_pause = seed % 2 == 0,
+                                         .log_stalls = seed % 3 == 0,
+                                         .workers_are_cut = true,
+                                         .workers_freeze = seed % 3 == 1,
+                                         .jobs_are_cancelled = true});
+      },
+      100);
+}
+
+}  // namespace
+}  // namespace mimosastage::jobs
