Acknowledge no ends to a worker that is silent

What callers saw: a task that had ended as done, and whose end was acknowledged, was started again.

Cause: a silent worker is asked about every 150 ms, and each hold carried the number of the last end that is durable. A worker may start again under the id that it had, and numbers its ends from 1. The expected id in the order doesn't tell the two incarnations apart, so the hold for the former one acknowledges ends of the next one, which the leader doesn't know. The worker drops them, the runs count as missing, and their tasks start again.

WorkerIsSilent_ReturnsUnderItsId_KeepsItsEnds fails on the code before. A worker that keeps the highest number that it was told would need no late order: the first hold after its birth suffices.

The change: a hold to a silent worker acknowledges nothing. Once the worker answers as the known incarnation, its holds do again. The fake worker of the tests now tells its birth in answers to holds, as real ones do.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -259,8 +259,10 @@
     // A hold to a silent worker carries no deadline. The worker might execute
     // it, so each deadline would extend the lease, which would never expire.
     hold.deadline = session.lease.HoldDeadline(now);
+    // Nor does it acknowledge ends. The worker may have ended, and the hold
+    // reach an incarnation with the same id, which numbers its ends anew.
+    hold.last_durable_end = session.last_durable_end;
   }
-  hold.last_durable_end = session.last_durable_end;
   const bool answer_immediately =
       !session.has_answered || session.unanswered_orders > 0 || session.leaving;
   if (!answer_immediately) {
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -556,6 +556,28 @@
   EXPECT_EQ(this->fleet.proposed_starts.size(), 1U);
 }
 
+// Guards against a task that runs again although the leader has acknowledged
+// that it is done: a worker started again under its id, numbered its ends from
+// 1, and was asked with the number of the last end of the incarnation before.
+TEST_F(DispatcherTest, WorkerIsSilent_ReturnsUnderItsId_KeepsItsEnds) {
+  this->StartTermWithWorkers(1);
+  this->fleet.Submit("first", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(100));
+  this->EndAllRuns(TaskOf("first"), RunOutcome::kDone);
+  FakeWorker& worker = this->fleet.workers.at("worker-0");
+  this->fleet.Advance(milliseconds(500));
+  ASSERT_TRUE(worker.ended.empty()) << "the end must be acknowledged";
+  worker.silent = true;
+  this->fleet.Advance(milliseconds(2'000));
+  ASSERT_GT(this->fleet.reports["worker_silent"], 0);
+  worker.record.born_ms += 10'000;
+  worker.ended = {EndedRun{1, TaskOf("second"), 1, RunOutcome::kDone, ""}};
+  worker.silent = false;
+  this->fleet.Advance(milliseconds(500));
+  ASSERT_GT(this->fleet.reports["other_incarnation_answered"], 0);
+  EXPECT_EQ(worker.ended.size(), 1U);
+}
+
 TEST_F(DispatcherTest, Wave_LimitOfOne_BeginsOneUpkeepAtATime) {
   this->StartTermWithWorkers(3);
   Command command;
--- a/tests/jobs/support/fake_fleet_leader.cc
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -280,6 +280,7 @@
     std::erase_if(worker.ended, [&](const EndedRun& end) {
       return end.number <= hold->last_durable_end;
     });
+    reply.born_ms = worker.record.born_ms;
     reply.ended = worker.ended;
     for (const auto& [key, began] : worker.running) {
       reply.running.push_back(RunningTask{key.first, key.second, "", 100, 0});
