--- a/tests/backend_servers/exchange_client_stress_test.cc
+++ b/tests/backend_servers/exchange_client_stress_test.cc
@@ -140,7 +140,7 @@
     if (end == std::string::npos) {
       return std::nullopt;
     }
-    const std::string_view head = std::string_view(input).substr(0, end + 2);
+    const std::string_view head{input.data(), end + 2};
     const auto value_of = [&](std::string_view name) {
       const std::size_t at = head.find(name);
       return at == std::string_view::npos
@@ -192,7 +192,7 @@
         connection.silent = true;
         return;
       case 4:
-        send("HTTP/9 \0 none\r\n\r\n" + std::string(this->Draw(200), '\xff'));
+        send("HTTP/9 none\r\n\r\n" + std::string(this->Draw(200), '\xff'));
         end(End::kClose);
         return;
       case 5:
--- a/tests/jobs/dispatcher_stress_test.cc
+++ b/tests/jobs/dispatcher_stress_test.cc
@@ -76,7 +76,7 @@
     return items[this->Draw(items.size())];
   }
 
-  void Propose(Command command) { this->state.Apply(command); }
+  void Propose(const Command& command) { this->state.Apply(command); }
 
   /// Adds a version with some of the pools and queues.
   void Configure() {
@@ -107,7 +107,7 @@
     next.teams.back()->name = "team";
     next.teams.back()->upper_limit = std::make_unique<Amount>();
     next.teams.back()->upper_limit->millicores = 6'000;
-    this->Propose(std::move(command));
+    this->Propose(command);
     if (this->dispatcher != nullptr) {
       this->dispatcher->OnChange("", this->now);
     }
@@ -271,7 +271,7 @@
       job.interval_ms = 500;
     }
     const std::string id = job.id;
-    this->Propose(std::move(command));
+    this->Propose(command);
     this->dispatcher->OnChange(id, this->now);
   }
 
@@ -279,7 +279,7 @@
     Command command;
     command.cancelled_job = "job-" + std::to_string(this->Draw(60));
     const std::string id = command.cancelled_job;
-    this->Propose(std::move(command));
+    this->Propose(command);
     this->dispatcher->OnChange(id, this->now);
   }
 
@@ -291,7 +291,7 @@
     for (int i = 0; i < 3; ++i) {
       command.wave->machines.push_back("instance-" + this->DrawWorkerId());
     }
-    this->Propose(std::move(command));
+    this->Propose(command);
   }
 
   void AnswerOrder() {
