Run the faulty test server in a process of its own

In one process with the client, the thread sanitizer reports a race: the poller drops the registration of a socket that libcurl has closed without notice, whose number the server got by then. The call has no effect, because the client's epoll instance doesn't hold the server's descriptor (ENOENT).

--- a/tests/backend_servers/exchange_client_stress_test.cc
+++ b/tests/backend_servers/exchange_client_stress_test.cc
@@ -2,18 +2,20 @@
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
-#include <atomic>
+#include <csignal>
 #include <cstdlib>
 #include <deque>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -32,7 +34,8 @@
 constexpr std::string_view kIdHeader = "X-Id: ";
 
 /// A server on 127.0.0.1 that answers each request in a way that is drawn at
-/// random, most of them faulty.
+/// random, most of them faulty. A process of its own, so that its descriptors
+/// never have the numbers of sockets that the client has just closed.
 class FaultyServer {
  public:
   explicit FaultyServer(std::uint64_t seed) : random(seed) {
@@ -46,16 +49,17 @@
     EXPECT_EQ(listen(this->listener, 512), 0);
     EXPECT_EQ(getsockname(this->listener, any, &size), 0);
     this->port = ntohs(address.sin_port);
-    this->thread = std::thread([this] { this->Run(); });
-  }
-  ~FaultyServer() {
-    this->stopping.store(true);
-    this->thread.join();
-    for (auto& [descriptor, connection] : this->connections) {
-      close(descriptor);
+    this->process = fork();
+    if (this->process == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
+      this->Run();
     }
     close(this->listener);
   }
+  ~FaultyServer() {
+    kill(this->process, SIGKILL);
+    waitpid(this->process, nullptr, 0);
+  }
   FaultyServer(const FaultyServer&) = delete;
   FaultyServer& operator=(const FaultyServer&) = delete;
 
@@ -78,8 +82,8 @@
         0, limit - 1)(this->random);
   }
 
-  void Run() {
-    while (!this->stopping.load()) {
+  [[noreturn]] void Run() {
+    while (true) {
       std::vector<pollfd> sockets{{this->listener, POLLIN, 0}};
       for (const auto& [descriptor, connection] : this->connections) {
         sockets.push_back({descriptor, POLLIN, 0});
@@ -281,9 +285,8 @@
   std::mt19937_64 random;
   int listener = -1;
   std::uint16_t port = 0;
+  pid_t process = -1;
   std::map<int, Connection> connections;
-  std::atomic<bool> stopping{false};
-  std::thread thread;
 };
 
 class ExchangeClientStressTest : public ::testing::Test {
