--- a/src/mimosastage/backend_servers/internal/socket_poller.h
+++ b/src/mimosastage/backend_servers/internal/socket_poller.h
@@ -29,8 +29,8 @@
   /// Replaces what the socket is watched for; with neither, it isn't watched.
   void Watch(int socket, bool read, bool write);
 
-  /// Must be called before the socket is closed, or before a new socket with its
-  /// number is watched.
+  /// Must be called before the socket is closed, or before a new socket with
+  /// its number is watched.
   void Forget(int socket);
 
   using Handler = std::function<void(const SocketEvent& event)>;
