Test the whole group of job daemons against workers under random faults

No test ran JobNode, its carriers and the log together against workers while daemons end at any moment. The schedules run three or five voters and one or two entries on a simulated clock, with links that break and are cut one way, disks that lose unsynced writes or everything, workers under leases on slow clocks, clients and an operator, and judge from the outside: LIMIT, TWICE, ORDER, REFUSED, UNASKED, LOST, MIXED, ONE, CONFIG, and that all jobs end.

ApplyToImage and TestDisk move to a header, unchanged, for use by both simulations.

--- /dev/null
+++ b/tests/node/job_group_schedules_test.cc
@@ -0,0 +1,393 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "tests/node/support/job_group.h"
+#include "tests/node/support/job_traffic.h"
+
+namespace mimosastage {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// After all faults, a task must begin in each span of this length until all
+/// jobs are complete. Covers the longest lease, a change of the leader, and the
+/// longest task.
+constexpr Duration kLongestPause = seconds(15);
+/// A job takes about 8 s of work, and a worker does about 3 tasks at once.
+constexpr std::uint64_t kWorkerMsPerJob = 2'600;
+
+std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+/// Random traffic and faults for one group. Deterministic for a given seed.
+class JobGroupSchedule {
+ public:
+  JobGroupSchedule(std::uint64_t seed, bool workers_keep_ids)
+      : random(seed),
+        group(this->GroupSettings(seed, workers_keep_ids)),
+        traffic(this->TrafficSettings(), this->group) {
+    this->fault_interval = 1 + this->Draw(6);
+    this->crash_loop = this->Draw(3) == 0;
+    // Not every schedule has each kind of fault.
+    this->kinds = this->random();
+  }
+
+  /// Returns a description of the failure, or an empty string.
+  std::string Run() {
+    this->group.Run(seconds(4));
+    const std::uint64_t steps = 20 + this->Draw(60);
+    for (std::uint64_t i = 0;
+         i < steps && this->group.rules.Violation().empty(); ++i) {
+      if (this->Draw(this->fault_interval) == 0) {
+        this->InjectFault();
+      }
+      this->group.Run(milliseconds(this->Draw(500)));
+    }
+    this->group.Heal();
+    this->traffic.EndSubmissions();
+    Duration last_start = this->group.events.Now();
+    std::size_t starts = 0;
+    while (this->group.rules.Violation().empty() && !this->Finished()) {
+      this->group.Run(milliseconds(100));
+      this->group.Heal();
+      if (std::exchange(starts, this->Starts()) != this->Starts()) {
+        last_start = this->group.events.Now();
+      }
+      if (this->group.events.Now() - last_start > kLongestPause) {
+        this->group.rules.Fail("FINISH: " + this->Unfinished(),
+                               this->group.events.Now());
+      }
+    }
+    return this->group.rules.Violation();
+  }
+
+  std::size_t Starts() const { return this->group.rules.Starts(); }
+  std::size_t Terms() const { return this->group.Terms(); }
+
+ private:
+  JobGroup::Settings GroupSettings(std::uint64_t seed, bool workers_keep_ids) {
+    JobGroup::Settings settings;
+    settings.workers_keep_ids = workers_keep_ids;
+    settings.voters = seed % 2 == 0 ? 3 : 5;
+    settings.entries = 1 + this->Draw(2);
+    settings.workers = 3 + this->Draw(6);
+    settings.seed = this->random();
+    settings.link_delay = milliseconds(this->Draw(4) == 0 ? 60 : 2);
+    settings.late_order = this->Draw(2) == 0 ? 0.02 : 0;
+    settings.lost_answer = this->Draw(2) == 0 ? 0.02 : 0;
+    settings.sync_stall = this->Draw(4) == 0 ? 0.005 : 0;
+    if (this->Draw(2) == 0) {
+      // Snapshots and entries that are split in short runs, too.
+      settings.limits.snapshot_entries = 24;
+      settings.limits.message_bytes = 4'096;
+      settings.limits.snapshot_part_bytes = 2'000;
+      settings.limits.command_bytes = 6'000;
+    }
+    if (this->Draw(4) == 0) {
+      settings.limits.pending_entries = 6;
+    }
+    if (std::getenv("MIMOSASTAGE_TRACE") != nullptr) {
+      settings.trace = [](const std::string& line) {
+        std::fprintf(stderr, "%s\n", line.c_str());
+      };
+    }
+    return settings;
+  }
+
+  JobTraffic::Settings TrafficSettings() {
+    JobTraffic::Settings settings;
+    settings.seed = this->random();
+    // From half to twice as much as the workers can do.
+    settings.job_interval =
+        milliseconds(kWorkerMsPerJob * (50 + this->Draw(150)) / 100 /
+                     this->group.Instances());
+    settings.configuration_bytes = this->Draw(3) == 0 ? 30'000 : 2'000;
+    settings.late_announcement = this->Draw(2) == 0 ? 0.05 : 0;
+    return settings;
+  }
+
+  std::uint64_t Draw(std::uint64_t bound) { return this->random() % bound; }
+  std::size_t DrawDaemon() { return this->Draw(this->group.Size()); }
+  std::size_t DrawVoter() { return this->Draw(this->group.Voters()); }
+
+  void InjectFault() {
+    if (this->crash_loop && this->Draw(2) == 0) {
+      return this->CrashLeader();
+    }
+    const std::uint64_t kind = this->Draw(16);
+    if (((this->kinds >> kind) & 1U) == 0) {
+      return;
+    }
+    switch (kind) {
+      case 0:
+        return this->CrashLeader();
+      case 1:
+        return this->Crash(this->DrawDaemon());
+      case 2:
+        return this->CrashAllVoters();
+      case 3:
+        return this->Freeze(this->DrawDaemon());
+      case 4:
+        return this->Freeze(this->group.Leader().value_or(0));
+      case 5:
+        return this->Isolate();
+      case 6:
+        return this->Split();
+      case 7:
+        return this->CutOneWay();
+      case 8:
+        return this->CutWorkers();
+      case 9:
+        return this->Stop(this->Draw(2) == 0 ? this->group.Leader().value_or(0)
+                                             : this->DrawDaemon());
+      case 10:
+        return this->group.FailDisk(this->DrawVoter());
+      case 11:
+        return this->LoseDisk();
+      case 12:
+        return this->group.KillWorker(this->Draw(this->group.Instances()));
+      case 13:
+        return this->KillWorkers();
+      case 14:
+        return this->group.StepWallClock(
+            this->DrawDaemon(), milliseconds(this->Draw(10'000)) - seconds(5));
+      default:
+        return this->CutSomeFromWorkers();
+    }
+  }
+
+  void After(Duration delay, std::function<void()> action) {
+    this->group.events.After(delay, std::move(action));
+  }
+  Duration UpTo(std::uint64_t longest_ms) {
+    return milliseconds(1 + this->Draw(longest_ms));
+  }
+
+  void RestartLater(std::size_t daemon) {
+    this->After(milliseconds(100 + this->Draw(1'500)),
+                [this, daemon] { this->group.Restart(daemon); });
+  }
+
+  /// The leader ends by itself, between two outputs or within one turn.
+  void CrashLeader() {
+    const auto leader = this->group.Leader();
+    if (!leader.has_value()) {
+      return;
+    }
+    if (this->Draw(2) == 0) {
+      this->group.CrashAfter(*leader, this->Draw(12));
+    } else {
+      this->group.Crash(*leader, this->Draw(3) == 0);
+    }
+    this->RestartLater(*leader);
+  }
+
+  void Crash(std::size_t daemon) {
+    this->group.Crash(daemon, this->Draw(2) == 0);
+    this->RestartLater(daemon);
+  }
+
+  void CrashAllVoters() {
+    for (std::size_t i = 0; i < this->group.Voters(); ++i) {
+      this->Crash(i);
+    }
+  }
+
+  void Freeze(std::size_t daemon) {
+    this->group.Freeze(daemon);
+    this->After(this->UpTo(this->Draw(2) == 0 ? 400 : 4'000),
+                [this, daemon] { this->group.Thaw(daemon); });
+  }
+
+  void CutFor(std::size_t from, std::size_t to, Duration duration) {
+    this->group.Cut(from, to, true);
+    this->After(duration,
+                [this, from, to] { this->group.Cut(from, to, false); });
+  }
+
+  void Isolate() {
+    const std::size_t daemon = this->DrawDaemon();
+    const Duration duration = this->UpTo(4'000);
+    for (std::size_t i = 0; i < this->group.Size(); ++i) {
+      if (this->Draw(4) > 0) {
+        this->CutFor(daemon, i, duration);
+        this->CutFor(i, daemon, duration);
+      }
+    }
+  }
+
+  void Split() {
+    const std::uint64_t side = this->random();
+    const Duration duration = this->UpTo(4'000);
+    for (std::size_t i = 0; i < this->group.Size(); ++i) {
+      for (std::size_t j = 0; j < this->group.Size(); ++j) {
+        if (((side >> i) & 1U) != ((side >> j) & 1U)) {
+          this->CutFor(i, j, duration);
+        }
+      }
+    }
+  }
+
+  void CutOneWay() {
+    this->CutFor(this->DrawDaemon(), this->DrawDaemon(), this->UpTo(4'000));
+  }
+
+  void CutFromInstance(std::size_t daemon, std::size_t instance,
+                       Duration duration) {
+    this->group.CutFromInstance(daemon, instance, true);
+    this->After(duration, [this, daemon, instance] {
+      this->group.CutFromInstance(daemon, instance, false);
+    });
+  }
+
+  /// Cuts some workers from all voters.
+  void CutWorkers() {
+    const Duration duration = this->UpTo(9'000);
+    for (std::size_t w = 0; w < this->group.Instances(); ++w) {
+      if (this->Draw(3) == 0) {
+        for (std::size_t i = 0; i < this->group.Voters(); ++i) {
+          this->CutFromInstance(i, w, duration);
+        }
+      }
+    }
+  }
+
+  /// Cuts some voters from some workers.
+  void CutSomeFromWorkers() {
+    const Duration duration = this->UpTo(6'000);
+    for (std::size_t w = 0; w < this->group.Instances(); ++w) {
+      for (std::size_t i = 0; i < this->group.Voters(); ++i) {
+        if (this->Draw(3) == 0) {
+          this->CutFromInstance(i, w, duration);
+        }
+      }
+    }
+  }
+
+  /// Many workers begin a new life at about the same time.
+  void KillWorkers() {
+    for (std::size_t w = 0; w < this->group.Instances(); ++w) {
+      if (this->Draw(3) > 0) {
+        this->group.KillWorker(w);
+      }
+    }
+  }
+
+  void Stop(std::size_t daemon) {
+    this->group.Stop(daemon);
+    this->After(seconds(5), [this, daemon] { this->group.Restart(daemon); });
+  }
+
+  void LoseDisk() {
+    const std::size_t voter = this->DrawVoter();
+    if (this->group.LoseDisk(voter)) {
+      this->RestartLater(voter);
+    }
+  }
+
+  bool Finished() {
+    const auto& jobs = this->group.rules.Jobs();
+    return std::none_of(jobs.begin(), jobs.end(), [](const auto& row) {
+      return JobRules::IsOpen(row.second);
+    });
+  }
+
+  std::string Unfinished() {
+    std::string list;
+    for (const auto& [id, job] : this->group.rules.Jobs()) {
+      if (JobRules::IsOpen(job)) {
+        list += " " + id;
+      }
+    }
+    return "not complete" + list;
+  }
+
+  std::mt19937_64 random;
+  JobGroup group;
+  JobTraffic traffic;
+  /// One in this many steps injects a fault, on average.
+  std::uint64_t fault_interval = 1;
+  /// The leaders end one after the other.
+  bool crash_loop = false;
+  std::uint64_t kinds = 0;
+};
+
+class JobGroupSchedulesTest : public ::testing::Test {
+ protected:
+  /// Runs the schedules that the environment selects, or `count` of them, and
+  /// checks that none fails.
+  void RunAll(std::uint64_t count) {
+    const std::uint64_t first = FromEnvironment("MIMOSASTAGE_SEED", 1);
+    count = FromEnvironment("MIMOSASTAGE_SCHEDULES", count);
+    std::atomic<std::uint64_t> next = first;
+    const auto run = [&] {
+      for (auto seed = next++; seed < first + count; seed = next++) {
+        this->RunOne(seed);
+      }
+    };
+    // The schedules share no state.
+    std::array<std::thread, 2> threads{std::thread(run), std::thread(run)};
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+    for (std::size_t i = 0;
+         i < std::min<std::size_t>(this->failures.size(), 20); ++i) {
+      ADD_FAILURE() << this->failures[i];
+    }
+    EXPECT_TRUE(this->failures.empty())
+        << this->failures.size() << " of " << count << " schedules failed; run "
+        << "one with MIMOSASTAGE_SEED=<seed> MIMOSASTAGE_SCHEDULES=1";
+    std::printf("%zu starts and %zu terms in %zu schedules\n",
+                this->starts.load(), this->terms.load(),
+                static_cast<std::size_t>(count));
+    // Checks that the schedules did start tasks and change leaders.
+    EXPECT_GT(this->starts, count * 20);
+    EXPECT_GE(this->terms, count);
+  }
+
+  void RunOne(std::uint64_t seed) {
+    JobGroupSchedule schedule(seed, this->workers_keep_ids);
+    const std::string failure = schedule.Run();
+    this->starts += schedule.Starts();
+    this->terms += schedule.Terms();
+    if (!failure.empty()) {
+      const std::lock_guard lock(this->mutex);
+      this->failures.push_back("seed " + std::to_string(seed) + ": " + failure);
+    }
+  }
+
+  bool workers_keep_ids = false;
+  std::mutex mutex;
+  std::vector<std::string> failures;
+  std::atomic<std::size_t> starts = 0;
+  std::atomic<std::size_t> terms = 0;
+};
+
+// Guards against starts above a worker's capacity (LIMIT), tasks that run twice
+// or after an end that was taken note of (TWICE), steps out of order, starts of
+// refused or cancelled jobs, acknowledged jobs and configurations that are
+// lost, and jobs that never end, while daemons end at any moment, lose power or
+// disks, freeze, and are cut off. MIMOSASTAGE_SEED and MIMOSASTAGE_SCHEDULES
+// select other schedules, MIMOSASTAGE_TRACE prints what the daemons report.
+TEST_F(JobGroupSchedulesTest, Group_RandomFaults_KeepsTheRulesOfJobs) {
+  this->RunAll(60);
+}
+
+}  // namespace
+}  // namespace mimosastage
--- /dev/null
+++ b/tests/node/support/job_traffic.h
@@ -0,0 +1,64 @@
+#ifndef MIMOSASTAGE_TESTS_NODE_SUPPORT_JOB_TRAFFIC_H_
+#define MIMOSASTAGE_TESTS_NODE_SUPPORT_JOB_TRAFFIC_H_
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "tests/node/support/job_group.h"
+
+namespace mimosastage {
+
+/// The callers of a group: clients that submit, cancel and look up jobs, an
+/// operator that sends configurations, and workers that announce themselves.
+class JobTraffic {
+ public:
+  struct Settings {
+    std::uint64_t seed = 0;
+    /// Mean interval between two jobs.
+    std::chrono::milliseconds job_interval{200};
+    std::chrono::milliseconds configuration_interval{3'000};
+    /// Longest text of a configuration.
+    std::size_t configuration_bytes = 2'000;
+    /// Probability that an announcement arrives up to 6 s late.
+    double late_announcement = 0;
+  };
+
+  JobTraffic(Settings settings, JobGroup& group);
+  JobTraffic(const JobTraffic&) = delete;
+  JobTraffic& operator=(const JobTraffic&) = delete;
+
+  /// Ends new submissions, cancels and configurations.
+  void EndSubmissions() { this->submits = false; }
+
+ private:
+  std::uint64_t Draw(std::uint64_t bound) { return this->random() % bound; }
+  std::size_t DrawEntry() {
+    return this->group.Voters() +
+           this->Draw(this->group.Size() - this->group.Voters());
+  }
+  std::size_t DrawVoter() { return this->Draw(this->group.Voters()); }
+
+  void SubmitNext();
+  void Submit(const std::string& id, int attempts);
+  void Cancel(const std::string& id, int attempts);
+  void LookUpNext();
+  jobs::Call MakeCall(jobs::CallKind kind, const std::string& job) const;
+  void ConfigureNext();
+  void Configure(std::uint64_t version, std::size_t bytes, int attempts);
+  void ReadConfigurationNext();
+  void AnnounceNext(std::size_t instance);
+  void Announce(std::size_t instance, JobRules::WorkerLife life, int attempts);
+
+  Settings settings;
+  JobGroup& group;
+  std::mt19937_64 random;
+  bool submits = true;
+  std::uint64_t last_job = 0;
+  std::uint64_t last_version = 0;
+};
+
+}  // namespace mimosastage
+
+#endif  // MIMOSASTAGE_TESTS_NODE_SUPPORT_JOB_TRAFFIC_H_
--- a/tests/replication/support/replication_group.cc
+++ b/tests/replication/support/replication_group.cc
@@ -53,49 +53,6 @@
 
 }  // namespace
 
-void ApplyToImage(DurableImage& image, DaemonId self, const DurableWrite& write,
-                  bool snapshot_only) {
-  const auto end = [&] { return image.snapshot_index + image.entries.size(); };
-  if (write.snapshot.has_value()) {
-    const LogIndex index = write.snapshot_index;
-    const bool fits = index <= end() && index > image.snapshot_index &&
-                      image.entries[index - image.snapshot_index - 1].view ==
-                          write.snapshot_view;
-    const auto keep_from =
-        fits ? image.entries.begin() +
-                   static_cast<std::ptrdiff_t>(index - image.snapshot_index)
-             : image.entries.end();
-    image.entries.erase(image.entries.begin(), keep_from);
-    image.snapshot = write.snapshot;
-    image.snapshot_index = index;
-    image.snapshot_view = write.snapshot_view;
-  }
-  if (snapshot_only) {
-    return;
-  }
-  if (write.truncate_from.has_value()) {
-    while (!image.entries.empty() && end() >= *write.truncate_from) {
-      image.entries.pop_back();
-    }
-  }
-  for (const LogEntry& entry : write.entries) {
-    image.entries.push_back(entry);
-  }
-  image.view = write.view.value_or(image.view);
-  image.last_normal_view =
-      write.last_normal_view.value_or(image.last_normal_view);
-  image.intact = write.intact.value_or(image.intact);
-  for (const auto& change : write.incarnations) {
-    if (change.first == self) {
-      image.starts = {change.second};
-      continue;
-    }
-    std::erase_if(image.incarnations,
-                  [&](const auto& item) { return item.first == change.first; });
-    image.incarnations.push_back(change);
-  }
-}
-
 ReplicationGroup::ReplicationGroup(std::size_t voters, std::size_t followers,
                                    std::uint64_t seed, std::size_t spares)
     : founders(voters),
--- a/tests/replication/support/replication_group.h
+++ b/tests/replication/support/replication_group.h
@@ -17,19 +17,10 @@
 #include "mimosastage/replication/membership_planner.h"
 #include "mimosastage/replication/replica.h"
 #include "mimosastage/replication/serving_lease.h"
+#include "tests/replication/support/test_disk.h"
 
 namespace mimosastage {
 
-/// The simulated disk of one voter: the synced state and the write in progress.
-struct TestDisk {
-  DurableImage synced;
-  std::optional<DurableWrite> unsynced;
-};
-
-/// Applies `write` to `image` as DataFolder does to its files.
-void ApplyToImage(DurableImage& image, DaemonId self, const DurableWrite& write,
-                  bool snapshot_only = false);
-
 /// Faults to simulate. Probabilities are per message, `sync_stall` per sync.
 struct TestFaults {
   double loss = 0;
