Show that tasks run twice and exceed workers when workers keep their ids

A worker that starts again under the id that it had accepts the orders that the leader means for the life before, because orders name only the id:

--- a/tests/node/job_group_schedules_test.cc
+++ b/tests/node/job_group_schedules_test.cc
@@ -46,6 +46,7 @@
     this->crash_loop = this->Draw(3) == 0;
     // Not every schedule has each kind of fault.
     this->kinds = this->random();
+    this->kills_workers = workers_keep_ids;
   }
 
   /// Returns a description of the failure, or an empty string.
@@ -130,6 +131,9 @@
     if (this->crash_loop && this->Draw(2) == 0) {
       return this->CrashLeader();
     }
+    if (this->kills_workers && this->Draw(2) == 0) {
+      return this->group.KillWorker(this->Draw(this->group.Instances()));
+    }
     const std::uint64_t kind = this->Draw(16);
     if (((this->kinds >> kind) & 1U) == 0) {
       return;
@@ -325,6 +329,7 @@
   std::uint64_t fault_interval = 1;
   /// The leaders end one after the other.
   bool crash_loop = false;
+  bool kills_workers = false;
   std::uint64_t kinds = 0;
 };
 
@@ -386,7 +391,15 @@
 // disks, freeze, and are cut off. MIMOSASTAGE_SEED and MIMOSASTAGE_SCHEDULES
 // select other schedules, MIMOSASTAGE_TRACE prints what the daemons report.
 TEST_F(JobGroupSchedulesTest, Group_RandomFaults_KeepsTheRulesOfJobs) {
-  this->RunAll(60);
+  this->RunAll(100);
+}
+
+// Guards against orders for a worker that the next worker under its id carries
+// out: it drops run ends that aren't recorded, and executes starts that the
+// leader takes for lost (TWICE, LIMIT).
+TEST_F(JobGroupSchedulesTest, Group_WorkersKeepTheirIds_KeepsTheRulesOfJobs) {
+  this->workers_keep_ids = true;
+  this->RunAll(100);
 }
 
 }  // namespace
--- a/tests/node/support/job_group.cc
+++ b/tests/node/support/job_group.cc
@@ -725,8 +725,7 @@
   Instance& at = this->instances[instance];
   ++at.lives;
   SimulatedWorker::Settings worker;
-  const std::uint64_t number =
-      this->settings.workers_keep_ids ? at.lives / 2 : at.lives;
+  const std::uint64_t number = this->settings.workers_keep_ids ? 0 : at.lives;
   worker.record.id =
       "worker-" + std::to_string(instance) + "-" + std::to_string(number);
   worker.record.born_ms = this->WallTime().count();
@@ -754,7 +753,8 @@
   at.worker->Die();
   at.worker.reset();
   at.held.clear();
-  this->events.After(this->RandomDelay(milliseconds(200), seconds(2)),
+  const auto longest = seconds(this->Draw(2) * 2) + milliseconds(100);
+  this->events.After(this->RandomDelay(milliseconds(20), longest),
                      [this, instance] { this->AddWorker(instance); });
 }
 
--- a/tests/node/support/job_group.h
+++ b/tests/node/support/job_group.h
@@ -38,7 +38,7 @@
     /// late, and that one is lost.
     double late_order = 0;
     double lost_answer = 0;
-    /// Every other life of a worker has the id of the one before.
+    /// All lives of a worker have one id.
     bool workers_keep_ids = false;
     /// Probability that a sync takes up to 2 s.
     double sync_stall = 0;
@@ -99,7 +99,7 @@
   bool Reachable(std::size_t daemon, std::size_t instance) const {
     return !this->instances[instance].cut_from.contains(daemon);
   }
-  /// Ends the worker on the instance, and begins another life there 0.2 to 2 s
+  /// Ends the worker on the instance, and begins another life there up to 2 s
   /// later.
   void KillWorker(std::size_t instance);
 
