Separate workers that keep their ids from those that also change their kind

A worker that starts again under its id and is of a smaller kind executes a start that the leader meant for the life before; until the new life announces itself nobody knows its capacity, and orders name only the id.

--- a/tests/node/support/job_group.h
+++ b/tests/node/support/job_group.h
@@ -40,6 +40,8 @@
     double lost_answer = 0;
     /// All lives of a worker have one id.
     bool workers_keep_ids = false;
+    /// A life may be of another kind than the one before.
+    bool workers_change_kind = true;
     /// Probability that a sync takes up to 2 s.
     double sync_stall = 0;
     std::function<void(const std::string& line)> trace;
