Cover the ends of runs only at the worker that has listed them

What callers saw: a task that had ended as done, and whose end was taken note of, was started again seconds later (TWICE).

Cause: each hold carried the number of the last recorded end. A worker that starts again under the id that it had counts its ends from 1; a hold for the life before made it drop an end with a lower number that nobody had recorded. The leader then learned of the new life, took the run for lost and started the task again.

Why this works: a hold covers ends only while the worker answers and until one answered hold has covered them. A hold on its way to a new life, which comes after at least one silence or without new ends, carries 0.

Evidence: Group_WorkersKeepTheirIds_KeepsTheRulesOfJobs.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -260,7 +260,12 @@
     // it, so each deadline would extend the lease, which would never expire.
     hold.deadline = session.lease.HoldDeadline(now);
   }
-  hold.last_durable_end = session.last_durable_end;
+  // Another incarnation may live under the worker's id by now and count its run
+  // ends from 1 again. It must not drop ends that aren't recorded.
+  if (session.unanswered_orders == 0 &&
+      session.last_durable_end > session.last_dropped_end) {
+    hold.last_durable_end = session.last_durable_end;
+  }
   const bool answer_immediately =
       !session.has_answered || session.unanswered_orders > 0 || session.leaving;
   if (!answer_immediately) {
@@ -275,7 +280,9 @@
   order.fresh_connection = session.unanswered_orders > 0;
   order.body = hold;
   session.hold_open = true;
-  this->Send(id, session, OpenOrder{.sent = now}, std::move(order));
+  this->Send(id, session,
+             OpenOrder{.sent = now, .last_durable_end = hold.last_durable_end},
+             std::move(order));
 }
 
 void Dispatcher::OnReply(const WorkerReply& reply, TimePoint now) {
@@ -343,6 +350,8 @@
   }
   session.unanswered_orders = 0;
   session.leaving = false;
+  session.last_dropped_end =
+      std::max(session.last_dropped_end, order.last_durable_end);
   if (this->state.Crashes().FindUnsettled(id, session.born_ms) != nullptr) {
     this->Settle(id, session.born_ms, false);
   }
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -204,6 +204,8 @@
     unsigned unanswered_orders = 0;
     /// Run ends of the worker up to this number are durable in the log.
     std::uint64_t last_durable_end = 0;
+    /// The worker has dropped its run ends up to this number.
+    std::uint64_t last_dropped_end = 0;
     bool hold_open = false;
     /// Run ends of the last answer aren't durable yet; no hold is sent until
     /// they are.
@@ -239,6 +241,8 @@
     RunStage stage = RunStage::kStarting;
     TimePoint sent{};
     std::chrono::milliseconds timeout{0};
+    /// HoldOrder::last_durable_end.
+    std::uint64_t last_durable_end = 0;
   };
 
   /// A worker that fell silent at some time from `alive_until` to `noticed`.
