Stop runs that the next worker under an id may have started

What callers saw: two runs of a task at once, a second run after an end (TWICE), and starts above a worker's capacity (LIMIT), soon after workers were replaced.

Cause: orders name only the worker's id. A start is executed by the next worker under the id while the leader still takes it for the one before. The leader then learned of the new life, took all runs for lost, and started their tasks elsewhere or in the room that they take.

Why this works: runs that the former life has never listed, or whose start was repeated, are carried over to the new life, logged there, and stopped. The worker then refuses starts that are still on their way, and the run ends when its end is listed, as done if it was. A hold that the next life answers counts as unanswered until that life announces itself, which tells its capacity; the lease is taken for the longest that a worker grants, because the deadline was meant for another clock. Such a run counts as uncertain in the record of the crash.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -149,8 +149,10 @@
     }
     replaced.push_back(known->id);
   }
+  std::vector<RunKey> uncertain;
   for (const std::string& id : replaced) {
-    this->RemoveWorker(id, "replaced by a later incarnation", now);
+    this->RemoveWorker(id, "replaced by a later incarnation", now,
+                       id == worker.id ? &uncertain : nullptr);
   }
   this->ConfirmCrashes(worker);
   const auto known = this->state.Workers().find(worker.id);
@@ -191,6 +193,25 @@
   this->hooks.propose(
       std::move(command),
       [acknowledge = std::move(acknowledge)](TimePoint) { acknowledge(); });
+  this->StopOnThisIncarnation(worker.id, session, uncertain);
+}
+
+void Dispatcher::StopOnThisIncarnation(const std::string& id, Session& session,
+                                       const std::vector<RunKey>& runs) {
+  for (const RunKey& key : runs) {
+    this->hooks.report("run_may_be_on_next_incarnation", ToString(key.first),
+                       id);
+    session.lease.AssumeLongest();
+    Run run = this->MakeRun(key.first);
+    run.stage = RunStage::kStopping;
+    run.start_sent = true;
+    run.unlisted = true;
+    this->AddToSums(session, run);
+    session.runs.emplace(key, std::move(run));
+    // In this order, the task has an active run all the while.
+    this->hooks.propose(this->MakeRunStart(key, id, session.born_ms), {});
+    this->hooks.propose(MakeRunEnd(key, RunOutcome::kLost, ""), {});
+  }
 }
 
 void Dispatcher::OnWorkerLeaving(const std::string& worker, TimePoint now) {
@@ -204,19 +225,32 @@
 }
 
 void Dispatcher::RemoveWorker(const std::string& id, const char* reason,
-                              TimePoint now) {
+                              TimePoint now, std::vector<RunKey>* uncertain) {
   const auto found = this->sessions.find(id);
   if (found == this->sessions.end()) {
     return;
   }
   Session& session = found->second;
   this->hooks.report("worker_gone", id, reason);
+  if (uncertain != nullptr) {
+    for (auto& [key, run] : session.runs) {
+      // Such a run is weak evidence for the cause of the end.
+      run.unlisted |= run.MayReachNextIncarnation();
+    }
+  }
   if (!session.runs.empty() && !this->EndWasPlanned(id, session)) {
     this->OnWorkerCrashed(id, session, reason, true, now);
   }
   while (!session.runs.empty()) {
-    const RunKey key = session.runs.begin()->first;
-    this->EndRun(id, session, key, RunOutcome::kLost, "", now);
+    const auto& [key, run] = *session.runs.begin();
+    if (uncertain != nullptr && run.unlisted) {
+      uncertain->push_back(key);
+      this->LeaveStartWindow(session.runs.begin()->second);
+      this->SubtractFromSums(session, run);
+      session.runs.erase(session.runs.begin());
+    } else {
+      this->EndRun(id, session, RunKey(key), RunOutcome::kLost, "", now);
+    }
   }
   Command command;
   command.worker_gone = std::make_unique<WorkerGone>();
@@ -298,14 +332,25 @@
   }
   const std::string id = found->first;
   Session& session = found->second;
-  if (reply.result == OrderResult::kOtherIncarnation ||
-      (reply.born_ms.has_value() && *reply.born_ms > session.born_ms)) {
+  const bool next_under_id = reply.result != OrderResult::kOtherIncarnation &&
+                             reply.born_ms.has_value() &&
+                             *reply.born_ms > session.born_ms;
+  if (reply.result == OrderResult::kOtherIncarnation || next_under_id) {
     const std::string answered =
         reply.born_ms.has_value() ? std::to_string(*reply.born_ms) : "unknown";
     this->hooks.report("other_incarnation_answered", id,
                        "order " + std::to_string(reply.number) + ", born " +
                            answered + ", expected " +
                            std::to_string(session.born_ms));
+    if (next_under_id && !order.run.has_value()) {
+      // It may have executed starts that were meant for the one before, and its
+      // capacity isn't known. Its announcement tells, or its lease ends.
+      session.hold_open = false;
+      session.lease.AssumeLongest();
+      this->CountUnanswered(id, session, "hold", reply.result, order, now);
+      this->ScheduleHold(session, now + this->config.retry_delay);
+      return;
+    }
     this->RemoveWorker(id, "another incarnation answered", now);
     return;
   }
@@ -485,6 +530,7 @@
     }
     Run& run = found->second;
     run.unlisted = false;
+    run.listed = true;
     run.ready = !run.step->long_running || task.percent >= 100;
     run.load = task.load;
     run.percent = task.percent;
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -175,6 +175,8 @@
     /// An earlier leader logged the start, and the worker hasn't listed the run
     /// in this term.
     bool unlisted = false;
+    /// The worker has listed the run in this term.
+    bool listed = false;
     /// Since when the worker is known to execute the run.
     std::optional<TimePoint> running_since;
     unsigned attempts = 0;
@@ -189,6 +191,13 @@
     std::uint32_t percent = 0;
     std::int64_t load = 0;
     std::uint32_t pace = 100;
+
+    /// A start order may still reach, or have reached, the next incarnation
+    /// under the worker's id.
+    bool MayReachNextIncarnation() const {
+      return this->unlisted || (this->start_sent && !this->listed) ||
+             this->attempts > 1;
+    }
   };
 
   struct Session {
@@ -310,7 +319,15 @@
   /// Returns the known workers that have the id, the address or the instance of
   /// `worker`, in the order of their ids.
   std::vector<const Worker*> WorkersLike(const Worker& worker);
-  void RemoveWorker(const std::string& id, const char* reason, TimePoint now);
+  /// Ends the worker's session and its runs. With `uncertain`, the runs that
+  /// may be on the next incarnation under the worker's id don't end, but are
+  /// appended there.
+  void RemoveWorker(const std::string& id, const char* reason, TimePoint now,
+                    std::vector<RunKey>* uncertain = nullptr);
+  /// Stops runs that `uncertain` of RemoveWorker names on this incarnation, so
+  /// that it refuses start orders for them that are still on their way.
+  void StopOnThisIncarnation(const std::string& id, Session& session,
+                             const std::vector<RunKey>& runs);
   void SendHold(const std::string& id, Session& session, TimePoint now);
   void OnHold(const std::string& id, Session& session, const OpenOrder& order,
               const WorkerReply& reply, TimePoint now);
@@ -390,6 +407,9 @@
   void StopEndedJobs(TimePoint now);
   void StopJob(const std::string& job, TimePoint now);
   Run MakeRun(const TaskId& task) const;
+  /// Makes the log command that records the start of a run.
+  Command MakeRunStart(const RunKey& key, const std::string& worker,
+                       std::int64_t born_ms) const;
   /// Makes the log command that records the end of a run.
   static Command MakeRunEnd(const RunKey& key, RunOutcome outcome,
                             const std::string& checkpoint);
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -38,19 +38,10 @@
   this->start_window.OnOpened();
   this->admission.OnStart(this->last_placement);
   session.runs.emplace(key, std::move(run));
-  Command command;
-  command.start = std::make_unique<RunStart>();
-  command.start->job = task.job;
-  command.start->occurrence = task.occurrence;
-  command.start->step = task.step;
-  command.start->index = task.index;
-  command.start->run = number;
-  command.start->worker = worker;
-  command.start->born_ms = session.born_ms;
-  command.start->at_ms = this->hooks.wall_time().count();
   const std::int64_t born_ms = session.born_ms;
   this->hooks.propose(
-      std::move(command), [this, worker, born_ms, key](TimePoint at) {
+      this->MakeRunStart(key, worker, born_ms),
+      [this, worker, born_ms, key](TimePoint at) {
         const auto found = this->sessions.find(worker);
         if (found == this->sessions.end() || found->second.born_ms != born_ms) {
           return;
@@ -277,6 +268,21 @@
   }
 }
 
+Command Dispatcher::MakeRunStart(const RunKey& key, const std::string& worker,
+                                 std::int64_t born_ms) const {
+  Command command;
+  command.start = std::make_unique<RunStart>();
+  command.start->job = key.first.job;
+  command.start->occurrence = key.first.occurrence;
+  command.start->step = key.first.step;
+  command.start->index = key.first.index;
+  command.start->run = key.second;
+  command.start->worker = worker;
+  command.start->born_ms = born_ms;
+  command.start->at_ms = this->hooks.wall_time().count();
+  return command;
+}
+
 Command Dispatcher::MakeRunEnd(const RunKey& key, RunOutcome outcome,
                                const std::string& checkpoint) {
   Command command;
--- a/src/mimosastage/jobs/worker_lease.cc
+++ b/src/mimosastage/jobs/worker_lease.cc
@@ -51,10 +51,10 @@
   };
   if (!this->clock.has_value()) {
     return at_least(this->takeover_at) >
-           this->config.length + this->config.slack;
+           this->config.length + this->extra + this->config.slack;
   }
   return *this->clock + at_least(this->clock_read_at) >
-         this->latest_deadline + this->config.slack;
+         this->latest_deadline + this->extra + this->config.slack;
 }
 
 }  // namespace mimosastage::jobs
--- a/src/mimosastage/jobs/worker_lease.h
+++ b/src/mimosastage/jobs/worker_lease.h
@@ -17,6 +17,8 @@
     /// Duration of the lease that an order requests. Covers a hold that the
     /// worker delays by 1 s and a leader change of 2 s.
     std::chrono::milliseconds length{4'500};
+    /// Workers shorten longer leases to this.
+    std::chrono::milliseconds longest{6'000};
     /// The worker refuses a start order that arrives later than this.
     std::chrono::milliseconds start_window{2'500};
     /// Lower bound of the rate of a worker's clock relative to real time.
@@ -39,6 +41,12 @@
   std::optional<std::chrono::milliseconds> HoldDeadline(TimePoint now);
   std::optional<std::chrono::milliseconds> StartDeadline(TimePoint now);
 
+  /// Must be called if the worker may have taken a deadline that was meant for
+  /// the clock of an earlier incarnation.
+  void AssumeLongest() {
+    this->extra = this->config.longest - this->config.length;
+  }
+
   /// True if no run that this or an earlier leader started can still be active.
   bool Expired(TimePoint now) const;
 
@@ -52,6 +60,8 @@
   std::optional<std::chrono::milliseconds> clock;
   TimePoint clock_read_at{};
   std::chrono::milliseconds latest_deadline{0};
+  /// By how much a lease may be longer than `latest_deadline` tells.
+  std::chrono::milliseconds extra{0};
 };
 
 }  // namespace mimosastage::jobs
