Start nothing on a worker that lists unknown runs

What callers saw: starts above a worker's capacity (LIMIT). Cause: a listed run that the leader doesn't know was stopped, but its room counted as free until it had ended. Why this works: such a worker gets no tasks, and logged starts for it aren't sent, until a list names no such run.

Evidence: UnknownRunIsListed_NothingStartsUntilItHasEnded fails without it.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -266,7 +266,8 @@
 
 bool Dispatcher::AcceptsTasks(const Session& session) const {
   return session.has_answered && session.unanswered_orders == 0 &&
-         !session.draining && !session.leaving && !session.reserved.has_value();
+         session.strays == 0 && !session.draining && !session.leaving &&
+         !session.reserved.has_value();
 }
 
 void Dispatcher::Send(const std::string& id, Session& session, OpenOrder open,
@@ -506,6 +507,7 @@
                                const OpenOrder& order, const WorkerReply& reply,
                                TimePoint now) {
   std::set<RunKey> listed;
+  const bool had_strays = std::exchange(session.strays, 0) > 0;
   for (const RunningTask& task : reply.running) {
     const RunKey key{task.task, task.run};
     listed.insert(key);
@@ -518,6 +520,7 @@
       if (!ending) {
         // A start order of an earlier leader that was executed late, or a run
         // whose job no longer exists.
+        ++session.strays;
         this->hooks.report("stray_run_stopped", ToString(key.first), id);
         WorkerOrder stop;
         stop.body = StopOrder{key.first, key.second};
@@ -541,6 +544,7 @@
       this->LeaveStartWindow(run);
     }
   }
+  this->placement_needed |= had_strays && session.strays == 0;
   if (reply.ended.size() >= kEndsPerAnswer) {
     return;
   }
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -231,6 +231,8 @@
     /// While the worker is silent: it had not ended before this time.
     TimePoint alive_until{};
     std::map<RunKey, Run> runs;
+    /// Runs in the worker's last list that aren't in `runs`. They take room.
+    std::size_t strays = 0;
     /// Sums over `runs`; see AddToSums.
     Amount used;
     std::size_t fillers = 0;
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -54,6 +54,7 @@
         const bool wanted =
             run->second.stage == RunStage::kLogging && job != nullptr &&
             !job->Ended() && !found->second.draining &&
+            found->second.strays == 0 &&
             this->IsWithinCapacity(worker, found->second, run->second);
         if (!wanted) {
           // The start was never sent, so the run can end immediately.
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -527,6 +527,25 @@
   EXPECT_EQ(this->fleet.RunningTasks(), 4U);
 }
 
+// Guards against starts beside a run that the leader doesn't know and that
+// takes room until it has ended.
+TEST_F(WorkerCapacityTest, UnknownRunIsListed_NothingStartsUntilItHasEnded) {
+  FakeWorker& worker = this->fleet.workers.at("worker-0");
+  this->fleet.log_stalled = true;
+  this->fleet.Submit("job", "render", {MakeStep(4, 1'000)});
+  this->fleet.Advance(milliseconds(10));
+  worker.running.emplace(std::pair(TaskOf("unknown"), 1U), 0);
+  for (int i = 0; i < 100 && !worker.running.empty(); ++i) {
+    // The logged starts become durable when the worker has just listed the run.
+    this->fleet.log_stalled = this->fleet.reports["stray_run_stopped"] == 0;
+    this->fleet.Advance(milliseconds(10));
+  }
+  EXPECT_EQ(this->fleet.reports["stray_run_stopped"], 1);
+  EXPECT_TRUE(this->fleet.starts.empty());
+  this->fleet.Advance(milliseconds(300));
+  EXPECT_EQ(this->fleet.RunningTasks(), 4U);
+}
+
 // Guards against logged starts that are sent although the capacity has shrunk
 // since they were placed.
 TEST_F(WorkerCapacityTest, Announce_ShrinksBeforeStartsAreDurable_HeldBack) {
