Don't blame a run for a crash if its only start was refused

What callers saw: an accepted job that was shown as failed although none of its tasks had ever begun (LOST). Cause: workers had been replaced by others with new ids; each refused the job's start as meant for another incarnation, and the run counted as one that may have crashed the worker. After two such answers the job was given up. Why this works: the only start order of such a run was refused, so it is left out of the record.

Evidence: NextIncarnationsRefuseStarts_JobIsNotGivenUp failed before (phase failed, no start executed).

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -352,6 +352,16 @@
       this->ScheduleHold(session, now + this->config.retry_delay);
       return;
     }
+    if (order.run.has_value()) {
+      if (const auto run = session.runs.find(*order.run);
+          run != session.runs.end() &&
+          run->second.stage == RunStage::kStarting &&
+          run->second.attempts == 1) {
+        // The only start order was refused, so the run can't have caused the
+        // end of the worker.
+        run->second.start_sent = false;
+      }
+    }
     this->RemoveWorker(id, "another incarnation answered", now);
     return;
   }
--- a/tests/jobs/dispatcher_crash_test.cc
+++ b/tests/jobs/dispatcher_crash_test.cc
@@ -256,6 +256,23 @@
   EXPECT_EQ(this->PhaseOf("job"), JobPhase::kCompleted);
 }
 
+// Guards against a job that is given up although none of its tasks ever began:
+// workers were replaced, and refuse its starts as meant for another
+// incarnation.
+TEST_F(DispatcherCrashTest, NextIncarnationsRefuseStarts_JobIsNotGivenUp) {
+  this->StartTermWithWorkers(5);
+  this->fleet.delay_hold_answers = true;
+  this->fleet.Advance(milliseconds(100));
+  for (int i = 0; i < 4; ++i) {
+    this->fleet.workers.at("worker-" + std::to_string(i)).replaced = true;
+  }
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_GE(this->fleet.starts.size(), 1U);
+  EXPECT_EQ(this->PhaseOf("job"), JobPhase::kRunning);
+  EXPECT_EQ(this->fleet.RunningTasks(), 1U);
+}
+
 // Guards against a planned end that counts as a crash.
 TEST_F(DispatcherCrashTest, WorkersDrainAndEnd_JobIsNotGivenUp) {
   this->StartTermWithWorkers(5);
--- a/tests/jobs/support/fake_fleet_leader.cc
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -236,6 +236,10 @@
     reply.result = OrderResult::kRefused;
     return reply;
   }
+  if (worker.replaced) {
+    reply.result = OrderResult::kOtherIncarnation;
+    return reply;
+  }
   if (worker.silent) {
     return reply;
   }
