--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -158,8 +158,10 @@
     }
     replaced.push_back(known->id);
   }
+  std::vector<RunKey> uncertain;
   for (const std::string& id : replaced) {
-    this->RemoveWorker(id, "replaced by a later incarnation", now);
+    this->RemoveWorker(id, "replaced by a later incarnation", now,
+                       id == worker.id ? &uncertain : nullptr);
   }
   this->ConfirmCrashes(worker);
   const auto known = this->state.Workers().find(worker.id);
@@ -201,6 +203,25 @@
   this->hooks.propose(
       std::move(command),
       [acknowledge = std::move(acknowledge)](TimePoint) { acknowledge(); });
+  this->StopOnThisIncarnation(worker.id, session, uncertain);
+}
+
+void Dispatcher::StopOnThisIncarnation(const std::string& id, Session& session,
+                                       const std::vector<RunKey>& runs) {
+  for (const RunKey& key : runs) {
+    this->hooks.report("run_may_be_on_next_incarnation", ToString(key.first),
+                       id);
+    session.lease.AssumeLongest();
+    Run run = this->MakeRun(key.first);
+    run.stage = RunStage::kStopping;
+    run.start_sent = true;
+    run.unlisted = true;
+    this->AddToSums(session, run);
+    session.runs.emplace(key, std::move(run));
+    // In this order, the task has an active run all the while.
+    this->hooks.propose(this->MakeRunStart(key, id, session.born_ms), {});
+    this->hooks.propose(MakeRunEnd(key, RunOutcome::kLost, ""), {});
+  }
 }
 
 void Dispatcher::OnWorkerLeaving(const std::string& worker, TimePoint now) {
@@ -214,19 +235,32 @@
 }
 
 void Dispatcher::RemoveWorker(const std::string& id, const char* reason,
-                              TimePoint now) {
+                              TimePoint now, std::vector<RunKey>* uncertain) {
   const auto found = this->sessions.find(id);
   if (found == this->sessions.end()) {
     return;
   }
   Session& session = found->second;
   this->hooks.report("worker_gone", id, reason);
+  if (uncertain != nullptr) {
+    for (auto& [key, run] : session.runs) {
+      // Such a run is weak evidence for the cause of the end.
+      run.unlisted |= run.MayReachNextIncarnation();
+    }
+  }
   if (!session.runs.empty() && !this->EndWasPlanned(id, session)) {
     this->OnWorkerCrashed(id, session, reason, true, now);
   }
   while (!session.runs.empty()) {
-    const RunKey key = session.runs.begin()->first;
-    this->EndRun(id, session, key, RunOutcome::kLost, "", now);
+    const auto& [key, run] = *session.runs.begin();
+    if (uncertain != nullptr && run.unlisted) {
+      uncertain->push_back(key);
+      this->LeaveStartWindow(session.runs.begin()->second);
+      this->SubtractFromSums(session, run);
+      session.runs.erase(session.runs.begin());
+    } else {
+      this->EndRun(id, session, RunKey(key), RunOutcome::kLost, "", now);
+    }
   }
   Command command;
   command.worker_gone = std::make_unique<WorkerGone>();
@@ -242,7 +276,8 @@
 
 bool Dispatcher::AcceptsTasks(const Session& session) const {
   return session.has_answered && session.unanswered_orders == 0 &&
-         !session.draining && !session.leaving && !session.reserved.has_value();
+         session.strays == 0 && !session.draining && !session.leaving &&
+         !session.reserved.has_value();
 }
 
 void Dispatcher::Send(const std::string& id, Session& session, OpenOrder open,
@@ -269,8 +304,11 @@
     // A hold to a silent worker carries no deadline. The worker might execute
     // it, so each deadline would extend the lease, which would never expire.
     hold.deadline = session.lease.HoldDeadline(now);
-    // Nor does it acknowledge ends. The worker may have ended, and the hold
-    // reach an incarnation with the same id, which numbers its ends anew.
+  }
+  // Another incarnation may live under the worker's id by now and count its run
+  // ends from 1 again. It must not drop ends that aren't recorded.
+  if (session.unanswered_orders == 0 &&
+      session.last_durable_end > session.last_dropped_end) {
     hold.last_durable_end = session.last_durable_end;
   }
   const bool answer_immediately =
@@ -287,7 +325,9 @@
   order.fresh_connection = session.unanswered_orders > 0;
   order.body = hold;
   session.hold_open = true;
-  this->Send(id, session, OpenOrder{.sent = now}, std::move(order));
+  this->Send(id, session,
+             OpenOrder{.sent = now, .last_durable_end = hold.last_durable_end},
+             std::move(order));
 }
 
 void Dispatcher::OnReply(const WorkerReply& reply, TimePoint now) {
@@ -303,15 +343,36 @@
   }
   const std::string id = found->first;
   Session& session = found->second;
-  if (reply.result == OrderResult::kOtherIncarnation ||
-      (reply.born_ms.has_value() && IsPlausibleStart(*reply.born_ms) &&
-       *reply.born_ms > session.born_ms)) {
+  const bool next_under_id = reply.result != OrderResult::kOtherIncarnation &&
+                             reply.born_ms.has_value() &&
+                             IsPlausibleStart(*reply.born_ms) &&
+                             *reply.born_ms > session.born_ms;
+  if (reply.result == OrderResult::kOtherIncarnation || next_under_id) {
     const std::string answered =
         reply.born_ms.has_value() ? std::to_string(*reply.born_ms) : "unknown";
     this->hooks.report("other_incarnation_answered", id,
                        "order " + std::to_string(reply.number) + ", born " +
                            answered + ", expected " +
                            std::to_string(session.born_ms));
+    if (next_under_id && !order.run.has_value()) {
+      // It may have executed starts that were meant for the one before, and its
+      // capacity isn't known. Its announcement tells, or its lease ends.
+      session.hold_open = false;
+      session.lease.AssumeLongest();
+      this->CountUnanswered(id, session, "hold", reply.result, order, now);
+      this->ScheduleHold(session, now + this->config.retry_delay);
+      return;
+    }
+    if (order.run.has_value()) {
+      if (const auto run = session.runs.find(*order.run);
+          run != session.runs.end() &&
+          run->second.stage == RunStage::kStarting &&
+          run->second.attempts == 1) {
+        // The only start order was refused, so the run can't have caused the
+        // end of the worker.
+        run->second.start_sent = false;
+      }
+    }
     this->RemoveWorker(id, "another incarnation answered", now);
     return;
   }
@@ -376,6 +437,8 @@
   }
   session.unanswered_orders = 0;
   session.leaving = false;
+  session.last_dropped_end =
+      std::max(session.last_dropped_end, order.last_durable_end);
   if (this->state.Crashes().FindUnsettled(id, session.born_ms) != nullptr) {
     this->Settle(id, session.born_ms, false);
   }
@@ -509,6 +572,7 @@
                                const OpenOrder& order, const WorkerReply& reply,
                                TimePoint now) {
   std::set<RunKey> listed;
+  const bool had_strays = std::exchange(session.strays, 0) > 0;
   for (const RunningTask& task : reply.running) {
     const RunKey key{task.task, task.run};
     listed.insert(key);
@@ -521,6 +585,7 @@
       if (!ending) {
         // A start order of an earlier leader that was executed late, or a run
         // whose job no longer exists.
+        ++session.strays;
         this->hooks.report("stray_run_stopped", ToString(key.first), id);
         WorkerOrder stop;
         stop.body = StopOrder{key.first, key.second};
@@ -533,6 +598,7 @@
     }
     Run& run = found->second;
     run.unlisted = false;
+    run.listed = true;
     run.ready = !run.step->long_running || task.percent >= 100;
     run.load = task.load;
     run.percent = task.percent;
@@ -543,6 +609,7 @@
       this->LeaveStartWindow(run);
     }
   }
+  this->placement_needed |= had_strays && session.strays == 0;
   if (reply.ended.size() >= kEndsPerAnswer) {
     return;
   }
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -175,6 +175,8 @@
     /// An earlier leader logged the start, and the worker hasn't listed the run
     /// in this term.
     bool unlisted = false;
+    /// The worker has listed the run in this term.
+    bool listed = false;
     /// Since when the worker is known to execute the run.
     std::optional<TimePoint> running_since;
     unsigned attempts = 0;
@@ -189,6 +191,13 @@
     std::uint32_t percent = 0;
     std::int64_t load = 0;
     std::uint32_t pace = 100;
+
+    /// A start order may still reach, or have reached, the next incarnation
+    /// under the worker's id.
+    bool MayReachNextIncarnation() const {
+      return this->unlisted || (this->start_sent && !this->listed) ||
+             this->attempts > 1;
+    }
   };
 
   struct Session {
@@ -204,6 +213,8 @@
     unsigned unanswered_orders = 0;
     /// Run ends of the worker up to this number are durable in the log.
     std::uint64_t last_durable_end = 0;
+    /// The worker has dropped its run ends up to this number.
+    std::uint64_t last_dropped_end = 0;
     bool hold_open = false;
     /// Run ends of the last answer aren't durable yet; no hold is sent until
     /// they are.
@@ -222,6 +233,8 @@
     /// While the worker is silent: it had not ended before this time.
     TimePoint alive_until{};
     std::map<RunKey, Run> runs;
+    /// Runs in the worker's last list that aren't in `runs`. They take room.
+    std::size_t strays = 0;
     /// Sums over `runs`; see AddToSums.
     Amount used;
     std::size_t fillers = 0;
@@ -241,6 +254,8 @@
     RunStage stage = RunStage::kStarting;
     TimePoint sent{};
     std::chrono::milliseconds timeout{0};
+    /// HoldOrder::last_durable_end.
+    std::uint64_t last_durable_end = 0;
   };
 
   /// A worker that fell silent at some time from `alive_until` to `noticed`.
@@ -312,7 +327,15 @@
   /// Returns the known workers that have the id, the address or the instance of
   /// `worker`, in the order of their ids.
   std::vector<const Worker*> WorkersLike(const Worker& worker);
-  void RemoveWorker(const std::string& id, const char* reason, TimePoint now);
+  /// Ends the worker's session and its runs. With `uncertain`, the runs that
+  /// may be on the next incarnation under the worker's id don't end, but are
+  /// appended there.
+  void RemoveWorker(const std::string& id, const char* reason, TimePoint now,
+                    std::vector<RunKey>* uncertain = nullptr);
+  /// Stops runs that `uncertain` of RemoveWorker names on this incarnation, so
+  /// that it refuses start orders for them that are still on their way.
+  void StopOnThisIncarnation(const std::string& id, Session& session,
+                             const std::vector<RunKey>& runs);
   void SendHold(const std::string& id, Session& session, TimePoint now);
   /// Handles a reply of the session's own incarnation.
   void HandleReply(const std::string& id, Session& session,
@@ -400,6 +423,9 @@
   void StopEndedJobs(TimePoint now);
   void StopJob(const std::string& job, TimePoint now);
   Run MakeRun(const TaskId& task) const;
+  /// Makes the log command that records the start of a run.
+  Command MakeRunStart(const RunKey& key, const std::string& worker,
+                       std::int64_t born_ms) const;
   /// Makes the log command that records the end of a run.
   static Command MakeRunEnd(const RunKey& key, RunOutcome outcome,
                             const std::string& checkpoint);
