--- a/tests/platform/wire_test.cc
+++ b/tests/platform/wire_test.cc
@@ -239,6 +239,23 @@
   EXPECT_NE(problem.find("fd00::1"), std::string::npos);
 }
 
+// Guards against a run that counts as ended while its worker still runs it: an
+// incarnation that took a deadline for another clock keeps it for the longest
+// lease that the platform grants.
+TEST_F(PlatformSettingsTest, Setup_PlatformBoundsLeases_IsTheLongestLease) {
+  for (const int longest_ms : {3'000, 10'000}) {
+    std::string problem;
+    json voter = Voter();
+    voter["bounds"]["max_hold_ms"] = longest_ms;
+    const auto platform_settings = Read(voter, &problem);
+    ASSERT_TRUE(platform_settings.has_value()) << problem;
+    const auto lease =
+        MakeDaemonSetup(*platform_settings).settings.node.dispatcher.lease;
+    EXPECT_EQ(lease.longest, milliseconds(longest_ms));
+    EXPECT_LE(lease.length, lease.longest);
+  }
+}
+
 TEST_F(PlatformSettingsTest, Setup_EntryWithoutDataDirectory_IsNoVoter) {
   std::string problem;
   json entry = Voter();
