--- a/tests/platform/decoder_properties_test.cc
+++ b/tests/platform/decoder_properties_test.cc
@@ -124,7 +124,7 @@
          std::vector<std::string> rows;
          for (const auto& [worker, ticket] :
               DecodeAdvice(MakeResult(200, body)).approved) {
-           rows.push_back(worker + " " + ticket);
+           rows.push_back(std::string(worker).append(" ").append(ticket));
          }
          return rows;
        }}};
