Follow the linter in the tests of nesting and signal stacks

clang-tidy reported concatenations and a product of int in two tests. What they check is unchanged: base_test passes with 10 tests, and ProcessEndTest.StackIsUsedUp_EachThread_OneLineNamesIt passes.

--- a/tests/base/json_reader_test.cc
+++ b/tests/base/json_reader_test.cc
@@ -15,7 +15,7 @@
 /// Runs a function on a thread with a small stack, where a recursion that grows
 /// with the text ends the process.
 void RunOnSmallStack(const std::function<void()>& function) {
-  constexpr std::size_t kStackBytes = 256 * 1'024;
+  constexpr std::size_t kStackBytes = 262'144;
   pthread_attr_t attributes;
   ASSERT_EQ(pthread_attr_init(&attributes), 0);
   ASSERT_EQ(pthread_attr_setstacksize(&attributes, kStackBytes), 0);
@@ -44,9 +44,11 @@
   }
   const std::string open(kDepth, '[');
   const std::string close(kDepth, ']');
+  std::string field = R"({"version":1,"rows":)";
+  field.append(open).append(close).append("}");
   for (const std::string& text :
        {open, open + close, objects, objects + "1" + std::string(kDepth, '}'),
-        R"({"version":1,"rows":)" + open + close + "}"}) {
+        field}) {
     std::vector<Problem> problems;
     RunOnSmallStack([&] {
       const nlohmann::json value = ParseJson(text, &problems);
--- a/tests/system/process_end_test.cc
+++ b/tests/system/process_end_test.cc
@@ -223,7 +223,8 @@
     names.insert("main");
     EXPECT_GE(names.size(), 8U);
     for (const std::string& name : names) {
-      SCOPED_TRACE(program + " " + name);
+      SCOPED_TRACE(program);
+      SCOPED_TRACE(name);
       const auto process =
           this->StartProgram(program, this->SettingsOf(program));
       ASSERT_TRUE(this->WaitForThreads(*process, program));
