--- a/tests/jobs/support/worker_schedule.cc
+++ b/tests/jobs/support/worker_schedule.cc
@@ -286,7 +286,8 @@
     this->term->dispatcher->OnReply(reply, this->now);
   };
   // A paused leader reads its answers afterwards, in any order.
-  const auto answer = [this, finish](milliseconds delay, WorkerReply reply) {
+  const auto answer = [this, finish](milliseconds delay,
+                                     const WorkerReply& reply) {
     this->At(this->now + delay, [this, finish, reply] {
       if (this->now < this->paused_until) {
         this->At(this->paused_until + this->DrawTime(0, 20),
@@ -404,8 +405,8 @@
 }
 
 void WorkerSchedule::SendInstanceRequest(const InstanceRequest& request) {
-  const auto reply_at = [this, current = this->terms](TimePoint at,
-                                                      InstanceReply reply) {
+  const auto reply_at = [this, current = this->terms](
+                            TimePoint at, const InstanceReply& reply) {
     this->At(at, [this, current, reply] {
       if (this->term != nullptr && this->terms == current) {
         this->term->dispatcher->OnInstanceReply(reply, this->now);
@@ -692,7 +693,10 @@
 }
 
 void WorkerSchedule::CallLeader() {
-  for (auto& [id, job] : this->jobs) {
+  for (auto& row : this->jobs) {
+    // Structured bindings can't be captured.
+    const std::string& id = row.first;
+    SubmittedJob& job = row.second;
     if (this->now < job.next_call) {
       continue;
     }
