--- a/tests/jobs/support/worker_schedule.cc
+++ b/tests/jobs/support/worker_schedule.cc
@@ -431,7 +431,7 @@
     this->At(this->now + way, [this, request, reply_at, answered, back] {
       InstanceReply reply = this->ExecuteInstanceRequest(request);
       if (answered) {
-        reply_at(this->now + back, std::move(reply));
+        reply_at(this->now + back, reply);
       }
     });
   }
