Keep a run that the next incarnation under an id has confirmed

Found by the review: a task could run twice. If the answer to a start or a stop told the birth of the next incarnation, the worker was removed at once and all its runs counted as lost, also the one that this incarnation had just accepted. The announcement then found nothing to carry over.

Such an answer now counts as none, as for a hold, until the incarnation announces itself.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -354,13 +354,8 @@
                        "order " + std::to_string(reply.number) + ", born " +
                            answered + ", expected " +
                            std::to_string(session.born_ms));
-    if (next_under_id && !order.run.has_value()) {
-      // It may have executed starts that were meant for the one before, and its
-      // capacity isn't known. Its announcement tells, or its lease ends.
-      session.hold_open = false;
-      session.lease.AssumeLongest();
-      this->CountUnanswered(id, session, "hold", reply.result, order, now);
-      this->ScheduleHold(session, now + this->config.retry_delay);
+    if (next_under_id) {
+      this->OnNextIncarnationAnswered(id, session, order, reply, now);
       return;
     }
     if (order.run.has_value()) {
@@ -393,6 +388,30 @@
   this->HandleReply(id, session, order, reply, now);
 }
 
+void Dispatcher::OnNextIncarnationAnswered(const std::string& id,
+                                           Session& session,
+                                           const OpenOrder& order,
+                                           const WorkerReply& reply,
+                                           TimePoint now) {
+  // It may have executed starts that were meant for the one before, and its
+  // capacity isn't known. Its announcement tells, or its lease ends.
+  session.lease.AssumeLongest();
+  const char* kind = "hold";
+  if (!order.run.has_value()) {
+    session.hold_open = false;
+  } else if (const auto found = session.runs.find(*order.run);
+             found != session.runs.end() &&
+             found->second.stage == order.stage) {
+    Run& run = found->second;
+    kind = run.stage == RunStage::kStarting ? "start" : "stop";
+    run.order_open = false;
+    run.next_attempt = now + this->config.retry_delay;
+    this->LeaveStartWindow(run);
+  }
+  this->CountUnanswered(id, session, kind, reply.result, order, now);
+  this->ScheduleHold(session, now + this->config.retry_delay);
+}
+
 void Dispatcher::HandleReply(const std::string& id, Session& session,
                              const OpenOrder& order, const WorkerReply& reply,
                              TimePoint now) {
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -337,6 +337,10 @@
   void StopOnThisIncarnation(const std::string& id, Session& session,
                              const std::vector<RunKey>& runs);
   void SendHold(const std::string& id, Session& session, TimePoint now);
+  /// Handles a reply of the next incarnation under the worker's id.
+  void OnNextIncarnationAnswered(const std::string& id, Session& session,
+                                 const OpenOrder& order,
+                                 const WorkerReply& reply, TimePoint now);
   /// Handles a reply of the session's own incarnation.
   void HandleReply(const std::string& id, Session& session,
                    const OpenOrder& order, const WorkerReply& reply,
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -1105,5 +1105,32 @@
   }
 }
 
+// Guards against two runs of a task: the next incarnation under the worker's id
+// executes a start, and its answer tells its birth before its announcement
+// does.
+TEST_F(DispatcherTest, StartIsAnsweredByNextIncarnation_TaskRunsOnce) {
+  this->StartTermWithWorkers(2);
+  this->fleet.delay_hold_answers = true;
+  this->fleet.Advance(milliseconds(200));
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  std::string chosen;
+  this->fleet.change_reply = [&](const WorkerOrder& order, WorkerReply& reply) {
+    if (std::holds_alternative<StartOrder>(order.body) && chosen.empty()) {
+      chosen = order.worker;
+      this->fleet.workers.at(chosen).record.born_ms += 10'000;
+      reply.born_ms = this->fleet.workers.at(chosen).record.born_ms;
+    }
+  };
+  this->fleet.Advance(milliseconds(100));
+  ASSERT_FALSE(chosen.empty());
+  this->fleet.dispatcher->Announce(this->fleet.workers.at(chosen).record, 1,
+                                   this->fleet.now, [] {});
+  for (int i = 0; i < 100; ++i) {
+    this->fleet.Advance(milliseconds(10));
+    ASSERT_LE(this->fleet.WorkersOf(TaskOf("job")).size(), 1U);
+  }
+  EXPECT_EQ(this->fleet.reports["run_may_be_on_next_incarnation"], 1);
+}
+
 }  // namespace
 }  // namespace mimosastage::jobs
