Remember that a start was repeated after the run is stopped

Found by the review: a stop reset the count of copies by which the leader tells whether an earlier copy of a start may still reach the next incarnation under the worker's id. The run then counted as lost and its task started elsewhere, while the first copy ran on the next incarnation.

--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -180,6 +180,9 @@
     /// Since when the worker is known to execute the run.
     std::optional<TimePoint> running_since;
     unsigned attempts = 0;
+    /// More than one copy of the start was sent. Unlike `attempts`, this
+    /// outlasts a stop.
+    bool start_repeated = false;
     bool order_open = false;
     /// The run takes part of the start window: its start isn't confirmed.
     bool in_start_window = false;
@@ -196,7 +199,7 @@
     /// under the worker's id.
     bool MayReachNextIncarnation() const {
       return this->unlisted || (this->start_sent && !this->listed) ||
-             this->attempts > 1;
+             this->start_repeated;
     }
   };
 
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -139,6 +139,7 @@
   order.body = std::move(start);
   order.timeout = this->config.reply_timeout;
   order.fresh_connection = run.attempts > 0;
+  run.start_repeated = run.start_repeated || run.attempts > 0;
   ++run.attempts;
   run.start_sent = true;
   run.order_open = true;
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -1132,5 +1132,30 @@
   EXPECT_EQ(this->fleet.reports["run_may_be_on_next_incarnation"], 1);
 }
 
+// Guards against a second run of a task: a repeated start is stopped, and its
+// first copy reaches the next incarnation under the worker's id.
+TEST_F(DispatcherTest, StartIsRepeatedThenStopped_NextIncarnationRefusesIt) {
+  this->StartTermWithWorkers(1);
+  FakeWorker& worker = this->fleet.workers.at("worker-0");
+  worker.silent = true;
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(100));
+  worker.silent = false;
+  this->fleet.Advance(milliseconds(500));
+  ASSERT_EQ(this->fleet.RunningTasks(), 1U);
+  this->fleet.change_reply = [&](const WorkerOrder& order, WorkerReply&) {
+    worker.silent =
+        worker.silent || std::holds_alternative<StopOrder>(order.body);
+  };
+  this->fleet.Cancel("job");
+  this->fleet.Advance(milliseconds(50));
+  ASSERT_TRUE(worker.silent);
+  worker.record.born_ms += 10'000;
+  worker.running.clear();
+  worker.ended.clear();
+  this->fleet.dispatcher->Announce(worker.record, 1, this->fleet.now, [] {});
+  EXPECT_EQ(this->fleet.reports["run_may_be_on_next_incarnation"], 1);
+}
+
 }  // namespace
 }  // namespace mimosastage::jobs
