Repeat no start on a worker that drains or lists unknown runs

Found by the review: a start that a silent worker hadn't answered was sent again once the worker answered, also if its draining had been acknowledged since, or if the same answer listed a run that the leader doesn't know and whose room it can't count.

Starts on a draining worker are withdrawn as those after its capacity has shrunk.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -699,7 +699,7 @@
       continue;
     }
     if (run.stage == RunStage::kStarting) {
-      if (session.unanswered_orders == 0) {
+      if (session.unanswered_orders == 0 && session.strays == 0) {
         this->SendStart(id, key, now);
       }
     } else if (run.stage == RunStage::kStopping && !run.confirmed.has_value()) {
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -83,7 +83,8 @@
 
 void Dispatcher::WithdrawStarts(const std::string& worker, Session& session,
                                 TimePoint now) {
-  if (!session.capacity_shrunk || session.unanswered_orders > 0) {
+  if ((!session.capacity_shrunk && !session.draining) ||
+      session.unanswered_orders > 0) {
     return;
   }
   bool all_checked = true;
@@ -94,7 +95,8 @@
       continue;
     }
     all_checked = false;
-    if (run.order_open || this->IsWithinCapacity(worker, session, run)) {
+    if (run.order_open ||
+        (!session.draining && this->IsWithinCapacity(worker, session, run))) {
       continue;
     }
     if (run.attempts == 0) {
@@ -102,15 +104,17 @@
     } else {
       // An earlier copy of the order may still be executed.
       this->StopRun(worker, session, key, run,
-                    "its start isn't confirmed, and the worker's capacity has "
-                    "shrunk",
+                    session.draining
+                        ? "its start isn't confirmed, and the worker drains"
+                        : "its start isn't confirmed, and the worker's "
+                          "capacity has shrunk",
                     now);
     }
   }
   for (const RunKey& key : unsent) {
     this->EndRun(worker, session, key, RunOutcome::kLost, "", now);
   }
-  session.capacity_shrunk = !all_checked;
+  session.capacity_shrunk = session.capacity_shrunk && !all_checked;
 }
 
 void Dispatcher::SendStart(const std::string& worker, const RunKey& key,
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -1157,5 +1157,88 @@
   EXPECT_EQ(this->fleet.reports["run_may_be_on_next_incarnation"], 1);
 }
 
+// Guards against a wave that never ends: an upkeep began and its answer was
+// lost, and a task that mustn't be stopped starts on the instance's next worker
+// before the request is repeated.
+TEST_F(DispatcherTest, UpkeepIsUnanswered_LastingTaskWaits_WaveEnds) {
+  this->StartTermWithWorkers(1);
+  this->fleet.Advance(this->fleet.config.instance_lease);
+  Command wave;
+  wave.wave = std::make_unique<Wave>();
+  wave.wave->number = 1;
+  wave.wave->most_at_once = 1;
+  wave.wave->machines = {"machine-worker-0"};
+  this->fleet.state.Apply(wave);
+  this->fleet.Advance(milliseconds(500));
+  std::size_t answered = 0;
+  const auto answer = [&](InstanceReply::Result result) {
+    for (; answered < this->fleet.instance_requests.size(); ++answered) {
+      const InstanceRequest& request = this->fleet.instance_requests[answered];
+      if (request.kind == InstanceRequest::Kind::kUpkeep) {
+        InstanceReply reply;
+        reply.number = request.number;
+        reply.result = result;
+        this->fleet.dispatcher->OnInstanceReply(reply, this->fleet.now);
+      }
+    }
+  };
+  Step lasting = MakeStep(1, 1'000);
+  lasting.long_running = true;
+  this->fleet.Submit("lasting", "render", {lasting});
+  answer(InstanceReply::Result::kUnanswered);
+  this->fleet.workers.at("worker-0").ended_without_notice = true;
+  this->fleet.Advance(milliseconds(1'500));
+  FakeWorker& next = this->fleet.workers["worker-1"];
+  next.record = this->fleet.workers.at("worker-0").record;
+  next.record.id = "worker-1";
+  next.record.born_ms += 10'000;
+  this->fleet.dispatcher->Announce(next.record, 1, this->fleet.now, [] {});
+  for (int i = 0; i < 1'000; ++i) {
+    this->fleet.Advance(milliseconds(10));
+    answer(InstanceReply::Result::kOk);
+  }
+  EXPECT_EQ(this->fleet.state.Waves().at(1).begun.size(), 1U);
+}
+
+// Guards against a start on a worker that drains: a silent worker has taken the
+// first copy of no start, and the start is repeated after its draining was
+// acknowledged.
+TEST_F(WorkerCapacityTest, DrainsBeforeAStartIsRepeated_IsNotSent) {
+  FakeWorker& worker = this->fleet.workers.at("worker-0");
+  worker.silent = true;
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(100));
+  ASSERT_EQ(this->fleet.proposed_starts.size(), 1U);
+  Worker draining = worker.record;
+  draining.draining = true;
+  bool acknowledged = false;
+  this->fleet.dispatcher->Announce(draining, 2, this->fleet.now,
+                                   [&] { acknowledged = true; });
+  this->fleet.Advance(milliseconds(3'000));
+  ASSERT_TRUE(acknowledged);
+  worker.silent = false;
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_TRUE(this->fleet.starts.empty());
+}
+
+// Guards against a start beyond a worker's capacity: it is repeated while the
+// worker lists a run that the leader doesn't know.
+TEST_F(WorkerCapacityTest, UnknownRunIsListed_RepeatedStartWaits) {
+  FakeWorker& worker = this->fleet.workers.at("worker-0");
+  worker.silent = true;
+  this->fleet.Submit("job", "render", {MakeStep(4, 1'000)});
+  this->fleet.Advance(milliseconds(100));
+  ASSERT_EQ(this->fleet.proposed_starts.size(), 4U);
+  const std::pair stray(TaskOf("unknown"), 1U);
+  worker.running.emplace(stray, 0);
+  worker.silent = false;
+  while (worker.running.contains(stray)) {
+    this->fleet.Advance(milliseconds(10));
+  }
+  EXPECT_TRUE(this->fleet.starts.empty());
+  this->fleet.Advance(milliseconds(500));
+  EXPECT_EQ(this->fleet.RunningTasks(), 4U);
+}
+
 }  // namespace
 }  // namespace mimosastage::jobs
