--- a/tests/jobs/support/worker_schedule.cc
+++ b/tests/jobs/support/worker_schedule.cc
@@ -343,12 +343,12 @@
   this->At(this->now + way, [this, order = std::move(order), sent_to, ordered,
                              lose_answer, answer] {
     this->DeliverOrder(order, sent_to, ordered,
-                       [this, answer, lose_answer](WorkerReply reply) {
+                       [this, answer, lose_answer](const WorkerReply& reply) {
                          if (!lose_answer) {
                            answer(this->OneIn(this->faults.order_interval)
                                       ? this->DrawTime(0, 2'500)
                                       : this->DrawTime(0, 4),
-                                  std::move(reply));
+                                  reply);
                          }
                        });
   });
--- a/tests/node/support/job_group.cc
+++ b/tests/node/support/job_group.cc
@@ -71,8 +71,9 @@
 void JobGroup::Trace(std::size_t daemon, const std::string& text) const {
   if (this->settings.trace) {
     this->settings.trace(
-        std::to_string(duration_cast<microseconds>(this->events.Now()).count() /
-                       1000.0) +
+        std::to_string(
+            std::chrono::duration<double, std::milli>(this->events.Now())
+                .count()) +
         " daemon " + std::to_string(daemon) + " " + text);
   }
 }
@@ -121,7 +122,7 @@
   hooks.ask_advice = [](const jobs::AdviceRequest&) {};
   hooks.on_members = [](const Membership&, bool) {};
   hooks.answer = [this, daemon](std::uint64_t request, jobs::CallKind,
-                                jobs::Answer answer) {
+                                const jobs::Answer& answer) {
     Daemon& d = this->daemons[daemon];
     auto found = d.calls.extract(request);
     if (found.empty() || !this->MayOutput(daemon)) {
@@ -675,15 +676,15 @@
     if (worker == nullptr || worker->Life() != life) {
       return;
     }
-    worker->Execute(*shared, ordered_at,
-                    [this, daemon, finish, delay, at](jobs::WorkerReply reply) {
-                      if (!this->Reachable(daemon, at) ||
-                          this->Chance(this->settings.lost_answer)) {
-                        return;
-                      }
-                      this->events.After(delay(),
-                                         [finish, reply] { finish(reply); });
-                    });
+    worker->Execute(
+        *shared, ordered_at,
+        [this, daemon, finish, delay, at](const jobs::WorkerReply& reply) {
+          if (!this->Reachable(daemon, at) ||
+              this->Chance(this->settings.lost_answer)) {
+            return;
+          }
+          this->events.After(delay(), [finish, reply] { finish(reply); });
+        });
   };
   if (!this->Reachable(daemon, *instance)) {
     if (this->Draw(2) == 0) {
--- a/tests/node/support/job_traffic.cc
+++ b/tests/node/support/job_traffic.cc
@@ -252,8 +252,8 @@
   }
 }
 
-void JobTraffic::Announce(std::size_t instance, JobRules::WorkerLife life,
-                          int attempts) {
+void JobTraffic::Announce(std::size_t instance,
+                          const JobRules::WorkerLife& life, int attempts) {
   SimulatedWorker* worker = this->group.WorkerOn(instance);
   if (worker == nullptr || worker->Life() != life) {
     return;
--- a/tests/node/support/job_traffic.h
+++ b/tests/node/support/job_traffic.h
@@ -49,7 +49,8 @@
   void Configure(std::uint64_t version, std::size_t bytes, int attempts);
   void ReadConfigurationNext();
   void AnnounceNext(std::size_t instance);
-  void Announce(std::size_t instance, JobRules::WorkerLife life, int attempts);
+  void Announce(std::size_t instance, const JobRules::WorkerLife& life,
+                int attempts);
 
   Settings settings;
   JobGroup& group;
