--- a/src/mimosastage/telemetry/fatal_log.cc
+++ b/src/mimosastage/telemetry/fatal_log.cc
@@ -32,8 +32,7 @@
 constexpr std::size_t kMaxLineBytes = 3'584;
 /// Linux limits names of threads to this many bytes.
 constexpr std::size_t kMaxDutyBytes = 15;
-/// The handler and the registers that the kernel saves for it used 11,632 bytes
-/// on arm64.
+/// Room for the handler and for the registers that the kernel saves for it.
 constexpr std::size_t kHandlerStackBytes = 16'384;
 /// Longest wait for an output that accepts no bytes.
 constexpr std::chrono::milliseconds kOutputTimeout{200};
