--- a/review/standins/route_renamed.cpp
+++ b/review/standins/route_renamed.cpp
@@ -34,8 +34,10 @@
     settings.address = system.WorkerAddress(i);
     settings.service = "bookings";
     settings.control_planes = system.Controls();
-    settings.behaviour = [](const std::string&, int) {
-      return Behaviour{3000, "done"};
+    settings.behaviour = [](const std::string& task, int) {
+      Behaviour behaviour{3000, "done"};
+      behaviour.lasts = task.rfind("00000000000000cc", 0) == 0;
+      return behaviour;
     };
     workers.push_back(std::make_unique<Worker>(settings, record, log));
   }
@@ -53,6 +55,16 @@
     return 2;
   }
   const std::int64_t accepted_at = record.NowMs();
+  const std::string lasting = "/batch/00000000000000cc";
+  const json lasting_job{{"specification", "watch"},
+                         {"steps",
+                          {{{"count", 1},
+                            {"cpu", 1000},
+                            {"memory_request_mb", 512},
+                            {"long_running", true}}}}};
+  if (system.Call(0, "POST", host, lasting, lasting_job.dump()).status != 200) {
+    return 2;
+  }
   SleepMs(1000);
   if (!system.Configure(
           configuration(5, IsTroubleOff() ? "r-batch" : "r-batch-2"))) {
@@ -64,6 +76,8 @@
   if (system.Call(1, "POST", host, other, job.dump()).status != 200) {
     return 2;
   }
+  const int cancelled = system.Call(1, "DELETE", host, lasting).status;
+  const std::int64_t cancelled_at = record.NowMs();
   std::string state;
   bool broken = false;
   std::string other_state;
@@ -90,6 +104,19 @@
   }
   record.Line("starts of the second step of the first job: " +
               std::to_string(starts) + "; the later job is " + other_state);
+  constexpr std::int64_t kCancelMs = 3000;
+  constexpr std::int64_t kStopTimeoutMs = 200;
+  const bool runs_on = std::any_of(
+      workers.begin(), workers.end(), [](const auto& worker) {
+        return worker->Runs("00000000000000cc.0.0.0");
+      });
+  if ((cancelled == 200 || cancelled == 410) && runs_on &&
+      record.NowMs() > cancelled_at + kCancelMs + kStopTimeoutMs) {
+    record.Line("the job whose cancelling was acknowledged with " +
+                std::to_string(cancelled) + " runs on after " +
+                std::to_string(record.NowMs() - cancelled_at) +
+                " ms: breaks UNASKED as well");
+  }
   record.Line(broken ? "BROKEN: LOST" : "held");
   workers.clear();
   if (!broken && (state != "completed" || !system.AllRun())) {
