Settle crashes before the naive placement of the differential test

What callers saw: nothing; the test only.

Cause: a placement first logs the runs that clear their tasks of a crash, which can give another job up. The naive placement was computed before that, so that it counted the tasks of a job that ended within the placement.

The test calls the settling first and compares everything as before.

--- a/tests/jobs/support/dispatcher_peer.h
+++ b/tests/jobs/support/dispatcher_peer.h
@@ -43,6 +43,12 @@
 
   explicit DispatcherPeer(Dispatcher& dispatcher) : dispatcher(dispatcher) {}
 
+  /// Clears tasks of crashes, as each placement does first. That may end other
+  /// jobs, so it must precede PlanNaively.
+  void SettleCrashes(TimePoint now) {
+    this->dispatcher.ClearSurvivors(now);
+    this->dispatcher.StopGivenUpJobs(now);
+  }
   Placement PlanNaively(TimePoint now) const;
   void PlaceTasks(TimePoint now) { this->dispatcher.PlaceTasks(now); }
   std::map<std::string, std::pair<std::int64_t, std::int64_t>> Waiting() const;
