Bind a job to the location of its queue, not to the queue's name

Cause: a job kept its queue's name only. State, cancel, the count of waiting jobs and the waiting steps all looked the queue up by that name in the configuration of the moment.

Change: QueueTable::HolderOf is the one rule: the queue at the location of the submission, else the one that moved under the last name, else the last queue as it was.

With the lookup by name put back, the tests of renamed, removed, moved and exchanged queues in CallHandlerTest and FleetStateQueueChangeTest fail.

--- a/src/mimosastage/jobs/call_handler.cc
+++ b/src/mimosastage/jobs/call_handler.cc
@@ -126,7 +126,7 @@
     this->Refuse(CallOutcome::kUnavailable, "no_configuration", reply);
     return;
   }
-  const Queue* queue = this->committed.QueueFor(call.host, call.path);
+  const Queue* queue = this->committed.Queues().ForCall(call.host, call.path);
   if (queue == nullptr) {
     this->Refuse(CallOutcome::kNoQueue, "no_such_queue", reply);
     return;
@@ -190,6 +190,8 @@
     command.job = std::make_unique<JobRequest>(*call.job);
     command.job->id = id;
     command.job->queue = queue.name;
+    command.job->host = queue.host;
+    command.job->path_prefix = queue.path_prefix;
     command.job->team = team == nullptr ? "" : team->name;
     command.job->accepted_ms = this->hooks.wall_time().count();
     this->dispatcher.OnAccepted(*command.job);
@@ -203,10 +205,18 @@
   this->dispatcher.OnChange(id, now);
 }
 
+bool CallHandler::IsHeldBy(const Job& job, const Queue& queue) const {
+  // `queue` is committed. A change that isn't may have bound the job to another
+  // queue already.
+  const Job* committed_job = this->committed.FindJob(job.request->id);
+  return job.IsHeldBy(queue) ||
+         (committed_job != nullptr && committed_job->IsHeldBy(queue));
+}
+
 void CallHandler::ShowJob(const Call& call, const Queue& queue,
                           const Reply& reply) const {
   const Job* job = this->committed.FindJob(JobIdIn(call, queue));
-  if (job == nullptr || job->request->queue != queue.name) {
+  if (job == nullptr || !job->IsHeldBy(queue)) {
     reply(AnswerOf(CallOutcome::kGone));
     return;
   }
@@ -219,7 +229,7 @@
                          const Reply& reply) {
   const std::string id = JobIdIn(call, queue);
   const Job* job = this->working.FindJob(id);
-  if (job == nullptr || job->request->queue != queue.name) {
+  if (job == nullptr || !this->IsHeldBy(*job, queue)) {
     reply(AnswerOf(CallOutcome::kGone));
     return;
   }
@@ -240,7 +250,7 @@
 void CallHandler::ShowQueue(const Queue& queue, const Reply& reply) const {
   Answer answer = AnswerOf(CallOutcome::kOk);
   answer.phase = kNoPhase;
-  answer.waiting = this->committed.UnstartedJobs(queue.name);
+  answer.waiting = this->committed.UnstartedJobs(queue);
   reply(std::move(answer));
 }
 
@@ -274,6 +284,11 @@
   this->hooks.propose(std::move(command), [reply](TimePoint) {
     reply(AnswerOf(CallOutcome::kOk));
   });
+  for (const auto& [queue, jobs] : this->working.JobsOfRemovedQueues()) {
+    this->hooks.report(
+        "removed_queue_kept", queue,
+        std::to_string(jobs) + " open jobs keep its pool and limits");
+  }
   this->dispatcher.OnChange("", now);
 }
 
--- a/src/mimosastage/jobs/call_handler.h
+++ b/src/mimosastage/jobs/call_handler.h
@@ -45,6 +45,9 @@
  private:
   void Submit(const Call& call, const Queue& queue, const Team* team,
               TimePoint now, const Reply& reply);
+  /// True if the queue holds the job, or held it before a change of the
+  /// configuration that isn't durable yet.
+  bool IsHeldBy(const Job& job, const Queue& queue) const;
   void ShowJob(const Call& call, const Queue& queue, const Reply& reply) const;
   void Cancel(const Call& call, const Queue& queue, TimePoint now,
               const Reply& reply);
--- a/src/mimosastage/jobs/fleet_state.cc
+++ b/src/mimosastage/jobs/fleet_state.cc
@@ -56,8 +56,24 @@
          job->second.Contains(task) && !job->second.At(task).done;
 }
 
+/// Adds the location to a request that was stored without one.
+void CompleteLocation(JobRequest& request, const QueueTable& queues) {
+  if (!request.host.empty() || !request.path_prefix.empty()) {
+    return;
+  }
+  if (const auto queue = queues.FindByName(request.queue); queue != nullptr) {
+    request.host = queue->host;
+    request.path_prefix = queue->path_prefix;
+  }
+}
+
 }  // namespace
 
+bool Job::IsHeldBy(const Queue& queue) const {
+  return this->queue != nullptr &&
+         QueueTable::LocationOf(*this->queue) == QueueTable::LocationOf(queue);
+}
+
 std::uint32_t Job::Occurrences() const {
   return std::max<std::uint32_t>(1, this->request->occurrences);
 }
@@ -162,18 +178,26 @@
   if (next.version > this->configuration->version) {
     this->configuration = std::make_shared<Configuration>(next);
     this->IndexConfiguration();
+    this->BindJobs();
     this->job_changes.AddAll();
   }
 }
 
+void FleetState::BindJobs() {
+  this->unstarted_jobs.clear();
+  for (auto& [id, job] : this->jobs) {
+    job.queue = this->queues.HolderOf(*job.request, std::move(job.queue));
+    if (!job.Ended() && !job.started) {
+      this->CountUnstarted(job, 1);
+    }
+  }
+}
+
 void FleetState::IndexConfiguration() {
-  this->queues.clear();
+  this->queues.Assign(*this->configuration);
   this->teams.clear();
   this->keys.clear();
   this->pools.clear();
-  for (const auto& queue : this->configuration->queues) {
-    this->queues[queue->name] = queue.get();
-  }
   for (const auto& pool : this->configuration->pools) {
     this->pools[pool->name] = pool.get();
   }
@@ -207,8 +231,11 @@
   if (this->jobs.contains(request.id) || IsTooLarge(request)) {
     return;
   }
+  JobRequest located = request;
+  CompleteLocation(located, this->queues);
   Job job;
-  job.request = std::make_shared<JobRequest>(request);
+  job.request = std::make_shared<JobRequest>(std::move(located));
+  job.queue = this->queues.HolderOf(*job.request, nullptr);
   job.tasks.resize(TaskCount(request));
   ResetOpenCounts(job);
   this->latest_ms = std::max(this->latest_ms, request.accepted_ms);
@@ -284,7 +311,7 @@
     ++task.failures;
   }
   if (!job.Ended() && !step.long_running) {
-    const Queue* queue = this->FindQueue(job.request->queue);
+    const auto queue = this->queues.FindByName(job.request->queue);
     const std::uint32_t most = queue == nullptr ? 1 : queue->max_attempts;
     if (outcome == RunOutcome::kDone && !task.done) {
       this->FinishTask(job, id);
@@ -372,8 +399,12 @@
 }
 
 void FleetState::CountUnstarted(const Job& job, int change) {
+  if (job.queue == nullptr) {
+    return;
+  }
   const auto count =
-      this->unstarted_jobs.try_emplace(job.request->queue, 0).first;
+      this->unstarted_jobs.try_emplace(QueueTable::LocationOf(*job.queue), 0)
+          .first;
   count->second += static_cast<std::size_t>(change);
   if (count->second == 0) {
     this->unstarted_jobs.erase(count);
@@ -404,6 +435,8 @@
     JobRequest summary;
     summary.id = job.request->id;
     summary.queue = job.request->queue;
+    summary.host = job.request->host;
+    summary.path_prefix = job.request->path_prefix;
     summary.team = job.request->team;
     summary.accepted_ms = job.request->accepted_ms;
     job.request = std::make_shared<JobRequest>(std::move(summary));
@@ -423,10 +456,6 @@
   }
 }
 
-const Queue* FleetState::FindQueue(std::string_view name) const {
-  return Find(this->queues, name);
-}
-
 const Team* FleetState::FindTeam(std::string_view name) const {
   return Find(this->teams, name);
 }
@@ -439,22 +468,20 @@
   return Find(this->pools, name);
 }
 
-const Queue* FleetState::QueueFor(std::string_view host,
-                                  std::string_view path) const {
-  const Queue* best = nullptr;
-  for (const auto& queue : this->configuration->queues) {
-    if (queue->host == host && path.starts_with(queue->path_prefix) &&
-        (best == nullptr ||
-         queue->path_prefix.size() > best->path_prefix.size())) {
-      best = queue.get();
-    }
-  }
-  return best;
+std::size_t FleetState::UnstartedJobs(const Queue& queue) const {
+  const auto count = this->unstarted_jobs.find(QueueTable::LocationOf(queue));
+  return count == this->unstarted_jobs.end() ? 0 : count->second;
 }
 
-std::size_t FleetState::UnstartedJobs(const std::string& queue) const {
-  const auto count = this->unstarted_jobs.find(queue);
-  return count == this->unstarted_jobs.end() ? 0 : count->second;
+std::map<std::string, std::size_t> FleetState::JobsOfRemovedQueues() const {
+  std::map<std::string, std::size_t> counts;
+  for (const auto& [accepted, id] : this->open_jobs) {
+    const Job& job = this->jobs.at(id);
+    if (job.queue != nullptr && !this->queues.Contains(*job.queue)) {
+      ++counts[job.queue->name];
+    }
+  }
+  return counts;
 }
 
 const Job* FleetState::FindJob(const std::string& id) const {
@@ -469,6 +496,12 @@
   for (const auto& [id, job] : this->jobs) {
     auto record = std::make_unique<jobs_wire::JobRecordT>();
     record->job = std::make_unique<JobRequest>(*job.request);
+    if (job.queue != nullptr) {
+      record->job->queue = job.queue->name;
+      if (!this->queues.Contains(*job.queue)) {
+        record->removed_queue = std::make_unique<Queue>(*job.queue);
+      }
+    }
     record->phase = static_cast<std::uint8_t>(job.phase);
     record->started = job.started;
     record->ended_ms = job.ended_ms;
@@ -538,6 +571,9 @@
   for (auto& record : snapshot.jobs) {
     Job job;
     job.request = std::make_shared<JobRequest>(*record->job);
+    job.queue = this->queues.HolderOf(
+        *job.request,
+        std::shared_ptr<const Queue>(std::move(record->removed_queue)));
     job.phase = static_cast<JobPhase>(record->phase);
     job.started = record->started;
     job.ended_ms = record->ended_ms;
--- a/src/mimosastage/jobs/fleet_state.h
+++ b/src/mimosastage/jobs/fleet_state.h
@@ -13,6 +13,7 @@
 
 #include "mimosastage/jobs/crash_ledger.h"
 #include "mimosastage/jobs/job_changes.h"
+#include "mimosastage/jobs/queue_table.h"
 #include "mimosastage/jobs/records.h"
 #include "mimosastage/jobs/worker_table.h"
 
@@ -39,6 +40,8 @@
 /// A job and the progress of its tasks.
 struct Job {
   std::shared_ptr<const JobRequest> request;
+  /// See QueueTable::HolderOf; null if no configuration had such a queue.
+  std::shared_ptr<const Queue> queue;
   JobPhase phase = JobPhase::kQueued;
   /// True once a task has been started.
   bool started = false;
@@ -61,6 +64,7 @@
   /// True if all steps that the step depends on are complete.
   bool StepReady(std::uint32_t occurrence, std::uint32_t step) const;
   bool Ended() const { return this->phase >= JobPhase::kCompleted; }
+  bool IsHeldBy(const Queue& queue) const;
 };
 
 /// The replicated state of jobs, workers and waves. Apply is deterministic and
@@ -83,10 +87,7 @@
   bool Restore(std::string_view bytes);
 
   const Configuration& Config() const { return *this->configuration; }
-  const Queue* FindQueue(std::string_view name) const;
-  /// Returns the queue of `host` with the longest prefix that matches `path`,
-  /// or null.
-  const Queue* QueueFor(std::string_view host, std::string_view path) const;
+  const QueueTable& Queues() const { return this->queues; }
   const Team* TeamOfKey(std::string_view key) const;
   const Team* FindTeam(std::string_view name) const;
   const Pool* FindPool(std::string_view name) const;
@@ -109,7 +110,10 @@
   }
 
   /// Number of the queue's open jobs of which no task was ever started.
-  std::size_t UnstartedJobs(const std::string& queue) const;
+  std::size_t UnstartedJobs(const Queue& queue) const;
+  /// Number of open jobs by the name of their queue, for queues that the
+  /// configuration no longer has.
+  std::map<std::string, std::size_t> JobsOfRemovedQueues() const;
 
   /// Changes of the jobs' tasks and phases; a change of the configuration
   /// counts as one of all jobs.
@@ -144,19 +148,21 @@
   void ReleaseTasks(Job& job);
   void EraseExpiredJobs(std::int64_t now_ms);
   void IndexConfiguration();
+  /// Binds each job to its queue in the present configuration.
+  void BindJobs();
   static void ResetOpenCounts(Job& job);
 
   Limits bounds;
   std::shared_ptr<const Configuration> configuration =
       std::make_shared<Configuration>();
-  std::unordered_map<std::string, const Queue*> queues;
+  QueueTable queues;
   std::unordered_map<std::string, const Team*> teams;
   std::unordered_map<std::string, const Team*> keys;
   std::unordered_map<std::string, const Pool*> pools;
   std::unordered_map<std::string, Job> jobs;
   std::set<std::pair<std::int64_t, std::string>> open_jobs;
-  /// UnstartedJobs by queue.
-  std::unordered_map<std::string, std::size_t> unstarted_jobs;
+  /// UnstartedJobs by the location of the queue.
+  std::map<QueueTable::Location, std::size_t> unstarted_jobs;
   /// Ended jobs, by the time of their end.
   std::set<std::pair<std::int64_t, std::string>> ended_jobs;
   /// Latest time in any command; the state's only clock.
--- a/src/mimosastage/jobs/internal/records_generated.h
+++ b/src/mimosastage/jobs/internal/records_generated.h
@@ -732,6 +732,8 @@
   int64_t first_due_ms = 0;
   int64_t interval_ms = 0;
   int64_t accepted_ms = 0;
+  std::string host{};
+  std::string path_prefix{};
   JobT() = default;
   JobT(const JobT &o);
   JobT(JobT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -751,7 +753,9 @@
     VT_OCCURRENCES = 14,
     VT_FIRST_DUE_MS = 16,
     VT_INTERVAL_MS = 18,
-    VT_ACCEPTED_MS = 20
+    VT_ACCEPTED_MS = 20,
+    VT_HOST = 22,
+    VT_PATH_PREFIX = 24
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -780,6 +784,12 @@
   int64_t accepted_ms() const {
     return GetField<int64_t>(VT_ACCEPTED_MS, 0);
   }
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  const flatbuffers::String *path_prefix() const {
+    return GetPointer<const flatbuffers::String *>(VT_PATH_PREFIX);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -797,6 +807,10 @@
            VerifyField<int64_t>(verifier, VT_FIRST_DUE_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_INTERVAL_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_ACCEPTED_MS, 8) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyOffset(verifier, VT_PATH_PREFIX) &&
+           verifier.VerifyString(path_prefix()) &&
            verifier.EndTable();
   }
   JobT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -835,6 +849,12 @@
   void add_accepted_ms(int64_t accepted_ms) {
     fbb_.AddElement<int64_t>(Job::VT_ACCEPTED_MS, accepted_ms, 0);
   }
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(Job::VT_HOST, host);
+  }
+  void add_path_prefix(flatbuffers::Offset<flatbuffers::String> path_prefix) {
+    fbb_.AddOffset(Job::VT_PATH_PREFIX, path_prefix);
+  }
   explicit JobBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -856,11 +876,15 @@
     uint32_t occurrences = 0,
     int64_t first_due_ms = 0,
     int64_t interval_ms = 0,
-    int64_t accepted_ms = 0) {
+    int64_t accepted_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    flatbuffers::Offset<flatbuffers::String> path_prefix = 0) {
   JobBuilder builder_(_fbb);
   builder_.add_accepted_ms(accepted_ms);
   builder_.add_interval_ms(interval_ms);
   builder_.add_first_due_ms(first_due_ms);
+  builder_.add_path_prefix(path_prefix);
+  builder_.add_host(host);
   builder_.add_occurrences(occurrences);
   builder_.add_steps(steps);
   builder_.add_specification(specification);
@@ -885,12 +909,16 @@
     uint32_t occurrences = 0,
     int64_t first_due_ms = 0,
     int64_t interval_ms = 0,
-    int64_t accepted_ms = 0) {
+    int64_t accepted_ms = 0,
+    const char *host = nullptr,
+    const char *path_prefix = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto queue__ = queue ? _fbb.CreateString(queue) : 0;
   auto team__ = team ? _fbb.CreateString(team) : 0;
   auto specification__ = specification ? _fbb.CreateString(specification) : 0;
   auto steps__ = steps ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::Step>>(*steps) : 0;
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto path_prefix__ = path_prefix ? _fbb.CreateString(path_prefix) : 0;
   return mimosastage::jobs_wire::CreateJob(
       _fbb,
       id__,
@@ -901,7 +929,9 @@
       occurrences,
       first_due_ms,
       interval_ms,
-      accepted_ms);
+      accepted_ms,
+      host__,
+      path_prefix__);
 }
 
 flatbuffers::Offset<Job> CreateJob(flatbuffers::FlatBufferBuilder &_fbb, const JobT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3426,6 +3456,7 @@
   bool started = false;
   int64_t ended_ms = 0;
   std::vector<std::unique_ptr<mimosastage::jobs_wire::TaskT>> tasks{};
+  std::unique_ptr<mimosastage::jobs_wire::QueueT> removed_queue{};
   JobRecordT() = default;
   JobRecordT(const JobRecordT &o);
   JobRecordT(JobRecordT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3441,7 +3472,8 @@
     VT_PHASE = 6,
     VT_STARTED = 8,
     VT_ENDED_MS = 10,
-    VT_TASKS = 12
+    VT_TASKS = 12,
+    VT_REMOVED_QUEUE = 14
   };
   const mimosastage::jobs_wire::Job *job() const {
     return GetPointer<const mimosastage::jobs_wire::Job *>(VT_JOB);
@@ -3458,6 +3490,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::Task>> *tasks() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::Task>> *>(VT_TASKS);
   }
+  const mimosastage::jobs_wire::Queue *removed_queue() const {
+    return GetPointer<const mimosastage::jobs_wire::Queue *>(VT_REMOVED_QUEUE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_JOB) &&
@@ -3468,6 +3503,8 @@
            VerifyOffset(verifier, VT_TASKS) &&
            verifier.VerifyVector(tasks()) &&
            verifier.VerifyVectorOfTables(tasks()) &&
+           VerifyOffset(verifier, VT_REMOVED_QUEUE) &&
+           verifier.VerifyTable(removed_queue()) &&
            verifier.EndTable();
   }
   JobRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3494,6 +3531,9 @@
   void add_tasks(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::Task>>> tasks) {
     fbb_.AddOffset(JobRecord::VT_TASKS, tasks);
   }
+  void add_removed_queue(flatbuffers::Offset<mimosastage::jobs_wire::Queue> removed_queue) {
+    fbb_.AddOffset(JobRecord::VT_REMOVED_QUEUE, removed_queue);
+  }
   explicit JobRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3511,9 +3551,11 @@
     uint8_t phase = 0,
     bool started = false,
     int64_t ended_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::Task>>> tasks = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::Task>>> tasks = 0,
+    flatbuffers::Offset<mimosastage::jobs_wire::Queue> removed_queue = 0) {
   JobRecordBuilder builder_(_fbb);
   builder_.add_ended_ms(ended_ms);
+  builder_.add_removed_queue(removed_queue);
   builder_.add_tasks(tasks);
   builder_.add_job(job);
   builder_.add_started(started);
@@ -3532,7 +3574,8 @@
     uint8_t phase = 0,
     bool started = false,
     int64_t ended_ms = 0,
-    const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::Task>> *tasks = nullptr) {
+    const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::Task>> *tasks = nullptr,
+    flatbuffers::Offset<mimosastage::jobs_wire::Queue> removed_queue = 0) {
   auto tasks__ = tasks ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::Task>>(*tasks) : 0;
   return mimosastage::jobs_wire::CreateJobRecord(
       _fbb,
@@ -3540,7 +3583,8 @@
       phase,
       started,
       ended_ms,
-      tasks__);
+      tasks__,
+      removed_queue);
 }
 
 flatbuffers::Offset<JobRecord> CreateJobRecord(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5656,7 +5700,9 @@
         occurrences(o.occurrences),
         first_due_ms(o.first_due_ms),
         interval_ms(o.interval_ms),
-        accepted_ms(o.accepted_ms) {
+        accepted_ms(o.accepted_ms),
+        host(o.host),
+        path_prefix(o.path_prefix) {
   steps.reserve(o.steps.size());
   for (const auto &steps_ : o.steps) { steps.emplace_back((steps_) ? new mimosastage::jobs_wire::StepT(*steps_) : nullptr); }
 }
@@ -5671,6 +5717,8 @@
   std::swap(first_due_ms, o.first_due_ms);
   std::swap(interval_ms, o.interval_ms);
   std::swap(accepted_ms, o.accepted_ms);
+  std::swap(host, o.host);
+  std::swap(path_prefix, o.path_prefix);
   return *this;
 }
 
@@ -5692,6 +5740,8 @@
   { auto _e = first_due_ms(); _o->first_due_ms = _e; }
   { auto _e = interval_ms(); _o->interval_ms = _e; }
   { auto _e = accepted_ms(); _o->accepted_ms = _e; }
+  { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = path_prefix(); if (_e) _o->path_prefix = _e->str(); }
 }
 
 inline flatbuffers::Offset<Job> Job::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5711,6 +5761,8 @@
   auto _first_due_ms = _o->first_due_ms;
   auto _interval_ms = _o->interval_ms;
   auto _accepted_ms = _o->accepted_ms;
+  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
+  auto _path_prefix = _o->path_prefix.empty() ? 0 : _fbb.CreateString(_o->path_prefix);
   return mimosastage::jobs_wire::CreateJob(
       _fbb,
       _id,
@@ -5721,7 +5773,9 @@
       _occurrences,
       _first_due_ms,
       _interval_ms,
-      _accepted_ms);
+      _accepted_ms,
+      _host,
+      _path_prefix);
 }
 
 inline QueueT *Queue::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6630,7 +6684,8 @@
       : job((o.job) ? new mimosastage::jobs_wire::JobT(*o.job) : nullptr),
         phase(o.phase),
         started(o.started),
-        ended_ms(o.ended_ms) {
+        ended_ms(o.ended_ms),
+        removed_queue((o.removed_queue) ? new mimosastage::jobs_wire::QueueT(*o.removed_queue) : nullptr) {
   tasks.reserve(o.tasks.size());
   for (const auto &tasks_ : o.tasks) { tasks.emplace_back((tasks_) ? new mimosastage::jobs_wire::TaskT(*tasks_) : nullptr); }
 }
@@ -6641,6 +6696,7 @@
   std::swap(started, o.started);
   std::swap(ended_ms, o.ended_ms);
   std::swap(tasks, o.tasks);
+  std::swap(removed_queue, o.removed_queue);
   return *this;
 }
 
@@ -6658,6 +6714,7 @@
   { auto _e = started(); _o->started = _e; }
   { auto _e = ended_ms(); _o->ended_ms = _e; }
   { auto _e = tasks(); if (_e) { _o->tasks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tasks[_i] = std::unique_ptr<mimosastage::jobs_wire::TaskT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = removed_queue(); if (_e) _o->removed_queue = std::unique_ptr<mimosastage::jobs_wire::QueueT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<JobRecord> JobRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6673,13 +6730,15 @@
   auto _started = _o->started;
   auto _ended_ms = _o->ended_ms;
   auto _tasks = _o->tasks.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::Task>> (_o->tasks.size(), [](size_t i, _VectorArgs *__va) { return CreateTask(*__va->__fbb, __va->__o->tasks[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _removed_queue = _o->removed_queue ? CreateQueue(_fbb, _o->removed_queue.get(), _rehasher) : 0;
   return mimosastage::jobs_wire::CreateJobRecord(
       _fbb,
       _job,
       _phase,
       _started,
       _ended_ms,
-      _tasks);
+      _tasks,
+      _removed_queue);
 }
 
 inline SnapshotT::SnapshotT(const SnapshotT &o)
--- a/src/mimosastage/jobs/waiting_steps.cc
+++ b/src/mimosastage/jobs/waiting_steps.cc
@@ -184,9 +184,8 @@
                                    job->request != open->second.request)) {
     this->RemoveJob(id);
   }
-  const Queue* queue = job == nullptr || job->Ended()
-                           ? nullptr
-                           : this->state.FindQueue(job->request->queue);
+  const Queue* queue =
+      job == nullptr || job->Ended() ? nullptr : job->queue.get();
   if (queue == nullptr) {
     return;
   }
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -886,7 +886,9 @@
   void SubmitShortJob() {
     JobRequest request;
     request.steps.push_back(std::make_unique<Step>(MakeStep(8, 4'000)));
-    const Queue& queue = *this->fleet.state.FindQueue("queue-render");
+    const auto queue_row =
+        this->fleet.state.Queues().FindByName("queue-render");
+    const Queue& queue = *queue_row;
     if (this->refuses_overload &&
         this->fleet.dispatcher->OverloadDelay(request, queue, this->fleet.now)
             .has_value()) {
--- a/tests/jobs/fleet_state_test.cc
+++ b/tests/jobs/fleet_state_test.cc
@@ -258,11 +258,72 @@
   EXPECT_EQ(this->state.Config().version, 4U);
 }
 
-TEST_F(FleetStateTest, QueueFor_TwoPrefixesMatch_LongestWins) {
+TEST_F(FleetStateTest, QueueForCall_TwoPrefixesMatch_LongestWins) {
   this->Configure(1);
-  EXPECT_EQ(this->state.QueueFor("host", "/a/b/id")->name, "/a/b/");
-  EXPECT_EQ(this->state.QueueFor("host", "/a/id")->name, "/a/");
-  EXPECT_EQ(this->state.QueueFor("other", "/a/id"), nullptr);
+  const QueueTable& queues = this->state.Queues();
+  EXPECT_EQ(queues.ForCall("host", "/a/b/id")->name, "/a/b/");
+  EXPECT_EQ(queues.ForCall("host", "/a/id")->name, "/a/");
+  EXPECT_EQ(queues.ForCall("other", "/a/id"), nullptr);
+}
+
+/// A job with one task in a queue that changes.
+class FleetStateQueueChangeTest : public FleetStateTest {
+ protected:
+  FleetStateQueueChangeTest() {
+    this->Configure("queue", "/q/");
+    this->Accept("job", {MakeStep(1, 100)});
+  }
+
+  /// Applies a configuration with one queue, which allows two attempts.
+  void Configure(const std::string& name, const std::string& prefix) {
+    Command command;
+    command.configuration = MakeConfiguration(++this->version);
+    command.configuration->queues.erase(
+        command.configuration->queues.begin() + 1,
+        command.configuration->queues.end());
+    Queue& queue = *command.configuration->queues[0];
+    queue.name = name;
+    queue.path_prefix = prefix;
+    queue.max_attempts = 2;
+    this->state.Apply(command);
+  }
+
+  void FailRun(std::uint32_t run) {
+    this->Start("job", 0, run);
+    this->End("job", 0, run, RunOutcome::kFailed);
+  }
+
+  /// Replaces the state by its copy, as at a restart.
+  void Restart() {
+    const std::string snapshot = this->state.Snapshot();
+    ASSERT_TRUE(this->state.Restore(snapshot));
+    EXPECT_EQ(this->state.Snapshot(), snapshot);
+  }
+
+  std::uint64_t version = 0;
+};
+
+// Guards against daemons that disagree on the queue of a job: one has followed
+// each change, the other has restarted between them.
+TEST_F(FleetStateQueueChangeTest, QueueChangesTwice_RestartKeepsHolder) {
+  this->Configure("renamed", "/q/");
+  this->Restart();
+  this->Configure("renamed", "/moved/");
+  this->Restart();
+  const auto& queue = this->state.FindJob("job")->queue;
+  ASSERT_NE(queue, nullptr);
+  EXPECT_EQ(queue->path_prefix, "/moved/");
+  EXPECT_EQ(this->state.UnstartedJobs(*queue), 1U);
+  EXPECT_TRUE(this->state.JobsOfRemovedQueues().empty());
+}
+
+// Guards against a count of waiting jobs that stays with the queue's old name.
+TEST_F(FleetStateQueueChangeTest, QueueRenamed_WaitingJobsCountForIt) {
+  this->Configure("renamed", "/q/");
+  const Queue* queue = this->state.Queues().ForCall("host", "/q/");
+  EXPECT_EQ(this->state.UnstartedJobs(*queue), 1U);
+  this->Start("job", 0, 1);
+  EXPECT_EQ(this->state.UnstartedJobs(*queue), 0U);
 }
 
 TEST_F(FleetStateTest, FindProblem_UnknownPool_IsNamed) {
--- a/tests/jobs/placement_differential_test.cc
+++ b/tests/jobs/placement_differential_test.cc
@@ -51,6 +51,7 @@
     this->fleet.Advance(milliseconds(10));
     this->AnswerAdvice();
     DispatcherPeer peer(*this->fleet.dispatcher);
+    peer.SettleCrashes(this->fleet.now);
     const auto expected = peer.PlanNaively(this->fleet.now);
     this->fleet.proposed_starts.clear();
     this->fleet.advice_requests.clear();
@@ -93,10 +94,12 @@
   void CompareQueueLengths() {
     std::map<std::string, std::size_t> unstarted;
     for (const auto& [id, job] : this->fleet.state.Jobs()) {
-      unstarted[job.request->queue] += !job.Ended() && !job.started ? 1 : 0;
+      const std::string name = job.queue == nullptr ? "" : job.queue->name;
+      unstarted[name] += !job.Ended() && !job.started ? 1 : 0;
     }
-    for (const auto& [queue, count] : unstarted) {
-      ASSERT_EQ(this->fleet.state.UnstartedJobs(queue), count);
+    for (const auto& queue : this->fleet.state.Config().queues) {
+      ASSERT_EQ(this->fleet.state.UnstartedJobs(*queue),
+                unstarted[queue->name]);
     }
   }
 
@@ -123,6 +126,8 @@
     for (int i = 0; i < 6; ++i) {
       auto queue = std::make_unique<Queue>();
       queue->name = "queue-" + std::to_string(i);
+      queue->host = "host";
+      queue->path_prefix = "/" + queue->name + "/";
       queue->pool = "pool-" + std::to_string(i % kPools);
       queue->max_attempts = 20;
       queue->stretch = 0.5 * static_cast<double>(this->Pick(5));
--- a/tests/jobs/support/dispatcher_peer.cc
+++ b/tests/jobs/support/dispatcher_peer.cc
@@ -339,7 +339,7 @@
   }
   for (const auto& [accepted, id] : this->dispatcher.state.OpenJobs()) {
     const Job& job = *this->dispatcher.state.FindJob(id);
-    const Queue* queue = this->dispatcher.state.FindQueue(job.request->queue);
+    const Queue* queue = job.queue.get();
     if (queue != nullptr) {
       this->AddDemands(job, *queue, by_pool[queue->pool]);
       for (const auto& step : job.request->steps) {
