Count attempts against the queue that the job last had

Cause: the limit of attempts was looked up by name in the configuration of the moment, and was 1 without a queue.

Change: the limit is that of the job's queue, which outlives its removal. A job whose queue was never known isn't failed.

RunFails_QueueIsRemoved_* of FleetStateQueueChangeTest fail on the lookup by name and pass now.

--- a/src/mimosastage/jobs/fleet_state.cc
+++ b/src/mimosastage/jobs/fleet_state.cc
@@ -311,11 +311,10 @@
     ++task.failures;
   }
   if (!job.Ended() && !step.long_running) {
-    const auto queue = this->queues.FindByName(job.request->queue);
-    const std::uint32_t most = queue == nullptr ? 1 : queue->max_attempts;
     if (outcome == RunOutcome::kDone && !task.done) {
       this->FinishTask(job, id);
-    } else if (!task.done && task.failures >= std::max(1U, most)) {
+    } else if (!task.done && job.queue != nullptr &&
+               task.failures >= std::max(1U, job.queue->max_attempts)) {
       this->EndJob(job, JobPhase::kFailed);
     }
   }
--- a/tests/jobs/fleet_state_test.cc
+++ b/tests/jobs/fleet_state_test.cc
@@ -303,6 +303,28 @@
   std::uint64_t version = 0;
 };
 
+// Guards against a job that is failed after one of its attempts: its queue is
+// out of the configuration when the run fails.
+TEST_F(FleetStateQueueChangeTest, RunFails_QueueIsRemoved_AttemptsRemain) {
+  this->Configure("other", "/o/");
+  this->FailRun(1);
+  EXPECT_EQ(this->state.FindJob("job")->phase, JobPhase::kRunning);
+  this->Configure("queue", "/q/");
+  this->FailRun(2);
+  EXPECT_EQ(this->state.FindJob("job")->phase, JobPhase::kFailed);
+}
+
+// Guards against the same after a restart, which knows the configuration of the
+// moment only.
+TEST_F(FleetStateQueueChangeTest, RunFails_QueueIsRemoved_RestartKeepsLimit) {
+  this->Configure("other", "/o/");
+  this->Restart();
+  this->FailRun(1);
+  EXPECT_EQ(this->state.FindJob("job")->phase, JobPhase::kRunning);
+  this->FailRun(2);
+  EXPECT_EQ(this->state.FindJob("job")->phase, JobPhase::kFailed);
+}
+
 // Guards against daemons that disagree on the queue of a job: one has followed
 // each change, the other has restarted between them.
 TEST_F(FleetStateQueueChangeTest, QueueChangesTwice_RestartKeepsHolder) {
