Answer submissions truthfully while their queue is being removed

Cause: submissions were checked against the committed configuration only, and any known id counted as the same job.

Change: 429 queue_being_removed, 409 job_id_in_use, and an unknown outcome for a job that is stored at the path.

Evidence: Submit_RemovalOfQueueIsNotDurable_IsRefused, Submit_IdOfAJobOfAnotherQueue_IsRefused and SubmitAgain_QueueIsRemoved_IsNotRefused of CallHandlerTest.

--- a/src/mimosastage/jobs/call_handler.cc
+++ b/src/mimosastage/jobs/call_handler.cc
@@ -18,6 +18,11 @@
 /// second.
 constexpr milliseconds kFullLogDelay{1'000};
 
+/// When a job that was refused because its queue is being removed may be sent
+/// again. The change is durable within some milliseconds, or undone by a leader
+/// change within about a second.
+constexpr milliseconds kRemovedQueueDelay{500};
+
 Answer AnswerOf(CallOutcome outcome, std::string text = "") {
   Answer answer;
   answer.outcome = static_cast<std::uint8_t>(outcome);
@@ -128,6 +133,12 @@
   }
   const Queue* queue = this->committed.Queues().ForCall(call.host, call.path);
   if (queue == nullptr) {
+    if (static_cast<CallKind>(call.kind) == CallKind::kSubmit &&
+        this->HasJobSubmittedAt(call.host, call.path)) {
+      // An earlier copy of the call was accepted, so it isn't refused.
+      reply(AnswerOf(CallOutcome::kUnknown, "queue_removed_since"));
+      return;
+    }
     this->Refuse(CallOutcome::kNoQueue, "no_such_queue", reply);
     return;
   }
@@ -152,6 +163,16 @@
   }
 }
 
+bool CallHandler::HasJobSubmittedAt(const std::string& host,
+                                    const std::string& path) const {
+  const std::size_t slash = path.rfind('/');
+  const Job* job = slash == std::string::npos
+                       ? nullptr
+                       : this->working.FindJob(path.substr(slash + 1));
+  return job != nullptr && job->request->host == host &&
+         job->request->path_prefix + job->request->id == path;
+}
+
 void CallHandler::Submit(const Call& call, const Queue& queue, const Team* team,
                          TimePoint now, const Reply& reply) {
   const std::string id = JobIdIn(call, queue);
@@ -159,8 +180,19 @@
     this->Refuse(CallOutcome::kInvalid, "malformed_job", reply);
     return;
   }
-  const bool known = this->working.FindJob(id) != nullptr;
+  const Job* same_id = this->working.FindJob(id);
+  const bool known = same_id != nullptr;
+  if (known && !this->IsHeldBy(*same_id, queue)) {
+    this->Refuse(CallOutcome::kConflict, "job_id_in_use", reply);
+    return;
+  }
   if (!known) {
+    if (this->working.Queues().ForCall(call.host, call.path) == nullptr) {
+      // A change of the configuration that removes the queue isn't durable yet.
+      // The job would be accepted after it.
+      this->RefuseJob(id, "queue_being_removed", kRemovedQueueDelay, reply);
+      return;
+    }
     const auto& limits = this->working.limits();
     if (const auto problem = FindProblem(*call.job, limits.tasks_per_job);
         problem.has_value()) {
--- a/src/mimosastage/jobs/call_handler.h
+++ b/src/mimosastage/jobs/call_handler.h
@@ -43,6 +43,9 @@
   void Handle(const Call& call, TimePoint now, const Reply& reply);
 
  private:
+  /// True if a job was accepted at this path, whose queue may be gone since.
+  bool HasJobSubmittedAt(const std::string& host,
+                         const std::string& path) const;
   void Submit(const Call& call, const Queue& queue, const Team* team,
               TimePoint now, const Reply& reply);
   /// True if the queue holds the job, or held it before a change of the
--- a/tests/jobs/call_handler_test.cc
+++ b/tests/jobs/call_handler_test.cc
@@ -176,6 +176,38 @@
   EXPECT_EQ(this->fleet.JobOf("job").phase, JobPhase::kCancelled);
 }
 
+// Guards against a job that is accepted and can never start: the log has the
+// removal of its queue before it.
+TEST_F(CallHandlerTest, Submit_RemovalOfQueueIsNotDurable_IsRefused) {
+  this->Configure({{"queue", "/q/"}, {"other", "/o/"}});
+  this->fleet.log_stalled = true;
+  this->Configure({{"other", "/o/"}});
+  EXPECT_EQ(this->Handle(CallKind::kSubmit, "/q/job"),
+            CallOutcome::kOverloaded);
+  EXPECT_EQ(this->last_refusal, "queue_being_removed");
+  EXPECT_EQ(this->fleet.state.FindJob("job"), nullptr);
+}
+
+// Guards against a refusal of a job that is stored: its queue is removed before
+// the submission is repeated.
+TEST_F(CallHandlerTest, SubmitAgain_QueueIsRemoved_IsNotRefused) {
+  this->Configure({{"queue", "/q/"}, {"other", "/o/"}});
+  ASSERT_EQ(this->Handle(CallKind::kSubmit, "/q/job"), CallOutcome::kOk);
+  this->Configure({{"other", "/o/"}});
+  EXPECT_EQ(this->Handle(CallKind::kSubmit, "/q/job"), CallOutcome::kUnknown);
+  EXPECT_EQ(this->Handle(CallKind::kSubmit, "/q/new"), CallOutcome::kNoQueue);
+}
+
+// Guards against a second job that is acknowledged and never stored, because a
+// job of another queue has its id.
+TEST_F(CallHandlerTest, Submit_IdOfAJobOfAnotherQueue_IsRefused) {
+  this->Configure({{"one", "/1/"}, {"two", "/2/"}});
+  ASSERT_EQ(this->Handle(CallKind::kSubmit, "/1/job"), CallOutcome::kOk);
+  EXPECT_EQ(this->Handle(CallKind::kSubmit, "/2/job"), CallOutcome::kConflict);
+  EXPECT_EQ(this->Handle(CallKind::kSubmit, "/1/job"), CallOutcome::kOk)
+      << "a repeated submission";
+}
+
 // Guards against an accepted job of which nothing is started any more: its
 // queue was renamed, or removed, while a step ran.
 TEST_F(CallHandlerTest, QueueRenamedOrRemoved_NextStepOfJob_IsStarted) {
