Refuse a job only if no other copy of the call may be accepted

Cause: an entry sends a call again when the leader's view changes. The leader refused the first copy, its configuration changed, and it accepted the second.

Change: an entry counts the copies without an answer. A refusal of one of several is passed on as an unknown outcome.

--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -474,6 +474,7 @@
     return;
   }
   open.sent_to = leader;
+  ++open.unanswered_copies;
   open.possibly_applied =
       open.possibly_applied ||
       ChangesState(static_cast<jobs::CallKind>(open.call.kind));
@@ -509,6 +510,7 @@
     return;
   }
   OpenCall& open = found->second;
+  open.unanswered_copies -= open.unanswered_copies > 0 ? 1 : 0;
   const auto outcome = static_cast<jobs::CallOutcome>(answer.outcome);
   if (outcome == jobs::CallOutcome::kOverloaded && open.sent_to != from) {
     // The call was sent again to another leader, which may store it.
@@ -524,6 +526,12 @@
         std::max(open.next_send, now + this->config.call_retry_interval);
     return;
   }
+  if (static_cast<jobs::CallKind>(open.call.kind) == jobs::CallKind::kSubmit &&
+      outcome != jobs::CallOutcome::kOk && open.unanswered_copies > 0) {
+    // Another copy may be accepted, so that the job isn't refused for sure.
+    this->hooks.count_drop("refusal_of_one_copy");
+    answer = MakeAnswer(jobs::CallOutcome::kUnknown, "other_copy_unanswered");
+  }
   this->Finish(number, std::move(answer));
 }
 
--- a/src/mimosastage/node/job_node.h
+++ b/src/mimosastage/node/job_node.h
@@ -166,6 +166,9 @@
     std::optional<DaemonId> sent_to;
     /// A leader may have applied the call's change.
     bool possibly_applied = false;
+    /// How often the call was sent without an answer. Each of these copies may
+    /// still be applied.
+    unsigned unanswered_copies = 0;
     TimePoint next_send{};
   };
 
--- a/tests/node/job_node_test.cc
+++ b/tests/node/job_node_test.cc
@@ -146,6 +146,36 @@
   EXPECT_EQ(this->answers.at(1), jobs::CallOutcome::kOverloaded);
 }
 
+// Guards against a false refusal: the leader gets a call twice, refuses the
+// first copy, and accepts the second one after its configuration has changed.
+TEST_F(JobNodeTest, LeaderRefusesOneOfTwoCopies_AnswerIsUnknown) {
+  this->Start();
+  this->node->OnLinkState(DaemonId{2}, true, this->now);
+  const auto announce = [this](std::uint64_t view) {
+    jobs::Leadership notice;
+    notice.leader = 2;
+    notice.view = view;
+    notice.serving = true;
+    this->node->OnMessage(
+        DaemonId{2}, EncodeMessage(JobsBytes{jobs::EncodeLeadership(notice)}),
+        this->now);
+    this->now += milliseconds(60);
+    this->node->Advance(this->now);
+  };
+  announce(1);
+  this->node->OnCall(1, this->Submit(), seconds(8), this->now);
+  announce(2);
+  ASSERT_EQ(this->sent[DaemonId{2}], 2);
+  jobs::Answer refusal;
+  refusal.number = 1;
+  refusal.outcome = static_cast<std::uint8_t>(jobs::CallOutcome::kOverloaded);
+  this->node->OnMessage(DaemonId{2},
+                        EncodeMessage(JobsBytes{jobs::EncodeAnswer(refusal)}),
+                        this->now);
+  ASSERT_EQ(this->answers.size(), 1U);
+  EXPECT_EQ(this->answers.at(1), jobs::CallOutcome::kUnknown);
+}
+
 // Guards against a call that nobody handles until its deadline: the leader's
 // term ended, and the same daemon leads the next one.
 TEST_F(JobNodeTest, LeaderLeadsANewView_CallOfItsFormerTerm_IsSentAgain) {
