Let the model of the group rename and remove its queue

Guards against accepted jobs that are gone, fail or never end because versions of the configuration change their queue, two at once at times.

--- a/tests/node/job_group_schedules_test.cc
+++ b/tests/node/job_group_schedules_test.cc
@@ -41,11 +41,11 @@
 class JobGroupSchedule {
  public:
   JobGroupSchedule(std::uint64_t seed, bool workers_keep_ids,
-                   bool workers_change_kind)
+                   bool workers_change_kind, bool queue_changes)
       : random(seed),
         power_random(~seed),
         group(this->GroupSettings(seed, workers_keep_ids, workers_change_kind)),
-        traffic(this->TrafficSettings(), this->group) {
+        traffic(this->TrafficSettings(queue_changes), this->group) {
     this->fault_interval = 1 + this->Draw(6);
     this->crash_loop = this->Draw(3) == 0;
     // Not every schedule has each kind of fault.
@@ -125,8 +125,9 @@
     return settings;
   }
 
-  JobTraffic::Settings TrafficSettings() {
+  JobTraffic::Settings TrafficSettings(bool queue_changes) {
     JobTraffic::Settings settings;
+    settings.queue_changes = queue_changes;
     settings.seed = this->random();
     // From half to twice as much as the workers can do.
     settings.job_interval =
@@ -451,7 +452,7 @@
 
   void RunOne(std::uint64_t seed) {
     JobGroupSchedule schedule(seed, this->workers_keep_ids,
-                              this->workers_change_kind);
+                              this->workers_change_kind, this->queue_changes);
     const std::string failure = schedule.Run();
     this->starts += schedule.Starts();
     this->terms += schedule.Terms();
@@ -464,6 +465,7 @@
 
   bool workers_keep_ids = false;
   bool workers_change_kind = true;
+  bool queue_changes = false;
   std::mutex mutex;
   std::vector<std::string> failures;
   std::atomic<std::size_t> starts = 0;
@@ -525,6 +527,13 @@
   this->RunAll(80);
 }
 
+// Guards against accepted jobs that are gone, fail or never end (LOST, FINISH)
+// because versions rename their queue, remove it and bring it back.
+TEST_F(JobGroupSchedulesTest, Group_QueueIsRenamedAndRemoved_KeepsTheRules) {
+  this->queue_changes = true;
+  this->RunAll(40);
+}
+
 // Guards against leaders without end: on slow links a term fills the log with
 // as many entries as may wait for a quorum, gives up, and the next one does the
 // same (FINISH).
--- a/tests/node/support/job_traffic.cc
+++ b/tests/node/support/job_traffic.cc
@@ -170,19 +170,56 @@
 
 // The operator.
 
+void JobTraffic::EndSubmissions() {
+  this->submits = false;
+  if (this->settings.queue_changes) {
+    this->final_version = ++this->last_version;
+    this->Configure(this->final_version, 0, 1'000);
+  }
+}
+
 void JobTraffic::ConfigureNext() {
   if (!this->submits) {
     return;
   }
-  this->last_version += 1 + this->Draw(3);
-  this->Configure(this->last_version,
-                  this->Draw(this->settings.configuration_bytes), 40);
+  this->ConfigureNow();
+  if (this->settings.queue_changes && this->Draw(4) == 0) {
+    this->ConfigureNow();
+  }
   const auto mean =
       static_cast<std::uint64_t>(this->settings.configuration_interval.count());
   this->group.events.After(milliseconds(this->Draw(2 * mean)),
                            [this] { this->ConfigureNext(); });
 }
 
+void JobTraffic::ConfigureNow() {
+  this->last_version += 1 + this->Draw(3);
+  this->Configure(this->last_version,
+                  this->Draw(this->settings.configuration_bytes), 40);
+}
+
+std::unique_ptr<jobs::Queue> JobTraffic::QueueOf(std::uint64_t version) const {
+  auto queue = std::make_unique<jobs::Queue>();
+  queue->name = "queue-render";
+  queue->host = "host";
+  queue->path_prefix = kPrefix;
+  queue->pool = "render";
+  queue->max_attempts = 1'000;
+  queue->stretch = 2;
+  queue->timeout_ms = 3'000;
+  queue->target_ms = 600;
+  queue->open = true;
+  if (this->settings.queue_changes) {
+    // A repeated version must have the same content.
+    std::mt19937_64 draw(this->settings.seed ^ version);
+    if (draw() % 4 == 0 && version > 4 && version != this->final_version) {
+      return nullptr;
+    }
+    queue->name += std::to_string(draw() % 3);
+  }
+  return queue;
+}
+
 void JobTraffic::Configure(std::uint64_t version, std::size_t bytes,
                            int attempts) {
   jobs::Call call;
@@ -194,17 +231,9 @@
   auto pool = std::make_unique<jobs::Pool>();
   pool->name = "render";
   call.configuration->pools.push_back(std::move(pool));
-  auto queue = std::make_unique<jobs::Queue>();
-  queue->name = "queue-render";
-  queue->host = "host";
-  queue->path_prefix = kPrefix;
-  queue->pool = "render";
-  queue->max_attempts = 1'000;
-  queue->stretch = 2;
-  queue->timeout_ms = 3'000;
-  queue->target_ms = 600;
-  queue->open = true;
-  call.configuration->queues.push_back(std::move(queue));
+  if (auto queue = this->QueueOf(version); queue != nullptr) {
+    call.configuration->queues.push_back(std::move(queue));
+  }
   this->group.Call(
       this->DrawVoter(), std::move(call), seconds(1),
       [this, version, bytes,
--- a/tests/node/support/job_traffic.h
+++ b/tests/node/support/job_traffic.h
@@ -23,6 +23,9 @@
     std::size_t configuration_bytes = 2'000;
     /// Probability that an announcement arrives up to 6 s late.
     double late_announcement = 0;
+    /// Versions rename the queue, remove it and bring it back, two at once at
+    /// times.
+    bool queue_changes = false;
   };
 
   JobTraffic(Settings settings, JobGroup& group);
@@ -30,7 +33,7 @@
   JobTraffic& operator=(const JobTraffic&) = delete;
 
   /// Ends new submissions, cancels and configurations.
-  void EndSubmissions() { this->submits = false; }
+  void EndSubmissions();
 
  private:
   std::uint64_t Draw(std::uint64_t bound) { return this->random() % bound; }
@@ -46,6 +49,10 @@
   void LookUpNext();
   jobs::Call MakeCall(jobs::CallKind kind, const std::string& job) const;
   void ConfigureNext();
+  /// Sends a version higher than all before.
+  void ConfigureNow();
+  /// The queue of the version; null if the version removes it.
+  std::unique_ptr<jobs::Queue> QueueOf(std::uint64_t version) const;
   void Configure(std::uint64_t version, std::size_t bytes, int attempts);
   void ReadConfigurationNext();
   void AnnounceNext(std::size_t instance);
@@ -58,6 +65,8 @@
   bool submits = true;
   std::uint64_t last_job = 0;
   std::uint64_t last_version = 0;
+  /// Has the queue, so that clients can look up their jobs at the end.
+  std::uint64_t final_version = 0;
 };
 
 }  // namespace mimosastage
