Log late renewals of leases and late answers of workers

Change: lease_renewed_late names the gap and its parts; answer_late tells how long an answer was on its way.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -15,6 +15,11 @@
 /// incomplete.
 constexpr std::size_t kEndsPerAnswer = 500;
 
+/// A lease lasts 4.5 s and is renewed about every second.
+/// An answer that is on its way for longer shortens the next lease noticeably.
+constexpr milliseconds kLateAnswer{500};
+constexpr milliseconds kLateRenewal{3'000};
+
 /// Faults of workers last some seconds, so the health window is short.
 WorkerHealth::Config HealthConfig() {
   WorkerHealth::Config config;
@@ -135,6 +140,7 @@
   session.known_since = now;
   session.last_announced = now;
   session.last_answer = now;
+  session.since_renewal.renewed_at = now;
   if (this->MayBeTakenDown(worker.machine)) {
     session.reserved = now;
   }
@@ -316,6 +322,9 @@
     // A hold to a silent worker carries no deadline. The worker might execute
     // it, so each deadline would extend the lease, which would never expire.
     hold.deadline = session.lease.HoldDeadline(now);
+    if (hold.deadline.has_value()) {
+      this->OnRenewed(id, session, now);
+    }
   }
   if (this->MayAcknowledge(session)) {
     hold.last_durable_end = session.last_durable_end;
@@ -343,6 +352,26 @@
              std::move(order));
 }
 
+void Dispatcher::OnRenewed(const std::string& id, Session& session,
+                           TimePoint now) {
+  const SinceRenewal since =
+      std::exchange(session.since_renewal, SinceRenewal{.renewed_at = now});
+  const Duration gap = now - since.renewed_at;
+  if (gap < kLateRenewal || session.runs.empty()) {
+    return;
+  }
+  const auto text = [](Duration time) {
+    return std::to_string(std::chrono::floor<milliseconds>(time).count()) +
+           " ms";
+  };
+  this->hooks.report(
+      "lease_renewed_late", id,
+      "after " + text(gap) + "; holds were open for " + text(since.holds_open) +
+          ", ends waited " + text(since.ends_waited) + " for the log, " +
+          std::to_string(since.not_started) + " holds weren't started, " +
+          std::to_string(since.unanswered) + " orders were unanswered");
+}
+
 bool Dispatcher::MayAcknowledge(const Session& session) const {
   if (session.unanswered_orders > 0 || !HasUnacknowledgedEnds(session)) {
     return false;
@@ -455,6 +484,12 @@
       now);
   if (reply.clock.has_value()) {
     this->CheckIncarnation(session, order, *reply.clock);
+    if (const milliseconds delay =
+            session.lease.DelayOf(*reply.clock, reply.read_at);
+        delay >= kLateAnswer) {
+      this->hooks.report("answer_late", id,
+                         std::to_string(delay.count()) + " ms");
+    }
     session.lease.OnClock(*reply.clock, reply.read_at);
     session.last_answer = std::max(session.last_answer, reply.read_at);
   }
@@ -469,7 +504,9 @@
                         const OpenOrder& order, const WorkerReply& reply,
                         TimePoint now) {
   session.hold_open = false;
+  session.since_renewal.holds_open += now - order.sent;
   if (reply.result == OrderResult::kNotStarted) {
+    ++session.since_renewal.not_started;
     this->hooks.count_retry("hold_not_started");
     this->ScheduleHold(session, now + this->config.not_started_delay);
     return;
@@ -527,6 +564,7 @@
                                  const OpenOrder& order, TimePoint now) {
   const std::string reason = std::string(kind) + "_" + NameOf(result);
   const Duration since_sent = now - order.sent;
+  ++session.since_renewal.unanswered;
   if (session.unanswered_orders++ == 0) {
     // A connection that breaks before the timeout was held by a live worker
     // until then.
@@ -587,6 +625,7 @@
     this->EndRun(id, session, key, ended.outcome, ended.checkpoint, now);
   }
   session.ends_pending = true;
+  session.ends_pending_since = now;
   const std::int64_t born_ms = session.born_ms;
   this->hooks.propose(Command(), [this, id, born_ms, last](TimePoint at) {
     if (const auto found = this->sessions.find(id);
@@ -594,6 +633,8 @@
       found->second.last_durable_end =
           std::max(found->second.last_durable_end, last);
       found->second.ends_pending = false;
+      found->second.since_renewal.ends_waited +=
+          at - found->second.ends_pending_since;
       this->ScheduleHold(found->second, std::max(at, found->second.next_hold));
     }
   });
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -234,6 +234,17 @@
     }
   };
 
+  /// What has happened since the worker's lease was last renewed.
+  struct SinceRenewal {
+    TimePoint renewed_at{};
+    /// How long holds waited for their answers, and the next hold for run ends
+    /// to become durable.
+    Duration holds_open{0};
+    Duration ends_waited{0};
+    unsigned not_started = 0;
+    unsigned unanswered = 0;
+  };
+
   struct Session {
     /// The session's key in `sessions`.
     const std::string* id = nullptr;
@@ -263,6 +274,8 @@
     /// Run ends of the last answer aren't durable yet; no hold is sent until
     /// they are.
     bool ends_pending = false;
+    TimePoint ends_pending_since{};
+    SinceRenewal since_renewal;
     TimePoint next_hold{};
     /// The capacity has shrunk, and starts from before may be unconfirmed.
     bool capacity_shrunk = false;
@@ -389,6 +402,9 @@
   void StopOnThisIncarnation(const std::string& id, Session& session,
                              const std::vector<RunKey>& runs);
   void SendHold(const std::string& id, Session& session, TimePoint now);
+  /// Must be called when an order renews the lease. Reports a late renewal, and
+  /// what it waited for.
+  void OnRenewed(const std::string& id, Session& session, TimePoint now);
   /// Handles a reply of the next incarnation under the worker's id.
   void OnNextIncarnationAnswered(const std::string& id, Session& session,
                                  const OpenOrder& order,
--- a/src/mimosastage/jobs/worker_lease.cc
+++ b/src/mimosastage/jobs/worker_lease.cc
@@ -27,6 +27,12 @@
   this->clock_read_at = read_at;
 }
 
+milliseconds WorkerLease::DelayOf(milliseconds clock, TimePoint read_at) const {
+  return this->clock.has_value()
+             ? std::max(milliseconds(0), this->EstimatedClock(read_at) - clock)
+             : milliseconds(0);
+}
+
 bool WorkerLease::IsClockOfAnother(milliseconds clock, TimePoint sent) const {
   if (!this->clock.has_value() || sent < this->clock_read_at) {
     return false;
--- a/src/mimosastage/jobs/worker_lease.h
+++ b/src/mimosastage/jobs/worker_lease.h
@@ -37,6 +37,11 @@
   /// Updates the clock estimate from an answer that was read at `read_at`.
   void OnClock(std::chrono::milliseconds clock, TimePoint read_at);
 
+  /// Returns by how much an answer that was read at `read_at` is behind what
+  /// earlier ones tell of the worker's clock, so how long it was on its way.
+  std::chrono::milliseconds DelayOf(std::chrono::milliseconds clock,
+                                    TimePoint read_at) const;
+
   /// True if the worker that answered an order sent at `sent` with this clock
   /// is another incarnation: a clock never goes back during a life.
   bool IsClockOfAnother(std::chrono::milliseconds clock, TimePoint sent) const;
