Let a leader regain its authority, and resign if it doesn't

Cause: authority needs answers to heartbeats within 270 ms, a voter replaces a leader after 600 ms. In between a leader decides nothing and stays. It didn't recover under load, because each daemon repeated each open call every 50 ms.

Change: a leader without authority for 100 ms says so, and daemons keep their calls back; after 1 s it resigns. authority_regained logs the gaps.

--- a/src/mimosastage/jobs/internal/records_generated.h
+++ b/src/mimosastage/jobs/internal/records_generated.h
@@ -4185,6 +4185,7 @@
   uint64_t members_version = 0;
   std::vector<std::unique_ptr<mimosastage::jobs_wire::GroupMemberT>> members{};
   uint64_t leader_address_id = 0;
+  bool paused = false;
   LeadershipT() = default;
   LeadershipT(const LeadershipT &o);
   LeadershipT(LeadershipT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4201,7 +4202,8 @@
     VT_SERVING = 8,
     VT_MEMBERS_VERSION = 10,
     VT_MEMBERS = 12,
-    VT_LEADER_ADDRESS_ID = 14
+    VT_LEADER_ADDRESS_ID = 14,
+    VT_PAUSED = 16
   };
   uint16_t leader() const {
     return GetField<uint16_t>(VT_LEADER, 0);
@@ -4221,6 +4223,9 @@
   uint64_t leader_address_id() const {
     return GetField<uint64_t>(VT_LEADER_ADDRESS_ID, 0);
   }
+  bool paused() const {
+    return GetField<uint8_t>(VT_PAUSED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_LEADER, 2) &&
@@ -4231,6 +4236,7 @@
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfTables(members()) &&
            VerifyField<uint64_t>(verifier, VT_LEADER_ADDRESS_ID, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PAUSED, 1) &&
            verifier.EndTable();
   }
   LeadershipT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4260,6 +4266,9 @@
   void add_leader_address_id(uint64_t leader_address_id) {
     fbb_.AddElement<uint64_t>(Leadership::VT_LEADER_ADDRESS_ID, leader_address_id, 0);
   }
+  void add_paused(bool paused) {
+    fbb_.AddElement<uint8_t>(Leadership::VT_PAUSED, static_cast<uint8_t>(paused), 0);
+  }
   explicit LeadershipBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4278,13 +4287,15 @@
     bool serving = false,
     uint64_t members_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>>> members = 0,
-    uint64_t leader_address_id = 0) {
+    uint64_t leader_address_id = 0,
+    bool paused = false) {
   LeadershipBuilder builder_(_fbb);
   builder_.add_leader_address_id(leader_address_id);
   builder_.add_members_version(members_version);
   builder_.add_view(view);
   builder_.add_members(members);
   builder_.add_leader(leader);
+  builder_.add_paused(paused);
   builder_.add_serving(serving);
   return builder_.Finish();
 }
@@ -4301,7 +4312,8 @@
     bool serving = false,
     uint64_t members_version = 0,
     const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>> *members = nullptr,
-    uint64_t leader_address_id = 0) {
+    uint64_t leader_address_id = 0,
+    bool paused = false) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>>(*members) : 0;
   return mimosastage::jobs_wire::CreateLeadership(
       _fbb,
@@ -4310,7 +4322,8 @@
       serving,
       members_version,
       members__,
-      leader_address_id);
+      leader_address_id,
+      paused);
 }
 
 flatbuffers::Offset<Leadership> CreateLeadership(flatbuffers::FlatBufferBuilder &_fbb, const LeadershipT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6967,7 +6980,8 @@
         view(o.view),
         serving(o.serving),
         members_version(o.members_version),
-        leader_address_id(o.leader_address_id) {
+        leader_address_id(o.leader_address_id),
+        paused(o.paused) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new mimosastage::jobs_wire::GroupMemberT(*members_) : nullptr); }
 }
@@ -6979,6 +6993,7 @@
   std::swap(members_version, o.members_version);
   std::swap(members, o.members);
   std::swap(leader_address_id, o.leader_address_id);
+  std::swap(paused, o.paused);
   return *this;
 }
 
@@ -6997,6 +7012,7 @@
   { auto _e = members_version(); _o->members_version = _e; }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<mimosastage::jobs_wire::GroupMemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = leader_address_id(); _o->leader_address_id = _e; }
+  { auto _e = paused(); _o->paused = _e; }
 }
 
 inline flatbuffers::Offset<Leadership> Leadership::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeadershipT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7013,6 +7029,7 @@
   auto _members_version = _o->members_version;
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateGroupMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _leader_address_id = _o->leader_address_id;
+  auto _paused = _o->paused;
   return mimosastage::jobs_wire::CreateLeadership(
       _fbb,
       _leader,
@@ -7020,7 +7037,8 @@
       _serving,
       _members_version,
       _members,
-      _leader_address_id);
+      _leader_address_id,
+      _paused);
 }
 
 inline CandidacyT::CandidacyT(const CandidacyT &o)
--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -15,6 +15,17 @@
 
 /// Interval at which a voter checks its replica's timeouts.
 constexpr milliseconds kReplicaTickInterval{20};
+/// Shorter gaps in the leader's authority delay no lease and no call
+/// noticeably.
+constexpr milliseconds kReportedAuthorityGap{50};
+/// From then on daemons keep their calls back. They would repeat them every 50
+/// ms, and a leader that is short of processor time would stay without
+/// authority for handling them.
+constexpr milliseconds kAnnouncedAuthorityGap{100};
+/// The leader resigns then. Leases of workers last 4.5 s, and their last
+/// renewal may be 1.6 s old; the next leader needs 0.6 to 0.9 s to begin its
+/// term.
+constexpr milliseconds kLongestAuthorityGap{1'000};
 /// A daemon without a replica only follows the leader's messages.
 constexpr milliseconds kEntryTickInterval{50};
 /// Interval at which the leader checks whether a voter must be replaced.
@@ -287,7 +298,12 @@
   const bool changed = !this->leader.has_value() ||
                        this->leader->daemon != daemon ||
                        this->leader->view != notice.view;
-  this->leader = KnownLeader{daemon, notice.view, notice.serving, now};
+  const bool resumes = !changed && this->leader->paused && !notice.paused;
+  this->leader =
+      KnownLeader{daemon, notice.view, notice.serving, notice.paused, now};
+  if (resumes) {
+    this->SendCalls(now);
+  }
   if (changed) {
     this->hooks.report("leader_changed", DaemonIdText(daemon),
                        "view " + std::to_string(notice.view));
@@ -470,7 +486,8 @@
 void JobNode::SendCall(std::uint64_t number, TimePoint now) {
   OpenCall& open = this->calls.at(number);
   const auto leader = this->Leader(now);
-  if (!leader.has_value() || now < open.next_send) {
+  if (!leader.has_value() || now < open.next_send ||
+      this->IsPaused(*leader, now)) {
     return;
   }
   open.sent_to = leader;
@@ -636,7 +653,8 @@
   }
   this->RunEffects(now);
   this->ProposeEntries(now);
-  if (this->HasAuthority(now)) {
+  this->WatchAuthority(now);
+  if (this->term != nullptr && this->HasAuthority(now)) {
     if (!this->term->LogIsFull()) {
       this->term->dispatcher->Tick(now);
     }
@@ -645,6 +663,40 @@
   }
 }
 
+void JobNode::WatchAuthority(TimePoint now) {
+  std::optional<TimePoint>& since = this->term->without_authority_since;
+  if (!this->HasAuthority(now)) {
+    since = since.value_or(now);
+    if (this->AuthorityGap(now) >= kLongestAuthorityGap) {
+      // The others hear this leader, so they don't replace it.
+      this->replica->Resign(now);
+      this->EndTerm("no authority for too long");
+    }
+  } else if (since.has_value()) {
+    const Duration gap = now - *std::exchange(since, std::nullopt);
+    if (gap >= kReportedAuthorityGap) {
+      this->hooks.report(
+          "authority_regained", this->config.name,
+          "after " +
+              std::to_string(std::chrono::floor<milliseconds>(gap).count()) +
+              " ms");
+    }
+  }
+}
+
+Duration JobNode::AuthorityGap(TimePoint now) const {
+  return this->term != nullptr &&
+                 this->term->without_authority_since.has_value()
+             ? now - *this->term->without_authority_since
+             : Duration(0);
+}
+
+bool JobNode::IsPaused(DaemonId leader, TimePoint now) const {
+  return leader == this->config.self
+             ? this->AuthorityGap(now) >= kAnnouncedAuthorityGap
+             : this->leader->paused;
+}
+
 void JobNode::BeginTerm(TimePoint now) {
   auto next = std::make_unique<Term>();
   next->view = this->replica->View();
@@ -823,14 +875,18 @@
 void JobNode::BroadcastLeadership(TimePoint now) {
   const bool serving =
       this->HasAuthority(now) && this->committed.Config().version > 0;
-  if (now < this->next_leadership_notice && serving == this->last_serving) {
+  const bool paused = this->IsPaused(this->config.self, now);
+  if (now < this->next_leadership_notice && serving == this->last_serving &&
+      paused == this->last_paused) {
     return;
   }
   this->last_serving = serving;
+  this->last_paused = paused;
   this->next_leadership_notice = now + this->config.leadership_interval;
   jobs::Leadership notice = this->MakeNotice(this->config.self);
   notice.view = this->term->view;
   notice.serving = serving;
+  notice.paused = paused;
   const std::string message =
       EncodeMessage(JobsBytes{jobs::EncodeLeadership(notice)});
   for (const DaemonId peer : this->links) {
--- a/src/mimosastage/node/job_node.h
+++ b/src/mimosastage/node/job_node.h
@@ -149,6 +149,9 @@
     std::deque<std::string> untaken;
     std::vector<std::function<void(TimePoint)>> untaken_effects;
     std::optional<TimePoint> log_full_since;
+    /// Since when the leader may not decide, for lack of acknowledged
+    /// heartbeats.
+    std::optional<TimePoint> without_authority_since;
     TimePoint last_entry{};
     /// The log refused a proposal for good, so `working` is ahead of the log.
     bool failed = false;
@@ -176,6 +179,8 @@
     DaemonId daemon{};
     ViewNumber view = 0;
     bool serving = false;
+    /// It can't handle calls for the moment.
+    bool paused = false;
     TimePoint last_heard{};
   };
 
@@ -184,6 +189,13 @@
   void SendReplication(DaemonId to, const ReplicationMessage& message);
   void Apply(const std::string& command);
   void AdvanceTerm(TimePoint now);
+  /// Reports how long the leader was without authority once it has it again,
+  /// and resigns if that takes too long.
+  void WatchAuthority(TimePoint now);
+  /// How long this leader has been without authority; 0 if it has it.
+  Duration AuthorityGap(TimePoint now) const;
+  /// True if the leader would only turn calls away.
+  bool IsPaused(DaemonId leader, TimePoint now) const;
   void BeginTerm(TimePoint now);
   jobs::OrderCarriers::Hooks CarrierHooks();
   void EndTerm(const char* reason);
@@ -252,6 +264,7 @@
   std::optional<KnownLeader> leader;
   TimePoint next_leadership_notice{};
   bool last_serving = false;
+  bool last_paused = false;
   std::map<std::uint64_t, OpenCall> calls;
   std::unordered_map<std::uint64_t, std::uint64_t> call_of_request;
   std::uint64_t next_call = 1;
--- a/tests/node/job_node_test.cc
+++ b/tests/node/job_node_test.cc
@@ -146,6 +146,33 @@
   EXPECT_EQ(this->answers.at(1), jobs::CallOutcome::kOverloaded);
 }
 
+// Guards against a leader that stays without authority because it handles the
+// same calls every 50 ms: daemons keep their calls back until it has it again.
+TEST_F(JobNodeTest, LeaderIsPaused_CallIsSentOnceItResumes) {
+  this->Start();
+  this->node->OnLinkState(DaemonId{2}, true, this->now);
+  const auto announce = [this](bool paused) {
+    jobs::Leadership notice;
+    notice.leader = 2;
+    notice.view = 1;
+    notice.serving = !paused;
+    notice.paused = paused;
+    this->node->OnMessage(
+        DaemonId{2}, EncodeMessage(JobsBytes{jobs::EncodeLeadership(notice)}),
+        this->now);
+  };
+  announce(true);
+  this->node->OnCall(1, this->Submit(), seconds(8), this->now);
+  for (int i = 0; i < 10; ++i) {
+    this->now += milliseconds(60);
+    this->node->Advance(this->now);
+    announce(true);
+  }
+  EXPECT_EQ(this->sent[DaemonId{2}], 0);
+  announce(false);
+  EXPECT_EQ(this->sent[DaemonId{2}], 1);
+}
+
 // Guards against a false refusal: the leader gets a call twice, refuses the
 // first copy, and accepts the second one after its configuration has changed.
 TEST_F(JobNodeTest, LeaderRefusesOneOfTwoCopies_AnswerIsUnknown) {
--- a/tests/node/support/job_group.cc
+++ b/tests/node/support/job_group.cc
@@ -454,7 +454,8 @@
       this->link_numbers[std::max(from, to)][std::min(from, to)];
   link.last_arrival = std::max(
       link.last_arrival,
-      this->events.Now() +
+      this->events.Now() + this->daemons[from].link_delay +
+          this->daemons[to].link_delay +
           this->RandomDelay(microseconds(100), this->settings.link_delay));
   const DaemonId sender = this->daemons[from].member.daemon;
   const std::uint64_t run = this->daemons[to].run;
--- a/tests/node/support/job_group.h
+++ b/tests/node/support/job_group.h
@@ -96,6 +96,10 @@
     const Daemon& d = this->daemons[voter];
     return d.running && !d.frozen && !d.disk_invalid;
   }
+  /// Delays all messages to and from the daemon by this much each way.
+  void DelayLinks(std::size_t daemon, Duration delay) {
+    this->daemons[daemon].link_delay = delay;
+  }
   /// Cuts one direction, or joins it.
   void Cut(std::size_t from, std::size_t to, bool cut);
   void CutFromInstance(std::size_t daemon, std::size_t instance, bool cut);
@@ -125,6 +129,7 @@
     bool disk_invalid = false;
     /// Counts the uses of the disk; a sync of a former one is ignored.
     std::uint64_t disk_use = 0;
+    Duration link_delay{0};
     /// Counts the processes.
     std::uint64_t run = 0;
     bool running = false;
