--- a/src/mimosastage/jobs/call_handler.cc
+++ b/src/mimosastage/jobs/call_handler.cc
@@ -307,8 +307,9 @@
   if (this->PostponesChange(reply)) {
     return;
   }
+  const bool changed = next.version > current.version;
   Command command;
-  if (next.version > current.version) {
+  if (changed) {
     command.configuration = std::make_unique<Configuration>(next);
     this->hooks.report("configuration_changed", std::to_string(next.version),
                        "from version " + std::to_string(current.version));
@@ -316,12 +317,18 @@
   this->hooks.propose(std::move(command), [reply](TimePoint) {
     reply(AnswerOf(CallOutcome::kOk));
   });
+  if (changed) {
+    this->ReportRemovedQueues();
+  }
+  this->dispatcher.OnChange("", now);
+}
+
+void CallHandler::ReportRemovedQueues() const {
   for (const auto& [queue, jobs] : this->working.JobsOfRemovedQueues()) {
     this->hooks.report(
         "removed_queue_kept", queue,
         std::to_string(jobs) + " open jobs keep its pool and limits");
   }
-  this->dispatcher.OnChange("", now);
 }
 
 void CallHandler::StartWave(const Call& call, const Reply& reply) {
--- a/src/mimosastage/jobs/call_handler.h
+++ b/src/mimosastage/jobs/call_handler.h
@@ -57,6 +57,8 @@
   void ShowQueue(const Queue& queue, const Reply& reply) const;
   void HandleQueueCall(const Call& call, TimePoint now, const Reply& reply);
   void Configure(const Call& call, TimePoint now, const Reply& reply);
+  /// Reports the queues that only open jobs keep.
+  void ReportRemovedQueues() const;
   void StartWave(const Call& call, const Reply& reply);
   void ShowWave(const Call& call, const Reply& reply) const;
   void Refuse(CallOutcome outcome, const char* reason, const Reply& reply);
--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -16,9 +16,9 @@
 constexpr std::size_t kEndsPerAnswer = 500;
 
 /// A lease lasts 4.5 s and is renewed about every second.
+constexpr milliseconds kLateRenewal{3'000};
 /// An answer that is on its way for longer shortens the next lease noticeably.
 constexpr milliseconds kLateAnswer{500};
-constexpr milliseconds kLateRenewal{3'000};
 
 /// Faults of workers last some seconds, so the health window is short.
 WorkerHealth::Config HealthConfig() {
