--- a/tests/node/job_node_test.cc
+++ b/tests/node/job_node_test.cc
@@ -61,6 +61,19 @@
     return this->now - began;
   }
 
+  /// Daemon 2 says that it leads the view, and 60 ms pass.
+  void AnnounceLeader(std::uint64_t view) {
+    jobs::Leadership notice;
+    notice.leader = 2;
+    notice.view = view;
+    notice.serving = true;
+    this->node->OnMessage(
+        DaemonId{2}, EncodeMessage(JobsBytes{jobs::EncodeLeadership(notice)}),
+        this->now);
+    this->now += milliseconds(60);
+    this->node->Advance(this->now);
+  }
+
   jobs::Call Submit() const {
     jobs::Call call;
     call.kind = static_cast<std::uint8_t>(jobs::CallKind::kSubmit);
@@ -178,20 +191,9 @@
 TEST_F(JobNodeTest, LeaderRefusesOneOfTwoCopies_AnswerIsUnknown) {
   this->Start();
   this->node->OnLinkState(DaemonId{2}, true, this->now);
-  const auto announce = [this](std::uint64_t view) {
-    jobs::Leadership notice;
-    notice.leader = 2;
-    notice.view = view;
-    notice.serving = true;
-    this->node->OnMessage(
-        DaemonId{2}, EncodeMessage(JobsBytes{jobs::EncodeLeadership(notice)}),
-        this->now);
-    this->now += milliseconds(60);
-    this->node->Advance(this->now);
-  };
-  announce(1);
+  this->AnnounceLeader(1);
   this->node->OnCall(1, this->Submit(), seconds(8), this->now);
-  announce(2);
+  this->AnnounceLeader(2);
   ASSERT_EQ(this->sent[DaemonId{2}], 2);
   jobs::Answer refusal;
   refusal.number = 1;
@@ -208,23 +210,12 @@
 TEST_F(JobNodeTest, LeaderLeadsANewView_CallOfItsFormerTerm_IsSentAgain) {
   this->Start();
   this->node->OnLinkState(DaemonId{2}, true, this->now);
-  const auto announce = [this](std::uint64_t view) {
-    jobs::Leadership notice;
-    notice.leader = 2;
-    notice.view = view;
-    notice.serving = true;
-    this->node->OnMessage(
-        DaemonId{2}, EncodeMessage(JobsBytes{jobs::EncodeLeadership(notice)}),
-        this->now);
-    this->now += milliseconds(60);
-    this->node->Advance(this->now);
-  };
-  announce(1);
+  this->AnnounceLeader(1);
   this->node->OnCall(1, this->Submit(), seconds(8), this->now);
-  announce(1);
+  this->AnnounceLeader(1);
   ASSERT_EQ(this->sent[DaemonId{2}], 1);
-  announce(2);
-  announce(2);
+  this->AnnounceLeader(2);
+  this->AnnounceLeader(2);
   EXPECT_EQ(this->sent[DaemonId{2}], 2);
 }
 
