--- a/review/standins-2/rig.hpp
+++ b/review/standins-2/rig.hpp
@@ -307,6 +307,8 @@
     std::vector<std::string> control_plane;
     std::int64_t max_hold_ms = 10'000;
     std::int64_t stop_ms = 50;
+    /// Whether a start with this ticket is accepted; empty: any is.
+    std::function<bool(const std::string& ticket)> accepts_ticket;
   };
   struct Start {
     std::int64_t at_ms;
@@ -354,6 +356,18 @@
     this->beat_now = true;
     this->record.Line("worker " + this->settings.id + " reports draining");
   }
+  /// Says that it leaves, and ends.
+  void Leave() {
+    this->silent = true;
+    const std::string to = this->HeartbeatAddress();
+    const int status =
+        Call(to.empty() ? this->settings.control_plane.front() : to, "DELETE",
+             "/-/instances/" + this->settings.id, "", 1'000)
+            .status;
+    this->record.Line("worker " + this->settings.id + " leaves -> " +
+                      std::to_string(status));
+    this->Crash();
+  }
   bool DrainAcknowledged() const { return this->drain_acknowledged; }
   const Settings& settings_of() const { return this->settings; }
   std::size_t Running() {
@@ -432,6 +446,11 @@
       reply["reason"] = "late";
       return {409, reply};
     }
+    if (this->settings.accepts_ticket &&
+        !this->settings.accepts_ticket(body.value("ticket", ""))) {
+      reply["reason"] = "ticket";
+      return {409, reply};
+    }
     this->Extend(body);
     if (run <= this->highest_ended[task] || there != this->runs.end()) {
       reply["reason"] = "old";
@@ -864,6 +883,8 @@
     this->Join(machine);
   }
   std::set<std::string> standby;  // set before machines are added
+  /// Called before a worker starts.
+  std::function<void(Worker::Settings&)> on_join;
   std::int64_t upkeep_ms = 2'000;
   std::int64_t move_ms = 1'500;
   std::mutex mutex;
@@ -885,6 +906,7 @@
     settings.rack = machine.rack;
     settings.capacity = machine.capacity;
     settings.control_plane = this->deployment.ControlPlane();
+    if (this->on_join) this->on_join(settings);
     machine.worker =
         std::make_unique<Worker>(settings, this->record, this->on_start);
   }
