--- a/review/standins-2/false_ack.cpp
+++ b/review/standins-2/false_ack.cpp
@@ -29,11 +29,13 @@
 }  // namespace
 
 int main(int, char** argv) {
-  constexpr int kAttempts = 9;
+  constexpr int kAttempts = 15;
   // When the change is sent after the restart; the time that the group needs
   // to work again varies.
-  constexpr int kOrderAfterMs[] = {150, 130, 165, 140, 175, 120, 155, 145, 110};
-  constexpr int kKillAfterMs = 20;
+  constexpr int kOrderAfterMs[kAttempts] = {
+      150, 130, 165, 140, 175, 120, 155, 145, 110, 160, 135, 170, 125, 150, 140};
+  // While the daemon reads the changes, which takes some 10 ms each.
+  constexpr int kKillAfterMs[] = {20, 35, 27};
   constexpr int kRestartAfterMs = 60;
   Record record(argv[1]);
   Deployment deployment(record);
@@ -102,7 +104,7 @@
       });
     }
     if (Trouble()) {
-      Sleep(kKillAfterMs);
+      Sleep(kKillAfterMs[attempt % 3]);
       deployment.Signal(killed_name, SIGKILL);
       deployment.Reap(killed_name);
       Sleep(kRestartAfterMs);
--- a/review/standins-2/rig.hpp
+++ b/review/standins-2/rig.hpp
@@ -309,6 +309,10 @@
     std::int64_t stop_ms = 50;
     /// Whether a start with this ticket is accepted; empty: any is.
     std::function<bool(const std::string& ticket)> accepts_ticket;
+    /// How long it has lived already, behind a cut.
+    std::int64_t age_ms = 0;
+    /// When its first heartbeat gets through.
+    std::int64_t first_beat_ms = 0;
   };
   struct Start {
     std::int64_t at_ms;
@@ -322,7 +326,8 @@
       : settings(std::move(given)),
         record(record),
         on_start(std::move(on_start)),
-        born_ms(UnixMs()),
+        start(Clock::now() - std::chrono::milliseconds(this->settings.age_ms)),
+        born_ms(UnixMs() - this->settings.age_ms),
         server(this->settings.ip, 8080,
                [this](const Message& m) { return this->Handle(m); }) {
     this->record.Line("worker " + this->settings.id + " of " +
@@ -369,6 +374,18 @@
     this->Crash();
   }
   bool DrainAcknowledged() const { return this->drain_acknowledged; }
+  /// Carries out a start order that had no answer. Returns the status that it
+  /// would have had.
+  int CarryOutLate(const json& body) {
+    const std::lock_guard lock(this->mutex);
+    this->EndDue();
+    const std::uint64_t token = body.value("fencing_token", std::uint64_t{0});
+    if (token < this->highest_token) return 409;
+    this->highest_token = token;
+    return this->HandleStart(body).first;
+  }
+  /// True for a start order that gets no answer and isn't carried out now.
+  std::function<bool(const json& body)> hold_back;
   const Settings& settings_of() const { return this->settings; }
   std::size_t Running() {
     const std::lock_guard lock(this->mutex);
@@ -418,7 +435,10 @@
       return {409, reply};
     }
     this->highest_token = token;
-    if (path == "POST /-/run-start") return this->HandleStart(body);
+    if (path == "POST /-/run-start") {
+      if (this->hold_back && this->hold_back(body)) return {0, json::object()};
+      return this->HandleStart(body);
+    }
     if (path == "POST /-/run-stop") return this->HandleStop(body);
     if (path == "POST /-/hold") return this->HandleHold(body, lock);
     if (path == "POST /-/pace") return {200, this->Reply()};
@@ -555,7 +575,7 @@
 
   void Beat() {
     std::size_t target = 0;
-    std::int64_t next = 0;
+    std::int64_t next = this->record.NowMs() + this->settings.first_beat_ms;
     int sequence = 0;
     while (!this->gone) {
       if (this->silent || (this->record.NowMs() < next && !this->beat_now)) {
@@ -606,7 +626,7 @@
   Settings settings;
   Record& record;
   OnStart on_start;
-  Clock::time_point start = Clock::now();
+  Clock::time_point start;
   std::int64_t born_ms;
   std::mutex address_mutex;
   std::string heartbeat_address;
