Number the calls of each process from a random number

Cause: a leader answers the id of a daemon, which outlives the process that made the call, and each process numbered its calls from 1. While the group has no quorum, answers to the killed process wait for the log; its next process then takes one of them for the answer to its own call with that number, which the leader has only turned away, and never sends that call again.

Calls now count from a random number of the process. An answer to another process is dropped, counted as answer_to_former_process and logged once. The wire is unchanged.

Ruled out: a committed entry that the group loses, and an acknowledgement before the entry is durable.

--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -88,7 +88,9 @@
                     EncodeMessage(JobsBytes{jobs::EncodeReplyBatch(replies)}));
               },
               this->hooks.count_drop},
-          this->config.seed) {}
+          this->config.seed),
+      first_call(this->config.seed + 1),
+      next_call(this->first_call) {}
 
 JobNode::~JobNode() = default;
 
@@ -524,6 +526,9 @@
                        TimePoint now) {
   const auto found = this->calls.find(number);
   if (found == this->calls.end()) {
+    if (!this->IsOwnCall(number)) {
+      this->DropAnswerToFormerProcess(from, number);
+    }
     return;
   }
   OpenCall& open = found->second;
@@ -552,6 +557,16 @@
   this->Finish(number, std::move(answer));
 }
 
+void JobNode::DropAnswerToFormerProcess(DaemonId from, std::uint64_t number) {
+  this->hooks.count_drop("answer_to_former_process");
+  if (!std::exchange(this->former_answer_reported, true)) {
+    this->hooks.report("answer_to_former_process", DaemonIdText(from),
+                       "call " + std::to_string(number) +
+                           "; the calls of this process count from " +
+                           std::to_string(this->first_call));
+  }
+}
+
 void JobNode::Finish(std::uint64_t number, jobs::Answer answer) {
   const auto found = this->calls.find(number);
   const std::uint64_t request = found->second.request;
--- a/src/mimosastage/node/job_node.h
+++ b/src/mimosastage/node/job_node.h
@@ -44,6 +44,8 @@
     bool is_voter = false;
     /// Address at which workers and operators reach this daemon, "IP:PORT".
     std::string announce_address;
+    /// Must be random for each start of the process: the numbers of its calls
+    /// count from it, and it is the session under which it carries orders.
     std::uint64_t seed = 0;
     ReplicationTiming timing;
     ReplicationLimits limits;
@@ -232,6 +234,14 @@
   void SendCalls(TimePoint now);
   void OnAnswer(DaemonId from, std::uint64_t number, jobs::Answer answer,
                 TimePoint now);
+  /// True if this process has made the call, whether it is still open or not.
+  bool IsOwnCall(std::uint64_t number) const {
+    // Unsigned, because the numbers may wrap around.
+    return number - this->first_call < this->next_call - this->first_call;
+  }
+  /// Counts an answer to a call of a former process of this daemon, and
+  /// reports the first one.
+  void DropAnswerToFormerProcess(DaemonId from, std::uint64_t number);
   void Finish(std::uint64_t number, jobs::Answer answer);
   /// The leader for which this voter can send orders to workers, if any.
   std::optional<DaemonId> LeaderToCarryFor() const;
@@ -267,7 +277,12 @@
   bool last_paused = false;
   std::map<std::uint64_t, OpenCall> calls;
   std::unordered_map<std::uint64_t, std::uint64_t> call_of_request;
-  std::uint64_t next_call = 1;
+  /// A leader answers the id of a daemon, which outlives the process that made
+  /// the call. Numbers that count from a random one tell the answers to a
+  /// former process from its own.
+  const std::uint64_t first_call;
+  std::uint64_t next_call;
+  bool former_answer_reported = false;
   TimePoint next_call_check{};
   std::optional<TimePoint> stopping_since;
   bool resigned = false;
--- a/tests/node/job_group_schedules_test.cc
+++ b/tests/node/job_group_schedules_test.cc
@@ -37,20 +37,30 @@
   return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
 }
 
+/// What a kind of schedule draws beside the faults of all schedules.
+struct ScheduleSettings {
+  bool workers_keep_ids = false;
+  bool workers_change_kind = true;
+  bool queue_changes = false;
+  /// A voter that operators use ends and starts again twice within a second,
+  /// while the group has no quorum without it.
+  bool restarts_called_voter = false;
+};
+
 /// Random traffic and faults for one group. Deterministic for a given seed.
 class JobGroupSchedule {
  public:
-  JobGroupSchedule(std::uint64_t seed, bool workers_keep_ids,
-                   bool workers_change_kind, bool queue_changes)
+  JobGroupSchedule(std::uint64_t seed, const ScheduleSettings& settings)
       : random(seed),
         power_random(~seed),
-        group(this->GroupSettings(seed, workers_keep_ids, workers_change_kind)),
-        traffic(this->TrafficSettings(queue_changes), this->group) {
+        group(this->GroupSettings(seed, settings)),
+        traffic(this->TrafficSettings(settings.queue_changes), this->group),
+        restarts_called_voter(settings.restarts_called_voter) {
     this->fault_interval = 1 + this->Draw(6);
     this->crash_loop = this->Draw(3) == 0;
     // Not every schedule has each kind of fault.
     this->kinds = this->random();
-    this->kills_workers = workers_keep_ids;
+    this->kills_workers = settings.workers_keep_ids;
     this->loses_power = this->DrawPower(2) == 0 &&
                         FromEnvironment("MIMOSASTAGE_POWER_LOSSES", 1) != 0;
     this->power_step = this->DrawPower(20);
@@ -94,11 +104,11 @@
   std::size_t PowerLosses() const { return this->power_losses; }
 
  private:
-  JobGroup::Settings GroupSettings(std::uint64_t seed, bool workers_keep_ids,
-                                   bool workers_change_kind) {
+  JobGroup::Settings GroupSettings(std::uint64_t seed,
+                                   const ScheduleSettings& schedule) {
     JobGroup::Settings settings;
-    settings.workers_keep_ids = workers_keep_ids;
-    settings.workers_change_kind = workers_change_kind;
+    settings.workers_keep_ids = schedule.workers_keep_ids;
+    settings.workers_change_kind = schedule.workers_change_kind;
     settings.voters = seed % 2 == 0 ? 3 : 5;
     settings.entries = 1 + this->Draw(2);
     settings.workers = 3 + this->Draw(6);
@@ -146,6 +156,9 @@
   }
 
   void InjectFault() {
+    if (this->restarts_called_voter && this->Draw(2) == 0) {
+      return this->RestartCalledVoter();
+    }
     if (this->crash_loop && this->Draw(2) == 0) {
       return this->CrashLeader();
     }
@@ -225,6 +238,40 @@
     this->RestartLater(daemon);
   }
 
+  /// Freezes as many followers as the group tolerates, and ends the process of
+  /// another one twice. Operators send changes to each of its processes.
+  void RestartCalledVoter() {
+    const auto leader = this->group.Leader();
+    if (!leader.has_value()) {
+      return;
+    }
+    const std::size_t voters = this->group.Voters();
+    const std::size_t called = (*leader + 1 + this->Draw(voters - 1)) % voters;
+    std::size_t frozen = 0;
+    const Duration freeze = milliseconds(500 + this->Draw(1'000));
+    for (std::size_t i = 0; i < voters && frozen < (voters - 1) / 2; ++i) {
+      if (i != *leader && i != called) {
+        ++frozen;
+        this->group.Freeze(i);
+        this->After(freeze, [this, i] { this->group.Thaw(i); });
+      }
+    }
+    Duration at{};
+    for (int process = 0; process < 3; ++process) {
+      this->After(at, [this, called] {
+        this->group.Restart(called);
+        this->traffic.ConfigureAt(called, 8, milliseconds(200));
+      });
+      at += this->UpTo(300);
+      if (process < 2) {
+        this->After(at, [this, called] {
+          this->group.Crash(called, /*power_loss=*/false);
+        });
+        at += this->UpTo(100);
+      }
+    }
+  }
+
   void CrashAllVoters() {
     for (std::size_t i = 0; i < this->group.Voters(); ++i) {
       this->Crash(i);
@@ -407,6 +454,7 @@
   /// The leaders end one after the other.
   bool crash_loop = false;
   bool kills_workers = false;
+  bool restarts_called_voter = false;
   std::uint64_t kinds = 0;
   /// From this step on, power is lost with a disk as soon as it's tolerated.
   bool loses_power = false;
@@ -451,8 +499,7 @@
   }
 
   void RunOne(std::uint64_t seed) {
-    JobGroupSchedule schedule(seed, this->workers_keep_ids,
-                              this->workers_change_kind, this->queue_changes);
+    JobGroupSchedule schedule(seed, this->settings);
     const std::string failure = schedule.Run();
     this->starts += schedule.Starts();
     this->terms += schedule.Terms();
@@ -463,9 +510,7 @@
     }
   }
 
-  bool workers_keep_ids = false;
-  bool workers_change_kind = true;
-  bool queue_changes = false;
+  ScheduleSettings settings;
   std::mutex mutex;
   std::vector<std::string> failures;
   std::atomic<std::size_t> starts = 0;
@@ -490,8 +535,8 @@
 // out: it drops run ends that aren't recorded, and executes starts that the
 // leader takes for lost (TWICE, LIMIT).
 TEST_F(JobGroupSchedulesTest, Group_WorkersKeepTheirIds_KeepsTheRulesOfJobs) {
-  this->workers_keep_ids = true;
-  this->workers_change_kind = false;
+  this->settings.workers_keep_ids = true;
+  this->settings.workers_change_kind = false;
   this->RunAll(80);
 }
 
@@ -502,8 +547,8 @@
   this->RunOne(52489);
   this->RunOne(52529);
   this->RunOne(52795);
-  this->workers_keep_ids = true;
-  this->workers_change_kind = false;
+  this->settings.workers_keep_ids = true;
+  this->settings.workers_change_kind = false;
   this->RunOne(51968);
   this->RunOne(53104);
   EXPECT_EQ(this->failures, std::vector<std::string>());
@@ -513,8 +558,8 @@
 // ends reached the next incarnation of its worker (TWICE); in the second seed
 // while all daemons are without power.
 TEST_F(JobGroupSchedulesTest, Group_SeedsOfAcknowledgedEnds_TasksRunOnce) {
-  this->workers_keep_ids = true;
-  this->workers_change_kind = false;
+  this->settings.workers_keep_ids = true;
+  this->settings.workers_change_kind = false;
   this->RunOne(51862);
   this->RunOne(1497);
   EXPECT_EQ(this->failures, std::vector<std::string>());
@@ -523,14 +568,21 @@
 // Guards against starts that are meant for a worker and bring the next one
 // under its id, which is of a smaller kind, over its capacity (LIMIT).
 TEST_F(JobGroupSchedulesTest, Group_WorkersKeepIdsNotKinds_KeepsTheRules) {
-  this->workers_keep_ids = true;
+  this->settings.workers_keep_ids = true;
   this->RunAll(80);
 }
 
 // Guards against accepted jobs that are gone, fail or never end (LOST, FINISH)
 // because versions rename their queue, remove it and bring it back.
 TEST_F(JobGroupSchedulesTest, Group_QueueIsRenamedAndRemoved_KeepsTheRules) {
-  this->queue_changes = true;
+  this->settings.queue_changes = true;
+  this->RunAll(40);
+}
+
+// Guards against a change that is acknowledged and lost (CONFIG): a restarted
+// voter takes the answer to a call of its former process for its own.
+TEST_F(JobGroupSchedulesTest, Group_CalledVoterRestarts_KeepsAcknowledged) {
+  this->settings.restarts_called_voter = true;
   this->RunAll(40);
 }
 
@@ -539,8 +591,8 @@
 // same (FINISH).
 TEST_F(JobGroupSchedulesTest, Seeds_FewEntriesMayWait_JobsFinish) {
   this->RunOne(51'863);
-  this->workers_keep_ids = true;
-  this->workers_change_kind = false;
+  this->settings.workers_keep_ids = true;
+  this->settings.workers_change_kind = false;
   this->RunOne(50'265);
   EXPECT_EQ(this->failures, std::vector<std::string>());
 }
--- a/tests/node/job_node_test.cc
+++ b/tests/node/job_node_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -219,6 +220,57 @@
   EXPECT_EQ(this->sent[DaemonId{2}], 2);
 }
 
+// Guards against a change that is acknowledged and never stored (CONFIG): the
+// leader answers a call of a daemon's former process, and the next process
+// takes it for the answer to its own call with the same number.
+TEST_F(JobNodeTest, ProcessRestarts_AnswerToCallOfFormerProcess_IsDropped) {
+  std::vector<std::uint64_t> calls;
+  std::map<std::string, int> drops;
+  std::map<std::string, int> events;
+  this->hooks.send = [&](DaemonId, const std::string& bytes) {
+    const auto message = DecodeMessage(bytes);
+    ASSERT_TRUE(message.has_value());
+    const auto decoded =
+        jobs::DecodeMessage(std::get<JobsBytes>(*message).bytes);
+    ASSERT_TRUE(decoded.has_value());
+    if (const auto* call = decoded->body.AsCall(); call != nullptr) {
+      calls.push_back(call->number);
+    }
+  };
+  this->hooks.count_drop = [&](const char* reason) { ++drops[reason]; };
+  this->hooks.report = [&](const char* event, const std::string&,
+                           const std::string&) { ++events[event]; };
+  const auto start_and_call = [&](std::uint64_t seed) {
+    this->config.seed = seed;
+    this->Start();
+    this->node->OnLinkState(DaemonId{2}, true, this->now);
+    this->AnnounceLeader(1);
+    this->node->OnCall(1, this->Submit(), seconds(8), this->now);
+  };
+  const auto accept = [&](std::uint64_t number) {
+    jobs::Answer answer;
+    answer.number = number;
+    answer.outcome = static_cast<std::uint8_t>(jobs::CallOutcome::kOk);
+    this->node->OnMessage(DaemonId{2},
+                          EncodeMessage(JobsBytes{jobs::EncodeAnswer(answer)}),
+                          this->now);
+  };
+  start_and_call(0x9e37'79b9'7f4a'7c15);
+  // The numbers of this process wrap around.
+  start_and_call(std::numeric_limits<std::uint64_t>::max());
+  ASSERT_EQ(calls.size(), 2U);
+  accept(calls[0]);
+  EXPECT_TRUE(this->answers.empty());
+  EXPECT_EQ(drops["answer_to_former_process"], 1);
+  EXPECT_EQ(events["answer_to_former_process"], 1);
+  accept(calls[1]);
+  ASSERT_EQ(this->answers.size(), 1U);
+  EXPECT_EQ(this->answers.at(1), jobs::CallOutcome::kOk);
+  // A second answer to a call of this process is no such answer.
+  accept(calls[1]);
+  EXPECT_EQ(drops["answer_to_former_process"], 1);
+}
+
 /// A daemon whose only link is to a voter that doesn't lead.
 class JobNodeWithFollowerTest : public JobNodeTest {
  protected:
--- a/tests/node/support/job_traffic.cc
+++ b/tests/node/support/job_traffic.cc
@@ -220,8 +220,23 @@
   return queue;
 }
 
+void JobTraffic::ConfigureAt(std::size_t voter, std::size_t count,
+                             Duration spread) {
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::uint64_t version = ++this->last_version;
+    this->group.events.After(
+        spread * this->Draw(100) / 100,
+        [this, voter, version] { this->ConfigureAt(voter, version, 0, 40); });
+  }
+}
+
 void JobTraffic::Configure(std::uint64_t version, std::size_t bytes,
                            int attempts) {
+  this->ConfigureAt(this->DrawVoter(), version, bytes, attempts);
+}
+
+void JobTraffic::ConfigureAt(std::size_t voter, std::uint64_t version,
+                             std::size_t bytes, int attempts) {
   jobs::Call call;
   call.kind = static_cast<std::uint8_t>(jobs::CallKind::kConfigure);
   call.configuration = std::make_unique<jobs::Configuration>();
@@ -235,7 +250,7 @@
     call.configuration->queues.push_back(std::move(queue));
   }
   this->group.Call(
-      this->DrawVoter(), std::move(call), seconds(1),
+      voter, std::move(call), seconds(1),
       [this, version, bytes,
        attempts](const std::optional<jobs::Answer>& answer) {
         if (answer.has_value() &&
--- a/tests/node/support/job_traffic.h
+++ b/tests/node/support/job_traffic.h
@@ -34,6 +34,9 @@
 
   /// Ends new submissions, cancels and configurations.
   void EndSubmissions();
+  /// Sends `count` versions to the voter within `spread`. The answers of each
+  /// version are judged like those of other configurations.
+  void ConfigureAt(std::size_t voter, std::size_t count, Duration spread);
 
  private:
   std::uint64_t Draw(std::uint64_t bound) { return this->random() % bound; }
@@ -54,6 +57,8 @@
   /// The queue of the version; null if the version removes it.
   std::unique_ptr<jobs::Queue> QueueOf(std::uint64_t version) const;
   void Configure(std::uint64_t version, std::size_t bytes, int attempts);
+  void ConfigureAt(std::size_t voter, std::uint64_t version, std::size_t bytes,
+                   int attempts);
   void ReadConfigurationNext();
   void AnnounceNext(std::size_t instance);
   void Announce(std::size_t instance, const JobRules::WorkerLife& life,
