Count a job as begun once a worker has begun one of its tasks

Cause: the log entry of a start took the job off the unstarted ones and set its phase. It is written before the order is sent; a start that is lost, refused or withdrawn was never taken back.

The leader now logs once for each job that a worker has begun a task of it: the worker has confirmed a start, or lists the run as running or ended. A new leader learns it from the log or from the first list. The event job_begun names the worker.

Four tests expected a job to be running once its start was logged; they now record that it has begun, and expect as much as before.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -610,6 +610,7 @@
         ended.number > kMaxEndNumber) {
       continue;
     }
+    this->RecordBegun(ended.task, id);
     if (!session.runs.contains(key)) {
       this->RecordLateEnd(id, ended, now);
       continue;
@@ -693,6 +694,7 @@
         // A start order of an earlier leader that was executed late, or a run
         // whose job no longer exists.
         ++session.strays;
+        this->RecordBegun(key.first, id);
         this->hooks.report("stray_run_stopped", ToString(key.first), id);
         WorkerOrder stop;
         stop.body = StopOrder{key.first, key.second};
@@ -705,7 +707,9 @@
     }
     Run& run = found->second;
     run.unlisted = false;
-    run.listed = true;
+    if (!std::exchange(run.listed, true)) {
+      this->RecordBegun(key.first, id);
+    }
     run.ready = !run.step->long_running || task.percent >= 100;
     run.load = task.load;
     run.percent = task.percent;
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -508,6 +508,8 @@
   void OnRunReply(const std::string& id, Session& session,
                   const OpenOrder& order, const WorkerReply& reply,
                   TimePoint now);
+  /// Logs that a worker has begun a task of the job, the first time.
+  void RecordBegun(const TaskId& task, const std::string& worker);
   void EndRun(const std::string& worker, Session& session, const RunKey& key,
               RunOutcome outcome, const std::string& checkpoint, TimePoint now);
   /// Gives the run's part of the start window back.
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -240,6 +240,7 @@
       run.stage = RunStage::kRunning;
       run.running_since = now;
       this->LeaveStartWindow(run);
+      this->RecordBegun(key.first, id);
     } else {
       // Sends a hold now, as its answer lists the end of the run once the
       // worker has stopped it.
@@ -295,6 +296,17 @@
   }
 }
 
+void Dispatcher::RecordBegun(const TaskId& task, const std::string& worker) {
+  if (const Job* job = this->state.FindJob(task.job);
+      job == nullptr || job->begun || job->Ended()) {
+    return;
+  }
+  this->hooks.report("job_begun", task.job, worker);
+  Command command;
+  command.begun_job = task.job;
+  this->hooks.propose(std::move(command), {});
+}
+
 Command Dispatcher::MakeRunStart(const RunKey& key, const std::string& worker,
                                  std::int64_t born_ms) const {
   Command command;
--- a/src/mimosastage/jobs/fleet_state.cc
+++ b/src/mimosastage/jobs/fleet_state.cc
@@ -171,6 +171,9 @@
     this->FailCrashingJobs();
   } else if (!command.cancelled_job.empty()) {
     this->Cancel(command.cancelled_job);
+  } else if (const auto job = this->jobs.find(command.begun_job);
+             job != this->jobs.end()) {
+    this->MarkBegun(job->second);
   }
 }
 
@@ -187,7 +190,7 @@
   this->unstarted_jobs.clear();
   for (auto& [id, job] : this->jobs) {
     job.queue = this->queues.HolderOf(*job.request, std::move(job.queue));
-    if (!job.Ended() && !job.started) {
+    if (!job.Ended() && !job.begun) {
       this->CountUnstarted(job, 1);
     }
   }
@@ -266,13 +269,14 @@
       ActiveRun{start.run, start.worker, start.born_ms, start.at_ms});
   ++job.active_runs;
   this->AddChange(id);
-  if (!job.started && !job.Ended()) {
+}
+
+void FleetState::MarkBegun(Job& job) {
+  if (!job.begun && !job.Ended()) {
     this->CountUnstarted(job, -1);
-  }
-  job.started = true;
-  if (job.phase == JobPhase::kQueued) {
     job.phase = JobPhase::kRunning;
   }
+  job.begun = true;
 }
 
 void FleetState::Apply(const RunEnd& end) {
@@ -284,15 +288,19 @@
   Job& job = found->second;
   Task& task = job.At(id);
   this->AddChange(id);
+  const auto outcome = static_cast<RunOutcome>(end.outcome);
+  if (outcome == RunOutcome::kDone || outcome == RunOutcome::kFailed) {
+    // Logs of earlier releases have no other record of it.
+    this->MarkBegun(job);
+  }
   const bool concerned = this->crashes.Concerns(end.job);
   const auto run = std::find_if(
       task.active.begin(), task.active.end(),
       [&](const ActiveRun& active) { return active.number == end.run; });
   if (run == task.active.end()) {
     // The run was given up while its worker was silent, but had completed.
-    const bool done = static_cast<RunOutcome>(end.outcome) == RunOutcome::kDone;
-    if (done && end.run <= task.runs && !task.done && !job.Ended() &&
-        !job.request->steps[end.step]->long_running) {
+    if (outcome == RunOutcome::kDone && end.run <= task.runs && !task.done &&
+        !job.Ended() && !job.request->steps[end.step]->long_running) {
       this->FinishTask(job, id);
     }
     if (concerned) {
@@ -306,7 +314,6 @@
     task.checkpoint = end.checkpoint;
   }
   const Step& step = *job.request->steps[end.step];
-  const auto outcome = static_cast<RunOutcome>(end.outcome);
   if (outcome == RunOutcome::kFailed) {
     ++task.failures;
   }
@@ -411,7 +418,7 @@
 }
 
 void FleetState::EndJob(Job& job, JobPhase phase) {
-  if (!job.started && !job.Ended()) {
+  if (!job.begun && !job.Ended()) {
     this->CountUnstarted(job, -1);
   }
   job.phase = phase;
@@ -502,7 +509,7 @@
       }
     }
     record->phase = static_cast<std::uint8_t>(job.phase);
-    record->started = job.started;
+    record->started = job.begun;
     record->ended_ms = job.ended_ms;
     for (const Task& task : job.tasks) {
       auto row = std::make_unique<jobs_wire::TaskT>();
@@ -574,7 +581,7 @@
         *job.request,
         std::shared_ptr<const Queue>(std::move(record->removed_queue)));
     job.phase = static_cast<JobPhase>(record->phase);
-    job.started = record->started;
+    job.begun = record->started;
     job.ended_ms = record->ended_ms;
     for (auto& row : record->tasks) {
       Task task;
@@ -609,7 +616,7 @@
             this->jobs.emplace(key.second, std::move(job));
         is_new) {
       (ended ? this->ended_jobs : this->open_jobs).insert(key);
-      if (!ended && !row->second.started) {
+      if (!ended && !row->second.begun) {
         this->CountUnstarted(row->second, 1);
       }
     }
--- a/src/mimosastage/jobs/fleet_state.h
+++ b/src/mimosastage/jobs/fleet_state.h
@@ -43,8 +43,9 @@
   /// See QueueTable::HolderOf; null if no configuration had such a queue.
   std::shared_ptr<const Queue> queue;
   JobPhase phase = JobPhase::kQueued;
-  /// True once a task has been started.
-  bool started = false;
+  /// A worker is known to have begun a task. A task that was only ordered
+  /// doesn't count, because the worker may be gone.
+  bool begun = false;
   std::int64_t ended_ms = 0;
   /// Ordered by occurrence, step and index. Kept after the end of the job while
   /// one of its runs may still be active.
@@ -109,7 +110,7 @@
     return this->open_jobs;
   }
 
-  /// Number of the queue's open jobs of which no task was ever started.
+  /// Number of the queue's open jobs of which no task is known to have begun.
   std::size_t UnstartedJobs(const Queue& queue) const;
   /// Number of open jobs by the name of their queue, for queues that the
   /// configuration no longer has.
@@ -135,6 +136,7 @@
   void Cancel(const std::string& id);
   void Apply(const RunStart& start);
   void Apply(const RunEnd& end);
+  void MarkBegun(Job& job);
   void Apply(const WorkerCrash& crash);
   /// Fails the jobs that the crashes are blamed on.
   void FailCrashingJobs();
--- a/src/mimosastage/jobs/internal/records_generated.h
+++ b/src/mimosastage/jobs/internal/records_generated.h
@@ -2917,6 +2917,7 @@
   std::unique_ptr<mimosastage::jobs_wire::WorkerCrashT> crash{};
   std::unique_ptr<mimosastage::jobs_wire::CrashFindingT> finding{};
   std::unique_ptr<mimosastage::jobs_wire::RunSurvivedT> survived{};
+  std::string begun_job{};
   CommandT() = default;
   CommandT(const CommandT &o);
   CommandT(CommandT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2940,7 +2941,8 @@
     VT_ORDERED = 22,
     VT_CRASH = 24,
     VT_FINDING = 26,
-    VT_SURVIVED = 28
+    VT_SURVIVED = 28,
+    VT_BEGUN_JOB = 30
   };
   const mimosastage::jobs_wire::Configuration *configuration() const {
     return GetPointer<const mimosastage::jobs_wire::Configuration *>(VT_CONFIGURATION);
@@ -2981,6 +2983,9 @@
   const mimosastage::jobs_wire::RunSurvived *survived() const {
     return GetPointer<const mimosastage::jobs_wire::RunSurvived *>(VT_SURVIVED);
   }
+  const flatbuffers::String *begun_job() const {
+    return GetPointer<const flatbuffers::String *>(VT_BEGUN_JOB);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CONFIGURATION) &&
@@ -3009,6 +3014,8 @@
            verifier.VerifyTable(finding()) &&
            VerifyOffset(verifier, VT_SURVIVED) &&
            verifier.VerifyTable(survived()) &&
+           VerifyOffset(verifier, VT_BEGUN_JOB) &&
+           verifier.VerifyString(begun_job()) &&
            verifier.EndTable();
   }
   CommandT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3059,6 +3066,9 @@
   void add_survived(flatbuffers::Offset<mimosastage::jobs_wire::RunSurvived> survived) {
     fbb_.AddOffset(Command::VT_SURVIVED, survived);
   }
+  void add_begun_job(flatbuffers::Offset<flatbuffers::String> begun_job) {
+    fbb_.AddOffset(Command::VT_BEGUN_JOB, begun_job);
+  }
   explicit CommandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3084,8 +3094,10 @@
     flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder> ordered = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash> crash = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::CrashFinding> finding = 0,
-    flatbuffers::Offset<mimosastage::jobs_wire::RunSurvived> survived = 0) {
+    flatbuffers::Offset<mimosastage::jobs_wire::RunSurvived> survived = 0,
+    flatbuffers::Offset<flatbuffers::String> begun_job = 0) {
   CommandBuilder builder_(_fbb);
+  builder_.add_begun_job(begun_job);
   builder_.add_survived(survived);
   builder_.add_finding(finding);
   builder_.add_crash(crash);
@@ -3121,8 +3133,10 @@
     flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder> ordered = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash> crash = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::CrashFinding> finding = 0,
-    flatbuffers::Offset<mimosastage::jobs_wire::RunSurvived> survived = 0) {
+    flatbuffers::Offset<mimosastage::jobs_wire::RunSurvived> survived = 0,
+    const char *begun_job = nullptr) {
   auto cancelled_job__ = cancelled_job ? _fbb.CreateString(cancelled_job) : 0;
+  auto begun_job__ = begun_job ? _fbb.CreateString(begun_job) : 0;
   return mimosastage::jobs_wire::CreateCommand(
       _fbb,
       configuration,
@@ -3137,7 +3151,8 @@
       ordered,
       crash,
       finding,
-      survived);
+      survived,
+      begun_job__);
 }
 
 flatbuffers::Offset<Command> CreateCommand(flatbuffers::FlatBufferBuilder &_fbb, const CommandT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6484,7 +6499,8 @@
         ordered((o.ordered) ? new mimosastage::jobs_wire::InstanceOrderT(*o.ordered) : nullptr),
         crash((o.crash) ? new mimosastage::jobs_wire::WorkerCrashT(*o.crash) : nullptr),
         finding((o.finding) ? new mimosastage::jobs_wire::CrashFindingT(*o.finding) : nullptr),
-        survived((o.survived) ? new mimosastage::jobs_wire::RunSurvivedT(*o.survived) : nullptr) {
+        survived((o.survived) ? new mimosastage::jobs_wire::RunSurvivedT(*o.survived) : nullptr),
+        begun_job(o.begun_job) {
 }
 
 inline CommandT &CommandT::operator=(CommandT o) FLATBUFFERS_NOEXCEPT {
@@ -6501,6 +6517,7 @@
   std::swap(crash, o.crash);
   std::swap(finding, o.finding);
   std::swap(survived, o.survived);
+  std::swap(begun_job, o.begun_job);
   return *this;
 }
 
@@ -6526,6 +6543,7 @@
   { auto _e = crash(); if (_e) _o->crash = std::unique_ptr<mimosastage::jobs_wire::WorkerCrashT>(_e->UnPack(_resolver)); }
   { auto _e = finding(); if (_e) _o->finding = std::unique_ptr<mimosastage::jobs_wire::CrashFindingT>(_e->UnPack(_resolver)); }
   { auto _e = survived(); if (_e) _o->survived = std::unique_ptr<mimosastage::jobs_wire::RunSurvivedT>(_e->UnPack(_resolver)); }
+  { auto _e = begun_job(); if (_e) _o->begun_job = _e->str(); }
 }
 
 inline flatbuffers::Offset<Command> Command::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CommandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6549,6 +6567,7 @@
   auto _crash = _o->crash ? CreateWorkerCrash(_fbb, _o->crash.get(), _rehasher) : 0;
   auto _finding = _o->finding ? CreateCrashFinding(_fbb, _o->finding.get(), _rehasher) : 0;
   auto _survived = _o->survived ? CreateRunSurvived(_fbb, _o->survived.get(), _rehasher) : 0;
+  auto _begun_job = _o->begun_job.empty() ? 0 : _fbb.CreateString(_o->begun_job);
   return mimosastage::jobs_wire::CreateCommand(
       _fbb,
       _configuration,
@@ -6563,7 +6582,8 @@
       _ordered,
       _crash,
       _finding,
-      _survived);
+      _survived,
+      _begun_job);
 }
 
 inline BatchT::BatchT(const BatchT &o) {
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -306,6 +306,68 @@
   EXPECT_TRUE(moved);
 }
 
+// Guards against jobs that are left out of the queue's waiting ones and shown
+// as running (MIXED): their starts went to a worker that was lost, and none
+// began.
+TEST_F(DispatcherTest, WorkerIsLostBeforeItsStarts_JobsStillWait) {
+  this->StartTermWithWorkers(1);
+  const Queue& queue = *this->fleet.state.Config().queues.at(0);
+  FakeWorker& worker = this->fleet.workers.at("worker-0");
+  worker.silent = true;
+  for (int i = 0; i < 4; ++i) {
+    this->fleet.Submit("job-" + std::to_string(i), "render",
+                       {MakeStep(1, 1'000)});
+  }
+  for (int i = 0; i < 160; ++i) {
+    this->fleet.Advance(milliseconds(100));
+    ASSERT_EQ(this->fleet.state.UnstartedJobs(queue), 4U) << i;
+    ASSERT_EQ(this->fleet.JobOf("job-0").phase, JobPhase::kQueued) << i;
+  }
+  ASSERT_EQ(this->fleet.proposed_starts.size(), 4U);
+  worker.silent = false;
+  this->fleet.Announce("worker-0");
+  this->fleet.Advance(milliseconds(2'000));
+  EXPECT_EQ(this->fleet.RunningTasks(), 4U);
+  EXPECT_EQ(this->fleet.state.UnstartedJobs(queue), 0U);
+  EXPECT_EQ(this->fleet.JobOf("job-0").phase, JobPhase::kRunning);
+}
+
+// Guards against a job that is shown as running because of a refused start.
+TEST_F(DispatcherTest, WorkerRefusesTheStart_JobStillWaits) {
+  this->StartTermWithWorkers(1);
+  // The fake worker answers kOldRun and begins nothing.
+  for (std::uint32_t run = 1; run < 100; ++run) {
+    this->fleet.workers.at("worker-0").refused.insert({TaskOf("job"), run});
+  }
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(50));
+  ASSERT_GE(this->fleet.proposed_starts.size(), 1U);
+  EXPECT_EQ(
+      this->fleet.state.UnstartedJobs(*this->fleet.state.Config().queues.at(0)),
+      1U);
+  EXPECT_EQ(this->fleet.JobOf("job").phase, JobPhase::kQueued);
+}
+
+// Guards against a begun job that a new leader counts as waiting: the former
+// leader ended before it learned that the worker had begun the task.
+TEST_F(DispatcherTest, NewTerm_WorkerListsTheTask_JobHasBegun) {
+  this->StartTermWithWorkers(1);
+  const Queue& queue = *this->fleet.state.Config().queues.at(0);
+  this->fleet.lose_start_answers = true;
+  this->fleet.hold_back = [](const WorkerOrder& order) {
+    return std::holds_alternative<HoldOrder>(order.body);
+  };
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->fleet.Advance(milliseconds(30));
+  ASSERT_EQ(this->fleet.RunningTasks(), 1U);
+  ASSERT_EQ(this->fleet.state.UnstartedJobs(queue), 1U);
+  this->fleet.hold_back = {};
+  this->fleet.BeginTerm();
+  this->fleet.Advance(milliseconds(200));
+  EXPECT_EQ(this->fleet.state.UnstartedJobs(queue), 0U);
+  EXPECT_EQ(this->fleet.JobOf("job").phase, JobPhase::kRunning);
+}
+
 TEST_F(DispatcherTest, StartIsUnanswered_RepeatedWithTheSameRun_RunsOnce) {
   this->StartTermWithWorkers(1);
   this->fleet.lose_start_answers = true;
--- a/tests/node/support/job_rules.h
+++ b/tests/node/support/job_rules.h
@@ -27,6 +27,9 @@
     /// An attempt to submit it wasn't refused, or isn't answered yet.
     bool possibly_stored = false;
     bool accepted = false;
+    Duration accepted_at{};
+    /// A worker has begun a task.
+    bool begun = false;
     bool cancel_sent = false;
     std::optional<Duration> cancelled_at;
     std::optional<Duration> shown_completed_at;
@@ -59,6 +62,11 @@
   /// `accepted_before`: the job was accepted before the call was sent.
   void OnJobState(const std::string& job, const jobs::Answer& answer,
                   bool accepted_before, Duration now);
+  /// The jobs that a queue must count as waiting, as far as callers know.
+  std::vector<std::string> WaitingJobs(Duration now) const;
+  /// `before`: WaitingJobs as of when the call was sent.
+  void OnQueueLength(std::uint64_t waiting,
+                     const std::vector<std::string>& before, Duration now);
   /// True if the job must still complete, as far as callers know.
   static bool IsOpen(const SubmittedJob& job);
 
--- a/tests/node/support/job_traffic.cc
+++ b/tests/node/support/job_traffic.cc
@@ -45,6 +45,9 @@
     this->SubmitNext();
     this->LookUpNext();
     this->ReadConfigurationNext();
+    if (this->settings.queue_lookups) {
+      this->LookUpQueueNext();
+    }
   });
 }
 
@@ -168,6 +171,22 @@
       });
 }
 
+void JobTraffic::LookUpQueueNext() {
+  this->group.events.After(milliseconds(20 + this->Draw(200)),
+                           [this] { this->LookUpQueueNext(); });
+  this->group.Call(
+      this->DrawEntry(), this->MakeCall(jobs::CallKind::kQueueLength, ""),
+      kPatience,
+      [this, before = this->group.rules.WaitingJobs(this->group.events.Now())](
+          const std::optional<jobs::Answer>& answer) {
+        if (answer.has_value() &&
+            OutcomeOf(*answer) == jobs::CallOutcome::kOk) {
+          this->group.rules.OnQueueLength(answer->waiting, before,
+                                          this->group.events.Now());
+        }
+      });
+}
+
 // The operator.
 
 void JobTraffic::EndSubmissions() {
--- a/tests/node/support/job_traffic.h
+++ b/tests/node/support/job_traffic.h
@@ -26,6 +26,8 @@
     /// Versions rename the queue, remove it and bring it back, two at once at
     /// times.
     bool queue_changes = false;
+    /// Clients ask for the queue's number of waiting jobs.
+    bool queue_lookups = false;
   };
 
   JobTraffic(Settings settings, JobGroup& group);
@@ -50,6 +52,7 @@
   void Submit(const std::string& id, int attempts);
   void Cancel(const std::string& id, int attempts);
   void LookUpNext();
+  void LookUpQueueNext();
   jobs::Call MakeCall(jobs::CallKind kind, const std::string& job) const;
   void ConfigureNext();
   /// Sends a version higher than all before.
