Reserve a worker for its upkeep only if it can become vacant

Cause: a wave reserved as many workers as its limit allowed, also all of a pool. A reserved worker takes no task, the reservation ended only with the upkeep, and a long-running task that may not be stopped kept the worker from becoming vacant for ever.

A worker with such a task isn't reserved; a reservation that one blocks ends after 2.5 s; at most half of a pool's usable workers are emptied at a time, and one of them always takes tasks; the only worker of a pool is emptied in the second half of the wave's time, at once. Events: upkeep_blocked and reservation_ended.

The model of the group has waves, a platform that carries upkeeps out, and long-running jobs for this.

--- a/src/mimosastage/jobs/dispatcher_upkeep.cc
+++ b/src/mimosastage/jobs/dispatcher_upkeep.cc
@@ -5,11 +5,14 @@
 #include <utility>
 
 #include "mimosastage/jobs/dispatcher.h"
+#include "mimosastage/jobs/value_bounds.h"
 
 namespace mimosastage::jobs {
 namespace {
 
-constexpr std::chrono::milliseconds kWaveInterval{50};
+using std::chrono::milliseconds;
+
+constexpr milliseconds kWaveInterval{50};
 
 }  // namespace
 
@@ -52,14 +55,79 @@
   return unavailable < step.may_miss;
 }
 
+const Dispatcher::RunKey* Dispatcher::BlockingRun(
+    const Session& session) const {
+  const auto blocking = std::find_if(
+      session.runs.begin(), session.runs.end(), [&](const auto& row) {
+        return row.second.step->long_running &&
+               row.second.stage != RunStage::kStopping &&
+               !this->MayStop(row.first.first);
+      });
+  return blocking == session.runs.end() ? nullptr : &blocking->first;
+}
+
+void Dispatcher::ReportBlock(const std::string& id, Session& session,
+                             const RunKey& blocking) {
+  if (!std::exchange(session.block_reported, true)) {
+    const Step& step = *session.runs.at(blocking).step;
+    this->hooks.report(
+        "upkeep_blocked", id,
+        ToString(blocking.first) + " may not be stopped; of its step " +
+            std::to_string(step.may_miss) + " may be unavailable");
+  }
+}
+
+Dispatcher::PoolShare Dispatcher::ShareOf(const std::string& pool) {
+  PoolShare share;
+  this->IndexWorkers();
+  if (const auto workers = this->pool_workers.find(pool);
+      workers != this->pool_workers.end()) {
+    for (const auto& [worker, session] : workers->second.members) {
+      if (session->has_answered && IsAssignable(*worker, *session)) {
+        ++share.usable;
+        share.reserved += session->reserved.has_value() ? 1 : 0;
+      }
+    }
+  }
+  return share;
+}
+
+bool Dispatcher::MayReserve(const Wave& wave, const std::string& id,
+                            Session& session, TimePoint now) {
+  if (now < session.next_reservation) {
+    return false;
+  }
+  if (const RunKey* blocking = this->BlockingRun(session);
+      blocking != nullptr) {
+    session.next_reservation = now + this->config.blocked_check_interval;
+    this->ReportBlock(id, session, *blocking);
+    return false;
+  }
+  const auto [usable, reserved] =
+      this->ShareOf(this->state.Workers().at(id).pool);
+  if (session.runs.empty()) {
+    return usable == 1 || reserved + 1 < usable;
+  }
+  if (usable == 1) {
+    // It may become vacant by itself. Later it is emptied at once; see
+    // DrainForUpkeep.
+    const milliseconds half = BoundedTime(wave.duration_ms) / 2;
+    return this->hooks.wall_time() >= BoundedTime(wave.accepted_ms) + half;
+  }
+  return 2 * (reserved + 1) <= usable;
+}
+
 bool Dispatcher::DrainForUpkeep(const std::string& id, Session& session,
                                 TimePoint now) {
   if (!session.reserved.has_value()) {
     session.reserved = now;
+    session.block_reported = false;
     this->hooks.report("worker_reserved", id, "its instance is due for upkeep");
   }
+  // While the only worker of a pool waits for tasks to end, all others wait.
   const bool drain_timed_out =
-      now - *session.reserved > this->config.upkeep_drain_timeout;
+      now - *session.reserved > this->config.upkeep_drain_timeout ||
+      this->ShareOf(this->state.Workers().at(id).pool).usable == 1;
   bool empty = true;
   for (auto& [key, run] : session.runs) {
     empty = false;
@@ -74,6 +142,26 @@
   return empty;
 }
 
+void Dispatcher::EndBlockedReservation(const std::string& instance,
+                                       Session& session, const RunKey* blocking,
+                                       TimePoint now) {
+  if (blocking == nullptr) {
+    session.blocked_since.reset();
+    return;
+  }
+  session.blocked_since = session.blocked_since.value_or(now);
+  if (now - *session.blocked_since < this->config.blocked_reservation_limit) {
+    return;
+  }
+  this->ReportBlock(*session.id, session, *blocking);
+  this->EndReservation(instance);
+  if (!session.reserved.has_value()) {
+    session.next_reservation = now + this->config.reservation_pause;
+    this->hooks.report("reservation_ended", *session.id,
+                       "its upkeep waits for " + ToString(blocking->first));
+  }
+}
+
 void Dispatcher::AdvanceWaves(TimePoint now) {
   if (now < this->next_wave_round) {
     return;
@@ -104,9 +192,10 @@
   std::size_t down = 0;
   std::size_t reserved = 0;
   struct Candidate {
-    /// The platform has refused the instance's upkeep before. Such instances
-    /// come last, so that they don't hold up the others.
-    bool refused = false;
+    /// The platform has refused the instance's upkeep before, or an earlier
+    /// leader may have ordered a change of it. Such instances come last, so
+    /// that they don't hold up the others.
+    bool postponed = false;
     /// Tasks of its pool are waiting for resources.
     bool pool_has_backlog = false;
     std::int64_t used_millicores = 0;
@@ -157,8 +246,9 @@
     if (refused && now < ordered->second.next_attempt) {
       continue;
     }
+    const bool postponed = refused || !this->MayOrder(instance, now);
     if (off) {
-      candidates.push_back(Candidate{refused, false, -1, instance, ""});
+      candidates.push_back(Candidate{postponed, false, -1, instance, ""});
       continue;
     }
     if (session->second.draining || session->second.leaving) {
@@ -166,7 +256,7 @@
     }
     const auto waiting = this->waiting_sums.find(worker->pool);
     const Candidate candidate{
-        refused,
+        postponed,
         waiting != this->waiting_sums.end() && waiting->second.millicores > 0,
         session->second.used.millicores, instance, worker->id};
     if (session->second.reserved.has_value()) {
@@ -176,24 +266,35 @@
       candidates.push_back(candidate);
     }
   }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return std::tie(a.refused, a.pool_has_backlog,
-                              a.used_millicores) <
-                     std::tie(b.refused, b.pool_has_backlog, b.used_millicores);
-            });
+  std::sort(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& a, const Candidate& b) {
+        return std::tie(a.postponed, a.pool_has_backlog, a.used_millicores) <
+               std::tie(b.postponed, b.pool_has_backlog, b.used_millicores);
+      });
   for (const Candidate& candidate : candidates) {
     if (down + reserved >= wave.most_at_once) {
       break;
     }
+    if (!candidate.worker.empty()) {
+      Session& session = this->sessions.at(candidate.worker);
+      if (!this->MayReserve(wave, candidate.worker, session, now)) {
+        continue;
+      }
+      // Counts in the share of the next candidate.
+      this->DrainForUpkeep(candidate.worker, session, now);
+    }
     ++reserved;
     selected.push_back(candidate);
   }
   for (const Candidate& candidate : selected) {
-    const bool vacant =
-        candidate.worker.empty() ||
-        this->DrainForUpkeep(candidate.worker,
-                             this->sessions.at(candidate.worker), now);
+    bool vacant = candidate.worker.empty();
+    if (!vacant) {
+      Session& session = this->sessions.at(candidate.worker);
+      vacant = this->DrainForUpkeep(candidate.worker, session, now);
+      this->EndBlockedReservation(candidate.instance, session,
+                                  this->BlockingRun(session), now);
+    }
     if (vacant && down < wave.most_at_once) {
       Upkeep& upkeep = this->upkeeps[{wave.number, candidate.instance}];
       ++down;
@@ -301,7 +402,9 @@
 void Dispatcher::EndReservation(const std::string& instance) {
   if (const Worker* worker = this->WorkerOnInstance(instance);
       worker != nullptr && !this->MayBeTakenDown(instance)) {
-    this->sessions.at(worker->id).reserved.reset();
+    Session& session = this->sessions.at(worker->id);
+    session.reserved.reset();
+    session.blocked_since.reset();
     this->placement_needed = true;
   }
 }
--- a/tests/jobs/dispatcher_reservation_test.cc
+++ b/tests/jobs/dispatcher_reservation_test.cc
@@ -39,14 +39,84 @@
   }
 
   void StartWave(std::uint64_t number, const std::string& instance) {
+    this->StartWave(number, {instance}, 1, milliseconds(0));
+  }
+
+  void StartWave(std::uint64_t number, std::vector<std::string> instances,
+                 std::uint32_t most_at_once, milliseconds duration) {
     Command command;
     command.wave = std::make_unique<Wave>();
     command.wave->number = number;
-    command.wave->most_at_once = 1;
-    command.wave->machines = {instance};
+    command.wave->most_at_once = most_at_once;
+    command.wave->machines = std::move(instances);
+    command.wave->duration_ms = duration.count();
+    command.wave->accepted_ms = this->fleet.wall.count();
     this->fleet.state.Apply(command);
   }
 
+  static std::vector<std::string> InstancesOfWorkers(int workers) {
+    std::vector<std::string> instances;
+    for (int i = 0; i < workers; ++i) {
+      instances.push_back("machine-worker-" + std::to_string(i));
+    }
+    return instances;
+  }
+
+  /// Submits a job whose long-running tasks run on one worker each.
+  void SubmitLasting(std::uint32_t tasks, std::uint32_t may_miss) {
+    Step step = MakeStep(tasks, 1'000);
+    step.long_running = true;
+    step.most_per_worker = 1;
+    step.may_miss = may_miss;
+    this->fleet.Submit("lasting", "render", {step});
+    this->Advance(milliseconds(500));
+    ASSERT_EQ(this->fleet.RunningTasks(), tasks);
+  }
+
+  /// Number of workers that run something.
+  std::size_t BusyWorkers() const {
+    return static_cast<std::size_t>(
+        std::count_if(this->fleet.workers.begin(), this->fleet.workers.end(),
+                      [](const auto& row) {
+                        return !row.second.ended_without_notice &&
+                               !row.second.running.empty();
+                      }));
+  }
+
+  /// Carries out each requested upkeep: its worker ends, and the next one on
+  /// the instance announces itself 2 s later.
+  void AdvanceWithUpkeeps(milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += milliseconds(10)) {
+      this->Advance(milliseconds(10));
+      while (const auto upkeep = this->Take(Kind::kUpkeep)) {
+        this->upkept.push_back(upkeep->instance);
+        for (auto& [id, worker] : this->fleet.workers) {
+          if (worker.record.machine == upkeep->instance &&
+              !worker.ended_without_notice) {
+            EXPECT_TRUE(worker.running.empty()) << id;
+            worker.ended_without_notice = true;
+            worker.running.clear();
+            Worker next = worker.record;
+            next.id += "+";
+            next.born_ms += 10'000;
+            this->reborn.emplace_back(this->fleet.now + milliseconds(2'000),
+                                      std::move(next));
+            break;
+          }
+        }
+        this->Answer(*upkeep, Result::kOk);
+      }
+      std::erase_if(this->reborn, [&](const auto& row) {
+        if (row.first > this->fleet.now) {
+          return false;
+        }
+        this->fleet.workers[row.second.id].record = row.second;
+        this->fleet.Announce(row.second.id);
+        return true;
+      });
+    }
+  }
+
   /// Submits a job that fills all workers of the pool.
   void FillPool(const std::string& pool) {
     this->fleet.Submit("job", pool, {MakeStep(64, 1'000)});
@@ -127,6 +197,10 @@
 
   FakeFleetLeader fleet;
   std::vector<InstanceRequest> requests;
+  /// Instances whose upkeep was carried out, in that order.
+  std::vector<std::string> upkept;
+  /// Workers that announce themselves after an upkeep.
+  std::vector<std::pair<TimePoint, Worker>> reborn;
 };
 
 // Guards against tasks that an upkeep ends: the upkeep of one wave was refused,
@@ -253,5 +327,109 @@
   EXPECT_EQ(this->fleet.proposed_starts.size(), 1U);
 }
 
+// Guards against accepted jobs that never begin (LOST): a wave reserves all
+// workers of a pool, and none becomes vacant, because a long-running task there
+// may not be stopped.
+TEST_F(DispatcherReservationTest,
+       WaveCoversThePool_TasksMayNotBeStopped_WorkersTakeTasks) {
+  this->StartTermWithWorkers(2);
+  this->SubmitLasting(2, 0);
+  this->StartWave(1, InstancesOfWorkers(2), 2, milliseconds(26'000));
+  this->AdvanceWithUpkeeps(milliseconds(1'000));
+  this->fleet.Submit("job", "render", {MakeStep(1, 1'000)});
+  this->AdvanceWithUpkeeps(milliseconds(3'000));
+  EXPECT_EQ(this->fleet.RunningTasks(), 3U);
+  EXPECT_TRUE(this->upkept.empty());
+  EXPECT_EQ(this->fleet.reports["upkeep_blocked"], 2);
+  // The upkeeps take place once the tasks are gone.
+  this->fleet.Cancel("lasting");
+  this->AdvanceWithUpkeeps(milliseconds(12'000));
+  EXPECT_EQ(this->upkept.size(), 2U);
+  EXPECT_EQ(this->fleet.RunningTasks(), 1U);
+}
+
+// Guards against the same where the step allows a task to be unavailable, and
+// another one already is, because it finds no room.
+TEST_F(DispatcherReservationTest,
+       WaveCoversThePool_TaskIsAwayForLackOfRoom_WorkersTakeTasks) {
+  this->StartTermWithWorkers(3);
+  this->SubmitLasting(3, 1);
+  this->StartWave(1, InstancesOfWorkers(2), 2, milliseconds(26'000));
+  this->Advance(milliseconds(100));
+  EXPECT_EQ(this->fleet.reports["worker_reserved"], 1);
+  // The third worker ends, and its task may not run beside another one.
+  this->fleet.workers.at("worker-2").ended_without_notice = true;
+  this->fleet.workers.at("worker-2").running.clear();
+  this->AdvanceWithUpkeeps(milliseconds(1'000));
+  this->fleet.Submit("job", "render", {MakeStep(5, 1'000)});
+  this->AdvanceWithUpkeeps(milliseconds(3'000));
+  std::size_t running = 0;
+  for (std::uint32_t i = 0; i < 5; ++i) {
+    running += this->fleet.WorkersOf(TaskId{"job", 0, 0, i}).size();
+  }
+  EXPECT_EQ(running, 5U);
+}
+
+// Guards against a reservation that holds a worker back for longer than a job
+// with room may wait, while a task on it may not be stopped for a time.
+TEST_F(DispatcherReservationTest,
+       ReservedWorkerIsBlocked_ReservationEndsInTime) {
+  this->StartTermWithWorkers(2);
+  Step step = MakeStep(3, 1'000);
+  step.long_running = true;
+  step.may_miss = 1;
+  this->fleet.Submit("lasting", "render", {step});
+  this->Advance(milliseconds(500));
+  ASSERT_EQ(this->BusyWorkers(), 1U);
+  const std::string worker =
+      this->fleet.WorkersOf(TaskId{"lasting", 0, 0, 0}).at(0);
+  this->StartWave(1, {"machine-" + worker}, 1, milliseconds(26'000));
+  // The stopped task isn't started again.
+  this->fleet.hold_back = [](const WorkerOrder& order) {
+    return std::holds_alternative<StartOrder>(order.body);
+  };
+  this->Advance(milliseconds(2'000));
+  EXPECT_EQ(this->fleet.reports["worker_reserved"], 1);
+  EXPECT_EQ(this->fleet.reports["reservation_ended"], 0);
+  this->Advance(milliseconds(900));
+  EXPECT_EQ(this->fleet.reports["reservation_ended"], 1);
+  EXPECT_EQ(this->fleet.RunningTasks(), 2U) << "one may be unavailable";
+  EXPECT_EQ(this->fleet.reports["worker_reserved"], 1);
+}
+
+// Guards against waiting jobs while a wave empties a pool: half of its workers
+// go on taking tasks, and all have their upkeep in time.
+TEST_F(DispatcherReservationTest, WaveCoversABusyPool_HalfGoesOnTakingTasks) {
+  this->StartTermWithWorkers(4);
+  this->FillPool("render");
+  this->Advance(milliseconds(500));
+  ASSERT_EQ(this->BusyWorkers(), 4U);
+  this->StartWave(1, InstancesOfWorkers(4), 4, milliseconds(26'000));
+  this->Advance(milliseconds(200));
+  EXPECT_EQ(this->fleet.reports["worker_reserved"], 2);
+  for (int i = 0; i < 260 && this->upkept.size() < 4; ++i) {
+    this->AdvanceWithUpkeeps(milliseconds(100));
+    ASSERT_GE(this->BusyWorkers(), 2U) << i;
+  }
+  EXPECT_EQ(this->upkept.size(), 4U);
+}
+
+// Guards against a pool whose only worker takes no tasks for as long as those
+// on it last: it goes on until half of the wave's time has passed, and is then
+// emptied at once.
+TEST_F(DispatcherReservationTest, OnlyWorkerIsBusy_UpkeepIsInTimeAndShort) {
+  this->StartTermWithWorkers(1);
+  this->FillPool("render");
+  this->Advance(milliseconds(500));
+  this->StartWave(1, InstancesOfWorkers(1), 1, milliseconds(10'000));
+  this->AdvanceWithUpkeeps(milliseconds(4'800));
+  EXPECT_EQ(this->fleet.reports["worker_reserved"], 0);
+  EXPECT_EQ(this->fleet.RunningTasks(), 4U);
+  this->AdvanceWithUpkeeps(milliseconds(1'000));
+  EXPECT_EQ(this->upkept.size(), 1U);
+  this->AdvanceWithUpkeeps(milliseconds(2'000));
+  EXPECT_EQ(this->fleet.RunningTasks(), 4U);
+}
+
 }  // namespace
 }  // namespace mimosastage::jobs
--- a/tests/node/job_group_schedules_test.cc
+++ b/tests/node/job_group_schedules_test.cc
@@ -43,6 +43,7 @@
   bool workers_change_kind = true;
   bool queue_changes = false;
   bool queue_lookups = false;
+  bool waves = false;
   /// A voter that operators use ends and starts again twice within a second,
   /// while the group has no quorum without it.
   bool restarts_called_voter = false;
@@ -103,6 +104,7 @@
   std::size_t Starts() const { return this->group.rules.Starts(); }
   std::size_t Terms() const { return this->group.Terms(); }
   std::size_t PowerLosses() const { return this->power_losses; }
+  std::size_t Upkeeps() const { return this->group.rules.Upkeeps(); }
 
  private:
   JobGroup::Settings GroupSettings(std::uint64_t seed,
@@ -110,6 +112,7 @@
     JobGroup::Settings settings;
     settings.workers_keep_ids = schedule.workers_keep_ids;
     settings.workers_change_kind = schedule.workers_change_kind;
+    settings.upkeeps = schedule.waves;
     settings.voters = seed % 2 == 0 ? 3 : 5;
     settings.entries = 1 + this->Draw(2);
     settings.workers = 3 + this->Draw(6);
@@ -140,6 +143,7 @@
     JobTraffic::Settings settings;
     settings.queue_changes = schedule.queue_changes;
     settings.queue_lookups = schedule.queue_lookups;
+    settings.waves = schedule.waves;
     settings.seed = this->random();
     // From half to twice as much as the workers can do.
     settings.job_interval =
@@ -506,6 +510,7 @@
     this->starts += schedule.Starts();
     this->terms += schedule.Terms();
     this->power_losses += schedule.PowerLosses();
+    this->upkeeps += schedule.Upkeeps();
     if (!failure.empty()) {
       const std::lock_guard lock(this->mutex);
       this->failures.push_back("seed " + std::to_string(seed) + ": " + failure);
@@ -518,6 +523,7 @@
   std::atomic<std::size_t> starts = 0;
   std::atomic<std::size_t> terms = 0;
   std::atomic<std::size_t> power_losses = 0;
+  std::atomic<std::size_t> upkeeps = 0;
 };
 
 // Guards against starts above a worker's capacity (LIMIT), tasks that run twice
@@ -595,6 +601,14 @@
   this->RunAll(40);
 }
 
+// Guards against jobs that never run (LOST, FINISH) because waves of upkeep
+// reserve workers that can't become vacant, and against waves over their limit.
+TEST_F(JobGroupSchedulesTest, Group_WavesAndLastingJobs_KeepTheRules) {
+  this->settings.waves = true;
+  this->RunAll(40);
+  EXPECT_GT(this->upkeeps, 40U);
+}
+
 // Guards against leaders without end: on slow links a term fills the log with
 // as many entries as may wait for a quorum, gives up, and the next one does the
 // same (FINISH).
--- a/tests/node/support/job_group.cc
+++ b/tests/node/support/job_group.cc
@@ -15,6 +15,7 @@
 /// A link whose peer isn't heard for this long is closed.
 constexpr Duration kLinkSilence = milliseconds(1'500);
 constexpr Duration kConnectTimeout = milliseconds(400);
+constexpr Duration kUpkeepDuration = seconds(2);
 constexpr std::int64_t kWallStartMs = 1'700'000'000'000;
 /// Capacity of a worker for each unit of its size. Tasks fill the memory first.
 constexpr std::int64_t kMillicoresPerSize = 3'000;
@@ -110,8 +111,7 @@
   };
   hooks.send_instance_request = [this,
                                  daemon](const jobs::InstanceRequest& request) {
-    jobs::InstanceReply reply;
-    reply.number = request.number;
+    const jobs::InstanceReply reply = this->Answer(request);
     const std::uint64_t run = this->daemons[daemon].run;
     this->events.After(milliseconds(5), [this, daemon, run, reply] {
       this->Handle(daemon, run, [this, daemon, reply](TimePoint now) {
@@ -717,12 +717,43 @@
   if (at.worker == nullptr) {
     return;
   }
+  const auto longest = seconds(this->Draw(2) * 2) + milliseconds(100);
+  this->EndWorker(instance, this->RandomDelay(milliseconds(20), longest));
+}
+
+void JobGroup::EndWorker(std::size_t instance, Duration pause) {
+  Instance& at = this->instances[instance];
   at.worker->Die();
   at.worker.reset();
   at.held.clear();
-  const auto longest = seconds(this->Draw(2) * 2) + milliseconds(100);
-  this->events.After(this->RandomDelay(milliseconds(20), longest),
-                     [this, instance] { this->AddWorker(instance); });
+  this->events.After(pause, [this, instance] { this->AddWorker(instance); });
+}
+
+jobs::InstanceReply JobGroup::Answer(const jobs::InstanceRequest& request) {
+  jobs::InstanceReply reply;
+  reply.number = request.number;
+  if (!this->settings.upkeeps ||
+      request.kind != jobs::InstanceRequest::Kind::kUpkeep) {
+    return reply;
+  }
+  const std::pair key(request.wave, request.instance);
+  reply.result = jobs::InstanceReply::Result::kOk;
+  if (this->upkeeps_begun.contains(key)) {
+    return reply;
+  }
+  reply.result = jobs::InstanceReply::Result::kBusy;
+  for (std::size_t i = 0; i < this->instances.size(); ++i) {
+    if (const auto& worker = this->instances[i].worker;
+        worker != nullptr && worker->Record().machine == request.instance) {
+      reply.result = jobs::InstanceReply::Result::kOk;
+      this->upkeeps_begun.insert(key);
+      this->rules.OnUpkeep(request.wave, request.instance, kUpkeepDuration,
+                           this->events.Now());
+      this->EndWorker(i, kUpkeepDuration);
+      break;
+    }
+  }
+  return reply;
 }
 
 void JobGroup::Heal() {
--- a/tests/node/support/job_group.h
+++ b/tests/node/support/job_group.h
@@ -42,6 +42,8 @@
     bool workers_keep_ids = false;
     /// A life may be of another kind than the one before.
     bool workers_change_kind = true;
+    /// The platform carries out the upkeeps that daemons request.
+    bool upkeeps = false;
     /// Probability that a sync takes up to 2 s.
     double sync_stall = 0;
     std::function<void(const std::string& line)> trace;
@@ -194,6 +196,10 @@
   void SendOrder(std::size_t daemon, jobs::WorkerOrder order);
   std::optional<std::size_t> InstanceAt(const std::string& address) const;
   void AddWorker(std::size_t instance);
+  /// Ends the worker on the instance. Its next life begins after `pause`.
+  void EndWorker(std::size_t instance, Duration pause);
+  /// Carries the request out, as the platform does.
+  jobs::InstanceReply Answer(const jobs::InstanceRequest& request);
 
   Settings settings;
   std::mt19937_64 random;
@@ -205,6 +211,8 @@
   /// The views of all terms so far.
   std::set<std::string> terms;
   std::uint64_t next_request = 1;
+  /// Waves and instances whose upkeep has begun.
+  std::set<std::pair<std::uint64_t, std::string>> upkeeps_begun;
 };
 
 }  // namespace mimosastage
--- a/tests/node/support/job_rules.cc
+++ b/tests/node/support/job_rules.cc
@@ -276,8 +276,23 @@
 }
 
 bool JobRules::IsOpen(const SubmittedJob& job) {
-  return job.accepted && !job.cancel_sent && !job.shown_failed &&
-         !job.shown_completed_at.has_value();
+  return job.accepted && !job.lasting && !job.cancel_sent &&
+         !job.shown_failed && !job.shown_completed_at.has_value();
+}
+
+void JobRules::OnUpkeep(std::uint64_t wave, const std::string& instance,
+                        Duration duration, Duration now) {
+  ++this->upkeeps;
+  WaveRecord& record = this->waves.at(wave);
+  std::erase_if(record.down,
+                [&](const auto& row) { return row.second <= now; });
+  if (record.down.size() >= record.most_at_once) {
+    this->Fail("LIMIT: upkeep of " + instance + " while " +
+                   std::to_string(record.down.size()) + " instances of wave " +
+                   std::to_string(wave) + " are down for theirs",
+               now);
+  }
+  record.down[instance] = now + duration;
 }
 
 void JobRules::OnConfigurationRead(std::uint64_t version, std::uint64_t least,
--- a/tests/node/support/job_rules.h
+++ b/tests/node/support/job_rules.h
@@ -26,6 +26,8 @@
     jobs::JobRequest request;
     /// An attempt to submit it wasn't refused, or isn't answered yet.
     bool possibly_stored = false;
+    /// Its tasks run until it is cancelled.
+    bool lasting = false;
     bool accepted = false;
     Duration accepted_at{};
     /// A worker has begun a task.
@@ -71,6 +73,13 @@
   static bool IsOpen(const SubmittedJob& job);
 
   // The operator.
+  void AddWave(std::uint64_t wave, std::size_t most_at_once) {
+    this->waves[wave].most_at_once = most_at_once;
+  }
+  /// The platform takes the instance down for its upkeep.
+  void OnUpkeep(std::uint64_t wave, const std::string& instance,
+                Duration duration, Duration now);
+  std::size_t Upkeeps() const { return this->upkeeps; }
   void OnConfigurationAcknowledged(std::uint64_t version) {
     this->acknowledged_version = std::max(this->acknowledged_version, version);
   }
@@ -109,6 +118,12 @@
     std::int64_t used_memory_mb = 0;
   };
 
+  struct WaveRecord {
+    std::size_t most_at_once = 0;
+    /// The instances in upkeep, and until when.
+    std::map<std::string, Duration> down;
+  };
+
   const jobs::Step* StepOf(const jobs::TaskId& task) const;
   bool IsDone(const jobs::TaskId& task) const;
   void CheckDone(const jobs::TaskId& task, const Done& done, Duration now);
@@ -117,6 +132,8 @@
   std::map<jobs::TaskId, TaskHistory> tasks;
   std::map<std::string, SubmittedJob> jobs;
   std::set<std::uint64_t> order_numbers;
+  std::map<std::uint64_t, WaveRecord> waves;
+  std::size_t upkeeps = 0;
   std::uint64_t acknowledged_version = 0;
   std::size_t starts = 0;
   std::string violation;
--- a/tests/node/support/job_traffic.cc
+++ b/tests/node/support/job_traffic.cc
@@ -48,6 +48,10 @@
     if (this->settings.queue_lookups) {
       this->LookUpQueueNext();
     }
+    if (this->settings.waves) {
+      this->SubmitLasting();
+      this->StartWaveNext();
+    }
   });
 }
 
@@ -91,11 +95,25 @@
   }
 }
 
+void JobTraffic::SubmitLasting() {
+  jobs::JobRequest request;
+  request.id = "lasting" + std::to_string(this->last_wave);
+  request.steps.push_back(MakeStep(
+      1 + static_cast<std::uint32_t>(this->Draw(this->group.Instances())), 500,
+      500));
+  request.steps.back()->long_running = true;
+  request.steps.back()->most_per_worker = 1;
+  request.steps.back()->may_miss = static_cast<std::uint32_t>(this->Draw(3));
+  this->group.rules.AddJob(request).lasting = true;
+  this->Submit(request.id, 8);
+}
+
 void JobTraffic::Submit(const std::string& id, int attempts) {
   JobRules::SubmittedJob& job = this->group.rules.Jobs().at(id);
   jobs::Call call = this->MakeCall(jobs::CallKind::kSubmit, id);
   call.job = std::make_unique<jobs::JobRequest>(job.request);
-  call.job->specification = std::string(this->Draw(400), 's');
+  call.job->specification = job.lasting ? SimulatedWorker::kLasting
+                                        : std::string(this->Draw(400), 's');
   // An attempt that is open, or that wasn't answered clearly, may be stored.
   const bool before = std::exchange(job.possibly_stored, true);
   this->group.Call(
@@ -287,6 +305,47 @@
       });
 }
 
+void JobTraffic::StartWaveNext() {
+  if (!this->submits) {
+    return;
+  }
+  this->group.events.After(milliseconds(3'000 + this->Draw(12'000)),
+                           [this] { this->StartWaveNext(); });
+  jobs::Wave wave;
+  wave.number = ++this->last_wave;
+  wave.duration_ms = 5'000 + this->Draw(20'000);
+  wave.most_at_once =
+      1 + static_cast<std::uint32_t>(this->Draw(this->group.Instances()));
+  const std::uint64_t share = 1 + this->Draw(4);
+  for (std::size_t i = 0; i < this->group.Instances(); ++i) {
+    if (this->Draw(4) < share) {
+      wave.machines.push_back("instance-" + std::to_string(i));
+    }
+  }
+  this->group.rules.AddWave(wave.number, wave.most_at_once);
+  this->StartWave(wave, 20);
+  if (this->Draw(3) == 0) {
+    this->SubmitLasting();
+  }
+}
+
+void JobTraffic::StartWave(const jobs::Wave& wave, int attempts) {
+  jobs::Call call;
+  call.kind = static_cast<std::uint8_t>(jobs::CallKind::kStartWave);
+  call.wave = std::make_unique<jobs::Wave>(wave);
+  this->group.Call(
+      this->DrawVoter(), std::move(call), seconds(1),
+      [this, wave, attempts](const std::optional<jobs::Answer>& answer) {
+        const bool accepted =
+            answer.has_value() && OutcomeOf(*answer) == jobs::CallOutcome::kOk;
+        if (!accepted && attempts > 0) {
+          this->group.events.After(milliseconds(200), [this, wave, attempts] {
+            this->StartWave(wave, attempts - 1);
+          });
+        }
+      });
+}
+
 void JobTraffic::ReadConfigurationNext() {
   this->group.events.After(milliseconds(50 + this->Draw(400)),
                            [this] { this->ReadConfigurationNext(); });
--- a/tests/node/support/job_traffic.h
+++ b/tests/node/support/job_traffic.h
@@ -28,6 +28,8 @@
     bool queue_changes = false;
     /// Clients ask for the queue's number of waiting jobs.
     bool queue_lookups = false;
+    /// Jobs last until the end, and waves of upkeep come.
+    bool waves = false;
   };
 
   JobTraffic(Settings settings, JobGroup& group);
@@ -49,6 +51,8 @@
   std::size_t DrawVoter() { return this->Draw(this->group.Voters()); }
 
   void SubmitNext();
+  /// Submits a job whose tasks last, one on each worker at most.
+  void SubmitLasting();
   void Submit(const std::string& id, int attempts);
   void Cancel(const std::string& id, int attempts);
   void LookUpNext();
@@ -62,6 +66,8 @@
   void Configure(std::uint64_t version, std::size_t bytes, int attempts);
   void ConfigureAt(std::size_t voter, std::uint64_t version, std::size_t bytes,
                    int attempts);
+  void StartWaveNext();
+  void StartWave(const jobs::Wave& wave, int attempts);
   void ReadConfigurationNext();
   void AnnounceNext(std::size_t instance);
   void Announce(std::size_t instance, const JobRules::WorkerLife& life,
@@ -73,6 +79,7 @@
   bool submits = true;
   std::uint64_t last_job = 0;
   std::uint64_t last_version = 0;
+  std::uint64_t last_wave = 0;
   /// Has the queue, so that clients can look up their jobs at the end.
   std::uint64_t final_version = 0;
 };
--- a/tests/node/support/simulated_worker.cc
+++ b/tests/node/support/simulated_worker.cc
@@ -95,6 +95,10 @@
   this->running.emplace(key, false);
   this->rules.OnStart(this->Life(), start.task, start.run, ordered_at,
                       this->events.Now());
+  if (start.specification == kLasting) {
+    this->lasting.insert(start.task.job);
+    return;
+  }
   // A few runs fail by their own fault.
   const auto outcome = this->random() % 64 == 0 ? jobs::RunOutcome::kFailed
                                                 : jobs::RunOutcome::kDone;
@@ -157,8 +161,9 @@
   hold.reply.clock = this->Clock();
   hold.reply.born_ms = this->settings.record.born_ms;
   for (const auto& [key, stopping] : this->running) {
+    const bool lasts = this->lasting.contains(key.first.job);
     hold.reply.running.push_back(
-        jobs::RunningTask{key.first, key.second, "", 50, 0});
+        jobs::RunningTask{key.first, key.second, "", lasts ? 100U : 50U, 0});
   }
   for (const jobs::EndedRun& end : this->ended) {
     if (hold.reply.ended.size() < kEndsPerAnswer) {
--- a/tests/node/support/simulated_worker.h
+++ b/tests/node/support/simulated_worker.h
@@ -7,6 +7,8 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -22,6 +24,9 @@
 /// runs until a hold covers them, and tells the rules what happens.
 class SimulatedWorker {
  public:
+  /// Specification of tasks that don't end by themselves.
+  static constexpr const char* kLasting = "lasting";
+
   using Reply = std::function<void(jobs::WorkerReply reply)>;
 
   struct Settings {
@@ -86,6 +91,8 @@
   std::optional<std::chrono::milliseconds> lease;
   /// The runs here, and whether each is being stopped.
   std::map<RunKey, bool> running;
+  /// The jobs here whose tasks don't end by themselves.
+  std::set<std::string> lasting;
   /// The highest run of each task that was stopped or has ended here.
   std::map<jobs::TaskId, std::uint32_t> highest_refused;
   std::vector<jobs::EndedRun> ended;
