Reserve workers also while their tasks wait to be stopped

Cause: a worker with a task that may not be stopped yet, because others of its step are away, took the tasks that were moved from other workers, which were then moved again. Only a task that may never be stopped keeps its worker from being reserved now; any other block ends the reservation after 2.5 s, as before. The share of a pool is counted once in a round.

DispatcherReservationTest passes, as do 400 seeds of Group_WavesAndLastingJobs_KeepTheRules.

--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -114,8 +114,6 @@
     /// Shortest time from then until the worker is reserved again, so that what
     /// waited for it can run.
     std::chrono::milliseconds reservation_pause{2'000};
-    /// Interval at which a worker that can't become vacant is checked again.
-    std::chrono::milliseconds blocked_check_interval{200};
     WorkerSpeed::Config speed;
     /// A run on a slow worker that has made less progress than this is
     /// restarted elsewhere, at most once for each task.
@@ -255,6 +253,12 @@
     unsigned unanswered = 0;
   };
 
+  /// A task that may not be stopped, so that its worker isn't vacant.
+  struct Block {
+    TaskId task;
+    TimePoint since{};
+  };
+
   struct Session {
     /// The session's key in `sessions`.
     const std::string* id = nullptr;
@@ -313,9 +317,8 @@
     /// Since when the worker gets no tasks because its instance is due for
     /// upkeep or a move.
     std::optional<TimePoint> reserved;
-    /// Since when a task that may not be stopped keeps the reserved worker from
-    /// becoming vacant.
-    std::optional<TimePoint> blocked_since;
+    /// What keeps the reserved worker from becoming vacant.
+    std::optional<Block> block;
     /// The worker isn't reserved for an upkeep before.
     TimePoint next_reservation{};
     /// It was reported that the worker can't become vacant.
@@ -655,27 +658,25 @@
   /// stays: the answer may be late, or say that it was done before.
   void RemoveEndedWorker(const OpenInstanceRequest& request, const char* reason,
                          TimePoint now);
-  /// True if the worker may be reserved for its upkeep now: it can become
-  /// vacant, and enough others of its pool go on taking tasks.
-  bool MayReserve(const Wave& wave, const std::string& id, Session& session,
-                  TimePoint now);
   /// The workers of a pool that could take tasks if none was reserved.
   struct PoolShare {
     std::size_t usable = 0;
     std::size_t reserved = 0;
   };
   PoolShare ShareOf(const std::string& pool);
-  /// Reserves the worker and stops its runs as far as allowed. Returns true
-  /// once it has no runs.
-  bool DrainForUpkeep(const std::string& id, Session& session, TimePoint now);
-  /// Returns the run of a task that may not be stopped, or null.
-  const RunKey* BlockingRun(const Session& session) const;
-  /// Ends a reservation that such a run has blocked for too long.
+  /// True if a worker of the pool may be reserved for its upkeep now: it can
+  /// become vacant, and enough others go on taking tasks.
+  bool MayReserve(const Wave& wave, Session& session, const PoolShare& share,
+                  TimePoint now);
+  /// Reserves the worker, stops its runs as far as allowed, and sets
+  /// Session::block. Returns true once it has no runs.
+  bool DrainForUpkeep(const std::string& id, Session& session,
+                      const PoolShare& share, TimePoint now);
+  /// Ends a reservation that a task has blocked for too long.
   void EndBlockedReservation(const std::string& instance, Session& session,
-                             const RunKey* blocking, TimePoint now);
-  /// Reports once why the worker can't become vacant.
-  void ReportBlock(const std::string& id, Session& session,
-                   const RunKey& blocking);
+                             TimePoint now);
+  /// Reports once that the task keeps the worker from becoming vacant.
+  void ReportBlock(Session& session, const TaskId& task);
   /// True if stopping the task keeps within its step's `may_miss`.
   bool MayStop(const TaskId& task) const;
   void OrderUpkeep(const Wave& wave, const std::string& instance,
--- a/src/mimosastage/jobs/dispatcher_upkeep.cc
+++ b/src/mimosastage/jobs/dispatcher_upkeep.cc
@@ -55,25 +55,14 @@
   return unavailable < step.may_miss;
 }
 
-const Dispatcher::RunKey* Dispatcher::BlockingRun(
-    const Session& session) const {
-  const auto blocking = std::find_if(
-      session.runs.begin(), session.runs.end(), [&](const auto& row) {
-        return row.second.step->long_running &&
-               row.second.stage != RunStage::kStopping &&
-               !this->MayStop(row.first.first);
-      });
-  return blocking == session.runs.end() ? nullptr : &blocking->first;
-}
-
-void Dispatcher::ReportBlock(const std::string& id, Session& session,
-                             const RunKey& blocking) {
+void Dispatcher::ReportBlock(Session& session, const TaskId& task) {
   if (!std::exchange(session.block_reported, true)) {
-    const Step& step = *session.runs.at(blocking).step;
-    this->hooks.report(
-        "upkeep_blocked", id,
-        ToString(blocking.first) + " may not be stopped; of its step " +
-            std::to_string(step.may_miss) + " may be unavailable");
+    const Step& step =
+        *this->state.FindJob(task.job)->request->steps[task.step];
+    this->hooks.report("upkeep_blocked", *session.id,
+                       ToString(task) + " may not be stopped; of its step " +
+                           std::to_string(step.may_miss) +
+                           " may be unavailable");
   }
 }
 
@@ -92,73 +81,79 @@
   return share;
 }
 
-bool Dispatcher::MayReserve(const Wave& wave, const std::string& id,
-                            Session& session, TimePoint now) {
+bool Dispatcher::MayReserve(const Wave& wave, Session& session,
+                            const PoolShare& share, TimePoint now) {
   if (now < session.next_reservation) {
     return false;
   }
-  if (const RunKey* blocking = this->BlockingRun(session);
-      blocking != nullptr) {
-    session.next_reservation = now + this->config.blocked_check_interval;
-    this->ReportBlock(id, session, *blocking);
-    return false;
+  for (const auto& [key, run] : session.runs) {
+    if (run.step->long_running && run.step->may_miss == 0 &&
+        run.stage != RunStage::kStopping) {
+      this->ReportBlock(session, key.first);
+      return false;
+    }
   }
-  const auto [usable, reserved] =
-      this->ShareOf(this->state.Workers().at(id).pool);
   if (session.runs.empty()) {
-    return usable == 1 || reserved + 1 < usable;
+    return share.usable == 1 || share.reserved + 1 < share.usable;
   }
-  if (usable == 1) {
-    // It may become vacant by itself. Later it is emptied at once; see
-    // DrainForUpkeep.
+  if (share.usable == 1) {
+    // It may become vacant by itself. Later it is emptied at once.
     const milliseconds half = BoundedTime(wave.duration_ms) / 2;
     return this->hooks.wall_time() >= BoundedTime(wave.accepted_ms) + half;
   }
-  return 2 * (reserved + 1) <= usable;
+  return 2 * (share.reserved + 1) <= share.usable;
 }
 
 bool Dispatcher::DrainForUpkeep(const std::string& id, Session& session,
-                                TimePoint now) {
+                                const PoolShare& share, TimePoint now) {
   if (!session.reserved.has_value()) {
     session.reserved = now;
     session.block_reported = false;
     this->hooks.report("worker_reserved", id, "its instance is due for upkeep");
   }
   // While the only worker of a pool waits for tasks to end, all others wait.
-  const bool drain_timed_out =
+  const bool interrupt_all =
       now - *session.reserved > this->config.upkeep_drain_timeout ||
-      this->ShareOf(this->state.Workers().at(id).pool).usable == 1;
+      share.usable == 1;
   bool empty = true;
+  const TaskId* blocking = nullptr;
   for (auto& [key, run] : session.runs) {
     empty = false;
+    if (run.stage == RunStage::kStopping) {
+      continue;
+    }
+    if (!this->MayStop(key.first)) {
+      blocking = &key.first;
+      continue;
+    }
     const bool may_interrupt =
-        run.step->long_running || run.step->checkpoints || drain_timed_out;
-    if (run.stage == RunStage::kRunning && may_interrupt &&
-        this->MayStop(key.first)) {
+        run.step->long_running || run.step->checkpoints || interrupt_all;
+    if (run.stage == RunStage::kRunning && may_interrupt) {
       this->StopRun(id, session, key, run, "its instance is due for upkeep",
                     now);
     }
   }
+  if (blocking == nullptr) {
+    session.block.reset();
+  } else if (!session.block.has_value()) {
+    session.block = Block{*blocking, now};
+  }
   return empty;
 }
 
 void Dispatcher::EndBlockedReservation(const std::string& instance,
-                                       Session& session, const RunKey* blocking,
-                                       TimePoint now) {
-  if (blocking == nullptr) {
-    session.blocked_since.reset();
+                                       Session& session, TimePoint now) {
+  if (!session.block.has_value() ||
+      now - session.block->since < this->config.blocked_reservation_limit) {
     return;
   }
-  session.blocked_since = session.blocked_since.value_or(now);
-  if (now - *session.blocked_since < this->config.blocked_reservation_limit) {
-    return;
-  }
-  this->ReportBlock(*session.id, session, *blocking);
+  const TaskId task = session.block->task;
+  this->ReportBlock(session, task);
   this->EndReservation(instance);
   if (!session.reserved.has_value()) {
     session.next_reservation = now + this->config.reservation_pause;
     this->hooks.report("reservation_ended", *session.id,
-                       "its upkeep waits for " + ToString(blocking->first));
+                       "its upkeep waits for " + ToString(task));
   }
 }
 
@@ -205,6 +200,15 @@
   };
   std::vector<Candidate> candidates;
   std::vector<Candidate> selected;
+  std::map<std::string, PoolShare> shares;
+  const auto share_of = [&](const std::string& worker) -> PoolShare& {
+    const std::string& pool = this->state.Workers().at(worker).pool;
+    const auto [row, is_new] = shares.try_emplace(pool);
+    if (is_new) {
+      row->second = this->ShareOf(pool);
+    }
+    return row->second;
+  };
   const std::unordered_set<std::string_view> wave_begun(wave.begun.begin(),
                                                         wave.begun.end());
   for (const std::string& instance : wave.machines) {
@@ -234,7 +238,8 @@
       ++down;
       // The worker may have been born since the first order, and run tasks.
       const bool vacant =
-          off || this->DrainForUpkeep(worker->id, session->second, now);
+          off || this->DrainForUpkeep(worker->id, session->second,
+                                      share_of(worker->id), now);
       if (vacant && !ordered->second.order_open &&
           now >= ordered->second.next_attempt &&
           this->MayOrder(instance, now)) {
@@ -278,11 +283,11 @@
     }
     if (!candidate.worker.empty()) {
       Session& session = this->sessions.at(candidate.worker);
-      if (!this->MayReserve(wave, candidate.worker, session, now)) {
+      PoolShare& share = share_of(candidate.worker);
+      if (!this->MayReserve(wave, session, share, now)) {
         continue;
       }
-      // Counts in the share of the next candidate.
-      this->DrainForUpkeep(candidate.worker, session, now);
+      ++share.reserved;
     }
     ++reserved;
     selected.push_back(candidate);
@@ -291,9 +296,9 @@
     bool vacant = candidate.worker.empty();
     if (!vacant) {
       Session& session = this->sessions.at(candidate.worker);
-      vacant = this->DrainForUpkeep(candidate.worker, session, now);
-      this->EndBlockedReservation(candidate.instance, session,
-                                  this->BlockingRun(session), now);
+      vacant = this->DrainForUpkeep(candidate.worker, session,
+                                    share_of(candidate.worker), now);
+      this->EndBlockedReservation(candidate.instance, session, now);
     }
     if (vacant && down < wave.most_at_once) {
       Upkeep& upkeep = this->upkeeps[{wave.number, candidate.instance}];
@@ -404,7 +409,7 @@
       worker != nullptr && !this->MayBeTakenDown(instance)) {
     Session& session = this->sessions.at(worker->id);
     session.reserved.reset();
-    session.blocked_since.reset();
+    session.block.reset();
     this->placement_needed = true;
   }
 }
