Name the task that still blocks a reservation

A reservation that was blocked by two jobs' tasks kept the id of one of them. If that job was cancelled and its tasks were dropped, the leader read them when the reservation ended, and could end with it. The block now names a task that still holds, and carries its step's limit.

DispatcherReservationTest.BlockingJobIsCancelled_ReservationEndsForTheOther ended the test process before, and passes now.

--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -253,9 +253,12 @@
     unsigned unanswered = 0;
   };
 
-  /// A task that may not be stopped, so that its worker isn't vacant.
+  /// Tasks that may not be stopped keep a reserved worker from becoming vacant.
   struct Block {
+    /// One of them, and how many of its step may be unavailable.
     TaskId task;
+    std::uint32_t may_miss = 0;
+    /// Since when there was always such a task.
     TimePoint since{};
   };
 
@@ -405,6 +408,12 @@
     TimePoint next_attempt{};
   };
 
+  /// The workers of a pool that could take tasks if none was reserved.
+  struct PoolShare {
+    std::size_t usable = 0;
+    std::size_t reserved = 0;
+  };
+
   // dispatcher.cc: sessions of workers.
   /// Takes over a run of an earlier term. Returns false if its worker is gone.
   bool AdoptRun(const TaskId& task, const ActiveRun& active, TimePoint now);
@@ -658,11 +667,6 @@
   /// stays: the answer may be late, or say that it was done before.
   void RemoveEndedWorker(const OpenInstanceRequest& request, const char* reason,
                          TimePoint now);
-  /// The workers of a pool that could take tasks if none was reserved.
-  struct PoolShare {
-    std::size_t usable = 0;
-    std::size_t reserved = 0;
-  };
   PoolShare ShareOf(const std::string& pool);
   /// True if a worker of the pool may be reserved for its upkeep now: it can
   /// become vacant, and enough others go on taking tasks.
@@ -676,7 +680,8 @@
   void EndBlockedReservation(const std::string& instance, Session& session,
                              TimePoint now);
   /// Reports once that the task keeps the worker from becoming vacant.
-  void ReportBlock(Session& session, const TaskId& task);
+  void ReportBlock(Session& session, const TaskId& task,
+                   std::uint32_t may_miss);
   /// True if stopping the task keeps within its step's `may_miss`.
   bool MayStop(const TaskId& task) const;
   void OrderUpkeep(const Wave& wave, const std::string& instance,
--- a/src/mimosastage/jobs/dispatcher_upkeep.cc
+++ b/src/mimosastage/jobs/dispatcher_upkeep.cc
@@ -55,14 +55,12 @@
   return unavailable < step.may_miss;
 }
 
-void Dispatcher::ReportBlock(Session& session, const TaskId& task) {
+void Dispatcher::ReportBlock(Session& session, const TaskId& task,
+                             std::uint32_t may_miss) {
   if (!std::exchange(session.block_reported, true)) {
-    const Step& step =
-        *this->state.FindJob(task.job)->request->steps[task.step];
     this->hooks.report("upkeep_blocked", *session.id,
                        ToString(task) + " may not be stopped; of its step " +
-                           std::to_string(step.may_miss) +
-                           " may be unavailable");
+                           std::to_string(may_miss) + " may be unavailable");
   }
 }
 
@@ -89,7 +87,7 @@
   for (const auto& [key, run] : session.runs) {
     if (run.step->long_running && run.step->may_miss == 0 &&
         run.stage != RunStage::kStopping) {
-      this->ReportBlock(session, key.first);
+      this->ReportBlock(session, key.first, run.step->may_miss);
       return false;
     }
   }
@@ -116,14 +114,14 @@
       now - *session.reserved > this->config.upkeep_drain_timeout ||
       share.usable == 1;
   bool empty = true;
-  const TaskId* blocking = nullptr;
+  std::optional<Block> block;
   for (auto& [key, run] : session.runs) {
     empty = false;
     if (run.stage == RunStage::kStopping) {
       continue;
     }
     if (!this->MayStop(key.first)) {
-      blocking = &key.first;
+      block = Block{key.first, run.step->may_miss, now};
       continue;
     }
     const bool may_interrupt =
@@ -133,11 +131,10 @@
                     now);
     }
   }
-  if (blocking == nullptr) {
-    session.block.reset();
-  } else if (!session.block.has_value()) {
-    session.block = Block{*blocking, now};
+  if (block.has_value() && session.block.has_value()) {
+    block->since = session.block->since;
   }
+  session.block = std::move(block);
   return empty;
 }
 
@@ -148,7 +145,7 @@
     return;
   }
   const TaskId task = session.block->task;
-  this->ReportBlock(session, task);
+  this->ReportBlock(session, task, session.block->may_miss);
   this->EndReservation(instance);
   if (!session.reserved.has_value()) {
     session.next_reservation = now + this->config.reservation_pause;
--- a/src/mimosastage/jobs/fleet_state.h
+++ b/src/mimosastage/jobs/fleet_state.h
@@ -136,6 +136,7 @@
   void Cancel(const std::string& id);
   void Apply(const RunStart& start);
   void Apply(const RunEnd& end);
+  /// A worker has begun a task of the job.
   void MarkBegun(Job& job);
   void Apply(const WorkerCrash& crash);
   /// Fails the jobs that the crashes are blamed on.
--- a/tests/jobs/dispatcher_reservation_test.cc
+++ b/tests/jobs/dispatcher_reservation_test.cc
@@ -397,6 +397,32 @@
   EXPECT_EQ(this->fleet.reports["worker_reserved"], 1);
 }
 
+// Guards against a leader that reads a job that is gone: the task that blocked
+// a reservation at first has ended, and another one blocks it since.
+TEST_F(DispatcherReservationTest,
+       BlockingJobIsCancelled_ReservationEndsForTheOther) {
+  this->StartTermWithWorkers(2);
+  Step step = MakeStep(2, 1'000);
+  step.long_running = true;
+  step.may_miss = 1;
+  this->fleet.Submit("first", "render", {step});
+  this->fleet.Submit("second", "render", {step});
+  this->Advance(milliseconds(500));
+  ASSERT_EQ(this->BusyWorkers(), 1U);
+  const std::string worker =
+      this->fleet.WorkersOf(TaskId{"first", 0, 0, 0}).at(0);
+  this->StartWave(1, {"machine-" + worker}, 1, milliseconds(26'000));
+  this->fleet.hold_back = [](const WorkerOrder& order) {
+    return std::holds_alternative<StartOrder>(order.body);
+  };
+  this->Advance(milliseconds(1'000));
+  ASSERT_EQ(this->fleet.RunningTasks(), 2U) << "one of each job is away";
+  this->fleet.Cancel("second");
+  this->Advance(milliseconds(2'000));
+  EXPECT_EQ(this->fleet.reports["reservation_ended"], 1);
+  EXPECT_EQ(this->fleet.RunningTasks(), 1U);
+}
+
 // Guards against waiting jobs while a wave empties a pool: half of its workers
 // go on taking tasks, and all have their upkeep in time.
 TEST_F(DispatcherReservationTest, WaveCoversABusyPool_HalfGoesOnTakingTasks) {
