--- a/tests/jobs/dispatcher_reservation_test.cc
+++ b/tests/jobs/dispatcher_reservation_test.cc
@@ -56,6 +56,7 @@
 
   static std::vector<std::string> InstancesOfWorkers(int workers) {
     std::vector<std::string> instances;
+    instances.reserve(static_cast<std::size_t>(workers));
     for (int i = 0; i < workers; ++i) {
       instances.push_back("machine-worker-" + std::to_string(i));
     }
