Follow the linter in the x86-64 branch and in the traffic of the model

The linter refused process_end_test.cc on x86-64 only: the branch isn't compiled on arm64. The register gets the same value, and ProcessEndTest passes.

--- a/tests/node/support/job_traffic.cc
+++ b/tests/node/support/job_traffic.cc
@@ -313,7 +313,7 @@
                            [this] { this->StartWaveNext(); });
   jobs::Wave wave;
   wave.number = ++this->last_wave;
-  wave.duration_ms = 5'000 + this->Draw(20'000);
+  wave.duration_ms = 5'000 + static_cast<std::int64_t>(this->Draw(20'000));
   wave.most_at_once =
       1 + static_cast<std::uint32_t>(this->Draw(this->group.Instances()));
   const std::uint64_t share = 1 + this->Draw(4);
--- a/tests/system/process_end_test.cc
+++ b/tests/system/process_end_test.cc
@@ -59,7 +59,7 @@
   registers.rsp = kNoMemory;
   registers.rip = 0;
   // The system call in which the thread waits isn't started again.
-  registers.orig_rax = static_cast<unsigned long long>(-1);
+  registers.orig_rax = ~decltype(registers.orig_rax){0};
 #endif
   return ptrace(PTRACE_SETREGSET, thread, set, &area) == 0 &&
          ptrace(PTRACE_DETACH, thread, nullptr, nullptr) == 0;
