--- a/src/mimosastage/jobs/call_handler.cc
+++ b/src/mimosastage/jobs/call_handler.cc
@@ -23,6 +23,13 @@
 /// change within about a second.
 constexpr milliseconds kRemovedQueueDelay{500};
 
+/// Longest name of an availability zone, which each daemon stores. As long as
+/// the longest one that a worker may announce.
+constexpr std::size_t kMaxZoneBytes = 255;
+/// A daemon sends a call for at most 900 ms, and a link that delivers nothing
+/// for 1.2 s is closed, so no copy is on its way for longer.
+constexpr std::chrono::seconds kLongestCopyDelay{10};
+
 Answer AnswerOf(CallOutcome outcome, std::string text = "") {
   Answer answer;
   answer.outcome = static_cast<std::uint8_t>(outcome);
@@ -121,6 +128,15 @@
         this->ShowWave(call, reply);
       }
       return;
+    case CallKind::kEvacuateZone:
+      this->ChangeEvacuation(call, false, now, reply);
+      return;
+    case CallKind::kWithdrawEvacuation:
+      this->ChangeEvacuation(call, true, now, reply);
+      return;
+    case CallKind::kReadEvacuations:
+      this->ShowEvacuations(reply);
+      return;
   }
   this->Refuse(CallOutcome::kInvalid, "unknown_call", reply);
 }
@@ -371,4 +387,74 @@
   reply(std::move(answer));
 }
 
+void CallHandler::ChangeEvacuation(const Call& call, bool withdraw,
+                                   TimePoint now, const Reply& reply) {
+  const std::string& zone = call.zone;
+  if (zone.empty() || zone.size() > kMaxZoneBytes) {
+    this->Refuse(CallOutcome::kInvalid, "malformed_zone", reply);
+    return;
+  }
+  const auto& evacuated = this->working.EvacuatedZones();
+  const bool is_evacuated = evacuated.contains(zone);
+  // The evacuation of a zone that the settings no longer have can be withdrawn.
+  if (!is_evacuated && this->hooks.knows_zone &&
+      !this->hooks.knows_zone(zone)) {
+    this->Refuse(CallOutcome::kInvalid, "unknown_zone", reply);
+    return;
+  }
+  if (!withdraw && !is_evacuated &&
+      evacuated.size() >= this->working.limits().evacuated_zones) {
+    this->Refuse(CallOutcome::kOverloaded, "too_many_evacuations", reply);
+    return;
+  }
+  if (this->PostponesChange(reply)) {
+    return;
+  }
+  const bool changes = is_evacuated == withdraw;
+  if (changes && this->IsOutdated(call, now)) {
+    this->Refuse(CallOutcome::kUnavailable, "outdated_call", reply);
+    return;
+  }
+  Command command;
+  if (changes) {
+    this->zone_changes[zone] = now;
+    command.evacuation = std::make_unique<Evacuation>();
+    command.evacuation->zone = zone;
+    command.evacuation->withdrawn = withdraw;
+  }
+  // A repeated call waits as well, because the log entry of the first one may
+  // not be durable yet.
+  this->hooks.propose(
+      std::move(command), [this, zone, withdraw, changes, reply](TimePoint) {
+        if (changes) {
+          this->hooks.report(
+              withdraw ? "evacuation_withdrawn" : "zone_evacuated", zone,
+              withdraw ? "its workers may get work again"
+                       : "its workers get no more work");
+        }
+        reply(AnswerOf(CallOutcome::kOk));
+      });
+  if (changes) {
+    this->dispatcher.OnEvacuationChange(now);
+  }
+}
+
+bool CallHandler::IsOutdated(const Call& call, TimePoint now) {
+  std::erase_if(this->zone_changes, [&](const auto& row) {
+    return now - row.second > kLongestCopyDelay;
+  });
+  const auto latest = this->zone_changes.find(call.zone);
+  return latest != this->zone_changes.end() && call.leader_clock_us != 0 &&
+         std::chrono::microseconds(call.leader_clock_us) <=
+             std::chrono::duration_cast<std::chrono::microseconds>(
+                 latest->second.time_since_epoch());
+}
+
+void CallHandler::ShowEvacuations(const Reply& reply) const {
+  const auto& evacuated = this->committed.EvacuatedZones();
+  Answer answer = AnswerOf(CallOutcome::kOk);
+  answer.zones.assign(evacuated.begin(), evacuated.end());
+  reply(std::move(answer));
+}
+
 }  // namespace mimosastage::jobs
--- a/src/mimosastage/jobs/call_handler.h
+++ b/src/mimosastage/jobs/call_handler.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <string>
 
 #include "mimosastage/base/time.h"
@@ -31,6 +32,9 @@
     /// Changes of state are refused meanwhile, so that those that wait for the
     /// log stay bounded.
     std::function<bool()> log_is_full;
+    /// True if the deployment has the availability zone. If not set, any name
+    /// counts as one.
+    std::function<bool(const std::string& zone)> knows_zone;
   };
 
   /// `working` includes proposed commands, `committed` only durable ones. All
@@ -61,6 +65,13 @@
   void ReportRemovedQueues() const;
   void StartWave(const Call& call, const Reply& reply);
   void ShowWave(const Call& call, const Reply& reply) const;
+  /// Evacuates an availability zone, or withdraws its evacuation.
+  void ChangeEvacuation(const Call& call, bool withdraw, TimePoint now,
+                        const Reply& reply);
+  /// True if the call may have been sent before the zone's latest change, so
+  /// that it must not undo it. Its daemon sends it again if it is still open.
+  bool IsOutdated(const Call& call, TimePoint now);
+  void ShowEvacuations(const Reply& reply) const;
   void Refuse(CallOutcome outcome, const char* reason, const Reply& reply);
   /// Refuses a new job for overload: it isn't stored and may be sent again
   /// after `delay`.
@@ -75,6 +86,9 @@
   const FleetState& working;
   const FleetState& committed;
   Dispatcher& dispatcher;
+  /// When each availability zone was last evacuated, or its evacuation was
+  /// withdrawn, in this term. Without old changes.
+  std::map<std::string, TimePoint> zone_changes;
 };
 
 }  // namespace mimosastage::jobs
--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -46,8 +46,8 @@
   const Amount other = CapacityOf(b);
   return a.born_ms == b.born_ms && a.pool == b.pool && a.address == b.address &&
          a.machine == b.machine && a.draining == b.draining &&
-         a.labels == b.labels && !Shrinks(capacity, other) &&
-         !Shrinks(other, capacity);
+         a.availability_zone == b.availability_zone && a.labels == b.labels &&
+         !Shrinks(capacity, other) && !Shrinks(other, capacity);
 }
 
 }  // namespace
@@ -136,6 +136,7 @@
   session.address = worker.address;
   session.born_ms = worker.born_ms;
   session.draining = worker.draining;
+  session.evacuated = this->IsEvacuated(worker.availability_zone);
   session.sequence = worker.sequence;
   session.known_since = now;
   session.last_announced = now;
@@ -194,6 +195,7 @@
     next.sequence = session.sequence;
     session.draining = next.draining;
     session.address = next.address;
+    this->SetEvacuated(session, next, now);
     session.capacity_shrunk =
         session.capacity_shrunk ||
         Shrinks(CapacityOf(known->second), CapacityOf(next));
@@ -290,7 +292,7 @@
   this->placement_needed = true;
 }
 
-bool Dispatcher::AcceptsTasks(const Session& session) const {
+bool Dispatcher::IsInService(const Session& session) {
   return session.has_answered && session.unanswered_orders == 0 &&
          session.strays == 0 && !session.draining && !session.leaving &&
          !session.reserved.has_value();
@@ -854,6 +856,7 @@
     this->RepeatMoves(now);
     this->BalancePools(now);
   }
+  this->DrainEvacuatedZones(now);
   if (this->placement_needed && this->start_window.IsNearlyFull()) {
     this->admission.OnStartsBlocked(now);
   }
@@ -902,7 +905,7 @@
       continue;
     }
     if (run.stage == RunStage::kStarting &&
-        (session.draining || session.capacity_shrunk)) {
+        (session.draining || session.evacuated || session.capacity_shrunk)) {
       // Its start may have to be withdrawn.
       return now;
     }
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -153,6 +153,8 @@
   /// Must be called after `job` was submitted or cancelled, or with "" after
   /// the configuration has changed.
   void OnChange(const std::string& job, TimePoint now);
+  /// Must be called after FleetState::EvacuatedZones has changed.
+  void OnEvacuationChange(TimePoint now);
   /// Returns nullopt if the job can be accepted. Otherwise the leader is
   /// overloaded, and the result is the time after which the job could start
   /// early enough to meet its objective.
@@ -329,6 +331,8 @@
     /// The worker gets no tasks, so that its instance can move to a pool that
     /// needs it for work that can still be in time.
     bool released = false;
+    /// The worker's availability zone is evacuated, so it gets no tasks.
+    bool evacuated = false;
     /// The job for whose implicated tasks the worker is kept free of others.
     std::string isolated_job;
     TimePoint next_pace{};
@@ -485,11 +489,36 @@
   static TimePoint NextVisitOf(const Session& session, TimePoint now);
   /// Schedules the next hold for `at`, or for when the open one is answered.
   void ScheduleHold(Session& session, TimePoint at);
+  /// True if the worker could take tasks, were its availability zone not
+  /// evacuated.
+  static bool IsInService(const Session& session);
   /// True if new tasks may be placed on the worker.
-  bool AcceptsTasks(const Session& session) const;
+  static bool AcceptsTasks(const Session& session) {
+    return !session.evacuated && IsInService(session);
+  }
   void Send(const std::string& id, Session& session, OpenOrder open,
             WorkerOrder order);
 
+  // dispatcher_evacuation.cc: availability zones that get no more work.
+  bool IsEvacuated(const std::string& availability_zone) const;
+  /// The same for the zone of an instance, as far as it is known.
+  bool IsEvacuatedInstance(const std::string& instance) const;
+  /// Brings Session::evacuated up to date.
+  void SetEvacuated(Session& session, const Worker& worker, TimePoint now);
+  /// Returns the name of the first standby pool, or null.
+  const std::string* StandbyPool() const;
+  /// Resources that the session's long-running tasks use.
+  static Amount LongRunningUse(const Session& session);
+  /// Returns the demand of the task alone, as if it waited.
+  StepDemand DemandOfTask(const TaskId& task) const;
+  /// Returns the pool's workers that can take tasks, less the room for those in
+  /// `moving_tasks`.
+  std::vector<CandidateWorker> DrainTargets(const std::string& pool,
+                                            TimePoint now) const;
+  /// Stops long-running tasks in evacuated zones, one of a step at a time, as
+  /// far as MayStop allows it and another worker of the pool has room.
+  void DrainEvacuatedZones(TimePoint now);
+
   // dispatcher_crashes.cc: workers that end without notice.
   /// How long the worker is known to have executed the run; nullopt if its
   /// start wasn't confirmed.
@@ -682,6 +711,8 @@
   /// Reports once that the task keeps the worker from becoming vacant.
   void ReportBlock(Session& session, const TaskId& task,
                    std::uint32_t may_miss);
+  /// True if a run of the task is known to serve its purpose.
+  bool IsReady(const TaskId& task) const;
   /// True if stopping the task keeps within its step's `may_miss`.
   bool MayStop(const TaskId& task) const;
   void OrderUpkeep(const Wave& wave, const std::string& instance,
@@ -758,6 +789,10 @@
   /// Workers with Session::released.
   std::set<std::string> released_workers;
   std::map<std::string, UnansweredMove> unanswered_moves;
+  /// For each step, by its task 0, the task that was stopped because its zone
+  /// is evacuated and isn't ready again yet.
+  std::map<TaskId, TaskId> moving_tasks;
+  TimePoint next_drain{};
   /// The platform's instance list, as last read completely.
   std::map<std::string, InstanceListEntry> listed_instances;
   std::map<std::string, InstanceListEntry> partial_instance_list;
--- a/src/mimosastage/jobs/dispatcher_instances.cc
+++ b/src/mimosastage/jobs/dispatcher_instances.cc
@@ -193,7 +193,7 @@
   std::map<std::string, std::size_t> reserved;
   std::size_t count = 0;
   const auto add = [&](const std::string& instance, const std::string& pool,
-                       const Amount& capacity, bool empty) {
+                       const Amount& capacity, bool empty, bool evacuated) {
     if (count == this->pooled_instances.size()) {
       this->pooled_instances.emplace_back();
     }
@@ -203,16 +203,23 @@
     row.millicores = capacity.millicores;
     row.memory_mb = capacity.memory_mb;
     row.empty = empty;
+    row.evacuated = evacuated;
   };
   for (const auto& [id, worker] : this->state.Workers()) {
     const Session& session = this->sessions.at(id);
     if (const auto demand = demands.find(worker.pool);
         demand != demands.end()) {
-      demand->second.used_millicores += session.used.millicores;
-      demand->second.used_memory_mb += session.used.memory_mb;
-      demand->second.late_millicores += session.late_used.millicores;
-      demand->second.late_memory_mb += session.late_used.memory_mb;
-      if (session.reserved.has_value()) {
+      // In an evacuated zone, short tasks end where they are, and long-running
+      // ones need room elsewhere.
+      const Amount used =
+          session.evacuated ? LongRunningUse(session) : session.used;
+      demand->second.used_millicores += used.millicores;
+      demand->second.used_memory_mb += used.memory_mb;
+      if (!session.evacuated) {
+        demand->second.late_millicores += session.late_used.millicores;
+        demand->second.late_memory_mb += session.late_used.memory_mb;
+      }
+      if (session.reserved.has_value() && !session.evacuated) {
         ++reserved[worker.pool];
       }
     }
@@ -220,9 +227,10 @@
     // is back within 2 s and moving a replacement takes about as long.
     if (IsAssignable(worker, session)) {
       add(worker.machine, worker.pool, CapacityOf(worker),
-          this->AcceptsTasks(session) && session.runs.empty() &&
+          IsInService(session) && session.runs.empty() &&
               session.isolated_job.empty() &&
-              this->MayOrder(worker.machine, now));
+              this->MayOrder(worker.machine, now),
+          session.evacuated);
     }
   }
   for (const auto& [pool, workers] : reserved) {
@@ -243,7 +251,8 @@
     add(instance, entry.pool, Amount(),
         (began == this->upkeep_began.end() ||
          now - began->second >= this->config.upkeep_duration) &&
-            this->MayOrder(instance, now));
+            this->MayOrder(instance, now),
+        this->IsEvacuated(entry.availability_zone));
   }
   this->pooled_instances.resize(count);
 }
@@ -269,7 +278,13 @@
     due.push_back(row.second.move);
     return true;
   });
-  for (const InstanceMove& move : due) {
+  for (InstanceMove& move : due) {
+    const Pool* pool = this->state.FindPool(move.to_pool);
+    if (const std::string* standby = this->StandbyPool();
+        standby != nullptr && (pool == nullptr || !pool->standby) &&
+        this->IsEvacuatedInstance(move.instance)) {
+      move.to_pool = *standby;
+    }
     this->OrderMove(move);
   }
 }
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -60,7 +60,7 @@
         const bool wanted =
             run->second.stage == RunStage::kLogging && job != nullptr &&
             !job->Ended() && !found->second.draining &&
-            found->second.strays == 0 &&
+            !found->second.evacuated && found->second.strays == 0 &&
             this->IsWithinCapacity(worker, found->second, run->second);
         if (!wanted) {
           // The start was never sent, so the run can end immediately.
@@ -84,7 +84,8 @@
 
 void Dispatcher::WithdrawStarts(const std::string& worker, Session& session,
                                 TimePoint now) {
-  if ((!session.capacity_shrunk && !session.draining) ||
+  const bool takes_none = session.draining || session.evacuated;
+  if ((!session.capacity_shrunk && !takes_none) ||
       session.unanswered_orders > 0) {
     return;
   }
@@ -97,7 +98,7 @@
     }
     all_checked = false;
     if (run.order_open ||
-        (!session.draining && this->IsWithinCapacity(worker, session, run))) {
+        (!takes_none && this->IsWithinCapacity(worker, session, run))) {
       continue;
     }
     if (run.attempts == 0) {
@@ -107,6 +108,9 @@
       this->StopRun(worker, session, key, run,
                     session.draining
                         ? "its start isn't confirmed, and the worker drains"
+                    : session.evacuated
+                        ? "its start isn't confirmed, and the availability "
+                          "zone is evacuated"
                         : "its start isn't confirmed, and the worker's "
                           "capacity has shrunk",
                     now);
--- a/src/mimosastage/jobs/dispatcher_upkeep.cc
+++ b/src/mimosastage/jobs/dispatcher_upkeep.cc
@@ -22,6 +22,20 @@
   return workers.empty() ? nullptr : workers.front();
 }
 
+bool Dispatcher::IsReady(const TaskId& task) const {
+  const auto& active = this->state.FindJob(task.job)->At(task).active;
+  return std::any_of(active.begin(), active.end(), [&](const ActiveRun& row) {
+    const auto session = this->sessions.find(row.worker);
+    if (session == this->sessions.end()) {
+      return false;
+    }
+    const auto run = session->second.runs.find({task, row.number});
+    return run != session->second.runs.end() &&
+           run->second.stage == RunStage::kRunning && run->second.ready &&
+           session->second.unanswered_orders == 0;
+  });
+}
+
 bool Dispatcher::MayStop(const TaskId& task) const {
   const Job* job = this->state.FindJob(task.job);
   if (job == nullptr || job->Ended()) {
@@ -38,19 +52,7 @@
     }
     TaskId other = task;
     other.index = i;
-    bool ready = false;
-    for (const ActiveRun& active : job->At(other).active) {
-      const auto session = this->sessions.find(active.worker);
-      if (session == this->sessions.end()) {
-        continue;
-      }
-      const auto run = session->second.runs.find({other, active.number});
-      ready = ready ||
-              (run != session->second.runs.end() &&
-               run->second.stage == RunStage::kRunning && run->second.ready &&
-               session->second.unanswered_orders == 0);
-    }
-    unavailable += ready ? 0 : 1;
+    unavailable += this->IsReady(other) ? 0 : 1;
   }
   return unavailable < step.may_miss;
 }
@@ -70,7 +72,8 @@
   if (const auto workers = this->pool_workers.find(pool);
       workers != this->pool_workers.end()) {
     for (const auto& [worker, session] : workers->second.members) {
-      if (session->has_answered && IsAssignable(*worker, *session)) {
+      if (session->has_answered && !session->evacuated &&
+          IsAssignable(*worker, *session)) {
         ++share.usable;
         share.reserved += session->reserved.has_value() ? 1 : 0;
       }
@@ -91,6 +94,10 @@
       return false;
     }
   }
+  if (session.evacuated) {
+    // It gets no tasks in any case, so the others go on as before.
+    return true;
+  }
   if (session.runs.empty()) {
     return share.usable == 1 || share.reserved + 1 < share.usable;
   }
@@ -112,7 +119,7 @@
   // While the only worker of a pool waits for tasks to end, all others wait.
   const bool interrupt_all =
       now - *session.reserved > this->config.upkeep_drain_timeout ||
-      share.usable == 1;
+      (share.usable == 1 && !session.evacuated);
   bool empty = true;
   std::optional<Block> block;
   for (auto& [key, run] : session.runs) {
@@ -284,7 +291,7 @@
       if (!this->MayReserve(wave, session, share, now)) {
         continue;
       }
-      ++share.reserved;
+      share.reserved += session.evacuated ? 0 : 1;
     }
     ++reserved;
     selected.push_back(candidate);
--- a/src/mimosastage/jobs/fleet_state.cc
+++ b/src/mimosastage/jobs/fleet_state.cc
@@ -169,6 +169,8 @@
         TaskId{run.job, run.occurrence, run.step, run.index},
         std::chrono::milliseconds(run.age_ms));
     this->FailCrashingJobs();
+  } else if (command.evacuation != nullptr) {
+    this->Apply(*command.evacuation);
   } else if (!command.cancelled_job.empty()) {
     this->Cancel(command.cancelled_job);
   } else if (const auto job = this->jobs.find(command.begun_job);
@@ -177,6 +179,14 @@
   }
 }
 
+void FleetState::Apply(const Evacuation& evacuation) {
+  if (evacuation.withdrawn) {
+    this->evacuated_zones.erase(evacuation.zone);
+  } else if (this->evacuated_zones.size() < this->bounds.evacuated_zones) {
+    this->evacuated_zones.insert(evacuation.zone);
+  }
+}
+
 void FleetState::Apply(const Configuration& next) {
   if (next.version > this->configuration->version) {
     this->configuration = std::make_shared<Configuration>(next);
@@ -542,6 +552,8 @@
     snapshot.ordered.push_back(std::move(row));
   }
   snapshot.crashes = this->crashes.Records();
+  snapshot.evacuated_zones.assign(this->evacuated_zones.begin(),
+                                  this->evacuated_zones.end());
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(jobs_wire::Snapshot::Pack(builder, &snapshot));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
@@ -638,6 +650,8 @@
     });
     this->crashes.Record(*crash);
   }
+  this->evacuated_zones.insert(snapshot.evacuated_zones.begin(),
+                               snapshot.evacuated_zones.end());
   return true;
 }
 
--- a/src/mimosastage/jobs/fleet_state.h
+++ b/src/mimosastage/jobs/fleet_state.h
@@ -77,6 +77,8 @@
     std::int64_t ended_job_retention_ms = 130'000;
     std::size_t tasks_per_job = 20'000;
     std::size_t jobs = 100'000;
+    /// Evacuated availability zones. Far above the number of zones of a fleet.
+    std::size_t evacuated_zones = 64;
   };
 
   void Apply(const Command& command);
@@ -100,6 +102,10 @@
   const WorkerTable::Rows& Workers() const { return this->workers.All(); }
   const WorkerTable& WorkersByPlace() const { return this->workers; }
   const std::map<std::uint64_t, Wave>& Waves() const { return this->waves; }
+  /// The availability zones whose workers get no more work.
+  const std::set<std::string>& EvacuatedZones() const {
+    return this->evacuated_zones;
+  }
   /// When a move or an upkeep was last ordered for each instance, in Unix
   /// milliseconds.
   const std::map<std::string, std::int64_t>& OrderedAt() const {
@@ -139,6 +145,7 @@
   /// A worker has begun a task of the job.
   void MarkBegun(Job& job);
   void Apply(const WorkerCrash& crash);
+  void Apply(const Evacuation& evacuation);
   /// Fails the jobs that the crashes are blamed on.
   void FailCrashingJobs();
   void AddChange(const TaskId& task);
@@ -177,6 +184,7 @@
   std::uint64_t given_up_jobs = 0;
   std::map<std::uint64_t, Wave> waves;
   std::map<std::string, std::int64_t> ordered_at;
+  std::set<std::string> evacuated_zones;
 };
 
 }  // namespace mimosastage::jobs
--- a/src/mimosastage/jobs/internal/records_generated.h
+++ b/src/mimosastage/jobs/internal/records_generated.h
@@ -88,6 +88,10 @@
 struct InstanceOrderBuilder;
 struct InstanceOrderT;
 
+struct Evacuation;
+struct EvacuationBuilder;
+struct EvacuationT;
+
 struct Command;
 struct CommandBuilder;
 struct CommandT;
@@ -2902,6 +2906,87 @@
 
 flatbuffers::Offset<InstanceOrder> CreateInstanceOrder(flatbuffers::FlatBufferBuilder &_fbb, const InstanceOrderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EvacuationT : public flatbuffers::NativeTable {
+  typedef Evacuation TableType;
+  std::string zone{};
+  bool withdrawn = false;
+};
+
+struct Evacuation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationT NativeTableType;
+  typedef EvacuationBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONE = 4,
+    VT_WITHDRAWN = 6
+  };
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool withdrawn() const {
+    return GetField<uint8_t>(VT_WITHDRAWN, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_WITHDRAWN, 1) &&
+           verifier.EndTable();
+  }
+  EvacuationT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EvacuationT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Evacuation> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EvacuationBuilder {
+  typedef Evacuation Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(Evacuation::VT_ZONE, zone);
+  }
+  void add_withdrawn(bool withdrawn) {
+    fbb_.AddElement<uint8_t>(Evacuation::VT_WITHDRAWN, static_cast<uint8_t>(withdrawn), 0);
+  }
+  explicit EvacuationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Evacuation> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Evacuation>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Evacuation> CreateEvacuation(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool withdrawn = false) {
+  EvacuationBuilder builder_(_fbb);
+  builder_.add_zone(zone);
+  builder_.add_withdrawn(withdrawn);
+  return builder_.Finish();
+}
+
+struct Evacuation::Traits {
+  using type = Evacuation;
+  static auto constexpr Create = CreateEvacuation;
+};
+
+inline flatbuffers::Offset<Evacuation> CreateEvacuationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *zone = nullptr,
+    bool withdrawn = false) {
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return mimosastage::jobs_wire::CreateEvacuation(
+      _fbb,
+      zone__,
+      withdrawn);
+}
+
+flatbuffers::Offset<Evacuation> CreateEvacuation(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct CommandT : public flatbuffers::NativeTable {
   typedef Command TableType;
   std::unique_ptr<mimosastage::jobs_wire::ConfigurationT> configuration{};
@@ -2918,6 +3003,7 @@
   std::unique_ptr<mimosastage::jobs_wire::CrashFindingT> finding{};
   std::unique_ptr<mimosastage::jobs_wire::RunSurvivedT> survived{};
   std::string begun_job{};
+  std::unique_ptr<mimosastage::jobs_wire::EvacuationT> evacuation{};
   CommandT() = default;
   CommandT(const CommandT &o);
   CommandT(CommandT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2942,7 +3028,8 @@
     VT_CRASH = 24,
     VT_FINDING = 26,
     VT_SURVIVED = 28,
-    VT_BEGUN_JOB = 30
+    VT_BEGUN_JOB = 30,
+    VT_EVACUATION = 32
   };
   const mimosastage::jobs_wire::Configuration *configuration() const {
     return GetPointer<const mimosastage::jobs_wire::Configuration *>(VT_CONFIGURATION);
@@ -2986,6 +3073,9 @@
   const flatbuffers::String *begun_job() const {
     return GetPointer<const flatbuffers::String *>(VT_BEGUN_JOB);
   }
+  const mimosastage::jobs_wire::Evacuation *evacuation() const {
+    return GetPointer<const mimosastage::jobs_wire::Evacuation *>(VT_EVACUATION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CONFIGURATION) &&
@@ -3016,6 +3106,8 @@
            verifier.VerifyTable(survived()) &&
            VerifyOffset(verifier, VT_BEGUN_JOB) &&
            verifier.VerifyString(begun_job()) &&
+           VerifyOffset(verifier, VT_EVACUATION) &&
+           verifier.VerifyTable(evacuation()) &&
            verifier.EndTable();
   }
   CommandT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3069,6 +3161,9 @@
   void add_begun_job(flatbuffers::Offset<flatbuffers::String> begun_job) {
     fbb_.AddOffset(Command::VT_BEGUN_JOB, begun_job);
   }
+  void add_evacuation(flatbuffers::Offset<mimosastage::jobs_wire::Evacuation> evacuation) {
+    fbb_.AddOffset(Command::VT_EVACUATION, evacuation);
+  }
   explicit CommandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3095,8 +3190,10 @@
     flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash> crash = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::CrashFinding> finding = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::RunSurvived> survived = 0,
-    flatbuffers::Offset<flatbuffers::String> begun_job = 0) {
+    flatbuffers::Offset<flatbuffers::String> begun_job = 0,
+    flatbuffers::Offset<mimosastage::jobs_wire::Evacuation> evacuation = 0) {
   CommandBuilder builder_(_fbb);
+  builder_.add_evacuation(evacuation);
   builder_.add_begun_job(begun_job);
   builder_.add_survived(survived);
   builder_.add_finding(finding);
@@ -3134,7 +3231,8 @@
     flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash> crash = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::CrashFinding> finding = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::RunSurvived> survived = 0,
-    const char *begun_job = nullptr) {
+    const char *begun_job = nullptr,
+    flatbuffers::Offset<mimosastage::jobs_wire::Evacuation> evacuation = 0) {
   auto cancelled_job__ = cancelled_job ? _fbb.CreateString(cancelled_job) : 0;
   auto begun_job__ = begun_job ? _fbb.CreateString(begun_job) : 0;
   return mimosastage::jobs_wire::CreateCommand(
@@ -3152,7 +3250,8 @@
       crash,
       finding,
       survived,
-      begun_job__);
+      begun_job__,
+      evacuation);
 }
 
 flatbuffers::Offset<Command> CreateCommand(flatbuffers::FlatBufferBuilder &_fbb, const CommandT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3612,6 +3711,7 @@
   std::vector<std::unique_ptr<mimosastage::jobs_wire::WaveT>> waves{};
   std::vector<std::unique_ptr<mimosastage::jobs_wire::InstanceOrderT>> ordered{};
   std::vector<std::unique_ptr<mimosastage::jobs_wire::WorkerCrashT>> crashes{};
+  std::vector<std::string> evacuated_zones{};
   SnapshotT() = default;
   SnapshotT(const SnapshotT &o);
   SnapshotT(SnapshotT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3628,7 +3728,8 @@
     VT_WORKERS = 8,
     VT_WAVES = 10,
     VT_ORDERED = 12,
-    VT_CRASHES = 14
+    VT_CRASHES = 14,
+    VT_EVACUATED_ZONES = 16
   };
   const mimosastage::jobs_wire::Configuration *configuration() const {
     return GetPointer<const mimosastage::jobs_wire::Configuration *>(VT_CONFIGURATION);
@@ -3648,6 +3749,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>> *crashes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>> *>(VT_CRASHES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *evacuated_zones() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_EVACUATED_ZONES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CONFIGURATION) &&
@@ -3667,6 +3771,9 @@
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
            verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyOffset(verifier, VT_EVACUATED_ZONES) &&
+           verifier.VerifyVector(evacuated_zones()) &&
+           verifier.VerifyVectorOfStrings(evacuated_zones()) &&
            verifier.EndTable();
   }
   SnapshotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3696,6 +3803,9 @@
   void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>>> crashes) {
     fbb_.AddOffset(Snapshot::VT_CRASHES, crashes);
   }
+  void add_evacuated_zones(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuated_zones) {
+    fbb_.AddOffset(Snapshot::VT_EVACUATED_ZONES, evacuated_zones);
+  }
   explicit SnapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3714,8 +3824,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::Worker>>> workers = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::Wave>>> waves = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>>> ordered = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>>> crashes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuated_zones = 0) {
   SnapshotBuilder builder_(_fbb);
+  builder_.add_evacuated_zones(evacuated_zones);
   builder_.add_crashes(crashes);
   builder_.add_ordered(ordered);
   builder_.add_waves(waves);
@@ -3737,12 +3849,14 @@
     const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::Worker>> *workers = nullptr,
     const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::Wave>> *waves = nullptr,
     const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>> *ordered = nullptr,
-    const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>> *crashes = nullptr) {
+    const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>> *crashes = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *evacuated_zones = nullptr) {
   auto jobs__ = jobs ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::JobRecord>>(*jobs) : 0;
   auto workers__ = workers ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::Worker>>(*workers) : 0;
   auto waves__ = waves ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::Wave>>(*waves) : 0;
   auto ordered__ = ordered ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>>(*ordered) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>>(*crashes) : 0;
+  auto evacuated_zones__ = evacuated_zones ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*evacuated_zones) : 0;
   return mimosastage::jobs_wire::CreateSnapshot(
       _fbb,
       configuration,
@@ -3750,7 +3864,8 @@
       workers__,
       waves__,
       ordered__,
-      crashes__);
+      crashes__,
+      evacuated_zones__);
 }
 
 flatbuffers::Offset<Snapshot> CreateSnapshot(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3767,6 +3882,8 @@
   std::unique_ptr<mimosastage::jobs_wire::WorkerT> worker{};
   uint64_t sequence = 0;
   std::unique_ptr<mimosastage::jobs_wire::WaveT> wave{};
+  std::string zone{};
+  int64_t leader_clock_us = 0;
   CallT() = default;
   CallT(const CallT &o);
   CallT(CallT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3787,7 +3904,9 @@
     VT_CONFIGURATION = 16,
     VT_WORKER = 18,
     VT_SEQUENCE = 20,
-    VT_WAVE = 22
+    VT_WAVE = 22,
+    VT_ZONE = 24,
+    VT_LEADER_CLOCK_US = 26
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -3819,6 +3938,12 @@
   const mimosastage::jobs_wire::Wave *wave() const {
     return GetPointer<const mimosastage::jobs_wire::Wave *>(VT_WAVE);
   }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  int64_t leader_clock_us() const {
+    return GetField<int64_t>(VT_LEADER_CLOCK_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -3838,6 +3963,9 @@
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyOffset(verifier, VT_WAVE) &&
            verifier.VerifyTable(wave()) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<int64_t>(verifier, VT_LEADER_CLOCK_US, 8) &&
            verifier.EndTable();
   }
   CallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3879,6 +4007,12 @@
   void add_wave(flatbuffers::Offset<mimosastage::jobs_wire::Wave> wave) {
     fbb_.AddOffset(Call::VT_WAVE, wave);
   }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(Call::VT_ZONE, zone);
+  }
+  void add_leader_clock_us(int64_t leader_clock_us) {
+    fbb_.AddElement<int64_t>(Call::VT_LEADER_CLOCK_US, leader_clock_us, 0);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3901,10 +4035,14 @@
     flatbuffers::Offset<mimosastage::jobs_wire::Configuration> configuration = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::Worker> worker = 0,
     uint64_t sequence = 0,
-    flatbuffers::Offset<mimosastage::jobs_wire::Wave> wave = 0) {
+    flatbuffers::Offset<mimosastage::jobs_wire::Wave> wave = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    int64_t leader_clock_us = 0) {
   CallBuilder builder_(_fbb);
+  builder_.add_leader_clock_us(leader_clock_us);
   builder_.add_sequence(sequence);
   builder_.add_number(number);
+  builder_.add_zone(zone);
   builder_.add_wave(wave);
   builder_.add_worker(worker);
   builder_.add_configuration(configuration);
@@ -3932,10 +4070,13 @@
     flatbuffers::Offset<mimosastage::jobs_wire::Configuration> configuration = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::Worker> worker = 0,
     uint64_t sequence = 0,
-    flatbuffers::Offset<mimosastage::jobs_wire::Wave> wave = 0) {
+    flatbuffers::Offset<mimosastage::jobs_wire::Wave> wave = 0,
+    const char *zone = nullptr,
+    int64_t leader_clock_us = 0) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto path__ = path ? _fbb.CreateString(path) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   return mimosastage::jobs_wire::CreateCall(
       _fbb,
       number,
@@ -3947,7 +4088,9 @@
       configuration,
       worker,
       sequence,
-      wave);
+      wave,
+      zone__,
+      leader_clock_us);
 }
 
 flatbuffers::Offset<Call> CreateCall(flatbuffers::FlatBufferBuilder &_fbb, const CallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3960,6 +4103,7 @@
   uint64_t waiting = 0;
   uint64_t retry_after_ms = 0;
   std::string text{};
+  std::vector<std::string> zones{};
 };
 
 struct Answer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3972,7 +4116,8 @@
     VT_PHASE = 8,
     VT_WAITING = 10,
     VT_RETRY_AFTER_MS = 12,
-    VT_TEXT = 14
+    VT_TEXT = 14,
+    VT_ZONES = 16
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -3992,6 +4137,9 @@
   const flatbuffers::String *text() const {
     return GetPointer<const flatbuffers::String *>(VT_TEXT);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *zones() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ZONES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -4001,6 +4149,9 @@
            VerifyField<uint64_t>(verifier, VT_RETRY_AFTER_MS, 8) &&
            VerifyOffset(verifier, VT_TEXT) &&
            verifier.VerifyString(text()) &&
+           VerifyOffset(verifier, VT_ZONES) &&
+           verifier.VerifyVector(zones()) &&
+           verifier.VerifyVectorOfStrings(zones()) &&
            verifier.EndTable();
   }
   AnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4030,6 +4181,9 @@
   void add_text(flatbuffers::Offset<flatbuffers::String> text) {
     fbb_.AddOffset(Answer::VT_TEXT, text);
   }
+  void add_zones(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> zones) {
+    fbb_.AddOffset(Answer::VT_ZONES, zones);
+  }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4048,11 +4202,13 @@
     uint8_t phase = 0,
     uint64_t waiting = 0,
     uint64_t retry_after_ms = 0,
-    flatbuffers::Offset<flatbuffers::String> text = 0) {
+    flatbuffers::Offset<flatbuffers::String> text = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> zones = 0) {
   AnswerBuilder builder_(_fbb);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_waiting(waiting);
   builder_.add_number(number);
+  builder_.add_zones(zones);
   builder_.add_text(text);
   builder_.add_phase(phase);
   builder_.add_outcome(outcome);
@@ -4071,8 +4227,10 @@
     uint8_t phase = 0,
     uint64_t waiting = 0,
     uint64_t retry_after_ms = 0,
-    const char *text = nullptr) {
+    const char *text = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *zones = nullptr) {
   auto text__ = text ? _fbb.CreateString(text) : 0;
+  auto zones__ = zones ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*zones) : 0;
   return mimosastage::jobs_wire::CreateAnswer(
       _fbb,
       number,
@@ -4080,7 +4238,8 @@
       phase,
       waiting,
       retry_after_ms,
-      text__);
+      text__,
+      zones__);
 }
 
 flatbuffers::Offset<Answer> CreateAnswer(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4201,6 +4360,7 @@
   std::vector<std::unique_ptr<mimosastage::jobs_wire::GroupMemberT>> members{};
   uint64_t leader_address_id = 0;
   bool paused = false;
+  int64_t clock_us = 0;
   LeadershipT() = default;
   LeadershipT(const LeadershipT &o);
   LeadershipT(LeadershipT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4218,7 +4378,8 @@
     VT_MEMBERS_VERSION = 10,
     VT_MEMBERS = 12,
     VT_LEADER_ADDRESS_ID = 14,
-    VT_PAUSED = 16
+    VT_PAUSED = 16,
+    VT_CLOCK_US = 18
   };
   uint16_t leader() const {
     return GetField<uint16_t>(VT_LEADER, 0);
@@ -4241,6 +4402,9 @@
   bool paused() const {
     return GetField<uint8_t>(VT_PAUSED, 0) != 0;
   }
+  int64_t clock_us() const {
+    return GetField<int64_t>(VT_CLOCK_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_LEADER, 2) &&
@@ -4252,6 +4416,7 @@
            verifier.VerifyVectorOfTables(members()) &&
            VerifyField<uint64_t>(verifier, VT_LEADER_ADDRESS_ID, 8) &&
            VerifyField<uint8_t>(verifier, VT_PAUSED, 1) &&
+           VerifyField<int64_t>(verifier, VT_CLOCK_US, 8) &&
            verifier.EndTable();
   }
   LeadershipT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4284,6 +4449,9 @@
   void add_paused(bool paused) {
     fbb_.AddElement<uint8_t>(Leadership::VT_PAUSED, static_cast<uint8_t>(paused), 0);
   }
+  void add_clock_us(int64_t clock_us) {
+    fbb_.AddElement<int64_t>(Leadership::VT_CLOCK_US, clock_us, 0);
+  }
   explicit LeadershipBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4303,8 +4471,10 @@
     uint64_t members_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>>> members = 0,
     uint64_t leader_address_id = 0,
-    bool paused = false) {
+    bool paused = false,
+    int64_t clock_us = 0) {
   LeadershipBuilder builder_(_fbb);
+  builder_.add_clock_us(clock_us);
   builder_.add_leader_address_id(leader_address_id);
   builder_.add_members_version(members_version);
   builder_.add_view(view);
@@ -4328,7 +4498,8 @@
     uint64_t members_version = 0,
     const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>> *members = nullptr,
     uint64_t leader_address_id = 0,
-    bool paused = false) {
+    bool paused = false,
+    int64_t clock_us = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>>(*members) : 0;
   return mimosastage::jobs_wire::CreateLeadership(
       _fbb,
@@ -4338,7 +4509,8 @@
       members_version,
       members__,
       leader_address_id,
-      paused);
+      paused,
+      clock_us);
 }
 
 flatbuffers::Offset<Leadership> CreateLeadership(flatbuffers::FlatBufferBuilder &_fbb, const LeadershipT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6486,6 +6658,35 @@
       _at_ms);
 }
 
+inline EvacuationT *Evacuation::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EvacuationT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Evacuation::UnPackTo(EvacuationT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = withdrawn(); _o->withdrawn = _e; }
+}
+
+inline flatbuffers::Offset<Evacuation> Evacuation::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEvacuation(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Evacuation> CreateEvacuation(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EvacuationT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _withdrawn = _o->withdrawn;
+  return mimosastage::jobs_wire::CreateEvacuation(
+      _fbb,
+      _zone,
+      _withdrawn);
+}
+
 inline CommandT::CommandT(const CommandT &o)
       : configuration((o.configuration) ? new mimosastage::jobs_wire::ConfigurationT(*o.configuration) : nullptr),
         job((o.job) ? new mimosastage::jobs_wire::JobT(*o.job) : nullptr),
@@ -6500,7 +6701,8 @@
         crash((o.crash) ? new mimosastage::jobs_wire::WorkerCrashT(*o.crash) : nullptr),
         finding((o.finding) ? new mimosastage::jobs_wire::CrashFindingT(*o.finding) : nullptr),
         survived((o.survived) ? new mimosastage::jobs_wire::RunSurvivedT(*o.survived) : nullptr),
-        begun_job(o.begun_job) {
+        begun_job(o.begun_job),
+        evacuation((o.evacuation) ? new mimosastage::jobs_wire::EvacuationT(*o.evacuation) : nullptr) {
 }
 
 inline CommandT &CommandT::operator=(CommandT o) FLATBUFFERS_NOEXCEPT {
@@ -6518,6 +6720,7 @@
   std::swap(finding, o.finding);
   std::swap(survived, o.survived);
   std::swap(begun_job, o.begun_job);
+  std::swap(evacuation, o.evacuation);
   return *this;
 }
 
@@ -6544,6 +6747,7 @@
   { auto _e = finding(); if (_e) _o->finding = std::unique_ptr<mimosastage::jobs_wire::CrashFindingT>(_e->UnPack(_resolver)); }
   { auto _e = survived(); if (_e) _o->survived = std::unique_ptr<mimosastage::jobs_wire::RunSurvivedT>(_e->UnPack(_resolver)); }
   { auto _e = begun_job(); if (_e) _o->begun_job = _e->str(); }
+  { auto _e = evacuation(); if (_e) _o->evacuation = std::unique_ptr<mimosastage::jobs_wire::EvacuationT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<Command> Command::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CommandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6568,6 +6772,7 @@
   auto _finding = _o->finding ? CreateCrashFinding(_fbb, _o->finding.get(), _rehasher) : 0;
   auto _survived = _o->survived ? CreateRunSurvived(_fbb, _o->survived.get(), _rehasher) : 0;
   auto _begun_job = _o->begun_job.empty() ? 0 : _fbb.CreateString(_o->begun_job);
+  auto _evacuation = _o->evacuation ? CreateEvacuation(_fbb, _o->evacuation.get(), _rehasher) : 0;
   return mimosastage::jobs_wire::CreateCommand(
       _fbb,
       _configuration,
@@ -6583,7 +6788,8 @@
       _crash,
       _finding,
       _survived,
-      _begun_job);
+      _begun_job,
+      _evacuation);
 }
 
 inline BatchT::BatchT(const BatchT &o) {
@@ -6775,7 +6981,8 @@
 }
 
 inline SnapshotT::SnapshotT(const SnapshotT &o)
-      : configuration((o.configuration) ? new mimosastage::jobs_wire::ConfigurationT(*o.configuration) : nullptr) {
+      : configuration((o.configuration) ? new mimosastage::jobs_wire::ConfigurationT(*o.configuration) : nullptr),
+        evacuated_zones(o.evacuated_zones) {
   jobs.reserve(o.jobs.size());
   for (const auto &jobs_ : o.jobs) { jobs.emplace_back((jobs_) ? new mimosastage::jobs_wire::JobRecordT(*jobs_) : nullptr); }
   workers.reserve(o.workers.size());
@@ -6795,6 +7002,7 @@
   std::swap(waves, o.waves);
   std::swap(ordered, o.ordered);
   std::swap(crashes, o.crashes);
+  std::swap(evacuated_zones, o.evacuated_zones);
   return *this;
 }
 
@@ -6813,6 +7021,7 @@
   { auto _e = waves(); if (_e) { _o->waves.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->waves[_i] = std::unique_ptr<mimosastage::jobs_wire::WaveT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = ordered(); if (_e) { _o->ordered.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ordered[_i] = std::unique_ptr<mimosastage::jobs_wire::InstanceOrderT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<mimosastage::jobs_wire::WorkerCrashT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = evacuated_zones(); if (_e) { _o->evacuated_zones.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evacuated_zones[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<Snapshot> Snapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6829,6 +7038,7 @@
   auto _waves = _o->waves.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::Wave>> (_o->waves.size(), [](size_t i, _VectorArgs *__va) { return CreateWave(*__va->__fbb, __va->__o->waves[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _ordered = _o->ordered.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>> (_o->ordered.size(), [](size_t i, _VectorArgs *__va) { return CreateInstanceOrder(*__va->__fbb, __va->__o->ordered[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateWorkerCrash(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _evacuated_zones = _o->evacuated_zones.size() ? _fbb.CreateVectorOfStrings(_o->evacuated_zones) : 0;
   return mimosastage::jobs_wire::CreateSnapshot(
       _fbb,
       _configuration,
@@ -6836,7 +7046,8 @@
       _workers,
       _waves,
       _ordered,
-      _crashes);
+      _crashes,
+      _evacuated_zones);
 }
 
 inline CallT::CallT(const CallT &o)
@@ -6849,7 +7060,9 @@
         configuration((o.configuration) ? new mimosastage::jobs_wire::ConfigurationT(*o.configuration) : nullptr),
         worker((o.worker) ? new mimosastage::jobs_wire::WorkerT(*o.worker) : nullptr),
         sequence(o.sequence),
-        wave((o.wave) ? new mimosastage::jobs_wire::WaveT(*o.wave) : nullptr) {
+        wave((o.wave) ? new mimosastage::jobs_wire::WaveT(*o.wave) : nullptr),
+        zone(o.zone),
+        leader_clock_us(o.leader_clock_us) {
 }
 
 inline CallT &CallT::operator=(CallT o) FLATBUFFERS_NOEXCEPT {
@@ -6863,6 +7076,8 @@
   std::swap(worker, o.worker);
   std::swap(sequence, o.sequence);
   std::swap(wave, o.wave);
+  std::swap(zone, o.zone);
+  std::swap(leader_clock_us, o.leader_clock_us);
   return *this;
 }
 
@@ -6885,6 +7100,8 @@
   { auto _e = worker(); if (_e) _o->worker = std::unique_ptr<mimosastage::jobs_wire::WorkerT>(_e->UnPack(_resolver)); }
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = wave(); if (_e) _o->wave = std::unique_ptr<mimosastage::jobs_wire::WaveT>(_e->UnPack(_resolver)); }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = leader_clock_us(); _o->leader_clock_us = _e; }
 }
 
 inline flatbuffers::Offset<Call> Call::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6905,6 +7122,8 @@
   auto _worker = _o->worker ? CreateWorker(_fbb, _o->worker.get(), _rehasher) : 0;
   auto _sequence = _o->sequence;
   auto _wave = _o->wave ? CreateWave(_fbb, _o->wave.get(), _rehasher) : 0;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _leader_clock_us = _o->leader_clock_us;
   return mimosastage::jobs_wire::CreateCall(
       _fbb,
       _number,
@@ -6916,7 +7135,9 @@
       _configuration,
       _worker,
       _sequence,
-      _wave);
+      _wave,
+      _zone,
+      _leader_clock_us);
 }
 
 inline AnswerT *Answer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6934,6 +7155,7 @@
   { auto _e = waiting(); _o->waiting = _e; }
   { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
   { auto _e = text(); if (_e) _o->text = _e->str(); }
+  { auto _e = zones(); if (_e) { _o->zones.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->zones[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<Answer> Answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6950,6 +7172,7 @@
   auto _waiting = _o->waiting;
   auto _retry_after_ms = _o->retry_after_ms;
   auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
+  auto _zones = _o->zones.size() ? _fbb.CreateVectorOfStrings(_o->zones) : 0;
   return mimosastage::jobs_wire::CreateAnswer(
       _fbb,
       _number,
@@ -6957,7 +7180,8 @@
       _phase,
       _waiting,
       _retry_after_ms,
-      _text);
+      _text,
+      _zones);
 }
 
 inline GroupMemberT *GroupMember::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -7001,7 +7225,8 @@
         serving(o.serving),
         members_version(o.members_version),
         leader_address_id(o.leader_address_id),
-        paused(o.paused) {
+        paused(o.paused),
+        clock_us(o.clock_us) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new mimosastage::jobs_wire::GroupMemberT(*members_) : nullptr); }
 }
@@ -7014,6 +7239,7 @@
   std::swap(members, o.members);
   std::swap(leader_address_id, o.leader_address_id);
   std::swap(paused, o.paused);
+  std::swap(clock_us, o.clock_us);
   return *this;
 }
 
@@ -7033,6 +7259,7 @@
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<mimosastage::jobs_wire::GroupMemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = leader_address_id(); _o->leader_address_id = _e; }
   { auto _e = paused(); _o->paused = _e; }
+  { auto _e = clock_us(); _o->clock_us = _e; }
 }
 
 inline flatbuffers::Offset<Leadership> Leadership::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeadershipT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7050,6 +7277,7 @@
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::GroupMember>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateGroupMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _leader_address_id = _o->leader_address_id;
   auto _paused = _o->paused;
+  auto _clock_us = _o->clock_us;
   return mimosastage::jobs_wire::CreateLeadership(
       _fbb,
       _leader,
@@ -7058,7 +7286,8 @@
       _members_version,
       _members,
       _leader_address_id,
-      _paused);
+      _paused,
+      _clock_us);
 }
 
 inline CandidacyT::CandidacyT(const CandidacyT &o)
--- a/src/mimosastage/jobs/pool_balancer.cc
+++ b/src/mimosastage/jobs/pool_balancer.cc
@@ -24,6 +24,12 @@
         this->pending_moves.contains(instance.instance)) {
       continue;
     }
+    if (instance.evacuated) {
+      if (instance.empty) {
+        found->second.evacuated.push_back(&instance.instance);
+      }
+      continue;
+    }
     ++found->second.current_size;
     if (instance.empty) {
       IdleSince& idle =
@@ -187,6 +193,12 @@
       balance.empty.pop_back();
       --balance.current_size;
     }
+    for (const std::string* instance : balance.evacuated) {
+      if (!balance.standby &&
+          plan.moves.size() < this->config.moves_per_round) {
+        this->AddMove(*instance, standby->first, now, plan.moves);
+      }
+    }
   }
   return plan;
 }
--- a/src/mimosastage/jobs/pool_balancer.h
+++ b/src/mimosastage/jobs/pool_balancer.h
@@ -39,6 +39,9 @@
   /// No task runs there and it may be moved.
   bool empty = false;
   std::int64_t memory_mb = 0;
+  /// Its availability zone is evacuated: it is no capacity of its pool, and
+  /// moves to the standby pool only.
+  bool evacuated = false;
 };
 
 struct InstanceMove {
@@ -108,6 +111,8 @@
     std::size_t size_in_time = 0;
     /// The longest idle one is last, as instances are taken from the back.
     std::vector<IdleInstance> empty;
+    /// Empty instances of evacuated zones.
+    std::vector<const std::string*> evacuated;
   };
   /// Since when an instance is empty, and the latest round that saw it.
   struct IdleSince {
--- a/src/mimosastage/jobs/records.h
+++ b/src/mimosastage/jobs/records.h
@@ -31,6 +31,7 @@
 using WorkerCrash = jobs_wire::WorkerCrashT;
 using CrashFinding = jobs_wire::CrashFindingT;
 using RunSurvived = jobs_wire::RunSurvivedT;
+using Evacuation = jobs_wire::EvacuationT;
 using Command = jobs_wire::CommandT;
 using Batch = jobs_wire::BatchT;
 using Call = jobs_wire::CallT;
@@ -74,7 +75,10 @@
   kAnnounceWorker,
   kWorkerLeaves,
   kStartWave,
-  kWaveState
+  kWaveState,
+  kEvacuateZone,
+  kWithdrawEvacuation,
+  kReadEvacuations
 };
 
 enum class CallOutcome : std::uint8_t {
--- a/src/mimosastage/jobs/worker_order.h
+++ b/src/mimosastage/jobs/worker_order.h
@@ -157,6 +157,8 @@
   InstanceStatus state = InstanceStatus::kDown;
   /// Id of the worker that runs there, or empty.
   std::string worker;
+  /// Empty if the list doesn't tell.
+  std::string availability_zone;
 };
 
 struct InstanceReply {
--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -40,6 +40,7 @@
     case jobs::CallKind::kQueueLength:
     case jobs::CallKind::kReadConfiguration:
     case jobs::CallKind::kWaveState:
+    case jobs::CallKind::kReadEvacuations:
       return false;
     default:
       return true;
@@ -301,8 +302,8 @@
                        this->leader->daemon != daemon ||
                        this->leader->view != notice.view;
   const bool resumes = !changed && this->leader->paused && !notice.paused;
-  this->leader =
-      KnownLeader{daemon, notice.view, notice.serving, notice.paused, now};
+  this->leader = KnownLeader{daemon,        notice.view, notice.serving,
+                             notice.paused, now,         notice.clock_us};
   if (resumes) {
     this->SendCalls(now);
   }
@@ -504,6 +505,7 @@
     });
     return;
   }
+  open.call.leader_clock_us = this->leader->clock_us;
   this->hooks.send(*leader,
                    EncodeMessage(JobsBytes{jobs::EncodeCall(open.call)}));
 }
@@ -741,10 +743,16 @@
   this->term->dispatcher = std::make_unique<jobs::Dispatcher>(
       this->config.dispatcher, std::move(hooks), this->term->working,
       this->config.name, fence, now);
+  const auto knows_zone = [this](const std::string& zone) {
+    const auto& zones = this->config.availability_zones;
+    return zones.empty() ||
+           std::find(zones.begin(), zones.end(), zone) != zones.end();
+  };
   this->term->handler = std::make_unique<jobs::CallHandler>(
       jobs::CallHandler::Hooks{propose, this->hooks.wall_time,
                                this->hooks.report, this->hooks.count_refusal,
-                               [this] { return this->term->LogIsFull(); }},
+                               [this] { return this->term->LogIsFull(); },
+                               knows_zone},
       this->term->working, this->committed, *this->term->dispatcher);
   this->hooks.report("term_began", this->config.name,
                      "view " + std::to_string(this->term->view));
@@ -904,6 +912,9 @@
   notice.view = this->term->view;
   notice.serving = serving;
   notice.paused = paused;
+  notice.clock_us = std::chrono::duration_cast<std::chrono::microseconds>(
+                        now.time_since_epoch())
+                        .count();
   const std::string message =
       EncodeMessage(JobsBytes{jobs::EncodeLeadership(notice)});
   for (const DaemonId peer : this->links) {
--- a/src/mimosastage/node/job_node.h
+++ b/src/mimosastage/node/job_node.h
@@ -44,6 +44,8 @@
     bool is_voter = false;
     /// Address at which workers and operators reach this daemon, "IP:PORT".
     std::string announce_address;
+    /// The availability zones of the deployment; empty if they aren't known.
+    std::vector<std::string> availability_zones;
     /// Must be random for each start of the process: the numbers of its calls
     /// count from it, and it is the session under which it carries orders.
     std::uint64_t seed = 0;
@@ -184,6 +186,8 @@
     /// It can't handle calls for the moment.
     bool paused = false;
     TimePoint last_heard{};
+    /// Leadership::clock_us of its latest notice.
+    std::int64_t clock_us = 0;
   };
 
   void StartReplica(DurableImage image, const Membership& membership,
--- a/tests/jobs/call_handler_test.cc
+++ b/tests/jobs/call_handler_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -42,11 +43,15 @@
       }
     };
     hooks.wall_time = [this] { return this->fleet.wall; };
-    hooks.report = [](const char*, const std::string&, const std::string&) {};
+    hooks.report = [this](const char* event, const std::string&,
+                          const std::string&) { ++this->events[event]; };
     hooks.count_refusal = [this](const char* reason) {
       this->last_refusal = reason;
     };
-    hooks.log_is_full = [] { return false; };
+    hooks.log_is_full = [this] { return this->log_is_full; };
+    hooks.knows_zone = [](const std::string& zone) {
+      return zone.starts_with("zone-");
+    };
     this->handler =
         std::make_unique<CallHandler>(std::move(hooks), this->fleet.state,
                                       this->committed, *this->fleet.dispatcher);
@@ -109,6 +114,19 @@
     return this->Handle(call);
   }
 
+  CallOutcome HandleZone(CallKind kind, const std::string& zone) {
+    Call call;
+    call.kind = static_cast<std::uint8_t>(kind);
+    call.zone = zone;
+    return this->Handle(call);
+  }
+
+  std::vector<std::string> ReadEvacuations() {
+    EXPECT_EQ(this->HandleZone(CallKind::kReadEvacuations, ""),
+              CallOutcome::kOk);
+    return this->answer->zones;
+  }
+
   JobPhase PhaseAt(const std::string& path) {
     EXPECT_EQ(this->Handle(CallKind::kJobState, path), CallOutcome::kOk);
     return static_cast<JobPhase>(this->answer->phase);
@@ -120,6 +138,8 @@
   std::unique_ptr<CallHandler> handler;
   std::optional<Answer> answer;
   std::string last_refusal;
+  std::map<std::string, int> events;
+  bool log_is_full = false;
 };
 
 // Guards against an accepted job that clients can neither read nor cancel: its
@@ -208,6 +228,121 @@
       << "a repeated submission";
 }
 
+// Guards against an evacuation that is answered before it is durable, and
+// against a repeated call that is answered before the first one is.
+TEST_F(CallHandlerTest, Evacuate_LogStalls_NoCallIsAcknowledged) {
+  this->fleet.log_stalled = true;
+  EXPECT_EQ(this->HandleZone(CallKind::kEvacuateZone, "zone-1"),
+            CallOutcome::kUnknown);
+  EXPECT_EQ(this->HandleZone(CallKind::kEvacuateZone, "zone-1"),
+            CallOutcome::kUnknown);
+  EXPECT_TRUE(this->ReadEvacuations().empty());
+  EXPECT_EQ(this->events["zone_evacuated"], 0);
+  this->fleet.log_stalled = false;
+  EXPECT_EQ(this->HandleZone(CallKind::kEvacuateZone, "zone-1"),
+            CallOutcome::kOk);
+  EXPECT_EQ(this->ReadEvacuations(), std::vector<std::string>{"zone-1"});
+}
+
+// Guards against a withdrawal that is refused or changes another zone.
+TEST_F(CallHandlerTest, Withdraw_EvacuatedOrNot_IsAcknowledged) {
+  for (const char* zone : {"zone-1", "zone-2"}) {
+    ASSERT_EQ(this->HandleZone(CallKind::kEvacuateZone, zone),
+              CallOutcome::kOk);
+  }
+  for (int copy = 0; copy < 2; ++copy) {
+    EXPECT_EQ(this->HandleZone(CallKind::kWithdrawEvacuation, "zone-1"),
+              CallOutcome::kOk);
+    EXPECT_EQ(this->ReadEvacuations(), std::vector<std::string>{"zone-2"});
+  }
+  EXPECT_EQ(this->events["zone_evacuated"], 2);
+  EXPECT_EQ(this->events["evacuation_withdrawn"], 1);
+}
+
+// Guards against a misspelt zone that is acknowledged while the zone that was
+// meant gets work, and against names that take memory in each daemon.
+TEST_F(CallHandlerTest, Evacuate_NoSuchZone_IsRefused) {
+  for (const CallKind kind :
+       {CallKind::kEvacuateZone, CallKind::kWithdrawEvacuation}) {
+    EXPECT_EQ(this->HandleZone(kind, "elsewhere"), CallOutcome::kInvalid);
+    EXPECT_EQ(this->last_refusal, "unknown_zone");
+    for (const std::string& zone :
+         {std::string(), "zone-" + std::string(251, 'x')}) {
+      EXPECT_EQ(this->HandleZone(kind, zone), CallOutcome::kInvalid);
+      EXPECT_EQ(this->last_refusal, "malformed_zone");
+    }
+  }
+  EXPECT_TRUE(this->ReadEvacuations().empty());
+}
+
+// Guards against a zone that stays evacuated for good once the settings don't
+// name it any more.
+TEST_F(CallHandlerTest, Withdraw_SettingsLackTheEvacuatedZone_IsAcknowledged) {
+  this->fleet.Evacuate("elsewhere");
+  EXPECT_EQ(this->HandleZone(CallKind::kEvacuateZone, "elsewhere"),
+            CallOutcome::kOk);
+  EXPECT_EQ(this->HandleZone(CallKind::kWithdrawEvacuation, "elsewhere"),
+            CallOutcome::kOk);
+  EXPECT_TRUE(this->fleet.state.EvacuatedZones().empty());
+}
+
+// Guards against an evacuation beyond the bound that is acknowledged and has no
+// effect.
+TEST_F(CallHandlerTest, Evacuate_TooManyZones_IsRefused) {
+  const std::size_t limit = this->fleet.state.limits().evacuated_zones;
+  for (std::size_t i = 0; i < limit; ++i) {
+    ASSERT_EQ(
+        this->HandleZone(CallKind::kEvacuateZone, "zone-" + std::to_string(i)),
+        CallOutcome::kOk);
+  }
+  EXPECT_EQ(this->HandleZone(CallKind::kEvacuateZone, "zone-x"),
+            CallOutcome::kOverloaded);
+  EXPECT_EQ(this->last_refusal, "too_many_evacuations");
+  EXPECT_EQ(this->HandleZone(CallKind::kEvacuateZone, "zone-0"),
+            CallOutcome::kOk)
+      << "a repeated call";
+  EXPECT_EQ(this->HandleZone(CallKind::kWithdrawEvacuation, "zone-0"),
+            CallOutcome::kOk);
+  EXPECT_EQ(this->HandleZone(CallKind::kEvacuateZone, "zone-x"),
+            CallOutcome::kOk);
+}
+
+// Guards against a delayed copy of an evacuation that undoes its withdrawal.
+// Its daemon sends the call again, with a later notice of the leader, only
+// while the operator waits for it.
+TEST_F(CallHandlerTest, Evacuate_SentBeforeTheWithdrawal_ChangesNothing) {
+  Call copy;
+  copy.kind = static_cast<std::uint8_t>(CallKind::kEvacuateZone);
+  copy.zone = "zone-1";
+  const auto clock = [this] {
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+               this->fleet.now.time_since_epoch())
+        .count();
+  };
+  copy.leader_clock_us = clock();
+  this->fleet.Advance(milliseconds(100));
+  ASSERT_EQ(this->Handle(copy), CallOutcome::kOk);
+  EXPECT_EQ(this->Handle(copy), CallOutcome::kOk) << "nothing to undo";
+  ASSERT_EQ(this->HandleZone(CallKind::kWithdrawEvacuation, "zone-1"),
+            CallOutcome::kOk);
+  EXPECT_EQ(this->Handle(copy), CallOutcome::kUnavailable);
+  EXPECT_EQ(this->last_refusal, "outdated_call");
+  EXPECT_TRUE(this->ReadEvacuations().empty());
+  this->fleet.Advance(milliseconds(100));
+  copy.leader_clock_us = clock();
+  EXPECT_EQ(this->Handle(copy), CallOutcome::kOk) << "sent after it";
+}
+
+// Guards against a full log that grows by evacuations: the daemon that was
+// called sends the call again.
+TEST_F(CallHandlerTest, Evacuate_LogIsFull_IsPostponed) {
+  this->log_is_full = true;
+  EXPECT_EQ(this->HandleZone(CallKind::kEvacuateZone, "zone-1"),
+            CallOutcome::kUnavailable);
+  EXPECT_EQ(this->last_refusal, "log_full_change");
+  EXPECT_TRUE(this->fleet.state.EvacuatedZones().empty());
+}
+
 // Guards against an accepted job of which nothing is started any more: its
 // queue was renamed, or removed, while a step ran.
 TEST_F(CallHandlerTest, QueueRenamedOrRemoved_NextStepOfJob_IsStarted) {
--- a/tests/jobs/fleet_state_test.cc
+++ b/tests/jobs/fleet_state_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -137,6 +138,16 @@
     this->state.Apply(command);
   }
 
+  /// Applies the record as it is read from the log.
+  void ChangeEvacuation(const std::string& zone, bool withdrawn) {
+    Batch batch;
+    batch.commands.push_back(std::make_unique<Command>());
+    batch.commands[0]->evacuation = std::make_unique<Evacuation>();
+    batch.commands[0]->evacuation->zone = zone;
+    batch.commands[0]->evacuation->withdrawn = withdrawn;
+    this->state.Apply(*DecodeBatch(EncodeBatch(batch)));
+  }
+
   FleetState state;
 };
 
@@ -201,7 +212,35 @@
     EXPECT_EQ(read->Workers().at("worker").born_ms, 7);
     EXPECT_EQ(read->Workers().at("worker").sequence, 0U);
     EXPECT_TRUE(read->Crashes().Empty());
+    EXPECT_TRUE(read->EvacuatedZones().empty());
+  }
+}
+
+// Guards against an acknowledged evacuation that a restart, a lost disk or a
+// later change of another zone undoes.
+TEST_F(FleetStateTest, Evacuation_LoggedAndRestored_IsKept) {
+  this->ChangeEvacuation("zone-1", false);
+  this->ChangeEvacuation("zone-2", false);
+  this->ChangeEvacuation("zone-2", false);
+  this->ChangeEvacuation("zone-2", true);
+  this->ChangeEvacuation("zone-3", true);
+  const std::set<std::string> expected{"zone-1"};
+  EXPECT_EQ(this->state.EvacuatedZones(), expected);
+  FleetState copy;
+  ASSERT_TRUE(copy.Restore(this->state.Snapshot()));
+  EXPECT_EQ(copy.EvacuatedZones(), expected);
+}
+
+// Guards against a set of names that grows without bound in each replica.
+TEST_F(FleetStateTest, Evacuation_AsManyZonesAsAllowed_FurtherOneIsIgnored) {
+  const std::size_t limit = this->state.limits().evacuated_zones;
+  for (std::size_t i = 0; i <= limit; ++i) {
+    this->ChangeEvacuation("zone-" + std::to_string(i), false);
   }
+  EXPECT_EQ(this->state.EvacuatedZones().size(), limit);
+  this->ChangeEvacuation("zone-0", true);
+  this->ChangeEvacuation("other", false);
+  EXPECT_TRUE(this->state.EvacuatedZones().contains("other"));
 }
 
 // Guards against evidence that a snapshot or the log's format drops.
--- a/tests/jobs/pool_balancer_test.cc
+++ b/tests/jobs/pool_balancer_test.cc
@@ -162,5 +162,43 @@
   EXPECT_TRUE(this->PlanAfter(milliseconds(0)).empty());
 }
 
+// Guards against a pool that stays short because instances that get no work
+// count as its capacity, and against such instances as replacements.
+TEST_F(PoolBalancerTest, Plan_ZoneIsEvacuated_OtherInstancesReplaceItsOnes) {
+  this->AddPool("sheets", 9);
+  this->AddPool("spare", 8, true);
+  this->DemandOf("sheets").used_millicores = 120'000;
+  EXPECT_TRUE(this->PlanAfter(milliseconds(0)).empty());
+  for (PooledInstance& instance : this->instances) {
+    const char number = instance.instance.back();
+    instance.evacuated = number == '0' || number == '1' || number == '2';
+    instance.empty = instance.pool == "spare";
+  }
+  const auto moves = this->PlanAfter(milliseconds(100));
+  EXPECT_EQ(MovesTo(moves, "sheets"), 3U);
+  EXPECT_EQ(moves.size(), 3U);
+  for (const InstanceMove& move : moves) {
+    EXPECT_GE(move.instance.back(), '3') << move.instance;
+  }
+}
+
+// Guards against idle instances that cost as much as those that get work, and
+// against moves of them into another pool that needs instances.
+TEST_F(PoolBalancerTest, Plan_EvacuatedInstancesAreEmpty_GoToStandbyOnly) {
+  this->AddPool("sheets", 9);
+  this->AddPool("folders", 6);
+  this->AddPool("spare", 1, true);
+  this->DemandOf("folders").used_millicores = 96'000;
+  this->DemandOf("folders").waiting_millicores = 200'000;
+  for (PooledInstance& instance : this->instances) {
+    instance.evacuated = true;
+  }
+  const auto moves = this->PlanAfter(milliseconds(0));
+  EXPECT_EQ(MovesTo(moves, "spare"), moves.size());
+  EXPECT_EQ(moves.size(), 15U);
+  EXPECT_TRUE(this->PlanAfter(milliseconds(100)).empty())
+      << "the moves are ordered already";
+}
+
 }  // namespace
 }  // namespace mimosastage::jobs
--- a/tests/jobs/support/fake_fleet_leader.cc
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -51,7 +51,8 @@
 
 FakeWorker& FakeFleetLeader::AddWorker(const std::string& id,
                                        const std::string& pool,
-                                       std::int64_t millicores) {
+                                       std::int64_t millicores,
+                                       const std::string& zone) {
   FakeWorker& worker = this->workers[id];
   worker.record.id = id;
   worker.record.born_ms =
@@ -59,6 +60,7 @@
   worker.record.machine = "machine-" + id;
   worker.record.pool = pool;
   worker.record.address = id + ":80";
+  worker.record.availability_zone = zone;
   worker.record.capacity = std::make_unique<Amount>();
   worker.record.capacity->millicores = millicores;
   worker.record.capacity->memory_mb = 65'536;
@@ -134,6 +136,24 @@
   this->dispatcher->OnChange(id, this->now);
 }
 
+void FakeFleetLeader::Evacuate(const std::string& zone) {
+  this->ChangeEvacuation(zone, false);
+}
+
+void FakeFleetLeader::WithdrawEvacuation(const std::string& zone) {
+  this->ChangeEvacuation(zone, true);
+}
+
+void FakeFleetLeader::ChangeEvacuation(const std::string& zone,
+                                       bool withdrawn) {
+  Command command;
+  command.evacuation = std::make_unique<Evacuation>();
+  command.evacuation->zone = zone;
+  command.evacuation->withdrawn = withdrawn;
+  this->state.Apply(command);
+  this->dispatcher->OnEvacuationChange(this->now);
+}
+
 void FakeFleetLeader::EndRun(const std::string& worker, const TaskId& task,
                              RunOutcome outcome,
                              const std::string& checkpoint) {
--- a/tests/jobs/support/fake_fleet_leader.h
+++ b/tests/jobs/support/fake_fleet_leader.h
@@ -46,13 +46,15 @@
                bool advised = false);
   void AddTeam(const std::string& team, std::int64_t most_millicores);
   FakeWorker& AddWorker(const std::string& id, const std::string& pool,
-                        std::int64_t millicores);
+                        std::int64_t millicores, const std::string& zone = "");
   /// Starts a new term with a new Dispatcher. Pending callbacks and orders are
   /// lost; the state remains.
   void BeginTerm();
   void Submit(const std::string& id, const std::string& pool,
               std::vector<Step> steps, const std::string& team = "");
   void Cancel(const std::string& id);
+  void Evacuate(const std::string& zone);
+  void WithdrawEvacuation(const std::string& zone);
   void Advance(std::chrono::milliseconds time);
   /// Makes the proposed commands durable, unless the log is stalled.
   void Commit();
@@ -120,6 +122,7 @@
   std::chrono::milliseconds wall{1'000'000};
 
  private:
+  void ChangeEvacuation(const std::string& zone, bool withdrawn);
   WorkerReply Execute(const WorkerOrder& order);
   /// Takes the orders that the leader's process can send in this tick, and
   /// answers those that have waited for too long.
--- a/tests/node/job_group_schedules_test.cc
+++ b/tests/node/job_group_schedules_test.cc
@@ -44,6 +44,7 @@
   bool queue_changes = false;
   bool queue_lookups = false;
   bool waves = false;
+  bool evacuations = false;
   /// A voter that operators use ends and starts again twice within a second,
   /// while the group has no quorum without it.
   bool restarts_called_voter = false;
@@ -105,6 +106,7 @@
   std::size_t Terms() const { return this->group.Terms(); }
   std::size_t PowerLosses() const { return this->power_losses; }
   std::size_t Upkeeps() const { return this->group.rules.Upkeeps(); }
+  std::size_t Evacuations() const { return this->group.rules.Evacuations(); }
 
  private:
   JobGroup::Settings GroupSettings(std::uint64_t seed,
@@ -144,6 +146,7 @@
     settings.queue_changes = schedule.queue_changes;
     settings.queue_lookups = schedule.queue_lookups;
     settings.waves = schedule.waves;
+    settings.evacuations = schedule.evacuations;
     settings.seed = this->random();
     // From half to twice as much as the workers can do.
     settings.job_interval =
@@ -511,6 +514,7 @@
     this->terms += schedule.Terms();
     this->power_losses += schedule.PowerLosses();
     this->upkeeps += schedule.Upkeeps();
+    this->evacuations += schedule.Evacuations();
     if (!failure.empty()) {
       const std::lock_guard lock(this->mutex);
       this->failures.push_back("seed " + std::to_string(seed) + ": " + failure);
@@ -524,6 +528,7 @@
   std::atomic<std::size_t> terms = 0;
   std::atomic<std::size_t> power_losses = 0;
   std::atomic<std::size_t> upkeeps = 0;
+  std::atomic<std::size_t> evacuations = 0;
 };
 
 // Guards against starts above a worker's capacity (LIMIT), tasks that run twice
@@ -609,6 +614,25 @@
   EXPECT_GT(this->upkeeps, 40U);
 }
 
+// Guards against a start in a zone later than 5 s after the acknowledgement of
+// its evacuation (EVACUATED), against acknowledged evacuations and withdrawals
+// that are lost or undone by an earlier copy (LOST), and against jobs that
+// never run after the withdrawal (FINISH).
+TEST_F(JobGroupSchedulesTest, Group_ZonesAreEvacuated_KeepsTheRules) {
+  this->settings.evacuations = true;
+  this->RunAll(80);
+  EXPECT_GT(this->evacuations, 80U);
+}
+
+// Guards against the same while waves of upkeep and the drain of a zone stop
+// long-running tasks.
+TEST_F(JobGroupSchedulesTest, Group_ZonesAreEvacuatedDuringWaves_KeepTheRules) {
+  this->settings.evacuations = true;
+  this->settings.waves = true;
+  this->RunAll(40);
+  EXPECT_GT(this->upkeeps, 40U);
+}
+
 // Guards against leaders without end: on slow links a term fills the log with
 // as many entries as may wait for a quorum, gives up, and the next one does the
 // same (FINISH).
--- a/tests/node/job_node_stress_test.cc
+++ b/tests/node/job_node_stress_test.cc
@@ -103,7 +103,9 @@
       call.configuration->source = std::string(this->Draw(kLargestEntry), 'x');
     } else if (kind == jobs::CallKind::kAnnounceWorker) {
       call.worker = std::make_unique<jobs::Worker>();
-      call.worker->id = "worker-" + std::to_string(this->Draw(4));
+      const std::uint64_t number = this->Draw(4);
+      call.worker->id = "worker-" + std::to_string(number);
+      call.worker->availability_zone = "zone-" + std::to_string(number % 3);
       call.worker->address = call.worker->id + ":80";
       call.worker->born_ms = 1 + static_cast<std::int64_t>(this->Draw(3));
       call.worker->pool = "pool";
@@ -122,6 +124,9 @@
                kind == jobs::CallKind::kWaveState) {
       call.wave = std::make_unique<jobs::Wave>();
       call.wave->number = this->Draw(3);
+    } else if (kind == jobs::CallKind::kEvacuateZone ||
+               kind == jobs::CallKind::kWithdrawEvacuation) {
+      call.zone = "zone-" + std::to_string(this->Draw(2));
     }
     this->open_calls[++this->last_call] = kind;
     this->node->OnCall(this->last_call, std::move(call), seconds(1), this->now);
@@ -249,7 +254,7 @@
       case 7:
       case 8:
         this->Call(static_cast<jobs::CallKind>(this->Draw(
-            static_cast<std::uint64_t>(jobs::CallKind::kWaveState) + 1)));
+            static_cast<std::uint64_t>(jobs::CallKind::kReadEvacuations) + 1)));
         break;
       case 9:
       case 10:
--- a/tests/node/job_node_test.cc
+++ b/tests/node/job_node_test.cc
@@ -3,12 +3,14 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <cstdint>
 #include <limits>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "mimosastage/daemons/message_codec.h"
@@ -220,6 +222,57 @@
   EXPECT_EQ(this->sent[DaemonId{2}], 2);
 }
 
+// Guards against a copy of an evacuation that reaches a new leader after the
+// operator has given it up and withdrawn the evacuation.
+TEST_F(JobNodeTest, LeaderChangesAfterTheRetryPeriod_CallIsNotSentAgain) {
+  this->Start();
+  this->node->OnLinkState(DaemonId{2}, true, this->now);
+  this->AnnounceLeader(1);
+  jobs::Call call;
+  call.kind = static_cast<std::uint8_t>(jobs::CallKind::kEvacuateZone);
+  call.zone = "zone-1";
+  this->node->OnCall(1, std::move(call), milliseconds(900), this->now);
+  ASSERT_EQ(this->sent[DaemonId{2}], 1);
+  this->now += milliseconds(900);
+  this->AnnounceLeader(2);
+  EXPECT_EQ(this->sent[DaemonId{2}], 1);
+  ASSERT_EQ(this->answers.size(), 1U);
+  EXPECT_EQ(this->answers.at(1), jobs::CallOutcome::kUnknown);
+}
+
+// Guards against a call that seems younger or older than it is: the leader
+// compares its clock with the one that the call was sent under.
+TEST_F(JobNodeTest, CallIsSent_CarriesTheClockOfTheLatestNotice) {
+  std::vector<std::int64_t> clocks;
+  this->hooks.send = [&](DaemonId, const std::string& bytes) {
+    const auto message = DecodeMessage(bytes);
+    ASSERT_TRUE(message.has_value());
+    const auto decoded =
+        jobs::DecodeMessage(std::get<JobsBytes>(*message).bytes);
+    ASSERT_TRUE(decoded.has_value());
+    clocks.push_back(decoded->body.AsCall()->leader_clock_us);
+  };
+  this->Start();
+  this->node->OnLinkState(DaemonId{2}, true, this->now);
+  const auto announce = [this](std::uint64_t view, std::int64_t clock_us) {
+    jobs::Leadership notice;
+    notice.leader = 2;
+    notice.view = view;
+    notice.serving = true;
+    notice.clock_us = clock_us;
+    this->node->OnMessage(
+        DaemonId{2}, EncodeMessage(JobsBytes{jobs::EncodeLeadership(notice)}),
+        this->now);
+    this->now += milliseconds(60);
+    this->node->Advance(this->now);
+  };
+  announce(1, 1'000);
+  announce(1, 2'000);
+  this->node->OnCall(1, this->Submit(), seconds(8), this->now);
+  announce(2, 70);
+  EXPECT_EQ(clocks, (std::vector<std::int64_t>{2'000, 70}));
+}
+
 // Guards against a change that is acknowledged and never stored (CONFIG): the
 // leader answers a call of a daemon's former process, and the next process
 // takes it for the answer to its own call with the same number.
--- a/tests/node/support/job_rules.cc
+++ b/tests/node/support/job_rules.cc
@@ -15,6 +15,9 @@
 /// How long after its acceptance a job that hasn't begun may be missing from
 /// its queue's waiting jobs.
 constexpr Duration kLongestCountDelay = seconds(5);
+/// How long after the acknowledgement of an evacuation a task may still start
+/// in the zone.
+constexpr Duration kLongestEvacuation = seconds(5);
 
 std::string Text(const JobRules::WorkerLife& worker) {
   return worker.first + " born " + std::to_string(worker.second);
@@ -49,9 +52,10 @@
 }
 
 void JobRules::OnWorkerBorn(const WorkerLife& worker,
-                            const jobs::Amount& capacity) {
+                            const jobs::Amount& capacity,
+                            const std::string& zone) {
   this->workers[worker] =
-      WorkerRecord{capacity.millicores, capacity.memory_mb, 0, 0};
+      WorkerRecord{capacity.millicores, capacity.memory_mb, 0, 0, zone};
 }
 
 void JobRules::OnWorkerDied(const WorkerLife& worker) {
@@ -96,6 +100,15 @@
                    std::to_string(record.memory_mb) + " MiB",
                now);
   }
+  if (const auto zone = this->zones.find(record.zone);
+      zone != this->zones.end() && zone->second.evacuated &&
+      zone->second.acknowledged &&
+      now > zone->second.acknowledged_at + kLongestEvacuation) {
+    this->Fail("EVACUATED: " + what + " in " + record.zone +
+                   ", whose evacuation was acknowledged at " +
+                   Text(zone->second.acknowledged_at),
+               now);
+  }
   TaskHistory& history = this->tasks[task];
   if (!history.running.empty()) {
     const auto& [number, where] = *history.running.begin();
@@ -295,6 +308,37 @@
   record.down[instance] = now + duration;
 }
 
+void JobRules::OnZoneChangeSent(const std::string& zone, bool evacuated) {
+  ZoneChange& change = this->zones[zone];
+  ++change.changes;
+  change.acknowledged = false;
+  change.evacuated = evacuated;
+}
+
+void JobRules::OnZoneChangeAcknowledged(const std::string& zone, Duration now) {
+  ZoneChange& change = this->zones.at(zone);
+  change.acknowledged = true;
+  change.acknowledged_at = now;
+  this->evacuations += change.evacuated ? 1 : 0;
+}
+
+void JobRules::OnEvacuationsRead(
+    const std::vector<std::string>& evacuated,
+    const std::map<std::string, ZoneChange>& before, Duration now) {
+  for (const auto& [zone, change] : before) {
+    const bool listed =
+        std::find(evacuated.begin(), evacuated.end(), zone) != evacuated.end();
+    if (change.acknowledged && change.changes == this->zones.at(zone).changes &&
+        listed != change.evacuated) {
+      this->Fail("LOST: " + zone + " is read as " +
+                     (listed ? "evacuated" : "not evacuated") +
+                     ", the opposite was acknowledged at " +
+                     Text(change.acknowledged_at),
+                 now);
+    }
+  }
+}
+
 void JobRules::OnConfigurationRead(std::uint64_t version, std::uint64_t least,
                                    Duration now) {
   if (version < least) {
--- a/tests/node/support/job_rules.h
+++ b/tests/node/support/job_rules.h
@@ -43,7 +43,8 @@
   };
 
   // Workers.
-  void OnWorkerBorn(const WorkerLife& worker, const jobs::Amount& capacity);
+  void OnWorkerBorn(const WorkerLife& worker, const jobs::Amount& capacity,
+                    const std::string& zone);
   void OnWorkerDied(const WorkerLife& worker);
   /// `ordered_at` is when the daemon's order left it.
   void OnStart(const WorkerLife& worker, const jobs::TaskId& task,
@@ -90,6 +91,25 @@
   void OnConfigurationRead(std::uint64_t version, std::uint64_t least,
                            Duration now);
 
+  /// What the operator knows of the evacuation of a zone.
+  struct ZoneChange {
+    /// Counts the changes that were sent.
+    std::uint64_t changes = 0;
+    /// The latest one is acknowledged.
+    bool acknowledged = true;
+    bool evacuated = false;
+    Duration acknowledged_at{};
+  };
+  /// The operator sends an evacuation of the zone, or its withdrawal.
+  void OnZoneChangeSent(const std::string& zone, bool evacuated);
+  void OnZoneChangeAcknowledged(const std::string& zone, Duration now);
+  const std::map<std::string, ZoneChange>& Zones() const { return this->zones; }
+  /// `before` is Zones() as of when the read was sent.
+  void OnEvacuationsRead(const std::vector<std::string>& evacuated,
+                         const std::map<std::string, ZoneChange>& before,
+                         Duration now);
+  std::size_t Evacuations() const { return this->evacuations; }
+
   const std::string& Violation() const { return this->violation; }
   std::size_t Starts() const { return this->starts; }
   void Fail(const std::string& what, Duration now);
@@ -116,6 +136,7 @@
     std::int64_t memory_mb = 0;
     std::int64_t used_millicores = 0;
     std::int64_t used_memory_mb = 0;
+    std::string zone;
   };
 
   struct WaveRecord {
@@ -134,6 +155,8 @@
   std::set<std::uint64_t> order_numbers;
   std::map<std::uint64_t, WaveRecord> waves;
   std::size_t upkeeps = 0;
+  std::map<std::string, ZoneChange> zones;
+  std::size_t evacuations = 0;
   std::uint64_t acknowledged_version = 0;
   std::size_t starts = 0;
   std::string violation;
--- a/tests/node/support/job_traffic.cc
+++ b/tests/node/support/job_traffic.cc
@@ -14,6 +14,8 @@
 constexpr Duration kAnnouncementInterval = milliseconds(1'500);
 constexpr Duration kAnnouncementPatience = seconds(1);
 constexpr Duration kPatience = seconds(2);
+/// Operators give up an attempt 300 ms later at the latest.
+constexpr Duration kOperatorPatience = milliseconds(900);
 constexpr const char* kPrefix = "/render/";
 
 std::unique_ptr<jobs::Step> MakeStep(std::uint32_t tasks,
@@ -52,6 +54,10 @@
       this->SubmitLasting();
       this->StartWaveNext();
     }
+    if (this->settings.evacuations) {
+      this->ChangeZoneNext();
+      this->ReadEvacuationsNext();
+    }
   });
 }
 
@@ -346,6 +352,71 @@
       });
 }
 
+void JobTraffic::ChangeZoneNext() {
+  const auto& zones = this->group.rules.Zones();
+  const auto evacuated =
+      std::find_if(zones.begin(), zones.end(),
+                   [](const auto& row) { return row.second.evacuated; });
+  if (!this->submits) {
+    if (evacuated != zones.end()) {
+      this->ChangeZone(std::string(evacuated->first), false);
+    }
+    return;
+  }
+  // Half of the changes follow the one before at once.
+  const Duration pause =
+      milliseconds(this->Draw(2) == 0 ? this->Draw(300) : this->Draw(9'000));
+  this->group.events.After(pause, [this] {
+    const std::string zone = "zone-" + std::to_string(this->Draw(2));
+    const auto known = this->group.rules.Zones().find(zone);
+    this->ChangeZone(zone, known == this->group.rules.Zones().end() ||
+                               !known->second.evacuated);
+  });
+}
+
+void JobTraffic::ChangeZone(const std::string& zone, bool evacuate) {
+  jobs::Call call;
+  call.kind =
+      static_cast<std::uint8_t>(evacuate ? jobs::CallKind::kEvacuateZone
+                                         : jobs::CallKind::kWithdrawEvacuation);
+  call.zone = zone;
+  if (const auto known = this->group.rules.Zones().find(zone);
+      known == this->group.rules.Zones().end() ||
+      known->second.evacuated != evacuate) {
+    this->group.rules.OnZoneChangeSent(zone, evacuate);
+  }
+  this->group.Call(
+      this->DrawVoter(), std::move(call), kOperatorPatience,
+      [this, zone, evacuate](const std::optional<jobs::Answer>& answer) {
+        if (answer.has_value() &&
+            OutcomeOf(*answer) == jobs::CallOutcome::kOk) {
+          this->group.rules.OnZoneChangeAcknowledged(zone,
+                                                     this->group.events.Now());
+          this->ChangeZoneNext();
+        } else {
+          this->group.events.After(milliseconds(100), [this, zone, evacuate] {
+            this->ChangeZone(zone, evacuate);
+          });
+        }
+      });
+}
+
+void JobTraffic::ReadEvacuationsNext() {
+  this->group.events.After(milliseconds(50 + this->Draw(300)),
+                           [this] { this->ReadEvacuationsNext(); });
+  jobs::Call call;
+  call.kind = static_cast<std::uint8_t>(jobs::CallKind::kReadEvacuations);
+  this->group.Call(this->DrawVoter(), std::move(call), kOperatorPatience,
+                   [this, before = this->group.rules.Zones()](
+                       const std::optional<jobs::Answer>& answer) {
+                     if (answer.has_value() &&
+                         OutcomeOf(*answer) == jobs::CallOutcome::kOk) {
+                       this->group.rules.OnEvacuationsRead(
+                           answer->zones, before, this->group.events.Now());
+                     }
+                   });
+}
+
 void JobTraffic::ReadConfigurationNext() {
   this->group.events.After(milliseconds(50 + this->Draw(400)),
                            [this] { this->ReadConfigurationNext(); });
--- a/tests/node/support/job_traffic.h
+++ b/tests/node/support/job_traffic.h
@@ -30,6 +30,9 @@
     bool queue_lookups = false;
     /// Jobs last until the end, and waves of upkeep come.
     bool waves = false;
+    /// Availability zones are evacuated, and their evacuation is withdrawn. All
+    /// are withdrawn at the end.
+    bool evacuations = false;
   };
 
   JobTraffic(Settings settings, JobGroup& group);
@@ -68,6 +71,9 @@
                    int attempts);
   void StartWaveNext();
   void StartWave(const jobs::Wave& wave, int attempts);
+  void ChangeZoneNext();
+  void ChangeZone(const std::string& zone, bool evacuate);
+  void ReadEvacuationsNext();
   void ReadConfigurationNext();
   void AnnounceNext(std::size_t instance);
   void Announce(std::size_t instance, const JobRules::WorkerLife& life,
--- a/tests/node/support/simulated_worker.cc
+++ b/tests/node/support/simulated_worker.cc
@@ -23,7 +23,8 @@
       rules(rules),
       random(this->settings.seed),
       born_at(events.Now()) {
-  this->rules.OnWorkerBorn(this->Life(), *this->settings.record.capacity);
+  this->rules.OnWorkerBorn(this->Life(), *this->settings.record.capacity,
+                           this->settings.record.availability_zone);
 }
 
 milliseconds SimulatedWorker::Clock() const {
--- a/tests/platform/wire_test.cc
+++ b/tests/platform/wire_test.cc
@@ -105,6 +105,56 @@
             400);
 }
 
+// Guards against an evacuation that the operator can't reach: such calls got
+// 404.
+TEST_F(WireTest, Decode_Evacuation_CallHasTheZone) {
+  const std::pair<const char*, jobs::CallKind> kinds[] = {
+      {"POST", jobs::CallKind::kEvacuateZone},
+      {"DELETE", jobs::CallKind::kWithdrawEvacuation}};
+  for (const auto& [method, kind] : kinds) {
+    const jobs::Call call =
+        DecodeCall(MakeRequest(method, "/-/evacuations/zone-1", ""),
+                   ListenerRole::kControlPlane);
+    EXPECT_EQ(call.kind, static_cast<std::uint8_t>(kind));
+    EXPECT_EQ(call.zone, "zone-1");
+    for (const std::string& zone : {std::string(), std::string(256, 'z')}) {
+      EXPECT_EQ(RefusalStatus(MakeRequest(method, "/-/evacuations/" + zone, ""),
+                              ListenerRole::kControlPlane),
+                400);
+    }
+  }
+  EXPECT_EQ(RefusalStatus(MakeRequest("PUT", "/-/evacuations/zone-1", ""),
+                          ListenerRole::kControlPlane),
+            404);
+}
+
+// Guards against an empty list that is shown as something else: an answer
+// without a text gets the address of the daemon.
+TEST_F(WireTest, ReadEvacuations_IsAnsweredWithTheZones) {
+  EXPECT_EQ(DecodeCall(MakeRequest("GET", "/-/evacuations"),
+                       ListenerRole::kControlPlane)
+                .kind,
+            static_cast<std::uint8_t>(jobs::CallKind::kReadEvacuations));
+  jobs::Answer answer;
+  answer.text = "10.0.0.1:80";
+  EXPECT_EQ(
+      json::parse(EncodeAnswer(jobs::CallKind::kReadEvacuations, answer).body),
+      (json{{"zones", json::array()}}));
+  answer.zones = {"zone-1", "zone-2"};
+  EXPECT_EQ(
+      json::parse(EncodeAnswer(jobs::CallKind::kReadEvacuations, answer).body),
+      (json{{"zones", {"zone-1", "zone-2"}}}));
+}
+
+TEST_F(WireTest, DecodeInstanceReply_Row_HasItsZone) {
+  const jobs::InstanceReply reply = DecodeInstanceReply(
+      MakeResult(200, R"({"machines":[{"machine":"m-1","pool":"p","state":"up",
+               "zone":"z"},{"machine":"m-2","pool":"p","state":"up"}]})"));
+  ASSERT_EQ(reply.instances.size(), 2U);
+  EXPECT_EQ(reply.instances[0].availability_zone, "z");
+  EXPECT_EQ(reply.instances[1].availability_zone, "");
+}
+
 TEST_F(WireTest, Encode_Outcome_HasItsHttpStatus) {
   const auto status = [](jobs::CallOutcome outcome) {
     jobs::Answer answer;
@@ -271,6 +321,26 @@
   EXPECT_EQ(setup.settings.peers.size(), 3U);
 }
 
+// Guards against evacuations that are refused as unknown because the list of
+// zones can't be read in full.
+TEST_F(PlatformSettingsTest, Setup_Zones_AreReadInFullOrNotAtAll) {
+  const auto zones_of = [](const json& zones) {
+    std::string problem;
+    json voter = Voter();
+    voter["zones"] = zones;
+    const auto platform_settings = Read(voter, &problem);
+    EXPECT_TRUE(platform_settings.has_value()) << problem;
+    return MakeDaemonSetup(*platform_settings).settings.node.availability_zones;
+  };
+  const std::vector<std::string> both{"bogota", "cali"};
+  EXPECT_EQ(zones_of({"bogota", "cali"}), both);
+  EXPECT_EQ(zones_of({{{"name", "bogota"}}, {{"name", "cali"}}}), both);
+  for (const json& odd : {json(), json(7), json("bogota"), json::array(),
+                          json{"bogota", 7}, json{"bogota", ""}}) {
+    EXPECT_TRUE(zones_of(odd).empty()) << odd;
+  }
+}
+
 TEST_F(PlatformSettingsTest, Read_MalformedSeed_ProblemNamesSeed) {
   std::string problem;
   json broken = Voter();
