--- a/tests/system/job_cluster_test.cc
+++ b/tests/system/job_cluster_test.cc
@@ -6,11 +6,13 @@
 #include <unistd.h>
 
 #include <array>
+#include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 #include "mimosastage/base/daemon_id.h"
 #include "tests/system/support/fake_platform_worker.h"
@@ -284,6 +286,41 @@
   std::vector<std::unique_ptr<FakePlatformWorker>> workers;
 };
 
+// Guards against an evacuation that is acknowledged and lost when all daemons
+// end, against tasks that start in the zone, and against a zone that gets no
+// work after the withdrawal.
+TEST_F(JobClusterTest, Evacuate_AllVotersAreKilled_ZoneGetsNoWork) {
+  const auto change = [this](const char* method) {
+    return Eventually([&] {
+      return Send({.method = method,
+                   .url = "http://" + this->ControlAddress(1) +
+                          "/-/evacuations/zone-1",
+                   .timeout = std::chrono::seconds(1)})
+                 .status == 200;
+    });
+  };
+  const auto zones = [this](int daemon) {
+    return Send({.url = "http://" + this->ControlAddress(daemon) +
+                        "/-/evacuations",
+                 .timeout = std::chrono::seconds(1)})
+        .body;
+  };
+  ASSERT_TRUE(change("POST"));
+  EXPECT_EQ(zones(2), R"({"zones":["zone-1"]})");
+  for (int i = 0; i < kVoters; ++i) {
+    this->KillDaemon(i);
+  }
+  for (int i = 0; i < kVoters; ++i) {
+    this->StartDaemon(i, false);
+  }
+  ASSERT_TRUE(this->Submit("job"));
+  EXPECT_EQ(zones(0), R"({"zones":["zone-1"]})");
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  EXPECT_TRUE(this->CompletionCounts().empty());
+  ASSERT_TRUE(change("DELETE"));
+  EXPECT_TRUE(this->Completes("job"));
+}
+
 /// All daemons are at addresses whose legacy ids, hashes of 15 bits, are equal.
 class EqualLegacyIdsTest : public JobClusterTest {
  protected:
