Test that short tasks in an evacuated zone are no demand, and aren't hurried

With their use counted as demand of the pool, or with the shorter drain of a pool's only worker, all tests passed. Moves_ShortTasksRunInTheZone_NoneReplacesIt and Upkeep_OneWorkerGetsWork_ShortTasksMayEnd fail then. A changed share.reserved still passes: the next round computes the share anew.

--- a/tests/jobs/dispatcher_evacuation_test.cc
+++ b/tests/jobs/dispatcher_evacuation_test.cc
@@ -517,6 +517,24 @@
   for (int i = 0; i < 6; ++i) {
     EXPECT_TRUE(this->upkeeps.contains("machine-a-" + std::to_string(i))) << i;
   }
+  EXPECT_EQ(this->upkeeps.size(), 7U) << "one of the others is emptied, too";
+}
+
+// Guards against short tasks of the zone that are stopped at once for an
+// upkeep, as those of a pool's only worker are, whose others wait for it.
+TEST_F(DispatcherEvacuationTest, Upkeep_OneWorkerGetsWork_ShortTasksMayEnd) {
+  this->refuses_requests = true;
+  this->AddWorkers("a", 1);
+  this->StartTerm();
+  this->fleet.Submit("short", "render", {MakeStep(1, 1'000)});
+  this->Advance(seconds(4));
+  this->fleet.AddWorker("b-0", "render", 4'000, "zone-b");
+  this->fleet.Evacuate("zone-a");
+  this->StartWave({"machine-a-0"});
+  this->Advance(seconds(2));
+  EXPECT_EQ(this->fleet.reports["run_stopped"], 0);
+  this->Advance(seconds(1));
+  EXPECT_EQ(this->fleet.reports["run_stopped"], 1);
 }
 
 // Guards against upkeep that waits for the end of the evacuations, because no
@@ -563,6 +581,30 @@
   }
 }
 
+// Guards against instances that are switched on in place of those whose short
+// tasks end without them.
+TEST_F(DispatcherEvacuationTest, Moves_ShortTasksRunInTheZone_NoneReplacesIt) {
+  this->fleet.AddPool("spare", true);
+  for (int i = 0; i < 8; ++i) {
+    this->off.push_back(InstanceListEntry{"off-" + std::to_string(i), "spare",
+                                          InstanceStatus::kUp, "", "zone-b"});
+  }
+  this->AddWorkers("a", 12);
+  this->StartTerm();
+  this->fleet.Submit("short", "render", {MakeStep(48, 1'000)});
+  this->Advance(milliseconds(500));
+  ASSERT_EQ(this->RunningIn("a"), 48U);
+  // Until idle instances go to the standby pool.
+  this->AddWorkers("b", 6);
+  this->Advance(milliseconds(300));
+  this->moves.clear();
+  this->fleet.Evacuate("zone-a");
+  this->Advance(milliseconds(500));
+  for (const auto& [instance, pool] : this->moves) {
+    EXPECT_EQ(pool, "spare") << instance;
+  }
+}
+
 // Guards against empty instances of the zone that cost as much as before.
 TEST_F(DispatcherEvacuationTest, Moves_InstancesOfTheZoneAreEmpty_GoToStandby) {
   this->fleet.AddPool("spare", true);
