--- a/src/mimosastage/settings/settings.cc
+++ b/src/mimosastage/settings/settings.cc
@@ -217,6 +217,10 @@
                   &limits.max_connections);
     reader.Number("queue_length", Presence::kOptional, 1, 1'000'000,
                   &limits.queue_length);
+    reader.Number("memory_mb", Presence::kOptional, 32, 1U << 20U,
+                  &limits.memory_mb);
+    reader.Number("max_file_descriptors", Presence::kOptional, 128, 1U << 20U,
+                  &limits.max_file_descriptors);
     reader.ReportUnknownFields();
   }
 
--- a/src/mimosastage/settings/settings.h
+++ b/src/mimosastage/settings/settings.h
@@ -83,6 +83,10 @@
   std::size_t max_connections = 20'000;
   /// Requests that may wait in the queue of one pool.
   std::size_t queue_length = 4'096;
+  /// Memory of the machine that the daemon may use, in MiB.
+  std::size_t memory_mb = 1'024;
+  /// Descriptors that the daemon may have open; 0 means its limit at the start.
+  std::size_t max_file_descriptors = 0;
 };
 
 struct TimingSettings {
