Bound what answers that never end make a daemon hold

A voter whose workers answered with 15 MiB each and never ended came to 177 MiB: each exchange may hold 16 MiB, and nothing counted them together.

ExchangeClient counts the bytes of all answers until their results are destroyed.

--- a/src/mimosastage/backend_servers/exchange_client.cc
+++ b/src/mimosastage/backend_servers/exchange_client.cc
@@ -179,6 +179,12 @@
     const int events = (event.readable ? CURL_CSELECT_IN : 0) |
                        (event.writable ? CURL_CSELECT_OUT : 0);
     this->RunSocketAction(event.socket, events);
+    // After each socket, because many may have data at once.
+    if (this->held_answer_bytes->load() >
+        this->settings.max_held_answer_bytes) {
+      this->ReportFinishedTransfers();
+      this->CutLongestAnswers();
+    }
   }
 
   void RunSocketAction(curl_socket_t socket, int events) {
@@ -240,7 +246,8 @@
     }
     const Exchange::Limits limits{
         this->settings.connect_timeout, this->settings.unacknowledged_timeout,
-        this->settings.max_idle_time, this->settings.max_answer_bytes};
+        this->settings.max_idle_time, this->settings.max_answer_bytes,
+        this->held_answer_bytes};
     std::string request_id;
     if (this->settings.expect_request_id) {
       request_id = this->settings.request_id_prefix + "-" + std::to_string(id);
@@ -305,6 +312,10 @@
     if (result.end == AttemptEnd::kStalledReused) {
       this->MarkConnectionsSuspect(exchange.Server(), LeaseClock::now());
     }
+    if (result.end == AttemptEnd::kTooLarge && this->hooks.on_limit) {
+      this->hooks.on_limit(exchange.TooLarge() ? "answer_too_large"
+                                               : "answer_bytes_held");
+    }
     const std::uint64_t id = exchange.Id();
     CURL* easy = exchange.Easy();
     // libcurl closes the connection here unless the transfer ended cleanly.
@@ -325,6 +336,26 @@
                            exchange.Abandon(end_if_sent, LeaseClock::now()));
   }
 
+  /// Ends exchanges that read an answer until all answers fit.
+  void CutLongestAnswers() {
+    while (this->held_answer_bytes->load() >
+           this->settings.max_held_answer_bytes) {
+      const Exchange* longest = nullptr;
+      for (const auto& [id, exchange] : this->exchanges) {
+        if (exchange->AnswerStarted().has_value() &&
+            (longest == nullptr ||
+             *exchange->AnswerStarted() < *longest->AnswerStarted())) {
+          longest = exchange.get();
+        }
+      }
+      if (longest == nullptr) {
+        // The rest is held by results that wait for the node.
+        return;
+      }
+      this->AbandonExchange(longest->Id(), AttemptEnd::kTooLarge);
+    }
+  }
+
   void AbandonStalled() {
     const TimePoint now = LeaseClock::now();
     std::vector<std::uint64_t> stalled;
@@ -378,6 +409,8 @@
 
   Settings settings;
   Hooks hooks;
+  const std::shared_ptr<AnswerCharge::Total> held_answer_bytes =
+      std::make_shared<AnswerCharge::Total>(0);
   CURLM* multi;
   internal::SocketPoller poller;
   /// Set while the thread waits, or is about to, and wasn't interrupted yet.
@@ -425,4 +458,8 @@
   return this->impl->commands.Push(ClientCommand(CancelCommand{id}));
 }
 
+std::size_t ExchangeClient::HeldAnswerBytes() const {
+  return this->impl->held_answer_bytes->load();
+}
+
 }  // namespace mimosastage
--- a/src/mimosastage/backend_servers/exchange_client.h
+++ b/src/mimosastage/backend_servers/exchange_client.h
@@ -7,7 +7,9 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
+#include "mimosastage/backend_servers/answer_charge.h"
 #include "mimosastage/base/time.h"
 #include "mimosastage/routing/attempt.h"
 
@@ -55,6 +57,8 @@
   TimePoint ended_at{};
   /// libcurl's error message; empty if libcurl reported no error.
   std::string detail;
+  /// Keeps the answer's bytes counted until the last copy is destroyed.
+  std::shared_ptr<AnswerCharge> charge;
 };
 
 /// Number of connections to backend servers that the process can keep open:
@@ -78,6 +82,10 @@
     /// (TCP_USER_TIMEOUT).
     std::chrono::milliseconds unacknowledged_timeout{3'000};
     std::size_t max_answer_bytes = 16U << 20U;
+    /// Bound on the bytes of all answers, from their first byte until their
+    /// results are destroyed. While there are more, the exchange that has been
+    /// reading its answer longest ends with kTooLarge.
+    std::size_t max_held_answer_bytes = 256U << 20U;
     /// If more connections than this are open, those in use included, each
     /// exchange that ends closes the connection that has been idle for longest.
     /// Must be above the number of connections that the servers need: finding
@@ -97,6 +105,9 @@
   struct Hooks {
     /// Called on the client's thread.
     std::function<void(ExchangeResult&& result)> on_result;
+    /// An answer was cut off at a limit; `reason` is a stable identifier.
+    /// Called on the client's thread. Optional.
+    std::function<void(std::string_view reason)> on_limit;
   };
 
   ExchangeClient(Settings settings, Hooks hooks);
@@ -119,6 +130,9 @@
   /// false if the ring is full.
   bool Cancel(std::uint64_t id);
 
+  /// Bytes of answers held. Can be called from any thread.
+  std::size_t HeldAnswerBytes() const;
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl;
--- a/src/mimosastage/backend_servers/internal/exchange.cc
+++ b/src/mimosastage/backend_servers/internal/exchange.cc
@@ -78,7 +78,8 @@
       request_id(std::move(request_id)),
       max_answer_bytes(limits.max_answer_bytes),
       unacknowledged_timeout(limits.unacknowledged_timeout),
-      started_at(started_at) {
+      started_at(started_at),
+      charge(std::make_shared<AnswerCharge>(limits.held_answer_bytes)) {
   this->server = FormatServerAddress(this->request);
   this->SetTarget();
   this->SetTimeouts(limits, max_connection_age);
@@ -277,7 +278,11 @@
     exchange.too_large = true;
     return 0;
   }
+  if (!exchange.body_started.has_value()) {
+    exchange.body_started = LeaseClock::now();
+  }
   body.append(data, length);
+  exchange.charge->Add(length);
   return length;
 }
 
@@ -348,6 +353,7 @@
   result.ended_at = now;
   if (end == AttemptEnd::kWholeAnswer || end == AttemptEnd::kServerSaidNotRun) {
     result.answer = std::move(this->answer);
+    result.charge = std::move(this->charge);
   }
   return result;
 }
--- a/src/mimosastage/backend_servers/internal/exchange.h
+++ b/src/mimosastage/backend_servers/internal/exchange.h
@@ -22,6 +22,8 @@
     std::chrono::milliseconds unacknowledged_timeout{};
     std::chrono::seconds max_idle_time{};
     std::size_t max_answer_bytes = 0;
+    /// Bytes of all answers.
+    std::shared_ptr<AnswerCharge::Total> held_answer_bytes;
   };
 
   /// `easy` must be new or reset. `started_at` is when the client's thread took
@@ -38,6 +40,11 @@
   /// The result of FormatServerAddress for the request.
   const std::string& Server() const { return this->server; }
 
+  /// When the first byte of the answer's body was read.
+  std::optional<TimePoint> AnswerStarted() const { return this->body_started; }
+  /// The answer exceeds the limit for one answer.
+  bool TooLarge() const { return this->too_large; }
+
   /// True if the exchange is subject to the stall limit on a reused connection.
   bool HasStallLimit() const;
 
@@ -104,6 +111,8 @@
   std::size_t header_bytes = 0;
   bool has_not_run_header = false;
   BackendServerAnswer answer;
+  std::optional<TimePoint> body_started;
+  std::shared_ptr<AnswerCharge> charge;
 };
 
 }  // namespace mimosastage::internal
--- a/src/mimosastage/http/http_server.cc
+++ b/src/mimosastage/http/http_server.cc
@@ -22,7 +22,6 @@
 /// rare, so that clients may wait for up to two intervals.
 constexpr std::chrono::seconds kAcceptCheckInterval{1};
 constexpr EventName kListenerRestarted{"listener_restarted"};
-constexpr EventName kInputLimited{"input_limited"};
 
 /// Memory of an answer beside its headers and body.
 constexpr std::size_t kAnswerBytes = 512;
@@ -127,16 +126,8 @@
     if (this->hooks.on_limit) {
       this->hooks.on_limit(reason);
     }
-    if (const auto count = this->limit_log.Add(reason, LeaseClock::now());
-        count.has_value()) {
-      LogEvent(LogSeverity::kWarning, kInputLimited,
-               "requests or connections were refused at a limit; check what "
-               "the clients send")
-          .With("source", this->settings.name)
-          .With("reason", reason)
-          .With("count", *count)
-          .With("held_bytes", this->settings.budget->HeldBytes());
-    }
+    LogInputLimit(this->limit_log, this->settings.name, reason,
+                  this->settings.budget->HeldBytes());
   }
 
   restinio::request_handling_status_t OnRequest(RequestHandle handle) {
--- a/src/mimosastage/http/limit_log.h
+++ b/src/mimosastage/http/limit_log.h
@@ -9,12 +9,13 @@
 #include <string_view>
 
 #include "mimosastage/base/time.h"
+#include "mimosastage/telemetry/log.h"
 
 namespace mimosastage {
 
 /// Decides which refusals at a limit are logged: the first of each reason, and
 /// then at most one in an interval, with the number of those in between. Does
-/// no I/O.
+/// no I/O itself.
 class LimitLog {
  public:
   /// An attack lasts for minutes; one line every ten seconds shows its course.
@@ -45,6 +46,23 @@
   std::map<std::string, Reason, std::less<>> reasons;
 };
 
+/// Logs that something that came over `source` was refused or cut off for
+/// `reason`, unless the log says not to.
+inline void LogInputLimit(LimitLog& log, std::string_view source,
+                          std::string_view reason, std::size_t held_bytes) {
+  constexpr EventName kInputLimited{"input_limited"};
+  if (const auto count = log.Add(reason, LeaseClock::now());
+      count.has_value()) {
+    LogEvent(LogSeverity::kWarning, kInputLimited,
+             "input was refused or cut off at a limit; check what its senders "
+             "send")
+        .With("source", source)
+        .With("reason", reason)
+        .With("count", *count)
+        .With("held_bytes", held_bytes);
+  }
+}
+
 }  // namespace mimosastage
 
 #endif  // MIMOSASTAGE_HTTP_LIMIT_LOG_H_
--- a/src/mimosastage/node/daemon.cc
+++ b/src/mimosastage/node/daemon.cc
@@ -13,6 +13,7 @@
 #include "mimosastage/daemons/links.h"
 #include "mimosastage/daemons/random_bytes.h"
 #include "mimosastage/http/http_server.h"
+#include "mimosastage/http/limit_log.h"
 #include "mimosastage/node/exchange_inbox.h"
 #include "mimosastage/node/link_log.h"
 #include "mimosastage/node/node.h"
@@ -69,6 +70,10 @@
 constexpr std::size_t kReservedDescriptors = 200;
 constexpr std::size_t kMinConnections = 64;
 
+/// A quarter of the memory is for answers of backend servers that are read or
+/// passed on. A quarter is for requests.
+constexpr std::size_t kMemoryPerHeldAnswerByte = 4;
+
 /// Half of the descriptors are for connections to backend servers.
 std::size_t MaxConnections(const LimitSettings& limits) {
   if (limits.max_file_descriptors == 0) {
@@ -143,6 +148,8 @@
     return this->settings.daemons[static_cast<std::size_t>(peer)].name;
   }};
   std::unique_ptr<Links> links;
+  /// Used on the exchange client's thread.
+  LimitLog answer_limit_log;
   std::unique_ptr<ExchangeClient> exchanges;
   std::unique_ptr<Node> node;
   std::thread node_thread;
@@ -212,6 +219,9 @@
 }
 
 void Daemon::Impl::SetInputGauges() {
+  this->metrics.Set(metrics::kInputBytes,
+                    static_cast<double>(this->exchanges->HeldAnswerBytes()),
+                    "answers");
   for (const auto& usage : this->input_budget->UsageByListener()) {
     this->metrics.Set(metrics::kInputBytes, static_cast<double>(usage.bytes),
                       usage.listener);
@@ -345,7 +355,14 @@
       1, kMaxConnectionsPerServer / this->settings.daemons.size());
   client.request_id_prefix =
       this->settings.daemon + "-" + std::to_string(RandomNumber());
+  client.max_held_answer_bytes =
+      (this->settings.limits.memory_mb << 20U) / kMemoryPerHeldAnswerByte;
   ExchangeClient::Hooks client_hooks;
+  client_hooks.on_limit = [this](std::string_view reason) {
+    this->CountInputLimit("answers", reason);
+    LogInputLimit(this->answer_limit_log, "answers", reason,
+                  this->exchanges->HeldAnswerBytes());
+  };
   client_hooks.on_result = [this](ExchangeResult&& result) {
     this->from_exchanges.Deliver(result);
   };
--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -14,6 +14,7 @@
 #include "mimosastage/base/ring.h"
 #include "mimosastage/base/wake_signal.h"
 #include "mimosastage/daemons/random_bytes.h"
+#include "mimosastage/http/limit_log.h"
 #include "mimosastage/node/exchange_inbox.h"
 #include "mimosastage/node/link_log.h"
 #include "mimosastage/storage/data_folder.h"
@@ -253,6 +254,8 @@
   /// Used on the links' thread.
   LinkLog link_log{DaemonIdText};
   std::unique_ptr<Links> links;
+  /// Used on the exchange client's thread.
+  LimitLog answer_limit_log;
   std::unique_ptr<ExchangeClient> exchanges;
   std::unique_ptr<JobNode> node;
   std::thread node_thread;
@@ -573,6 +576,8 @@
 void JobDaemon::Impl::MakeExchanges() {
   ExchangeClient::Settings client;
   client.expect_request_id = false;
+  client.max_answer_bytes = this->settings.max_answer_bytes;
+  client.max_held_answer_bytes = this->settings.max_held_answer_bytes;
   client.max_connections_per_server = this->settings.connections_per_worker;
   client.connect_timeout = std::chrono::milliseconds(400);
   client.unacknowledged_timeout = std::chrono::milliseconds(1'000);
@@ -580,6 +585,11 @@
   hooks.on_result = [this](ExchangeResult&& result) {
     this->from_exchanges.Deliver(result);
   };
+  hooks.on_limit = [this](std::string_view reason) {
+    this->metrics.Add(metrics::kInputLimits, "answers." + std::string(reason));
+    LogInputLimit(this->answer_limit_log, "answers", reason,
+                  this->exchanges->HeldAnswerBytes());
+  };
   this->exchanges =
       std::make_unique<ExchangeClient>(std::move(client), std::move(hooks));
   this->exchanges->Start();
@@ -698,6 +708,11 @@
       this->metrics.Set(metrics::kInputConnections,
                         static_cast<double>(usage.connections), usage.listener);
     }
+    if (this->exchanges != nullptr) {
+      this->metrics.Set(metrics::kInputBytes,
+                        static_cast<double>(this->exchanges->HeldAnswerBytes()),
+                        "answers");
+    }
     text.body = this->metrics.PrometheusText();
     this->AnswerHttp(id, std::move(text));
   } else {
--- a/src/mimosastage/node/job_daemon.h
+++ b/src/mimosastage/node/job_daemon.h
@@ -44,6 +44,11 @@
     std::vector<ListenerSettings> listeners;
     /// Bounds what all listeners together hold.
     InputBudget::Limits input;
+    /// Bounds one answer of a worker or of the platform. A worker's answer has
+    /// the same rows as its announcement, of at most 4 MiB.
+    std::size_t max_answer_bytes = 4U << 20U;
+    /// Bounds all answers that are read or wait to be handled.
+    std::size_t max_held_answer_bytes = 256U << 20U;
     /// Set on a voter.
     std::filesystem::path data_folder;
     /// The whole cluster starts for the first time, so the empty folder of a
