Make space for a frame of a link as its bytes arrive

A peer that knows the link key made a daemon write 16 MiB of memory with the four bytes of a frame's length. The space now grows with what was received, from 64 KiB, so it is at most twice that.

Test: messages around each step arrive unchanged; the test of the largest message passes as before.

--- a/src/mimosastage/daemons/internal/link.cc
+++ b/src/mimosastage/daemons/internal/link.cc
@@ -17,6 +17,9 @@
 constexpr std::size_t kHeaderSize = 4;
 /// Bounds the memory that an unauthenticated peer can occupy per connection.
 constexpr std::size_t kMaxHelloBytes = 512;
+/// Space for a frame is made as its bytes arrive, beginning with this size, so
+/// that its announced length alone takes no memory. Most frames are shorter.
+constexpr std::size_t kReadStep = 64U << 10U;
 
 std::string BuildFrame(std::string_view payload, std::string_view tag) {
   const auto size = static_cast<std::uint32_t>(payload.size() + tag.size());
@@ -131,14 +134,26 @@
     this->Close();
     return;
   }
-  this->body.resize(size);
+  this->body.clear();
+  this->ReadRest(size);
+}
+
+void Link::ReadRest(std::size_t size) {
+  const std::size_t start = this->body.size();
+  this->body.resize(std::min(size, start + std::max(start, kReadStep)));
   asio::async_read(
-      this->socket, asio::buffer(this->body),
-      [self = this->shared_from_this()](asio::error_code error, std::size_t) {
+      this->socket,
+      asio::buffer(this->body.data() + start, this->body.size() - start),
+      [self = this->shared_from_this(), size](asio::error_code error,
+                                              std::size_t) {
         if (error) {
           self->Close();
           return;
         }
+        if (self->body.size() < size) {
+          self->ReadRest(size);
+          return;
+        }
         self->hooks.on_bytes(0, kHeaderSize + self->body.size());
         self->OnFrame();
       });
--- a/src/mimosastage/daemons/internal/link.h
+++ b/src/mimosastage/daemons/internal/link.h
@@ -63,6 +63,8 @@
   void SendHello();
   void ReadHeader();
   void ReadBody(std::size_t size);
+  /// Reads the rest of a frame of `size` bytes.
+  void ReadRest(std::size_t size);
   void OnFrame();
   bool OnHello();
   bool OnMessageFrame();
--- a/tests/daemons/links_test.cc
+++ b/tests/daemons/links_test.cc
@@ -262,6 +262,35 @@
   EXPECT_EQ(high.up_count, 1);
 }
 
+// Guards against a frame that is cut or overwritten where its space is
+// extended.
+TEST_F(LinksTest, Links_MessagesAroundTheReadStep_ArriveUnchanged) {
+  TestPeer low(SettingsFor(0, 1, 0));
+  const auto port = low.links.Start();
+  ASSERT_TRUE(port.has_value());
+  TestPeer high(SettingsFor(1, 0, *port));
+  ASSERT_TRUE(high.links.Start().has_value());
+  ASSERT_TRUE(high.WaitFor([&] { return high.up; }));
+  ASSERT_TRUE(low.WaitFor([&] { return low.up; }));
+  std::vector<std::string> sent;
+  for (const std::size_t steps : {1U, 2U, 3U, 4U}) {
+    for (std::size_t less = 0; less <= 40; less += 4) {
+      std::string message((steps << 16U) - less, '\0');
+      for (std::size_t i = 0; i < message.size(); ++i) {
+        message[i] = static_cast<char>(i * 31 >> 8U);
+      }
+      sent.push_back(std::move(message));
+    }
+  }
+  // One by one, because all together exceed the queue of a link.
+  for (std::size_t i = 0; i < sent.size(); ++i) {
+    high.QueueMessage(DaemonId{0}, sent[i]);
+    ASSERT_TRUE(low.WaitFor([&] { return low.received.size() > i; }));
+  }
+  EXPECT_TRUE(low.received == sent);
+  EXPECT_EQ(low.up_count, 1);
+}
+
 // Guards against messages from a sender that doesn't know the link key.
 TEST_F(LinksTest, Links_PeerHasWrongKey_NeverComesUp) {
   TestPeer low(SettingsFor(0, 1, 0));
