--- a/tests/platform/wire_test.cc
+++ b/tests/platform/wire_test.cc
@@ -256,6 +256,44 @@
   }
 }
 
+// Guards against a small machine whose daemon takes the room of a large one.
+TEST_F(PlatformSettingsTest, Setup_PlatformGivesLimits_BoundTheInput) {
+  std::string problem;
+  json voter = Voter();
+  voter["limits"] = {{"memory_mb", 384}, {"max_file_descriptors", 1'024}};
+  auto platform_settings = Read(voter, &problem);
+  ASSERT_TRUE(platform_settings.has_value()) << problem;
+  JobDaemon::Settings settings = MakeDaemonSetup(*platform_settings).settings;
+  EXPECT_EQ(settings.input.max_bytes, 96U << 20U);
+  EXPECT_EQ(settings.input.max_connections, 412U);
+  EXPECT_EQ(settings.max_held_answer_bytes, 48U << 20U);
+  voter["limits"] = {{"memory_mb", 1}, {"max_file_descriptors", 1}};
+  platform_settings = Read(voter, &problem);
+  ASSERT_TRUE(platform_settings.has_value()) << problem;
+  settings = MakeDaemonSetup(*platform_settings).settings;
+  // One announcement of 4 MiB still fits.
+  EXPECT_EQ(settings.input.max_bytes, 13U << 20U);
+  EXPECT_EQ(settings.input.max_connections, 16U);
+}
+
+// Guards against a client listener that takes bodies of any size, and against
+// one that refuses bodies that the settings allow.
+TEST_F(PlatformSettingsTest, Setup_ClientBodies_HaveAtLeastOneMib) {
+  for (const auto& [given, expected] :
+       {std::pair(json(262'144), 1U << 20U),
+        std::pair(json(2 << 20), 2U << 20U), std::pair(json("x"), 1U << 20U)}) {
+    std::string problem;
+    json entry = Voter();
+    entry["listen_addresses"] = {{"frontend", "10.1.0.23:8340"}};
+    entry["limits"] = {{"max_body_bytes", given}};
+    const auto platform_settings = Read(entry, &problem);
+    ASSERT_TRUE(platform_settings.has_value()) << problem;
+    const DaemonSetup setup = MakeDaemonSetup(*platform_settings);
+    ASSERT_EQ(setup.listener_roles.front(), ListenerRole::kClients);
+    EXPECT_EQ(setup.settings.listeners.front().max_body_bytes, expected);
+  }
+}
+
 TEST_F(PlatformSettingsTest, Setup_EntryWithoutDataDirectory_IsNoVoter) {
   std::string problem;
   json entry = Voter();
