--- a/src/mimosastage/node/daemon.cc
+++ b/src/mimosastage/node/daemon.cc
@@ -13,6 +13,7 @@
 #include "mimosastage/daemons/links.h"
 #include "mimosastage/daemons/random_bytes.h"
 #include "mimosastage/http/http_server.h"
+#include "mimosastage/http/limit_log.h"
 #include "mimosastage/node/exchange_inbox.h"
 #include "mimosastage/node/link_log.h"
 #include "mimosastage/node/node.h"
@@ -62,6 +63,34 @@
   return std::max<std::uint64_t>(number, 1);
 }
 
+/// Large enough for the complete declaration of the largest fleet.
+constexpr std::uint64_t kMaxOperatorBodyBytes = 8U << 20U;
+/// Descriptors for files, links, listeners and event loops, as
+/// IdleConnectionLimit reserves.
+constexpr std::size_t kReservedDescriptors = 200;
+constexpr std::size_t kMinConnections = 64;
+
+/// A quarter of the memory is for answers of backend servers that are read or
+/// passed on. A quarter is for requests.
+constexpr std::size_t kMemoryPerHeldAnswerByte = 4;
+
+/// Half of the descriptors are for connections to backend servers.
+std::size_t MaxConnections(const LimitSettings& limits) {
+  if (limits.max_file_descriptors == 0) {
+    return limits.max_connections;
+  }
+  const std::size_t free =
+      std::max(limits.max_file_descriptors, kReservedDescriptors) -
+      kReservedDescriptors;
+  return std::min(limits.max_connections, std::max(free / 2, kMinConnections));
+}
+
+InputBudget::Limits InputLimitsOf(const LimitSettings& limits) {
+  return MakeInputLimits(
+      limits.memory_mb, MaxConnections(limits),
+      std::max(limits.max_body_bytes, kMaxOperatorBodyBytes));
+}
+
 HttpAnswer OverloadedAnswer() {
   CallerRefusal refusal;
   refusal.reason = "daemon_overloaded";
@@ -89,6 +118,8 @@
   void HandleStopRequests(TimePoint now);
   void StopThreads();
   void FlushAnswers();
+  void CountInputLimit(const char* listener, std::string_view reason);
+  void SetInputGauges();
 
   Settings settings;
   Metrics metrics;
@@ -108,6 +139,8 @@
 
   std::unique_ptr<DataFolder> folder;
   std::unique_ptr<StorageThread> storage;
+  std::shared_ptr<InputBudget> input_budget =
+      std::make_shared<InputBudget>(InputLimitsOf(this->settings.limits));
   std::unique_ptr<HttpServer> callers;
   std::unique_ptr<HttpServer> operators;
   /// Used on the links' thread.
@@ -115,6 +148,8 @@
     return this->settings.daemons[static_cast<std::size_t>(peer)].name;
   }};
   std::unique_ptr<Links> links;
+  /// Used on the exchange client's thread.
+  LimitLog answer_limit_log;
   std::unique_ptr<ExchangeClient> exchanges;
   std::unique_ptr<Node> node;
   std::thread node_thread;
@@ -177,15 +212,38 @@
   return {};
 }
 
+void Daemon::Impl::CountInputLimit(const char* listener,
+                                   std::string_view reason) {
+  this->metrics.Add(metrics::kInputLimits,
+                    std::string(listener) + "." + std::string(reason));
+}
+
+void Daemon::Impl::SetInputGauges() {
+  this->metrics.Set(metrics::kInputBytes,
+                    static_cast<double>(this->exchanges->HeldAnswerBytes()),
+                    "answers");
+  for (const auto& usage : this->input_budget->UsageByListener()) {
+    this->metrics.Set(metrics::kInputBytes, static_cast<double>(usage.bytes),
+                      usage.listener);
+    this->metrics.Set(metrics::kInputConnections,
+                      static_cast<double>(usage.connections), usage.listener);
+  }
+}
+
 void Daemon::Impl::MakeCallers() {
   HttpServer::Settings server;
   server.thread_duty = "callers";
+  server.name = "callers";
+  server.budget = this->input_budget;
   server.address = this->settings.callers_listen.address;
   server.port = this->settings.callers_listen.port;
   server.max_body_bytes = this->settings.limits.max_body_bytes;
   server.max_header_bytes = this->settings.limits.max_header_bytes;
   server.max_connections = this->settings.limits.max_connections;
   HttpServer::Hooks server_hooks;
+  server_hooks.on_limit = [this](std::string_view reason) {
+    this->CountInputLimit("callers", reason);
+  };
   server_hooks.on_request = [this](HttpRequest&& request) {
     const std::uint64_t id = request.id;
     if (!this->from_callers.Push(CallerEvent(std::move(request)))) {
@@ -212,13 +270,18 @@
 void Daemon::Impl::MakeOperators() {
   HttpServer::Settings server;
   server.thread_duty = "operators";
+  server.name = "operators";
+  server.budget = this->input_budget;
   server.address = this->settings.operators_listen.address;
   server.port = this->settings.operators_listen.port;
-  // Large enough for the complete declaration of the largest fleet.
-  server.max_body_bytes = 8U << 20U;
+  server.max_body_bytes = kMaxOperatorBodyBytes;
   HttpServer::Hooks server_hooks;
+  server_hooks.on_limit = [this](std::string_view reason) {
+    this->CountInputLimit("operators", reason);
+  };
   server_hooks.on_request = [this](HttpRequest&& request) {
     const std::uint64_t id = request.id;
+    this->SetInputGauges();
     if (!this->from_operators.Push(request)) {
       this->metrics.Add(metrics::kRefusals, "daemon_overloaded");
       this->operators->Answer(id, OverloadedAnswer());
@@ -292,7 +355,14 @@
       1, kMaxConnectionsPerServer / this->settings.daemons.size());
   client.request_id_prefix =
       this->settings.daemon + "-" + std::to_string(RandomNumber());
+  client.max_held_answer_bytes =
+      (this->settings.limits.memory_mb << 20U) / kMemoryPerHeldAnswerByte;
   ExchangeClient::Hooks client_hooks;
+  client_hooks.on_limit = [this](std::string_view reason) {
+    this->CountInputLimit("answers", reason);
+    LogInputLimit(this->answer_limit_log, "answers", reason,
+                  this->exchanges->HeldAnswerBytes());
+  };
   client_hooks.on_result = [this](ExchangeResult&& result) {
     this->from_exchanges.Deliver(result);
   };
--- a/src/mimosastage/node/job_daemon.cc
+++ b/src/mimosastage/node/job_daemon.cc
@@ -14,6 +14,7 @@
 #include "mimosastage/base/ring.h"
 #include "mimosastage/base/wake_signal.h"
 #include "mimosastage/daemons/random_bytes.h"
+#include "mimosastage/http/limit_log.h"
 #include "mimosastage/node/exchange_inbox.h"
 #include "mimosastage/node/link_log.h"
 #include "mimosastage/storage/data_folder.h"
@@ -28,6 +29,9 @@
 constexpr std::size_t kRingCapacity = 4'096;
 /// Limit per ring, so that a full ring doesn't starve the others.
 constexpr std::size_t kMaxEventsPerDrain = 256;
+/// Connections that a listener accepts beyond the limit, so that it can close
+/// another one for each.
+constexpr std::size_t kSpareConnections = 64;
 /// The upper bits of a request's id hold the index of its listener.
 constexpr unsigned kListenerShift = 48;
 /// Set in the ids of requests to the platform that owns the instances.
@@ -195,7 +199,9 @@
 
 struct JobDaemon::Impl {
   Impl(Settings given, JobProtocol protocol)
-      : settings(std::move(given)), protocol(std::move(protocol)) {}
+      : settings(std::move(given)),
+        protocol(std::move(protocol)),
+        input_budget(std::make_shared<InputBudget>(this->settings.input)) {}
   ~Impl() { this->JoinOpener(); }
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
@@ -233,6 +239,7 @@
 
   Settings settings;
   JobProtocol protocol;
+  std::shared_ptr<InputBudget> input_budget;
   Metrics metrics;
   LogRateLimiter log_limiter;
   NodeLoad load;
@@ -247,6 +254,8 @@
   /// Used on the links' thread.
   LinkLog link_log{DaemonIdText};
   std::unique_ptr<Links> links;
+  /// Used on the exchange client's thread.
+  LimitLog answer_limit_log;
   std::unique_ptr<ExchangeClient> exchanges;
   std::unique_ptr<JobNode> node;
   std::thread node_thread;
@@ -297,7 +306,7 @@
   }
   for (std::size_t i = 0; i < this->listeners.size(); ++i) {
     if (auto port = this->listeners[i]->server->Start(); !port.has_value()) {
-      const ListenAddress& at = this->settings.listeners[i];
+      const ListenAddress& at = this->settings.listeners[i].at;
       return "can't listen on " + at.address + ":" + std::to_string(at.port) +
              ": " + port.error().message() +
              "; choose a free address in the settings";
@@ -461,11 +470,14 @@
     auto listener = std::make_unique<Listener>(this->wake_node);
     HttpServer::Settings server;
     server.thread_duty = "listener-" + std::to_string(i);
-    server.address = this->settings.listeners[i].address;
-    server.port = this->settings.listeners[i].port;
-    server.max_connections = this->settings.max_connections;
-    // Largest announcement of a worker: 4 MiB.
-    server.max_body_bytes = 4U << 20U;
+    const ListenerSettings& given = this->settings.listeners[i];
+    server.address = given.at.address;
+    server.port = given.at.port;
+    server.name = given.name;
+    server.budget = this->input_budget;
+    server.max_connections =
+        this->settings.input.max_connections + kSpareConnections;
+    server.max_body_bytes = given.max_body_bytes;
     HttpServer::Hooks hooks;
     Listener* const self = listener.get();
     const std::uint64_t base = static_cast<std::uint64_t>(i) << kListenerShift;
@@ -488,6 +500,11 @@
         this->metrics.Add(metrics::kDrops, "disconnect_ring_full");
       }
     };
+    hooks.on_limit = [this, i](std::string_view reason) {
+      this->metrics.Add(
+          metrics::kInputLimits,
+          this->settings.listeners[i].name + "." + std::string(reason));
+    };
     hooks.on_wake = [self] {
       self->answers.Drain(
           [self](OutgoingAnswer&& out) {
@@ -559,6 +576,8 @@
 void JobDaemon::Impl::MakeExchanges() {
   ExchangeClient::Settings client;
   client.expect_request_id = false;
+  client.max_answer_bytes = this->settings.max_answer_bytes;
+  client.max_held_answer_bytes = this->settings.max_held_answer_bytes;
   client.max_connections_per_server = this->settings.connections_per_worker;
   client.connect_timeout = std::chrono::milliseconds(400);
   client.unacknowledged_timeout = std::chrono::milliseconds(1'000);
@@ -566,6 +585,11 @@
   hooks.on_result = [this](ExchangeResult&& result) {
     this->from_exchanges.Deliver(result);
   };
+  hooks.on_limit = [this](std::string_view reason) {
+    this->metrics.Add(metrics::kInputLimits, "answers." + std::string(reason));
+    LogInputLimit(this->answer_limit_log, "answers", reason,
+                  this->exchanges->HeldAnswerBytes());
+  };
   this->exchanges =
       std::make_unique<ExchangeClient>(std::move(client), std::move(hooks));
   this->exchanges->Start();
@@ -678,6 +702,17 @@
   } else if (std::holds_alternative<MetricsRequest>(decoded)) {
     HttpAnswer text;
     text.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+    for (const auto& usage : this->input_budget->UsageByListener()) {
+      this->metrics.Set(metrics::kInputBytes, static_cast<double>(usage.bytes),
+                        usage.listener);
+      this->metrics.Set(metrics::kInputConnections,
+                        static_cast<double>(usage.connections), usage.listener);
+    }
+    if (this->exchanges != nullptr) {
+      this->metrics.Set(metrics::kInputBytes,
+                        static_cast<double>(this->exchanges->HeldAnswerBytes()),
+                        "answers");
+    }
     text.body = this->metrics.PrometheusText();
     this->AnswerHttp(id, std::move(text));
   } else {
