Learn the run times of tasks from runs that have completed

They decide the order of waiting tasks, which jobs count as late and which are refused, so a pool in a peak works on jobs that are late already, or gives up jobs that aren't.

--- a/bench/dispatcher_bench.cc
+++ b/bench/dispatcher_bench.cc
@@ -21,6 +21,7 @@
 ABSL_FLAG(int, seconds, 20, "simulated duration");
 ABSL_FLAG(int, task_ms, 800, "duration of a task");
 ABSL_FLAG(int, backlog, 0, "number of tasks that wait at any time");
+ABSL_FLAG(bool, learn_run_times, false, "Dispatcher::Config::learn_run_times");
 
 namespace {
 
@@ -88,7 +89,9 @@
   const int seconds = absl::GetFlag(FLAGS_seconds);
   const int backlog = absl::GetFlag(FLAGS_backlog);
   const milliseconds task_length(absl::GetFlag(FLAGS_task_ms));
-  FakeFleetLeader fleet;
+  mimosastage::jobs::Dispatcher::Config config;
+  config.learn_run_times = absl::GetFlag(FLAGS_learn_run_times);
+  FakeFleetLeader fleet(config);
   fleet.delay_hold_answers = true;
   for (int pool = 0; pool < kPools; ++pool) {
     fleet.AddPool("pool-" + std::to_string(pool));
--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -73,7 +73,7 @@
              }),
       speed(this->config.speed),
       stopped_given_up_jobs(state.GivenUpJobs()),
-      waiting_steps(state),
+      waiting_steps(state, this->MakeExpectedDuration()),
       start_window(this->config.start_window),
       balancer(this->config.balancer) {
   for (const auto& [id, worker] : state.Workers()) {
@@ -533,6 +533,7 @@
         "worker_answers_again", id,
         std::to_string(session.unanswered_orders) + " orders were unanswered");
   }
+  this->ObserveEnds(id, session, reply, now);
   session.unanswered_orders = 0;
   session.crash_recorded = false;
   session.leaving = false;
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -21,6 +21,7 @@
 #include "mimosastage/jobs/fleet_state.h"
 #include "mimosastage/jobs/placement.h"
 #include "mimosastage/jobs/pool_balancer.h"
+#include "mimosastage/jobs/run_times.h"
 #include "mimosastage/jobs/start_window.h"
 #include "mimosastage/jobs/waiting_steps.h"
 #include "mimosastage/jobs/worker_lease.h"
@@ -118,6 +119,9 @@
     /// A run on a slow worker that has made less progress than this is
     /// restarted elsewhere, at most once for each task.
     std::uint32_t restart_below_percent = 50;
+    /// Learns the durations of tasks from those that have completed, and uses
+    /// them in place of the estimates.
+    bool learn_run_times = false;
   };
 
   struct Hooks {
@@ -158,6 +162,10 @@
   /// early enough to meet its objective.
   std::optional<std::chrono::milliseconds> OverloadDelay(
       const JobRequest& request, const Queue& queue, TimePoint now) const;
+  /// Returns the work that the job is expected to need, without its
+  /// long-running tasks, in core-milliseconds.
+  std::int64_t ExpectedCoreMilliseconds(const JobRequest& request,
+                                        const Queue& queue) const;
   /// Must be called when a job has been accepted.
   void OnAccepted(const JobRequest& request);
   void Tick(TimePoint now);
@@ -563,6 +571,25 @@
   /// serving tasks beside them.
   void ThrottleFillers(const std::string& id, Session& session, TimePoint now);
 
+  // dispatcher_run_times.cc: learned durations of tasks.
+  /// Returns the function that gives the median duration of a step's tasks;
+  /// empty if durations aren't learned. The median is what most tasks take, and
+  /// so what callers expect; a few stragglers would raise the mean. Valid as
+  /// long as this object.
+  ExpectedDuration MakeExpectedDuration() const;
+  /// Returns the duration that is expected of the run: the estimate if none is
+  /// learned.
+  std::chrono::milliseconds ExpectedOf(const RunKey& key, const Run& run) const;
+  /// Returns the key of the run's duration; nullopt if its duration isn't
+  /// typical of its step, or isn't known well enough.
+  std::optional<RunTimeKey> KeyOfTypicalRun(const RunKey& key,
+                                            const Run& run) const;
+  /// Learns from the run ends that the worker lists for the first time. Must
+  /// precede their removal, and the reset of the worker's unanswered orders.
+  void ObserveEnds(const std::string& id, const Session& session,
+                   const WorkerReply& reply, TimePoint now);
+  void ObserveRunningTasks(TimePoint now);
+
   // dispatcher_placement.cc
   /// Shortest time between two placements.
   Duration PlacementInterval() const;
@@ -711,6 +738,10 @@
   std::uint32_t first_token_step = 0;
   WorkerHealth health;
   WorkerSpeed speed;
+  RunTimes run_times;
+  /// RunTimes::Version that `waiting_steps` reflects.
+  std::uint64_t used_run_times = 0;
+  TimePoint next_running_observation{};
   std::map<std::string, Session> sessions;
   std::deque<Silence> silences;
   /// FleetState::GivenUpJobs of which the runs were stopped.
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -165,7 +165,8 @@
   if (!wait.has_value() || lasts || request.occurrences > 0) {
     return std::nullopt;
   }
-  const milliseconds chain = LongestChain(request);
+  const milliseconds chain =
+      LongestChain(request, queue, this->MakeExpectedDuration());
   const milliseconds slack = ObjectiveOf(chain, queue) - chain;
   if (*wait <= slack) {
     return std::nullopt;
@@ -230,6 +231,7 @@
   this->StopGivenUpJobs(now);
   this->FindImplicated();
   this->EndIsolations();
+  this->ObserveRunningTasks(now);
   this->waiting_steps.Refresh(this->hooks.wall_time());
   this->IndexWorkers();
   this->waiting_sums = this->waiting_steps.SumsByPool();
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -452,7 +452,7 @@
   };
   for (const auto& [key, run] : session.runs) {
     if (measurable(run)) {
-      sample.Add(key.first.job, run.percent, BoundedTime(run.step->estimate_ms),
+      sample.Add(key.first.job, run.percent, this->ExpectedOf(key, run),
                  now - *run.confirmed);
     }
   }
--- a/src/mimosastage/jobs/waiting_steps.cc
+++ b/src/mimosastage/jobs/waiting_steps.cc
@@ -10,9 +10,11 @@
 
 using std::chrono::milliseconds;
 
-/// For each step, the estimated duration of the longest chain of dependent
+/// For each step, the expected duration of the longest chain of dependent
 /// steps that starts with it.
-std::vector<milliseconds> ChainsOf(const JobRequest& request) {
+std::vector<milliseconds> ChainsOf(const JobRequest& request,
+                                   const Queue& queue,
+                                   const ExpectedDuration& expected) {
   std::vector<milliseconds> chains(request.steps.size());
   for (std::size_t step = request.steps.size(); step-- > 0;) {
     milliseconds longest{0};
@@ -22,7 +24,10 @@
         longest = std::max(longest, chains[next]);
       }
     }
-    chains[step] = longest + BoundedTime(request.steps[step]->estimate_ms);
+    chains[step] =
+        longest +
+        (expected ? expected(queue, request, static_cast<std::uint32_t>(step))
+                  : BoundedTime(request.steps[step]->estimate_ms));
   }
   return chains;
 }
@@ -55,6 +60,16 @@
   return !demand.step->after.empty() || waiting < demand.step->tasks;
 }
 
+/// True if a chain has changed by a third, so that the order of the steps may
+/// be wrong.
+bool DifferByAThird(const std::vector<milliseconds>& known,
+                    const std::vector<milliseconds>& now) {
+  return !std::equal(known.begin(), known.end(), now.begin(), now.end(),
+                     [](milliseconds a, milliseconds b) {
+                       return 3 * std::max(a, b) <= 4 * std::min(a, b);
+                     });
+}
+
 auto OrderOfJobs(const WaitingStep& step) {
   return std::tie(step.request->accepted_ms, step.request->id,
                   step.demand.first.occurrence, step.demand.first.step);
@@ -64,8 +79,9 @@
 
 milliseconds StartMargin(milliseconds chain) { return chain * 2 / 5; }
 
-milliseconds LongestChain(const JobRequest& request) {
-  return Longest(ChainsOf(request));
+milliseconds LongestChain(const JobRequest& request, const Queue& queue,
+                          const ExpectedDuration& expected) {
+  return Longest(ChainsOf(request, queue, expected));
 }
 
 milliseconds ObjectiveOf(milliseconds longest_chain, const Queue& queue) {
@@ -113,9 +129,34 @@
     this->RefreshOccurrence(*this->state.FindJob(id), this->jobs.at(id),
                             occurrence);
   }
+  if (std::exchange(this->review_needed, false)) {
+    this->ReviewExpected();
+  }
   this->MarkLateSteps();
 }
 
+void WaitingSteps::ReviewExpected() {
+  for (auto& [id, open] : this->jobs) {
+    const Job* const job = this->state.FindJob(id);
+    if (job == nullptr || job->queue == nullptr) {
+      continue;
+    }
+    auto chains = ChainsOf(*open.request, *job->queue, this->expected);
+    if (!DifferByAThird(open.chains, chains)) {
+      continue;
+    }
+    open.chains = std::move(chains);
+    open.objective = ObjectiveOf(Longest(open.chains), *job->queue);
+    for (auto& [number, step] : open.waiting) {
+      AddToSums(*open.pool, *step, -1);
+      RemoveFromGroup(*open.pool, *step);
+      step->objective = open.objective;
+      this->AddToGroup(open, *step, DueOf(*open.request, number.first));
+      AddToSums(*open.pool, *step, 1);
+    }
+  }
+}
+
 void WaitingSteps::Rebuild() {
   this->jobs.clear();
   this->pools.clear();
@@ -217,7 +258,7 @@
   open.pool = &this->pools[queue.pool];
   open.priority = queue.priority;
   open.advised = queue.advised;
-  open.chains = ChainsOf(request);
+  open.chains = ChainsOf(request, queue, this->expected);
   open.objective = ObjectiveOf(Longest(open.chains), queue);
   open.anti_affine_instances = AntiAffineInstances(request);
   if (open.anti_affine_instances > 0) {
--- a/src/mimosastage/jobs/waiting_steps.h
+++ b/src/mimosastage/jobs/waiting_steps.h
@@ -19,8 +19,15 @@
 
 namespace mimosastage::jobs {
 
-/// Estimated duration of the longest chain of dependent steps.
-std::chrono::milliseconds LongestChain(const JobRequest& request);
+/// Returns the expected duration of a task of the step with the given index.
+using ExpectedDuration = std::function<std::chrono::milliseconds(
+    const Queue& queue, const JobRequest& request, std::uint32_t step)>;
+
+/// Expected duration of the longest chain of dependent steps of a job in the
+/// queue. Without `expected`, each step takes as long as estimated.
+std::chrono::milliseconds LongestChain(const JobRequest& request,
+                                       const Queue& queue,
+                                       const ExpectedDuration& expected = {});
 
 /// Time from its acceptance within which a job of the queue must complete,
 /// given its longest chain.
@@ -76,12 +83,18 @@
     std::int64_t late_memory_mb = 0;
   };
 
-  /// `state` must outlive the object.
-  explicit WaitingSteps(const FleetState& state) : state(state) {}
+  /// `state` must outlive the object. `expected` replaces the estimates of the
+  /// jobs.
+  explicit WaitingSteps(const FleetState& state, ExpectedDuration expected = {})
+      : state(state), expected(std::move(expected)) {}
 
   /// Updates everything to the present state. References to steps become
   /// invalid.
   void Refresh(std::chrono::milliseconds wall);
+  /// Must be called when the results of `expected` may have changed. The next
+  /// refresh updates the jobs of which a chain has changed by a third; smaller
+  /// changes would reorder the steps for little.
+  void OnExpectedChanged() { this->review_needed = true; }
 
   /// Returns the pools with waiting tasks, and what these tasks need.
   std::map<std::string, Sums> SumsByPool() const;
@@ -141,7 +154,7 @@
     std::chrono::milliseconds objective{0};
     /// Instances that the job needs for its long-running tasks.
     std::size_t anti_affine_instances = 0;
-    /// For each step, the estimated duration of the longest chain of dependent
+    /// For each step, the expected duration of the longest chain of dependent
     /// steps that starts with it.
     std::vector<std::chrono::milliseconds> chains;
     /// By occurrence and step.
@@ -172,6 +185,8 @@
   static void RemoveFromGroup(PoolSteps& pool, WaitingStep& step);
   static void AddToSums(PoolSteps& pool, const WaitingStep& step,
                         std::int64_t sign);
+  /// Updates the jobs whose expected duration has changed.
+  void ReviewExpected();
   /// Marks the steps that have become late.
   void MarkLateSteps();
   static GroupKey KeyOf(const WaitingStep& step);
@@ -181,6 +196,8 @@
   bool IsBefore(const Cursor& a, const Cursor& b) const;
 
   const FleetState& state;
+  ExpectedDuration expected;
+  bool review_needed = false;
   std::uint64_t changes_read = 0;
   std::chrono::milliseconds wall{0};
   std::unordered_map<std::string, OpenJob> jobs;
