Copy tasks of speculative steps that run far longer than others

3 in 100 tasks last seven times as long as the others of their queue, and a job ends only with the last of its tasks.

It needs capacity that no work in time waits for. One in ten running tasks of a pool has a copy, and a task has at most one. Copies are ordinary runs in the log, so a new leader counts them.

--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -23,6 +23,7 @@
 #include "mimosastage/jobs/pool_balancer.h"
 #include "mimosastage/jobs/run_times.h"
 #include "mimosastage/jobs/start_window.h"
+#include "mimosastage/jobs/straggler_copies.h"
 #include "mimosastage/jobs/waiting_steps.h"
 #include "mimosastage/jobs/worker_lease.h"
 #include "mimosastage/jobs/worker_order.h"
@@ -122,6 +123,10 @@
     /// Learns the durations of tasks from those that have completed, and uses
     /// them in place of the estimates.
     bool learn_run_times = false;
+    /// Starts a second copy of a task of a speculative step that runs far
+    /// longer than others of its step. Needs `learn_run_times`.
+    bool copy_stragglers = false;
+    StragglerCopies::Config straggler_copies;
   };
 
   struct Hooks {
@@ -590,6 +595,15 @@
                    const WorkerReply& reply, TimePoint now);
   void ObserveRunningTasks(TimePoint now);
 
+  // dispatcher_stragglers.cc: copies of tasks that take far longer than others.
+  void CopyStragglers(TimePoint now);
+  void CopyStragglersOf(PoolWorkers& workers, TimePoint now);
+  /// Returns the tasks that have run longer than most of their step and may get
+  /// a copy. Adds the number of tasks that run, and of those with a copy.
+  std::vector<StragglerCopies::RunningOriginal> FindOriginals(
+      const PoolWorkers& workers, std::size_t& running, std::size_t& copied,
+      TimePoint now) const;
+
   // dispatcher_placement.cc
   /// Shortest time between two placements.
   Duration PlacementInterval() const;
@@ -742,6 +756,7 @@
   /// RunTimes::Version that `waiting_steps` reflects.
   std::uint64_t used_run_times = 0;
   TimePoint next_running_observation{};
+  TimePoint next_straggler_check{};
   std::map<std::string, Session> sessions;
   std::deque<Silence> silences;
   /// FleetState::GivenUpJobs of which the runs were stopped.
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -251,6 +251,7 @@
       this->PlaceTasksOf(pool, workers->second, teams, limit, now);
     }
   }
+  this->CopyStragglers(now);
   this->ReportLoads(now);
   this->ForgetAdvice(now);
 }
--- a/tests/jobs/support/schedule_worker.h
+++ b/tests/jobs/support/schedule_worker.h
@@ -33,6 +33,8 @@
     std::chrono::milliseconds clock_origin{0};
     /// One in this many runs fails; 1 for a worker that fails all.
     std::uint64_t failure_interval = 50;
+    /// One in this many runs lasts several times as long as others; 0 for none.
+    std::uint64_t straggler_interval = 0;
     /// Answers to starts and stops contain the start of the incarnation as
     /// well.
     bool always_says_born = false;
--- a/tests/jobs/support/worker_schedule.h
+++ b/tests/jobs/support/worker_schedule.h
@@ -53,6 +53,9 @@
     /// Waves of upkeep, moves between pools, and a platform that is slow or
     /// doesn't answer.
     bool platform_acts = false;
+    /// One in ten runs lasts several times as long as others. Steps without
+    /// checkpoints are speculative, and the leader copies such runs.
+    bool runs_straggle = false;
   };
 
   explicit WorkerSchedule(std::uint64_t seed);
--- a/tests/jobs/worker_schedules_test.cc
+++ b/tests/jobs/worker_schedules_test.cc
@@ -50,6 +50,7 @@
     const std::lock_guard lock(this->mutex);
     this->starts += schedule.Rules().Starts();
     this->terms += schedule.Terms();
+    this->with_copies += schedule.Rules().MostRunsAtOnce() > 1 ? 1 : 0;
     if (!failure.empty()) {
       this->failures.push_back("seed " + std::to_string(seed) + ": " + failure);
     }
@@ -72,6 +73,8 @@
   std::vector<std::string> failures;
   std::uint64_t starts = 0;
   std::uint64_t terms = 0;
+  /// Number of schedules in which a task had two runs at the same time.
+  std::uint64_t with_copies = 0;
 };
 
 // Guards against starts beyond a worker's room, two runs of one task, repeated
@@ -157,5 +160,26 @@
       60);
 }
 
+// The same while tasks straggle and are copied: guards against a third run of a
+// task, copies of other tasks, copies after the end of the task, and room,
+// quotas and attempts that copies exceed.
+TEST_F(WorkerSchedulesTest, Scheduler_RunsStraggle_KeepsRulesOfRuns) {
+  this->RunAll(
+      [](std::uint64_t seed) {
+        return WorkerSchedule(
+            seed,
+            WorkerSchedule::Faults{.order_interval = seed % 4 == 0 ? 0U : 20U,
+                                   .leaders_change = seed % 3 == 0,
+                                   .log_stalls = seed % 5 == 0,
+                                   .workers_crash = seed % 2 == 0,
+                                   .workers_are_cut = seed % 4 == 1,
+                                   .jobs_are_cancelled = seed % 2 == 1,
+                                   .runs_straggle = true});
+      },
+      60);
+  // Checks that there were copies.
+  EXPECT_GT(this->with_copies, 0U);
+}
+
 }  // namespace
 }  // namespace mimosastage::jobs
