Add mimosastagectl check, which reports all errors of a declaration

An operator who corrects a declaration learned of one error for each run of apply, and of rows that are never used not at all.

--- a/src/mimosastage/state/table_set.cc
+++ b/src/mimosastage/state/table_set.cc
@@ -118,13 +118,7 @@
   for (const Row& row : change.upserts) {
     this->Put(row);
   }
-  if (std::max({this->routes.size(), this->pools.size(), this->teams.size()}) >
-      kMaxRows) {
-    return {StateError::kTableFull, std::string(TableName(change.table)) +
-                                        " would have more than 4096 rows; "
-                                        "delete rows that are not needed"};
-  }
-  return {};
+  return this->CheckSize(change.table);
 }
 
 ChangeRefusal TableSet::Delete(TableKind table, const std::string& name) {
@@ -161,58 +155,90 @@
 
 ChangeRefusal TableSet::CheckConstraints(TableKind table) const {
   if (table == TableKind::kRoutes) {
-    return this->CheckRoutes();
+    const auto violations = this->FindRouteViolations();
+    return violations.empty() ? ChangeRefusal{} : violations.front();
   }
   if (table != TableKind::kPools) {
     return {};
   }
-  if (ChangeRefusal refusal = this->CheckPools(); refusal.error) {
-    return refusal;
+  if (const auto violations = this->FindPoolViolations(); !violations.empty()) {
+    return violations.front();
   }
-  if (ChangeRefusal refusal = this->CheckRoutes(); refusal.error) {
+  if (const auto violations = this->FindRouteViolations();
+      !violations.empty()) {
     return {StateError::kPoolInUse,
-            refusal.detail + ", or change the route first"};
+            violations.front().detail + ", or change the route first"};
   }
   return {};
 }
 
-ChangeRefusal TableSet::CheckRoutes() const {
+std::vector<ChangeRefusal> TableSet::FindViolations() const {
+  std::vector<ChangeRefusal> violations = this->FindPoolViolations();
+  const auto of_routes = this->FindRouteViolations();
+  violations.insert(violations.end(), of_routes.begin(), of_routes.end());
+  for (const TableKind table :
+       {TableKind::kRoutes, TableKind::kPools, TableKind::kTeams}) {
+    if (ChangeRefusal refusal = this->CheckSize(table); refusal.error) {
+      violations.push_back(std::move(refusal));
+    }
+  }
+  return violations;
+}
+
+ChangeRefusal TableSet::CheckSize(TableKind table) const {
+  const std::array sizes{this->routes.size(), this->pools.size(),
+                         this->teams.size(), std::size_t{1}};
+  if (sizes.at(IndexOf(table)) > kMaxRows) {
+    return {StateError::kTableFull, std::string(TableName(table)) +
+                                        " would have more than 4096 rows; "
+                                        "delete rows that are not needed"};
+  }
+  return {};
+}
+
+std::vector<ChangeRefusal> TableSet::FindRouteViolations() const {
+  std::vector<ChangeRefusal> violations;
   for (const auto& [name, route] : this->routes) {
     if (!this->pools.contains(route.pool.str())) {
-      return {StateError::kUnknownPool, "route " + name + " refers to pool " +
-                                            route.pool.str() +
-                                            ", which would not exist; keep or "
-                                            "create the pool"};
+      violations.push_back(
+          {StateError::kUnknownPool, "route " + name + " refers to pool " +
+                                         route.pool.str() +
+                                         ", which would not exist; keep or "
+                                         "create the pool"});
     }
   }
-  return {};
+  return violations;
 }
 
-ChangeRefusal TableSet::CheckPools() const {
+std::vector<ChangeRefusal> TableSet::FindPoolViolations() const {
+  std::vector<ChangeRefusal> violations;
   std::map<InstanceName, std::string_view> pool_of;
   for (const auto& [name, pool] : this->pools) {
     if (pool.availability_budget > pool.instances.size()) {
-      return {StateError::kBudgetTooLarge,
-              "pool " + name + " has a budget of " +
-                  std::to_string(pool.availability_budget) + " and " +
-                  std::to_string(pool.instances.size()) +
-                  " instances; lower the budget or add instances"};
+      violations.push_back(
+          {StateError::kBudgetTooLarge,
+           "pool " + name + " has a budget of " +
+               std::to_string(pool.availability_budget) + " and " +
+               std::to_string(pool.instances.size()) +
+               " instances; lower the budget or add instances"});
     }
     for (const InstanceName& instance : pool.instances) {
       if (auto [first, added] = pool_of.emplace(instance, name); !added) {
-        return {StateError::kInstanceInTwoPools,
-                "instance " + instance.str() + " would be in pools " +
-                    std::string(first->second) + " and " + name +
-                    "; take it out of one in the same change"};
+        violations.push_back({StateError::kInstanceInTwoPools,
+                              "instance " + instance.str() +
+                                  " would be in pools " +
+                                  std::string(first->second) + " and " + name +
+                                  "; take it out of one in the same change"});
       }
     }
   }
   if (pool_of.size() > kMaxRows) {
-    return {StateError::kTableFull, "the pools would have " +
-                                        std::to_string(pool_of.size()) +
-                                        " instances; use at most 4096"};
+    violations.push_back(
+        {StateError::kTableFull, "the pools would have " +
+                                     std::to_string(pool_of.size()) +
+                                     " instances; use at most 4096"});
   }
-  return {};
+  return violations;
 }
 
 std::uint64_t TableSet::VersionOf(TableKind table) const {
--- a/src/mimosastage/state/table_set.h
+++ b/src/mimosastage/state/table_set.h
@@ -49,6 +49,10 @@
   const Pool* FindPool(std::string_view name) const;
   const Team* FindTeam(std::string_view name) const;
 
+  /// Returns all violations of the constraints between rows; Apply refuses a
+  /// change for the first one that it causes.
+  std::vector<ChangeRefusal> FindViolations() const;
+
   /// The rows of one table, sorted by name.
   std::vector<Row> Rows(TableKind table) const;
 
@@ -64,8 +68,10 @@
   ChangeRefusal Delete(TableKind table, const std::string& name);
   void Put(const Row& row);
   ChangeRefusal CheckConstraints(TableKind table) const;
-  ChangeRefusal CheckPools() const;
-  ChangeRefusal CheckRoutes() const;
+  /// Refuses a table with more than kMaxRows rows.
+  ChangeRefusal CheckSize(TableKind table) const;
+  std::vector<ChangeRefusal> FindPoolViolations() const;
+  std::vector<ChangeRefusal> FindRouteViolations() const;
 
   std::array<std::uint64_t, 4> versions{};
   Routes routes;
--- a/src/mimosastagectl/commands.cc
+++ b/src/mimosastagectl/commands.cc
@@ -2,6 +2,7 @@
 
 #include <openssl/rand.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <cstdlib>
@@ -15,6 +16,7 @@
 #include <vector>
 
 #include "mimosastage/state/declaration.h"
+#include "mimosastage/state/declaration_check.h"
 #include "mimosastage/state/key_secret.h"
 
 namespace mimosastage {
@@ -59,15 +61,22 @@
   return bytes;
 }
 
-std::optional<Declaration> ReadDeclaration(const std::string& file) {
+std::optional<std::string> ReadFile(const std::string& file) {
   std::ifstream stream(file, std::ios::binary);
   if (!stream) {
-    PrintError(file + ": file not readable; correct the path of -f");
+    PrintError(file + ": file not readable; correct the path");
+    return std::nullopt;
+  }
+  return std::string(std::istreambuf_iterator<char>(stream), {});
+}
+
+std::optional<Declaration> ReadDeclaration(const std::string& file) {
+  const auto text = ReadFile(file);
+  if (!text) {
     return std::nullopt;
   }
-  const std::string text(std::istreambuf_iterator<char>(stream), {});
   std::vector<Problem> problems;
-  auto declaration = ParseDeclaration(text, &problems);
+  auto declaration = ParseDeclaration(*text, &problems);
   PrintProblems(file, problems);
   return declaration;
 }
@@ -133,6 +142,101 @@
   return steps;
 }
 
+/// Fetches the keys in force. On failure prints the error and sets `code`.
+std::optional<std::vector<KeyOwner>> FetchKeys(ApiClient* client,
+                                               ExitCode* code) {
+  const ApiReply reply = client->Send("GET", "/v1/keys");
+  if (reply.code != ExitCode::kSuccess) {
+    *code = PrintFailure(reply);
+    return std::nullopt;
+  }
+  const auto value = nlohmann::json::parse(reply.body, nullptr, false);
+  const auto list = value.is_object() ? value.find("keys") : value.end();
+  if (!value.is_object() || list == value.end() || !list->is_array()) {
+    PrintError("the answer of the daemon has no list of keys");
+    *code = ExitCode::kNotAccepted;
+    return std::nullopt;
+  }
+  const auto text_of = [](const nlohmann::json& key, const char* field) {
+    const auto found = key.is_object() ? key.find(field) : key.end();
+    return key.is_object() && found != key.end() && found->is_string()
+               ? found->get<std::string>()
+               : std::string();
+  };
+  std::vector<KeyOwner> keys;
+  for (const nlohmann::json& key : *list) {
+    keys.emplace_back(text_of(key, "key_id"), text_of(key, "team"));
+  }
+  return keys;
+}
+
+/// What a declaration is compared with.
+struct InForce {
+  TableSet tables;
+  std::vector<KeyOwner> keys;
+};
+
+std::optional<InForce> ReadInForce(ApiClient* client,
+                                   const std::string& against_file,
+                                   ExitCode* code) {
+  InForce in_force;
+  if (client != nullptr) {
+    auto tables = FetchTables(client, code);
+    auto keys = tables ? FetchKeys(client, code) : std::nullopt;
+    if (!keys) {
+      return std::nullopt;
+    }
+    in_force.tables = *std::move(tables);
+    in_force.keys = *std::move(keys);
+  } else if (!against_file.empty()) {
+    const auto declaration = ReadDeclaration(against_file);
+    if (!declaration) {
+      *code = ExitCode::kBadInput;
+      return std::nullopt;
+    }
+    in_force.tables = TablesAfter(*declaration, TableSet());
+  }
+  return in_force;
+}
+
+/// Returns a line for each row that the declaration changes.
+std::vector<std::string> DescribeChanges(const Declaration& declaration,
+                                         const TableSet& tables) {
+  std::vector<std::string> lines;
+  for (const TableChange& step : Diff(declaration, tables, "check")) {
+    for (std::string& line : DescribeChange(step, tables)) {
+      lines.push_back(std::move(line));
+    }
+  }
+  return lines;
+}
+
+void PrintCheck(const std::string& file,
+                const std::vector<DeclarationFinding>& findings,
+                const std::vector<std::string>& changes, bool json) {
+  if (json) {
+    nlohmann::json list = nlohmann::json::array();
+    for (const DeclarationFinding& finding : findings) {
+      list.push_back({{"severity", finding.is_error ? "error" : "warning"},
+                      {"kind", finding.kind},
+                      {"text", finding.text}});
+    }
+    const nlohmann::json result = {
+        {"file", file}, {"findings", std::move(list)}, {"changes", changes}};
+    std::cout << result.dump(2, ' ', true,
+                             nlohmann::json::error_handler_t::replace)
+              << "\n";
+    return;
+  }
+  for (const DeclarationFinding& finding : findings) {
+    std::cout << (finding.is_error ? "error " : "warning ") << finding.kind
+              << ": " << finding.text << "\n";
+  }
+  for (const std::string& line : changes) {
+    std::cout << line << "\n";
+  }
+}
+
 ExitCode SendStep(ApiClient* client, const TableChange& step) {
   const std::string table = TableName(step.table);
   const ApiReply reply =
@@ -197,6 +301,38 @@
   return steps->empty() ? ExitCode::kSuccess : ExitCode::kDifference;
 }
 
+ExitCode RunCheck(ApiClient* client, const CheckOptions& options) {
+  const auto text = ReadFile(options.file);
+  if (!text) {
+    return ExitCode::kBadInput;
+  }
+  std::vector<Problem> problems;
+  const auto declaration = ParseDeclaration(*text, &problems);
+  std::vector<DeclarationFinding> findings;
+  findings.reserve(problems.size());
+  for (const Problem& problem : problems) {
+    findings.push_back({true, "malformed", problem.Message()});
+  }
+  std::vector<std::string> changes;
+  if (declaration) {
+    ExitCode code = ExitCode::kSuccess;
+    const auto in_force = ReadInForce(client, options.against_file, &code);
+    if (!in_force) {
+      return code;
+    }
+    findings = CheckDeclaration(*declaration, in_force->tables, in_force->keys);
+    if (client != nullptr || !options.against_file.empty()) {
+      changes = DescribeChanges(*declaration, in_force->tables);
+    }
+  }
+  PrintCheck(options.file, findings, changes, options.json);
+  if (std::any_of(findings.begin(), findings.end(),
+                  [](const auto& finding) { return finding.is_error; })) {
+    return ExitCode::kBadInput;
+  }
+  return changes.empty() ? ExitCode::kSuccess : ExitCode::kDifference;
+}
+
 ExitCode RunGet(ApiClient* client, const std::string& what) {
   if (what == "keys") {
     return RunShow(client, "/v1/keys");
--- a/src/mimosastagectl/commands.h
+++ b/src/mimosastagectl/commands.h
@@ -17,6 +17,17 @@
                   const std::string& change_id);
 /// Prints what apply would change.
 ExitCode RunDiff(ApiClient* client, const std::string& file);
+struct CheckOptions {
+  std::string file;
+  /// File with the declaration in force; used if `client` is null. Without
+  /// either, the declaration is checked on its own.
+  std::string against_file;
+  bool json = false;
+};
+/// Prints all errors and warnings of the declaration, and what it would change
+/// in the tables of the daemon or the file that it is compared with. Returns
+/// kBadInput if there is an error, otherwise kDifference if there is a change.
+ExitCode RunCheck(ApiClient* client, const CheckOptions& options);
 /// Prints a table or the list of keys as JSON.
 ExitCode RunGet(ApiClient* client, const std::string& what);
 
--- a/src/mimosastagectl/exit_code.h
+++ b/src/mimosastagectl/exit_code.h
@@ -8,7 +8,7 @@
 /// Exit codes of mimosastagectl. Scripts depend on the numbers.
 enum class ExitCode : std::uint8_t {
   kSuccess = 0,
-  /// `diff` found a difference.
+  /// `diff` or `check` found a difference.
   kDifference = 1,
   kBadInput = 2,
   /// Another change came first, or the key id exists.
--- a/src/mimosastagectl/main.cc
+++ b/src/mimosastagectl/main.cc
@@ -26,7 +26,11 @@
           "File with the operator key. Without it the environment variable "
           "MIMOSASTAGE_OPERATOR_KEY is used.");
 ABSL_FLAG(std::string, f, "", "Declaration for apply and diff.");
-ABSL_FLAG(std::string, output, "text", "text or json, for status and members.");
+ABSL_FLAG(std::string, against, "",
+          "What check compares the declaration with: a file, or operator ports "
+          "as for --server.");
+ABSL_FLAG(std::string, output, "text",
+          "text or json, for check, status and members.");
 ABSL_FLAG(std::string, change_id, "",
           "Id of an earlier apply whose outcome is unknown.");
 ABSL_FLAG(std::string, team, "", "Team of the key, for keys grant.");
@@ -45,6 +49,8 @@
     "Changes and shows a cluster of mimosastage.\n\n"
     "  mimosastagectl [FLAGS] apply -f FILE\n"
     "  mimosastagectl [FLAGS] diff -f FILE\n"
+    "  mimosastagectl [FLAGS] check FILE [--against=SERVER|FILE] "
+    "[--output=json]\n"
     "  mimosastagectl [FLAGS] get routes|pools|teams|policy|keys\n"
     "  mimosastagectl [FLAGS] keys grant --team=TEAM --client=CLIENT "
     "[--id=KEY_ID]\n"
@@ -106,9 +112,10 @@
   return key;
 }
 
-std::optional<ApiClient::Settings> ReadClientSettings() {
+std::optional<ApiClient::Settings> ReadClientSettings(
+    std::string_view servers) {
   ApiClient::Settings settings;
-  settings.servers = SplitServers(absl::GetFlag(FLAGS_server));
+  settings.servers = SplitServers(servers);
   if (settings.servers.empty()) {
     PrintError("no daemon; set --server=HOST:PORT");
     return std::nullopt;
@@ -140,6 +147,31 @@
   return RunApply(client, absl::GetFlag(FLAGS_f), change_id);
 }
 
+/// Neither a daemon nor a key is needed unless the declaration is compared with
+/// the tables of a daemon.
+ExitCode RunCheckCommand(const std::string& file) {
+  CheckOptions options;
+  options.file = file;
+  options.json = absl::GetFlag(FLAGS_output) == "json";
+  const std::string against = absl::GetFlag(FLAGS_against);
+  // An address always has a port; a file with such a name needs a folder.
+  const bool is_server = against.find(':') != std::string::npos &&
+                         against.find('/') == std::string::npos;
+  if (!is_server) {
+    options.against_file = against;
+    return RunCheck(nullptr, options);
+  }
+  auto settings = ReadClientSettings(against);
+  if (!settings) {
+    return ExitCode::kBadInput;
+  }
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  ApiClient client(*std::move(settings));
+  const ExitCode code = RunCheck(&client, options);
+  curl_global_cleanup();
+  return code;
+}
+
 ExitCode Run(ApiClient* client, const std::vector<std::string>& words) {
   const std::string& command = words[0];
   const std::string argument = words.size() > 1 ? words[1] : "";
@@ -192,7 +224,10 @@
     PrintError("no command; see mimosastagectl --help");
     return ExitCode::kBadInput;
   }
-  auto settings = ReadClientSettings();
+  if (words[0] == "check" && words.size() == 2) {
+    return RunCheckCommand(words[1]);
+  }
+  auto settings = ReadClientSettings(absl::GetFlag(FLAGS_server));
   if (!settings) {
     return ExitCode::kBadInput;
   }
--- a/tests/operators/ctl_test.cc
+++ b/tests/operators/ctl_test.cc
@@ -290,5 +290,53 @@
   EXPECT_EQ(this->Run("keys grant --team=nobody --client=web"), 2);
 }
 
+// A declaration can be checked before it is sent: without a daemon, against a
+// file and against a daemon, with an exit code for each result.
+TEST_F(CtlTest, Check_FileOrDaemon_ReportsErrorsAndDifferences) {
+  EXPECT_EQ(this->Run("check " + this->Example(), "127.0.0.1:1"), 0)
+      << this->output;
+  EXPECT_EQ(this->output, "");
+  const std::string broken = this->Write("broken.json", R"({
+    "routes": [{"name": "r", "pool": "absent"}],
+    "pools": [{"name": "p", "availability_budget": 0, "instances": ["i"]},
+              {"name": "q", "availability_budget": 2, "instances": ["i"]}]})");
+  EXPECT_EQ(this->Run("check " + broken), 2);
+  for (const char* kind :
+       {"error unknown_pool:", "error budget_too_large:",
+        "error instance_in_two_pools:", "warning budget_forbids_upkeep:",
+        "warning pool_without_route:"}) {
+    EXPECT_NE(this->output.find(kind), std::string::npos) << this->output;
+  }
+  const std::string malformed = this->Write(
+      "malformed.json", R"({"team": [], "pools": [{"name": "p"}]})");
+  EXPECT_EQ(this->Run("check " + malformed + " --output=json"), 2);
+  EXPECT_NE(this->output.find("unknown field"), std::string::npos);
+  EXPECT_NE(this->output.find("availability_budget"), std::string::npos);
+  EXPECT_EQ(this->Run("check absent.json"), 2);
+  EXPECT_EQ(this->Run("check " + this->Example() + " --against=absent.json"),
+            2);
+  EXPECT_EQ(
+      this->Run("check " + this->Example() + " --against=" + this->Example()),
+      0)
+      << this->output;
+
+  const std::string server = " --against=" + this->daemon.Address();
+  EXPECT_EQ(this->Run("check " + this->Example() + server, "127.0.0.1:1"), 1);
+  EXPECT_NE(this->output.find("+ routes/sheets"), std::string::npos);
+  ASSERT_EQ(this->Run("apply -f " + this->Example()), 0);
+  EXPECT_EQ(this->Run("check " + this->Example() + server), 0) << this->output;
+  ASSERT_EQ(this->Run("keys grant --team=duero --client=web --id=web-1"), 0);
+  const std::string teams = this->Write(
+      "teams.json",
+      R"({"teams": [{"name": "t", "share": 1, "upper_limit": 5}]})");
+  EXPECT_EQ(this->Run("check " + teams + server + " --output=json"), 2);
+  EXPECT_NE(this->output.find("\"team_in_use\""), std::string::npos);
+  EXPECT_NE(this->output.find("- teams/duero"), std::string::npos);
+  // The check changes nothing.
+  EXPECT_EQ(this->Run("diff -f " + this->Example()), 0) << this->output;
+  EXPECT_EQ(this->Run("--timeout=1s check " + teams + " --against=127.0.0.1:1"),
+            4);
+}
+
 }  // namespace
 }  // namespace mimosastage
