Size pools ahead of their demand from an outlook

A pool with a DemandOutlook is sized by what its arrivals will occupy once a move is complete, and by a predicted load peak, which takes instances only from standby, idle pools and late work. After a peak the pool is reduced at once. Without an outlook the plans are the same as before.

--- a/src/mimosastage/jobs/pool_balancer.cc
+++ b/src/mimosastage/jobs/pool_balancer.cc
@@ -4,6 +4,13 @@
 #include <cmath>
 
 namespace mimosastage::jobs {
+namespace {
+
+/// Bounds the number that a demand is converted to; far more than any fleet
+/// has.
+constexpr double kMostInstances = 1e6;
+
+}  // namespace
 
 PoolBalancer::Balances PoolBalancer::ComputeBalances(
     const std::vector<PoolDemand>& demands,
@@ -13,8 +20,17 @@
   Balances balances;
   ++this->round;
   InstanceSize largest;
+  std::erase_if(this->stays,
+                [&](const auto& row) { return now >= row.second.until; });
   for (const PoolDemand& demand : demands) {
-    balances[demand.pool].standby = demand.standby;
+    PoolBalance& balance = balances[demand.pool];
+    balance.standby = demand.standby;
+    if (!demand.standby && demand.outlook.has_value()) {
+      balance.falling = demand.outlook->trend == DemandOutlook::Trend::kFalling;
+      balance.keeps_arrivals =
+          !balance.falling &&
+          demand.used_millicores + demand.waiting_millicores > 0;
+    }
   }
   for (const PooledInstance& instance : instances) {
     largest.millicores = std::max(largest.millicores, instance.millicores);
@@ -30,8 +46,12 @@
           this->idle_since.try_emplace(instance.instance, IdleSince{now})
               .first->second;
       idle.round = this->round;
-      found->second.empty.push_back(
-          IdleInstance{idle.since, &instance.instance});
+      const auto stay = this->stays.find(instance.instance);
+      if (!found->second.keeps_arrivals || stay == this->stays.end() ||
+          stay->second.pool != instance.pool) {
+        found->second.empty.push_back(
+            IdleInstance{idle.since, &instance.instance});
+      }
     }
   }
   std::erase_if(this->idle_since, [this](const auto& row) {
@@ -42,13 +62,19 @@
   }
   for (const PoolDemand& demand : demands) {
     PoolBalance& balance = balances[demand.pool];
-    balance.desired_size =
-        balance.standby ? 0 : this->WantedInstances(demand, largest);
-    PoolDemand in_time = demand;
-    in_time.waiting_millicores -= demand.late_millicores;
-    in_time.waiting_memory_mb -= demand.late_memory_mb;
-    balance.size_in_time =
-        balance.standby ? 0 : this->WantedInstances(in_time, largest);
+    if (!balance.standby && demand.outlook.has_value() &&
+        demand.outlook->trend != DemandOutlook::Trend::kUnknown) {
+      this->SetSizesAhead(demand, largest, balance);
+    } else {
+      balance.desired_size =
+          balance.standby ? 0 : this->WantedInstances(demand, largest);
+      PoolDemand in_time = demand;
+      in_time.waiting_millicores -= demand.late_millicores;
+      in_time.waiting_memory_mb -= demand.late_memory_mb;
+      balance.size_in_time =
+          balance.standby ? 0 : this->WantedInstances(in_time, largest);
+      balance.promised_size = balance.size_in_time;
+    }
     std::sort(balance.empty.begin(), balance.empty.end(),
               [](const IdleInstance& a, const IdleInstance& b) {
                 return a.since > b.since;
@@ -75,6 +101,71 @@
                    demand.instances_for_anti_affine_tasks, wanted});
 }
 
+double PoolBalancer::NeedInTime(DemandOutlook::Trend trend,
+                                const ResourceDemand& demand) const {
+  const double factor = 1 + this->config.headroom;
+  const double present = demand.used + demand.waiting - demand.late;
+  const double ahead = (demand.expected + demand.long_running) * factor;
+  switch (trend) {
+    case DemandOutlook::Trend::kPeak:
+      // What waits has run or is late before an instance that is ordered for it
+      // arrives, so it gets no headroom of its own.
+      return std::max(ahead, present);
+    case DemandOutlook::Trend::kFalling: {
+      const double late_waiting = demand.late - demand.late_used;
+      const double ending =
+          demand.used - demand.late_used - demand.long_running;
+      return std::max(
+          ahead, demand.long_running * factor +
+                     std::max(demand.waiting - late_waiting, 0.0) * factor +
+                     std::max(ending, 0.0) * this->config.followed_part);
+    }
+    default:
+      return std::max(ahead, present * factor);
+  }
+}
+
+void PoolBalancer::SetSizesAhead(const PoolDemand& demand,
+                                 const InstanceSize& largest,
+                                 PoolBalance& balance) const {
+  const DemandOutlook& outlook = *demand.outlook;
+  const auto number = [](std::int64_t amount) {
+    return static_cast<double>(amount);
+  };
+  const ResourceDemand processors{number(demand.used_millicores),
+                                  number(demand.waiting_millicores),
+                                  number(demand.late_millicores),
+                                  number(demand.late_used_millicores),
+                                  number(demand.long_running_millicores),
+                                  outlook.expected.millicores,
+                                  outlook.promised.millicores};
+  const ResourceDemand memory{number(demand.used_memory_mb),
+                              number(demand.waiting_memory_mb),
+                              number(demand.late_memory_mb),
+                              number(demand.late_used_memory_mb),
+                              number(demand.long_running_memory_mb),
+                              outlook.expected.memory_mb,
+                              outlook.promised.memory_mb};
+  const auto instances = [&](double millicores, double memory_mb) {
+    double wanted = millicores / number(largest.millicores);
+    if (largest.memory_mb > 1) {
+      wanted = std::max(wanted, memory_mb / number(largest.memory_mb));
+    }
+    return std::max({this->config.min_instances,
+                     demand.instances_for_anti_affine_tasks,
+                     static_cast<std::size_t>(
+                         std::ceil(std::clamp(wanted, 0.0, kMostInstances)))});
+  };
+  double millicores = this->NeedInTime(outlook.trend, processors);
+  double memory_mb = this->NeedInTime(outlook.trend, memory);
+  balance.size_in_time = instances(millicores, memory_mb);
+  millicores += processors.promised * (1 + this->config.headroom);
+  memory_mb += memory.promised * (1 + this->config.headroom);
+  balance.promised_size = instances(millicores, memory_mb);
+  balance.desired_size =
+      instances(millicores + processors.late, memory_mb + memory.late);
+}
+
 std::string PoolBalancer::TakeSurplusInstance(
     Balances& balances, std::size_t PoolBalance::*target) {
   PoolBalance* donor = nullptr;
@@ -104,6 +195,7 @@
                            TimePoint now, std::vector<InstanceMove>& moves) {
   this->pending_moves[instance] =
       PendingMove{pool, now + this->config.arrival_window};
+  this->stays[instance] = PendingMove{pool, now + this->config.min_stay};
   moves.push_back(InstanceMove{instance, pool});
 }
 
@@ -141,24 +233,32 @@
     if (balance.standby) {
       continue;
     }
-    missing += balance.size_in_time -
-               std::min(balance.size_in_time, balance.current_size);
+    missing += balance.promised_size -
+               std::min(balance.promised_size, balance.current_size);
     surplus += balance.current_size -
-               std::min(balance.size_in_time, balance.current_size);
+               std::min(balance.promised_size, balance.current_size);
   }
   std::map<std::string, std::size_t> releases;
   for (const auto& [pool, balance] : balances) {
-    if (balance.standby || balance.current_size <= balance.size_in_time) {
+    if (balance.standby || balance.current_size <= balance.promised_size) {
       continue;
     }
     // Each pool gives in proportion to what it has beyond its need.
-    const std::size_t own = balance.current_size - balance.size_in_time;
+    const std::size_t own = balance.current_size - balance.promised_size;
     if (const std::size_t count =
             (own * std::min(missing, surplus) + surplus - 1) / surplus;
         count > 0) {
       releases[pool] = count;
     }
   }
+  for (const auto& [pool, balance] : balances) {
+    // Its tasks are spread over more workers than they need, and would keep all
+    // of them from moving.
+    if (balance.falling && balance.current_size > balance.desired_size) {
+      std::size_t& count = releases[pool];
+      count = std::max(count, balance.current_size - balance.desired_size);
+    }
+  }
   return releases;
 }
 
@@ -168,6 +268,7 @@
   Balances balances = this->ComputeBalances(demands, instances, now);
   PoolPlan plan;
   this->FillDeficits(balances, &PoolBalance::size_in_time, now, plan.moves);
+  this->FillDeficits(balances, &PoolBalance::promised_size, now, plan.moves);
   plan.releases = PlanReleases(balances);
   this->FillDeficits(balances, &PoolBalance::desired_size, now, plan.moves);
   const auto standby =
--- a/src/mimosastage/jobs/pool_balancer.h
+++ b/src/mimosastage/jobs/pool_balancer.h
@@ -4,11 +4,13 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "mimosastage/base/time.h"
+#include "mimosastage/jobs/demand_forecast.h"
 
 namespace mimosastage::jobs {
 
@@ -29,6 +31,15 @@
   /// Instances that the pool needs because long-running tasks limit how many of
   /// them run on one worker.
   std::size_t instances_for_anti_affine_tasks = 0;
+  /// Set if the pool is sized ahead of its demand. The fields below are only
+  /// used then.
+  std::optional<DemandOutlook> outlook;
+  /// The part of the used amounts for late work, and for long-running tasks,
+  /// which the outlook leaves out.
+  std::int64_t late_used_millicores = 0;
+  std::int64_t late_used_memory_mb = 0;
+  std::int64_t long_running_millicores = 0;
+  std::int64_t long_running_memory_mb = 0;
 };
 
 /// An instance and its current pool.
@@ -51,8 +62,9 @@
   /// A failed move is planned again after Config::arrival_window if it is still
   /// needed.
   std::vector<InstanceMove> moves;
-  /// How many instances of a pool should be emptied of late work, because other
-  /// pools need them for work that can still be in time.
+  /// How many instances of a pool should be emptied: of late work, because
+  /// other pools need them for work that can still be in time, or because the
+  /// load peak of a pool with an outlook has ended.
   std::map<std::string, std::size_t> releases;
 };
 
@@ -63,6 +75,11 @@
 /// can rise to five times its mean for some seconds while the other queues are
 /// idle, so a fixed number of instances per pool would leave one pool short and
 /// the others idle.
+///
+/// A pool with an outlook is sized by what its arrivals will occupy once a move
+/// is complete, and what a predicted load peak will occupy in addition. The
+/// latter takes no instance from work that is in time. After a peak the pool is
+/// reduced before its instances are empty and before others miss them.
 class PoolBalancer {
  public:
   struct Config {
@@ -78,6 +95,13 @@
     /// Spare capacity beyond the demand, as a fraction of the demand.
     double headroom = 0.25;
     std::size_t moves_per_round = 16;
+    /// An instance of a pool with an outlook doesn't move again within this
+    /// time after it was ordered there, unless the pool is idle or its peak has
+    /// ended: 1.5 s for the move and 3 s in the pool.
+    std::chrono::milliseconds min_stay{4'500};
+    /// Part of the resources in use after a peak that the steps after the
+    /// present ones will need: of 1.6 steps of a job, 0.6 follow another one.
+    double followed_part = 0.4;
   };
 
   explicit PoolBalancer(Config config) : config(config) {}
@@ -106,6 +130,12 @@
     std::size_t desired_size = 0;
     /// The size without late work.
     std::size_t size_in_time = 0;
+    /// The same with what is promised for a predicted peak.
+    std::size_t promised_size = 0;
+    /// The peak of the pool has ended, and it needs less than it uses.
+    bool falling = false;
+    /// Instances that were moved there recently stay.
+    bool keeps_arrivals = false;
     /// The longest idle one is last, as instances are taken from the back.
     std::vector<IdleInstance> empty;
   };
@@ -115,6 +145,17 @@
     std::uint64_t round = 0;
   };
 
+  /// One resource of a PoolDemand with an outlook.
+  struct ResourceDemand {
+    double used = 0;
+    double waiting = 0;
+    double late = 0;
+    double late_used = 0;
+    double long_running = 0;
+    double expected = 0;
+    double promised = 0;
+  };
+
   using Balances = std::map<std::string, PoolBalance>;
 
   Balances ComputeBalances(const std::vector<PoolDemand>& demands,
@@ -122,6 +163,12 @@
                            TimePoint now);
   std::size_t WantedInstances(const PoolDemand& demand,
                               const InstanceSize& largest) const;
+  /// Sets the sizes of a pool with an outlook.
+  void SetSizesAhead(const PoolDemand& demand, const InstanceSize& largest,
+                     PoolBalance& balance) const;
+  /// The amount that is needed for work in time, including headroom.
+  double NeedInTime(DemandOutlook::Trend trend,
+                    const ResourceDemand& demand) const;
   /// Removes an empty instance from a pool that is above its `target`. Returns
   /// "" if there is none.
   static std::string TakeSurplusInstance(Balances& balances,
@@ -138,6 +185,8 @@
   std::uint64_t round = 0;
   std::unordered_map<std::string, IdleSince> idle_since;
   std::unordered_map<std::string, PendingMove> pending_moves;
+  /// Until when instances stay in their pool; see Config::min_stay.
+  std::unordered_map<std::string, PendingMove> stays;
 };
 
 }  // namespace mimosastage::jobs
--- a/tests/jobs/pool_balancer_test.cc
+++ b/tests/jobs/pool_balancer_test.cc
@@ -30,6 +30,23 @@
     return this->PlanNow().moves;
   }
 
+  /// Sizes the pool ahead; the amounts are in cores.
+  void SetOutlook(const std::string& pool, DemandOutlook::Trend trend,
+                  double expected, double promised = 0) {
+    this->DemandOf(pool).outlook =
+        DemandOutlook{trend, Occupation{expected * 1'000, 0},
+                      Occupation{promised * 1'000, 0}};
+  }
+
+  void SetBusy(const std::string& pool, std::size_t count) {
+    for (PooledInstance& instance : this->instances) {
+      if (instance.pool == pool && count > 0) {
+        instance.empty = false;
+        --count;
+      }
+    }
+  }
+
   PoolPlan PlanNow() {
     return this->balancer.Plan(this->demands, this->instances, this->now);
   }
@@ -162,5 +179,165 @@
   EXPECT_TRUE(this->PlanAfter(milliseconds(0)).empty());
 }
 
+// Guards against instances that are ordered only once tasks wait: they arrive
+// when the tasks have run or are late.
+TEST_F(PoolBalancerTest, Plan_ArrivalsRise_OrdersForTheExpectedOccupation) {
+  this->AddPool("sheets", 6);
+  this->AddPool("spare", 30, true);
+  this->DemandOf("sheets").used_millicores = 20'000;
+  this->SetOutlook("sheets", DemandOutlook::Trend::kPeak, 200);
+  // 200 cores plus headroom need 15 instances of 16 cores.
+  EXPECT_EQ(MovesTo(this->PlanAfter(milliseconds(0)), "sheets"), 9U);
+}
+
+// Guards against a peak's backlog that is ordered for twice, as arrivals and as
+// waiting tasks.
+TEST_F(PoolBalancerTest, Plan_TasksWaitInAPeak_AreOrderedForOnce) {
+  this->AddPool("sheets", 6);
+  this->AddPool("spare", 30, true);
+  PoolDemand& sheets = this->DemandOf("sheets");
+  sheets.used_millicores = 96'000;
+  sheets.waiting_millicores = 110'000;
+  this->SetOutlook("sheets", DemandOutlook::Trend::kPeak, 200);
+  EXPECT_EQ(MovesTo(this->PlanAfter(milliseconds(0)), "sheets"), 9U);
+}
+
+// Guards against a forecast that is too low, as from estimates that are too
+// short: it must not take instances from work in time.
+TEST_F(PoolBalancerTest, Plan_ForecastIsTooLow_WorkInTimeKeepsItsInstances) {
+  this->AddPool("sheets", 20);
+  this->AddPool("folders", 6);
+  this->SetBusy("sheets", 20);
+  this->SetBusy("folders", 6);
+  this->DemandOf("sheets").used_millicores = 320'000;
+  this->DemandOf("folders").used_millicores = 96'000;
+  this->DemandOf("folders").waiting_millicores = 160'000;
+  for (const auto trend :
+       {DemandOutlook::Trend::kSteady, DemandOutlook::Trend::kPeak}) {
+    this->SetOutlook("sheets", trend, 10);
+    const PoolPlan plan = this->PlanNow();
+    EXPECT_TRUE(plan.moves.empty());
+    EXPECT_TRUE(plan.releases.empty());
+  }
+}
+
+// Guards against a pool that keeps its instances after its peak because its
+// last tasks are spread over all of them.
+TEST_F(PoolBalancerTest, Plan_PeakHasEnded_PoolIsReducedAtOnce) {
+  this->AddPool("sheets", 30);
+  this->AddPool("spare", 6, true);
+  this->SetBusy("sheets", 30);
+  this->DemandOf("sheets").used_millicores = 400'000;
+  this->SetOutlook("sheets", DemandOutlook::Trend::kFalling, 100);
+  // Steps that follow need 0.4 of 400 cores, which is ten instances.
+  EXPECT_EQ(this->PlanNow().releases,
+            (std::map<std::string, std::size_t>{{"sheets", 20}}));
+  this->DemandOf("sheets").waiting_millicores = 160'000;
+  // The waiting ones with headroom need 11.5 instances in addition.
+  EXPECT_EQ(this->PlanNow().releases,
+            (std::map<std::string, std::size_t>{{"sheets", 8}}));
+}
+
+TEST_F(PoolBalancerTest, Plan_PeakHasEnded_LongRunningTasksKeepTheirs) {
+  this->AddPool("sheets", 30);
+  this->SetBusy("sheets", 30);
+  PoolDemand& sheets = this->DemandOf("sheets");
+  sheets.used_millicores = 400'000;
+  sheets.long_running_millicores = 400'000;
+  this->SetOutlook("sheets", DemandOutlook::Trend::kFalling, 0);
+  // 400 cores with headroom need 29 instances.
+  EXPECT_EQ(this->PlanNow().releases,
+            (std::map<std::string, std::size_t>{{"sheets", 1}}));
+}
+
+// Guards against a predicted peak that finds a pool of the minimum size.
+TEST_F(PoolBalancerTest, Plan_PeakIsPredicted_TakesIdleThenStandbyInstances) {
+  this->AddPool("sheets", 6);
+  this->AddPool("folders", 10);
+  this->AddPool("spare", 30, true);
+  this->SetOutlook("sheets", DemandOutlook::Trend::kSteady, 0, 160);
+  this->SetOutlook("folders", DemandOutlook::Trend::kSteady, 0);
+  const auto moves = this->PlanAfter(milliseconds(0));
+  // 160 cores plus headroom need 12 instances.
+  EXPECT_EQ(MovesTo(moves, "sheets"), 6U);
+  EXPECT_EQ(std::count_if(moves.begin(), moves.end(),
+                          [](const InstanceMove& move) {
+                            return move.instance.starts_with("folders");
+                          }),
+            4);
+}
+
+// Guards against a prediction that costs callers: work in time keeps its
+// instances, and gets free ones first.
+TEST_F(PoolBalancerTest, Plan_PeakIsPredicted_TakesNothingFromWorkInTime) {
+  this->AddPool("sheets", 6);
+  this->AddPool("folders", 20);
+  this->AddPool("spare", 4, true);
+  this->SetBusy("folders", 20);
+  this->DemandOf("folders").used_millicores = 320'000;
+  this->DemandOf("folders").waiting_millicores = 40'000;
+  this->SetOutlook("sheets", DemandOutlook::Trend::kSteady, 0, 160);
+  this->SetOutlook("folders", DemandOutlook::Trend::kPeak, 280);
+  const PoolPlan plan = this->PlanNow();
+  // 360 cores need 23 instances.
+  EXPECT_EQ(MovesTo(plan.moves, "folders"), 3U);
+  EXPECT_EQ(MovesTo(plan.moves, "sheets"), 1U);
+  EXPECT_TRUE(plan.releases.empty());
+}
+
+// Guards against late work that holds what a predicted peak needs within the
+// time of a move.
+TEST_F(PoolBalancerTest, Plan_PeakIsPredicted_LateWorkIsReleased) {
+  this->AddPool("sheets", 6);
+  this->AddPool("folders", 20);
+  this->SetBusy("folders", 20);
+  PoolDemand& folders = this->DemandOf("folders");
+  folders.used_millicores = 320'000;
+  folders.waiting_millicores = 500'000;
+  folders.late_millicores = 820'000;
+  folders.late_used_millicores = 320'000;
+  this->SetOutlook("sheets", DemandOutlook::Trend::kSteady, 0, 160);
+  this->SetOutlook("folders", DemandOutlook::Trend::kFalling, 0);
+  const PoolPlan plan = this->PlanNow();
+  EXPECT_EQ(plan.releases,
+            (std::map<std::string, std::size_t>{{"folders", 6}}));
+}
+
+// Guards against an instance that is moved back and forth, which costs as much
+// as 1.1 s of an instance each time.
+TEST_F(PoolBalancerTest, Plan_InstanceHasJustArrived_StaysUnlessPoolIsIdle) {
+  this->AddPool("sheets", 6);
+  this->AddPool("folders", 6);
+  this->AddPool("spare", 4, true);
+  this->SetOutlook("sheets", DemandOutlook::Trend::kPeak, 90);
+  this->SetOutlook("folders", DemandOutlook::Trend::kSteady, 0);
+  this->DemandOf("sheets").used_millicores = 50'000;
+  const auto arriving = this->PlanAfter(milliseconds(0));
+  ASSERT_EQ(MovesTo(arriving, "sheets"), 1U);
+  for (PooledInstance& instance : this->instances) {
+    if (instance.instance == arriving.front().instance) {
+      instance.pool = "sheets";
+    } else if (instance.pool != "folders") {
+      instance.empty = false;
+    }
+  }
+  this->SetOutlook("sheets", DemandOutlook::Trend::kSteady, 0);
+  this->DemandOf("folders").used_millicores = 96'000;
+  this->SetOutlook("folders", DemandOutlook::Trend::kPeak, 96);
+  EXPECT_TRUE(this->PlanAfter(milliseconds(3'000)).empty());
+  this->DemandOf("sheets").used_millicores = 0;
+  EXPECT_EQ(MovesTo(this->PlanAfter(milliseconds(100)), "folders"), 1U);
+}
+
+// A new leader sizes the pools by waiting work until it knows their arrivals.
+TEST_F(PoolBalancerTest, Plan_OutlookIsUnknown_PlansAsWithoutOne) {
+  this->AddPool("sheets", 9);
+  this->AddPool("spare", 12, true);
+  this->DemandOf("sheets").used_millicores = 144'000;
+  this->DemandOf("sheets").waiting_millicores = 100'000;
+  this->SetOutlook("sheets", DemandOutlook::Trend::kUnknown, 0);
+  EXPECT_EQ(MovesTo(this->PlanAfter(milliseconds(0)), "sheets"), 9U);
+}
+
 }  // namespace
 }  // namespace mimosastage::jobs
