--- a/src/mimosastage/jobs/call_handler.cc
+++ b/src/mimosastage/jobs/call_handler.cc
@@ -226,7 +226,7 @@
     command.job->path_prefix = queue.path_prefix;
     command.job->team = team == nullptr ? "" : team->name;
     command.job->accepted_ms = this->hooks.wall_time().count();
-    this->dispatcher.OnAccepted(*command.job);
+    this->dispatcher.OnAccepted(*command.job, queue.pool, now);
     this->hooks.report("job_accepted", id, queue.name);
   }
   // A repeated submission waits as well, because the log entry of the first one
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -17,6 +17,7 @@
 #include "mimosastage/base/time.h"
 #include "mimosastage/fleet/worker_health.h"
 #include "mimosastage/jobs/admission_control.h"
+#include "mimosastage/jobs/demand_forecast.h"
 #include "mimosastage/jobs/due_queue.h"
 #include "mimosastage/jobs/fleet_state.h"
 #include "mimosastage/jobs/placement.h"
@@ -103,6 +104,20 @@
     /// the platform's list, which lags, shows it as up. An upkeep takes 2 s.
     std::chrono::milliseconds upkeep_duration{2'800};
     PoolBalancer::Config balancer;
+    /// Sizes pools by the jobs that are accepted and by the load peaks that
+    /// these predict.
+    bool lead_demand = false;
+    /// Time from the decision to move an instance until its worker takes tasks:
+    /// up to 0.1 s until the next decision, 1.5 s for the move, 0.2 s for the
+    /// worker.
+    std::chrono::milliseconds lead_time{1'800};
+    /// Time from the release of a worker until it is empty: the mean time that
+    /// its tasks of 0.8 to 1.7 s still run.
+    std::chrono::milliseconds release_time{500};
+    /// An idle instance that a predicted load peak needs within this time after
+    /// the lead time stays on. A move to standby and one back cost about 1.1 s
+    /// of an instance more than a direct move.
+    std::chrono::milliseconds idle_time{1'000};
     StartWindow::Config start_window;
     /// How long an upkeep waits for short tasks to end before it stops them.
     std::chrono::milliseconds upkeep_drain_timeout{2'500};
@@ -158,8 +173,9 @@
   /// early enough to meet its objective.
   std::optional<std::chrono::milliseconds> OverloadDelay(
       const JobRequest& request, const Queue& queue, TimePoint now) const;
-  /// Must be called when a job has been accepted.
-  void OnAccepted(const JobRequest& request);
+  /// Must be called when a job has been accepted by a queue of the pool.
+  void OnAccepted(const JobRequest& request, const std::string& pool,
+                  TimePoint now);
   void Tick(TimePoint now);
   /// Returns when Tick must run next.
   TimePoint NextDue(TimePoint now) const;
@@ -659,6 +675,18 @@
   void OnMoveReply(const OpenInstanceRequest& request,
                    const InstanceReply& reply, TimePoint now);
   const Worker* WorkerOnInstance(const std::string& instance) const;
+
+  // dispatcher_demand.cc; see Config::lead_demand.
+  /// Feeds the forecast with the work of an accepted job.
+  void ObserveDemand(const JobRequest& request, const std::string& pool,
+                     TimePoint now);
+  /// Adds what the forecast says to the demands.
+  void AddOutlooks(std::map<std::string, PoolDemand>& demands, TimePoint now);
+  /// Reports the changes since the last outlook.
+  void ReportOutlook(const std::string& pool, const DemandOutlook& outlook);
+  /// Estimated time until the worker's runs have ended.
+  static Duration TimeToVacancy(const Session& session, TimePoint now);
+
   /// Makes the record of a request that is ordered now.
   OpenInstanceRequest MakeOpenRequest(std::uint64_t wave,
                                       const std::string& instance,
@@ -752,6 +780,9 @@
   AdmissionControl admission;
   TimePoint next_backlog_count{};
   PoolBalancer balancer;
+  /// Set once a job was accepted if Config::lead_demand is set.
+  std::optional<DemandForecast> forecast;
+  std::map<std::string, DemandOutlook> last_outlooks;
   TimePoint next_balance{};
   /// Kept to reuse its memory.
   std::vector<PooledInstance> pooled_instances;
--- a/src/mimosastage/jobs/dispatcher_instances.cc
+++ b/src/mimosastage/jobs/dispatcher_instances.cc
@@ -92,6 +92,7 @@
     }
   }
   this->ListPooledInstances(demands, now);
+  this->AddOutlooks(demands, now);
   std::vector<PoolDemand> list;
   list.reserve(demands.size());
   for (auto& [pool, demand] : demands) {
@@ -120,6 +121,8 @@
     }
     struct Candidate {
       bool is_new = false;
+      /// Only known if pools are sized ahead.
+      Duration time_to_vacancy{0};
       std::int64_t millicores_in_time = 0;
       const std::string* id = nullptr;
     };
@@ -131,14 +134,18 @@
       if (this->AcceptsTasks(*session) && !has_long_running) {
         candidates.push_back(
             Candidate{!session->released,
+                      this->config.lead_demand ? TimeToVacancy(*session, now)
+                                               : Duration(0),
                       session->used.millicores - session->late_used.millicores,
                       &worker->id});
       }
     }
     std::sort(candidates.begin(), candidates.end(),
               [](const Candidate& a, const Candidate& b) {
-                return std::tie(a.is_new, a.millicores_in_time, *a.id) <
-                       std::tie(b.is_new, b.millicores_in_time, *b.id);
+                return std::tie(a.is_new, a.time_to_vacancy,
+                                a.millicores_in_time,
+                                *a.id) < std::tie(b.is_new, b.time_to_vacancy,
+                                                  b.millicores_in_time, *b.id);
               });
     candidates.resize(std::min(candidates.size(), count));
     for (const Candidate& candidate : candidates) {
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -173,8 +173,10 @@
   return *wait - slack;
 }
 
-void Dispatcher::OnAccepted(const JobRequest& request) {
+void Dispatcher::OnAccepted(const JobRequest& request, const std::string& pool,
+                            TimePoint now) {
   this->admission.OnAccepted(TasksOf(request));
+  this->ObserveDemand(request, pool, now);
 }
 
 void Dispatcher::ReportLoads(TimePoint now) {
--- a/src/mimosastage/jobs/pool_balancer.cc
+++ b/src/mimosastage/jobs/pool_balancer.cc
@@ -10,6 +10,13 @@
 /// has.
 constexpr double kMostInstances = 1e6;
 
+/// True if the pool is sized by its outlook. One that is unknown plans as
+/// without an outlook.
+bool IsSizedAhead(const PoolDemand& demand) {
+  return !demand.standby && demand.outlook.has_value() &&
+         demand.outlook->trend != DemandOutlook::Trend::kUnknown;
+}
+
 }  // namespace
 
 PoolBalancer::Balances PoolBalancer::ComputeBalances(
@@ -25,7 +32,7 @@
   for (const PoolDemand& demand : demands) {
     PoolBalance& balance = balances[demand.pool];
     balance.standby = demand.standby;
-    if (!demand.standby && demand.outlook.has_value()) {
+    if (IsSizedAhead(demand)) {
       balance.falling = demand.outlook->trend == DemandOutlook::Trend::kFalling;
       balance.keeps_arrivals =
           !balance.falling &&
@@ -48,7 +55,8 @@
       idle.round = this->round;
       const auto stay = this->stays.find(instance.instance);
       if (!found->second.keeps_arrivals || stay == this->stays.end() ||
-          stay->second.pool != instance.pool) {
+          stay->second.pool != instance.pool ||
+          now - idle.since >= this->config.idle_before_standby) {
         found->second.empty.push_back(
             IdleInstance{idle.since, &instance.instance});
       }
@@ -62,8 +70,7 @@
   }
   for (const PoolDemand& demand : demands) {
     PoolBalance& balance = balances[demand.pool];
-    if (!balance.standby && demand.outlook.has_value() &&
-        demand.outlook->trend != DemandOutlook::Trend::kUnknown) {
+    if (IsSizedAhead(demand)) {
       this->SetSizesAhead(demand, largest, balance);
     } else {
       balance.desired_size =
@@ -74,6 +81,7 @@
       balance.size_in_time =
           balance.standby ? 0 : this->WantedInstances(in_time, largest);
       balance.promised_size = balance.size_in_time;
+      balance.size_soon = balance.size_in_time;
     }
     std::sort(balance.empty.begin(), balance.empty.end(),
               [](const IdleInstance& a, const IdleInstance& b) {
@@ -105,20 +113,19 @@
                                 const ResourceDemand& demand) const {
   const double factor = 1 + this->config.headroom;
   const double present = demand.used + demand.waiting - demand.late;
+  const double waiting =
+      std::max(demand.waiting - (demand.late - demand.late_used), 0.0);
   const double ahead = (demand.expected + demand.long_running) * factor;
   switch (trend) {
     case DemandOutlook::Trend::kPeak:
-      // What waits has run or is late before an instance that is ordered for it
-      // arrives, so it gets no headroom of its own.
-      return std::max(ahead, present);
+      return std::max(ahead, demand.used - demand.late_used +
+                                 waiting * this->config.waiting_part_in_peak);
     case DemandOutlook::Trend::kFalling: {
-      const double late_waiting = demand.late - demand.late_used;
       const double ending =
           demand.used - demand.late_used - demand.long_running;
-      return std::max(
-          ahead, demand.long_running * factor +
-                     std::max(demand.waiting - late_waiting, 0.0) * factor +
-                     std::max(ending, 0.0) * this->config.followed_part);
+      return std::max(ahead,
+                      demand.long_running * factor + waiting * factor +
+                          std::max(ending, 0.0) * this->config.followed_part);
     }
     default:
       return std::max(ahead, present * factor);
@@ -156,6 +163,7 @@
                      static_cast<std::size_t>(
                          std::ceil(std::clamp(wanted, 0.0, kMostInstances)))});
   };
+  balance.late_work_may_start_instances = false;
   double millicores = this->NeedInTime(outlook.trend, processors);
   double memory_mb = this->NeedInTime(outlook.trend, memory);
   balance.size_in_time = instances(millicores, memory_mb);
@@ -164,10 +172,16 @@
   balance.promised_size = instances(millicores, memory_mb);
   balance.desired_size =
       instances(millicores + processors.late, memory_mb + memory.late);
+  const double factor = 1 + this->config.headroom;
+  balance.size_soon =
+      std::max(balance.promised_size,
+               instances(demand.promised_soon.millicores * factor,
+                         demand.promised_soon.memory_mb * factor));
 }
 
-std::string PoolBalancer::TakeSurplusInstance(
-    Balances& balances, std::size_t PoolBalance::*target) {
+std::string PoolBalancer::TakeSurplusInstance(Balances& balances,
+                                              std::size_t PoolBalance::*target,
+                                              bool from_standby) {
   PoolBalance* donor = nullptr;
   for (auto& [pool, balance] : balances) {
     // An idle instance of an active pool is preferred because it already costs
@@ -178,7 +192,7 @@
                          balance.current_size - balance.*target >
                              donor->current_size - donor->*target);
     if (!balance.empty.empty() && balance.current_size > balance.*target &&
-        better) {
+        (from_standby || !balance.standby) && better) {
       donor = &balance;
     }
   }
@@ -200,9 +214,10 @@
 }
 
 void PoolBalancer::FillDeficits(Balances& balances,
-                                std::size_t PoolBalance::*target, TimePoint now,
+                                std::size_t PoolBalance::*target,
+                                std::size_t limit, TimePoint now,
                                 std::vector<InstanceMove>& moves) {
-  while (moves.size() < this->config.moves_per_round) {
+  while (moves.size() < limit) {
     const auto largest_deficit = std::max_element(
         balances.begin(), balances.end(), [&](const auto& a, const auto& b) {
           const auto missing = [&](const PoolBalance& balance) {
@@ -216,7 +231,10 @@
             largest_deficit->second.current_size) {
       return;
     }
-    const std::string donor = TakeSurplusInstance(balances, target);
+    const std::string donor = TakeSurplusInstance(
+        balances, target,
+        target != &PoolBalance::desired_size ||
+            largest_deficit->second.late_work_may_start_instances);
     if (donor.empty()) {
       return;
     }
@@ -225,6 +243,24 @@
   }
 }
 
+std::size_t PoolBalancer::SpareInstances(const Balances& balances,
+                                         std::size_t PoolBalance::*target) {
+  std::size_t idle = 0;
+  std::size_t needed_soon = 0;
+  for (const auto& [pool, balance] : balances) {
+    if (balance.standby) {
+      continue;
+    }
+    idle += std::min(
+        balance.empty.size(),
+        balance.current_size - std::min(balance.current_size, balance.*target));
+    needed_soon += balance.size_soon -
+                   std::min(balance.size_soon, std::max(balance.current_size,
+                                                        balance.promised_size));
+  }
+  return idle - std::min(idle, needed_soon);
+}
+
 std::map<std::string, std::size_t> PoolBalancer::PlanReleases(
     const Balances& balances) {
   std::size_t missing = 0;
@@ -267,19 +303,33 @@
                             TimePoint now) {
   Balances balances = this->ComputeBalances(demands, instances, now);
   PoolPlan plan;
-  this->FillDeficits(balances, &PoolBalance::size_in_time, now, plan.moves);
-  this->FillDeficits(balances, &PoolBalance::promised_size, now, plan.moves);
+  const bool is_ahead =
+      std::any_of(demands.begin(), demands.end(), IsSizedAhead);
+  const std::size_t all = is_ahead ? this->config.moves_per_round_ahead
+                                   : this->config.moves_per_round;
+  this->FillDeficits(balances, &PoolBalance::size_in_time, all, now,
+                     plan.moves);
+  this->FillDeficits(balances, &PoolBalance::promised_size, all, now,
+                     plan.moves);
   plan.releases = PlanReleases(balances);
-  this->FillDeficits(balances, &PoolBalance::desired_size, now, plan.moves);
+  const std::size_t for_late_work =
+      is_ahead ? std::min(all, plan.moves.size() +
+                                   SpareInstances(balances,
+                                                  &PoolBalance::desired_size))
+               : all;
+  this->FillDeficits(balances, &PoolBalance::desired_size, for_late_work, now,
+                     plan.moves);
   const auto standby =
       std::find_if(balances.begin(), balances.end(),
                    [](const auto& row) { return row.second.standby; });
   if (standby == balances.end()) {
     return plan;
   }
+  std::size_t spare =
+      is_ahead ? SpareInstances(balances, &PoolBalance::desired_size) : all;
   for (auto& [pool, balance] : balances) {
     while (!balance.standby && balance.current_size > balance.desired_size &&
-           !balance.empty.empty() &&
+           !balance.empty.empty() && spare > 0 &&
            plan.moves.size() < this->config.moves_per_round &&
            now - balance.empty.back().since >=
                this->config.idle_before_standby) {
@@ -287,6 +337,7 @@
                     plan.moves);
       balance.empty.pop_back();
       --balance.current_size;
+      --spare;
     }
   }
   return plan;
--- a/src/mimosastage/jobs/pool_balancer.h
+++ b/src/mimosastage/jobs/pool_balancer.h
@@ -34,6 +34,9 @@
   /// Set if the pool is sized ahead of its demand. The fields below are only
   /// used then.
   std::optional<DemandOutlook> outlook;
+  /// What a predicted peak will occupy a little later than the outlook says;
+  /// instances that are idle until then don't go to standby and back.
+  Occupation promised_soon;
   /// The part of the used amounts for late work, and for long-running tasks,
   /// which the outlook leaves out.
   std::int64_t late_used_millicores = 0;
@@ -95,10 +98,18 @@
     /// Spare capacity beyond the demand, as a fraction of the demand.
     double headroom = 0.25;
     std::size_t moves_per_round = 16;
+    /// The same if a pool has an outlook: its peak needs some 160 instances,
+    /// and half a second of it is worth more than the burst of requests costs.
+    std::size_t moves_per_round_ahead = 32;
     /// An instance of a pool with an outlook doesn't move again within this
-    /// time after it was ordered there, unless the pool is idle or its peak has
-    /// ended: 1.5 s for the move and 3 s in the pool.
+    /// time after it was ordered there, unless it has been idle for
+    /// `idle_before_standby`, or the pool is idle or its peak has ended: 1.5 s
+    /// for the move and 3 s in the pool.
     std::chrono::milliseconds min_stay{4'500};
+    /// Part of the tasks waiting in a peak that count in addition to those that
+    /// run. What waits has run or is late before an instance that is ordered
+    /// for it arrives, but it shows that the stated estimates are too short.
+    double waiting_part_in_peak = 0.5;
     /// Part of the resources in use after a peak that the steps after the
     /// present ones will need: of 1.6 steps of a job, 0.6 follow another one.
     double followed_part = 0.4;
@@ -132,10 +143,15 @@
     std::size_t size_in_time = 0;
     /// The same with what is promised for a predicted peak.
     std::size_t promised_size = 0;
+    /// The same with PoolDemand::promised_soon.
+    std::size_t size_soon = 0;
     /// The peak of the pool has ended, and it needs less than it uses.
     bool falling = false;
     /// Instances that were moved there recently stay.
     bool keeps_arrivals = false;
+    /// Its late work gets instances that are on already, but none from standby:
+    /// those are needed for the next peak, and late work isn't worth them.
+    bool late_work_may_start_instances = true;
     /// The longest idle one is last, as instances are taken from the back.
     std::vector<IdleInstance> empty;
   };
@@ -169,13 +185,20 @@
   /// The amount that is needed for work in time, including headroom.
   double NeedInTime(DemandOutlook::Trend trend,
                     const ResourceDemand& demand) const;
-  /// Removes an empty instance from a pool that is above its `target`. Returns
-  /// "" if there is none.
+  /// Removes an empty instance from a pool that is above its `target`, which
+  /// may be the standby pool if `from_standby`. Returns "" if there is none.
   static std::string TakeSurplusInstance(Balances& balances,
-                                         std::size_t PoolBalance::*target);
+                                         std::size_t PoolBalance::*target,
+                                         bool from_standby);
   /// Moves empty instances from pools above their `target` to those below it.
+  /// Returns once there are `limit` moves.
   void FillDeficits(Balances& balances, std::size_t PoolBalance::*target,
-                    TimePoint now, std::vector<InstanceMove>& moves);
+                    std::size_t limit, TimePoint now,
+                    std::vector<InstanceMove>& moves);
+  /// The number of idle instances of pools above their `target` that aren't
+  /// needed soon.
+  static std::size_t SpareInstances(const Balances& balances,
+                                    std::size_t PoolBalance::*target);
   static std::map<std::string, std::size_t> PlanReleases(
       const Balances& balances);
   void AddMove(const std::string& instance, const std::string& pool,
