Order the work of a short pool by the teams' shares

Callers saw: within a queue's priority, waiting steps are ordered by lateness and slack alone, so a team that sends six times its usual load has six times as many urgent steps and takes the room of all others.

While work in time didn't fit into a pool at its last placement, teams within their weighted share of the pool come first, then the team with the least dominant share for its weight; work in time comes before late work. A pool that isn't short is served in the former order.

The differential test compares the placements with a naive twin that ranks all teams again after each part of a step, and the uses of the teams with sums over all runs.

--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -22,6 +22,7 @@
 #include "mimosastage/jobs/placement.h"
 #include "mimosastage/jobs/pool_balancer.h"
 #include "mimosastage/jobs/start_window.h"
+#include "mimosastage/jobs/team_shares.h"
 #include "mimosastage/jobs/waiting_steps.h"
 #include "mimosastage/jobs/worker_lease.h"
 #include "mimosastage/jobs/worker_order.h"
@@ -118,6 +119,9 @@
     /// A run on a slow worker that has made less progress than this is
     /// restarted elsewhere, at most once for each task.
     std::uint32_t restart_below_percent = 50;
+    /// Orders the work of teams by their shares while a pool is short; see
+    /// docs/design/fair-shares.md.
+    bool fair_shares = false;
   };
 
   struct Hooks {
@@ -332,6 +336,8 @@
     /// The job for whose implicated tasks the worker is kept free of others.
     std::string isolated_job;
     TimePoint next_pace{};
+    /// Shares of the worker's pool; null while the worker isn't indexed.
+    TeamShares* shares = nullptr;
   };
 
   struct OpenOrder {
@@ -368,6 +374,27 @@
     std::vector<const Worker*> sources;
   };
 
+  /// The shares of the teams in a pool; see docs/design/fair-shares.md.
+  struct PoolContention {
+    TeamShares shares;
+    /// Work in time didn't fit at the last placement.
+    bool is_short = false;
+    TimePoint next_report{};
+  };
+
+  /// One placement of the waiting tasks of a pool.
+  struct ShareRound {
+    PoolContention* contention = nullptr;
+    /// The shares if they are in force, otherwise null.
+    TeamShares* shares = nullptr;
+    /// The tasks that are left of steps that were placed in part.
+    std::map<const WaitingStep*, StepDemand> rests;
+    /// Work in time didn't fit.
+    bool is_short = false;
+    /// All steps that may fit were tried.
+    bool is_complete = true;
+  };
+
   /// The content of an open request to the platform; a list request if all
   /// fields are empty.
   struct OpenInstanceRequest {
@@ -587,6 +614,24 @@
   void UpdateCandidate(const PoolWorkers::Member& member,
                        CandidateWorker& candidate, TimePoint now) const;
 
+  // dispatcher_shares.cc: shares of teams while a pool is short.
+  /// Counts a run's resources for its team. `sign` is 1 or -1.
+  static void CountUse(const Session& session, const Run& run,
+                       std::int64_t sign);
+  /// Sets Session::shares, and counts all runs again.
+  void IndexShares();
+  /// Ends the shortage of pools without waiting tasks.
+  void EndShortages();
+  ShareRound BeginShareRound(const std::string& pool,
+                             const std::vector<CandidateWorker>& candidates);
+  /// Places tasks of the step, as many as the share of its team allows.
+  WaitingSteps::Next PlaceInRound(ShareRound& round, const WaitingStep& waiting,
+                                  std::vector<CandidateWorker>& candidates,
+                                  TeamQuota* quota,
+                                  std::vector<Assignment>& assignments,
+                                  std::size_t limit);
+  void EndShareRound(const std::string& pool, ShareRound& round, TimePoint now);
+
   // dispatcher_isolation.cc: tasks that are implicated in a crash.
   /// Places the pool's implicated tasks, each job's apart from other jobs.
   /// Returns how many it has placed.
@@ -721,6 +766,8 @@
   std::uint64_t implicated_version = 0;
   TimePoint next_survivor_check{};
   std::map<std::string, PoolWorkers> pool_workers;
+  /// By pool; empty without Config::fair_shares.
+  std::map<std::string, PoolContention> contentions;
   /// FleetState::WorkersVersion that `pool_workers` reflects; 0 once a session
   /// was added or removed.
   std::uint64_t indexed_workers_version = 0;
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -31,6 +31,7 @@
   session.fillers += step.filler ? 1 : 0;
   session.serving += IsServing(step) ? 1 : 0;
   Add(this->used_by_team[run.request->team], NeedOf(step));
+  CountUse(session, run, 1);
 }
 
 void Dispatcher::SubtractFromSums(Session& session, const Run& run) {
@@ -42,6 +43,7 @@
   session.fillers -= step.filler ? 1 : 0;
   session.serving -= IsServing(step) ? 1 : 0;
   Subtract(this->used_by_team[run.request->team], NeedOf(step));
+  CountUse(session, run, -1);
 }
 
 void Dispatcher::IndexWorkers() {
@@ -64,6 +66,7 @@
           PoolWorkers::Member{&worker, &session->second});
     }
   }
+  this->IndexShares();
 }
 
 WorkerHealth::Eligibility Dispatcher::EligibilityOf(const std::string& worker,
@@ -237,6 +240,7 @@
   if (!this->waiting_sums.empty()) {
     teams = this->TeamQuotas();
   }
+  this->EndShortages();
   std::size_t pools_left = this->waiting_sums.size();
   for (const auto& [pool, sums] : this->waiting_sums) {
     // Each pool gets an equal part of the start window, so that a long queue
@@ -270,12 +274,14 @@
       return;
     }
   }
+  ShareRound round = this->BeginShareRound(pool, workers.candidates);
   std::vector<Assignment> assignments;
-  this->waiting_steps.Visit(pool, [&](const WaitingStep& waiting) {
+  const auto place = [&](const WaitingStep& waiting) {
     if (waiting.advised && waiting.demand.approved == nullptr) {
       return WaitingSteps::Next::kContinue;
     }
     if (assignments.size() >= limit) {
+      round.is_complete = false;
       return WaitingSteps::Next::kStop;
     }
     const auto team = teams.find(waiting.demand.team);
@@ -290,17 +296,11 @@
         return WaitingSteps::Next::kContinue;
       }
     }
-    const std::size_t first = assignments.size();
-    const StepPlacement placement =
-        PlaceStep(waiting.demand, workers.candidates, quota, assignments,
-                  limit - assignments.size());
-    for (std::size_t i = first; i < assignments.size(); ++i) {
-      assignments[i].late = waiting.late;
-    }
-    return placement == StepPlacement::kNoRoom
-               ? WaitingSteps::Next::kLeaveOutAlike
-               : WaitingSteps::Next::kContinue;
-  });
+    return this->PlaceInRound(round, waiting, workers.candidates, quota,
+                              assignments, limit - assignments.size());
+  };
+  this->waiting_steps.Visit(pool, place, round.shares);
+  this->EndShareRound(pool, round, now);
   this->StartAssigned(pool, workers.candidates, assignments, now);
 }
 
--- /dev/null
+++ b/src/mimosastage/jobs/dispatcher_shares.cc
@@ -0,0 +1,176 @@
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <set>
+#include <string>
+
+#include "mimosastage/jobs/dispatcher.h"
+#include "mimosastage/jobs/value_bounds.h"
+
+namespace mimosastage::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Steps of up to this many tasks are placed whole by a team within its share,
+/// because the job gains nothing from a part of its step. It bounds by how much
+/// one step can exceed the share. Steps of short jobs have 8 tasks.
+constexpr std::size_t kTasksPlacedWhole = 16;
+/// A pool may become short and cease to be so at every placement.
+constexpr milliseconds kShareReportInterval{1'000};
+/// Weight of work without a team: that of a team whose configuration names
+/// none.
+constexpr double kDefaultWeight = 1;
+
+/// Returns what is left of the step after the assignments from `first` on.
+StepDemand RestOf(const StepDemand& demand,
+                  const std::vector<CandidateWorker>& candidates,
+                  const std::vector<Assignment>& assignments,
+                  std::size_t first) {
+  StepDemand rest = demand;
+  // Tasks are placed in their order.
+  rest.waiting.erase(rest.waiting.begin(),
+                     rest.waiting.begin() + static_cast<std::ptrdiff_t>(
+                                                assignments.size() - first));
+  if (rest.step->most_per_worker > 0) {
+    for (std::size_t i = first; i < assignments.size(); ++i) {
+      ++rest.on_worker[candidates[assignments[i].candidate].id];
+    }
+  }
+  return rest;
+}
+
+}  // namespace
+
+void Dispatcher::CountUse(const Session& session, const Run& run,
+                          std::int64_t sign) {
+  // Long-running tasks are placed first whatever their team uses. If they
+  // counted, the team's other jobs would starve while a service runs.
+  if (session.shares == nullptr || run.step->long_running) {
+    return;
+  }
+  Amount use = Charge(*run.step);
+  use.millicores *= sign;
+  use.memory_mb *= sign;
+  use.accelerators *= sign;
+  session.shares->OnUse(run.request->team, use);
+}
+
+void Dispatcher::IndexShares() {
+  if (!this->config.fair_shares) {
+    return;
+  }
+  for (auto& [pool, contention] : this->contentions) {
+    contention.shares.ClearUses();
+  }
+  std::erase_if(this->contentions, [this](const auto& row) {
+    return !this->pool_workers.contains(row.first);
+  });
+  for (auto& [id, session] : this->sessions) {
+    const auto worker = this->state.Workers().find(id);
+    session.shares = worker == this->state.Workers().end()
+                         ? nullptr
+                         : &this->contentions[worker->second.pool].shares;
+    for (const auto& [key, run] : session.runs) {
+      CountUse(session, run, 1);
+    }
+  }
+}
+
+void Dispatcher::EndShortages() {
+  for (auto& [pool, contention] : this->contentions) {
+    contention.is_short &= this->waiting_sums.contains(pool);
+  }
+}
+
+Dispatcher::ShareRound Dispatcher::BeginShareRound(
+    const std::string& pool, const std::vector<CandidateWorker>& candidates) {
+  ShareRound round;
+  if (!this->config.fair_shares) {
+    return round;
+  }
+  round.contention = &this->contentions[pool];
+  if (!round.contention->is_short) {
+    return round;
+  }
+  round.shares = &round.contention->shares;
+  Amount free;
+  for (const CandidateWorker& candidate : candidates) {
+    // A worker whose capacity has shrunk has less than nothing free.
+    free.millicores += std::max<std::int64_t>(0, candidate.free.millicores);
+    free.memory_mb += std::max<std::int64_t>(0, candidate.free.memory_mb);
+    free.accelerators += std::max<std::int64_t>(0, candidate.free.accelerators);
+  }
+  round.shares->BeginRound(
+      free, this->waiting_steps.TeamsOf(pool), [this](const std::string& name) {
+        const Team* team = this->state.FindTeam(name);
+        return team == nullptr ? kDefaultWeight : team->weight;
+      });
+  return round;
+}
+
+WaitingSteps::Next Dispatcher::PlaceInRound(
+    ShareRound& round, const WaitingStep& waiting,
+    std::vector<CandidateWorker>& candidates, TeamQuota* quota,
+    std::vector<Assignment>& assignments, std::size_t limit) {
+  const Step& step = *waiting.demand.step;
+  const auto rest = round.rests.find(&waiting);
+  const StepDemand& demand =
+      rest == round.rests.end() ? waiting.demand : rest->second;
+  std::size_t most = limit;
+  if (round.shares != nullptr && !step.gang && !step.long_running) {
+    most = std::min(
+        limit, std::max(kTasksPlacedWhole, round.shares->TasksWithinShare(
+                                               demand.team, Charge(step))));
+  }
+  const std::size_t first = assignments.size();
+  const StepPlacement placement =
+      PlaceStep(demand, candidates, quota, assignments, most);
+  const std::size_t placed = assignments.size() - first;
+  for (std::size_t i = first; i < assignments.size(); ++i) {
+    assignments[i].late = waiting.late;
+  }
+  if (round.shares != nullptr && !step.long_running) {
+    Amount use = Charge(step);
+    const auto count = static_cast<std::int64_t>(placed);
+    use.millicores *= count;
+    use.memory_mb *= count;
+    use.accelerators *= count;
+    round.shares->OnAssigned(demand.team, use);
+  }
+  if (placement == StepPlacement::kNoRoom) {
+    const bool own_limit = quota != nullptr && !quota->Admits(NeedOf(step));
+    round.is_short |= !own_limit && !waiting.late && !step.long_running;
+    return WaitingSteps::Next::kLeaveOutAlike;
+  }
+  if (placed == most && most < limit && placed < demand.waiting.size()) {
+    round.rests[&waiting] = RestOf(demand, candidates, assignments, first);
+    return WaitingSteps::Next::kRepeat;
+  }
+  return WaitingSteps::Next::kContinue;
+}
+
+void Dispatcher::EndShareRound(const std::string& pool, ShareRound& round,
+                               TimePoint now) {
+  PoolContention* const contention = round.contention;
+  if (contention == nullptr) {
+    return;
+  }
+  // If the start window ended the placement, it isn't known whether the rest
+  // would have fitted.
+  contention->is_short =
+      round.is_short || (contention->is_short && !round.is_complete);
+  if (round.shares == nullptr) {
+    return;
+  }
+  if (now >= contention->next_report) {
+    contention->next_report = now + kShareReportInterval;
+    this->hooks.report("team_shares_applied", pool,
+                       std::to_string(round.shares->Teams()) + " teams, " +
+                           std::to_string(round.shares->TeamsOverShare()) +
+                           " of them over their share");
+  }
+  round.shares->EndRound();
+}
+
+}  // namespace mimosastage::jobs
--- a/src/mimosastage/jobs/placement.cc
+++ b/src/mimosastage/jobs/placement.cc
@@ -248,7 +248,9 @@
 bool PlacedBefore(const StepUrgency& a, const StepUrgency& b) {
   const auto rank = [](const StepUrgency& step) {
     const bool late = step.slack.count() < 0;
-    return std::make_tuple(!step.long_running, step.priority, late,
+    // Long-running steps come first whatever their team uses.
+    const ShareRank share = step.long_running ? ShareRank{} : step.share;
+    return std::make_tuple(!step.long_running, step.priority, late, share,
                            !late && !step.begun, step.slack);
   };
   return rank(a) < rank(b);
--- a/src/mimosastage/jobs/placement.h
+++ b/src/mimosastage/jobs/placement.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "mimosastage/jobs/records.h"
+#include "mimosastage/jobs/team_shares.h"
 
 namespace mimosastage::jobs {
 
@@ -102,6 +103,9 @@
   std::chrono::milliseconds slack{0};
   /// Duration within which the job should complete, counted from its due time.
   std::chrono::milliseconds objective{0};
+  /// Rank of the step's team while the pool is short; the same for all teams
+  /// otherwise.
+  ShareRank share;
 };
 
 /// True if `a` is placed before `b`. Long-running steps come first, then steps
@@ -109,6 +113,8 @@
 /// meet their objective come first, because a job is worth little once it is
 /// late: begun ones before others, whose work is lost if they become late, then
 /// by ascending slack. Late jobs follow in the order in which they became late.
+/// Among the jobs that can still meet their objective, and among the late ones,
+/// the teams' ranks come before begun and slack.
 bool PlacedBefore(const StepUrgency& a, const StepUrgency& b);
 
 }  // namespace mimosastage::jobs
--- a/src/mimosastage/jobs/waiting_steps.cc
+++ b/src/mimosastage/jobs/waiting_steps.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 #include "mimosastage/jobs/value_bounds.h"
 
@@ -414,8 +415,10 @@
 }
 
 bool WaitingSteps::IsBefore(const Cursor& a, const Cursor& b) const {
-  const StepUrgency urgency = (*a.next)->UrgencyAt(this->wall);
-  const StepUrgency other = (*b.next)->UrgencyAt(this->wall);
+  StepUrgency urgency = (*a.next)->UrgencyAt(this->wall);
+  StepUrgency other = (*b.next)->UrgencyAt(this->wall);
+  urgency.share = a.share;
+  other.share = b.share;
   if (PlacedBefore(urgency, other)) {
     return true;
   }
@@ -423,12 +426,26 @@
          OrderOfJobs(**a.next) < OrderOfJobs(**b.next);
 }
 
+std::set<std::string> WaitingSteps::TeamsOf(const std::string& pool) const {
+  std::set<std::string> teams;
+  if (const auto found = this->pools.find(pool); found != this->pools.end()) {
+    for (const auto& [key, group] : found->second.groups) {
+      teams.insert((*group.begin())->demand.team);
+    }
+  }
+  return teams;
+}
+
 void WaitingSteps::Visit(const std::string& pool, bool advised_only,
-                         const std::function<Next(WaitingStep&)>& visit) {
+                         const std::function<Next(WaitingStep&)>& visit,
+                         const TeamShares* shares) {
   const auto found = this->pools.find(pool);
   if (found == this->pools.end()) {
     return;
   }
+  const auto rank_of = [shares](const WaitingStep& step) {
+    return shares == nullptr ? ShareRank{} : shares->RankOf(step.demand.team);
+  };
   std::vector<Cursor> cursors;
   cursors.reserve(found->second.groups.size());
   for (const auto& [key, group] : found->second.groups) {
@@ -438,7 +455,7 @@
     const auto first_in_time = group.lower_bound(this->wall);
     cursors.push_back(Cursor{
         &group, first_in_time == group.end() ? group.begin() : first_in_time,
-        group.size()});
+        group.size(), rank_of(**group.begin())});
   }
   const auto after = [this](const Cursor& a, const Cursor& b) {
     return this->IsBefore(b, a);
@@ -447,10 +464,23 @@
   while (!cursors.empty()) {
     std::pop_heap(cursors.begin(), cursors.end(), after);
     Cursor& cursor = cursors.back();
+    if (shares != nullptr) {
+      // Ranks only get higher during a visit, so the first cursor whose rank is
+      // up to date is the most urgent one.
+      const ShareRank rank = rank_of(**cursor.next);
+      if (std::exchange(cursor.share, rank) != rank) {
+        std::push_heap(cursors.begin(), cursors.end(), after);
+        continue;
+      }
+    }
     const Next next = visit(**cursor.next);
     if (next == Next::kStop) {
       return;
     }
+    if (next == Next::kRepeat) {
+      std::push_heap(cursors.begin(), cursors.end(), after);
+      continue;
+    }
     --cursor.left;
     if (next == Next::kLeaveOutAlike || cursor.left == 0) {
       cursors.pop_back();
@@ -464,8 +494,9 @@
 }
 
 void WaitingSteps::Visit(const std::string& pool,
-                         const std::function<Next(WaitingStep&)>& visit) {
-  this->Visit(pool, false, visit);
+                         const std::function<Next(WaitingStep&)>& visit,
+                         const TeamShares* shares) {
+  this->Visit(pool, false, visit, shares);
 }
 
 void WaitingSteps::VisitJob(
@@ -484,10 +515,13 @@
 
 void WaitingSteps::VisitAdvised(
     const std::string& pool, const std::function<void(WaitingStep&)>& visit) {
-  this->Visit(pool, true, [&](WaitingStep& step) {
-    visit(step);
-    return Next::kContinue;
-  });
+  this->Visit(
+      pool, true,
+      [&](WaitingStep& step) {
+        visit(step);
+        return Next::kContinue;
+      },
+      nullptr);
 }
 
 }  // namespace mimosastage::jobs
--- a/src/mimosastage/jobs/waiting_steps.h
+++ b/src/mimosastage/jobs/waiting_steps.h
@@ -64,6 +64,8 @@
     /// Leaves out the remaining steps that have the same needs, required label,
     /// team and priority as the visited one.
     kLeaveOutAlike,
+    /// Passes the same step again when it is the most urgent one.
+    kRepeat,
     kStop
   };
 
@@ -88,9 +90,14 @@
   /// Returns how many instances the pool needs because long-running tasks of an
   /// open job limit how many of them run on one worker.
   std::size_t InstancesForAntiAffineTasks(const std::string& pool) const;
-  /// Passes the steps of the pool to `visit`, the most urgent one first.
+  /// Passes the steps of the pool to `visit`, the most urgent one first. With
+  /// `shares`, the ranks of their teams are a part of the urgency; `visit` may
+  /// add to what a team has been assigned.
   void Visit(const std::string& pool,
-             const std::function<Next(WaitingStep&)>& visit);
+             const std::function<Next(WaitingStep&)>& visit,
+             const TeamShares* shares = nullptr);
+  /// Returns the teams that have waiting steps in the pool.
+  std::set<std::string> TeamsOf(const std::string& pool) const;
   /// Passes the waiting steps of one job to `visit` if it belongs to the pool.
   void VisitJob(const std::string& pool, const std::string& job,
                 const std::function<void(const WaitingStep&)>& visit) const;
@@ -131,6 +138,8 @@
     const Group* group = nullptr;
     Group::const_iterator next;
     std::size_t left = 0;
+    /// Rank of the group's team when the cursor was added to the heap.
+    ShareRank share;
   };
 
   struct OpenJob {
@@ -176,7 +185,8 @@
   void MarkLateSteps();
   static GroupKey KeyOf(const WaitingStep& step);
   void Visit(const std::string& pool, bool advised_only,
-             const std::function<Next(WaitingStep&)>& visit);
+             const std::function<Next(WaitingStep&)>& visit,
+             const TeamShares* shares);
   /// True if the cursor's step is placed before that of the other one.
   bool IsBefore(const Cursor& a, const Cursor& b) const;
 
--- a/tests/jobs/placement_differential_test.cc
+++ b/tests/jobs/placement_differential_test.cc
@@ -19,8 +19,9 @@
 constexpr int kRounds = 600;
 
 /// The test places tasks itself, so that it can compare each placement.
-Dispatcher::Config WithoutOwnPlacements() {
+Dispatcher::Config WithoutOwnPlacements(bool fair_shares) {
   Dispatcher::Config config;
+  config.fair_shares = fair_shares;
   config.min_placement_interval = hours(10);
   config.max_placement_interval = hours(10);
   // The naive placement knows no tasks that must run apart.
@@ -31,7 +32,8 @@
 /// A fleet whose jobs, workers, configuration, clock and log change at random.
 class RandomFleet {
  public:
-  explicit RandomFleet(std::uint64_t seed) : random(seed) {
+  RandomFleet(std::uint64_t seed, bool fair_shares)
+      : random(seed), fleet(WithoutOwnPlacements(fair_shares)) {
     this->Configure();
     for (int pool = 0; pool < kPools; ++pool) {
       for (int i = 0; i < kWorkersPerPool; ++i) {
@@ -77,6 +79,14 @@
     ASSERT_EQ(actual.waiting, expected.waiting);
     ASSERT_EQ(peer.Late(), expected.late);
     ASSERT_EQ(peer.AntiAffine(), expected.anti_affine);
+    ASSERT_EQ(peer.ShortPools(), expected.short_pools);
+    if (this->fleet.config.fair_shares) {
+      for (const auto& pool : this->fleet.state.Config().pools) {
+        ASSERT_EQ(peer.UsedMillicores(pool->name),
+                  peer.FindUsedMillicoresNaively(pool->name));
+      }
+      this->short_placements += static_cast<int>(expected.short_pools.size());
+    }
     ASSERT_TRUE(peer.FindMissedVisits(this->fleet.now).empty());
     ASSERT_NO_FATAL_FAILURE(this->CompareQueueLengths());
     this->starts += actual.starts.size();
@@ -89,6 +99,8 @@
   std::size_t starts = 0;
   std::size_t calls = 0;
   int rounds_with_backlog = 0;
+  /// Placements after which the teams' shares were in force.
+  int short_placements = 0;
 
  private:
   void CompareQueueLengths() {
@@ -142,6 +154,7 @@
     for (int i = 0; i < 3; ++i) {
       auto team = std::make_unique<Team>();
       team->name = "team-" + std::to_string(i);
+      team->weight = static_cast<double>((this->version + i) % 4);
       if (i < 2) {
         team->upper_limit = std::make_unique<Amount>();
         team->upper_limit->millicores = 20'000 + this->Pick(40'000);
@@ -190,6 +203,10 @@
     const int sizes[] = {0, 300, 1'000, 1'000, 1'500, 4'000, 9'000};
     Step step = MakeStep(1 + static_cast<std::uint32_t>(this->Pick(8)),
                          sizes[this->Pick(std::size(sizes))]);
+    if (this->fleet.config.fair_shares && this->OneIn(8)) {
+      // More tasks than are placed at once beyond the share of a team.
+      step.tasks = 20 + static_cast<std::uint32_t>(this->Pick(30));
+    }
     step.need->memory_mb = 100 * this->Pick(8);
     step.need->accelerators = this->OneIn(10) ? 1 : 0;
     step.estimate_ms = 100 * static_cast<std::uint64_t>(this->Pick(20));
@@ -365,7 +382,7 @@
   }
 
   std::mt19937_64 random;
-  FakeFleetLeader fleet{WithoutOwnPlacements()};
+  FakeFleetLeader fleet;
   std::uint64_t version = 0;
   std::uint64_t sequence = 1;
   int workers_added = 0;
@@ -382,7 +399,7 @@
 // workers of a pool) has missed a change.
 TEST_P(PlacementDifferentialTest, PlaceTasks_RandomChanges_MatchesNaive) {
   std::cout << "seed " << this->GetParam() << "\n";
-  RandomFleet fleet(this->GetParam());
+  RandomFleet fleet(this->GetParam(), false);
   for (int round = 0; round < kRounds; ++round) {
     SCOPED_TRACE("round " + std::to_string(round));
     ASSERT_NO_FATAL_FAILURE(fleet.RunRound());
@@ -395,6 +412,21 @@
   EXPECT_GT(fleet.rounds_with_backlog, 100);
 }
 
+// Guards against an order by shares that differs from one that ranks all teams
+// again after each step, and against uses of teams that miss a run.
+TEST_P(PlacementDifferentialTest, PlaceTasks_FairShares_MatchesNaive) {
+  std::cout << "seed " << this->GetParam() << "\n";
+  RandomFleet fleet(this->GetParam(), true);
+  for (int round = 0; round < kRounds; ++round) {
+    SCOPED_TRACE("round " + std::to_string(round));
+    ASSERT_NO_FATAL_FAILURE(fleet.RunRound());
+  }
+  std::cout << fleet.starts << " starts, shares in force after "
+            << fleet.short_placements << " placements\n";
+  EXPECT_GT(fleet.starts, 1'000U);
+  EXPECT_GT(fleet.short_placements, 100);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, PlacementDifferentialTest,
                          ::testing::Range<std::uint64_t>(1, 9));
 
--- a/tests/jobs/support/dispatcher_peer.cc
+++ b/tests/jobs/support/dispatcher_peer.cc
@@ -1,6 +1,7 @@
 #include "tests/jobs/support/dispatcher_peer.h"
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 #include <tuple>
 
@@ -98,9 +99,9 @@
         team(team),
         on_worker(demand.on_worker) {}
 
-  std::vector<Assignment> Run() {
+  std::vector<Assignment> Run(std::size_t most) {
     for (const std::uint32_t index : this->demand.waiting) {
-      if (!this->PlaceOne(index)) {
+      if (this->placed.size() == most || !this->PlaceOne(index)) {
         break;
       }
     }
@@ -355,6 +356,19 @@
   std::erase_if(by_pool, [](const auto& row) { return row.second.empty(); });
   std::map<std::string, TeamQuota> teams = this->TeamQuotas();
   std::map<std::string, Dispatcher::Advice> advice = this->dispatcher.advice;
+  const std::set<std::string> short_pools = this->ShortPools();
+  for (const std::string& pool : short_pools) {
+    const auto& sessions = this->dispatcher.sessions;
+    const bool has_workers =
+        std::any_of(sessions.begin(), sessions.end(), [&](const auto& row) {
+          return this->dispatcher.state.Workers().at(row.first).pool == pool;
+        });
+    // Without a placement, it isn't known whether the pool is still short.
+    if (by_pool.contains(pool) && has_workers &&
+        this->CandidateWorkers(pool, now).empty()) {
+      placement.short_pools.insert(pool);
+    }
+  }
   for (auto& [pool, ranked] : by_pool) {
     auto& waiting = placement.waiting[pool];
     auto& late = placement.late[pool];
@@ -374,26 +388,219 @@
     if (candidates.empty()) {
       continue;
     }
+    NaiveShares shares = this->SharesOf(pool, ranked, candidates);
     std::stable_sort(ranked.begin(), ranked.end(),
                      [](const RankedDemand& a, const RankedDemand& b) {
                        return PlacedBefore(a.urgency, b.urgency);
                      });
     this->ApplyAdvice(ranked, candidates, advice, placement, now);
-    for (const RankedDemand& row : ranked) {
-      const auto team = teams.find(row.demand.team);
-      NaiveStepPlacer placer(row.demand, candidates,
-                             team == teams.end() ? nullptr : &team->second);
-      for (const Assignment& assignment : placer.Run()) {
-        placement.starts.push_back(Start{assignment.task,
-                                         this->RunNumber(assignment.task),
-                                         candidates[assignment.candidate].id});
-        add(row, -1);
-      }
+    const auto placed = [&](const RankedDemand& row,
+                            const Assignment& assignment) {
+      placement.starts.push_back(Start{assignment.task,
+                                       this->RunNumber(assignment.task),
+                                       candidates[assignment.candidate].id});
+      add(row, -1);
+    };
+    const bool in_force = short_pools.contains(pool);
+    if (PlaceRanked(ranked, in_force ? &shares : nullptr, candidates, teams,
+                    placed) &&
+        this->dispatcher.config.fair_shares) {
+      placement.short_pools.insert(pool);
     }
   }
   return placement;
 }
 
+ShareRank DispatcherPeer::NaiveShares::RankOf(const std::string& team) const {
+  double total = 0;
+  for (const auto& [name, weight] : this->weights) {
+    total += weight;
+  }
+  const auto part = [](std::int64_t used, std::int64_t capacity) {
+    const double most =
+        static_cast<double>(used) / static_cast<double>(capacity);
+    return used <= 0 ? 0.0 : capacity <= 0 ? 1.0 : most;
+  };
+  const Amount& use = this->used.at(team);
+  const double dominant =
+      std::max({part(use.millicores, this->capacity.millicores),
+                part(use.memory_mb, this->capacity.memory_mb),
+                part(use.accelerators, this->capacity.accelerators)});
+  const double weight = this->weights.at(team);
+  if (weight > 0 && dominant < weight / total) {
+    return ShareRank{};
+  }
+  return ShareRank{true, weight > 0 ? dominant / weight
+                                    : std::numeric_limits<double>::infinity()};
+}
+
+std::size_t DispatcherPeer::NaiveShares::TasksAtOnce(
+    const StepDemand& demand) const {
+  if (demand.step->gang || demand.step->long_running) {
+    return demand.waiting.size();
+  }
+  constexpr std::size_t kPlacedWhole = 16;
+  double total = 0;
+  for (const auto& [name, weight] : this->weights) {
+    total += weight;
+  }
+  if (this->RankOf(demand.team).over_share) {
+    return kPlacedWhole;
+  }
+  const double part = this->weights.at(demand.team) / total;
+  const Amount need = Charge(*demand.step);
+  Amount use = this->used.at(demand.team);
+  std::size_t tasks = 0;
+  const auto exceeds = [part](std::int64_t needed, std::int64_t used,
+                              std::int64_t capacity) {
+    const auto share =
+        static_cast<std::int64_t>(part * static_cast<double>(capacity));
+    return needed > 0 && used > share;
+  };
+  while (tasks < demand.waiting.size()) {
+    Add(use, need);
+    if (exceeds(need.millicores, use.millicores, this->capacity.millicores) ||
+        exceeds(need.memory_mb, use.memory_mb, this->capacity.memory_mb) ||
+        exceeds(need.accelerators, use.accelerators,
+                this->capacity.accelerators)) {
+      break;
+    }
+    ++tasks;
+  }
+  return std::max(tasks, kPlacedWhole);
+}
+
+DispatcherPeer::NaiveShares DispatcherPeer::SharesOf(
+    const std::string& pool, const std::vector<RankedDemand>& waiting,
+    const std::vector<CandidateWorker>& candidates) const {
+  NaiveShares shares;
+  for (const CandidateWorker& candidate : candidates) {
+    shares.capacity.millicores +=
+        std::max<std::int64_t>(0, candidate.free.millicores);
+    shares.capacity.memory_mb +=
+        std::max<std::int64_t>(0, candidate.free.memory_mb);
+    shares.capacity.accelerators +=
+        std::max<std::int64_t>(0, candidate.free.accelerators);
+  }
+  for (const RankedDemand& row : waiting) {
+    shares.used[row.demand.team];
+  }
+  for (const auto& [id, session] : this->dispatcher.sessions) {
+    for (const auto& [key, run] : session.runs) {
+      const Amount charge = Charge(*run.step);
+      if (this->dispatcher.state.Workers().at(id).pool == pool &&
+          !run.step->long_running &&
+          (charge.millicores > 0 || charge.memory_mb > 0 ||
+           charge.accelerators > 0)) {
+        Add(shares.used[run.request->team], charge);
+        Add(shares.capacity, charge);
+      }
+    }
+  }
+  for (const auto& [name, used] : shares.used) {
+    shares.weights[name] = 1;
+    for (const auto& team : this->dispatcher.state.Config().teams) {
+      if (team->name == name) {
+        shares.weights[name] = team->weight;
+      }
+    }
+  }
+  return shares;
+}
+
+bool DispatcherPeer::PlaceRanked(
+    std::vector<RankedDemand>& ranked, NaiveShares* shares,
+    std::vector<CandidateWorker>& candidates,
+    std::map<std::string, TeamQuota>& teams,
+    const std::function<void(const RankedDemand&, const Assignment&)>& placed) {
+  bool is_short = false;
+  while (!ranked.empty()) {
+    auto next = ranked.begin();
+    if (shares != nullptr) {
+      for (RankedDemand& row : ranked) {
+        row.urgency.share = shares->RankOf(row.demand.team);
+      }
+      next = std::min_element(ranked.begin(), ranked.end(),
+                              [](const RankedDemand& a, const RankedDemand& b) {
+                                return PlacedBefore(a.urgency, b.urgency);
+                              });
+    }
+    StepDemand& demand = next->demand;
+    const Step& step = *demand.step;
+    const auto team = teams.find(demand.team);
+    TeamQuota* const quota = team == teams.end() ? nullptr : &team->second;
+    const std::size_t waiting = demand.waiting.size();
+    const std::size_t most =
+        shares == nullptr ? waiting : shares->TasksAtOnce(demand);
+    const auto assignments =
+        NaiveStepPlacer(demand, candidates, quota).Run(most);
+    for (const Assignment& assignment : assignments) {
+      placed(*next, assignment);
+      if (shares != nullptr && !step.long_running) {
+        Add(shares->used.at(demand.team), Charge(step));
+      }
+      ++demand.on_worker[candidates[assignment.candidate].id];
+    }
+    demand.waiting.erase(demand.waiting.begin(),
+                         demand.waiting.begin() +
+                             static_cast<std::ptrdiff_t>(assignments.size()));
+    if (!demand.waiting.empty() && assignments.size() == most) {
+      continue;
+    }
+    const bool own_limit = quota != nullptr && !quota->Admits(*step.need);
+    const bool in_time = next->urgency.slack.count() >= 0;
+    is_short |= !demand.waiting.empty() && in_time && !step.long_running &&
+                !own_limit &&
+                std::none_of(candidates.begin(), candidates.end(),
+                             [&](const CandidateWorker& candidate) {
+                               return Fits(step, candidate.free) &&
+                                      HasLabel(candidate, step.required_label);
+                             });
+    ranked.erase(next);
+  }
+  return is_short;
+}
+
+std::set<std::string> DispatcherPeer::ShortPools() const {
+  std::set<std::string> pools;
+  for (const auto& [pool, contention] : this->dispatcher.contentions) {
+    if (contention.is_short) {
+      pools.insert(pool);
+    }
+  }
+  return pools;
+}
+
+std::map<std::string, std::int64_t> DispatcherPeer::UsedMillicores(
+    const std::string& pool) const {
+  std::map<std::string, std::int64_t> used;
+  const auto contention = this->dispatcher.contentions.find(pool);
+  for (const auto& team : this->dispatcher.state.Config().teams) {
+    used[team->name] =
+        contention == this->dispatcher.contentions.end()
+            ? 0
+            : contention->second.shares.UsedBy(team->name).millicores;
+  }
+  return used;
+}
+
+std::map<std::string, std::int64_t> DispatcherPeer::FindUsedMillicoresNaively(
+    const std::string& pool) const {
+  std::map<std::string, std::int64_t> used;
+  for (const auto& team : this->dispatcher.state.Config().teams) {
+    used[team->name] = 0;
+    for (const auto& [id, session] : this->dispatcher.sessions) {
+      for (const auto& [key, run] : session.runs) {
+        const bool counts =
+            this->dispatcher.state.Workers().at(id).pool == pool &&
+            run.request->team == team->name && !run.step->long_running;
+        used[team->name] += counts ? Charge(*run.step).millicores : 0;
+      }
+    }
+  }
+  return used;
+}
+
 std::map<std::string, std::pair<std::int64_t, std::int64_t>>
 DispatcherPeer::Waiting() const {
   std::map<std::string, std::pair<std::int64_t, std::int64_t>> waiting;
--- a/tests/jobs/support/dispatcher_peer.h
+++ b/tests/jobs/support/dispatcher_peer.h
@@ -2,7 +2,9 @@
 #define MIMOSASTAGE_TESTS_JOBS_SUPPORT_DISPATCHER_PEER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,6 +39,8 @@
     /// Instances that the tasks of each pool need that limit how many of them
     /// run on one worker.
     std::map<std::string, std::size_t> anti_affine;
+    /// The pools in which work in time didn't fit.
+    std::set<std::string> short_pools;
 
     bool operator==(const Placement&) const = default;
   };
@@ -54,6 +58,14 @@
   std::map<std::string, std::pair<std::int64_t, std::int64_t>> Waiting() const;
   std::map<std::string, std::pair<std::int64_t, std::int64_t>> Late() const;
   std::map<std::string, std::size_t> AntiAffine() const;
+  /// The pools in which the teams' shares are in force.
+  std::set<std::string> ShortPools() const;
+  /// What the runs of each team use in the pool, as kept between placements,
+  /// and the same found by visiting all runs.
+  std::map<std::string, std::int64_t> UsedMillicores(
+      const std::string& pool) const;
+  std::map<std::string, std::int64_t> FindUsedMillicoresNaively(
+      const std::string& pool) const;
   /// The workers that an announcement is compared with, and the same found by
   /// visiting all workers.
   std::vector<const Worker*> WorkersLike(const Worker& worker) {
@@ -74,6 +86,28 @@
     bool advised = false;
   };
 
+  /// What decides about the shares of the teams in a pool.
+  struct NaiveShares {
+    Amount capacity;
+    std::map<std::string, Amount> used;
+    std::map<std::string, double> weights;
+
+    ShareRank RankOf(const std::string& team) const;
+    std::size_t TasksAtOnce(const StepDemand& demand) const;
+  };
+
+  NaiveShares SharesOf(const std::string& pool,
+                       const std::vector<RankedDemand>& waiting,
+                       const std::vector<CandidateWorker>& candidates) const;
+  /// Places the steps of a pool in the order of `ranked`, or with `shares` by
+  /// choosing the most urgent step again after each part of a step. Returns
+  /// true if work in time didn't fit.
+  static bool PlaceRanked(std::vector<RankedDemand>& ranked,
+                          NaiveShares* shares,
+                          std::vector<CandidateWorker>& candidates,
+                          std::map<std::string, TeamQuota>& teams,
+                          const std::function<void(const RankedDemand&,
+                                                   const Assignment&)>& placed);
   void AddDemands(const Job& job, const Queue& queue,
                   std::vector<RankedDemand>& demands) const;
   static StepUrgency UrgencyOf(const Job& job, const Queue& queue,
--- a/tests/jobs/support/fake_fleet_leader.cc
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -40,9 +40,10 @@
 }
 
 void FakeFleetLeader::AddTeam(const std::string& team,
-                              std::int64_t most_millicores) {
+                              std::int64_t most_millicores, double weight) {
   auto row = std::make_unique<Team>();
   row->name = team;
+  row->weight = weight;
   row->keys.push_back("key-" + team);
   row->upper_limit = std::make_unique<Amount>();
   row->upper_limit->millicores = most_millicores;
--- a/tests/jobs/support/fake_fleet_leader.h
+++ b/tests/jobs/support/fake_fleet_leader.h
@@ -44,7 +44,9 @@
   /// Adds a pool and its queue "queue-POOL". Must precede BeginTerm.
   void AddPool(const std::string& pool, bool standby = false,
                bool advised = false);
-  void AddTeam(const std::string& team, std::int64_t most_millicores);
+  /// Adds a team; a limit of 0 means none.
+  void AddTeam(const std::string& team, std::int64_t most_millicores,
+               double weight = 1);
   FakeWorker& AddWorker(const std::string& id, const std::string& pool,
                         std::int64_t millicores);
   /// Starts a new term with a new Dispatcher. Pending callbacks and orders are
--- /dev/null
+++ b/tests/jobs/team_shares_test.cc
@@ -0,0 +1,324 @@
+#include "mimosastage/jobs/team_shares.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <cstdint>
+#include <iostream>
+#include <limits>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tests/jobs/support/fake_fleet_leader.h"
+
+namespace mimosastage::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+Amount Cores(std::int64_t cores, std::int64_t memory_mb = 0) {
+  Amount amount;
+  amount.millicores = 1'000 * cores;
+  amount.memory_mb = memory_mb;
+  return amount;
+}
+
+class TeamSharesTest : public ::testing::Test {
+ protected:
+  /// A pool of 100 cores and 1,000 MB in which teams "a", "b" and "c" of the
+  /// given weights have waiting work.
+  void Begin(std::map<std::string, double> weights) {
+    std::set<std::string> waiting;
+    Amount free = Cores(100, 1'000);
+    for (const auto& [team, weight] : weights) {
+      waiting.insert(team);
+      free.millicores -= this->shares.UsedBy(team).millicores;
+      free.memory_mb -= this->shares.UsedBy(team).memory_mb;
+    }
+    this->shares.BeginRound(free, waiting, [&](const std::string& team) {
+      return weights.at(team);
+    });
+  }
+
+  TeamShares shares;
+};
+
+// Guards against weights that don't decide how a short pool is divided.
+TEST_F(TeamSharesTest, RankOf_WeightsDiffer_SharesFollowThem) {
+  this->shares.OnUse("a", Cores(30));
+  this->shares.OnUse("b", Cores(30));
+  this->Begin({{"a", 3}, {"b", 1}});
+  EXPECT_FALSE(this->shares.RankOf("a").over_share);
+  EXPECT_TRUE(this->shares.RankOf("b").over_share);
+  EXPECT_EQ(this->shares.ShareOf("a").millicores, 75'000);
+  EXPECT_EQ(this->shares.TasksWithinShare("a", Cores(4)), 11U);
+  EXPECT_EQ(this->shares.TasksWithinShare("b", Cores(4)), 0U);
+}
+
+// Guards against a team that holds little CPU but most of the memory and
+// counts as one within its share.
+TEST_F(TeamSharesTest, RankOf_MemoryIsDominant_CountsMemory) {
+  this->shares.OnUse("a", Cores(1, 600));
+  this->shares.OnUse("b", Cores(40, 100));
+  this->Begin({{"a", 1}, {"b", 1}});
+  EXPECT_TRUE(this->shares.RankOf("a").over_share);
+  EXPECT_FALSE(this->shares.RankOf("b").over_share);
+}
+
+// Guards against capacity beyond the shares that goes to whoever has most.
+TEST_F(TeamSharesTest, RankOf_TwoTeamsOverShare_LowerUseByWeightComesFirst) {
+  this->shares.OnUse("a", Cores(50));
+  this->shares.OnUse("b", Cores(35));
+  this->Begin({{"a", 1}, {"b", 1}, {"c", 2}});
+  EXPECT_LT(this->shares.RankOf("c"), this->shares.RankOf("b"));
+  EXPECT_LT(this->shares.RankOf("b"), this->shares.RankOf("a"));
+}
+
+// Guards against a placement that gives a team its share several times because
+// the work that it has just placed doesn't count.
+TEST_F(TeamSharesTest, OnAssigned_ShareIsReached_RankRisesUntilTheEnd) {
+  this->Begin({{"a", 1}, {"b", 1}});
+  EXPECT_FALSE(this->shares.RankOf("a").over_share);
+  this->shares.OnAssigned("a", Cores(50));
+  EXPECT_TRUE(this->shares.RankOf("a").over_share);
+  this->shares.EndRound();
+  EXPECT_FALSE(this->shares.RankOf("a").over_share);
+}
+
+// Guards against shares that are kept for teams without any work, so that the
+// others count as over their share while the pool is idle.
+TEST_F(TeamSharesTest, BeginRound_TeamHasNoWorkAnyMore_OthersGetItsShare) {
+  this->shares.OnUse("c", Cores(10));
+  this->Begin({{"a", 1}, {"b", 1}, {"c", 2}});
+  EXPECT_EQ(this->shares.ShareOf("a").millicores, 25'000);
+  this->shares.OnUse("c", Cores(-10));
+  this->Begin({{"a", 1}, {"b", 1}});
+  EXPECT_EQ(this->shares.ShareOf("a").millicores, 50'000);
+  EXPECT_EQ(this->shares.Teams(), 2U);
+}
+
+// Guards against weights that make a rank undefined or a sum infinite: the
+// platform sends them.
+TEST_F(TeamSharesTest, BeginRound_OddWeights_EntitleToNothing) {
+  const double infinite = std::numeric_limits<double>::infinity();
+  this->Begin(
+      {{"a", -1}, {"b", std::nan("")}, {"c", 0}, {"d", infinite}, {"e", 1}});
+  for (const char* team : {"a", "b", "c"}) {
+    EXPECT_TRUE(this->shares.RankOf(team).over_share) << team;
+    EXPECT_EQ(this->shares.RankOf(team), this->shares.RankOf("c")) << team;
+  }
+  EXPECT_FALSE(this->shares.RankOf("d").over_share);
+  EXPECT_FALSE(this->shares.RankOf("e").over_share);
+}
+
+// Guards against ranks computed with a capacity of nothing, as after the loss
+// of all workers of a pool.
+TEST_F(TeamSharesTest, BeginRound_NoCapacity_UsersAreOverTheirShare) {
+  this->shares.OnUse("a", Cores(4));
+  this->shares.BeginRound(Cores(-4), {"a", "b"},
+                          [](const std::string&) { return 1.0; });
+  EXPECT_TRUE(this->shares.RankOf("a").over_share);
+  EXPECT_FALSE(this->shares.RankOf("b").over_share);
+}
+
+/// Three teams of equal weight whose jobs arrive faster than one pool can run
+/// them.
+class FairSharesTest : public ::testing::Test {
+ protected:
+  static constexpr int kWorkers = 12;
+  static constexpr std::int64_t kMillicoresOfWorker = 16'000;
+  static constexpr milliseconds kTaskDuration{500};
+  /// The fake queue allows twice the chain and 600 ms.
+  static constexpr milliseconds kObjective{1'600};
+  static constexpr milliseconds kLength{6'000};
+
+  struct Load {
+    std::string team;
+    double jobs_per_second = 0;
+    std::uint32_t tasks = 4;
+    std::int64_t millicores = 4'000;
+  };
+
+  struct Served {
+    int submitted = 0;
+    int in_time = 0;
+  };
+
+  static Dispatcher::Config WithShares(bool fair_shares) {
+    Dispatcher::Config config;
+    config.fair_shares = fair_shares;
+    return config;
+  }
+
+  /// Runs the load, and counts the jobs that are completed in time.
+  static std::map<std::string, Served> Serve(FakeFleetLeader& fleet,
+                                             const std::vector<Load>& loads) {
+    struct Submitted {
+      std::string team;
+      TimePoint at;
+      bool counted = false;
+    };
+    std::map<std::string, Submitted> jobs;
+    std::map<std::string, Served> served;
+    const milliseconds tick(10);
+    for (milliseconds at(0); at < kLength + kObjective; at += tick) {
+      for (const Load& load : loads) {
+        Served& team = served[load.team];
+        while (at < kLength &&
+               team.submitted * 1'000.0 <
+                   static_cast<double>(at.count()) * load.jobs_per_second) {
+          const std::string id =
+              load.team + "-" + std::to_string(team.submitted++);
+          Step step = MakeStep(load.tasks, load.millicores);
+          step.estimate_ms = kTaskDuration.count();
+          std::vector<Step> steps;
+          steps.push_back(std::move(step));
+          fleet.Submit(id, "render", std::move(steps), load.team);
+          jobs[id] = Submitted{load.team, fleet.now};
+        }
+      }
+      fleet.Advance(tick);
+      EndRunsAfter(fleet, kTaskDuration);
+      for (auto& [id, job] : jobs) {
+        if (!job.counted && fleet.now - job.at <= kObjective &&
+            fleet.JobOf(id).phase == JobPhase::kCompleted) {
+          job.counted = true;
+          ++served[job.team].in_time;
+        }
+      }
+    }
+    return served;
+  }
+
+  static void EndRunsAfter(FakeFleetLeader& fleet, milliseconds duration) {
+    const auto now =
+        std::chrono::duration_cast<milliseconds>(fleet.now.time_since_epoch());
+    for (auto& [id, worker] : fleet.workers) {
+      std::vector<TaskId> due;
+      for (const auto& [key, began] : worker.running) {
+        if (now.count() - began >= duration.count()) {
+          due.push_back(key.first);
+        }
+      }
+      for (const TaskId& task : due) {
+        fleet.EndRun(id, task, RunOutcome::kDone);
+      }
+    }
+  }
+
+  static void SetUpFleet(FakeFleetLeader& fleet) {
+    fleet.AddPool("render");
+    for (const char* team : {"one", "two", "three"}) {
+      fleet.AddTeam(team, 0);
+    }
+    for (int i = 0; i < kWorkers; ++i) {
+      fleet.AddWorker("worker-" + std::to_string(i), "render",
+                      kMillicoresOfWorker);
+    }
+    fleet.BeginTerm();
+    fleet.Advance(milliseconds(50));
+  }
+};
+
+// Guards against a team that sends six times its usual load and takes the room
+// of teams that send no more than their share: the pool runs 24 jobs a second,
+// 8 for each team.
+TEST_F(FairSharesTest, OneTeamAtSixTimesItsLoad_OthersAreServedInTime) {
+  const std::vector<Load> loads = {{"one", 36}, {"two", 6}, {"three", 6}};
+  FakeFleetLeader fleet(WithShares(true));
+  SetUpFleet(fleet);
+  const auto served = Serve(fleet, loads);
+  EXPECT_GE(served.at("two").in_time, 0.95 * served.at("two").submitted);
+  EXPECT_GE(served.at("three").in_time, 0.95 * served.at("three").submitted);
+  // The rest of the pool isn't left idle: 12 jobs a second for 6 s.
+  EXPECT_GE(served.at("one").in_time, 0.75 * 12 * 6);
+  EXPECT_GT(fleet.reports["team_shares_applied"], 0);
+
+  FakeFleetLeader former(WithShares(false));
+  SetUpFleet(former);
+  const auto before = Serve(former, loads);
+  std::cout << "others in time: " << served.at("two").in_time << " and "
+            << served.at("three").in_time << " of "
+            << served.at("two").submitted << " each with shares, "
+            << before.at("two").in_time << " and " << before.at("three").in_time
+            << " without; the team with the peak " << served.at("one").in_time
+            << " and " << before.at("one").in_time << "\n";
+  EXPECT_EQ(former.reports["team_shares_applied"], 0);
+}
+
+// Guards against an order by shares in a pool that isn't short.
+TEST_F(FairSharesTest, PoolIsNotShort_FormerOrderApplies) {
+  FakeFleetLeader fleet(WithShares(true));
+  SetUpFleet(fleet);
+  const auto served = Serve(fleet, {{"one", 14}, {"two", 2}, {"three", 2}});
+  for (const auto& [team, jobs] : served) {
+    EXPECT_EQ(jobs.in_time, jobs.submitted) << team;
+  }
+  EXPECT_EQ(fleet.reports["team_shares_applied"], 0);
+}
+
+// Guards against a step with many tasks that takes the whole pool at once,
+// because a team within its share places steps whole.
+TEST_F(FairSharesTest, TeamWithFewLargeJobs_TakesNoMoreThanItsShare) {
+  FakeFleetLeader fleet(WithShares(true));
+  SetUpFleet(fleet);
+  const auto served =
+      Serve(fleet, {{"one", 1, 200, 4'000}, {"two", 7}, {"three", 7}});
+  EXPECT_GE(served.at("two").in_time, 0.9 * served.at("two").submitted);
+  EXPECT_GE(served.at("three").in_time, 0.9 * served.at("three").submitted);
+}
+
+// Guards against the long-running tasks of a team that count as use of its
+// share, so that its short jobs starve for as long as the service runs.
+TEST_F(FairSharesTest, TeamRunsService_ItsShortJobsKeepTheirShare) {
+  FakeFleetLeader fleet(WithShares(true));
+  SetUpFleet(fleet);
+  Step service = MakeStep(kWorkers, 8'000);
+  service.long_running = true;
+  service.estimate_ms = 3'600'000;
+  std::vector<Step> steps;
+  steps.push_back(std::move(service));
+  fleet.Submit("service", "render", std::move(steps), "two");
+  fleet.Advance(milliseconds(100));
+  // Half of the pool is left, 12 jobs a second.
+  std::map<std::string, int> ended;
+  for (int round = 0; round < 30; ++round) {
+    for (const char* team : {"one", "two"}) {
+      for (int i = 0; i < 4; ++i) {
+        Step step = MakeStep(4, 4'000);
+        step.estimate_ms = 500;
+        std::vector<Step> short_step;
+        short_step.push_back(std::move(step));
+        fleet.Submit(
+            std::string(team) + std::to_string(round) + "-" + std::to_string(i),
+            "render", std::move(short_step), team);
+      }
+    }
+    for (int tick = 0; tick < 20; ++tick) {
+      fleet.Advance(milliseconds(10));
+      const auto now = std::chrono::duration_cast<milliseconds>(
+          fleet.now.time_since_epoch());
+      for (auto& [id, worker] : fleet.workers) {
+        std::vector<TaskId> due;
+        for (const auto& [key, began] : worker.running) {
+          if (key.first.job != "service" && now.count() - began >= 500) {
+            due.push_back(key.first);
+          }
+        }
+        for (const TaskId& task : due) {
+          ++ended[fleet.JobOf(task.job).request->team];
+          fleet.EndRun(id, task, RunOutcome::kDone);
+        }
+      }
+    }
+  }
+  EXPECT_GE(ended["two"], 0.45 * (ended["one"] + ended["two"]));
+}
+
+}  // namespace
+}  // namespace mimosastage::jobs
