Refuse jobs that can't start in time behind their own team's backlog

Callers saw: a team that sends six times its usual load has its jobs accepted although the share of its pool can't start them in time; each then costs its whole work and is worth a fourteenth.

While a pool is short, a job is refused with 429 team_over_share if its team is over its share, has submitted more than its weight in jobs a second, and has more waiting work than the job's slack allows at what the team holds. Retry-After is the expected wait less the slack, at most 10 s.

The waiting work of each team is a sum that is kept with the steps; the differential test compares it with one over all jobs.

--- a/src/mimosastage/jobs/call_handler.cc
+++ b/src/mimosastage/jobs/call_handler.cc
@@ -214,6 +214,12 @@
       this->RefuseJob(id, "leader_overloaded", *delay, reply);
       return;
     }
+    if (const auto delay = this->dispatcher.ShareDelay(
+            *call.job, team == nullptr ? "" : team->name, queue);
+        delay.has_value()) {
+      this->RefuseJob(id, "team_over_share", *delay, reply);
+      return;
+    }
   } else if (this->PostponesChange(reply)) {
     return;
   }
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -162,6 +162,13 @@
   /// early enough to meet its objective.
   std::optional<std::chrono::milliseconds> OverloadDelay(
       const JobRequest& request, const Queue& queue, TimePoint now) const;
+  /// Returns nullopt if the job can be accepted. Otherwise its pool is short,
+  /// its team is over its share and has more waiting work than the job could
+  /// wait for, and the result is the time after which the job could start early
+  /// enough to meet its objective.
+  std::optional<std::chrono::milliseconds> ShareDelay(const JobRequest& request,
+                                                      const std::string& team,
+                                                      const Queue& queue) const;
   /// Must be called when a job has been accepted.
   void OnAccepted(const JobRequest& request);
   void Tick(TimePoint now);
@@ -620,6 +627,12 @@
                        std::int64_t sign);
   /// Sets Session::shares, and counts all runs again.
   void IndexShares();
+  double WeightOf(const std::string& team) const;
+  /// Expected time until the waiting work of the team that is in time has
+  /// started; nullopt if it isn't known.
+  std::optional<std::chrono::milliseconds> ExpectedShareWait(
+      const std::string& pool, const TeamShares& shares,
+      const std::string& team) const;
   /// Ends the shortage of pools without waiting tasks.
   void EndShortages();
   ShareRound BeginShareRound(const std::string& pool,
@@ -768,6 +781,7 @@
   std::map<std::string, PoolWorkers> pool_workers;
   /// By pool; empty without Config::fair_shares.
   std::map<std::string, PoolContention> contentions;
+  OwedJobs owed_jobs;
   /// FleetState::WorkersVersion that `pool_workers` reflects; 0 once a session
   /// was added or removed.
   std::uint64_t indexed_workers_version = 0;
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -178,6 +178,10 @@
 
 void Dispatcher::OnAccepted(const JobRequest& request) {
   this->admission.OnAccepted(TasksOf(request));
+  if (this->config.fair_shares) {
+    this->owed_jobs.OnAccepted(request.team, this->WeightOf(request.team),
+                               this->hooks.wall_time());
+  }
 }
 
 void Dispatcher::ReportLoads(TimePoint now) {
--- a/src/mimosastage/jobs/dispatcher_shares.cc
+++ b/src/mimosastage/jobs/dispatcher_shares.cc
@@ -1,8 +1,9 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
-#include <set>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "mimosastage/jobs/dispatcher.h"
 #include "mimosastage/jobs/value_bounds.h"
@@ -18,6 +19,9 @@
 constexpr std::size_t kTasksPlacedWhole = 16;
 /// A pool may become short and cease to be so at every placement.
 constexpr milliseconds kShareReportInterval{1'000};
+/// Bound on the expected wait, and so on Retry-After. A peak of a queue lasts
+/// 4.5 s, and a client that waits for longer could have been served.
+constexpr milliseconds kMaxExpectedWait{10'000};
 /// Weight of work without a team: that of a team whose configuration names
 /// none.
 constexpr double kDefaultWeight = 1;
@@ -66,6 +70,9 @@
   std::erase_if(this->contentions, [this](const auto& row) {
     return !this->pool_workers.contains(row.first);
   });
+  this->owed_jobs.Retain([this](const std::string& team) {
+    return team.empty() || this->state.FindTeam(team) != nullptr;
+  });
   for (auto& [id, session] : this->sessions) {
     const auto worker = this->state.Workers().find(id);
     session.shares = worker == this->state.Workers().end()
@@ -102,13 +109,66 @@
     free.accelerators += std::max<std::int64_t>(0, candidate.free.accelerators);
   }
   round.shares->BeginRound(
-      free, this->waiting_steps.TeamsOf(pool), [this](const std::string& name) {
-        const Team* team = this->state.FindTeam(name);
-        return team == nullptr ? kDefaultWeight : team->weight;
-      });
+      free, this->waiting_steps.TeamsOf(pool),
+      [this](const std::string& team) { return this->WeightOf(team); });
   return round;
 }
 
+double Dispatcher::WeightOf(const std::string& team) const {
+  const Team* known = this->state.FindTeam(team);
+  return known == nullptr ? kDefaultWeight : known->weight;
+}
+
+std::optional<milliseconds> Dispatcher::ExpectedShareWait(
+    const std::string& pool, const TeamShares& shares,
+    const std::string& team) const {
+  const WaitingSteps::Backlog backlog =
+      this->waiting_steps.BacklogOf(pool, team);
+  // The team goes on using what others leave of their shares.
+  const Amount share = shares.ShareOf(team);
+  const Amount used = shares.UsedBy(team);
+  double wait_ms = 0;
+  for (const auto& [work, rate] :
+       {std::pair(backlog.millicore_ms,
+                  std::max(share.millicores, used.millicores)),
+        std::pair(backlog.memory_mb_ms,
+                  std::max(share.memory_mb, used.memory_mb))}) {
+    if (work > 0 && rate <= 0) {
+      return std::nullopt;
+    }
+    if (work > 0) {
+      wait_ms = std::max(wait_ms, work / static_cast<double>(rate));
+    }
+  }
+  return milliseconds(static_cast<std::int64_t>(
+      std::min(wait_ms, static_cast<double>(kMaxExpectedWait.count()))));
+}
+
+std::optional<milliseconds> Dispatcher::ShareDelay(const JobRequest& request,
+                                                   const std::string& team,
+                                                   const Queue& queue) const {
+  const auto contention = this->contentions.find(queue.pool);
+  if (contention == this->contentions.end() || !contention->second.is_short) {
+    return std::nullopt;
+  }
+  const TeamShares& shares = contention->second.shares;
+  const bool lasts =
+      std::any_of(request.steps.begin(), request.steps.end(),
+                  [](const auto& step) { return step->long_running; });
+  if (lasts || request.occurrences > 0 || !shares.RankOf(team).over_share ||
+      this->owed_jobs.IsOwed(team, this->WeightOf(team),
+                             this->hooks.wall_time())) {
+    return std::nullopt;
+  }
+  const auto wait = this->ExpectedShareWait(queue.pool, shares, team);
+  const milliseconds chain = LongestChain(request);
+  const milliseconds slack = ObjectiveOf(chain, queue) - chain;
+  if (!wait.has_value() || *wait <= slack) {
+    return std::nullopt;
+  }
+  return *wait - slack;
+}
+
 WaitingSteps::Next Dispatcher::PlaceInRound(
     ShareRound& round, const WaitingStep& waiting,
     std::vector<CandidateWorker>& candidates, TeamQuota* quota,
--- a/src/mimosastage/jobs/team_shares.cc
+++ b/src/mimosastage/jobs/team_shares.cc
@@ -10,6 +10,8 @@
 namespace mimosastage::jobs {
 namespace {
 
+using std::chrono::milliseconds;
+
 /// Bound on weights, so that sums of them are finite.
 constexpr double kMaxTeamWeight = 1e12;
 
@@ -171,4 +173,35 @@
       }));
 }
 
+double OwedJobs::OwedTo(const std::string& team, double weight,
+                        milliseconds wall) const {
+  const double rate = BoundedWeight(weight);
+  // A weight below 1 is owed one job now and then.
+  const double most = rate > 0 ? std::max(1.0, rate) : 0;
+  const auto found = this->balances.find(team);
+  if (found == this->balances.end()) {
+    return most;
+  }
+  // The clock may be set back.
+  const auto elapsed = std::max(milliseconds(0), wall - found->second.at);
+  return std::min(most, found->second.jobs +
+                            rate * static_cast<double>(elapsed.count()) / 1e3);
+}
+
+void OwedJobs::OnAccepted(const std::string& team, double weight,
+                          milliseconds wall) {
+  const double owed = this->OwedTo(team, weight, wall);
+  this->balances[team] = Balance{std::max(0.0, owed - 1), wall};
+}
+
+bool OwedJobs::IsOwed(const std::string& team, double weight,
+                      milliseconds wall) const {
+  return this->OwedTo(team, weight, wall) >= 1;
+}
+
+void OwedJobs::Retain(const std::function<bool(const std::string&)>& is_known) {
+  std::erase_if(this->balances,
+                [&](const auto& row) { return !is_known(row.first); });
+}
+
 }  // namespace mimosastage::jobs
--- a/src/mimosastage/jobs/team_shares.h
+++ b/src/mimosastage/jobs/team_shares.h
@@ -1,6 +1,7 @@
 #ifndef MIMOSASTAGE_JOBS_TEAM_SHARES_H_
 #define MIMOSASTAGE_JOBS_TEAM_SHARES_H_
 
+#include <chrono>
 #include <compare>
 #include <cstddef>
 #include <functional>
@@ -84,6 +85,32 @@
   double total_weight = 0;
 };
 
+/// Counts the jobs that teams submit, to tell which of them are owed: a team is
+/// owed `weight` jobs a second, with a burst of one second.
+class OwedJobs {
+ public:
+  /// Records a job that was accepted at the given wall time.
+  void OnAccepted(const std::string& team, double weight,
+                  std::chrono::milliseconds wall);
+  /// True if a job that the team submits now is owed to it.
+  bool IsOwed(const std::string& team, double weight,
+              std::chrono::milliseconds wall) const;
+  /// Forgets the teams for which `is_known` is false.
+  void Retain(const std::function<bool(const std::string&)>& is_known);
+
+ private:
+  struct Balance {
+    /// Jobs that are owed, as of `at`.
+    double jobs = 0;
+    std::chrono::milliseconds at{0};
+  };
+
+  double OwedTo(const std::string& team, double weight,
+                std::chrono::milliseconds wall) const;
+
+  std::map<std::string, Balance> balances;
+};
+
 }  // namespace mimosastage::jobs
 
 #endif  // MIMOSASTAGE_JOBS_TEAM_SHARES_H_
--- a/src/mimosastage/jobs/waiting_steps.cc
+++ b/src/mimosastage/jobs/waiting_steps.cc
@@ -372,6 +372,38 @@
     pool.sums.late_millicores += count * charge.millicores;
     pool.sums.late_memory_mb += count * charge.memory_mb;
   }
+  AddToBacklog(pool, step, sign);
+}
+
+void WaitingSteps::AddToBacklog(PoolSteps& pool, const WaitingStep& step,
+                                std::int64_t sign) {
+  if (step.late || step.demand.step->long_running) {
+    return;
+  }
+  Backlog& backlog = pool.backlogs[step.demand.team];
+  backlog.steps += static_cast<std::size_t>(sign);
+  if (backlog.steps == 0) {
+    // Also removes the rounding errors of the sums.
+    pool.backlogs.erase(step.demand.team);
+    return;
+  }
+  const Amount charge = Charge(*step.demand.step);
+  const double task_ms =
+      static_cast<double>(sign) *
+      static_cast<double>(step.demand.waiting.size()) *
+      static_cast<double>(BoundedTime(step.demand.step->estimate_ms).count());
+  backlog.millicore_ms += task_ms * static_cast<double>(charge.millicores);
+  backlog.memory_mb_ms += task_ms * static_cast<double>(charge.memory_mb);
+}
+
+WaitingSteps::Backlog WaitingSteps::BacklogOf(const std::string& pool,
+                                              const std::string& team) const {
+  const auto steps = this->pools.find(pool);
+  if (steps == this->pools.end()) {
+    return Backlog();
+  }
+  const auto found = steps->second.backlogs.find(team);
+  return found == steps->second.backlogs.end() ? Backlog() : found->second;
 }
 
 void WaitingSteps::MarkLateSteps() {
--- a/src/mimosastage/jobs/waiting_steps.h
+++ b/src/mimosastage/jobs/waiting_steps.h
@@ -78,6 +78,14 @@
     std::int64_t late_memory_mb = 0;
   };
 
+  /// Work of a team's waiting steps that can still be in time and aren't
+  /// long-running: resources times estimated run time.
+  struct Backlog {
+    std::size_t steps = 0;
+    double millicore_ms = 0;
+    double memory_mb_ms = 0;
+  };
+
   /// `state` must outlive the object.
   explicit WaitingSteps(const FleetState& state) : state(state) {}
 
@@ -96,6 +104,7 @@
   void Visit(const std::string& pool,
              const std::function<Next(WaitingStep&)>& visit,
              const TeamShares* shares = nullptr);
+  Backlog BacklogOf(const std::string& pool, const std::string& team) const;
   /// Returns the teams that have waiting steps in the pool.
   std::set<std::string> TeamsOf(const std::string& pool) const;
   /// Passes the waiting steps of one job to `visit` if it belongs to the pool.
@@ -128,6 +137,8 @@
     /// The steps that aren't late and may become so.
     Group in_time;
     Sums sums;
+    /// By team, without teams that have no such steps.
+    std::map<std::string, Backlog> backlogs;
     /// Number of open jobs by OpenJob::anti_affine_instances, without 0.
     std::map<std::size_t, std::size_t> anti_affine_jobs;
   };
@@ -181,6 +192,8 @@
   static void RemoveFromGroup(PoolSteps& pool, WaitingStep& step);
   static void AddToSums(PoolSteps& pool, const WaitingStep& step,
                         std::int64_t sign);
+  static void AddToBacklog(PoolSteps& pool, const WaitingStep& step,
+                           std::int64_t sign);
   /// Marks the steps that have become late.
   void MarkLateSteps();
   static GroupKey KeyOf(const WaitingStep& step);
--- a/tests/jobs/placement_differential_test.cc
+++ b/tests/jobs/placement_differential_test.cc
@@ -80,6 +80,7 @@
     ASSERT_EQ(peer.Late(), expected.late);
     ASSERT_EQ(peer.AntiAffine(), expected.anti_affine);
     ASSERT_EQ(peer.ShortPools(), expected.short_pools);
+    ASSERT_EQ(peer.Backlogs(expected.backlogs), expected.backlogs);
     if (this->fleet.config.fair_shares) {
       for (const auto& pool : this->fleet.state.Config().pools) {
         ASSERT_EQ(peer.UsedMillicores(pool->name),
--- a/tests/jobs/support/dispatcher_peer.cc
+++ b/tests/jobs/support/dispatcher_peer.cc
@@ -383,6 +383,14 @@
     };
     for (const RankedDemand& row : ranked) {
       add(row, static_cast<std::int64_t>(row.demand.waiting.size()));
+      const bool counts =
+          row.urgency.slack.count() >= 0 && !row.urgency.long_running;
+      const Step& step = *row.demand.step;
+      placement.backlogs[{pool, row.demand.team}] +=
+          counts ? static_cast<double>(Charge(step).millicores) *
+                       static_cast<double>(step.estimate_ms) *
+                       static_cast<double>(row.demand.waiting.size())
+                 : 0.0;
     }
     std::vector<CandidateWorker> candidates = this->CandidateWorkers(pool, now);
     if (candidates.empty()) {
@@ -571,6 +579,17 @@
   return pools;
 }
 
+std::map<std::pair<std::string, std::string>, double> DispatcherPeer::Backlogs(
+    const std::map<std::pair<std::string, std::string>, double>& rows) const {
+  std::map<std::pair<std::string, std::string>, double> backlogs;
+  for (const auto& [key, expected] : rows) {
+    backlogs[key] =
+        this->dispatcher.waiting_steps.BacklogOf(key.first, key.second)
+            .millicore_ms;
+  }
+  return backlogs;
+}
+
 std::map<std::string, std::int64_t> DispatcherPeer::UsedMillicores(
     const std::string& pool) const {
   std::map<std::string, std::int64_t> used;
--- a/tests/jobs/support/dispatcher_peer.h
+++ b/tests/jobs/support/dispatcher_peer.h
@@ -41,6 +41,9 @@
     std::map<std::string, std::size_t> anti_affine;
     /// The pools in which work in time didn't fit.
     std::set<std::string> short_pools;
+    /// Millicores times estimated run time of the steps that can be in time, by
+    /// pool and team, before the placement.
+    std::map<std::pair<std::string, std::string>, double> backlogs;
 
     bool operator==(const Placement&) const = default;
   };
@@ -60,6 +63,10 @@
   std::map<std::string, std::size_t> AntiAffine() const;
   /// The pools in which the teams' shares are in force.
   std::set<std::string> ShortPools() const;
+  /// Placement::backlogs, as kept between placements, of the pools and teams
+  /// that `rows` names.
+  std::map<std::pair<std::string, std::string>, double> Backlogs(
+      const std::map<std::pair<std::string, std::string>, double>& rows) const;
   /// What the runs of each team use in the pool, as kept between placements,
   /// and the same found by visiting all runs.
   std::map<std::string, std::int64_t> UsedMillicores(
--- a/tests/jobs/team_shares_test.cc
+++ b/tests/jobs/team_shares_test.cc
@@ -6,14 +6,17 @@
 #include <chrono>
 #include <cmath>
 #include <cstdint>
+#include <functional>
 #include <iostream>
 #include <limits>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "mimosastage/jobs/call_handler.h"
 #include "tests/jobs/support/fake_fleet_leader.h"
 
 namespace mimosastage::jobs {
@@ -126,6 +129,52 @@
   EXPECT_FALSE(this->shares.RankOf("b").over_share);
 }
 
+// Guards against a team that is refused jobs although it sends no more than
+// what is owed to it.
+TEST(OwedJobsTest, IsOwed_RateIsTheWeight_AllAre) {
+  OwedJobs owed;
+  for (int job = 0; job < 100; ++job) {
+    const milliseconds wall(1'000 + job * 250);
+    EXPECT_TRUE(owed.IsOwed("a", 4, wall));
+    owed.OnAccepted("a", 4, wall);
+  }
+}
+
+// Guards against a peak that counts as owed.
+TEST(OwedJobsTest, IsOwed_SixTimesTheWeight_OnlyTheWeightIs) {
+  OwedJobs owed;
+  int owed_jobs = 0;
+  for (int job = 0; job < 24 * 10; ++job) {
+    const milliseconds wall(1'000 + job * 1'000 / 24);
+    owed_jobs += owed.IsOwed("a", 4, wall) ? 1 : 0;
+    owed.OnAccepted("a", 4, wall);
+  }
+  EXPECT_LE(owed_jobs, 4 * 11);
+}
+
+// Guards against a clock that is set back and makes all jobs of a team owed, or
+// none.
+TEST(OwedJobsTest, IsOwed_ClockIsSetBack_BalanceStays) {
+  OwedJobs owed;
+  for (int job = 0; job < 4; ++job) {
+    owed.OnAccepted("a", 4, milliseconds(10'000));
+  }
+  EXPECT_FALSE(owed.IsOwed("a", 4, milliseconds(5'000)));
+  owed.OnAccepted("a", 4, milliseconds(5'000));
+  EXPECT_TRUE(owed.IsOwed("a", 4, milliseconds(6'000)));
+}
+
+// Guards against weights below one job a second that are owed none, and against
+// a weight of 0 that is owed one.
+TEST(OwedJobsTest, IsOwed_SmallWeights_OnlyZeroIsOwedNothing) {
+  OwedJobs owed;
+  EXPECT_TRUE(owed.IsOwed("a", 0.25, milliseconds(0)));
+  owed.OnAccepted("a", 0.25, milliseconds(0));
+  EXPECT_FALSE(owed.IsOwed("a", 0.25, milliseconds(3'000)));
+  EXPECT_TRUE(owed.IsOwed("a", 0.25, milliseconds(4'000)));
+  EXPECT_FALSE(owed.IsOwed("b", 0, milliseconds(0)));
+}
+
 /// Three teams of equal weight whose jobs arrive faster than one pool can run
 /// them.
 class FairSharesTest : public ::testing::Test {
@@ -147,6 +196,7 @@
   struct Served {
     int submitted = 0;
     int in_time = 0;
+    int refused = 0;
   };
 
   static Dispatcher::Config WithShares(bool fair_shares) {
@@ -155,9 +205,11 @@
     return config;
   }
 
-  /// Runs the load, and counts the jobs that are completed in time.
+  /// Runs the load, and counts the jobs that are completed in time. With
+  /// `refuses`, jobs are refused as the leader demands.
   static std::map<std::string, Served> Serve(FakeFleetLeader& fleet,
-                                             const std::vector<Load>& loads) {
+                                             const std::vector<Load>& loads,
+                                             bool refuses = false) {
     struct Submitted {
       std::string team;
       TimePoint at;
@@ -176,6 +228,16 @@
               load.team + "-" + std::to_string(team.submitted++);
           Step step = MakeStep(load.tasks, load.millicores);
           step.estimate_ms = kTaskDuration.count();
+          JobRequest request;
+          request.team = load.team;
+          request.steps.push_back(std::make_unique<Step>(step));
+          const auto queue = fleet.state.Queues().FindByName("queue-render");
+          if (refuses &&
+              fleet.dispatcher->ShareDelay(request, load.team, *queue)) {
+            ++team.refused;
+            continue;
+          }
+          fleet.dispatcher->OnAccepted(request);
           std::vector<Step> steps;
           steps.push_back(std::move(step));
           fleet.Submit(id, "render", std::move(steps), load.team);
@@ -214,7 +276,8 @@
   static void SetUpFleet(FakeFleetLeader& fleet) {
     fleet.AddPool("render");
     for (const char* team : {"one", "two", "three"}) {
-      fleet.AddTeam(team, 0);
+      // The pool runs 24 jobs a second.
+      fleet.AddTeam(team, 0, 8);
     }
     for (int i = 0; i < kWorkers; ++i) {
       fleet.AddWorker("worker-" + std::to_string(i), "render",
@@ -251,6 +314,90 @@
   EXPECT_EQ(former.reports["team_shares_applied"], 0);
 }
 
+// Guards against the refusal of jobs of teams within their share, and against
+// accepted jobs that can't be in time because of their own team's backlog.
+TEST_F(FairSharesTest, Refusal_OneTeamAtSixTimesItsLoad_OnlyItsJobsAreRefused) {
+  const std::vector<Load> loads = {{"one", 48}, {"two", 8}, {"three", 8}};
+  FakeFleetLeader fleet(WithShares(true));
+  SetUpFleet(fleet);
+  const auto served = Serve(fleet, loads, true);
+  for (const char* team : {"two", "three"}) {
+    EXPECT_EQ(served.at(team).refused, 0) << team;
+    EXPECT_GE(served.at(team).in_time, 0.95 * served.at(team).submitted);
+  }
+  const Served& one = served.at("one");
+  std::cout << one.refused << " of " << one.submitted << " refused, "
+            << one.in_time << " in time\n";
+  EXPECT_GT(one.refused, 0);
+  // What is owed to it, 8 jobs a second for 6 s, is accepted.
+  EXPECT_GE(one.submitted - one.refused, 8 * 6);
+  EXPECT_GE(one.in_time, 0.75 * 8 * 6);
+}
+
+// Guards against refusals without the flag.
+TEST_F(FairSharesTest, Refusal_SharesAreOff_NoneIsRefused) {
+  FakeFleetLeader fleet(WithShares(false));
+  SetUpFleet(fleet);
+  const auto served =
+      Serve(fleet, {{"one", 48}, {"two", 8}, {"three", 8}}, true);
+  for (const auto& [team, jobs] : served) {
+    EXPECT_EQ(jobs.refused, 0) << team;
+  }
+}
+
+// Guards against a refused job that is stored, a refusal without Retry-After,
+// and a repeated submission of an accepted job that is refused.
+TEST_F(FairSharesTest, Submit_TeamOverItsShare_IsRefusedAndNotStored) {
+  FakeFleetLeader fleet(WithShares(true));
+  SetUpFleet(fleet);
+  FleetState committed;
+  committed.Restore(fleet.state.Snapshot());
+  std::map<std::string, int> refusals;
+  CallHandler::Hooks hooks;
+  hooks.propose = [&](const Command& command,
+                      const std::function<void(TimePoint)>& done) {
+    fleet.state.Apply(command);
+    committed.Apply(command);
+    if (done) {
+      done(fleet.now);
+    }
+  };
+  hooks.wall_time = [&] { return fleet.wall; };
+  hooks.report = [](const char*, const std::string&, const std::string&) {};
+  hooks.count_refusal = [&](const char* reason) { ++refusals[reason]; };
+  hooks.log_is_full = [] { return false; };
+  CallHandler handler(std::move(hooks), fleet.state, committed,
+                      *fleet.dispatcher);
+  Answer answer;
+  const auto submit = [&](const std::string& team, const std::string& id) {
+    Call call;
+    call.kind = static_cast<std::uint8_t>(CallKind::kSubmit);
+    call.host = "host";
+    call.path = "/render/" + id;
+    call.key = "key-" + team;
+    call.job = std::make_unique<JobRequest>();
+    call.job->steps.push_back(std::make_unique<Step>(MakeStep(4, 4'000)));
+    handler.Handle(call, fleet.now,
+                   [&](Answer next) { answer = std::move(next); });
+    return static_cast<CallOutcome>(answer.outcome);
+  };
+  ASSERT_EQ(submit("two", "first"), CallOutcome::kOk);
+  // The pool has room for 12 such jobs at once.
+  for (int i = 0; i < 60; ++i) {
+    ASSERT_EQ(submit("one", "burst-" + std::to_string(i)), CallOutcome::kOk);
+  }
+  fleet.Advance(milliseconds(200));
+  // The team is owed 8 jobs a second, so one again after 125 ms.
+  EXPECT_EQ(submit("one", "owed"), CallOutcome::kOk);
+  EXPECT_EQ(submit("one", "refused"), CallOutcome::kOverloaded);
+  EXPECT_EQ(answer.text, "team_over_share");
+  EXPECT_GT(answer.retry_after_ms, 0U);
+  EXPECT_EQ(refusals["team_over_share"], 1);
+  EXPECT_EQ(fleet.state.FindJob("refused"), nullptr);
+  EXPECT_EQ(submit("one", "burst-59"), CallOutcome::kOk);
+  EXPECT_EQ(submit("two", "second"), CallOutcome::kOk);
+}
+
 // Guards against an order by shares in a pool that isn't short.
 TEST_F(FairSharesTest, PoolIsNotShort_FormerOrderApplies) {
   FakeFleetLeader fleet(WithShares(true));
