Stop late or less urgent runs for work that can be in time

Callers saw: a late run, whose answer is worth a fourteenth, keeps its room while a job that could be in time waits for it and becomes late.

Members of gangs, long-running tasks, tasks that have run before, and runs that are as urgent aren't stopped.

Also tests of the order by cases, of a lowered upper limit and of a new leader, and the cost of shares in dispatcher_bench.

--- a/bench/dispatcher_bench.cc
+++ b/bench/dispatcher_bench.cc
@@ -21,6 +21,9 @@
 ABSL_FLAG(int, seconds, 20, "simulated duration");
 ABSL_FLAG(int, task_ms, 800, "duration of a task");
 ABSL_FLAG(int, backlog, 0, "number of tasks that wait at any time");
+ABSL_FLAG(int, teams, 0, "number of teams that submit jobs in turn");
+ABSL_FLAG(bool, fair_shares, false, "order by the shares of teams");
+ABSL_FLAG(bool, preempt, false, "stop late runs for urgent work");
 
 namespace {
 
@@ -88,7 +91,14 @@
   const int seconds = absl::GetFlag(FLAGS_seconds);
   const int backlog = absl::GetFlag(FLAGS_backlog);
   const milliseconds task_length(absl::GetFlag(FLAGS_task_ms));
-  FakeFleetLeader fleet;
+  const int teams = absl::GetFlag(FLAGS_teams);
+  mimosastage::jobs::Dispatcher::Config config;
+  config.fair_shares = absl::GetFlag(FLAGS_fair_shares);
+  config.preempt = absl::GetFlag(FLAGS_preempt);
+  FakeFleetLeader fleet(config);
+  for (int team = 0; team < teams; ++team) {
+    fleet.AddTeam("team-" + std::to_string(team), 0);
+  }
   fleet.delay_hold_answers = true;
   for (int pool = 0; pool < kPools; ++pool) {
     fleet.AddPool("pool-" + std::to_string(pool));
@@ -102,8 +112,10 @@
   std::mt19937_64 random(1);
   int jobs = 0;
   const auto submit = [&] {
+    const std::string team =
+        teams == 0 ? "" : "team-" + std::to_string(jobs % teams);
     fleet.Submit("job-" + std::to_string(jobs++),
-                 "pool-" + std::to_string(random() % kPools), TwoSteps());
+                 "pool-" + std::to_string(random() % kPools), TwoSteps(), team);
   };
   const auto waiting = [&] {
     return jobs * kTasksPerJob - static_cast<int>(fleet.starts.size());
--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -713,6 +713,10 @@
     run.ready = !run.step->long_running || task.percent >= 100;
     run.load = task.load;
     run.percent = task.percent;
+    if (this->config.preempt && run.checkpoint != task.checkpoint) {
+      run.checkpoint = task.checkpoint;
+      run.checkpointed_after = order.sent;
+    }
     if (run.stage == RunStage::kStarting) {
       run.stage = RunStage::kRunning;
       run.confirmed = now;
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -21,6 +21,7 @@
 #include "mimosastage/jobs/fleet_state.h"
 #include "mimosastage/jobs/placement.h"
 #include "mimosastage/jobs/pool_balancer.h"
+#include "mimosastage/jobs/preemption.h"
 #include "mimosastage/jobs/start_window.h"
 #include "mimosastage/jobs/team_shares.h"
 #include "mimosastage/jobs/waiting_steps.h"
@@ -122,6 +123,9 @@
     /// Orders the work of teams by their shares while a pool is short; see
     /// docs/design/fair-shares.md.
     bool fair_shares = false;
+    /// Stops less urgent or late runs for work that can be in time; see
+    /// docs/design/fair-shares.md.
+    bool preempt = false;
   };
 
   struct Hooks {
@@ -239,6 +243,10 @@
     std::uint32_t percent = 0;
     std::int64_t load = 0;
     std::uint32_t pace = 100;
+    /// The latest checkpoint that the worker has listed, and a time after which
+    /// the run has made it.
+    std::string checkpoint;
+    std::optional<TimePoint> checkpointed_after;
     /// The job couldn't meet its objective any more when the run was placed.
     bool late = false;
 
@@ -389,6 +397,18 @@
     TimePoint next_report{};
   };
 
+  /// Urgent tasks of a step that didn't fit.
+  struct BlockedStep {
+    const WaitingStep* waiting = nullptr;
+    std::vector<std::uint32_t> tasks;
+  };
+
+  /// The runs that were stopped for urgent work of a pool.
+  struct OpenPreemption {
+    std::string worker;
+    std::vector<RunKey> runs;
+  };
+
   /// One placement of the waiting tasks of a pool.
   struct ShareRound {
     PoolContention* contention = nullptr;
@@ -400,6 +420,8 @@
     bool is_short = false;
     /// All steps that may fit were tried.
     bool is_complete = true;
+    /// Only with Config::preempt.
+    std::vector<BlockedStep> blocked;
   };
 
   /// The content of an open request to the platform; a list request if all
@@ -645,6 +667,23 @@
                                   std::size_t limit);
   void EndShareRound(const std::string& pool, ShareRound& round, TimePoint now);
 
+  // dispatcher_preemption.cc
+  /// Notes the step if other runs may be stopped for its unplaced tasks.
+  /// `unplaced` are the last of its waiting tasks.
+  void NoteBlocked(ShareRound& round, const WaitingStep& waiting,
+                   std::size_t unplaced) const;
+  /// Stops runs on one worker of the pool for a step that the round has noted.
+  void Preempt(const std::string& pool, const ShareRound& round,
+               const std::vector<CandidateWorker>& candidates, TimePoint now);
+  bool PreemptFor(const std::string& pool, const BlockedStep& blocked,
+                  const std::vector<CandidateWorker>& candidates,
+                  TimePoint now);
+  /// True if the run may be stopped for the step.
+  bool MayPreempt(const RunKey& key, const Run& run,
+                  const WaitingStep& waiting) const;
+  /// False once all runs of the pool's latest preemption have ended.
+  bool IsPreempting(const std::string& pool);
+
   // dispatcher_isolation.cc: tasks that are implicated in a crash.
   /// Places the pool's implicated tasks, each job's apart from other jobs.
   /// Returns how many it has placed.
@@ -782,6 +821,11 @@
   /// By pool; empty without Config::fair_shares.
   std::map<std::string, PoolContention> contentions;
   OwedJobs owed_jobs;
+  /// Stops for the work of each team, and of runs of each team.
+  PreemptionLimiter preemptions_for;
+  PreemptionLimiter preemptions_of;
+  /// By pool.
+  std::map<std::string, OpenPreemption> open_preemptions;
   /// FleetState::WorkersVersion that `pool_workers` reflects; 0 once a session
   /// was added or removed.
   std::uint64_t indexed_workers_version = 0;
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -304,6 +304,7 @@
                               assignments, limit - assignments.size());
   };
   this->waiting_steps.Visit(pool, place, round.shares);
+  this->Preempt(pool, round, workers.candidates, now);
   this->EndShareRound(pool, round, now);
   this->StartAssigned(pool, workers.candidates, assignments, now);
 }
--- a/src/mimosastage/jobs/dispatcher_shares.cc
+++ b/src/mimosastage/jobs/dispatcher_shares.cc
@@ -201,6 +201,9 @@
   if (placement == StepPlacement::kNoRoom) {
     const bool own_limit = quota != nullptr && !quota->Admits(NeedOf(step));
     round.is_short |= !own_limit && !waiting.late && !step.long_running;
+    if (this->config.preempt && !own_limit) {
+      this->NoteBlocked(round, waiting, demand.waiting.size() - placed);
+    }
     return WaitingSteps::Next::kLeaveOutAlike;
   }
   if (placed == most && most < limit && placed < demand.waiting.size()) {
--- a/tests/jobs/team_shares_test.cc
+++ b/tests/jobs/team_shares_test.cc
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "mimosastage/jobs/call_handler.h"
+#include "mimosastage/jobs/placement.h"
 #include "tests/jobs/support/fake_fleet_leader.h"
 
 namespace mimosastage::jobs {
@@ -129,6 +130,50 @@
   EXPECT_FALSE(this->shares.RankOf("b").over_share);
 }
 
+// Guards against an order that differs from the table of cases in
+// docs/design/fair-shares.md.
+TEST(PlacedBeforeTest, Shares_AllCases_FollowTheTable) {
+  const ShareRank within;
+  const ShareRank over{true, 0.2};
+  const ShareRank far_over{true, 0.9};
+  const auto step = [](ShareRank share, int slack_ms, std::int32_t priority = 0,
+                       bool begun = false, bool long_running = false) {
+    StepUrgency urgency;
+    urgency.share = share;
+    urgency.slack = milliseconds(slack_ms);
+    urgency.priority = priority;
+    urgency.begun = begun;
+    urgency.long_running = long_running;
+    return urgency;
+  };
+  const std::vector<StepUrgency> ordered = {
+      // Long-running steps, whatever their team uses.
+      step(far_over, 900, 0, false, true),
+      step(within, 1'000, 0, false, true),
+      // In time within the share: begun, then by slack.
+      step(within, 800, 0, true),
+      step(within, 100),
+      step(within, 200),
+      // In time over the share: the team with the lower use first.
+      step(over, 700, 0, true),
+      step(over, 600),
+      step(far_over, 0, 0, true),
+      // Late within the share, then over it.
+      step(within, -200),
+      step(within, -100),
+      step(over, -100),
+      step(far_over, -900),
+      // A queue of lower priority.
+      step(within, 0, 1, true),
+      step(far_over, -900, 1),
+  };
+  for (std::size_t i = 0; i < ordered.size(); ++i) {
+    for (std::size_t k = 0; k < ordered.size(); ++k) {
+      EXPECT_EQ(PlacedBefore(ordered[i], ordered[k]), i < k) << i << " " << k;
+    }
+  }
+}
+
 // Guards against a team that is refused jobs although it sends no more than
 // what is owed to it.
 TEST(OwedJobsTest, IsOwed_RateIsTheWeight_AllAre) {
@@ -409,6 +454,82 @@
   EXPECT_EQ(fleet.reports["team_shares_applied"], 0);
 }
 
+// Guards against a team whose own upper limit makes a pool count as short, and
+// against starts of a team that runs more than its lowered limit.
+TEST_F(FairSharesTest, UpperLimitIsLowered_TeamWaitsAndPoolIsNotShort) {
+  FakeFleetLeader fleet(WithShares(true));
+  SetUpFleet(fleet);
+  const auto submit = [&](const std::string& team, const std::string& id) {
+    Step step = MakeStep(4, 4'000);
+    step.estimate_ms = 5'000;
+    std::vector<Step> steps;
+    steps.push_back(std::move(step));
+    fleet.Submit(id, "render", std::move(steps), team);
+  };
+  for (int i = 0; i < 6; ++i) {
+    submit("one", "one-" + std::to_string(i));
+  }
+  fleet.Advance(milliseconds(200));
+  ASSERT_EQ(fleet.RunningTasks(), 24U);
+  Command command;
+  command.configuration = std::make_unique<Configuration>(fleet.state.Config());
+  ++command.configuration->version;
+  for (auto& team : command.configuration->teams) {
+    if (team->name == "one") {
+      team->upper_limit->millicores = 32'000;
+    }
+  }
+  fleet.state.Apply(command);
+  fleet.dispatcher->OnChange("", fleet.now);
+  for (int i = 6; i < 9; ++i) {
+    submit("one", "one-" + std::to_string(i));
+    submit("two", "two-" + std::to_string(i));
+  }
+  fleet.Advance(milliseconds(300));
+  // The 24 tasks of "one" from before, and 12 of "two".
+  EXPECT_EQ(fleet.RunningTasks(), 36U);
+  EXPECT_EQ(fleet.reports["team_shares_applied"], 0);
+}
+
+// Guards against a new leader that takes all teams to be within their share
+// because it counts only the runs that it has started itself.
+TEST_F(FairSharesTest, NewLeader_CountsTheRunsThatItAdopts) {
+  FakeFleetLeader fleet(WithShares(true));
+  SetUpFleet(fleet);
+  const auto submit = [&](const std::string& team, const std::string& id) {
+    Step step = MakeStep(4, 4'000);
+    step.estimate_ms = 5'000;
+    std::vector<Step> steps;
+    steps.push_back(std::move(step));
+    fleet.Submit(id, "render", std::move(steps), team);
+  };
+  // 10 of the 12 jobs for which the pool has room.
+  for (int i = 0; i < 10; ++i) {
+    submit("one", "one-" + std::to_string(i));
+  }
+  fleet.Advance(milliseconds(200));
+  fleet.BeginTerm();
+  fleet.Advance(milliseconds(200));
+  ASSERT_EQ(fleet.RunningTasks(), 40U);
+  // Each placement fills the pool; the first one finds that it is short.
+  submit("one", "more-0");
+  submit("one", "more-1");
+  submit("one", "more-2");
+  fleet.Advance(milliseconds(200));
+  ASSERT_EQ(fleet.RunningTasks(), 48U);
+  submit("two", "two");
+  for (std::uint32_t index = 0; index < 4; ++index) {
+    const TaskId task{"one-0", 0, 0, index};
+    for (const std::string& worker : fleet.WorkersOf(task)) {
+      fleet.EndRun(worker, task, RunOutcome::kDone);
+    }
+  }
+  fleet.Advance(milliseconds(200));
+  // "more-2" has less slack, but its team holds the whole pool.
+  EXPECT_EQ(fleet.WorkersOf(TaskId{"two", 0, 0, 0}).size(), 1U);
+  EXPECT_TRUE(fleet.WorkersOf(TaskId{"more-2", 0, 0, 0}).empty());
+}
+
 // Guards against a step with many tasks that takes the whole pool at once,
 // because a team within its share places steps whole.
 TEST_F(FairSharesTest, TeamWithFewLargeJobs_TakesNoMoreThanItsShare) {
