Test preemption by priority and checkpoint, and refusals within the share

Guards against mutations that the tests let pass: stops of long-running tasks of lower-priority queues, of runs in time and of more urgent late runs, and refusals of teams within their share.

--- a/tests/jobs/preemption_test.cc
+++ b/tests/jobs/preemption_test.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -188,6 +189,7 @@
   Submit(fleet, "urgent", MakeStep(1, 8'000));
   fleet.Advance(milliseconds(1'500));
   EXPECT_TRUE(Runs(fleet, "late"));
+  EXPECT_EQ(fleet.reports["run_preempted"], 0);
 }
 
 // Guards against a stop that discards more work than it saves.
@@ -197,6 +199,7 @@
   Submit(fleet, "urgent", MakeStep(1, 1'000));
   fleet.Advance(milliseconds(1'500));
   EXPECT_TRUE(Runs(fleet, "late"));
+  EXPECT_EQ(fleet.reports["run_preempted"], 0);
 }
 
 // Guards against the stop of one member, which ends its whole gang.
@@ -208,6 +211,7 @@
   Submit(fleet, "urgent", MakeStep(1, 8'000));
   fleet.Advance(milliseconds(1'500));
   EXPECT_TRUE(Runs(fleet, "late"));
+  EXPECT_EQ(fleet.reports["run_preempted"], 0);
 }
 
 // Guards against short jobs that stop a service.
@@ -220,6 +224,7 @@
   Submit(fleet, "urgent", MakeStep(1, 8'000));
   fleet.Advance(milliseconds(1'500));
   EXPECT_TRUE(Runs(fleet, "late"));
+  EXPECT_EQ(fleet.reports["run_preempted"], 0);
 }
 
 // Guards against the stop of a run whose work isn't late and as urgent.
@@ -235,6 +240,106 @@
   Submit(fleet, "urgent", MakeStep(1, 8'000));
   fleet.Advance(milliseconds(1'500));
   EXPECT_TRUE(Runs(fleet, "in-time"));
+  EXPECT_EQ(fleet.reports["run_preempted"], 0);
+}
+
+/// A worker whose pool has the queues "queue-render" of priority 0 and
+/// "queue-low" of priority 1.
+class PreemptionByPriorityTest : public PreemptionTest {
+ protected:
+  PreemptionByPriorityTest() : fleet(WithPreemption(true)) {
+    this->fleet.AddPool("render");
+    this->fleet.AddWorker("worker", "render", 8'000);
+    this->fleet.BeginTerm();
+    Command command;
+    command.configuration =
+        std::make_unique<Configuration>(this->fleet.state.Config());
+    ++command.configuration->version;
+    auto low = std::make_unique<Queue>(*command.configuration->queues.front());
+    low->name = "queue-low";
+    low->path_prefix = "/low/";
+    low->priority = 1;
+    command.configuration->queues.push_back(std::move(low));
+    this->fleet.state.Apply(command);
+    this->fleet.Advance(milliseconds(50));
+  }
+
+  void SubmitLow(const std::string& job, Step step) {
+    std::vector<Step> steps;
+    steps.push_back(std::move(step));
+    this->fleet.Submit(job, "low", std::move(steps));
+  }
+
+  FakeFleetLeader fleet;
+};
+
+// Guards against a run of a queue of lower priority that makes a job late which
+// could be in time.
+TEST_F(PreemptionByPriorityTest, RunHasLowerPriority_IsStopped) {
+  this->SubmitLow("low", MakeStep(1, 2'000));
+  this->fleet.Advance(milliseconds(100));
+  ASSERT_TRUE(Runs(this->fleet, "low"));
+  Submit(this->fleet, "urgent", MakeStep(1, 8'000));
+  this->fleet.Advance(milliseconds(1'150));
+  EXPECT_TRUE(Runs(this->fleet, "urgent"));
+  EXPECT_EQ(this->fleet.reports["run_preempted"], 1);
+}
+
+// Guards against short jobs that stop a service of a queue of lower priority,
+// even one that may miss a task.
+TEST_F(PreemptionByPriorityTest, ServiceHasLowerPriority_GoesOn) {
+  Step service = MakeStep(1, 2'000);
+  service.long_running = true;
+  service.may_miss = 1;
+  this->SubmitLow("service", std::move(service));
+  this->fleet.Advance(milliseconds(100));
+  ASSERT_TRUE(Runs(this->fleet, "service"));
+  Submit(this->fleet, "urgent", MakeStep(1, 8'000));
+  this->fleet.Advance(milliseconds(1'500));
+  EXPECT_TRUE(Runs(this->fleet, "service"));
+  EXPECT_EQ(this->fleet.reports["run_preempted"], 0);
+}
+
+// Guards against work of a queue of lower priority that stops a late run of a
+// queue of higher priority.
+TEST_F(PreemptionByPriorityTest, LateRunHasHigherPriority_GoesOn) {
+  Submit(this->fleet, "first", MakeStep(1, 8'000));
+  this->fleet.Advance(milliseconds(100));
+  Submit(this->fleet, "late", MakeStep(1, 2'000));
+  this->fleet.Advance(milliseconds(3'000));
+  End(this->fleet, "first");
+  this->fleet.Advance(milliseconds(100));
+  ASSERT_TRUE(Runs(this->fleet, "late"));
+  this->SubmitLow("low", MakeStep(1, 8'000));
+  this->fleet.Advance(milliseconds(1'500));
+  EXPECT_TRUE(Runs(this->fleet, "late"));
+  EXPECT_EQ(this->fleet.reports["run_preempted"], 0);
+}
+
+// Guards against a stop that discards a long run without a checkpoint.
+TEST_F(PreemptionByPriorityTest, RunIsLong_GoesOn) {
+  this->SubmitLow("low", MakeStep(1, 4'000));
+  this->fleet.Advance(milliseconds(3'000));
+  Submit(this->fleet, "urgent", MakeStep(1, 8'000));
+  this->fleet.Advance(milliseconds(1'500));
+  EXPECT_TRUE(Runs(this->fleet, "low"));
+  EXPECT_EQ(this->fleet.reports["run_preempted"], 0);
+}
+
+// Guards against a checkpoint that doesn't count: only the work since then is
+// lost.
+TEST_F(PreemptionByPriorityTest, RunIsLongAndHasCheckpoint_IsStopped) {
+  this->SubmitLow("low", MakeStep(1, 4'000));
+  this->fleet.Advance(milliseconds(3'000));
+  this->fleet.change_reply = [](const WorkerOrder&, WorkerReply& reply) {
+    for (RunningTask& task : reply.running) {
+      task.checkpoint = "checkpoint";
+    }
+  };
+  Submit(this->fleet, "urgent", MakeStep(1, 8'000));
+  this->fleet.Advance(milliseconds(1'150));
+  EXPECT_TRUE(Runs(this->fleet, "urgent"));
+  EXPECT_EQ(this->fleet.reports["run_preempted"], 1);
 }
 
 }  // namespace
--- a/tests/jobs/team_shares_test.cc
+++ b/tests/jobs/team_shares_test.cc
@@ -379,6 +379,36 @@
   EXPECT_GE(one.in_time, 0.75 * 8 * 6);
 }
 
+// Guards against the refusal of jobs of a team that holds less than its share,
+// however much of its work waits: here for workers with a label.
+TEST_F(FairSharesTest, Refusal_TeamIsWithinItsShare_IsNotRefused) {
+  FakeFleetLeader fleet(WithShares(true));
+  SetUpFleet(fleet);
+  JobRequest request;
+  const auto submit = [&](const std::string& team, int number,
+                          const std::string& label) {
+    Step step = MakeStep(4, 4'000);
+    step.required_label = label;
+    request = JobRequest();
+    request.team = team;
+    request.steps.push_back(std::make_unique<Step>(step));
+    fleet.dispatcher->OnAccepted(request);
+    std::vector<Step> steps;
+    steps.push_back(std::move(step));
+    fleet.Submit(team + std::to_string(number), "render", std::move(steps),
+                 team);
+  };
+  for (int i = 0; i < 60; ++i) {
+    submit("one", i, "");
+    submit("two", i, "absent");
+  }
+  // Two placements. The next job is owed to a team after 125 ms.
+  fleet.Advance(milliseconds(120));
+  const auto queue = fleet.state.Queues().FindByName("queue-render");
+  EXPECT_TRUE(fleet.dispatcher->ShareDelay(request, "one", *queue));
+  EXPECT_FALSE(fleet.dispatcher->ShareDelay(request, "two", *queue));
+}
+
 // Guards against refusals without the flag.
 TEST_F(FairSharesTest, Refusal_SharesAreOff_NoneIsRefused) {
   FakeFleetLeader fleet(WithShares(false));
