--- a/tests/jobs/dispatcher_stress_test.cc
+++ b/tests/jobs/dispatcher_stress_test.cc
@@ -150,8 +150,8 @@
     hooks.report = [](const char*, const std::string&, const std::string&) {};
     hooks.count_retry = [](const char*) {};
     this->dispatcher = std::make_unique<Dispatcher>(
-        Dispatcher::Config{}, std::move(hooks), this->state, "leader",
-        ++this->fence, this->now);
+        this->config, std::move(hooks), this->state, "leader", ++this->fence,
+        this->now);
   }
 
   template <class Item>
@@ -416,6 +416,7 @@
   }
 
   std::mt19937_64 random;
+  Dispatcher::Config config;
   FleetState state;
   std::unique_ptr<Dispatcher> dispatcher;
   std::deque<std::function<void(TimePoint)>> effects;
@@ -438,6 +439,14 @@
   this->RunSeeds();
 }
 
+// Guards against the same in the shares of teams, which refer to the sessions
+// of workers, and in the choice of runs that are stopped for urgent work.
+TEST_F(DispatcherStressTest, SharesAndPreemption_LeaderSurvives) {
+  this->config.fair_shares = true;
+  this->config.preempt = true;
+  this->RunSeeds();
+}
+
 // Guards against the same because a worker lists the runs of another one. The
 // leader ended then, and each next leader after it got the same answers.
 TEST_F(DispatcherStressTest, WorkersListRunsOfOthers_LeaderSurvives) {
--- a/tests/jobs/support/worker_schedule.cc
+++ b/tests/jobs/support/worker_schedule.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <iostream>
+#include <string_view>
 
 namespace mimosastage::jobs {
 namespace {
@@ -163,12 +164,16 @@
   hooks.report = [this](const char* event, const std::string& id,
                         const std::string& detail) {
     this->Trace(std::string("  ") + event + " " + id + " " + detail);
+    this->preemptions += std::string_view(event) == "run_preempted" ? 1 : 0;
   };
   hooks.count_retry = [](const char*) {};
   this->Trace("term " + std::to_string(this->terms) + " begins");
+  Dispatcher::Config config;
+  config.fair_shares = this->faults.shares_and_preemption;
+  config.preempt = this->faults.shares_and_preemption;
   this->term->dispatcher = std::make_unique<Dispatcher>(
-      Dispatcher::Config{}, std::move(hooks), this->term->working, "leader",
-      this->terms, this->now);
+      config, std::move(hooks), this->term->working, "leader", this->terms,
+      this->now);
   for (auto& [id, job] : this->jobs) {
     job.next_call = this->now;
   }
--- a/tests/jobs/support/worker_schedule.h
+++ b/tests/jobs/support/worker_schedule.h
@@ -53,6 +53,8 @@
     /// Waves of upkeep, moves between pools, and a platform that is slow or
     /// doesn't answer.
     bool platform_acts = false;
+    /// The leader applies shares of teams and stops runs for urgent work.
+    bool shares_and_preemption = false;
   };
 
   explicit WorkerSchedule(std::uint64_t seed);
@@ -63,6 +65,8 @@
 
   const RunRules& Rules() const { return this->rules; }
   std::size_t Terms() const { return this->terms; }
+  /// How many runs were stopped for urgent work.
+  std::size_t Preemptions() const { return this->preemptions; }
 
  private:
   struct Term {
@@ -182,6 +186,7 @@
   std::deque<Entry> entries;
   std::unique_ptr<Term> term;
   std::size_t terms = 0;
+  std::size_t preemptions = 0;
   TimePoint next_term{};
   TimePoint paused_until{};
   TimePoint log_stalled_until{};
--- a/tests/jobs/worker_schedules_test.cc
+++ b/tests/jobs/worker_schedules_test.cc
@@ -50,6 +50,7 @@
     const std::lock_guard lock(this->mutex);
     this->starts += schedule.Rules().Starts();
     this->terms += schedule.Terms();
+    this->preemptions += schedule.Preemptions();
     if (!failure.empty()) {
       this->failures.push_back("seed " + std::to_string(seed) + ": " + failure);
     }
@@ -72,6 +73,7 @@
   std::vector<std::string> failures;
   std::uint64_t starts = 0;
   std::uint64_t terms = 0;
+  std::uint64_t preemptions = 0;
 };
 
 // Guards against starts beyond a worker's room, two runs of one task, repeated
@@ -157,5 +159,23 @@
       60);
 }
 
+// The same while runs are stopped for urgent work: guards against a stopped run
+// whose task runs twice, loses an attempt or is never started again.
+TEST_F(WorkerSchedulesTest, Scheduler_PreemptsRuns_KeepsRulesOfRuns) {
+  this->RunAll(
+      [](std::uint64_t seed) {
+        return WorkerSchedule(
+            seed, WorkerSchedule::Faults{.order_interval = 10,
+                                         .leaders_change = seed % 2 == 0,
+                                         .log_stalls = seed % 3 == 0,
+                                         .workers_crash = seed % 3 == 1,
+                                         .workers_are_cut = seed % 4 == 0,
+                                         .jobs_are_cancelled = true,
+                                         .shares_and_preemption = true});
+      },
+      60);
+  EXPECT_GT(this->preemptions, 0U);
+}
+
 }  // namespace
 }  // namespace mimosastage::jobs
