--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -22,9 +22,11 @@
 #include "mimosastage/jobs/fleet_state.h"
 #include "mimosastage/jobs/placement.h"
 #include "mimosastage/jobs/pool_balancer.h"
+#include "mimosastage/jobs/preemption.h"
 #include "mimosastage/jobs/run_times.h"
 #include "mimosastage/jobs/start_window.h"
 #include "mimosastage/jobs/straggler_copies.h"
+#include "mimosastage/jobs/team_shares.h"
 #include "mimosastage/jobs/waiting_steps.h"
 #include "mimosastage/jobs/worker_lease.h"
 #include "mimosastage/jobs/worker_order.h"
@@ -142,6 +144,12 @@
     /// longer than others of its step. Needs `learn_run_times`.
     bool copy_stragglers = false;
     StragglerCopies::Config straggler_copies;
+    /// Orders the work of teams by their shares while a pool is short; see
+    /// docs/design/fair-shares.md.
+    bool fair_shares = false;
+    /// Stops less urgent or late runs for work that can be in time; see
+    /// docs/design/fair-shares.md.
+    bool preempt = false;
   };
 
   struct Hooks {
@@ -191,6 +199,13 @@
   /// Must be called when a job has been accepted by a queue of the pool.
   void OnAccepted(const JobRequest& request, const std::string& pool,
                   TimePoint now);
+  /// Returns nullopt if the job can be accepted. Otherwise its pool is short,
+  /// its team is over its share and has more waiting work than the job could
+  /// wait for, and the result is the time after which the job could start early
+  /// enough to meet its objective.
+  std::optional<std::chrono::milliseconds> ShareDelay(const JobRequest& request,
+                                                      const std::string& team,
+                                                      const Queue& queue) const;
   void Tick(TimePoint now);
   /// Returns when Tick must run next.
   TimePoint NextDue(TimePoint now) const;
@@ -259,6 +274,10 @@
     std::uint32_t percent = 0;
     std::int64_t load = 0;
     std::uint32_t pace = 100;
+    /// The latest checkpoint that the worker has listed, and a time after which
+    /// the run has made it.
+    std::string checkpoint;
+    std::optional<TimePoint> checkpointed_after;
     /// The job couldn't meet its objective any more when the run was placed.
     bool late = false;
 
@@ -365,6 +384,8 @@
     /// The job for whose implicated tasks the worker is kept free of others.
     std::string isolated_job;
     TimePoint next_pace{};
+    /// Shares of the worker's pool; null while the worker isn't indexed.
+    TeamShares* shares = nullptr;
   };
 
   struct OpenOrder {
@@ -401,6 +422,41 @@
     std::vector<const Worker*> sources;
   };
 
+  /// The shares of the teams in a pool; see docs/design/fair-shares.md.
+  struct PoolContention {
+    TeamShares shares;
+    /// Work in time didn't fit at the last placement.
+    bool is_short = false;
+    TimePoint next_report{};
+  };
+
+  /// Urgent tasks of a step that didn't fit.
+  struct BlockedStep {
+    const WaitingStep* waiting = nullptr;
+    std::vector<std::uint32_t> tasks;
+  };
+
+  /// The runs that were stopped for urgent work of a pool.
+  struct OpenPreemption {
+    std::string worker;
+    std::vector<RunKey> runs;
+  };
+
+  /// One placement of the waiting tasks of a pool.
+  struct ShareRound {
+    PoolContention* contention = nullptr;
+    /// The shares if they are in force, otherwise null.
+    TeamShares* shares = nullptr;
+    /// The tasks that are left of steps that were placed in part.
+    std::map<const WaitingStep*, StepDemand> rests;
+    /// Work in time didn't fit.
+    bool is_short = false;
+    /// All steps that may fit were tried.
+    bool is_complete = true;
+    /// Only with Config::preempt.
+    std::vector<BlockedStep> blocked;
+  };
+
   /// The content of an open request to the platform; a list request if all
   /// fields are empty.
   struct OpenInstanceRequest {
@@ -673,6 +729,47 @@
   void UpdateCandidate(const PoolWorkers::Member& member,
                        CandidateWorker& candidate, TimePoint now) const;
 
+  // dispatcher_shares.cc: shares of teams while a pool is short.
+  /// Counts a run's resources for its team. `sign` is 1 or -1.
+  static void CountUse(const Session& session, const Run& run,
+                       std::int64_t sign);
+  /// Sets Session::shares, and counts all runs again.
+  void IndexShares();
+  double WeightOf(const std::string& team) const;
+  /// Expected time until the waiting work of the team that is in time has
+  /// started; nullopt if it isn't known.
+  std::optional<std::chrono::milliseconds> ExpectedShareWait(
+      const std::string& pool, const TeamShares& shares,
+      const std::string& team) const;
+  /// Ends the shortage of pools without waiting tasks.
+  void EndShortages();
+  ShareRound BeginShareRound(const std::string& pool,
+                             const std::vector<CandidateWorker>& candidates);
+  /// Places tasks of the step, as many as the share of its team allows.
+  WaitingSteps::Next PlaceInRound(ShareRound& round, const WaitingStep& waiting,
+                                  std::vector<CandidateWorker>& candidates,
+                                  TeamQuota* quota,
+                                  std::vector<Assignment>& assignments,
+                                  std::size_t limit);
+  void EndShareRound(const std::string& pool, ShareRound& round, TimePoint now);
+
+  // dispatcher_preemption.cc
+  /// Notes the step if other runs may be stopped for its unplaced tasks.
+  /// `unplaced` are the last of its waiting tasks.
+  void NoteBlocked(ShareRound& round, const WaitingStep& waiting,
+                   std::size_t unplaced) const;
+  /// Stops runs on one worker of the pool for a step that the round has noted.
+  void Preempt(const std::string& pool, const ShareRound& round,
+               const std::vector<CandidateWorker>& candidates, TimePoint now);
+  bool PreemptFor(const std::string& pool, const BlockedStep& blocked,
+                  const std::vector<CandidateWorker>& candidates,
+                  TimePoint now);
+  /// True if the run may be stopped for the step.
+  bool MayPreempt(const RunKey& key, const Run& run,
+                  const WaitingStep& waiting) const;
+  /// False once all runs of the pool's latest preemption have ended.
+  bool IsPreempting(const std::string& pool);
+
   // dispatcher_isolation.cc: tasks that are implicated in a crash.
   /// Places the pool's implicated tasks, each job's apart from other jobs.
   /// Returns how many it has placed.
@@ -826,6 +923,14 @@
   std::uint64_t implicated_version = 0;
   TimePoint next_survivor_check{};
   std::map<std::string, PoolWorkers> pool_workers;
+  /// By pool; empty without Config::fair_shares.
+  std::map<std::string, PoolContention> contentions;
+  OwedJobs owed_jobs;
+  /// Stops for the work of each team, and of runs of each team.
+  PreemptionLimiter preemptions_for;
+  PreemptionLimiter preemptions_of;
+  /// By pool.
+  std::map<std::string, OpenPreemption> open_preemptions;
   /// FleetState::WorkersVersion that `pool_workers` reflects; 0 once a session
   /// was added or removed.
   std::uint64_t indexed_workers_version = 0;
--- a/src/mimosastage/jobs/waiting_steps.h
+++ b/src/mimosastage/jobs/waiting_steps.h
@@ -71,6 +71,8 @@
     /// Leaves out the remaining steps that have the same needs, required label,
     /// team and priority as the visited one.
     kLeaveOutAlike,
+    /// Passes the same step again when it is the most urgent one.
+    kRepeat,
     kStop
   };
 
@@ -83,6 +85,14 @@
     std::int64_t late_memory_mb = 0;
   };
 
+  /// Work of a team's waiting steps that can still be in time and aren't
+  /// long-running: resources times estimated run time.
+  struct Backlog {
+    std::size_t steps = 0;
+    double millicore_ms = 0;
+    double memory_mb_ms = 0;
+  };
+
   /// `state` must outlive the object. `expected` replaces the estimates of the
   /// jobs.
   explicit WaitingSteps(const FleetState& state, ExpectedDuration expected = {})
@@ -101,9 +111,15 @@
   /// Returns how many instances the pool needs because long-running tasks of an
   /// open job limit how many of them run on one worker.
   std::size_t InstancesForAntiAffineTasks(const std::string& pool) const;
-  /// Passes the steps of the pool to `visit`, the most urgent one first.
+  /// Passes the steps of the pool to `visit`, the most urgent one first. With
+  /// `shares`, the ranks of their teams are a part of the urgency; `visit` may
+  /// add to what a team has been assigned.
   void Visit(const std::string& pool,
-             const std::function<Next(WaitingStep&)>& visit);
+             const std::function<Next(WaitingStep&)>& visit,
+             const TeamShares* shares = nullptr);
+  Backlog BacklogOf(const std::string& pool, const std::string& team) const;
+  /// Returns the teams that have waiting steps in the pool.
+  std::set<std::string> TeamsOf(const std::string& pool) const;
   /// Passes the waiting steps of one job to `visit` if it belongs to the pool.
   void VisitJob(const std::string& pool, const std::string& job,
                 const std::function<void(const WaitingStep&)>& visit) const;
@@ -134,6 +150,8 @@
     /// The steps that aren't late and may become so.
     Group in_time;
     Sums sums;
+    /// By team, without teams that have no such steps.
+    std::map<std::string, Backlog> backlogs;
     /// Number of open jobs by OpenJob::anti_affine_instances, without 0.
     std::map<std::size_t, std::size_t> anti_affine_jobs;
   };
@@ -144,6 +162,8 @@
     const Group* group = nullptr;
     Group::const_iterator next;
     std::size_t left = 0;
+    /// Rank of the group's team when the cursor was added to the heap.
+    ShareRank share;
   };
 
   struct OpenJob {
@@ -187,11 +207,14 @@
                         std::int64_t sign);
   /// Updates the jobs whose expected duration has changed.
   void ReviewExpected();
+  static void AddToBacklog(PoolSteps& pool, const WaitingStep& step,
+                           std::int64_t sign);
   /// Marks the steps that have become late.
   void MarkLateSteps();
   static GroupKey KeyOf(const WaitingStep& step);
   void Visit(const std::string& pool, bool advised_only,
-             const std::function<Next(WaitingStep&)>& visit);
+             const std::function<Next(WaitingStep&)>& visit,
+             const TeamShares* shares);
   /// True if the cursor's step is placed before that of the other one.
   bool IsBefore(const Cursor& a, const Cursor& b) const;
 
--- a/tests/jobs/dispatcher_stress_test.cc
+++ b/tests/jobs/dispatcher_stress_test.cc
@@ -439,6 +439,14 @@
   this->RunSeeds();
 }
 
+// Guards against the same in the shares of teams, which refer to the sessions
+// of workers, and in the choice of runs that are stopped for urgent work.
+TEST_F(DispatcherStressTest, SharesAndPreemption_LeaderSurvives) {
+  this->config.fair_shares = true;
+  this->config.preempt = true;
+  this->RunSeeds();
+}
+
 // Guards against the same because a worker lists the runs of another one. The
 // leader ended then, and each next leader after it got the same answers.
 TEST_F(DispatcherStressTest, WorkersListRunsOfOthers_LeaderSurvives) {
--- a/tests/jobs/support/worker_schedule.h
+++ b/tests/jobs/support/worker_schedule.h
@@ -56,6 +56,8 @@
     /// One in ten runs lasts several times as long as others. Steps without
     /// checkpoints are speculative, and the leader copies such runs.
     bool runs_straggle = false;
+    /// The leader applies shares of teams and stops runs for urgent work.
+    bool shares_and_preemption = false;
   };
 
   explicit WorkerSchedule(std::uint64_t seed);
@@ -66,6 +68,8 @@
 
   const RunRules& Rules() const { return this->rules; }
   std::size_t Terms() const { return this->terms; }
+  /// How many runs were stopped for urgent work.
+  std::size_t Preemptions() const { return this->preemptions; }
 
  private:
   struct Term {
@@ -185,6 +189,7 @@
   std::deque<Entry> entries;
   std::unique_ptr<Term> term;
   std::size_t terms = 0;
+  std::size_t preemptions = 0;
   TimePoint next_term{};
   TimePoint paused_until{};
   TimePoint log_stalled_until{};
