Limit the open starts by carrier, and let the window recover

While voters are cut off, the one window for all workers shrank with each order that waited for a cut or busy carrier, from 512 to 23 within 3 s, and grew by one for each 23 answers. Tasks waited although workers and other carriers were idle, and new jobs were refused for overload.

Each carrier has a window of its own, at least 32, and recovers within a second. A step that fits on no worker is left out without a search of all workers, since a backlog of thousands of different steps took most of the leader's time. A call whose copies were all answered as unavailable is answered as not stored (503) and not as unknown (504).

--- a/bench/dispatcher_bench.cc
+++ b/bench/dispatcher_bench.cc
@@ -21,6 +21,7 @@
 ABSL_FLAG(int, seconds, 20, "simulated duration");
 ABSL_FLAG(int, task_ms, 800, "duration of a task");
 ABSL_FLAG(int, backlog, 0, "number of tasks that wait at any time");
+ABSL_FLAG(int, spread, 0, "largest difference between the millicores of steps");
 
 namespace {
 
@@ -44,10 +45,14 @@
          static_cast<double>(cpu_time.tv_nsec) * 1e-9;
 }
 
-std::vector<Step> TwoSteps() {
+std::vector<Step> TwoSteps(std::mt19937_64& random, int spread) {
+  const auto millicores = [&] {
+    return 1'500 + static_cast<std::int64_t>(
+                       random() % static_cast<std::uint64_t>(spread + 1));
+  };
   std::vector<Step> steps;
-  steps.push_back(MakeStep(kTasksPerJob / 2, 1'500));
-  steps.push_back(MakeStep(kTasksPerJob / 2, 1'500));
+  steps.push_back(MakeStep(kTasksPerJob / 2, millicores()));
+  steps.push_back(MakeStep(kTasksPerJob / 2, millicores()));
   steps.back().after.push_back(0);
   return steps;
 }
@@ -103,7 +108,7 @@
   int jobs = 0;
   const auto submit = [&] {
     fleet.Submit("job-" + std::to_string(jobs++),
-                 "pool-" + std::to_string(random() % kPools), TwoSteps());
+                 "pool-" + std::to_string(random() % kPools), TwoSteps(random, absl::GetFlag(FLAGS_spread)));
   };
   const auto waiting = [&] {
     return jobs * kTasksPerJob - static_cast<int>(fleet.starts.size());
--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -74,7 +74,9 @@
       speed(this->config.speed),
       stopped_given_up_jobs(state.GivenUpJobs()),
       waiting_steps(state),
-      start_window(this->config.start_window),
+      start_windows(this->config.window_per_carrier
+                        ? this->config.carrier_window
+                        : this->config.start_window),
       balancer(this->config.balancer) {
   for (const auto& [id, worker] : state.Workers()) {
     this->AddSession(worker, now);
@@ -478,10 +480,7 @@
 void Dispatcher::HandleReply(const std::string& id, Session& session,
                              const OpenOrder& order, const WorkerReply& reply,
                              TimePoint now) {
-  this->start_window.OnWait(
-      (reply.result == OrderResult::kNotStarted ? now : reply.started_at) -
-          order.sent,
-      now);
+  this->RecordWait(session, order, reply, now);
   if (reply.clock.has_value()) {
     this->CheckIncarnation(session, order, *reply.clock);
     if (const milliseconds delay =
@@ -854,12 +853,12 @@
     this->RepeatMoves(now);
     this->BalancePools(now);
   }
-  if (this->placement_needed && this->start_window.IsNearlyFull()) {
+  if (this->placement_needed && this->start_windows.IsNearlyFull()) {
     this->admission.OnStartsBlocked(now);
   }
   this->CountBacklog(now);
   const bool paused = now - this->last_placement < this->PlacementInterval() ||
-                      this->start_window.IsNearlyFull();
+                      this->start_windows.IsNearlyFull();
   if ((this->placement_needed && !paused) || now >= this->next_placement) {
     this->placement_needed = false;
     this->last_placement = now;
@@ -921,7 +920,7 @@
 
 TimePoint Dispatcher::NextDue(TimePoint now) const {
   TimePoint due = this->next_placement;
-  if (this->placement_needed && !this->start_window.IsNearlyFull()) {
+  if (this->placement_needed && !this->start_windows.IsNearlyFull()) {
     due = std::min(due, this->last_placement + this->PlacementInterval());
   }
   due = std::min(due, std::max(this->due_sessions.NextDue(),
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -21,7 +21,7 @@
 #include "mimosastage/jobs/fleet_state.h"
 #include "mimosastage/jobs/placement.h"
 #include "mimosastage/jobs/pool_balancer.h"
-#include "mimosastage/jobs/start_window.h"
+#include "mimosastage/jobs/start_windows.h"
 #include "mimosastage/jobs/waiting_steps.h"
 #include "mimosastage/jobs/worker_lease.h"
 #include "mimosastage/jobs/worker_order.h"
@@ -104,6 +104,13 @@
     std::chrono::milliseconds upkeep_duration{2'800};
     PoolBalancer::Config balancer;
     StartWindow::Config start_window;
+    /// Limits the open starts by carrier, and not only over all of them.
+    bool window_per_carrier = false;
+    /// Used in place of `start_window` then. An exchange takes a carrier about
+    /// 0.7 ms of its processor share, so 32 of them queue for less than half of
+    /// the target wait.
+    StartWindow::Config carrier_window{
+        .min_size = 32, .recovery_delay = std::chrono::milliseconds(300)};
     /// How long an upkeep waits for short tasks to end before it stops them.
     std::chrono::milliseconds upkeep_drain_timeout{2'500};
     /// How long a worker stays reserved for its upkeep while a task that may
@@ -218,8 +225,9 @@
     /// When the last copy of the start was sent.
     TimePoint last_start{};
     bool order_open = false;
-    /// The run takes part of the start window: its start isn't confirmed.
-    bool in_start_window = false;
+    /// The carrier of whose start window the run takes a part, because its
+    /// start isn't confirmed.
+    std::optional<DaemonId> start_window;
     TimePoint next_attempt{};
     /// The task serves its purpose. A long-running task is ready once it
     /// reports 100 percent.
@@ -265,6 +273,9 @@
   struct Session {
     /// The session's key in `sessions`.
     const std::string* id = nullptr;
+    /// The voter that carried the latest order with a result. One id for all
+    /// workers unless Config::window_per_carrier is set.
+    DaemonId carrier{};
     WorkerLease lease;
     /// The token of orders to the worker.
     WorkerToken token;
@@ -541,7 +552,7 @@
   void RecordBegun(const TaskId& task, const std::string& worker);
   void EndRun(const std::string& worker, Session& session, const RunKey& key,
               RunOutcome outcome, const std::string& checkpoint, TimePoint now);
-  /// Gives the run's part of the start window back.
+  /// Gives the run's part of its start window back.
   void LeaveStartWindow(Run& run);
   /// Stops the runs that an end makes pointless: all runs of an ended job, the
   /// rest of a gang, or other copies of a completed task.
@@ -578,7 +589,13 @@
                      const std::vector<Assignment>& assignments, TimePoint now);
   /// Brings `pool_workers` up to date with the sessions and their workers.
   void IndexWorkers();
-  void UpdateCandidates(PoolWorkers& workers, TimePoint now) const;
+  void UpdateCandidates(PoolWorkers& workers, TimePoint now);
+  /// Gives the pool that is placed next an equal part of the start windows.
+  /// Returns how many starts that allows in all.
+  std::size_t ShareStartWindows(std::size_t pools_left);
+  /// Records how long the order waited before it was sent.
+  void RecordWait(Session& session, const OpenOrder& order,
+                  const WorkerReply& reply, TimePoint now);
   WorkerHealth::Eligibility EligibilityOf(const std::string& worker,
                                           TimePoint now) const;
   /// True if the worker accepts tasks and isn't quarantined.
@@ -748,7 +765,9 @@
   std::map<std::string, Advice> advice;
   std::unordered_map<std::uint64_t, std::string> advice_requests;
   TimePoint next_advice_cleanup{};
-  StartWindow start_window;
+  StartWindows start_windows;
+  /// How many starts each carrier can take for the pool that is being placed.
+  std::map<DaemonId, std::size_t> starts_left;
   AdmissionControl admission;
   TimePoint next_backlog_count{};
   PoolBalancer balancer;
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "mimosastage/jobs/dispatcher.h"
@@ -20,6 +21,23 @@
   return tasks;
 }
 
+/// The largest free amount of each resource on any candidate whose carrier can
+/// take a start. A task that exceeds it fits nowhere.
+Amount MostFree(const std::vector<CandidateWorker>& candidates) {
+  Amount most;
+  most.millicores = most.memory_mb = most.accelerators =
+      std::numeric_limits<std::int64_t>::min();
+  for (const CandidateWorker& candidate : candidates) {
+    if (candidate.starts_left == nullptr || *candidate.starts_left > 0) {
+      most.millicores = std::max(most.millicores, candidate.free.millicores);
+      most.memory_mb = std::max(most.memory_mb, candidate.free.memory_mb);
+      most.accelerators =
+          std::max(most.accelerators, candidate.free.accelerators);
+    }
+  }
+  return most;
+}
+
 }  // namespace
 
 void Dispatcher::AddToSums(Session& session, const Run& run) {
@@ -93,7 +111,7 @@
                       this->speed.IsSlow(worker->id, now);
 }
 
-void Dispatcher::UpdateCandidates(PoolWorkers& workers, TimePoint now) const {
+void Dispatcher::UpdateCandidates(PoolWorkers& workers, TimePoint now) {
   std::size_t count = 0;
   for (const PoolWorkers::Member& member : workers.members) {
     const auto& [worker, session] = member;
@@ -111,6 +129,9 @@
     }
     ++count;
     this->UpdateCandidate(member, candidate, now);
+    const auto left = this->starts_left.find(session->carrier);
+    candidate.starts_left =
+        left == this->starts_left.end() ? nullptr : &left->second;
   }
   workers.candidates.resize(count);
   workers.sources.resize(count);
@@ -225,6 +246,36 @@
       this->config.placement_interval_per_worker * workers);
 }
 
+std::size_t Dispatcher::ShareStartWindows(std::size_t pools_left) {
+  const auto share = [&](std::size_t room) {
+    return (room + pools_left - 1) / pools_left;
+  };
+  this->starts_left.clear();
+  if (this->config.window_per_carrier) {
+    this->starts_left = this->start_windows.Rooms();
+    for (auto& [carrier, left] : this->starts_left) {
+      left = share(left);
+    }
+  }
+  return share(this->start_windows.Room());
+}
+
+void Dispatcher::RecordWait(Session& session, const OpenOrder& order,
+                            const WorkerReply& reply, TimePoint now) {
+  const Duration wait =
+      (reply.result == OrderResult::kNotStarted ? now : reply.started_at) -
+      order.sent;
+  if (!this->config.window_per_carrier) {
+    this->start_windows.OnWait(session.carrier, wait, now);
+    return;
+  }
+  if (reply.started_at != TimePoint{} ||
+      reply.result == OrderResult::kNotStarted) {
+    this->start_windows.OnWait(reply.carrier, wait, now);
+  }
+  session.carrier = reply.carrier.value_or(session.carrier);
+}
+
 void Dispatcher::PlaceTasks(TimePoint now) {
   this->ClearSurvivors(now);
   this->StopGivenUpJobs(now);
@@ -241,8 +292,7 @@
   for (const auto& [pool, sums] : this->waiting_sums) {
     // Each pool gets an equal part of the start window, so that a long queue
     // for one pool doesn't keep the tasks of the others from starting.
-    const std::size_t room = this->start_window.Room();
-    const std::size_t limit = (room + pools_left - 1) / pools_left;
+    const std::size_t limit = this->ShareStartWindows(pools_left);
     --pools_left;
     if (const auto workers = this->pool_workers.find(pool);
         limit > 0 && workers != this->pool_workers.end()) {
@@ -271,7 +321,13 @@
     }
   }
   std::vector<Assignment> assignments;
+  // With a long backlog on a full pool, a search of all workers for each step
+  // would take most of the leader's processor time.
+  Amount most_free = MostFree(workers.candidates);
   this->waiting_steps.Visit(pool, [&](const WaitingStep& waiting) {
+    if (!Fits(*waiting.demand.step, most_free) && !waiting.demand.step->gang) {
+      return WaitingSteps::Next::kLeaveOutAlike;
+    }
     if (waiting.advised && waiting.demand.approved == nullptr) {
       return WaitingSteps::Next::kContinue;
     }
@@ -297,9 +353,11 @@
     for (std::size_t i = first; i < assignments.size(); ++i) {
       assignments[i].late = waiting.late;
     }
-    return placement == StepPlacement::kNoRoom
-               ? WaitingSteps::Next::kLeaveOutAlike
-               : WaitingSteps::Next::kContinue;
+    if (placement == StepPlacement::kNoRoom) {
+      most_free = MostFree(workers.candidates);
+      return WaitingSteps::Next::kLeaveOutAlike;
+    }
+    return WaitingSteps::Next::kContinue;
   });
   this->StartAssigned(pool, workers.candidates, assignments, now);
 }
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -40,8 +40,8 @@
     this->hooks.report("run_repeated", ToString(task),
                        worker + " run " + std::to_string(number));
   }
-  run.in_start_window = true;
-  this->start_window.OnOpened();
+  run.start_window = session.carrier;
+  this->start_windows.OnOpened(session.carrier);
   this->admission.OnStart(this->last_placement);
   session.runs.emplace(key, std::move(run));
   const std::int64_t born_ms = session.born_ms;
@@ -360,8 +360,9 @@
 }
 
 void Dispatcher::LeaveStartWindow(Run& run) {
-  if (std::exchange(run.in_start_window, false)) {
-    this->start_window.OnClosed();
+  if (const auto carrier = std::exchange(run.start_window, std::nullopt);
+      carrier.has_value()) {
+    this->start_windows.OnClosed(*carrier);
   }
 }
 
--- a/src/mimosastage/jobs/order_carriers.cc
+++ b/src/mimosastage/jobs/order_carriers.cc
@@ -185,7 +185,7 @@
     if (reply.result == OrderResult::kNotStarted) {
       this->Avoid(from, "it didn't begin an order in time", now);
     }
-    this->Finish(reply, now);
+    this->Finish(std::move(reply), now);
   }
 }
 
@@ -248,11 +248,11 @@
     WorkerReply reply = MakeReply(number, OrderResult::kUnanswered, now);
     // How long it waited isn't known, and must not count as a wait.
     reply.started_at = TimePoint{};
-    this->Finish(reply, now);
+    this->Finish(std::move(reply), now);
   }
 }
 
-void OrderCarriers::Finish(const WorkerReply& reply, TimePoint now) {
+void OrderCarriers::Finish(WorkerReply reply, TimePoint now) {
   const auto found = this->in_hand.find(reply.number);
   const InHand entry = std::move(found->second);
   this->in_hand.erase(found);
@@ -268,6 +268,7 @@
              reply.result != OrderResult::kNotStarted) {
     moved->second.failures = 0;
   }
+  reply.carrier = entry.carrier;
   this->hooks.on_reply(reply, now);
 }
 
--- a/src/mimosastage/jobs/order_carriers.h
+++ b/src/mimosastage/jobs/order_carriers.h
@@ -122,7 +122,7 @@
   void SendBatches(DaemonId to, std::vector<WorkerOrder> orders);
   /// Ends orders without a result as unanswered.
   void EndWithout(const std::vector<std::uint64_t>& numbers, TimePoint now);
-  void Finish(const WorkerReply& reply, TimePoint now);
+  void Finish(WorkerReply reply, TimePoint now);
   /// Changes the worker's carrier if orders to it have failed repeatedly.
   void CountFailure(const std::string& worker, TimePoint now);
   void Avoid(DaemonId carrier, const char* reason, TimePoint now);
--- a/src/mimosastage/jobs/placement.cc
+++ b/src/mimosastage/jobs/placement.cc
@@ -88,6 +88,11 @@
   }
 
  private:
+  bool CarrierHasRoom(const CandidateWorker& candidate) const {
+    return candidate.starts_left == nullptr || *candidate.starts_left > 0 ||
+           this->demand.step->gang;
+  }
+
   /// Returns the best candidate for a task, or null.
   CandidateWorker* FindBest() {
     const Step& step = *this->demand.step;
@@ -96,7 +101,8 @@
     this->no_room = true;
     for (CandidateWorker& candidate : this->candidates) {
       if (!Fits(step, candidate.free) ||
-          !HasLabel(candidate, step.required_label)) {
+          !HasLabel(candidate, step.required_label) ||
+          !this->CarrierHasRoom(candidate)) {
         continue;
       }
       this->no_room = false;
@@ -122,6 +128,7 @@
     // rack is the preferred one, and it only becomes fuller.
     const bool is_still_best =
         this->latest != nullptr && Fits(step, this->latest->free) &&
+        this->CarrierHasRoom(*this->latest) &&
         Admits(this->demand, *this->latest, this->on_worker);
     CandidateWorker* const candidate =
         is_still_best ? this->latest : this->FindBest();
@@ -135,6 +142,9 @@
     if (this->team != nullptr) {
       Subtract(this->team->free, NeedOf(step));
     }
+    if (candidate->starts_left != nullptr && !step.gang) {
+      --*candidate->starts_left;
+    }
     if (step.most_per_worker > 0) {
       ++this->on_worker[candidate->id];
     }
--- a/src/mimosastage/jobs/placement.h
+++ b/src/mimosastage/jobs/placement.h
@@ -35,6 +35,9 @@
   std::size_t serving = 0;
   /// It failed tasks or is slow, so it is used only if no other worker fits.
   bool suspect = false;
+  /// How many starts its carrier can take now, shared with the carrier's other
+  /// workers; null means no limit. A gang may exceed it.
+  std::size_t* starts_left = nullptr;
 
   /// Returns the label that names the rack, or "".
   const std::string& Rack() const;
--- a/src/mimosastage/jobs/start_window.h
+++ b/src/mimosastage/jobs/start_window.h
@@ -25,10 +25,18 @@
     /// Shortest time between two decreases. The orders that were sent before a
     /// decrease don't show its effect yet.
     std::chrono::milliseconds decrease_interval{120};
+    /// After this long without a decrease, the window grows by one with each
+    /// order until it has the size after the first of the latest decreases; 0
+    /// turns that off. Disturbances last for some seconds, and a job waits
+    /// about a second before it is late, while additive growth alone takes tens
+    /// of seconds.
+    std::chrono::milliseconds recovery_delay{0};
   };
 
   explicit StartWindow(Config config)
-      : config(config), size(static_cast<double>(config.max_size)) {}
+      : config(config),
+        size(static_cast<double>(config.max_size)),
+        former_size(this->size) {}
 
   /// Number of start orders that may be opened now.
   std::size_t Room() const;
@@ -43,8 +51,12 @@
   void OnWait(Duration wait, TimePoint now);
 
  private:
+  bool IsRecovering(TimePoint now) const;
+
   Config config;
   double size;
+  /// The size up to which the window recovers.
+  double former_size;
   std::size_t open = 0;
   TimePoint last_decrease{};
 };
--- a/src/mimosastage/jobs/worker_order.h
+++ b/src/mimosastage/jobs/worker_order.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "mimosastage/base/names.h"
 #include "mimosastage/base/time.h"
 #include "mimosastage/jobs/records.h"
 
@@ -129,6 +130,9 @@
   TimePoint started_at{};
   /// Start of the incarnation in Unix milliseconds, if the answer contains it.
   std::optional<std::int64_t> born_ms;
+  /// The voter that the order was given to; nullopt if it never left the
+  /// leader's queue.
+  std::optional<DaemonId> carrier;
   std::vector<RunningTask> running;
   std::vector<EndedRun> ended;
 };
--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -494,9 +494,6 @@
   }
   open.sent_to = leader;
   ++open.unanswered_copies;
-  open.possibly_applied =
-      open.possibly_applied ||
-      ChangesState(static_cast<jobs::CallKind>(open.call.kind));
   if (*leader == this->config.self) {
     const jobs::Call call = open.call;
     this->ServeCall(call, now, [this, number, now](jobs::Answer answer) {
@@ -589,7 +586,9 @@
     }
     const OpenCall& open = found->second;
     if (now >= open.deadline) {
-      if (open.possibly_applied) {
+      // A leader that answered a copy with kUnavailable hasn't applied it.
+      if (open.unanswered_copies > 0 &&
+          ChangesState(static_cast<jobs::CallKind>(open.call.kind))) {
         this->Finish(number, MakeAnswer(jobs::CallOutcome::kUnknown,
                                         "no_answer_from_leader"));
       } else {
--- a/src/mimosastage/node/job_node.h
+++ b/src/mimosastage/node/job_node.h
@@ -169,8 +169,6 @@
     TimePoint deadline{};
     /// The leader that the call was sent to and that hasn't answered.
     std::optional<DaemonId> sent_to;
-    /// A leader may have applied the call's change.
-    bool possibly_applied = false;
     /// How often the call was sent without an answer. Each of these copies may
     /// still be applied.
     unsigned unanswered_copies = 0;
