--- a/bench/dispatcher_bench.cc
+++ b/bench/dispatcher_bench.cc
@@ -25,6 +25,7 @@
 ABSL_FLAG(int, teams, 0, "number of teams that submit jobs in turn");
 ABSL_FLAG(bool, fair_shares, false, "order by the shares of teams");
 ABSL_FLAG(bool, preempt, false, "stop late runs for urgent work");
+ABSL_FLAG(int, spread, 0, "largest difference between the millicores of steps");
 
 namespace {
 
@@ -48,10 +49,14 @@
          static_cast<double>(cpu_time.tv_nsec) * 1e-9;
 }
 
-std::vector<Step> TwoSteps() {
+std::vector<Step> TwoSteps(std::mt19937_64& random, int spread) {
+  const auto millicores = [&] {
+    return 1'500 + static_cast<std::int64_t>(
+                       random() % static_cast<std::uint64_t>(spread + 1));
+  };
   std::vector<Step> steps;
-  steps.push_back(MakeStep(kTasksPerJob / 2, 1'500));
-  steps.push_back(MakeStep(kTasksPerJob / 2, 1'500));
+  steps.push_back(MakeStep(kTasksPerJob / 2, millicores()));
+  steps.push_back(MakeStep(kTasksPerJob / 2, millicores()));
   steps.back().after.push_back(0);
   return steps;
 }
@@ -117,7 +122,8 @@
     const std::string team =
         teams == 0 ? "" : "team-" + std::to_string(jobs % teams);
     fleet.Submit("job-" + std::to_string(jobs++),
-                 "pool-" + std::to_string(random() % kPools), TwoSteps(), team);
+                 "pool-" + std::to_string(random() % kPools),
+                 TwoSteps(random, absl::GetFlag(FLAGS_spread)), team);
   };
   const auto waiting = [&] {
     return jobs * kTasksPerJob - static_cast<int>(fleet.starts.size());
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -24,7 +24,7 @@
 #include "mimosastage/jobs/pool_balancer.h"
 #include "mimosastage/jobs/preemption.h"
 #include "mimosastage/jobs/run_times.h"
-#include "mimosastage/jobs/start_window.h"
+#include "mimosastage/jobs/start_windows.h"
 #include "mimosastage/jobs/straggler_copies.h"
 #include "mimosastage/jobs/team_shares.h"
 #include "mimosastage/jobs/waiting_steps.h"
@@ -123,6 +123,13 @@
     /// of an instance more than a direct move.
     std::chrono::milliseconds idle_time{1'000};
     StartWindow::Config start_window;
+    /// Limits the open starts by carrier, and not only over all of them.
+    bool window_per_carrier = false;
+    /// Used in place of `start_window` then. An exchange takes a carrier about
+    /// 0.7 ms of its processor share, so 32 of them queue for less than half of
+    /// the target wait.
+    StartWindow::Config carrier_window{
+        .min_size = 32, .recovery_delay = std::chrono::milliseconds(300)};
     /// How long an upkeep waits for short tasks to end before it stops them.
     std::chrono::milliseconds upkeep_drain_timeout{2'500};
     /// How long a worker stays reserved for its upkeep while a task that may
@@ -196,9 +203,8 @@
   /// long-running tasks, in core-milliseconds.
   std::int64_t ExpectedCoreMilliseconds(const JobRequest& request,
                                         const Queue& queue) const;
-  /// Must be called when a job has been accepted by a queue of the pool.
-  void OnAccepted(const JobRequest& request, const std::string& pool,
-                  TimePoint now);
+  /// Must be called when the queue has accepted a job.
+  void OnAccepted(const JobRequest& request, const Queue& queue, TimePoint now);
   /// Returns nullopt if the job can be accepted. Otherwise its pool is short,
   /// its team is over its share and has more waiting work than the job could
   /// wait for, and the result is the time after which the job could start early
@@ -264,8 +270,9 @@
     /// When the last copy of the start was sent.
     TimePoint last_start{};
     bool order_open = false;
-    /// The run takes part of the start window: its start isn't confirmed.
-    bool in_start_window = false;
+    /// The carrier of whose start window the run takes a part, because its
+    /// start isn't confirmed.
+    std::optional<DaemonId> start_window;
     TimePoint next_attempt{};
     /// The task serves its purpose. A long-running task is ready once it
     /// reports 100 percent.
@@ -315,6 +322,9 @@
   struct Session {
     /// The session's key in `sessions`.
     const std::string* id = nullptr;
+    /// The voter that carried the latest order with a result. One id for all
+    /// workers unless Config::window_per_carrier is set.
+    DaemonId carrier{};
     WorkerLease lease;
     /// The token of orders to the worker.
     WorkerToken token;
@@ -449,6 +459,8 @@
     TeamShares* shares = nullptr;
     /// The tasks that are left of steps that were placed in part.
     std::map<const WaitingStep*, StepDemand> rests;
+    /// No task that needs more fits on any of the candidates.
+    Amount most_free;
     /// Work in time didn't fit.
     bool is_short = false;
     /// All steps that may fit were tried.
@@ -655,7 +667,7 @@
   void RecordBegun(const TaskId& task, const std::string& worker);
   void EndRun(const std::string& worker, Session& session, const RunKey& key,
               RunOutcome outcome, const std::string& checkpoint, TimePoint now);
-  /// Gives the run's part of the start window back.
+  /// Gives the run's part of its start window back.
   void LeaveStartWindow(Run& run);
   /// Stops the runs that an end makes pointless: all runs of an ended job, the
   /// rest of a gang, or other copies of a completed task.
@@ -683,6 +695,9 @@
   /// so what callers expect; a few stragglers would raise the mean. Valid as
   /// long as this object.
   ExpectedDuration MakeExpectedDuration() const;
+  /// The learned mean duration of a task of the step, or the stated estimate.
+  std::chrono::milliseconds MeanDurationOf(const Queue& queue, const Step& step,
+                                           std::uint32_t number) const;
   /// Returns the duration that is expected of the run: the estimate if none is
   /// learned.
   std::chrono::milliseconds ExpectedOf(const RunKey& key, const Run& run) const;
@@ -720,7 +735,13 @@
                      const std::vector<Assignment>& assignments, TimePoint now);
   /// Brings `pool_workers` up to date with the sessions and their workers.
   void IndexWorkers();
-  void UpdateCandidates(PoolWorkers& workers, TimePoint now) const;
+  void UpdateCandidates(PoolWorkers& workers, TimePoint now);
+  /// Gives the pool that is placed next an equal part of the start windows.
+  /// Returns how many starts that allows in all.
+  std::size_t ShareStartWindows(std::size_t pools_left);
+  /// Records how long the order waited before it was sent.
+  void RecordWait(Session& session, const OpenOrder& order,
+                  const WorkerReply& reply, TimePoint now);
   WorkerHealth::Eligibility EligibilityOf(const std::string& worker,
                                           TimePoint now) const;
   /// True if the worker accepts tasks and isn't quarantined.
@@ -844,8 +865,12 @@
   const Worker* WorkerOnInstance(const std::string& instance) const;
 
   // dispatcher_demand.cc; see Config::lead_demand.
+  /// The mean resources that the job's tasks occupy. By Little's law only their
+  /// product with the duration matters, so the order of the steps doesn't.
+  AcceptedWork AcceptedWorkOf(const JobRequest& request,
+                              const Queue& queue) const;
   /// Feeds the forecast with the work of an accepted job.
-  void ObserveDemand(const JobRequest& request, const std::string& pool,
+  void ObserveDemand(const JobRequest& request, const Queue& queue,
                      TimePoint now);
   /// Adds what the forecast says to the demands.
   void AddOutlooks(std::map<std::string, PoolDemand>& demands, TimePoint now);
@@ -958,7 +983,9 @@
   std::map<std::string, Advice> advice;
   std::unordered_map<std::uint64_t, std::string> advice_requests;
   TimePoint next_advice_cleanup{};
-  StartWindow start_window;
+  StartWindows start_windows;
+  /// How many starts each carrier can take for the pool that is being placed.
+  std::map<DaemonId, std::size_t> starts_left;
   AdmissionControl admission;
   TimePoint next_backlog_count{};
   PoolBalancer balancer;
--- a/src/mimosastage/jobs/dispatcher_demand.cc
+++ b/src/mimosastage/jobs/dispatcher_demand.cc
@@ -12,17 +12,26 @@
 using std::chrono::milliseconds;
 using Trend = DemandOutlook::Trend;
 
-/// The mean resources that the job's tasks occupy. By Little's law only their
-/// product with the duration matters, so the order of the steps doesn't.
-AcceptedWork WorkOf(const JobRequest& request) {
+std::string Cores(double millicores) {
+  return std::to_string(static_cast<std::int64_t>(millicores / 1'000)) +
+         " cores";
+}
+
+}  // namespace
+
+AcceptedWork Dispatcher::AcceptedWorkOf(const JobRequest& request,
+                                        const Queue& queue) const {
   AcceptedWork work;
-  work.duration = std::max(LongestChain(request), milliseconds(1));
+  work.duration =
+      std::max(LongestChain(request, queue, this->MakeExpectedDuration()),
+               milliseconds(1));
   const auto duration_ms = static_cast<double>(work.duration.count());
-  for (const auto& step : request.steps) {
-    const Amount need = Charge(*step);
+  for (std::uint32_t number = 0; number < request.steps.size(); ++number) {
+    const Step& step = *request.steps[number];
+    const Amount need = Charge(step);
     const double task_time =
-        static_cast<double>(step->tasks) *
-        static_cast<double>(BoundedTime(step->estimate_ms).count()) /
+        static_cast<double>(step.tasks) *
+        static_cast<double>(this->MeanDurationOf(queue, step, number).count()) /
         duration_ms;
     work.mean.millicores += task_time * static_cast<double>(need.millicores);
     work.mean.memory_mb += task_time * static_cast<double>(need.memory_mb);
@@ -30,15 +39,8 @@
   return work;
 }
 
-std::string Cores(double millicores) {
-  return std::to_string(static_cast<std::int64_t>(millicores / 1'000)) +
-         " cores";
-}
-
-}  // namespace
-
-void Dispatcher::ObserveDemand(const JobRequest& request,
-                               const std::string& pool, TimePoint now) {
+void Dispatcher::ObserveDemand(const JobRequest& request, const Queue& queue,
+                               TimePoint now) {
   const bool lasts =
       std::any_of(request.steps.begin(), request.steps.end(),
                   [](const auto& step) { return step->long_running; });
@@ -50,7 +52,8 @@
   if (!this->forecast.has_value()) {
     this->forecast.emplace(DemandForecast::Config{}, this->term_start);
   }
-  this->forecast->OnAccepted(pool, WorkOf(request), now);
+  this->forecast->OnAccepted(queue.pool, this->AcceptedWorkOf(request, queue),
+                             now);
 }
 
 void Dispatcher::AddOutlooks(std::map<std::string, PoolDemand>& demands,
--- a/src/mimosastage/jobs/dispatcher_placement.cc
+++ b/src/mimosastage/jobs/dispatcher_placement.cc
@@ -96,7 +96,7 @@
                       this->speed.IsSlow(worker->id, now);
 }
 
-void Dispatcher::UpdateCandidates(PoolWorkers& workers, TimePoint now) const {
+void Dispatcher::UpdateCandidates(PoolWorkers& workers, TimePoint now) {
   std::size_t count = 0;
   for (const PoolWorkers::Member& member : workers.members) {
     const auto& [worker, session] = member;
@@ -114,6 +114,9 @@
     }
     ++count;
     this->UpdateCandidate(member, candidate, now);
+    const auto left = this->starts_left.find(session->carrier);
+    candidate.starts_left =
+        left == this->starts_left.end() ? nullptr : &left->second;
   }
   workers.candidates.resize(count);
   workers.sources.resize(count);
@@ -177,10 +180,10 @@
   return *wait - slack;
 }
 
-void Dispatcher::OnAccepted(const JobRequest& request, const std::string& pool,
+void Dispatcher::OnAccepted(const JobRequest& request, const Queue& queue,
                             TimePoint now) {
   this->admission.OnAccepted(TasksOf(request));
-  this->ObserveDemand(request, pool, now);
+  this->ObserveDemand(request, queue, now);
   if (this->config.fair_shares) {
     this->owed_jobs.OnAccepted(request.team, this->WeightOf(request.team),
                                this->hooks.wall_time());
@@ -235,6 +238,36 @@
       this->config.placement_interval_per_worker * workers);
 }
 
+std::size_t Dispatcher::ShareStartWindows(std::size_t pools_left) {
+  const auto share = [&](std::size_t room) {
+    return (room + pools_left - 1) / pools_left;
+  };
+  this->starts_left.clear();
+  if (this->config.window_per_carrier) {
+    this->starts_left = this->start_windows.Rooms();
+    for (auto& [carrier, left] : this->starts_left) {
+      left = share(left);
+    }
+  }
+  return share(this->start_windows.Room());
+}
+
+void Dispatcher::RecordWait(Session& session, const OpenOrder& order,
+                            const WorkerReply& reply, TimePoint now) {
+  const Duration wait =
+      (reply.result == OrderResult::kNotStarted ? now : reply.started_at) -
+      order.sent;
+  if (!this->config.window_per_carrier) {
+    this->start_windows.OnWait(session.carrier, wait, now);
+    return;
+  }
+  if (reply.started_at != TimePoint{} ||
+      reply.result == OrderResult::kNotStarted) {
+    this->start_windows.OnWait(reply.carrier, wait, now);
+  }
+  session.carrier = reply.carrier.value_or(session.carrier);
+}
+
 void Dispatcher::PlaceTasks(TimePoint now) {
   this->ClearSurvivors(now);
   this->StopGivenUpJobs(now);
@@ -253,8 +286,7 @@
   for (const auto& [pool, sums] : this->waiting_sums) {
     // Each pool gets an equal part of the start window, so that a long queue
     // for one pool doesn't keep the tasks of the others from starting.
-    const std::size_t room = this->start_window.Room();
-    const std::size_t limit = (room + pools_left - 1) / pools_left;
+    const std::size_t limit = this->ShareStartWindows(pools_left);
     --pools_left;
     if (const auto workers = this->pool_workers.find(pool);
         limit > 0 && workers != this->pool_workers.end()) {
@@ -285,6 +317,7 @@
   }
   ShareRound round = this->BeginShareRound(pool, workers.candidates);
   std::vector<Assignment> assignments;
+  round.most_free = MostFree(workers.candidates);
   const auto place = [&](const WaitingStep& waiting) {
     if (waiting.advised && waiting.demand.approved == nullptr) {
       return WaitingSteps::Next::kContinue;
--- a/src/mimosastage/jobs/dispatcher_run_times.cc
+++ b/src/mimosastage/jobs/dispatcher_run_times.cc
@@ -50,6 +50,15 @@
                    0.5, stated);
 }
 
+milliseconds Dispatcher::MeanDurationOf(const Queue& queue, const Step& step,
+                                        std::uint32_t number) const {
+  const milliseconds stated = BoundedTime(step.estimate_ms);
+  return this->config.learn_run_times
+             ? this->run_times.Expected(
+                   MakeRunTimeKey(queue, number, step.image), stated)
+             : stated;
+}
+
 std::int64_t Dispatcher::ExpectedCoreMilliseconds(const JobRequest& request,
                                                   const Queue& queue) const {
   double sum = 0;
@@ -58,11 +67,7 @@
     if (step.long_running) {
       continue;
     }
-    milliseconds duration = BoundedTime(step.estimate_ms);
-    if (this->config.learn_run_times) {
-      duration = this->run_times.Expected(
-          MakeRunTimeKey(queue, number, step.image), duration);
-    }
+    const milliseconds duration = this->MeanDurationOf(queue, step, number);
     sum += static_cast<double>(step.tasks) *
            static_cast<double>(Charge(step).millicores) / 1'000 *
            static_cast<double>(duration.count());
--- a/src/mimosastage/jobs/dispatcher_shares.cc
+++ b/src/mimosastage/jobs/dispatcher_shares.cc
@@ -161,7 +161,8 @@
     return std::nullopt;
   }
   const auto wait = this->ExpectedShareWait(queue.pool, shares, team);
-  const milliseconds chain = LongestChain(request);
+  const milliseconds chain =
+      LongestChain(request, queue, this->MakeExpectedDuration());
   const milliseconds slack = ObjectiveOf(chain, queue) - chain;
   if (!wait.has_value() || *wait <= slack) {
     return std::nullopt;
@@ -184,8 +185,15 @@
                                                demand.team, Charge(step))));
   }
   const std::size_t first = assignments.size();
+  // With a long backlog on a full pool, a search of all workers for each step
+  // would take most of the leader's processor time.
+  const bool may_fit = step.gang || Fits(step, round.most_free);
   const StepPlacement placement =
-      PlaceStep(demand, candidates, quota, assignments, most);
+      may_fit ? PlaceStep(demand, candidates, quota, assignments, most)
+              : StepPlacement::kNoRoom;
+  if (may_fit && placement == StepPlacement::kNoRoom) {
+    round.most_free = MostFree(candidates);
+  }
   const std::size_t placed = assignments.size() - first;
   for (std::size_t i = first; i < assignments.size(); ++i) {
     assignments[i].late = waiting.late;
@@ -201,7 +209,11 @@
   if (placement == StepPlacement::kNoRoom) {
     const bool own_limit = quota != nullptr && !quota->Admits(NeedOf(step));
     round.is_short |= !own_limit && !waiting.late && !step.long_running;
-    if (this->config.preempt && !own_limit) {
+    // Stopping runs doesn't help while a carrier takes no more starts.
+    const bool starts_are_left =
+        std::all_of(this->starts_left.begin(), this->starts_left.end(),
+                    [](const auto& carrier) { return carrier.second > 0; });
+    if (this->config.preempt && !own_limit && starts_are_left) {
       this->NoteBlocked(round, waiting, demand.waiting.size() - placed);
     }
     return WaitingSteps::Next::kLeaveOutAlike;
--- a/src/mimosastage/jobs/dispatcher_stragglers.cc
+++ b/src/mimosastage/jobs/dispatcher_stragglers.cc
@@ -102,7 +102,7 @@
       this->FindOriginals(workers, running, copied, now));
   const StragglerCopies copies(this->config.straggler_copies);
   std::size_t room =
-      std::min(copies.Room(running, copied), this->start_window.Room());
+      std::min(copies.Room(running, copied), this->start_windows.Room());
   if (stragglers.empty() || room == 0) {
     return;
   }
--- a/src/mimosastage/jobs/placement.cc
+++ b/src/mimosastage/jobs/placement.cc
@@ -1,6 +1,7 @@
 #include "mimosastage/jobs/placement.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -88,6 +89,11 @@
   }
 
  private:
+  bool CarrierHasRoom(const CandidateWorker& candidate) const {
+    return candidate.starts_left == nullptr || *candidate.starts_left > 0 ||
+           this->demand.step->gang;
+  }
+
   /// Returns the best candidate for a task, or null.
   CandidateWorker* FindBest() {
     const Step& step = *this->demand.step;
@@ -96,7 +102,8 @@
     this->no_room = true;
     for (CandidateWorker& candidate : this->candidates) {
       if (!Fits(step, candidate.free) ||
-          !HasLabel(candidate, step.required_label)) {
+          !HasLabel(candidate, step.required_label) ||
+          !this->CarrierHasRoom(candidate)) {
         continue;
       }
       this->no_room = false;
@@ -122,6 +129,7 @@
     // rack is the preferred one, and it only becomes fuller.
     const bool is_still_best =
         this->latest != nullptr && Fits(step, this->latest->free) &&
+        this->CarrierHasRoom(*this->latest) &&
         Admits(this->demand, *this->latest, this->on_worker);
     CandidateWorker* const candidate =
         is_still_best ? this->latest : this->FindBest();
@@ -135,6 +143,9 @@
     if (this->team != nullptr) {
       Subtract(this->team->free, NeedOf(step));
     }
+    if (candidate->starts_left != nullptr && !step.gang) {
+      --*candidate->starts_left;
+    }
     if (step.most_per_worker > 0) {
       ++this->on_worker[candidate->id];
     }
@@ -210,6 +221,21 @@
   from.accelerators -= amount.accelerators;
 }
 
+Amount MostFree(const std::vector<CandidateWorker>& candidates) {
+  Amount most;
+  most.millicores = most.memory_mb = most.accelerators =
+      std::numeric_limits<std::int64_t>::min();
+  for (const CandidateWorker& candidate : candidates) {
+    if (candidate.starts_left == nullptr || *candidate.starts_left > 0) {
+      most.millicores = std::max(most.millicores, candidate.free.millicores);
+      most.memory_mb = std::max(most.memory_mb, candidate.free.memory_mb);
+      most.accelerators =
+          std::max(most.accelerators, candidate.free.accelerators);
+    }
+  }
+  return most;
+}
+
 const std::string& CandidateWorker::Rack() const {
   return this->labels.size() > 1 ? this->labels[1] : kNoRack;
 }
--- a/tests/jobs/dispatcher_demand_test.cc
+++ b/tests/jobs/dispatcher_demand_test.cc
@@ -57,6 +57,10 @@
     }
   }
 
+  const Queue& QueueOf(const std::string& pool) const {
+    return *this->fleet.state.Queues().FindByName("queue-" + pool);
+  }
+
   /// Accepts a job of two steps, which needs 40 core-seconds, after each
   /// `interval`. None of its tasks waits.
   void Accept(const std::string& pool, milliseconds time,
@@ -67,7 +71,8 @@
     }
     request.steps[1]->after = {0};
     for (milliseconds passed{0}; passed < time; passed += interval) {
-      this->fleet.dispatcher->OnAccepted(request, pool, this->fleet.now);
+      this->fleet.dispatcher->OnAccepted(request, this->QueueOf(pool),
+                                         this->fleet.now);
       this->Advance(interval);
     }
   }
@@ -108,8 +113,10 @@
   scheduled.steps.push_back(std::make_unique<Step>(MakeStep(24, 4'000)));
   scheduled.occurrences = 2;
   for (int i = 0; i < 20; ++i) {
-    this->fleet.dispatcher->OnAccepted(lasting, "fold", this->fleet.now);
-    this->fleet.dispatcher->OnAccepted(scheduled, "fold", this->fleet.now);
+    this->fleet.dispatcher->OnAccepted(lasting, this->QueueOf("fold"),
+                                       this->fleet.now);
+    this->fleet.dispatcher->OnAccepted(scheduled, this->QueueOf("fold"),
+                                       this->fleet.now);
     this->Advance(milliseconds(30));
   }
   EXPECT_TRUE(this->moved_to.empty());
--- a/tests/jobs/support/worker_schedule.cc
+++ b/tests/jobs/support/worker_schedule.cc
@@ -717,7 +717,7 @@
         command.job->accepted_ms = this->Wall().count();
         const Queue& queue =
             *this->term->working.Queues().FindByName(command.job->queue);
-        this->term->dispatcher->OnAccepted(*command.job, queue.pool, this->now);
+        this->term->dispatcher->OnAccepted(*command.job, queue, this->now);
       }
       this->Propose(std::move(command),
                     [&job](TimePoint) { job.acknowledged = true; });
--- a/tests/jobs/team_shares_test.cc
+++ b/tests/jobs/team_shares_test.cc
@@ -282,7 +282,7 @@
             ++team.refused;
             continue;
           }
-          fleet.dispatcher->OnAccepted(request);
+          fleet.dispatcher->OnAccepted(request, *queue, fleet.now);
           std::vector<Step> steps;
           steps.push_back(std::move(step));
           fleet.Submit(id, "render", std::move(steps), load.team);
@@ -392,7 +392,8 @@
     request = JobRequest();
     request.team = team;
     request.steps.push_back(std::make_unique<Step>(step));
-    fleet.dispatcher->OnAccepted(request);
+    fleet.dispatcher->OnAccepted(
+        request, *fleet.state.Queues().FindByName("queue-render"), fleet.now);
     std::vector<Step> steps;
     steps.push_back(std::move(step));
     fleet.Submit(team + std::to_string(number), "render", std::move(steps),
