Keep the answer of a request that was run if the budget is full

A caller's connection was closed without the answer when accepted requests of others filled the budget: the answer was then the only unfinished bytes, so the budget chose its own connection. HoldAnswer closes other connections, but never the one whose answer has just become ready; if its client doesn't read, it is in line as before.

--- a/src/mimosastage/http/input_budget.cc
+++ b/src/mimosastage/http/input_budget.cc
@@ -87,6 +87,17 @@
 
 bool InputBudget::Hold(ConnectionId id, std::size_t bytes, TimePoint now) {
   const std::lock_guard lock(this->mutex);
+  return this->SetBytes(id, bytes, now, Own::kMayClose);
+}
+
+bool InputBudget::HoldAnswer(ConnectionId id, std::size_t bytes,
+                             TimePoint now) {
+  const std::lock_guard lock(this->mutex);
+  return this->SetBytes(id, bytes, now, Own::kKeep);
+}
+
+bool InputBudget::SetBytes(ConnectionId id, std::size_t bytes, TimePoint now,
+                           Own own) {
   const auto found = this->connections.find(id);
   if (found == this->connections.end() || found->second.closing) {
     return false;
@@ -106,7 +117,7 @@
   if (relist) {
     this->List(id, connection);
   }
-  this->CloseForBytes(id);
+  this->CloseForBytes(id, own);
   return !connection.closing;
 }
 
@@ -139,7 +150,7 @@
 void InputBudget::AddAccepted(ListenerId listener, std::size_t bytes) {
   const std::lock_guard lock(this->mutex);
   this->AddBytes(listener, bytes);
-  this->CloseForBytes(0);
+  this->CloseForBytes(0, Own::kMayClose);
 }
 
 void InputBudget::RemoveAccepted(ListenerId listener, std::size_t bytes) {
@@ -187,12 +198,18 @@
   return std::move(connection.close);
 }
 
-void InputBudget::CloseForBytes(ConnectionId own) {
-  while (this->held_bytes > this->limits.max_bytes && !this->holding.empty()) {
-    const ConnectionId oldest = this->holding.begin()->second;
+void InputBudget::CloseForBytes(ConnectionId id, Own own) {
+  auto next = this->holding.begin();
+  while (this->held_bytes > this->limits.max_bytes &&
+         next != this->holding.end()) {
+    const ConnectionId oldest = next->second;
+    ++next;
+    if (oldest == id && own == Own::kKeep) {
+      continue;
+    }
     const Close close =
         this->BeginClosing(oldest, this->connections.at(oldest));
-    if (oldest != own) {
+    if (oldest != id) {
       close(kBytes);
     }
   }
--- a/src/mimosastage/http/input_budget.h
+++ b/src/mimosastage/http/input_budget.h
@@ -74,6 +74,11 @@
   /// isn't called then.
   [[nodiscard]] bool Hold(ConnectionId connection, std::size_t bytes,
                           TimePoint now);
+  /// As Hold, but never closes this connection, whose request was run: its
+  /// answer is held for a moment even if there is no room. False if the
+  /// connection was told to close before.
+  [[nodiscard]] bool HoldAnswer(ConnectionId connection, std::size_t bytes,
+                                TimePoint now);
   /// A connection with an accepted request that isn't answered doesn't wait for
   /// its client, so it isn't closed for the number of connections.
   void SetBusy(ConnectionId connection, bool busy, TimePoint now);
@@ -104,8 +109,12 @@
   void RemoveBytes(ListenerId listener, std::size_t bytes);
   /// Marks the connection as closing and returns its `close`.
   Close BeginClosing(ConnectionId id, Connection& connection);
-  /// Closes connections until the bytes fit. Never calls the `close` of `own`.
-  void CloseForBytes(ConnectionId own);
+  enum class Own : std::uint8_t { kMayClose, kKeep };
+  bool SetBytes(ConnectionId connection, std::size_t bytes, TimePoint now,
+                Own own);
+  /// Closes connections until the bytes fit, `id` only if `own` allows it.
+  /// Never calls the `close` of `id`.
+  void CloseForBytes(ConnectionId id, Own own);
 
   const Limits limits;
   mutable std::mutex mutex;
--- a/src/mimosastage/http/internal/metered_stream.cc
+++ b/src/mimosastage/http/internal/metered_stream.cc
@@ -133,16 +133,26 @@
 
 void MeteredConnection::OnAnswer(std::size_t bytes) {
   this->unread_answer_bytes += bytes;
-  if (!this->UpdateBudget()) {
-    this->Evict(InputBudget::kBytes);
-  }
+  this->UpdateAnswerBytes();
 }
 
 void MeteredConnection::OnAnswerWritten(std::size_t bytes) {
   this->unread_answer_bytes -= bytes;
   --this->open_requests;
-  if (this->socket != nullptr && !this->UpdateBudget()) {
-    this->Evict(InputBudget::kBytes);
+  this->UpdateAnswerBytes();
+}
+
+void MeteredConnection::UpdateAnswerBytes() {
+  if (this->socket == nullptr) {
+    return;
+  }
+  const TimePoint now = LeaseClock::now();
+  InputBudget& budget = *this->listener.Get().budget;
+  budget.SetBusy(this->budget_id, this->open_requests > 0, now);
+  if (!budget.HoldAnswer(this->budget_id,
+                         this->meter.HeldBytes() + this->unread_answer_bytes,
+                         now)) {
+    this->Shutdown();
   }
 }
 
--- a/src/mimosastage/http/internal/metered_stream.h
+++ b/src/mimosastage/http/internal/metered_stream.h
@@ -105,6 +105,8 @@
   /// Closes the connection because another one needs its room.
   void Evict(const char* reason);
   bool UpdateBudget();
+  /// After a change of the answers that are held.
+  void UpdateAnswerBytes();
   /// Sends an answer that says that the request wasn't run, unless an earlier
   /// request is still open.
   bool Refuse(std::string_view status, const char* reason,
--- a/tests/http/http_server_limits_test.cc
+++ b/tests/http/http_server_limits_test.cc
@@ -4,6 +4,7 @@
 
 #include <asio.hpp>
 #include <chrono>
+#include <condition_variable>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -67,8 +68,10 @@
       HttpAnswer answer;
       answer.body = std::to_string(request.body.size());
       {
-        const std::lock_guard lock(this->mutex);
+        std::unique_lock lock(this->mutex);
         ++this->requests;
+        this->changed.notify_all();
+        this->changed.wait(lock, [this] { return !this->blocked; });
       }
       this->server->Answer(request.id, std::move(answer));
     };
@@ -116,6 +119,9 @@
   std::shared_ptr<InputBudget> budget =
       std::make_shared<InputBudget>(InputBudget::Limits{kMaxHeldBytes, 1'000});
   std::mutex mutex;
+  std::condition_variable changed;
+  /// The server's thread waits in the next request while this is set.
+  bool blocked = false;
   int requests = 0;
   std::map<std::string, int> limits;
   std::uint16_t port = 0;
@@ -169,8 +175,44 @@
 }
 
 // Guards against a request that runs although its client was told that it
-// wasn't: the rest of it arrives after the refusal.
-TEST_F(HttpServerLimitsTest, BudgetReached_LongestHolderGets503AndNeverRuns) {
+// wasn't: the rest of it was received, and not read yet, when it was refused.
+TEST_F(HttpServerLimitsTest, RestArrivesBeforeRefusal_RequestNeverRuns) {
+  Client refused(this->io, this->port);
+  refused.Send(Post("Content-Length: 10", "123456789"));
+  while (this->budget->HeldBytes() == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  {
+    const std::lock_guard lock(this->mutex);
+    this->blocked = true;
+  }
+  Client other(this->io, this->port);
+  other.Send(Post("Content-Length: 1", "x"));
+  {
+    std::unique_lock lock(this->mutex);
+    this->changed.wait(lock, [this] { return this->requests == 1; });
+  }
+  refused.Send("0");
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  auto charge =
+      std::make_unique<InputBudget::Charge>(this->budget, 0, kMaxHeldBytes + 1);
+  {
+    const std::lock_guard lock(this->mutex);
+    this->blocked = false;
+  }
+  this->changed.notify_all();
+  const std::string answer = refused.ReadToEnd();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+  EXPECT_TRUE(other.ReadToEnd().starts_with("HTTP/1.1 200 "));
+  charge.reset();
+  EXPECT_TRUE(this->BudgetEmpties());
+  const std::lock_guard lock(this->mutex);
+  EXPECT_EQ(this->requests, 1);
+}
+
+// Guards against a newcomer that is refused while a client that never ends its
+// request keeps its room.
+TEST_F(HttpServerLimitsTest, BudgetReached_LongestHolderGets503) {
   const std::string start =
       Post("Content-Length: 65536", std::string(kMaxBodyBytes - 1, 'x'));
   std::vector<std::unique_ptr<Client>> clients;
--- a/tests/http/input_budget_test.cc
+++ b/tests/http/input_budget_test.cc
@@ -71,6 +71,19 @@
   EXPECT_EQ(this->budget->HeldBytes(), 0U);
 }
 
+// Guards against a request that was run and whose answer is dropped because
+// other requests fill the budget.
+TEST_F(InputBudgetTest, HoldAnswer_NoRoom_ClosesOthersAndKeepsOwn) {
+  const auto first = this->Open();
+  const auto second = this->Open();
+  const InputBudget::Charge charge(this->budget, this->other, kMaxBytes - 10);
+  EXPECT_TRUE(this->budget->HoldAnswer(first, 20, this->Tick()));
+  EXPECT_THAT(this->closed, IsEmpty());
+  EXPECT_TRUE(this->budget->HoldAnswer(second, 5, this->Tick()));
+  EXPECT_THAT(this->closed, ElementsAre("1 bytes_held"));
+  EXPECT_FALSE(this->budget->HoldAnswer(first, 0, this->Tick()));
+}
+
 // Guards against a budget that counts a request no more once it is complete,
 // while it waits for its answer.
 TEST_F(InputBudgetTest, Charge_OverBytes_ClosesHolderAndCountsUntilDestroyed) {
