--- a/tests/node/job_node_test.cc
+++ b/tests/node/job_node_test.cc
@@ -208,6 +208,29 @@
   EXPECT_EQ(this->answers.at(1), jobs::CallOutcome::kUnknown);
 }
 
+// Guards against an answer that leaves open whether the job was stored, after
+// which clients don't send it again: no leader accepted any copy of the call.
+TEST_F(JobNodeTest, EveryCopyIsUnavailable_JobIsRefusedAtTheDeadline) {
+  this->Start();
+  this->node->OnLinkState(DaemonId{2}, true, this->now);
+  this->AnnounceLeader(1);
+  this->node->OnCall(1, this->Submit(), milliseconds(150), this->now);
+  ASSERT_EQ(this->sent[DaemonId{2}], 1);
+  jobs::Answer unavailable;
+  unavailable.number = this->config.seed + 1;
+  unavailable.outcome =
+      static_cast<std::uint8_t>(jobs::CallOutcome::kUnavailable);
+  this->node->OnMessage(
+      DaemonId{2}, EncodeMessage(JobsBytes{jobs::EncodeAnswer(unavailable)}),
+      this->now);
+  // The leader is lost before the call can be sent again.
+  this->node->OnLinkState(DaemonId{2}, false, this->now);
+  this->now += milliseconds(200);
+  this->node->Advance(this->now);
+  ASSERT_EQ(this->answers.size(), 1U);
+  EXPECT_EQ(this->answers.at(1), jobs::CallOutcome::kUnavailable);
+}
+
 // Guards against a call that nobody handles until its deadline: the leader's
 // term ended, and the same daemon leads the next one.
 TEST_F(JobNodeTest, LeaderLeadsANewView_CallOfItsFormerTerm_IsSentAgain) {
