Tell how often a leader lacks authority, and what an end leaves available

Cause: a gap in the authority was logged by itself, so nothing told a leader that lacks it for moments from one that lacks it most of the time.

Change: AuthorityWatch keeps the time without authority, less the time with it; authority_regained states it. run_stopped and run_ended state, for long-running tasks, how many others are unavailable and how many may be. The rule by which a leader resigns is unchanged.

--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -904,8 +904,13 @@
                    std::uint32_t may_miss);
   /// True if a run of the task is known to serve its purpose.
   bool IsReady(const TaskId& task) const;
+  /// How many other tasks of the long-running step aren't ready.
+  std::uint32_t UnavailableOthers(const TaskId& task, const Step& step) const;
   /// True if stopping the task keeps within its step's `may_miss`.
   bool MayStop(const TaskId& task) const;
+  /// For log lines on the end of a run: how many others of its long-running
+  /// step are unavailable. Empty for other steps and ended jobs.
+  std::string Availability(const TaskId& task) const;
   void OrderUpkeep(const Wave& wave, const std::string& instance,
                    TimePoint now);
   void RecordUpkeepBegun(const OpenInstanceRequest& request, TimePoint now);
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -174,7 +174,8 @@
   if (run.stage == RunStage::kStopping) {
     return;
   }
-  this->hooks.report("run_stopped", ToString(key.first), reason);
+  this->hooks.report("run_stopped", ToString(key.first),
+                     reason + this->Availability(key.first));
   this->LeaveStartWindow(run);
   if (run.stage == RunStage::kLogging) {
     // Once the start is durable, StartRun's callback sees this stage and ends
@@ -350,9 +351,10 @@
   this->SubtractFromSums(session, found->second);
   session.runs.erase(found);
   if (outcome != RunOutcome::kDone && outcome != RunOutcome::kStopped) {
-    this->hooks.report(
-        "run_ended", ToString(key.first),
-        worker + " outcome " + std::to_string(static_cast<int>(outcome)));
+    this->hooks.report("run_ended", ToString(key.first),
+                       worker + " outcome " +
+                           std::to_string(static_cast<int>(outcome)) +
+                           this->Availability(key.first));
   }
   this->hooks.propose(MakeRunEnd(key, outcome, checkpoint), {});
   this->placement_needed = true;
--- a/src/mimosastage/jobs/dispatcher_upkeep.cc
+++ b/src/mimosastage/jobs/dispatcher_upkeep.cc
@@ -36,15 +36,8 @@
   });
 }
 
-bool Dispatcher::MayStop(const TaskId& task) const {
-  const Job* job = this->state.FindJob(task.job);
-  if (job == nullptr || job->Ended()) {
-    return true;
-  }
-  const Step& step = *job->request->steps[task.step];
-  if (!step.long_running) {
-    return true;
-  }
+std::uint32_t Dispatcher::UnavailableOthers(const TaskId& task,
+                                            const Step& step) const {
   std::uint32_t unavailable = 0;
   for (std::uint32_t i = 0; i < step.tasks; ++i) {
     if (i == task.index) {
@@ -54,7 +47,29 @@
     other.index = i;
     unavailable += this->IsReady(other) ? 0 : 1;
   }
-  return unavailable < step.may_miss;
+  return unavailable;
+}
+
+bool Dispatcher::MayStop(const TaskId& task) const {
+  const Job* job = this->state.FindJob(task.job);
+  if (job == nullptr || job->Ended()) {
+    return true;
+  }
+  const Step& step = *job->request->steps[task.step];
+  return !step.long_running ||
+         this->UnavailableOthers(task, step) < step.may_miss;
+}
+
+std::string Dispatcher::Availability(const TaskId& task) const {
+  const Job* job = this->state.FindJob(task.job);
+  if (job == nullptr || job->Ended() ||
+      !job->request->steps[task.step]->long_running) {
+    return "";
+  }
+  const Step& step = *job->request->steps[task.step];
+  return "; " + std::to_string(this->UnavailableOthers(task, step)) +
+         " others of its step are unavailable, " +
+         std::to_string(step.may_miss) + " may be";
 }
 
 void Dispatcher::ReportBlock(Session& session, const TaskId& task,
--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -682,31 +682,26 @@
 }
 
 void JobNode::WatchAuthority(bool authority, TimePoint now) {
-  std::optional<TimePoint>& since = this->term->without_authority_since;
-  if (!authority) {
-    since = since.value_or(now);
-    if (this->AuthorityGap(now) >= kLongestAuthorityGap) {
-      // The others hear this leader, so they don't replace it.
-      this->replica->Resign(now);
-      this->EndTerm("no authority for too long");
-    }
-  } else if (since.has_value()) {
-    const Duration gap = now - *std::exchange(since, std::nullopt);
-    if (gap >= kReportedAuthorityGap) {
-      this->hooks.report(
-          "authority_regained", this->config.name,
-          "after " +
-              std::to_string(std::chrono::floor<milliseconds>(gap).count()) +
-              " ms");
-    }
+  AuthorityWatch& watch = this->term->authority;
+  if (const auto gap = watch.OnTurn(authority, now);
+      gap.has_value() && *gap >= kReportedAuthorityGap) {
+    const auto text = [](Duration time) {
+      return std::to_string(std::chrono::floor<milliseconds>(time).count()) +
+             " ms";
+    };
+    this->hooks.report("authority_regained", this->config.name,
+                       "after " + text(*gap) + "; " + text(watch.Lacked()) +
+                           " in all, less the time with authority");
+  }
+  if (watch.Gap(now) >= kLongestAuthorityGap) {
+    // The others hear this leader, so they don't replace it.
+    this->replica->Resign(now);
+    this->EndTerm("no authority for too long");
   }
 }
 
 Duration JobNode::AuthorityGap(TimePoint now) const {
-  return this->term != nullptr &&
-                 this->term->without_authority_since.has_value()
-             ? now - *this->term->without_authority_since
-             : Duration(0);
+  return this->term != nullptr ? this->term->authority.Gap(now) : Duration(0);
 }
 
 bool JobNode::IsPaused(DaemonId leader, TimePoint now) const {
--- a/src/mimosastage/node/job_node.h
+++ b/src/mimosastage/node/job_node.h
@@ -20,6 +20,7 @@
 #include "mimosastage/jobs/dispatcher.h"
 #include "mimosastage/jobs/fleet_state.h"
 #include "mimosastage/jobs/order_carriers.h"
+#include "mimosastage/node/authority_watch.h"
 #include "mimosastage/replication/membership_planner.h"
 #include "mimosastage/replication/replica.h"
 
@@ -153,9 +154,7 @@
     std::deque<std::string> untaken;
     std::vector<std::function<void(TimePoint)>> untaken_effects;
     std::optional<TimePoint> log_full_since;
-    /// Since when the leader may not decide, for lack of acknowledged
-    /// heartbeats.
-    std::optional<TimePoint> without_authority_since;
+    AuthorityWatch authority;
     TimePoint last_entry{};
     /// The log refused a proposal for good, so `working` is ahead of the log.
     bool failed = false;
