Show a leader without authority that stays, and a stop that relies on old lists

Cause: a leader resigns only after a single gap of 1 s in its authority; and MayStop counts a task as ready however old the list is that shows it.

The fake fleet can hold orders of one worker back.

--- a/tests/jobs/dispatcher_reservation_test.cc
+++ b/tests/jobs/dispatcher_reservation_test.cc
@@ -458,5 +458,25 @@
   EXPECT_EQ(this->fleet.RunningTasks(), 4U);
 }
 
+// Guards against an upkeep that stops a long-running task while more of its
+// step are unavailable than may be (AVAIL): their leases have lapsed, and the
+// leader relies on lists from before, because no hold could be sent since.
+TEST_F(DispatcherReservationTest,
+       ListOfAnotherWorkerIsOld_TaskOfTheSameStepIsNotStopped) {
+  this->StartTermWithWorkers(2);
+  this->SubmitLasting(2, 1);
+  this->fleet.waits_to_be_sent = [](const WorkerOrder& order) {
+    return order.worker == "worker-0";
+  };
+  this->Advance(this->fleet.config.lease.length + milliseconds(500));
+  ASSERT_TRUE(this->fleet.workers.at("worker-0").running.empty());
+  this->StartWave(1, "machine-worker-1");
+  this->Advance(milliseconds(1'000));
+  EXPECT_EQ(this->fleet.workers.at("worker-1").running.size(), 1U);
+  this->fleet.waits_to_be_sent = nullptr;
+  this->AdvanceWithUpkeeps(milliseconds(3'000));
+  EXPECT_EQ(this->upkept.size(), 1U) << "the other task is ready again";
+}
+
 }  // namespace
 }  // namespace mimosastage::jobs
--- a/tests/jobs/support/fake_fleet_leader.cc
+++ b/tests/jobs/support/fake_fleet_leader.cc
@@ -345,7 +345,8 @@
       reply.result = OrderResult::kNotStarted;
       ++this->not_started_orders;
       this->dispatcher->OnReply(reply, this->now);
-    } else if (sent.size() < this->orders_per_tick) {
+    } else if (sent.size() < this->orders_per_tick &&
+               !(this->waits_to_be_sent && this->waits_to_be_sent(order))) {
       sent.push_back(std::move(order));
     } else {
       this->orders.emplace_back(given, std::move(order));
--- a/tests/jobs/support/fake_fleet_leader.h
+++ b/tests/jobs/support/fake_fleet_leader.h
@@ -95,6 +95,8 @@
   /// for longer than `max_send_wait` are never started.
   std::size_t orders_per_tick = std::numeric_limits<std::size_t>::max();
   std::chrono::milliseconds max_send_wait{250};
+  /// If set and true for an order, the leader's process can't send it.
+  std::function<bool(const WorkerOrder& order)> waits_to_be_sent;
   /// How far the time that the leader passes along with answers is behind, as
   /// after a freeze or CPU starvation.
   std::chrono::milliseconds leader_lag{0};
--- a/tests/node/job_group_slow_leader_test.cc
+++ b/tests/node/job_group_slow_leader_test.cc
@@ -64,5 +64,22 @@
   }
 }
 
+// Guards against a leader that regains its authority for moments only, so that
+// it is never replaced, and hardly renews a lease or serves a call (AVAIL).
+TEST_F(JobGroupSlowLeaderTest, AuthorityIsLackedMostly_AnotherLeaderServes) {
+  JobGroup group(this->settings);
+  group.Run(seconds(10));
+  const std::optional<std::size_t> slow = group.Leader();
+  ASSERT_TRUE(slow.has_value());
+  for (int i = 0; i < 16; ++i) {
+    group.DelayLinks(*slow, kDelay);
+    group.Run(milliseconds(300));
+    group.DelayLinks(*slow, milliseconds(0));
+    group.Run(milliseconds(200));
+  }
+  EXPECT_NE(group.Leader(), slow);
+  EXPECT_EQ(group.rules.Violation(), "");
+}
+
 }  // namespace
 }  // namespace mimosastage
