Replace a leader that lacks its authority most of the time

What callers saw: for seconds no job started, calls went unanswered without a refusal, and leases of long-running tasks lapsed on workers without a fault.

Cause: a leader resigned after 1 s without authority in one gap. A leader that is short of processor time regains it for moments; each of them began the count anew, while the other voters heard the leader and had no reason to replace it.

Evidence: on the code before, a leader whose processor is five times slower lacked its authority four fifths of the time in 41 gaps of up to 700 ms, and 132 runs lapsed.

Change: time without authority adds up, and time with it makes up for as much; the leader resigns at 1 s. A single gap ends the term as before.

It delays them for 500 of 700 ms now (64 to 70%), fails on the code before, and passes.

Measured: node_test passes, 56 tests (arm64).

--- a/src/mimosastage/node/job_node.cc
+++ b/src/mimosastage/node/job_node.cc
@@ -22,10 +22,10 @@
 /// ms, and a leader that is short of processor time would stay without
 /// authority for handling them.
 constexpr milliseconds kAnnouncedAuthorityGap{100};
-/// The leader resigns then. Leases of workers last 4.5 s, and their last
-/// renewal may be 1.6 s old; the next leader needs 0.6 to 0.9 s to begin its
-/// term.
-constexpr milliseconds kLongestAuthorityGap{1'000};
+/// The leader resigns if it has lacked authority for this long, less the time
+/// with it. Leases of workers last 4.5 s, and their last renewal may be 1.6 s
+/// old; the next leader needs 0.6 to 0.9 s to begin its term.
+constexpr milliseconds kMostAuthorityLacked{1'000};
 /// A daemon without a replica only follows the leader's messages.
 constexpr milliseconds kEntryTickInterval{50};
 /// Interval at which the leader checks whether a voter must be replaced.
@@ -693,10 +693,10 @@
                        "after " + text(*gap) + "; " + text(watch.Lacked()) +
                            " in all, less the time with authority");
   }
-  if (watch.Gap(now) >= kLongestAuthorityGap) {
+  if (!authority && watch.Lacked() >= kMostAuthorityLacked) {
     // The others hear this leader, so they don't replace it.
     this->replica->Resign(now);
-    this->EndTerm("no authority for too long");
+    this->EndTerm("no authority for most of the time");
   }
 }
 
--- a/tests/node/job_group_slow_leader_test.cc
+++ b/tests/node/job_group_slow_leader_test.cc
@@ -73,7 +73,7 @@
   ASSERT_TRUE(slow.has_value());
   for (int i = 0; i < 16; ++i) {
     group.DelayLinks(*slow, kDelay);
-    group.Run(milliseconds(300));
+    group.Run(milliseconds(500));
     group.DelayLinks(*slow, milliseconds(0));
     group.Run(milliseconds(200));
   }
