Don't stop a task because of what a worker listed seconds ago

An upkeep or an evacuation ended a long-running task while more of its step were unavailable than may be.

Cause: MayStop took a task for ready as long as its worker wasn't silent, however old the list was that showed it. Holds that can't be sent make no worker silent, so leases lapsed unseen and the leader went on to stop others.

Change: a list shows readiness for 2 s; workers list their runs about once a second. The stop waits until the others are listed again.

That the users' incident went this way isn't shown.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -541,6 +541,7 @@
   session.last_dropped_end =
       std::max(session.last_dropped_end, order.last_durable_end);
   session.listed_ends = reply.ended.size();
+  session.last_list = std::max(session.last_list, reply.read_at);
   if (this->state.Crashes().FindUnsettled(id, session.born_ms) != nullptr) {
     this->Settle(id, session.born_ms, false);
   }
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -66,6 +66,10 @@
     /// tasks that must run apart, so that the others go on.
     std::size_t isolation_divisor = 2;
     std::chrono::milliseconds retry_delay{150};
+    /// How long a list of a worker's runs shows that its tasks serve their
+    /// purpose. A worker lists them about once a second, and the lease of one
+    /// that hasn't lately may have lapsed.
+    std::chrono::milliseconds readiness_validity{2'000};
     /// A worker that lists more run ends gets them acknowledged although it
     /// hasn't listed each start, because a longer list might be cut off.
     std::size_t max_unacknowledged_ends = 400;
@@ -366,6 +370,8 @@
     std::uint64_t sequence = 0;
     /// When the worker's latest answer was read.
     TimePoint last_answer{};
+    /// When the answer was read that last listed the worker's runs.
+    TimePoint last_list{};
     /// While the worker is silent: it had not ended before this time.
     TimePoint alive_until{};
     std::map<RunKey, Run> runs;
@@ -786,8 +792,8 @@
                   const std::vector<CandidateWorker>& candidates,
                   TimePoint now);
   /// True if the run may be stopped for the step.
-  bool MayPreempt(const RunKey& key, const Run& run,
-                  const WaitingStep& waiting) const;
+  bool MayPreempt(const RunKey& key, const Run& run, const WaitingStep& waiting,
+                  TimePoint now) const;
   /// False once all runs of the pool's latest preemption have ended.
   bool IsPreempting(const std::string& pool);
 
@@ -903,14 +909,15 @@
   void ReportBlock(Session& session, const TaskId& task,
                    std::uint32_t may_miss);
   /// True if a run of the task is known to serve its purpose.
-  bool IsReady(const TaskId& task) const;
+  bool IsReady(const TaskId& task, TimePoint now) const;
   /// How many other tasks of the long-running step aren't ready.
-  std::uint32_t UnavailableOthers(const TaskId& task, const Step& step) const;
+  std::uint32_t UnavailableOthers(const TaskId& task, const Step& step,
+                                  TimePoint now) const;
   /// True if stopping the task keeps within its step's `may_miss`.
-  bool MayStop(const TaskId& task) const;
+  bool MayStop(const TaskId& task, TimePoint now) const;
   /// For log lines on the end of a run: how many others of its long-running
   /// step are unavailable. Empty for other steps and ended jobs.
-  std::string Availability(const TaskId& task) const;
+  std::string Availability(const TaskId& task, TimePoint now) const;
   void OrderUpkeep(const Wave& wave, const std::string& instance,
                    TimePoint now);
   void RecordUpkeepBegun(const OpenInstanceRequest& request, TimePoint now);
--- a/src/mimosastage/jobs/dispatcher_evacuation.cc
+++ b/src/mimosastage/jobs/dispatcher_evacuation.cc
@@ -123,7 +123,7 @@
   std::erase_if(this->moving_tasks, [&](const auto& row) {
     const Job* job = this->state.FindJob(row.second.job);
     return job == nullptr || job->Ended() || !job->Contains(row.second) ||
-           this->IsReady(row.second);
+           this->IsReady(row.second, now);
   });
   if (this->state.EvacuatedZones().empty()) {
     this->moving_tasks.clear();
@@ -149,7 +149,7 @@
       step.index = 0;
       const Job* job = this->state.FindJob(task.job);
       if (job == nullptr || job->Ended() || job->queue == nullptr ||
-          this->moving_tasks.contains(step) || !this->MayStop(task)) {
+          this->moving_tasks.contains(step) || !this->MayStop(task, now)) {
         continue;
       }
       const std::string& pool = job->queue->pool;
--- a/src/mimosastage/jobs/dispatcher_preemption.cc
+++ b/src/mimosastage/jobs/dispatcher_preemption.cc
@@ -81,7 +81,7 @@
 }
 
 bool Dispatcher::MayPreempt(const RunKey& key, const Run& run,
-                            const WaitingStep& waiting) const {
+                            const WaitingStep& waiting, TimePoint now) const {
   // Any later run of a task may follow a stop.
   if (run.stage != RunStage::kRunning || !run.running_since.has_value() ||
       key.second != 1 || run.step->gang || run.step->long_running ||
@@ -94,7 +94,7 @@
   const bool more_urgent = job != nullptr && job->queue != nullptr &&
                            job->queue->priority < waiting.priority;
   return (less_urgent || (run.late && !more_urgent)) &&
-         this->MayStop(key.first);
+         this->MayStop(key.first, now);
 }
 
 bool Dispatcher::PreemptFor(const std::string& pool, const BlockedStep& blocked,
@@ -126,7 +126,7 @@
     std::vector<RunKey> keys;
     std::size_t max_stops = left;
     for (const auto& [key, run] : this->sessions.at(worker.id).runs) {
-      if (!this->MayPreempt(key, run, waiting)) {
+      if (!this->MayPreempt(key, run, waiting, now)) {
         continue;
       }
       const std::size_t left_of =
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -175,7 +175,7 @@
     return;
   }
   this->hooks.report("run_stopped", ToString(key.first),
-                     reason + this->Availability(key.first));
+                     reason + this->Availability(key.first, now));
   this->LeaveStartWindow(run);
   if (run.stage == RunStage::kLogging) {
     // Once the start is durable, StartRun's callback sees this stage and ends
@@ -354,7 +354,7 @@
     this->hooks.report("run_ended", ToString(key.first),
                        worker + " outcome " +
                            std::to_string(static_cast<int>(outcome)) +
-                           this->Availability(key.first));
+                           this->Availability(key.first, now));
   }
   this->hooks.propose(MakeRunEnd(key, outcome, checkpoint), {});
   this->placement_needed = true;
--- a/src/mimosastage/jobs/dispatcher_upkeep.cc
+++ b/src/mimosastage/jobs/dispatcher_upkeep.cc
@@ -22,7 +22,7 @@
   return workers.empty() ? nullptr : workers.front();
 }
 
-bool Dispatcher::IsReady(const TaskId& task) const {
+bool Dispatcher::IsReady(const TaskId& task, TimePoint now) const {
   const auto& active = this->state.FindJob(task.job)->At(task).active;
   return std::any_of(active.begin(), active.end(), [&](const ActiveRun& row) {
     const auto session = this->sessions.find(row.worker);
@@ -32,12 +32,14 @@
     const auto run = session->second.runs.find({task, row.number});
     return run != session->second.runs.end() &&
            run->second.stage == RunStage::kRunning && run->second.ready &&
-           session->second.unanswered_orders == 0;
+           session->second.unanswered_orders == 0 &&
+           now - session->second.last_list <= this->config.readiness_validity;
   });
 }
 
 std::uint32_t Dispatcher::UnavailableOthers(const TaskId& task,
-                                            const Step& step) const {
+                                            const Step& step,
+                                            TimePoint now) const {
   std::uint32_t unavailable = 0;
   for (std::uint32_t i = 0; i < step.tasks; ++i) {
     if (i == task.index) {
@@ -45,29 +47,29 @@
     }
     TaskId other = task;
     other.index = i;
-    unavailable += this->IsReady(other) ? 0 : 1;
+    unavailable += this->IsReady(other, now) ? 0 : 1;
   }
   return unavailable;
 }
 
-bool Dispatcher::MayStop(const TaskId& task) const {
+bool Dispatcher::MayStop(const TaskId& task, TimePoint now) const {
   const Job* job = this->state.FindJob(task.job);
   if (job == nullptr || job->Ended()) {
     return true;
   }
   const Step& step = *job->request->steps[task.step];
   return !step.long_running ||
-         this->UnavailableOthers(task, step) < step.may_miss;
+         this->UnavailableOthers(task, step, now) < step.may_miss;
 }
 
-std::string Dispatcher::Availability(const TaskId& task) const {
+std::string Dispatcher::Availability(const TaskId& task, TimePoint now) const {
   const Job* job = this->state.FindJob(task.job);
   if (job == nullptr || job->Ended() ||
       !job->request->steps[task.step]->long_running) {
     return "";
   }
   const Step& step = *job->request->steps[task.step];
-  return "; " + std::to_string(this->UnavailableOthers(task, step)) +
+  return "; " + std::to_string(this->UnavailableOthers(task, step, now)) +
          " others of its step are unavailable, " +
          std::to_string(step.may_miss) + " may be";
 }
@@ -142,7 +144,7 @@
     if (run.stage == RunStage::kStopping) {
       continue;
     }
-    if (!this->MayStop(key.first)) {
+    if (!this->MayStop(key.first, now)) {
       block = Block{key.first, run.step->may_miss, now};
       continue;
     }
