--- a/tests/system/input_limits_test.cc
+++ b/tests/system/input_limits_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -34,6 +35,10 @@
 /// More connections than descriptors.
 constexpr std::size_t kIdleConnections = 700;
 
+/// Connections that send a body that takes many times its length if nothing
+/// limits that.
+constexpr std::size_t kManyValuesSenders = 8;
+
 /// Largest bodies that must be served.
 constexpr std::size_t kLargestClientBody = 1U << 20U;
 constexpr std::size_t kLargestAnnouncement = 4U << 20U;
@@ -90,6 +95,34 @@
   };
 }
 
+/// Complete bodies of `bytes` that are much longer once they are decoded.
+/// `method` and `target` name a request that takes a JSON body.
+std::vector<Crowd> MakeManyValuesCrowds(const std::string& method,
+                                        const std::string& target,
+                                        std::size_t bytes) {
+  const auto make = [&](const char* name, const std::string& values) {
+    const std::string begin = "{\"steps\":[";
+    const std::string end = "0]}";
+    std::string body =
+        begin +
+        Repeat(values, (bytes - begin.size() - end.size()) / values.size());
+    body += end;
+    return Crowd{
+        name,
+        kManyValuesSenders,
+        {method + " " + target + " HTTP/1.1\r\nHost: host\r\nContent-Length: " +
+             std::to_string(body.size()) + "\r\n\r\n" + body,
+         {},
+         0}};
+  };
+  return {make("empty objects", "{},"),
+          make("empty arrays", "[],"),
+          make("arrays of one number", "[0],"),
+          make("objects of one number", "{\"\":0},"),
+          make("numbers", "0,"),
+          make("empty strings", "\"\",")};
+}
+
 /// Bounds on a process under test.
 class InputLimitsTest : public ::testing::Test {
  protected:
@@ -99,7 +132,13 @@
   static void ExpectBounded(Process& process, const std::string& endpoint,
                             const std::string& target,
                             const std::function<bool()>& answers) {
-    for (const Crowd& crowd : MakeCrowds(target)) {
+    ExpectBounded(process, endpoint, MakeCrowds(target), answers);
+  }
+
+  static void ExpectBounded(Process& process, const std::string& endpoint,
+                            const std::vector<Crowd>& crowds,
+                            const std::function<bool()>& answers) {
+    for (const Crowd& crowd : crowds) {
       SCOPED_TRACE(crowd.name);
       std::size_t descriptors = 0;
       ResetPeakResidentBytes(process.Pid());
@@ -307,6 +346,44 @@
                 [&] { return GetsAnswer(this->control, "/-/configuration"); });
 }
 
+// Guards against an entry that one client ends: a body within its limit takes
+// many times its length once it is decoded.
+TEST_F(PlatformInputLimitsTest, Clients_SendManyValues_EntryStaysBounded) {
+  int job = 0;
+  ExpectBounded(*this->entry, this->frontend,
+                MakeManyValuesCrowds("POST", "/queue/many", kLargestClientBody),
+                [&] { return this->Submit("job" + std::to_string(++job)); });
+}
+
+// Guards against the same on a voter, which takes larger bodies.
+TEST_F(PlatformInputLimitsTest, Workers_SendManyValues_VoterStaysBounded) {
+  ExpectBounded(
+      *this->voter, this->control,
+      MakeManyValuesCrowds("PUT", "/-/instances/many", kLargestAnnouncement),
+      [&] { return GetsAnswer(this->control, "/-/configuration"); });
+}
+
+// Guards against an entry whose memory grows with accepted requests that no
+// leader answers.
+TEST_F(PlatformInputLimitsTest, VoterIsFrozen_LargestJobs_EntryStaysBounded) {
+  const json body{{"specification", std::string(kLargestClientBody / 2, 'x')},
+                  {"steps", {{{"count", 1}, {"cpu", 500}}}}};
+  const std::string text = Pad(body, kLargestClientBody);
+  const Crowd crowd{"largest jobs that wait for the leader",
+                    kLargeSenders,
+                    {"POST /queue/large HTTP/1.1\r\nHost: host\r\n"
+                     "X-Deadline-Ms: 20000\r\nContent-Length: " +
+                         std::to_string(text.size()) + "\r\n\r\n" + text,
+                     {},
+                     0}};
+  this->voter->Signal(SIGSTOP);
+  int job = 0;
+  ExpectBounded(*this->entry, this->frontend, {crowd}, [&] {
+    this->voter->Signal(SIGCONT);
+    return this->Submit("job" + std::to_string(++job));
+  });
+}
+
 // Guards against limits that refuse an ordinary request.
 TEST_F(PlatformInputLimitsTest, Idle_LargestRequests_AreServed) {
   const std::vector<std::vector<std::string>> framings{
