--- a/review/standins-3/deployment.hpp
+++ b/review/standins-3/deployment.hpp
@@ -549,13 +549,20 @@
     std::vector<Started> started;
     std::vector<Ended> ended;
     std::vector<Stopped> stopped;
+    /// Ends that `last_seen` has reached.
+    std::vector<Ended> acknowledged;
   };
 
-  Worker(Place place, const System& system, Record& record, History& history)
+  /// True for a start order that gets no answer and isn't carried out now.
+  using HoldsBack = std::function<bool(const Request& start)>;
+
+  Worker(Place place, const System& system, Record& record, History& history,
+         HoldsBack holds_back = nullptr)
       : place(std::move(place)),
         control(system.control),
         record(record),
         history(history),
+        holds_back(std::move(holds_back)),
         server(std::make_unique<Server>(
             this->place.address,
             [this](const Request& request) { return this->Handle(request); })) {
@@ -593,6 +600,12 @@
     const std::lock_guard lock(this->mutex);
     return this->drain_acknowledged;
   }
+  /// Carries out an order that came before; it gets no answer. Returns the
+  /// status that the answer would have had.
+  int CarryOutLate(const Request& order) {
+    const auto reply = this->Handle(order);
+    return reply.has_value() ? reply->status : 0;
+  }
   std::map<std::string, int> Running() {
     const std::lock_guard lock(this->mutex);
     std::map<std::string, int> names;
@@ -726,6 +739,9 @@
     }
     const json order = request.Json();
     if (!order.is_object()) return Reply{400, this->Base()};
+    if (request.path == "/-/run-start" && this->holds_back && this->holds_back(request)) {
+      return std::nullopt;
+    }
     const auto token = order.value("fencing_token", std::uint64_t{0});
     if (token < this->highest_token) return this->Refusal("fence");
     this->highest_token = token;
@@ -786,7 +802,15 @@
   std::optional<Reply> Hold(const json& order, std::unique_lock<std::mutex>& lock) {
     this->Extend(order);
     const auto seen = order.value("last_seen", std::uint64_t{0});
-    std::erase_if(this->ends, [&](const End& end) { return end.number <= seen; });
+    std::erase_if(this->ends, [&](const End& end) {
+      if (end.number > seen) return false;
+      this->record("end of " + end.task + " run " + std::to_string(end.run) + " (" +
+                   end.how + ") on " + this->place.id + " is taken note of");
+      const std::lock_guard history_lock(this->history.mutex);
+      this->history.acknowledged.push_back(
+          {this->record.Seconds(), this->place.id, end.task, end.run, end.how});
+      return true;
+    });
     this->changed.wait_for(lock, milliseconds(order.value("wait_ms", 0)),
                            [this] { return this->gone || !this->ends.empty(); });
     if (this->gone) return std::nullopt;
@@ -813,6 +837,7 @@
   const std::vector<Endpoint> control;
   Record& record;
   History& history;
+  const HoldsBack holds_back;
   const Steady::time_point born = Steady::now();
   const std::int64_t born_unix_ms =
       std::chrono::duration_cast<milliseconds>(
