--- a/review/standins-3/deployment.hpp
+++ b/review/standins-3/deployment.hpp
@@ -606,6 +606,18 @@
     const auto reply = this->Handle(order);
     return reply.has_value() ? reply->status : 0;
   }
+  /// How many tasks that last are at work.
+  std::size_t AtWork() {
+    const std::lock_guard lock(this->mutex);
+    std::size_t count = 0;
+    for (const auto& [task, run] : this->runs) {
+      count += !run.work_ms.has_value() &&
+                       Steady::now() - run.begun >= milliseconds(kStartupMs)
+                   ? 1
+                   : 0;
+    }
+    return count;
+  }
   std::map<std::string, int> Running() {
     const std::lock_guard lock(this->mutex);
     std::map<std::string, int> names;
@@ -632,6 +644,8 @@
   static constexpr double kFirstClockMs = 400'000;
   static constexpr double kMaxHoldMs = 10'000;
   static constexpr int kStopMs = 60;
+  /// A task that lasts is at work this long after its start.
+  static constexpr int kStartupMs = 300;
 
   double ClockMs() const {
     return kFirstClockMs +
@@ -823,7 +837,7 @@
       const int percent =
           run.work_ms.has_value()
               ? std::min(99, static_cast<int>(100 * worked / *run.work_ms))
-              : (worked >= 300 ? 100 : 50);
+              : (worked >= kStartupMs ? 100 : 50);
       body["running"].push_back({task, run.number, "", percent});
     }
     body["ended_runs"] = json::array();
--- a/review/standins-3/slow_platform.cpp
+++ b/review/standins-3/slow_platform.cpp
@@ -8,10 +8,12 @@
 
 constexpr char kKey[] = "key-of-the-clubs-0001";
 constexpr char kHost[] = "courts.example";
+constexpr char kJob[] = "5c0e7a21d94b36f8";
 constexpr int kWorkers = 9;
 /// The slow platform's time for a call; its effect comes at the end of it.
-constexpr std::int64_t kSlowMs = 1'000;
+constexpr std::int64_t kSlowMs = 1'300;
 constexpr std::int64_t kMaintenanceMs = 2'000;
+constexpr std::size_t kMayMiss = 1;
 
 int Run(Record& record) {
   System system(record);
@@ -30,7 +32,8 @@
         Worker::Place{"i-" + std::to_string(1000 + ++life), system.WorkerAddress(number),
                       machine, "surfaces",
                       Zones()[static_cast<std::size_t>(number - 1) % 3],
-                      "r" + std::to_string(1 + number / 4)},
+                      "r" + std::to_string(1 + number / 4),
+                      number == 1 ? "kind-b" : "kind-a"},
         system, record, history);
   };
   Server platform(system.platform, [&](const Request& request) -> std::optional<Reply> {
@@ -60,7 +63,13 @@
     if (done.contains(machine)) return Reply{200, json::object()};
     if (workers[machine] == nullptr) return Reply{409, json{{"reason", "busy"}}};
     done.insert(machine);
+    const std::size_t at_work = workers[machine]->AtWork();
     workers[machine].reset();
+    if (at_work > kMayMiss) {
+      record("AVAIL as well: the upkeep has ended " + std::to_string(at_work) +
+             " tasks of a step that were at work, and " + std::to_string(kMayMiss) +
+             " may be away");
+    }
     ++down;
     most_down = std::max(most_down, down);
     record("upkeep of " + machine + " begins; " + std::to_string(down - 1) +
@@ -107,6 +116,24 @@
     system.core[*leader]->Start();
     record(system.core[*leader]->name + " is started again");
   }
+  // A job whose two tasks last, of which one may be away, and which need the
+  // kind of worker that the first machine has.
+  const json job{{"specification", "lasts"},
+                 {"steps", json::array({json{{"count", 2},
+                                             {"cpu", 2600},
+                                             {"memory_request_mb", 13000},
+                                             {"estimated_ms", 500},
+                                             {"long_running", true},
+                                             {"required_label", "kind-b"},
+                                             {"may_miss", kMayMiss}}})}};
+  const int accepted =
+      Call(system.front, "POST", std::string("/surveys/") + kJob, job, 3'000,
+           {{"Host", kHost},
+            {"Authorization", std::string("Bearer ") + kKey},
+            {"X-Deadline-Ms", "3000"}})
+          .status;
+  record(std::string("client: POST /surveys/") + kJob + " -> " +
+         std::to_string(accepted));
   SleepMs(12'000);
   for (;;) {
     std::vector<std::thread> all;
