Withhold an end while a copy of its start may still be executed

The first copy of its start got no answer, the second one was executed, and the end was acknowledged. Then the worker crashed, and its next incarnation under the same id executed the first copy.

Cause: MayAcknowledge looked at the runs that are left. That a run's start had been repeated was noted in the run and forgotten with it, so the end was acknowledged 11 ms after it was listed, while the first copy could still be executed for 10.6 s. Nothing that the order carries is refused by the next incarnation: it has seen no token and no run, and its clock starts anew.

Change: StartCopies knows the copies that may still be executed, by task: those without an answer, until 12 s after they were sent, except an only copy whose run the worker has listed. The end `done` or `failed` of such a task is withheld until then, on whatever worker, and with it the later ends of that worker; a list of 400 ends is acknowledged in any case. The same class now tells whether the runs of a silent worker may start elsewhere. Steps that are speculative or long-running may start again and aren't concerned. A worker that lists only withheld ends answers each hold at once, so it is asked every 150 ms. The line "end_withheld" names run, worker and time.

Failed before, on, and pass now: DispatcherIncarnationTest.StartWasRepeated_FirstCopyMayBeLate_EndIsKept, CopyIsForAnotherWorker_MayBeLate_EndIsKept and EndIsWithheld_LongListIsAcknowledged.

Why it works: the rule forbids a start after an end that was acknowledged.

Open: a new leader doesn't know the copies that the one before it sent.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -74,6 +74,7 @@
       speed(this->config.speed),
       stopped_given_up_jobs(state.GivenUpJobs()),
       waiting_steps(state, this->MakeExpectedDuration()),
+      start_copies(this->config.lease.execution_delay),
       start_windows(this->config.window_per_carrier
                         ? this->config.carrier_window
                         : this->config.start_window),
@@ -300,9 +301,10 @@
          !session.reserved.has_value();
 }
 
-void Dispatcher::Send(const std::string& id, Session& session, OpenOrder open,
-                      WorkerOrder order) {
-  order.number = this->next_number++;
+std::uint64_t Dispatcher::Send(const std::string& id, Session& session,
+                               OpenOrder open, WorkerOrder order) {
+  const std::uint64_t number = this->next_number++;
+  order.number = number;
   order.worker = id;
   order.address = session.address;
   order.fence = this->fence;
@@ -312,8 +314,9 @@
   open.born_ms = session.born_ms;
   open.token = order.token;
   open.timeout = order.timeout;
-  this->orders.emplace(order.number, std::move(open));
+  this->orders.emplace(number, std::move(open));
   this->hooks.send(std::move(order));
+  return number;
 }
 
 void Dispatcher::SendHold(const std::string& id, Session& session,
@@ -330,9 +333,9 @@
       this->OnRenewed(id, session, now);
     }
   }
-  if (this->MayAcknowledge(session)) {
-    hold.last_durable_end = session.last_durable_end;
-    session.last_acknowledged_end = session.last_durable_end;
+  if (this->MayAcknowledge(session, now)) {
+    hold.last_durable_end = this->LastAcknowledgeableEnd(session, now);
+    session.last_acknowledged_end = hold.last_durable_end;
     session.acknowledged_under_token = true;
   } else if (HasUnacknowledgedEnds(session)) {
     this->hooks.count_retry("acknowledgement_waits");
@@ -376,8 +379,9 @@
           std::to_string(since.unanswered) + " orders were unanswered");
 }
 
-bool Dispatcher::MayAcknowledge(const Session& session) const {
-  if (session.unanswered_orders > 0 || !HasUnacknowledgedEnds(session)) {
+bool Dispatcher::MayAcknowledge(const Session& session, TimePoint now) const {
+  if (session.unanswered_orders > 0 ||
+      this->LastAcknowledgeableEnd(session, now) <= session.last_dropped_end) {
     return false;
   }
   return session.listed_ends >= this->config.max_unacknowledged_ends ||
@@ -386,10 +390,87 @@
              [](const auto& row) { return row.second.IsStartUnlisted(); });
 }
 
-bool Dispatcher::IsStartOnItsWay(const Run& run, TimePoint now) const {
-  const bool unanswered = (run.start_sent && !run.listed) || run.start_repeated;
-  return unanswered && !run.step->long_running &&
-         now - run.last_start < this->config.lease.execution_delay;
+std::uint64_t Dispatcher::LastAcknowledgeableEnd(const Session& session,
+                                                 TimePoint now) const {
+  if (session.listed_ends >= this->config.max_unacknowledged_ends) {
+    return session.last_durable_end;
+  }
+  const auto withheld =
+      std::find_if(session.withheld_ends.begin(), session.withheld_ends.end(),
+                   [&](const auto& row) { return row.second > now; });
+  return withheld == session.withheld_ends.end()
+             ? session.last_durable_end
+             : std::min(session.last_durable_end, withheld->first - 1);
+}
+
+void Dispatcher::WithholdEnd(const std::string& id, Session& session,
+                             const EndedRun& ended, const Step* step,
+                             TimePoint now) {
+  const bool may_repeat =
+      step != nullptr && (step->speculative || step->long_running);
+  if (may_repeat || (ended.outcome != RunOutcome::kDone &&
+                     ended.outcome != RunOutcome::kFailed)) {
+    return;
+  }
+  std::optional<TimePoint> latest;
+  TaskId task = ended.task;
+  const bool whole_gang = step != nullptr && step->gang;
+  const std::uint32_t first = whole_gang ? 0 : task.index;
+  const std::uint32_t count = whole_gang ? step->tasks : 1;
+  for (task.index = first; task.index - first < count; ++task.index) {
+    if (const auto until = this->start_copies.LatestExecution(task, now);
+        until.has_value()) {
+      latest = std::max(latest.value_or(*until), *until);
+    }
+  }
+  if (!latest.has_value()) {
+    return;
+  }
+  session.withheld_ends[ended.number] = *latest;
+  this->hooks.report(
+      "end_withheld", ToString(ended.task),
+      id + " run " + std::to_string(ended.run) + " end " +
+          std::to_string(ended.number) +
+          ": a copy of its start may be executed for another " +
+          std::to_string(
+              std::chrono::floor<milliseconds>(*latest - now).count()) +
+          " ms");
+}
+
+const Step* Dispatcher::FindStep(const TaskId& task) const {
+  const Job* const job = this->state.FindJob(task.job);
+  return job != nullptr && job->Contains(task)
+             ? job->request->steps[task.step].get()
+             : nullptr;
+}
+
+void Dispatcher::SettleStartCopy(const OpenOrder& order,
+                                 const WorkerReply& reply) {
+  if (!order.run.has_value() || order.stage != RunStage::kStarting) {
+    return;
+  }
+  const TaskId& task = order.run->first;
+  switch (reply.result) {
+    case OrderResult::kOk:
+      this->start_copies.OnConfirmed(task, reply.number);
+      return;
+    case OrderResult::kUnanswered:
+      this->start_copies.OnUnanswered(task, reply.number);
+      return;
+    default:
+      this->start_copies.OnRefused(task, reply.number);
+  }
+}
+
+bool Dispatcher::IsStartOnItsWay(const TaskId& task, const Run& run,
+                                 TimePoint now) const {
+  if (run.step->long_running) {
+    return false;
+  }
+  // The first condition also covers copies that an earlier leader has sent.
+  return (run.start_sent && !run.listed &&
+          now - run.last_start < this->config.lease.execution_delay) ||
+         this->start_copies.LatestExecution(task, now).has_value();
 }
 
 void Dispatcher::OnReply(const WorkerReply& reply, TimePoint now) {
@@ -399,6 +480,7 @@
   }
   const OpenOrder order = std::move(open->second);
   this->orders.erase(open);
+  this->SettleStartCopy(order, reply);
   const auto found = this->sessions.find(order.worker);
   if (found == this->sessions.end() || found->second.born_ms != order.born_ms) {
     return;
@@ -540,6 +622,9 @@
   session.leaving = false;
   session.last_dropped_end =
       std::max(session.last_dropped_end, order.last_durable_end);
+  session.withheld_ends.erase(
+      session.withheld_ends.begin(),
+      session.withheld_ends.upper_bound(session.last_dropped_end));
   session.listed_ends = reply.ended.size();
   session.last_list = std::max(session.last_list, reply.read_at);
   if (this->state.Crashes().FindUnsettled(id, session.born_ms) != nullptr) {
@@ -547,9 +632,15 @@
   }
   // The first hold had no deadline because the worker's clock was unknown, so
   // the next one is sent immediately.
-  this->ScheduleHold(
-      session,
-      first ? now : std::max(now, order.sent + this->config.min_hold_interval));
+  const bool has_new_end = std::any_of(
+      reply.ended.begin(), reply.ended.end(), [&](const EndedRun& ended) {
+        return ended.number > session.last_durable_end;
+      });
+  const milliseconds interval = session.withheld_ends.empty() || has_new_end
+                                    ? this->config.min_hold_interval
+                                    : this->config.withheld_hold_interval;
+  this->ScheduleHold(session,
+                     first ? now : std::max(now, order.sent + interval));
   this->RecordEnds(id, session, reply, now);
   this->ReconcileRuns(id, session, order, reply, now);
   this->ReportOverload(id, session, reply);
@@ -614,7 +705,13 @@
       continue;
     }
     this->RecordBegun(ended.task, id);
-    if (!session.runs.contains(key)) {
+    this->start_copies.OnListed(ended.task, ended.run);
+    const auto run = session.runs.find(key);
+    this->WithholdEnd(id, session, ended,
+                      run == session.runs.end() ? this->FindStep(ended.task)
+                                                : run->second.step,
+                      now);
+    if (run == session.runs.end()) {
       this->RecordLateEnd(id, ended, now);
       continue;
     }
@@ -711,6 +808,7 @@
     run.last_listing_order = reply.number;
     if (!std::exchange(run.listed, true)) {
       this->RecordBegun(key.first, id);
+      this->start_copies.OnListed(key.first, key.second);
     }
     run.ready = !run.step->long_running || task.percent >= 100;
     run.load = task.load;
@@ -822,7 +920,7 @@
   for (const auto& [key, run] : session.runs) {
     // The next incarnation under the worker's id may still execute a start that
     // is on its way.
-    if (!this->IsStartOnItsWay(run, now)) {
+    if (!this->IsStartOnItsWay(key.first, run, now)) {
       expired.push_back(key);
     }
   }
@@ -855,6 +953,7 @@
     this->StopEndedJobs(now);
   }
   this->StopGivenUpJobs(now);
+  this->start_copies.ForgetExpired(now);
   if (now >= this->due_sessions.NextDue() &&
       now - this->last_session_scan >= this->config.min_session_scan_interval) {
     this->TickSessions(now);
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -24,6 +24,7 @@
 #include "mimosastage/jobs/pool_balancer.h"
 #include "mimosastage/jobs/preemption.h"
 #include "mimosastage/jobs/run_times.h"
+#include "mimosastage/jobs/start_copies.h"
 #include "mimosastage/jobs/start_windows.h"
 #include "mimosastage/jobs/straggler_copies.h"
 #include "mimosastage/jobs/team_shares.h"
@@ -51,6 +52,9 @@
     /// Shortest interval between two holds of a worker. The runs that end
     /// within it are listed by one answer.
     std::chrono::milliseconds min_hold_interval{60};
+    /// The same while the worker lists only ends that must not be acknowledged
+    /// yet. It answers such a hold immediately.
+    std::chrono::milliseconds withheld_hold_interval{150};
     /// Timeout of an order, in addition to the delay of a hold. A round trip
     /// takes a few milliseconds.
     std::chrono::milliseconds reply_timeout{600};
@@ -356,6 +360,9 @@
     std::uint64_t last_dropped_end = 0;
     /// A hold, answered or not, has acknowledged run ends up to this number.
     std::uint64_t last_acknowledged_end = 0;
+    /// Run ends that aren't acknowledged before the given times, because a copy
+    /// of a start of the task may be executed until then.
+    std::map<std::uint64_t, TimePoint> withheld_ends;
     bool hold_open = false;
     /// Run ends of the last answer aren't durable yet; no hold is sent until
     /// they are.
@@ -577,10 +584,22 @@
   /// drop those that nobody has read. It has none unless it has executed a
   /// start that was meant for this one, so all starts must be known to have
   /// reached this one.
-  bool MayAcknowledge(const Session& session) const;
-  /// True if a copy of the start may be executed later. Long-running tasks must
-  /// be at work again soon, so their starts don't count.
-  bool IsStartOnItsWay(const Run& run, TimePoint now) const;
+  bool MayAcknowledge(const Session& session, TimePoint now) const;
+  /// The last durable run end that isn't withheld and follows no withheld one.
+  /// A list that is about to become too long is acknowledged as a whole.
+  std::uint64_t LastAcknowledgeableEnd(const Session& session,
+                                       TimePoint now) const;
+  /// Withholds the acknowledgement of an end while a copy of a start of its
+  /// task may still be executed. `step` is null if it isn't known any more.
+  void WithholdEnd(const std::string& id, Session& session,
+                   const EndedRun& ended, const Step* step, TimePoint now);
+  /// Returns the step of the task, or null if it isn't known any more.
+  const Step* FindStep(const TaskId& task) const;
+  /// Records what the answer to a start order tells of its copy.
+  void SettleStartCopy(const OpenOrder& order, const WorkerReply& reply);
+  /// True if a copy of a start of the task may be executed later. Long-running
+  /// tasks must be at work again soon, so their starts don't count.
+  bool IsStartOnItsWay(const TaskId& task, const Run& run, TimePoint now) const;
   /// Ends the runs of a silent worker whose lease has expired.
   void EndExpiredRuns(const std::string& id, Session& session, TimePoint now);
   /// For log lines: which run ends were acknowledged by a hold that wasn't
@@ -604,8 +623,9 @@
   static bool AcceptsTasks(const Session& session) {
     return !session.evacuated && IsInService(session);
   }
-  void Send(const std::string& id, Session& session, OpenOrder open,
-            WorkerOrder order);
+  /// Returns the number of the order.
+  std::uint64_t Send(const std::string& id, Session& session, OpenOrder open,
+                     WorkerOrder order);
 
   // dispatcher_evacuation.cc: availability zones that get no more work.
   bool IsEvacuated(const std::string& availability_zone) const;
@@ -980,6 +1000,8 @@
   std::unordered_map<std::string, Amount> used_by_team;
   WaitingSteps waiting_steps;
   std::unordered_map<std::uint64_t, OpenOrder> orders;
+  /// Of the starts that were ordered in this term.
+  StartCopies start_copies;
   bool placement_needed = true;
   bool stopped_ended_jobs = false;
   TimePoint next_placement{};
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -132,7 +132,7 @@
     return;
   }
   if (!session.hold_open && !session.ends_pending &&
-      this->MayAcknowledge(session)) {
+      this->MayAcknowledge(session, now)) {
     this->SendHold(worker, session, now);
   }
   if (std::exchange(session.acknowledged_under_token, false)) {
@@ -163,9 +163,11 @@
   run.start_sent = true;
   run.last_start = now;
   run.order_open = true;
-  this->Send(worker, session,
-             OpenOrder{.run = key, .stage = RunStage::kStarting, .sent = now},
-             std::move(order));
+  const std::uint64_t number = this->Send(
+      worker, session,
+      OpenOrder{.run = key, .stage = RunStage::kStarting, .sent = now},
+      std::move(order));
+  this->start_copies.OnSent(key.first, key.second, number, now);
 }
 
 void Dispatcher::StopRun(const std::string& worker, Session& session,
--- /dev/null
+++ b/src/mimosastage/jobs/start_copies.cc
@@ -0,0 +1,100 @@
+#include "mimosastage/jobs/start_copies.h"
+
+#include <algorithm>
+
+namespace mimosastage::jobs {
+
+void StartCopies::OnSent(const TaskId& task, std::uint32_t run,
+                         std::uint64_t order, TimePoint now) {
+  this->copies[task].push_back(Copy{run, order, now});
+}
+
+void StartCopies::OnRefused(const TaskId& task, std::uint64_t order) {
+  this->Erase(task, order);
+}
+
+void StartCopies::OnConfirmed(const TaskId& task, std::uint64_t order) {
+  const auto found = this->copies.find(task);
+  if (found == this->copies.end()) {
+    return;
+  }
+  const auto confirmed =
+      std::find_if(found->second.begin(), found->second.end(),
+                   [&](const Copy& copy) { return copy.order == order; });
+  if (confirmed == found->second.end()) {
+    return;
+  }
+  for (Copy& copy : found->second) {
+    copy.may_be_surplus = copy.may_be_surplus || copy.run == confirmed->run;
+  }
+  this->Erase(task, order);
+}
+
+void StartCopies::OnUnanswered(const TaskId& task, std::uint64_t order) {
+  const auto found = this->copies.find(task);
+  if (found == this->copies.end()) {
+    return;
+  }
+  for (const Copy& copy : found->second) {
+    if (copy.order == order) {
+      this->unanswered.push_back(
+          UnansweredCopy{copy.sent + this->execution_delay, task, order});
+    }
+  }
+}
+
+void StartCopies::OnListed(const TaskId& task, std::uint32_t run) {
+  const auto found = this->copies.find(task);
+  if (found == this->copies.end()) {
+    return;
+  }
+  std::vector<Copy*> of_run;
+  for (Copy& copy : found->second) {
+    if (copy.run == run) {
+      of_run.push_back(&copy);
+    }
+  }
+  if (of_run.size() == 1 && !of_run.front()->may_be_surplus) {
+    this->Erase(task, of_run.front()->order);
+    return;
+  }
+  for (Copy* const copy : of_run) {
+    copy->may_be_surplus = true;
+  }
+}
+
+std::optional<TimePoint> StartCopies::LatestExecution(const TaskId& task,
+                                                      TimePoint now) const {
+  std::optional<TimePoint> latest;
+  if (const auto found = this->copies.find(task); found != this->copies.end()) {
+    for (const Copy& copy : found->second) {
+      if (const TimePoint until = copy.sent + this->execution_delay;
+          until > now) {
+        latest = std::max(latest.value_or(until), until);
+      }
+    }
+  }
+  return latest;
+}
+
+void StartCopies::ForgetExpired(TimePoint now) {
+  while (!this->unanswered.empty() &&
+         this->unanswered.front().latest_execution <= now) {
+    this->Erase(this->unanswered.front().task, this->unanswered.front().order);
+    this->unanswered.pop_front();
+  }
+}
+
+void StartCopies::Erase(const TaskId& task, std::uint64_t order) {
+  const auto found = this->copies.find(task);
+  if (found == this->copies.end()) {
+    return;
+  }
+  std::erase_if(found->second,
+                [&](const Copy& copy) { return copy.order == order; });
+  if (found->second.empty()) {
+    this->copies.erase(found);
+  }
+}
+
+}  // namespace mimosastage::jobs
--- a/tests/jobs/dispatcher_incarnation_test.cc
+++ b/tests/jobs/dispatcher_incarnation_test.cc
@@ -135,6 +135,26 @@
     ASSERT_TRUE(this->held_back.has_value());
   }
 
+  /// Holds the first copy of the start of the second job back, and advances
+  /// until the worker has executed the second copy.
+  void HoldFirstCopyBack() {
+    this->fleet.hold_back = [this](const WorkerOrder& order) {
+      if (!std::holds_alternative<StartOrder>(order.body) ||
+          this->held_back.has_value()) {
+        return false;
+      }
+      this->held_back = order;
+      return true;
+    };
+    this->Submit("second");
+    for (int i = 0; i < 200 && this->fleet.WorkersOf(TaskOf("second")).empty();
+         ++i) {
+      this->fleet.Advance(milliseconds(10));
+    }
+    ASSERT_TRUE(this->held_back.has_value());
+    ASSERT_FALSE(this->fleet.WorkersOf(TaskOf("second")).empty());
+  }
+
   /// The next incarnation executes the start that was held back. On its clock,
   /// the deadline hasn't passed.
   void ExecuteStartOnNextIncarnation() {
@@ -295,5 +315,76 @@
   EXPECT_EQ(this->fleet.WorkersOf(TaskOf("second")).size(), 1U);
 }
 
+// Guards against an end that is acknowledged while an unanswered copy of its
+// start may still reach the next incarnation, which runs the task again
+// (TWICE).
+TEST_F(DispatcherIncarnationTest,
+       StartWasRepeated_FirstCopyMayBeLate_EndIsKept) {
+  this->HoldFirstCopyBack();
+  const TimePoint sent = this->fleet.now;
+  this->fleet.EndRun("worker-0", TaskOf("second"), RunOutcome::kDone);
+  const FakeWorker& worker = this->fleet.workers.at("worker-0");
+  while (this->fleet.now - sent < milliseconds(11'000)) {
+    this->fleet.Advance(milliseconds(100));
+    ASSERT_EQ(worker.ended.size(), 1U);
+  }
+  EXPECT_EQ(this->fleet.JobOf("second").phase, JobPhase::kCompleted);
+  EXPECT_EQ(this->fleet.reports["end_withheld"], 1);
+  this->fleet.Advance(milliseconds(2'000));
+  EXPECT_TRUE(worker.ended.empty());
+}
+
+// The same for a copy whose worker ended: the run on another worker completes
+// the task.
+TEST_F(DispatcherIncarnationTest, CopyIsForAnotherWorker_MayBeLate_EndIsKept) {
+  this->HoldFirstCopyBack();
+  this->fleet.AddWorker("worker-1", "render", 4'000);
+  this->fleet.workers.at("worker-0").replaced = true;
+  FakeWorker& worker = this->fleet.workers.at("worker-1");
+  for (int i = 0; i < 500 && worker.running.empty(); ++i) {
+    this->fleet.Advance(milliseconds(10));
+  }
+  ASSERT_FALSE(worker.running.empty());
+  this->fleet.EndRun("worker-1", TaskOf("second"), RunOutcome::kDone);
+  this->fleet.Advance(milliseconds(1'000));
+  EXPECT_EQ(worker.ended.size(), 1U);
+}
+
+// Guards against ends that wait although no copy of their start is left.
+TEST_F(DispatcherIncarnationTest,
+       StartWasRefusedAndRepeated_NoCopyIsLeft_EndIsAcknowledged) {
+  bool refused = false;
+  this->fleet.change_reply = [&](const WorkerOrder& order, WorkerReply& reply) {
+    if (std::holds_alternative<StartOrder>(order.body) && !refused) {
+      refused = true;
+      reply.result = OrderResult::kNotStarted;
+    }
+  };
+  this->Submit("second");
+  this->fleet.Advance(milliseconds(300));
+  ASSERT_TRUE(refused);
+  this->fleet.EndRun("worker-0", TaskOf("second"), RunOutcome::kDone);
+  this->fleet.Advance(milliseconds(300));
+  EXPECT_TRUE(this->fleet.workers.at("worker-0").ended.empty());
+}
+
+// Guards against a list of run ends that grows without bound while one end is
+// withheld.
+TEST_F(DispatcherIncarnationTest, EndIsWithheld_LongListIsAcknowledged) {
+  this->HoldFirstCopyBack();
+  this->fleet.EndRun("worker-0", TaskOf("second"), RunOutcome::kDone);
+  FakeWorker& worker = this->fleet.workers.at("worker-0");
+  std::size_t most = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    const TaskId task = TaskOf("ended-" + std::to_string(i));
+    worker.ended.push_back(
+        EndedRun{++worker.last_end_number, task, 1, RunOutcome::kDone, ""});
+    this->fleet.Advance(milliseconds(10));
+    most = std::max(most, worker.ended.size());
+  }
+  EXPECT_GT(most, 300U);
+  EXPECT_LT(most, 450U);
+}
+
 }  // namespace
 }  // namespace mimosastage::jobs
--- a/tests/jobs/worker_schedules_test.cc
+++ b/tests/jobs/worker_schedules_test.cc
@@ -144,6 +144,30 @@
   this->Report(1);
 }
 
+WorkerSchedule MakeOrdersOutliveSchedule(std::uint64_t seed) {
+  return WorkerSchedule(seed,
+                        WorkerSchedule::Faults{.order_interval = 6,
+                                               .workers_crash = true,
+                                               .ids_return = true,
+                                               .orders_outlive_workers = true});
+}
+
+// The same while orders for a crashed worker are executed by the next one under
+// its id.
+TEST_F(WorkerSchedulesTest, Scheduler_OrdersOutliveWorkers_KeepsRulesOfRuns) {
+  this->RunAll(MakeOrdersOutliveSchedule, 60);
+}
+
+// Guards against a task that runs again after its end was acknowledged, because
+// a copy of its start reaches the next incarnation of the worker (TWICE).
+TEST_F(WorkerSchedulesTest,
+       Scheduler_CopyReachesNextIncarnation_KeepsRulesOfRuns) {
+  for (const std::uint64_t seed : {2'377, 6'370, 7'189}) {
+    this->RunOne(MakeOrdersOutliveSchedule, seed);
+  }
+  this->Report(3);
+}
+
 // The same while workers are cut off and leaders change: guards against runs
 // that are given up before their worker's lease has lapsed.
 TEST_F(WorkerSchedulesTest, Scheduler_WorkersAreCutOff_KeepsRulesOfRuns) {
