Don't accept a job behind the version that removes its queue

Cause: a call is judged by the committed configuration, but a new job enters the log behind changes that are only proposed. Submit asked whether the proposed version has any queue for the path, and the outer one hid the removal. Accept then found no queue for the job, and nothing looks at a job without one.

Change: a new job is judged by the proposed version as well. Its queue must be at the same location and its key must have a team, otherwise it is refused with 429 (queue_being_removed, key_being_removed); its queue, pool and team are those of the proposed version. FleetState::Accept doesn't store a job whose queue the configuration doesn't have, and the answer to the caller looks at what was stored (queue_removed).

Why it works: the log has the job behind the proposed changes, so what they leave it is what holds for it. Every daemon decides alike when it applies the entry, whichever leader's entries precede it, and a refused job is in no daemon's state.

The fixture of FleetStateTest handed in jobs of a queue that its configuration didn't have; the configuration has it now, and the checks are the same.

--- a/src/mimosastage/jobs/call_handler.cc
+++ b/src/mimosastage/jobs/call_handler.cc
@@ -18,9 +18,9 @@
 /// second.
 constexpr milliseconds kFullLogDelay{1'000};
 
-/// When a job that was refused because its queue is being removed may be sent
-/// again. The change is durable within some milliseconds, or undone by a leader
-/// change within about a second.
+/// When a job that was refused because its queue or key is being removed may be
+/// sent again. The change is durable within some milliseconds, or undone by a
+/// leader change within about a second.
 constexpr milliseconds kRemovedQueueDelay{500};
 
 /// Longest name of an availability zone, which each daemon stores. As long as
@@ -202,13 +202,21 @@
     this->Refuse(CallOutcome::kConflict, "job_id_in_use", reply);
     return;
   }
+  const Queue* const next =
+      this->working.Queues().ForCall(call.host, call.path);
+  const Team* const next_team = this->working.TeamOfKey(call.key);
   if (!known) {
-    if (this->working.Queues().ForCall(call.host, call.path) == nullptr) {
-      // A change of the configuration that removes the queue isn't durable yet.
-      // The job would be accepted after it.
+    // The job follows the changes of the configuration that aren't durable yet,
+    // so it is accepted only if they leave it its queue and team.
+    if (next == nullptr ||
+        QueueTable::LocationOf(*next) != QueueTable::LocationOf(queue)) {
       this->RefuseJob(id, "queue_being_removed", kRemovedQueueDelay, reply);
       return;
     }
+    if (team != nullptr && next_team == nullptr) {
+      this->RefuseJob(id, "key_being_removed", kRemovedQueueDelay, reply);
+      return;
+    }
     const auto& limits = this->working.limits();
     if (const auto problem = FindProblem(*call.job, limits.tasks_per_job);
         problem.has_value()) {
@@ -225,13 +233,13 @@
       return;
     }
     if (const auto delay =
-            this->dispatcher.OverloadDelay(*call.job, queue, now);
+            this->dispatcher.OverloadDelay(*call.job, *next, now);
         delay.has_value()) {
       this->RefuseJob(id, "leader_overloaded", *delay, reply);
       return;
     }
     if (const auto delay = this->dispatcher.ShareDelay(
-            *call.job, team == nullptr ? "" : team->name, queue);
+            *call.job, next_team == nullptr ? "" : next_team->name, *next);
         delay.has_value()) {
       this->RefuseJob(id, "team_over_share", *delay, reply);
       return;
@@ -243,18 +251,23 @@
   if (!known) {
     command.job = std::make_unique<JobRequest>(*call.job);
     command.job->id = id;
-    command.job->queue = queue.name;
-    command.job->host = queue.host;
-    command.job->path_prefix = queue.path_prefix;
-    command.job->team = team == nullptr ? "" : team->name;
+    command.job->queue = next->name;
+    command.job->host = next->host;
+    command.job->path_prefix = next->path_prefix;
+    command.job->team = next_team == nullptr ? "" : next_team->name;
     command.job->accepted_ms = this->hooks.wall_time().count();
-    this->dispatcher.OnAccepted(*command.job, queue, now);
-    this->hooks.report("job_accepted", id, queue.name);
+    this->dispatcher.OnAccepted(*command.job, *next, now);
+    this->hooks.report("job_accepted", id, next->name);
   }
   // A repeated submission waits as well, because the log entry of the first one
   // may not be durable yet.
-  this->hooks.propose(std::move(command), [reply](TimePoint) {
-    reply(AnswerOf(CallOutcome::kOk));
+  this->hooks.propose(std::move(command), [this, id, reply](TimePoint) {
+    // All daemons decide alike whether the log leaves the job a queue.
+    if (this->committed.FindJob(id) == nullptr) {
+      this->RefuseJob(id, "queue_removed", kRemovedQueueDelay, reply);
+    } else {
+      reply(AnswerOf(CallOutcome::kOk));
+    }
   });
   this->dispatcher.OnChange(id, now);
 }
--- a/src/mimosastage/jobs/fleet_state.cc
+++ b/src/mimosastage/jobs/fleet_state.cc
@@ -249,6 +249,11 @@
   Job job;
   job.request = std::make_shared<JobRequest>(std::move(located));
   job.queue = this->queues.HolderOf(*job.request, nullptr);
+  if (job.queue == nullptr && this->configuration->version > 0) {
+    // Nothing would run it until a later version has such a queue. Its caller
+    // is told that it isn't stored.
+    return;
+  }
   job.tasks.resize(TaskCount(request));
   ResetOpenCounts(job);
   this->latest_ms = std::max(this->latest_ms, request.accepted_ms);
--- a/src/mimosastage/jobs/fleet_state.h
+++ b/src/mimosastage/jobs/fleet_state.h
@@ -40,7 +40,9 @@
 /// A job and the progress of its tasks.
 struct Job {
   std::shared_ptr<const JobRequest> request;
-  /// See QueueTable::HolderOf; null if no configuration had such a queue.
+  /// See QueueTable::HolderOf. Null only if the job was accepted before the
+  /// first configuration, or by an earlier release behind one without its
+  /// queue.
   std::shared_ptr<const Queue> queue;
   JobPhase phase = JobPhase::kQueued;
   /// A worker is known to have begun a task. A task that was only ordered
--- a/tests/jobs/call_handler_test.cc
+++ b/tests/jobs/call_handler_test.cc
@@ -89,6 +89,14 @@
     for (const auto& [name, prefix] : queues) {
       call.configuration->queues.push_back(MakeQueue(name, prefix));
     }
+    if (!this->team.empty()) {
+      auto row = std::make_unique<Team>();
+      row->name = this->team;
+      row->weight = 1;
+      row->keys.push_back("key-" + this->team);
+      row->upper_limit = std::make_unique<Amount>();
+      call.configuration->teams.push_back(std::move(row));
+    }
     this->Handle(call);
   }
 
@@ -107,6 +115,7 @@
     call.kind = static_cast<std::uint8_t>(kind);
     call.host = "host";
     call.path = path;
+    call.key = this->key;
     if (kind == CallKind::kSubmit) {
       call.job = std::make_unique<JobRequest>();
       call.job->steps.push_back(std::make_unique<Step>(MakeStep(1, 1'000)));
@@ -140,6 +149,10 @@
   std::string last_refusal;
   std::map<std::string, int> events;
   bool log_is_full = false;
+  /// The team of the next configuration, with the key "key-TEAM"; "" for none.
+  std::string team;
+  /// The key of calls.
+  std::string key;
 };
 
 // Guards against an accepted job that clients can neither read nor cancel: its
@@ -208,6 +221,42 @@
   EXPECT_EQ(this->fleet.state.FindJob("job"), nullptr);
 }
 
+// Guards against an accepted job that never runs: a version without its queue
+// precedes it in the log, and a queue with a shorter prefix matches its path
+// (LOST).
+TEST_F(CallHandlerTest, Submit_RemovalOfInnerQueueIsNotDurable_IsRefused) {
+  this->Configure({{"outer", "/q/"}, {"inner", "/q/in/"}});
+  this->fleet.log_stalled = true;
+  this->Configure({{"outer", "/q/"}});
+  EXPECT_EQ(this->Handle(CallKind::kSubmit, "/q/in/job"),
+            CallOutcome::kOverloaded);
+  EXPECT_EQ(this->last_refusal, "queue_being_removed");
+  EXPECT_EQ(this->fleet.state.FindJob("job"), nullptr);
+}
+
+// Guards against refusals while a version that keeps the queue is stored.
+TEST_F(CallHandlerTest, Submit_RenamingOfQueueIsNotDurable_IsAccepted) {
+  this->Configure({{"old", "/q/"}});
+  this->fleet.log_stalled = true;
+  this->Configure({{"new", "/q/"}});
+  this->Handle(CallKind::kSubmit, "/q/job");
+  ASSERT_NE(this->fleet.state.FindJob("job"), nullptr);
+  EXPECT_EQ(this->fleet.state.FindJob("job")->queue->name, "new");
+}
+
+// Guards against a job of a team that a version before it in the log removes.
+TEST_F(CallHandlerTest, Submit_RemovalOfKeyIsNotDurable_IsRefused) {
+  this->team = "crews";
+  this->Configure({{"queue", "/q/"}});
+  this->fleet.log_stalled = true;
+  this->team.clear();
+  this->Configure({{"queue", "/q/"}});
+  this->key = "key-crews";
+  EXPECT_EQ(this->Handle(CallKind::kSubmit, "/q/job"),
+            CallOutcome::kOverloaded);
+  EXPECT_EQ(this->last_refusal, "key_being_removed");
+}
+
 // Guards against a refusal of a job that is stored: its queue is removed before
 // the submission is repeated.
 TEST_F(CallHandlerTest, SubmitAgain_QueueIsRemoved_IsNotRefused) {
--- a/tests/jobs/fleet_state_test.cc
+++ b/tests/jobs/fleet_state_test.cc
@@ -120,9 +120,9 @@
     auto pool = std::make_unique<Pool>();
     pool->name = "pool";
     configuration->pools.push_back(std::move(pool));
-    for (const char* prefix : {"/a/", "/a/b/"}) {
+    for (const char* prefix : {"/a/", "/a/b/", "/q/"}) {
       auto queue = std::make_unique<Queue>();
-      queue->name = prefix;
+      queue->name = prefix == std::string("/q/") ? "queue" : prefix;
       queue->host = "host";
       queue->path_prefix = prefix;
       queue->pool = "pool";
@@ -318,6 +318,21 @@
   EXPECT_EQ(queues.ForCall("other", "/a/id"), nullptr);
 }
 
+// Guards against an accepted job that nothing ever runs (LOST): the log has a
+// version without its queue before it.
+TEST_F(FleetStateTest, Accept_ConfigurationLacksTheQueue_JobIsNotStored) {
+  this->Configure(1);
+  Command command;
+  command.configuration = MakeConfiguration(2);
+  command.configuration->queues.pop_back();
+  this->state.Apply(command);
+  this->Accept("job", {MakeStep(1, 1'000)});
+  EXPECT_EQ(this->state.FindJob("job"), nullptr);
+  EXPECT_TRUE(this->state.OpenJobs().empty());
+  this->Configure(3);
+  EXPECT_EQ(this->state.FindJob("job"), nullptr);
+}
+
 /// A job with one task in a queue that changes.
 class FleetStateQueueChangeTest : public FleetStateTest {
  protected:
