End a reservation whose upkeep can't begin

The worker was reserved for its upkeep when another instance of the wave, with an upper limit of 1, was lost for good.

Cause: a reservation is made while the instances that are down or reserved are fewer than the wave's limit, and was kept whatever came later. An instance without a worker counts as down as long as it is gone, so the upkeep was never ordered, and only a task that may not be stopped could end the reservation.

Change: a reservation that waits for the limit of its wave, for a platform that refuses, or for the time after an earlier leader's request ends after 2.5 s, as one does that a task blocks, and the worker isn't reserved again for 2 s. While more instances are down than when they were reserved, the vacant workers and those that have waited longest keep the places that are left, and the others aren't drained. Another wave of the same instance doesn't end the reservation.

Why it works: the worker takes tasks again within 2.5 s of the moment at which the last way to its upkeep was closed, whichever that was; a job for which there is room has to run within 3 s.

--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -144,9 +144,9 @@
     /// How long an upkeep waits for short tasks to end before it stops them.
     std::chrono::milliseconds upkeep_drain_timeout{2'500};
     /// How long a worker stays reserved for its upkeep while a task that may
-    /// not be stopped keeps it from becoming vacant. A stopped task is at work
-    /// again after some 2 s, and a job for which there is room has to run
-    /// within 3 s.
+    /// not be stopped keeps it from becoming vacant, or while the upkeep can't
+    /// begin for another reason. A stopped task is at work again after some 2
+    /// s, and a job for which there is room has to run within 3 s.
     std::chrono::milliseconds blocked_reservation_limit{2'500};
     /// Shortest time from then until the worker is reserved again, so that what
     /// waited for it can run.
@@ -398,8 +398,14 @@
     /// Since when the worker gets no tasks because its instance is due for
     /// upkeep or a move.
     std::optional<TimePoint> reserved;
+    /// The wave for whose upkeep the worker is reserved; 0 if it is reserved
+    /// for a move, or because a request of an earlier worker is open.
+    std::uint64_t reserved_for = 0;
     /// What keeps the reserved worker from becoming vacant.
     std::optional<Block> block;
+    /// Since when the reserved worker waits for nothing but the limit of its
+    /// wave, the platform or the time after an earlier leader's request.
+    std::optional<TimePoint> stalled_since;
     /// The worker isn't reserved for an upkeep before.
     TimePoint next_reservation{};
     /// It was reported that the worker can't become vacant.
@@ -925,11 +931,20 @@
                   TimePoint now);
   /// Reserves the worker, stops its runs as far as allowed, and sets
   /// Session::block. Returns true once it has no runs.
-  bool DrainForUpkeep(const std::string& id, Session& session,
+  bool DrainForUpkeep(const Wave& wave, const std::string& id, Session& session,
                       const PoolShare& share, TimePoint now);
   /// Ends a reservation that a task has blocked for too long.
   void EndBlockedReservation(const std::string& instance, Session& session,
                              TimePoint now);
+  /// Ends a reservation for the wave whose upkeep can't begin for too long
+  /// although no task is in the way.
+  void EndStalledReservation(const Wave& wave, const std::string& instance,
+                             Session& session, const char* reason,
+                             TimePoint now);
+  /// Ends the reservation unless the instance may be taken down, and postpones
+  /// the next one.
+  void GiveBack(const std::string& instance, Session& session,
+                const std::string& reason, TimePoint now);
   /// Reports once that the task keeps the worker from becoming vacant.
   void ReportBlock(Session& session, const TaskId& task,
                    std::uint32_t may_miss);
--- a/src/mimosastage/jobs/dispatcher_upkeep.cc
+++ b/src/mimosastage/jobs/dispatcher_upkeep.cc
@@ -126,10 +126,12 @@
   return 2 * (share.reserved + 1) <= share.usable;
 }
 
-bool Dispatcher::DrainForUpkeep(const std::string& id, Session& session,
-                                const PoolShare& share, TimePoint now) {
+bool Dispatcher::DrainForUpkeep(const Wave& wave, const std::string& id,
+                                Session& session, const PoolShare& share,
+                                TimePoint now) {
   if (!session.reserved.has_value()) {
     session.reserved = now;
+    session.reserved_for = wave.number;
     session.block_reported = false;
     this->hooks.report("worker_reserved", id, "its instance is due for upkeep");
   }
@@ -170,11 +172,31 @@
   }
   const TaskId task = session.block->task;
   this->ReportBlock(session, task, session.block->may_miss);
+  this->GiveBack(instance, session, "its upkeep waits for " + ToString(task),
+                 now);
+}
+
+void Dispatcher::EndStalledReservation(const Wave& wave,
+                                       const std::string& instance,
+                                       Session& session, const char* reason,
+                                       TimePoint now) {
+  if (session.reserved_for != 0 && session.reserved_for != wave.number) {
+    return;
+  }
+  if (!session.stalled_since.has_value()) {
+    session.stalled_since = now;
+  }
+  if (now - *session.stalled_since >= this->config.blocked_reservation_limit) {
+    this->GiveBack(instance, session, reason, now);
+  }
+}
+
+void Dispatcher::GiveBack(const std::string& instance, Session& session,
+                          const std::string& reason, TimePoint now) {
   this->EndReservation(instance);
   if (!session.reserved.has_value()) {
     session.next_reservation = now + this->config.reservation_pause;
-    this->hooks.report("reservation_ended", *session.id,
-                       "its upkeep waits for " + ToString(task));
+    this->hooks.report("reservation_ended", *session.id, reason);
   }
 }
 
@@ -259,7 +281,7 @@
       ++down;
       // The worker may have been born since the first order, and run tasks.
       const bool vacant =
-          off || this->DrainForUpkeep(worker->id, session->second,
+          off || this->DrainForUpkeep(wave, worker->id, session->second,
                                       share_of(worker->id), now);
       if (vacant && !ordered->second.order_open &&
           now >= ordered->second.next_attempt &&
@@ -313,21 +335,54 @@
     ++reserved;
     selected.push_back(candidate);
   }
+  // If more instances are down than when the workers were reserved, the vacant
+  // ones and those that have waited longest come first.
+  const auto rank = [this](const Candidate& candidate) {
+    if (candidate.worker.empty()) {
+      return std::make_pair(false, TimePoint::max());
+    }
+    const Session& session = this->sessions.at(candidate.worker);
+    return std::make_pair(!session.runs.empty(),
+                          session.reserved.value_or(TimePoint::max()));
+  };
+  std::stable_sort(selected.begin(), selected.end(),
+                   [&](const Candidate& a, const Candidate& b) {
+                     return rank(a) < rank(b);
+                   });
+  std::size_t places =
+      wave.most_at_once - std::min<std::size_t>(down, wave.most_at_once);
   for (const Candidate& candidate : selected) {
-    bool vacant = candidate.worker.empty();
-    if (!vacant) {
-      Session& session = this->sessions.at(candidate.worker);
-      vacant = this->DrainForUpkeep(candidate.worker, session,
-                                    share_of(candidate.worker), now);
-      this->EndBlockedReservation(candidate.instance, session, now);
+    Session* const session = candidate.worker.empty()
+                                 ? nullptr
+                                 : &this->sessions.at(candidate.worker);
+    if (places == 0) {
+      if (session != nullptr) {
+        this->EndStalledReservation(
+            wave, candidate.instance, *session,
+            "as many instances of its wave are down as may be", now);
+      }
+      continue;
     }
-    if (vacant && down < wave.most_at_once) {
-      Upkeep& upkeep = this->upkeeps[{wave.number, candidate.instance}];
-      ++down;
-      if (!upkeep.order_open && now >= upkeep.next_attempt &&
-          this->MayOrder(candidate.instance, now)) {
-        this->OrderUpkeep(wave, candidate.instance, now);
+    --places;
+    if (session != nullptr &&
+        !this->DrainForUpkeep(wave, candidate.worker, *session,
+                              share_of(candidate.worker), now)) {
+      session->stalled_since.reset();
+      this->EndBlockedReservation(candidate.instance, *session, now);
+      continue;
+    }
+    const auto upkeep = this->upkeeps.find({wave.number, candidate.instance});
+    const bool may_repeat =
+        upkeep == this->upkeeps.end() ||
+        (!upkeep->second.order_open && now >= upkeep->second.next_attempt);
+    if (may_repeat && this->MayOrder(candidate.instance, now)) {
+      if (session != nullptr) {
+        session->reserved_for = wave.number;
       }
+      this->OrderUpkeep(wave, candidate.instance, now);
+    } else if (session != nullptr) {
+      this->EndStalledReservation(wave, candidate.instance, *session,
+                                  "its upkeep isn't accepted", now);
     }
   }
 }
@@ -430,7 +485,9 @@
       worker != nullptr && !this->MayBeTakenDown(instance)) {
     Session& session = this->sessions.at(worker->id);
     session.reserved.reset();
+    session.reserved_for = 0;
     session.block.reset();
+    session.stalled_since.reset();
     this->placement_needed = true;
   }
 }
--- a/tests/jobs/dispatcher_reservation_test.cc
+++ b/tests/jobs/dispatcher_reservation_test.cc
@@ -478,5 +478,74 @@
   EXPECT_EQ(this->upkept.size(), 1U) << "the other task is ready again";
 }
 
+// Guards against a worker that gets no tasks any more (LOST): it is reserved
+// for an upkeep that can't begin, because another instance of the wave is lost.
+TEST_F(DispatcherReservationTest,
+       OtherInstanceOfWaveIsLost_ReservationEndsInTime) {
+  this->StartTermWithWorkers(2);
+  this->fleet.Submit("short", "render", {MakeStep(1, 1'000)});
+  this->fleet.Submit("long", "render", {MakeStep(1, 4'000)});
+  this->Advance(milliseconds(200));
+  ASSERT_EQ(this->fleet.RunningTasks(), 2U);
+  const std::string reserved = this->fleet.WorkersOf({"short", 0, 0, 0})[0];
+  const std::string lost = this->fleet.WorkersOf({"long", 0, 0, 0})[0];
+  this->StartWave(1, InstancesOfWorkers(2), 1, milliseconds(26'000));
+  this->Advance(milliseconds(500));
+  ASSERT_EQ(this->fleet.reports["worker_reserved"], 1);
+  this->fleet.workers.at(lost).ended_without_notice = true;
+  this->fleet.workers.at(lost).running.clear();
+  this->fleet.EndRun(reserved, {"short", 0, 0, 0}, RunOutcome::kDone);
+  this->Advance(milliseconds(1'000));
+  this->fleet.Submit("next", "render", {MakeStep(1, 1'000)});
+  this->Advance(milliseconds(3'000));
+  EXPECT_EQ(this->fleet.WorkersOf({"next", 0, 0, 0}).size(), 1U);
+  EXPECT_EQ(this->fleet.reports["reservation_ended"], 1);
+  EXPECT_FALSE(this->Take(Kind::kUpkeep).has_value());
+}
+
+// Guards against a worker that gets no tasks any more because the platform
+// refuses its upkeep again and again.
+TEST_F(DispatcherReservationTest, UpkeepIsRefusedAsBusy_ReservationEndsInTime) {
+  this->StartTermWithWorkers(2);
+  this->StartWave(1, "machine-worker-0");
+  this->fleet.Submit("job", "render", {MakeStep(400, 1'000)});
+  milliseconds idle{0};
+  milliseconds longest_idle{0};
+  for (int i = 0; i < 1'000; ++i) {
+    this->Advance(milliseconds(10));
+    if (const auto upkeep = this->Take(Kind::kUpkeep); upkeep.has_value()) {
+      this->Answer(*upkeep, Result::kBusy);
+    }
+    FakeWorker& worker = this->fleet.workers.at("worker-0");
+    idle = worker.running.empty() ? idle + milliseconds(10) : milliseconds(0);
+    longest_idle = std::max(longest_idle, idle);
+    const auto running = worker.running;
+    for (const auto& [key, began] : running) {
+      if (milliseconds(began) + milliseconds(300) <=
+          this->fleet.now.time_since_epoch()) {
+        this->fleet.EndRun("worker-0", key.first, RunOutcome::kDone);
+      }
+    }
+  }
+  // A job for which there is room has to run within 3 s.
+  EXPECT_LE(longest_idle, milliseconds(3'000));
+}
+
+// Guards against a reservation that ends because of another wave, in which the
+// instance may not be taken down yet.
+TEST_F(DispatcherReservationTest, InstanceIsInTwoWaves_OneIsFull_UpkeepBegins) {
+  this->StartTermWithWorkers(3);
+  this->StartWave(1, {"machine-worker-0", "machine-worker-1"}, 1,
+                  milliseconds(26'000));
+  this->fleet.workers.at("worker-1").ended_without_notice = true;
+  this->Advance(milliseconds(500));
+  this->StartWave(2, {"machine-worker-0", "machine-worker-2"}, 1,
+                  milliseconds(26'000));
+  this->Advance(milliseconds(500));
+  const auto upkeep = this->Take(Kind::kUpkeep);
+  ASSERT_TRUE(upkeep.has_value());
+  EXPECT_EQ(upkeep->wave, 2U);
+}
+
 }  // namespace
 }  // namespace mimosastage::jobs
--- a/tests/node/job_group_schedules_test.cc
+++ b/tests/node/job_group_schedules_test.cc
@@ -44,6 +44,8 @@
   bool queue_changes = false;
   bool queue_lookups = false;
   bool waves = false;
+  /// All workers but one are lost for good, at the same moment.
+  bool loses_workers = false;
   bool evacuations = false;
   /// A voter that operators use ends and starts again twice within a second,
   /// while the group has no quorum without it.
@@ -67,6 +69,13 @@
     this->loses_power = this->DrawPower(2) == 0 &&
                         FromEnvironment("MIMOSASTAGE_POWER_LOSSES", 1) != 0;
     this->power_step = this->DrawPower(20);
+    if (settings.loses_workers) {
+      this->After(UpTo(20'000), [this] {
+        for (std::size_t w = 1; w < this->group.Instances(); ++w) {
+          this->group.LoseWorker(w);
+        }
+      });
+    }
   }
 
   /// Returns a description of the failure, or an empty string.
@@ -117,7 +126,8 @@
     settings.upkeeps = schedule.waves;
     settings.voters = seed % 2 == 0 ? 3 : 5;
     settings.entries = 1 + this->Draw(2);
-    settings.workers = 3 + this->Draw(6);
+    settings.workers =
+        schedule.loses_workers ? 2 + this->Draw(2) : 3 + this->Draw(6);
     settings.seed = this->random();
     settings.link_delay = milliseconds(this->Draw(4) == 0 ? 60 : 2);
     settings.late_order = this->Draw(2) == 0 ? 0.02 : 0;
@@ -614,6 +624,15 @@
   EXPECT_GT(this->upkeeps, 40U);
 }
 
+// Guards against jobs that never run (LOST, FINISH) because a worker is
+// reserved for an upkeep that can't begin, once others of the wave are lost for
+// good.
+TEST_F(JobGroupSchedulesTest, Group_WavesAndLostWorkers_KeepTheRules) {
+  this->settings.waves = true;
+  this->settings.loses_workers = true;
+  this->RunAll(100);
+}
+
 // Guards against a start in a zone later than 5 s after the acknowledgement of
 // its evacuation (EVACUATED), against acknowledged evacuations and withdrawals
 // that are lost or undone by an earlier copy (LOST), and against jobs that
--- a/tests/node/support/job_group.cc
+++ b/tests/node/support/job_group.cc
@@ -690,6 +690,9 @@
 
 void JobGroup::AddWorker(std::size_t instance) {
   Instance& at = this->instances[instance];
+  if (at.lost) {
+    return;
+  }
   ++at.lives;
   SimulatedWorker::Settings worker;
   const std::uint64_t number = this->settings.workers_keep_ids ? 0 : at.lives;
@@ -721,6 +724,13 @@
   this->EndWorker(instance, this->RandomDelay(milliseconds(20), longest));
 }
 
+void JobGroup::LoseWorker(std::size_t instance) {
+  this->instances[instance].lost = true;
+  if (this->instances[instance].worker != nullptr) {
+    this->EndWorker(instance, Duration(0));
+  }
+}
+
 void JobGroup::EndWorker(std::size_t instance, Duration pause) {
   Instance& at = this->instances[instance];
   at.worker->Die();
--- a/tests/node/support/job_group.h
+++ b/tests/node/support/job_group.h
@@ -116,6 +116,8 @@
   /// Ends the worker on the instance, and begins another life there up to 2 s
   /// later.
   void KillWorker(std::size_t instance);
+  /// Ends the worker on the instance for good.
+  void LoseWorker(std::size_t instance);
 
   /// Ends all faults but dead workers, which come back by themselves.
   void Heal();
@@ -161,6 +163,7 @@
     std::set<std::size_t> cut_from;
     std::uint64_t lives = 0;
     bool pending = false;
+    bool lost = false;
     /// Orders that a cut holds back.
     std::vector<std::pair<std::size_t, std::function<void()>>> held;
   };
