Find a job by the path at which it was submitted

Cause: the outer queue matched the path, and the rest of the path, "cup/ID", was looked up as a job's id. Only a submission checked that it can be one, and only a submission without any queue asked for the job that was submitted at the path. On the code before, the repeated submission in InnerQueueRemoved_JobOfIt_IsShownAndCancelled is refused as malformed_job.

Change: HandleQueueCall resolves each call once, for all four kinds. The job that was submitted at the path comes first, whatever queue the path belongs to now; then the queue of the path and the rest of it. A rest with a slash is the path of a queue that doesn't exist (404), also for the count of a removed inner queue. A call for a job also needs a key if the job's own queue requires one.

Why it works: clients know a job by its path alone, and that never changes. What the path means by the configuration in force only matters where no job was submitted at it.

--- a/src/mimosastage/jobs/call_handler.cc
+++ b/src/mimosastage/jobs/call_handler.cc
@@ -37,10 +37,6 @@
   return answer;
 }
 
-std::string JobIdIn(const Call& call, const Queue& queue) {
-  return call.path.substr(queue.path_prefix.size());
-}
-
 /// Job ids become parts of task ids, so they must not contain a dot.
 bool IsJobId(const std::string& id) {
   constexpr std::size_t kMaxLength = 64;
@@ -51,6 +47,23 @@
          });
 }
 
+/// Returns the job that was submitted at the path, or null. Its queue may be
+/// gone since, or another one may match the path.
+const Job* FindJobAt(const FleetState& state, const std::string& host,
+                     const std::string& path) {
+  // A prefix may end anywhere, but an id has no slash.
+  const std::size_t slash = path.rfind('/');
+  const std::size_t first = slash == std::string::npos ? 0 : slash + 1;
+  for (std::size_t begin = first; begin < path.size(); ++begin) {
+    const Job* const job = state.FindJob(path.substr(begin));
+    if (job != nullptr && job->request->host == host &&
+        path.compare(0, begin, job->request->path_prefix) == 0) {
+      return job;
+    }
+  }
+  return nullptr;
+}
+
 }  // namespace
 
 CallHandler::CallHandler(Hooks hooks, const FleetState& working,
@@ -147,58 +160,76 @@
     this->Refuse(CallOutcome::kUnavailable, "no_configuration", reply);
     return;
   }
+  const auto kind = static_cast<CallKind>(call.kind);
+  const bool is_read =
+      kind == CallKind::kJobState || kind == CallKind::kQueueLength;
   const Queue* queue = this->committed.Queues().ForCall(call.host, call.path);
-  if (queue == nullptr) {
-    if (static_cast<CallKind>(call.kind) == CallKind::kSubmit &&
-        this->HasJobSubmittedAt(call.host, call.path)) {
-      // An earlier copy of the call was accepted, so it isn't refused.
-      reply(AnswerOf(CallOutcome::kUnknown, "queue_removed_since"));
-      return;
-    }
+  const Job* submitted_here = FindJobAt(
+      is_read ? this->committed : this->working, call.host, call.path);
+  if (queue == nullptr && submitted_here != nullptr &&
+      kind == CallKind::kSubmit) {
+    // An earlier copy of the call was accepted, so it isn't refused.
+    reply(AnswerOf(CallOutcome::kUnknown, "queue_removed_since"));
+    return;
+  }
+  Target target{queue, submitted_here, ""};
+  if (queue != nullptr) {
+    target.id = submitted_here == nullptr
+                    ? call.path.substr(queue->path_prefix.size())
+                    : submitted_here->request->id;
+  }
+  // A path below the prefix that can't be that of a job belongs to a queue that
+  // doesn't exist.
+  if (queue == nullptr || target.id.find('/') != std::string::npos) {
     this->Refuse(CallOutcome::kNoQueue, "no_such_queue", reply);
     return;
   }
   const Team* team = this->committed.TeamOfKey(call.key);
-  if (team == nullptr && !queue->open) {
+  if (team == nullptr && !IsOpen(target)) {
     this->Refuse(CallOutcome::kUnauthorised, "unknown_key", reply);
     return;
   }
-  switch (static_cast<CallKind>(call.kind)) {
+  switch (kind) {
     case CallKind::kSubmit:
-      this->Submit(call, *queue, team, now, reply);
+      this->Submit(call, target, team, now, reply);
       return;
     case CallKind::kCancel:
-      this->Cancel(call, *queue, now, reply);
+      this->Cancel(target, now, reply);
       return;
     default:
-      if (call.path.size() == queue->path_prefix.size()) {
+      if (target.id.empty()) {
         this->ShowQueue(*queue, reply);
       } else {
-        this->ShowJob(call, *queue, reply);
+        this->ShowJob(target, reply);
       }
   }
 }
 
-bool CallHandler::HasJobSubmittedAt(const std::string& host,
-                                    const std::string& path) const {
-  const std::size_t slash = path.rfind('/');
-  const Job* job = slash == std::string::npos
-                       ? nullptr
-                       : this->working.FindJob(path.substr(slash + 1));
-  return job != nullptr && job->request->host == host &&
-         job->request->path_prefix + job->request->id == path;
+bool CallHandler::IsOpen(const Target& target) {
+  const bool job_is_open = target.submitted_here == nullptr ||
+                           target.submitted_here->queue == nullptr ||
+                           target.submitted_here->queue->open;
+  return target.queue->open && job_is_open;
 }
 
-void CallHandler::Submit(const Call& call, const Queue& queue, const Team* team,
-                         TimePoint now, const Reply& reply) {
-  const std::string id = JobIdIn(call, queue);
+bool CallHandler::Holds(const Target& target, const Job& job) const {
+  // The queue of the call is committed. A change that isn't may have bound the
+  // job to another one already.
+  const Job* committed_job = this->committed.FindJob(target.id);
+  return target.submitted_here != nullptr || job.IsHeldBy(*target.queue) ||
+         (committed_job != nullptr && committed_job->IsHeldBy(*target.queue));
+}
+
+void CallHandler::Submit(const Call& call, const Target& target,
+                         const Team* team, TimePoint now, const Reply& reply) {
+  const std::string& id = target.id;
   if (!IsJobId(id) || call.job == nullptr) {
     this->Refuse(CallOutcome::kInvalid, "malformed_job", reply);
     return;
   }
   const Job* same_id = this->working.FindJob(id);
   const bool known = same_id != nullptr;
-  if (known && !this->IsHeldBy(*same_id, queue)) {
+  if (known && !this->Holds(target, *same_id)) {
     this->Refuse(CallOutcome::kConflict, "job_id_in_use", reply);
     return;
   }
@@ -208,8 +239,8 @@
   if (!known) {
     // The job follows the changes of the configuration that aren't durable yet,
     // so it is accepted only if they leave it its queue and team.
-    if (next == nullptr ||
-        QueueTable::LocationOf(*next) != QueueTable::LocationOf(queue)) {
+    if (next == nullptr || QueueTable::LocationOf(*next) !=
+                               QueueTable::LocationOf(*target.queue)) {
       this->RefuseJob(id, "queue_being_removed", kRemovedQueueDelay, reply);
       return;
     }
@@ -272,18 +303,9 @@
   this->dispatcher.OnChange(id, now);
 }
 
-bool CallHandler::IsHeldBy(const Job& job, const Queue& queue) const {
-  // `queue` is committed. A change that isn't may have bound the job to another
-  // queue already.
-  const Job* committed_job = this->committed.FindJob(job.request->id);
-  return job.IsHeldBy(queue) ||
-         (committed_job != nullptr && committed_job->IsHeldBy(queue));
-}
-
-void CallHandler::ShowJob(const Call& call, const Queue& queue,
-                          const Reply& reply) const {
-  const Job* job = this->committed.FindJob(JobIdIn(call, queue));
-  if (job == nullptr || !job->IsHeldBy(queue)) {
+void CallHandler::ShowJob(const Target& target, const Reply& reply) const {
+  const Job* job = this->committed.FindJob(target.id);
+  if (job == nullptr || !this->Holds(target, *job)) {
     reply(AnswerOf(CallOutcome::kGone));
     return;
   }
@@ -292,11 +314,11 @@
   reply(std::move(answer));
 }
 
-void CallHandler::Cancel(const Call& call, const Queue& queue, TimePoint now,
+void CallHandler::Cancel(const Target& target, TimePoint now,
                          const Reply& reply) {
-  const std::string id = JobIdIn(call, queue);
+  const std::string& id = target.id;
   const Job* job = this->working.FindJob(id);
-  if (job == nullptr || !this->IsHeldBy(*job, queue)) {
+  if (job == nullptr || !this->Holds(target, *job)) {
     reply(AnswerOf(CallOutcome::kGone));
     return;
   }
@@ -306,7 +328,7 @@
   Command command;
   if (!job->Ended()) {
     command.cancelled_job = id;
-    this->hooks.report("job_cancelled", id, queue.name);
+    this->hooks.report("job_cancelled", id, target.queue->name);
   }
   this->hooks.propose(std::move(command), [reply](TimePoint) {
     reply(AnswerOf(CallOutcome::kOk));
--- a/src/mimosastage/jobs/call_handler.h
+++ b/src/mimosastage/jobs/call_handler.h
@@ -47,19 +47,27 @@
   void Handle(const Call& call, TimePoint now, const Reply& reply);
 
  private:
-  /// True if a job was accepted at this path, whose queue may be gone since.
-  bool HasJobSubmittedAt(const std::string& host,
-                         const std::string& path) const;
-  void Submit(const Call& call, const Queue& queue, const Team* team,
+  /// What a call to the path of a queue or job is for.
+  struct Target {
+    /// The queue in force with the longest prefix that matches the path.
+    const Queue* queue = nullptr;
+    /// The job that was submitted at the path, whatever queue holds it; null if
+    /// there is none.
+    const Job* submitted_here = nullptr;
+    /// The job's id; empty for the path of a queue.
+    std::string id;
+  };
+
+  void HandleQueueCall(const Call& call, TimePoint now, const Reply& reply);
+  /// True if calls for the target need no key.
+  static bool IsOpen(const Target& target);
+  /// True if clients find the job with the target's id at the target's path.
+  bool Holds(const Target& target, const Job& job) const;
+  void Submit(const Call& call, const Target& target, const Team* team,
               TimePoint now, const Reply& reply);
-  /// True if the queue holds the job, or held it before a change of the
-  /// configuration that isn't durable yet.
-  bool IsHeldBy(const Job& job, const Queue& queue) const;
-  void ShowJob(const Call& call, const Queue& queue, const Reply& reply) const;
-  void Cancel(const Call& call, const Queue& queue, TimePoint now,
-              const Reply& reply);
+  void ShowJob(const Target& target, const Reply& reply) const;
+  void Cancel(const Target& target, TimePoint now, const Reply& reply);
   void ShowQueue(const Queue& queue, const Reply& reply) const;
-  void HandleQueueCall(const Call& call, TimePoint now, const Reply& reply);
   void Configure(const Call& call, TimePoint now, const Reply& reply);
   /// Reports the queues that only open jobs keep.
   void ReportRemovedQueues() const;
--- a/tests/jobs/call_handler_test.cc
+++ b/tests/jobs/call_handler_test.cc
@@ -88,6 +88,7 @@
     call.configuration->pools.back()->name = "render";
     for (const auto& [name, prefix] : queues) {
       call.configuration->queues.push_back(MakeQueue(name, prefix));
+      call.configuration->queues.back()->open = name != this->protected_queue;
     }
     if (!this->team.empty()) {
       auto row = std::make_unique<Team>();
@@ -151,6 +152,8 @@
   bool log_is_full = false;
   /// The team of the next configuration, with the key "key-TEAM"; "" for none.
   std::string team;
+  /// The name of the queue that isn't open.
+  std::string protected_queue;
   /// The key of calls.
   std::string key;
 };
@@ -257,6 +260,62 @@
   EXPECT_EQ(this->last_refusal, "key_being_removed");
 }
 
+// Guards against a running job that is shown as unknown, and whose cancel is
+// acknowledged without effect, once a queue with a shorter prefix takes its
+// path (LOST, UNASKED).
+TEST_F(CallHandlerTest, InnerQueueRemoved_JobOfIt_IsShownAndCancelled) {
+  this->Configure({{"outer", "/q/"}, {"inner", "/q/in/"}});
+  ASSERT_EQ(this->Handle(CallKind::kSubmit, "/q/in/job"), CallOutcome::kOk);
+  this->Configure({{"outer", "/q/"}});
+  EXPECT_EQ(this->PhaseAt("/q/in/job"), JobPhase::kQueued);
+  EXPECT_EQ(this->Handle(CallKind::kSubmit, "/q/in/job"), CallOutcome::kOk)
+      << "a repeated submission";
+  EXPECT_EQ(this->Handle(CallKind::kCancel, "/q/in/job"), CallOutcome::kOk);
+  EXPECT_EQ(this->PhaseAt("/q/in/job"), JobPhase::kCancelled);
+}
+
+// The same for an outer job whose path a new queue takes, because its prefix
+// ends inside the job's id.
+TEST_F(CallHandlerTest, InnerQueueAdded_JobOfOuterQueue_IsShownAndCancelled) {
+  this->Configure({{"outer", "/q/"}});
+  ASSERT_EQ(this->Handle(CallKind::kSubmit, "/q/job1"), CallOutcome::kOk);
+  this->Configure({{"outer", "/q/"}, {"inner", "/q/jo"}});
+  EXPECT_EQ(this->PhaseAt("/q/job1"), JobPhase::kQueued);
+  EXPECT_EQ(this->Handle(CallKind::kSubmit, "/q/job1"), CallOutcome::kOk)
+      << "a repeated submission";
+  EXPECT_EQ(this->Handle(CallKind::kCancel, "/q/job1"), CallOutcome::kOk);
+  EXPECT_EQ(this->PhaseAt("/q/job1"), JobPhase::kCancelled);
+}
+
+// Guards against calls for a removed queue that are answered as calls for a job
+// of a queue with a shorter prefix.
+TEST_F(CallHandlerTest, InnerQueueRemoved_CallsForTheQueue_AreRefused) {
+  this->Configure({{"outer", "/q/"}});
+  for (const char* path : {"/q/in/", "/q/in/job"}) {
+    for (const CallKind kind : {CallKind::kSubmit, CallKind::kJobState,
+                                CallKind::kCancel, CallKind::kQueueLength}) {
+      EXPECT_EQ(this->Handle(kind, path), CallOutcome::kNoQueue) << path;
+    }
+  }
+}
+
+// Guards against callers without a key who read or cancel a job of a queue that
+// requires one, through a queue with a shorter prefix.
+TEST_F(CallHandlerTest, InnerQueueRemoved_KeyIsUnknown_JobStaysProtected) {
+  this->team = "crews";
+  this->key = "key-crews";
+  this->protected_queue = "inner";
+  this->Configure({{"outer", "/q/"}, {"inner", "/q/in/"}});
+  ASSERT_EQ(this->Handle(CallKind::kSubmit, "/q/in/job"), CallOutcome::kOk);
+  this->Configure({{"outer", "/q/"}});
+  EXPECT_EQ(this->PhaseAt("/q/in/job"), JobPhase::kQueued);
+  this->key.clear();
+  EXPECT_EQ(this->Handle(CallKind::kJobState, "/q/in/job"),
+            CallOutcome::kUnauthorised);
+  EXPECT_EQ(this->Handle(CallKind::kCancel, "/q/in/job"),
+            CallOutcome::kUnauthorised);
+}
+
 // Guards against a refusal of a job that is stored: its queue is removed before
 // the submission is repeated.
 TEST_F(CallHandlerTest, SubmitAgain_QueueIsRemoved_IsNotRefused) {
--- a/tests/node/job_group_schedules_test.cc
+++ b/tests/node/job_group_schedules_test.cc
@@ -42,6 +42,7 @@
   bool workers_keep_ids = false;
   bool workers_change_kind = true;
   bool queue_changes = false;
+  bool outer_queue = false;
   bool queue_lookups = false;
   bool waves = false;
   /// All workers but one are lost for good, at the same moment.
@@ -154,6 +155,7 @@
   JobTraffic::Settings TrafficSettings(const ScheduleSettings& schedule) {
     JobTraffic::Settings settings;
     settings.queue_changes = schedule.queue_changes;
+    settings.outer_queue = schedule.outer_queue;
     settings.queue_lookups = schedule.queue_lookups;
     settings.waves = schedule.waves;
     settings.evacuations = schedule.evacuations;
@@ -602,6 +604,14 @@
   this->RunAll(40);
 }
 
+// The same beside a queue with a shorter prefix, which the paths of the jobs
+// match as well: guards against jobs that are taken for jobs of that queue.
+TEST_F(JobGroupSchedulesTest, Group_InnerQueueIsRemoved_KeepsTheRules) {
+  this->settings.queue_changes = true;
+  this->settings.outer_queue = true;
+  this->RunAll(40);
+}
+
 // Guards against a change that is acknowledged and lost (CONFIG): a restarted
 // voter takes the answer to a call of its former process for its own.
 TEST_F(JobGroupSchedulesTest, Group_CalledVoterRestarts_KeepsAcknowledged) {
--- a/tests/node/support/job_traffic.cc
+++ b/tests/node/support/job_traffic.cc
@@ -17,6 +17,7 @@
 /// Operators give up an attempt 300 ms later at the latest.
 constexpr Duration kOperatorPatience = milliseconds(900);
 constexpr const char* kPrefix = "/render/";
+constexpr const char* kOuterPrefix = "/";
 
 std::unique_ptr<jobs::Step> MakeStep(std::uint32_t tasks,
                                      std::int64_t millicores,
@@ -30,6 +31,20 @@
   return step;
 }
 
+std::unique_ptr<jobs::Queue> MakeQueue(const std::string& name) {
+  auto queue = std::make_unique<jobs::Queue>();
+  queue->name = name;
+  queue->host = "host";
+  queue->path_prefix = kPrefix;
+  queue->pool = "render";
+  queue->max_attempts = 1'000;
+  queue->stretch = 2;
+  queue->timeout_ms = 3'000;
+  queue->target_ms = 600;
+  queue->open = true;
+  return queue;
+}
+
 jobs::CallOutcome OutcomeOf(const jobs::Answer& answer) {
   return static_cast<jobs::CallOutcome>(answer.outcome);
 }
@@ -242,20 +257,14 @@
 }
 
 std::unique_ptr<jobs::Queue> JobTraffic::QueueOf(std::uint64_t version) const {
-  auto queue = std::make_unique<jobs::Queue>();
-  queue->name = "queue-render";
-  queue->host = "host";
-  queue->path_prefix = kPrefix;
-  queue->pool = "render";
-  queue->max_attempts = 1'000;
-  queue->stretch = 2;
-  queue->timeout_ms = 3'000;
-  queue->target_ms = 600;
-  queue->open = true;
+  auto queue = MakeQueue("queue-render");
   if (this->settings.queue_changes) {
     // A repeated version must have the same content.
     std::mt19937_64 draw(this->settings.seed ^ version);
-    if (draw() % 4 == 0 && version > 4 && version != this->final_version) {
+    const bool removed = draw() % 4 == 0 && version > 4;
+    const bool removed_at_the_end =
+        this->settings.outer_queue && this->settings.seed % 2 == 0;
+    if (version == this->final_version ? removed_at_the_end : removed) {
       return nullptr;
     }
     queue->name += std::to_string(draw() % 3);
@@ -292,6 +301,11 @@
   if (auto queue = this->QueueOf(version); queue != nullptr) {
     call.configuration->queues.push_back(std::move(queue));
   }
+  if (this->settings.outer_queue) {
+    auto queue = MakeQueue("queue-outer");
+    queue->path_prefix = kOuterPrefix;
+    call.configuration->queues.push_back(std::move(queue));
+  }
   this->group.Call(
       voter, std::move(call), seconds(1),
       [this, version, bytes,
--- a/tests/node/support/job_traffic.h
+++ b/tests/node/support/job_traffic.h
@@ -26,6 +26,9 @@
     /// Versions rename the queue, remove it and bring it back, two at once at
     /// times.
     bool queue_changes = false;
+    /// All versions have another queue, whose prefix begins that of the queue.
+    /// In half of the schedules, the last version has no other one.
+    bool outer_queue = false;
     /// Clients ask for the queue's number of waiting jobs.
     bool queue_lookups = false;
     /// Jobs last until the end, and waves of upkeep come.
@@ -86,7 +89,8 @@
   std::uint64_t last_job = 0;
   std::uint64_t last_version = 0;
   std::uint64_t last_wave = 0;
-  /// Has the queue, so that clients can look up their jobs at the end.
+  /// Has the queue, so that clients can look up their jobs at the end, or the
+  /// outer one, at which they can as well.
   std::uint64_t final_version = 0;
 };
 
