Tell the next leader which starts may still be executed

The next leader knew no copy of the starts that the one before it had given, so it acknowledged the end of a run whose first copy could still be executed.

Cause: StartCopies lives for one term.

Change: the log has a record (late_start) before a start is given again while a copy of it may be out, and when a run of an earlier term proves to be missing, whose start may be on its way as well.

Why it works: what the leader knows of a copy is durable before the order goes out that lets the run end beside it. A start that is answered adds no record, and one that is repeated waits for one entry of the log.

--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -82,6 +82,7 @@
   for (const auto& [id, worker] : state.Workers()) {
     this->AddSession(worker, now);
   }
+  this->AdoptLateStarts(now);
   // Runs whose worker was removed before their end was recorded.
   std::vector<RunKey> orphans;
   for (const auto& [id, job] : state.Jobs()) {
@@ -104,6 +105,21 @@
   }
 }
 
+void Dispatcher::AdoptLateStarts(TimePoint now) {
+  const milliseconds wall = this->hooks.wall_time();
+  for (const RunStart& start : this->state.LateStarts()) {
+    // The clocks of two leaders may differ.
+    const milliseconds age =
+        std::max(milliseconds(0), wall - BoundedTime(start.at_ms) -
+                                      this->config.clock_tolerance);
+    if (age < this->config.lease.execution_delay) {
+      this->start_copies.AddForeign(
+          TaskId{start.job, start.occurrence, start.step, start.index},
+          start.run, now + this->config.lease.execution_delay - age);
+    }
+  }
+}
+
 bool Dispatcher::AdoptRun(const TaskId& task, const ActiveRun& active,
                           TimePoint now) {
   const auto found = this->sessions.find(active.worker);
@@ -845,6 +861,14 @@
                            (run.listed ? ", listed before" : ", never listed") +
                            (stopped ? ", being stopped" : "") +
                            UnansweredAcknowledgement(session));
+    if (run.unlisted) {
+      // This incarnation refuses a start of the earlier leader by its token,
+      // but the next one doesn't.
+      this->start_copies.AddForeign(
+          key.first, key.second,
+          run.last_start + this->config.lease.execution_delay);
+      this->LogLateStart(key, id, session.born_ms, {});
+    }
     this->EndRun(id, session, key,
                  stopped ? RunOutcome::kStopped : RunOutcome::kLost, "", now);
   }
@@ -906,7 +930,7 @@
     }
     if (run.stage == RunStage::kStarting) {
       if (session.unanswered_orders == 0 && session.strays == 0) {
-        this->SendStart(id, key, now);
+        this->GiveStart(id, session, key, run, now);
       }
     } else if (run.stage == RunStage::kStopping && !run.confirmed.has_value()) {
       this->SendStop(id, session, key, run, now);
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -280,6 +280,8 @@
     /// More than one copy of the start was sent. Unlike `attempts`, this
     /// outlasts a stop.
     bool start_repeated = false;
+    /// The log has a record of the repetition that is sent next.
+    bool repetition_logged = false;
     /// When the last copy of the start was sent.
     TimePoint last_start{};
     bool order_open = false;
@@ -601,6 +603,8 @@
                    const EndedRun& ended, const Step* step, TimePoint now);
   /// Returns the step of the task, or null if it isn't known any more.
   const Step* FindStep(const TaskId& task) const;
+  /// Takes over the copies of starts that earlier leaders have sent.
+  void AdoptLateStarts(TimePoint now);
   /// Records what the answer to a start order tells of its copy.
   void SettleStartCopy(const OpenOrder& order, const WorkerReply& reply);
   /// True if a copy of a start of the task may be executed later. Long-running
@@ -692,6 +696,15 @@
   /// the worker's capacity any more.
   void WithdrawStarts(const std::string& worker, Session& session,
                       TimePoint now);
+  /// Logs that a copy of the run's start, sent until now, may be executed late,
+  /// so that the next leader knows.
+  void LogLateStart(const RunKey& key, const std::string& worker,
+                    std::int64_t born_ms,
+                    std::function<void(TimePoint now)> committed);
+  /// Sends the run's start order. If an earlier copy of it may still be
+  /// executed, the log has a record of that before.
+  void GiveStart(const std::string& worker, Session& session, const RunKey& key,
+                 Run& run, TimePoint now);
   void SendStart(const std::string& worker, const RunKey& key, TimePoint now);
   void StopRun(const std::string& worker, Session& session, const RunKey& key,
                Run& run, const char* reason, TimePoint now);
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -122,6 +122,42 @@
   session.capacity_shrunk = session.capacity_shrunk && !all_checked;
 }
 
+void Dispatcher::LogLateStart(const RunKey& key, const std::string& worker,
+                              std::int64_t born_ms,
+                              std::function<void(TimePoint now)> committed) {
+  Command command = this->MakeRunStart(key, worker, born_ms);
+  command.late_start = std::move(command.start);
+  this->hooks.propose(std::move(command), std::move(committed));
+}
+
+void Dispatcher::GiveStart(const std::string& worker, Session& session,
+                           const RunKey& key, Run& run, TimePoint now) {
+  if (run.repetition_logged ||
+      !this->start_copies.LatestExecution(key.first, now).has_value()) {
+    this->SendStart(worker, key, now);
+    return;
+  }
+  // No order is sent until the record is durable.
+  run.order_open = true;
+  const std::int64_t born_ms = session.born_ms;
+  this->LogLateStart(
+      key, worker, born_ms, [this, worker, born_ms, key](TimePoint at) {
+        const auto found = this->sessions.find(worker);
+        if (found == this->sessions.end() || found->second.born_ms != born_ms) {
+          return;
+        }
+        const auto run = found->second.runs.find(key);
+        if (run == found->second.runs.end() ||
+            run->second.stage != RunStage::kStarting) {
+          return;
+        }
+        run->second.order_open = false;
+        run->second.repetition_logged = true;
+        run->second.next_attempt = at;
+        this->due_sessions.Add(&found->second, at);
+      });
+}
+
 void Dispatcher::SendStart(const std::string& worker, const RunKey& key,
                            TimePoint now) {
   Session& session = this->sessions.at(worker);
@@ -159,6 +195,7 @@
   order.timeout = this->config.reply_timeout;
   order.fresh_connection = run.attempts > 0;
   run.start_repeated = run.start_repeated || run.attempts > 0;
+  run.repetition_logged = false;
   ++run.attempts;
   run.start_sent = true;
   run.last_start = now;
--- a/src/mimosastage/jobs/fleet_state.cc
+++ b/src/mimosastage/jobs/fleet_state.cc
@@ -4,6 +4,8 @@
 #include <limits>
 #include <utility>
 
+#include "mimosastage/jobs/value_bounds.h"
+
 namespace mimosastage::jobs {
 namespace {
 
@@ -171,6 +173,8 @@
     this->FailCrashingJobs();
   } else if (command.evacuation != nullptr) {
     this->Apply(*command.evacuation);
+  } else if (command.late_start != nullptr) {
+    this->AddLateStart(*command.late_start);
   } else if (!command.cancelled_job.empty()) {
     this->Cancel(command.cancelled_job);
   } else if (const auto job = this->jobs.find(command.begun_job);
@@ -187,6 +191,18 @@
   }
 }
 
+void FleetState::AddLateStart(const RunStart& start) {
+  const auto oldest =
+      BoundedTime(start.at_ms) -
+      std::chrono::milliseconds(this->bounds.late_start_retention_ms);
+  while (!this->late_starts.empty() &&
+         (this->late_starts.size() >= this->bounds.late_starts ||
+          BoundedTime(this->late_starts.front().at_ms) < oldest)) {
+    this->late_starts.pop_front();
+  }
+  this->late_starts.push_back(start);
+}
+
 void FleetState::Apply(const Configuration& next) {
   if (next.version > this->configuration->version) {
     this->configuration = std::make_shared<Configuration>(next);
@@ -559,6 +575,9 @@
   snapshot.crashes = this->crashes.Records();
   snapshot.evacuated_zones.assign(this->evacuated_zones.begin(),
                                   this->evacuated_zones.end());
+  for (const RunStart& start : this->late_starts) {
+    snapshot.late_starts.push_back(std::make_unique<RunStart>(start));
+  }
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(jobs_wire::Snapshot::Pack(builder, &snapshot));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
@@ -657,6 +676,9 @@
   }
   this->evacuated_zones.insert(snapshot.evacuated_zones.begin(),
                                snapshot.evacuated_zones.end());
+  for (const auto& start : snapshot.late_starts) {
+    this->AddLateStart(*start);
+  }
   return true;
 }
 
--- a/src/mimosastage/jobs/fleet_state.h
+++ b/src/mimosastage/jobs/fleet_state.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -81,6 +82,10 @@
     std::size_t jobs = 100'000;
     /// Evacuated availability zones. Far above the number of zones of a fleet.
     std::size_t evacuated_zones = 64;
+    /// How long a late start is kept. Longer than an order may be on its way,
+    /// by more than the clocks of two leaders may differ.
+    std::int64_t late_start_retention_ms = 30'000;
+    std::size_t late_starts = 20'000;
   };
 
   void Apply(const Command& command);
@@ -113,6 +118,10 @@
   const std::map<std::string, std::int64_t>& OrderedAt() const {
     return this->ordered_at;
   }
+  /// The starts of which a copy may still be executed although it was sent
+  /// again or the run was given up, in the order of their records. They may
+  /// contain some that have expired.
+  const std::deque<RunStart>& LateStarts() const { return this->late_starts; }
   /// Jobs that have not ended, by acceptance time.
   const std::set<std::pair<std::int64_t, std::string>>& OpenJobs() const {
     return this->open_jobs;
@@ -148,6 +157,7 @@
   void MarkBegun(Job& job);
   void Apply(const WorkerCrash& crash);
   void Apply(const Evacuation& evacuation);
+  void AddLateStart(const RunStart& start);
   /// Fails the jobs that the crashes are blamed on.
   void FailCrashingJobs();
   void AddChange(const TaskId& task);
@@ -187,6 +197,7 @@
   std::map<std::uint64_t, Wave> waves;
   std::map<std::string, std::int64_t> ordered_at;
   std::set<std::string> evacuated_zones;
+  std::deque<RunStart> late_starts;
 };
 
 }  // namespace mimosastage::jobs
--- a/src/mimosastage/jobs/internal/records_generated.h
+++ b/src/mimosastage/jobs/internal/records_generated.h
@@ -3004,6 +3004,7 @@
   std::unique_ptr<mimosastage::jobs_wire::RunSurvivedT> survived{};
   std::string begun_job{};
   std::unique_ptr<mimosastage::jobs_wire::EvacuationT> evacuation{};
+  std::unique_ptr<mimosastage::jobs_wire::RunStartT> late_start{};
   CommandT() = default;
   CommandT(const CommandT &o);
   CommandT(CommandT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3029,7 +3030,8 @@
     VT_FINDING = 26,
     VT_SURVIVED = 28,
     VT_BEGUN_JOB = 30,
-    VT_EVACUATION = 32
+    VT_EVACUATION = 32,
+    VT_LATE_START = 34
   };
   const mimosastage::jobs_wire::Configuration *configuration() const {
     return GetPointer<const mimosastage::jobs_wire::Configuration *>(VT_CONFIGURATION);
@@ -3076,6 +3078,9 @@
   const mimosastage::jobs_wire::Evacuation *evacuation() const {
     return GetPointer<const mimosastage::jobs_wire::Evacuation *>(VT_EVACUATION);
   }
+  const mimosastage::jobs_wire::RunStart *late_start() const {
+    return GetPointer<const mimosastage::jobs_wire::RunStart *>(VT_LATE_START);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CONFIGURATION) &&
@@ -3108,6 +3113,8 @@
            verifier.VerifyString(begun_job()) &&
            VerifyOffset(verifier, VT_EVACUATION) &&
            verifier.VerifyTable(evacuation()) &&
+           VerifyOffset(verifier, VT_LATE_START) &&
+           verifier.VerifyTable(late_start()) &&
            verifier.EndTable();
   }
   CommandT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3164,6 +3171,9 @@
   void add_evacuation(flatbuffers::Offset<mimosastage::jobs_wire::Evacuation> evacuation) {
     fbb_.AddOffset(Command::VT_EVACUATION, evacuation);
   }
+  void add_late_start(flatbuffers::Offset<mimosastage::jobs_wire::RunStart> late_start) {
+    fbb_.AddOffset(Command::VT_LATE_START, late_start);
+  }
   explicit CommandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3191,8 +3201,10 @@
     flatbuffers::Offset<mimosastage::jobs_wire::CrashFinding> finding = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::RunSurvived> survived = 0,
     flatbuffers::Offset<flatbuffers::String> begun_job = 0,
-    flatbuffers::Offset<mimosastage::jobs_wire::Evacuation> evacuation = 0) {
+    flatbuffers::Offset<mimosastage::jobs_wire::Evacuation> evacuation = 0,
+    flatbuffers::Offset<mimosastage::jobs_wire::RunStart> late_start = 0) {
   CommandBuilder builder_(_fbb);
+  builder_.add_late_start(late_start);
   builder_.add_evacuation(evacuation);
   builder_.add_begun_job(begun_job);
   builder_.add_survived(survived);
@@ -3232,7 +3244,8 @@
     flatbuffers::Offset<mimosastage::jobs_wire::CrashFinding> finding = 0,
     flatbuffers::Offset<mimosastage::jobs_wire::RunSurvived> survived = 0,
     const char *begun_job = nullptr,
-    flatbuffers::Offset<mimosastage::jobs_wire::Evacuation> evacuation = 0) {
+    flatbuffers::Offset<mimosastage::jobs_wire::Evacuation> evacuation = 0,
+    flatbuffers::Offset<mimosastage::jobs_wire::RunStart> late_start = 0) {
   auto cancelled_job__ = cancelled_job ? _fbb.CreateString(cancelled_job) : 0;
   auto begun_job__ = begun_job ? _fbb.CreateString(begun_job) : 0;
   return mimosastage::jobs_wire::CreateCommand(
@@ -3251,7 +3264,8 @@
       finding,
       survived,
       begun_job__,
-      evacuation);
+      evacuation,
+      late_start);
 }
 
 flatbuffers::Offset<Command> CreateCommand(flatbuffers::FlatBufferBuilder &_fbb, const CommandT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3712,6 +3726,7 @@
   std::vector<std::unique_ptr<mimosastage::jobs_wire::InstanceOrderT>> ordered{};
   std::vector<std::unique_ptr<mimosastage::jobs_wire::WorkerCrashT>> crashes{};
   std::vector<std::string> evacuated_zones{};
+  std::vector<std::unique_ptr<mimosastage::jobs_wire::RunStartT>> late_starts{};
   SnapshotT() = default;
   SnapshotT(const SnapshotT &o);
   SnapshotT(SnapshotT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3729,7 +3744,8 @@
     VT_WAVES = 10,
     VT_ORDERED = 12,
     VT_CRASHES = 14,
-    VT_EVACUATED_ZONES = 16
+    VT_EVACUATED_ZONES = 16,
+    VT_LATE_STARTS = 18
   };
   const mimosastage::jobs_wire::Configuration *configuration() const {
     return GetPointer<const mimosastage::jobs_wire::Configuration *>(VT_CONFIGURATION);
@@ -3752,6 +3768,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *evacuated_zones() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_EVACUATED_ZONES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::RunStart>> *late_starts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::RunStart>> *>(VT_LATE_STARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CONFIGURATION) &&
@@ -3774,6 +3793,9 @@
            VerifyOffset(verifier, VT_EVACUATED_ZONES) &&
            verifier.VerifyVector(evacuated_zones()) &&
            verifier.VerifyVectorOfStrings(evacuated_zones()) &&
+           VerifyOffset(verifier, VT_LATE_STARTS) &&
+           verifier.VerifyVector(late_starts()) &&
+           verifier.VerifyVectorOfTables(late_starts()) &&
            verifier.EndTable();
   }
   SnapshotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3806,6 +3828,9 @@
   void add_evacuated_zones(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuated_zones) {
     fbb_.AddOffset(Snapshot::VT_EVACUATED_ZONES, evacuated_zones);
   }
+  void add_late_starts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::RunStart>>> late_starts) {
+    fbb_.AddOffset(Snapshot::VT_LATE_STARTS, late_starts);
+  }
   explicit SnapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3825,8 +3850,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::Wave>>> waves = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>>> ordered = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>>> crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuated_zones = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuated_zones = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<mimosastage::jobs_wire::RunStart>>> late_starts = 0) {
   SnapshotBuilder builder_(_fbb);
+  builder_.add_late_starts(late_starts);
   builder_.add_evacuated_zones(evacuated_zones);
   builder_.add_crashes(crashes);
   builder_.add_ordered(ordered);
@@ -3850,13 +3877,15 @@
     const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::Wave>> *waves = nullptr,
     const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>> *ordered = nullptr,
     const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>> *crashes = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *evacuated_zones = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *evacuated_zones = nullptr,
+    const std::vector<flatbuffers::Offset<mimosastage::jobs_wire::RunStart>> *late_starts = nullptr) {
   auto jobs__ = jobs ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::JobRecord>>(*jobs) : 0;
   auto workers__ = workers ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::Worker>>(*workers) : 0;
   auto waves__ = waves ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::Wave>>(*waves) : 0;
   auto ordered__ = ordered ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>>(*ordered) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>>(*crashes) : 0;
   auto evacuated_zones__ = evacuated_zones ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*evacuated_zones) : 0;
+  auto late_starts__ = late_starts ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::RunStart>>(*late_starts) : 0;
   return mimosastage::jobs_wire::CreateSnapshot(
       _fbb,
       configuration,
@@ -3865,7 +3894,8 @@
       waves__,
       ordered__,
       crashes__,
-      evacuated_zones__);
+      evacuated_zones__,
+      late_starts__);
 }
 
 flatbuffers::Offset<Snapshot> CreateSnapshot(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6702,7 +6732,8 @@
         finding((o.finding) ? new mimosastage::jobs_wire::CrashFindingT(*o.finding) : nullptr),
         survived((o.survived) ? new mimosastage::jobs_wire::RunSurvivedT(*o.survived) : nullptr),
         begun_job(o.begun_job),
-        evacuation((o.evacuation) ? new mimosastage::jobs_wire::EvacuationT(*o.evacuation) : nullptr) {
+        evacuation((o.evacuation) ? new mimosastage::jobs_wire::EvacuationT(*o.evacuation) : nullptr),
+        late_start((o.late_start) ? new mimosastage::jobs_wire::RunStartT(*o.late_start) : nullptr) {
 }
 
 inline CommandT &CommandT::operator=(CommandT o) FLATBUFFERS_NOEXCEPT {
@@ -6721,6 +6752,7 @@
   std::swap(survived, o.survived);
   std::swap(begun_job, o.begun_job);
   std::swap(evacuation, o.evacuation);
+  std::swap(late_start, o.late_start);
   return *this;
 }
 
@@ -6748,6 +6780,7 @@
   { auto _e = survived(); if (_e) _o->survived = std::unique_ptr<mimosastage::jobs_wire::RunSurvivedT>(_e->UnPack(_resolver)); }
   { auto _e = begun_job(); if (_e) _o->begun_job = _e->str(); }
   { auto _e = evacuation(); if (_e) _o->evacuation = std::unique_ptr<mimosastage::jobs_wire::EvacuationT>(_e->UnPack(_resolver)); }
+  { auto _e = late_start(); if (_e) _o->late_start = std::unique_ptr<mimosastage::jobs_wire::RunStartT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<Command> Command::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CommandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6773,6 +6806,7 @@
   auto _survived = _o->survived ? CreateRunSurvived(_fbb, _o->survived.get(), _rehasher) : 0;
   auto _begun_job = _o->begun_job.empty() ? 0 : _fbb.CreateString(_o->begun_job);
   auto _evacuation = _o->evacuation ? CreateEvacuation(_fbb, _o->evacuation.get(), _rehasher) : 0;
+  auto _late_start = _o->late_start ? CreateRunStart(_fbb, _o->late_start.get(), _rehasher) : 0;
   return mimosastage::jobs_wire::CreateCommand(
       _fbb,
       _configuration,
@@ -6789,7 +6823,8 @@
       _finding,
       _survived,
       _begun_job,
-      _evacuation);
+      _evacuation,
+      _late_start);
 }
 
 inline BatchT::BatchT(const BatchT &o) {
@@ -6993,6 +7028,8 @@
   for (const auto &ordered_ : o.ordered) { ordered.emplace_back((ordered_) ? new mimosastage::jobs_wire::InstanceOrderT(*ordered_) : nullptr); }
   crashes.reserve(o.crashes.size());
   for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new mimosastage::jobs_wire::WorkerCrashT(*crashes_) : nullptr); }
+  late_starts.reserve(o.late_starts.size());
+  for (const auto &late_starts_ : o.late_starts) { late_starts.emplace_back((late_starts_) ? new mimosastage::jobs_wire::RunStartT(*late_starts_) : nullptr); }
 }
 
 inline SnapshotT &SnapshotT::operator=(SnapshotT o) FLATBUFFERS_NOEXCEPT {
@@ -7003,6 +7040,7 @@
   std::swap(ordered, o.ordered);
   std::swap(crashes, o.crashes);
   std::swap(evacuated_zones, o.evacuated_zones);
+  std::swap(late_starts, o.late_starts);
   return *this;
 }
 
@@ -7022,6 +7060,7 @@
   { auto _e = ordered(); if (_e) { _o->ordered.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ordered[_i] = std::unique_ptr<mimosastage::jobs_wire::InstanceOrderT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<mimosastage::jobs_wire::WorkerCrashT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = evacuated_zones(); if (_e) { _o->evacuated_zones.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evacuated_zones[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = late_starts(); if (_e) { _o->late_starts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->late_starts[_i] = std::unique_ptr<mimosastage::jobs_wire::RunStartT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<Snapshot> Snapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7039,6 +7078,7 @@
   auto _ordered = _o->ordered.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::InstanceOrder>> (_o->ordered.size(), [](size_t i, _VectorArgs *__va) { return CreateInstanceOrder(*__va->__fbb, __va->__o->ordered[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::WorkerCrash>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateWorkerCrash(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _evacuated_zones = _o->evacuated_zones.size() ? _fbb.CreateVectorOfStrings(_o->evacuated_zones) : 0;
+  auto _late_starts = _o->late_starts.size() ? _fbb.CreateVector<flatbuffers::Offset<mimosastage::jobs_wire::RunStart>> (_o->late_starts.size(), [](size_t i, _VectorArgs *__va) { return CreateRunStart(*__va->__fbb, __va->__o->late_starts[i].get(), __va->__rehasher); }, &_va ) : 0;
   return mimosastage::jobs_wire::CreateSnapshot(
       _fbb,
       _configuration,
@@ -7047,7 +7087,8 @@
       _waves,
       _ordered,
       _crashes,
-      _evacuated_zones);
+      _evacuated_zones,
+      _late_starts);
 }
 
 inline CallT::CallT(const CallT &o)
--- a/src/mimosastage/jobs/start_copies.cc
+++ b/src/mimosastage/jobs/start_copies.cc
@@ -6,11 +6,11 @@
 
 void StartCopies::OnSent(const TaskId& task, std::uint32_t run,
                          std::uint64_t order, TimePoint now) {
-  this->copies[task].push_back(Copy{run, order, now});
+  this->copies[task].push_back(Copy{run, order, now + this->execution_delay});
 }
 
 void StartCopies::OnRefused(const TaskId& task, std::uint64_t order) {
-  this->Erase(task, order);
+  this->Erase(task, [&](const Copy& copy) { return copy.order == order; });
 }
 
 void StartCopies::OnConfirmed(const TaskId& task, std::uint64_t order) {
@@ -27,7 +27,7 @@
   for (Copy& copy : found->second) {
     copy.may_be_surplus = copy.may_be_surplus || copy.run == confirmed->run;
   }
-  this->Erase(task, order);
+  this->Erase(task, [&](const Copy& copy) { return copy.order == order; });
 }
 
 void StartCopies::OnUnanswered(const TaskId& task, std::uint64_t order) {
@@ -37,12 +37,17 @@
   }
   for (const Copy& copy : found->second) {
     if (copy.order == order) {
-      this->unanswered.push_back(
-          UnansweredCopy{copy.sent + this->execution_delay, task, order});
+      this->unanswered.push_back(UnansweredCopy{copy.latest_execution, task});
     }
   }
 }
 
+void StartCopies::AddForeign(const TaskId& task, std::uint32_t run,
+                             TimePoint latest_execution) {
+  this->copies[task].push_back(Copy{run, 0, latest_execution, true});
+  this->unanswered.push_back(UnansweredCopy{latest_execution, task});
+}
+
 void StartCopies::OnListed(const TaskId& task, std::uint32_t run) {
   const auto found = this->copies.find(task);
   if (found == this->copies.end()) {
@@ -55,7 +60,7 @@
     }
   }
   if (of_run.size() == 1 && !of_run.front()->may_be_surplus) {
-    this->Erase(task, of_run.front()->order);
+    this->Erase(task, [&](const Copy& copy) { return copy.run == run; });
     return;
   }
   for (Copy* const copy : of_run) {
@@ -68,9 +73,8 @@
   std::optional<TimePoint> latest;
   if (const auto found = this->copies.find(task); found != this->copies.end()) {
     for (const Copy& copy : found->second) {
-      if (const TimePoint until = copy.sent + this->execution_delay;
-          until > now) {
-        latest = std::max(latest.value_or(until), until);
+      if (copy.latest_execution > now) {
+        latest = std::max(latest.value_or(now), copy.latest_execution);
       }
     }
   }
@@ -80,18 +84,19 @@
 void StartCopies::ForgetExpired(TimePoint now) {
   while (!this->unanswered.empty() &&
          this->unanswered.front().latest_execution <= now) {
-    this->Erase(this->unanswered.front().task, this->unanswered.front().order);
+    this->Erase(this->unanswered.front().task,
+                [&](const Copy& copy) { return copy.latest_execution <= now; });
     this->unanswered.pop_front();
   }
 }
 
-void StartCopies::Erase(const TaskId& task, std::uint64_t order) {
+template <class Predicate>
+void StartCopies::Erase(const TaskId& task, const Predicate& predicate) {
   const auto found = this->copies.find(task);
   if (found == this->copies.end()) {
     return;
   }
-  std::erase_if(found->second,
-                [&](const Copy& copy) { return copy.order == order; });
+  std::erase_if(found->second, predicate);
   if (found->second.empty()) {
     this->copies.erase(found);
   }
--- a/src/mimosastage/jobs/start_copies.h
+++ b/src/mimosastage/jobs/start_copies.h
@@ -33,6 +33,10 @@
   void OnConfirmed(const TaskId& task, std::uint64_t order);
   /// The copy got no answer within its timeout.
   void OnUnanswered(const TaskId& task, std::uint64_t order);
+  /// An earlier leader has sent a copy that may be unanswered and be executed
+  /// until `latest_execution`.
+  void AddForeign(const TaskId& task, std::uint32_t run,
+                  TimePoint latest_execution);
   /// A worker has listed the run, so it has executed one of the copies.
   void OnListed(const TaskId& task, std::uint32_t run);
 
@@ -49,18 +53,20 @@
  private:
   struct Copy {
     std::uint32_t run = 0;
+    /// 0 for a copy of an earlier leader.
     std::uint64_t order = 0;
-    TimePoint sent{};
+    TimePoint latest_execution{};
     /// The run is known to have begun, but not by which copy.
     bool may_be_surplus = false;
   };
   struct UnansweredCopy {
     TimePoint latest_execution{};
     TaskId task;
-    std::uint64_t order = 0;
   };
 
-  void Erase(const TaskId& task, std::uint64_t order);
+  /// Erases the task's copies for which the predicate is true.
+  template <class Predicate>
+  void Erase(const TaskId& task, const Predicate& predicate);
 
   std::chrono::milliseconds execution_delay;
   std::map<TaskId, std::vector<Copy>> copies;
--- a/tests/jobs/dispatcher_incarnation_test.cc
+++ b/tests/jobs/dispatcher_incarnation_test.cc
@@ -155,6 +155,20 @@
     ASSERT_FALSE(this->fleet.WorkersOf(TaskOf("second")).empty());
   }
 
+  /// Checks that the job is complete, and that the worker's end isn't
+  /// acknowledged for 11 s and is afterwards.
+  void ExpectEndIsKeptForTheDelay() {
+    const FakeWorker& worker = this->fleet.workers.at("worker-0");
+    for (milliseconds passed{0}; passed < milliseconds(11'000);
+         passed += milliseconds(100)) {
+      this->fleet.Advance(milliseconds(100));
+      ASSERT_EQ(worker.ended.size(), 1U);
+    }
+    EXPECT_EQ(this->fleet.JobOf("second").phase, JobPhase::kCompleted);
+    this->fleet.Advance(milliseconds(6'000));
+    EXPECT_TRUE(worker.ended.empty());
+  }
+
   /// The next incarnation executes the start that was held back. On its clock,
   /// the deadline hasn't passed.
   void ExecuteStartOnNextIncarnation() {
@@ -321,17 +335,29 @@
 TEST_F(DispatcherIncarnationTest,
        StartWasRepeated_FirstCopyMayBeLate_EndIsKept) {
   this->HoldFirstCopyBack();
-  const TimePoint sent = this->fleet.now;
   this->fleet.EndRun("worker-0", TaskOf("second"), RunOutcome::kDone);
-  const FakeWorker& worker = this->fleet.workers.at("worker-0");
-  while (this->fleet.now - sent < milliseconds(11'000)) {
-    this->fleet.Advance(milliseconds(100));
-    ASSERT_EQ(worker.ended.size(), 1U);
-  }
-  EXPECT_EQ(this->fleet.JobOf("second").phase, JobPhase::kCompleted);
+  this->ExpectEndIsKeptForTheDelay();
   EXPECT_EQ(this->fleet.reports["end_withheld"], 1);
-  this->fleet.Advance(milliseconds(2'000));
-  EXPECT_TRUE(worker.ended.empty());
+}
+
+// The same after a change of the leader, for an end that the one before has
+// withheld.
+TEST_F(DispatcherIncarnationTest, EndIsWithheld_LeaderChanges_EndIsKept) {
+  this->HoldFirstCopyBack();
+  this->fleet.EndRun("worker-0", TaskOf("second"), RunOutcome::kDone);
+  this->fleet.Advance(milliseconds(300));
+  this->fleet.BeginTerm();
+  this->ExpectEndIsKeptForTheDelay();
+}
+
+// The same for an end that comes in the next term.
+TEST_F(DispatcherIncarnationTest,
+       StartWasRepeated_LeaderChangesBeforeTheEnd_EndIsKept) {
+  this->HoldFirstCopyBack();
+  this->fleet.BeginTerm();
+  this->fleet.Advance(milliseconds(300));
+  this->fleet.EndRun("worker-0", TaskOf("second"), RunOutcome::kDone);
+  this->ExpectEndIsKeptForTheDelay();
 }
 
 // The same for a copy whose worker ended: the run on another worker completes
--- a/tests/jobs/fleet_state_test.cc
+++ b/tests/jobs/fleet_state_test.cc
@@ -318,6 +318,32 @@
   EXPECT_EQ(queues.ForCall("other", "/a/id"), nullptr);
 }
 
+// Guards against a leader that doesn't know which starts of the one before it
+// may still be executed, and against records of them that pile up.
+TEST_F(FleetStateTest, LateStart_LoggedAndRestored_IsKeptForItsTime) {
+  const auto add = [this](std::uint32_t run, std::int64_t at_ms) {
+    Batch batch;
+    batch.commands.push_back(std::make_unique<Command>());
+    batch.commands[0]->late_start = std::make_unique<RunStart>();
+    batch.commands[0]->late_start->job = "job";
+    batch.commands[0]->late_start->run = run;
+    batch.commands[0]->late_start->at_ms = at_ms;
+    this->state.Apply(*DecodeBatch(EncodeBatch(batch)));
+  };
+  add(1, 1'000'000);
+  add(2, 1'020'000);
+  ASSERT_TRUE(this->state.Restore(this->state.Snapshot()));
+  ASSERT_EQ(this->state.LateStarts().size(), 2U);
+  EXPECT_EQ(this->state.LateStarts()[1].run, 2U);
+  add(3, 1'040'000);
+  ASSERT_EQ(this->state.LateStarts().size(), 2U);
+  EXPECT_EQ(this->state.LateStarts()[0].run, 2U);
+  for (std::uint32_t run = 0; run < 30'000; ++run) {
+    add(run, 1'040'000);
+  }
+  EXPECT_EQ(this->state.LateStarts().size(), this->state.limits().late_starts);
+}
+
 // Guards against an accepted job that nothing ever runs (LOST): the log has a
 // version without its queue before it.
 TEST_F(FleetStateTest, Accept_ConfigurationLacksTheQueue_JobIsNotStored) {
--- a/tests/jobs/start_copies_test.cc
+++ b/tests/jobs/start_copies_test.cc
@@ -82,5 +82,16 @@
   EXPECT_EQ(this->copies.Size(), 0U);
 }
 
+TEST_F(StartCopiesTest, AddForeign_RunIsListed_IsLeftUntilItsTime) {
+  this->copies.AddForeign(this->task, 1, this->start + seconds(5));
+  this->copies.AddForeign(this->task, 1, this->start + seconds(8));
+  this->copies.OnListed(this->task, 1);
+  this->copies.ForgetExpired(this->start + seconds(6));
+  EXPECT_EQ(this->copies.LatestExecution(this->task, this->start + seconds(6)),
+            this->start + seconds(8));
+  this->copies.ForgetExpired(this->start + seconds(8));
+  EXPECT_EQ(this->copies.Size(), 0U);
+}
+
 }  // namespace
 }  // namespace mimosastage::jobs
--- a/tests/jobs/worker_schedules_test.cc
+++ b/tests/jobs/worker_schedules_test.cc
@@ -168,6 +168,32 @@
   this->Report(3);
 }
 
+WorkerSchedule MakeOrdersOutliveTermsSchedule(std::uint64_t seed) {
+  return WorkerSchedule(seed,
+                        WorkerSchedule::Faults{.order_interval = 6,
+                                               .leaders_change = true,
+                                               .workers_crash = true,
+                                               .ids_return = true,
+                                               .orders_outlive_workers = true});
+}
+
+// The same while leaders change.
+TEST_F(WorkerSchedulesTest,
+       Scheduler_OrdersOutliveWorkersAndTerms_KeepsRulesOfRuns) {
+  this->RunAll(MakeOrdersOutliveTermsSchedule, 60);
+}
+
+// Guards against the same after a change of the leader, which doesn't know the
+// copies that the one before has sent.
+TEST_F(WorkerSchedulesTest,
+       Scheduler_CopyReachesNextIncarnationInNextTerm_KeepsRulesOfRuns) {
+  for (const std::uint64_t seed :
+       {1'610, 1'957, 2'160, 3'131, 3'134, 3'222, 4'181}) {
+    this->RunOne(MakeOrdersOutliveTermsSchedule, seed);
+  }
+  this->Report(7);
+}
+
 // The same while workers are cut off and leaders change: guards against runs
 // that are given up before their worker's lease has lapsed.
 TEST_F(WorkerSchedulesTest, Scheduler_WorkersAreCutOff_KeepsRulesOfRuns) {
