Ask for the copies of a single run where it alone matters

Found by reading the change: a run of a silent worker was kept while a copy of any other run of its task was out, and a start was logged as late for copies of other runs.

Cause: LatestExecution answers for the task, as acknowledgements need it. Whether a run may start elsewhere was decided by its own start before, and a restart that waits for another run's copy for up to 12 s would leave the job without a run.

Change: StartCopies::MayBeExecuted answers for one run, for the restart and for the record of late starts. HandleQueueCall returns early without a queue, so that the target of a call is made in one step.

StartCopiesTest OnRefused_EarlierRunUnanswered_EarlierIsLeft checks both questions.

--- a/src/mimosastage/jobs/call_handler.cc
+++ b/src/mimosastage/jobs/call_handler.cc
@@ -166,21 +166,21 @@
   const Queue* queue = this->committed.Queues().ForCall(call.host, call.path);
   const Job* submitted_here = FindJobAt(
       is_read ? this->committed : this->working, call.host, call.path);
-  if (queue == nullptr && submitted_here != nullptr &&
-      kind == CallKind::kSubmit) {
-    // An earlier copy of the call was accepted, so it isn't refused.
-    reply(AnswerOf(CallOutcome::kUnknown, "queue_removed_since"));
+  if (queue == nullptr) {
+    if (kind == CallKind::kSubmit && submitted_here != nullptr) {
+      // An earlier copy of the call was accepted, so it isn't refused.
+      reply(AnswerOf(CallOutcome::kUnknown, "queue_removed_since"));
+      return;
+    }
+    this->Refuse(CallOutcome::kNoQueue, "no_such_queue", reply);
     return;
   }
-  Target target{queue, submitted_here, ""};
-  if (queue != nullptr) {
-    target.id = submitted_here == nullptr
-                    ? call.path.substr(queue->path_prefix.size())
-                    : submitted_here->request->id;
-  }
-  // A path below the prefix that can't be that of a job belongs to a queue that
-  // doesn't exist.
-  if (queue == nullptr || target.id.find('/') != std::string::npos) {
+  const Target target{queue, submitted_here,
+                      submitted_here == nullptr
+                          ? call.path.substr(queue->path_prefix.size())
+                          : submitted_here->request->id};
+  if (target.id.find('/') != std::string::npos) {
+    // No job has such an id, so the path is that of a queue that isn't there.
     this->Refuse(CallOutcome::kNoQueue, "no_such_queue", reply);
     return;
   }
--- a/src/mimosastage/jobs/dispatcher.cc
+++ b/src/mimosastage/jobs/dispatcher.cc
@@ -478,7 +478,7 @@
   }
 }
 
-bool Dispatcher::IsStartOnItsWay(const TaskId& task, const Run& run,
+bool Dispatcher::IsStartOnItsWay(const RunKey& key, const Run& run,
                                  TimePoint now) const {
   if (run.step->long_running) {
     return false;
@@ -486,7 +486,7 @@
   // The first condition also covers copies that an earlier leader has sent.
   return (run.start_sent && !run.listed &&
           now - run.last_start < this->config.lease.execution_delay) ||
-         this->start_copies.LatestExecution(task, now).has_value();
+         this->start_copies.MayBeExecuted(key.first, key.second, now);
 }
 
 void Dispatcher::OnReply(const WorkerReply& reply, TimePoint now) {
@@ -944,7 +944,7 @@
   for (const auto& [key, run] : session.runs) {
     // The next incarnation under the worker's id may still execute a start that
     // is on its way.
-    if (!this->IsStartOnItsWay(key.first, run, now)) {
+    if (!this->IsStartOnItsWay(key, run, now)) {
       expired.push_back(key);
     }
   }
--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -607,9 +607,9 @@
   void AdoptLateStarts(TimePoint now);
   /// Records what the answer to a start order tells of its copy.
   void SettleStartCopy(const OpenOrder& order, const WorkerReply& reply);
-  /// True if a copy of a start of the task may be executed later. Long-running
+  /// True if a copy of the run's start may be executed later. Long-running
   /// tasks must be at work again soon, so their starts don't count.
-  bool IsStartOnItsWay(const TaskId& task, const Run& run, TimePoint now) const;
+  bool IsStartOnItsWay(const RunKey& key, const Run& run, TimePoint now) const;
   /// Ends the runs of a silent worker whose lease has expired.
   void EndExpiredRuns(const std::string& id, Session& session, TimePoint now);
   /// For log lines: which run ends were acknowledged by a hold that wasn't
--- a/src/mimosastage/jobs/dispatcher_runs.cc
+++ b/src/mimosastage/jobs/dispatcher_runs.cc
@@ -133,7 +133,7 @@
 void Dispatcher::GiveStart(const std::string& worker, Session& session,
                            const RunKey& key, Run& run, TimePoint now) {
   if (run.repetition_logged ||
-      !this->start_copies.LatestExecution(key.first, now).has_value()) {
+      !this->start_copies.MayBeExecuted(key.first, key.second, now)) {
     this->SendStart(worker, key, now);
     return;
   }
--- a/src/mimosastage/jobs/start_copies.cc
+++ b/src/mimosastage/jobs/start_copies.cc
@@ -81,6 +81,16 @@
   return latest;
 }
 
+bool StartCopies::MayBeExecuted(const TaskId& task, std::uint32_t run,
+                                TimePoint now) const {
+  const auto found = this->copies.find(task);
+  return found != this->copies.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [&](const Copy& copy) {
+                       return copy.run == run && copy.latest_execution > now;
+                     });
+}
+
 void StartCopies::ForgetExpired(TimePoint now) {
   while (!this->unanswered.empty() &&
          this->unanswered.front().latest_execution <= now) {
--- a/src/mimosastage/jobs/start_copies.h
+++ b/src/mimosastage/jobs/start_copies.h
@@ -44,6 +44,9 @@
   /// if none is left.
   std::optional<TimePoint> LatestExecution(const TaskId& task,
                                            TimePoint now) const;
+  /// True if a copy of this run's start may be executed.
+  bool MayBeExecuted(const TaskId& task, std::uint32_t run,
+                     TimePoint now) const;
 
   /// Removes the unanswered copies that can't be executed any more.
   void ForgetExpired(TimePoint now);
--- a/tests/jobs/start_copies_test.cc
+++ b/tests/jobs/start_copies_test.cc
@@ -71,6 +71,8 @@
   this->copies.OnRefused(this->task, 2);
   this->copies.OnListed(this->task, 2);
   EXPECT_TRUE(this->MayBeExecuted(this->start + seconds(1)));
+  EXPECT_TRUE(this->copies.MayBeExecuted(this->task, 1, this->start));
+  EXPECT_FALSE(this->copies.MayBeExecuted(this->task, 2, this->start));
 }
 
 TEST_F(StartCopiesTest, ForgetExpired_DelayIsOver_ForgetsTheTask) {
