Restore the name of a test, and explain what two members hold

The comments on reserved_for and start_copies didn't tell all that they hold. Found by reading the change; no code differs.

--- a/src/mimosastage/jobs/dispatcher.h
+++ b/src/mimosastage/jobs/dispatcher.h
@@ -280,7 +280,8 @@
     /// More than one copy of the start was sent. Unlike `attempts`, this
     /// outlasts a stop.
     bool start_repeated = false;
-    /// The log has a record of the repetition that is sent next.
+    /// The log has a late start of the run since its last start order, so that
+    /// the next one may be sent.
     bool repetition_logged = false;
     /// When the last copy of the start was sent.
     TimePoint last_start{};
@@ -400,8 +401,9 @@
     /// Since when the worker gets no tasks because its instance is due for
     /// upkeep or a move.
     std::optional<TimePoint> reserved;
-    /// The wave for whose upkeep the worker is reserved; 0 if it is reserved
-    /// for a move, or because a request of an earlier worker is open.
+    /// The wave that has reserved the worker or, later, ordered its upkeep; 0
+    /// if it is reserved for a move, or for a request that was open when it was
+    /// born.
     std::uint64_t reserved_for = 0;
     /// What keeps the reserved worker from becoming vacant.
     std::optional<Block> block;
@@ -1028,7 +1030,7 @@
   std::unordered_map<std::string, Amount> used_by_team;
   WaitingSteps waiting_steps;
   std::unordered_map<std::uint64_t, OpenOrder> orders;
-  /// Of the starts that were ordered in this term.
+  /// Of this term, and those of earlier ones that the log tells of.
   StartCopies start_copies;
   bool placement_needed = true;
   bool stopped_ended_jobs = false;
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -1395,7 +1395,7 @@
 
 // Guards against a start beyond a worker's capacity: it is repeated while the
 // worker lists a run that the leader doesn't know.
-TEST_F(WorkerCapacityTest, UnknownRunIsListed_LateStartWaits) {
+TEST_F(WorkerCapacityTest, UnknownRunIsListed_RepeatedStartWaits) {
   FakeWorker& worker = this->fleet.workers.at("worker-0");
   worker.silent = true;
   this->fleet.Submit("job", "render", {MakeStep(4, 1'000)});
